--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of reedhook, kept outside the tests."""
--- /dev/null
+++ b/src/reedhook/__init__.py
@@ -0,0 +1,1 @@
+"""A database proxy with session consistency over asynchronous replication."""
--- /dev/null
+++ b/src/reedhook/clock.py
@@ -0,0 +1,34 @@
+"""Time as the process sees it, behind an interface that tests replace."""
+
+import asyncio
+import time
+from abc import ABC, abstractmethod
+
+
+class Clock(ABC):
+    """Give monotonic time in seconds and let tasks sleep."""
+
+    @abstractmethod
+    def monotonic(self) -> float:
+        """Return monotonic time in seconds."""
+
+    @abstractmethod
+    def wall(self) -> float:
+        """Return wall-clock time in seconds since the epoch, for people only."""
+
+    @abstractmethod
+    async def sleep(self, seconds: float) -> None:
+        """Sleep for `seconds`."""
+
+
+class SystemClock(Clock):
+    """Read the clock of the operating system."""
+
+    def monotonic(self) -> float:
+        return time.monotonic()
+
+    def wall(self) -> float:
+        return time.time()
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
--- /dev/null
+++ b/src/reedhook/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process."""
--- /dev/null
+++ b/src/reedhook/process/timeline.py
@@ -0,0 +1,117 @@
+"""Bounded ring of typed events with hybrid logical clock stamps."""
+
+from collections import deque
+from enum import Enum
+from typing import Any, Final
+
+from ..clock import Clock
+from ..record import Record
+
+RING_SIZE: Final = 4096
+
+
+class EventKind(str, Enum):
+    """Name what happened."""
+
+    HOST_STARTED = "host_started"
+    HOST_STOPPING = "host_stopping"
+    CONFIGURATION = "configuration"
+    MEMBER_JOINED = "member_joined"
+    MEMBER_SUSPECTED = "member_suspected"
+    MEMBER_LEFT = "member_left"
+    HOME_TAKEN = "home_taken"
+    HOME_RELEASED = "home_released"
+    CONNECTION_SILENT = "connection_silent"
+    TARGET_LEAVING = "target_leaving"
+    PRIMARY_SUSPECTED = "primary_suspected"
+    PRIMARY_CLEARED = "primary_cleared"
+    TERM_RAISED = "term_raised"
+    PRIMARY_PROMOTED = "primary_promoted"
+    PROMOTION_FAILED = "promotion_failed"
+    PRIMARY_LEARNED = "primary_learned"
+    WRITES_RESUMED = "writes_resumed"
+    DRAIN = "drain"
+    REFUSED = "refused"
+    STORE = "store"
+
+
+class Stamp(Record):
+    """Order events causally over processes.
+
+    :param wall_ms: highest wall-clock time seen, in milliseconds.
+    :param count: breaks ties.
+    """
+
+    __slots__ = ("wall_ms", "count")
+
+    def __init__(self, wall_ms: int, count: int) -> None:
+        self.wall_ms = wall_ms
+        self.count = count
+
+    def to_json(self) -> list[int]:
+        """Return the stamp as it stands on the wire."""
+        return [self.wall_ms, self.count]
+
+
+class Event(Record):
+    """Carry one event.
+
+    :param subject: the group, target or host that it is about.
+    :param detail: what else is known, as plain JSON values.
+    """
+
+    __slots__ = ("stamp", "host", "kind", "subject", "detail")
+
+    def __init__(
+        self,
+        stamp: Stamp,
+        host: str,
+        kind: EventKind,
+        subject: str,
+        detail: dict[str, Any],
+    ) -> None:
+        self.stamp = stamp
+        self.host = host
+        self.kind = kind
+        self.subject = subject
+        self.detail = detail
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the event as it stands on the wire."""
+        return {
+            "stamp": self.stamp.to_json(),
+            "host": self.host,
+            "kind": self.kind.value,
+            "subject": self.subject,
+            "detail": self.detail,
+        }
+
+
+class Timeline:
+    """Keep the last events of this process."""
+
+    __slots__ = ("host", "clock", "stamp", "events")
+
+    def __init__(self, host: str, clock: Clock, size: int = RING_SIZE) -> None:
+        self.host = host
+        self.clock = clock
+        self.stamp = Stamp(0, 0)
+        self.events: deque[Event] = deque(maxlen=size)
+
+    def record(self, kind: EventKind, subject: str, **detail: Any) -> None:
+        """Append an event that happens now."""
+        self.events.append(Event(self.tick(), self.host, kind, subject, detail))
+
+    def tick(self) -> Stamp:
+        """Advance the clock and return a stamp for an event or a message."""
+        now = int(self.clock.wall() * 1000)
+        if now > self.stamp.wall_ms:
+            self.stamp = Stamp(now, 0)
+        else:
+            self.stamp = Stamp(self.stamp.wall_ms, self.stamp.count + 1)
+        return self.stamp
+
+    def observe(self, wall_ms: int, count: int) -> None:
+        """Take note of the stamp on a message from another process."""
+        if (wall_ms, count) > (self.stamp.wall_ms, self.stamp.count):
+            self.stamp = Stamp(wall_ms, count)
--- /dev/null
+++ b/src/reedhook/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/src/reedhook/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of the configuration."""
--- /dev/null
+++ b/src/reedhook_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests, demo and benchmarks."""
