--- a/src/reedhook/record.py
+++ b/src/reedhook/record.py
@@ -6,7 +6,7 @@
 class Record:
     """Compare and print a plain class by its slots."""
 
-    __slots__ = ()
+    __slots__: tuple[str, ...] = ()
 
     def values(self) -> tuple[Any, ...]:
         """Return the values of all slots in their order."""
