--- /dev/null
+++ b/tests/fakes_clock.py
@@ -0,0 +1,94 @@
+"""An event loop whose time jumps to the next timer, and clocks that read it."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, Final, TypeVar
+
+from reedhook.clock import Clock
+
+T = TypeVar("T")
+
+EPOCH: Final = 1_700_000_000.0
+IDLE_LIMIT: Final = 2.0
+
+
+class VirtualTimeStuck(Exception):
+    """Say that all tasks wait for something that no timer will bring."""
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Advance virtual time in place of waiting for it.
+
+    :ivar now: virtual time in seconds.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is not None:
+            ready = super().select(0)
+            if not ready:
+                self.now += max(timeout, 0.0)
+            return ready
+        ready = super().select(IDLE_LIMIT)
+        if not ready:
+            raise VirtualTimeStuck("no timer is set and nothing is ready")
+        return ready
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Run callbacks in virtual time; only for tests without sockets."""
+
+    def __init__(self) -> None:
+        self.selector = VirtualSelector()
+        super().__init__(self.selector)
+
+    def time(self) -> float:
+        return self.selector.now
+
+
+def run_virtual(main: Coroutine[Any, Any, T]) -> T:
+    """Run `main` in virtual time, which begins at 0 and costs no waiting."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main)
+
+
+class LoopClock(Clock):
+    """Read the time of the running loop; each host has a clock of its own.
+
+    :param skew: how far the wall clock is off, in seconds.
+    """
+
+    def __init__(self, skew: float = 0.0) -> None:
+        self.skew = skew
+        self.running = asyncio.Event()
+        self.running.set()
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        return EPOCH + self.skew + self.monotonic()
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        await self.running.wait()
+
+    def pause(self) -> None:
+        """Hold all sleepers, as a stopped process does, until `resume`."""
+        self.running.clear()
+
+    def resume(self) -> None:
+        """Let the sleepers go on; they see how much time went by."""
+        self.running.set()
+
+
+async def settle(rounds: int = 20) -> None:
+    """Let ready tasks run without letting time pass."""
+    for _ in range(rounds):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_peer_fakes.py
@@ -0,0 +1,91 @@
+"""The fakes that other tests rely on: virtual time and the faulty network."""
+
+import asyncio
+
+import pytest
+
+from reedhook.process.peer import HostRef, PeerError, PeerRoutes
+from reedhook.request.refusal import Reason, Refusal, not_run
+from reedhook.wire import Json
+
+from .fakes_clock import VirtualTimeStuck, run_virtual
+from .fakes_peers import FakeNetwork, FakePeers
+
+ONE = HostRef("one", "vittoria", "127.0.0.1:1")
+TWO = HostRef("two", "comiso", "127.0.0.1:2")
+
+
+def pair(network: FakeNetwork) -> tuple[FakePeers, list[Json]]:
+    seen: list[Json] = []
+
+    async def note(body: Json) -> Json:
+        seen.append(body)
+        return {"seen": len(seen)}
+
+    async def refuse(body: Json) -> Json:
+        raise not_run(Reason.WRONG_HOME, "elsewhere", 5)
+
+    routes = PeerRoutes()
+    routes.add("note", note)
+    routes.add("refuse", refuse)
+    network.join(TWO, routes)
+    return network.join(ONE, PeerRoutes()), seen
+
+
+def test_virtual_time_jumps_and_names_a_deadlock() -> None:
+    async def main() -> float:
+        await asyncio.sleep(3600)
+        return asyncio.get_running_loop().time()
+
+    async def stuck() -> None:
+        await asyncio.Event().wait()
+
+    assert 3600 <= run_virtual(main()) < 3600.001
+    with pytest.raises(VirtualTimeStuck):
+        run_virtual(stuck())
+
+
+def test_a_refusal_travels_and_a_crash_is_not_sent() -> None:
+    async def main() -> None:
+        network = FakeNetwork()
+        peers, _ = pair(network)
+        with pytest.raises(Refusal) as refused:
+            await peers.call(TWO, "refuse", {}, 1.0)
+        assert refused.value.reason is Reason.WRONG_HOME
+        assert refused.value.retry_after_ms == 5
+        network.crash("two")
+        with pytest.raises(PeerError) as failed:
+            await peers.call(TWO, "note", {}, 1.0)
+        assert not failed.value.sent
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(("sender", "effects"), [("one", 0), ("two", 1)])
+def test_a_one_way_cut_loses_the_question_or_the_answer(
+    sender: str, effects: int
+) -> None:
+    async def main() -> None:
+        network = FakeNetwork()
+        peers, seen = pair(network)
+        network.cut(sender, "two" if sender == "one" else "one")
+        with pytest.raises(PeerError) as failed:
+            await peers.call(TWO, "note", {"n": 1}, 1.0)
+        assert failed.value.sent
+        assert len(seen) == effects
+
+    run_virtual(main())
+
+
+def test_a_paused_host_answers_after_it_resumes() -> None:
+    async def main() -> None:
+        network = FakeNetwork()
+        peers, seen = pair(network)
+        network.pause("two")
+        call = asyncio.create_task(peers.call(TWO, "note", {}, 10.0))
+        await asyncio.sleep(2.0)
+        assert seen == []
+        network.resume("two")
+        assert await call == {"seen": 1}
+
+    run_virtual(main())
