Give the answer between hosts one wire form

Cause: the home writes the answer of the peer path statement and the entry host reads it. Change: Served gains to_json, from_json and the executing host; refusals gain internal.

--- a/src/reedhook/request/execution.py
+++ b/src/reedhook/request/execution.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 
 from ..record import Record
+from ..wire import Json
 from .statement import Answer, Statement
 from .view import GroupView
 
@@ -12,14 +13,36 @@
 
     :param wait: expected wait of the next statement at this home, in seconds.
     :param view: what the home knows of the group.
+    :param host: the id of the host that executed the statement.
     """
 
-    __slots__ = ("answer", "wait", "view")
+    __slots__ = ("answer", "wait", "view", "host")
 
-    def __init__(self, answer: Answer, wait: float, view: GroupView) -> None:
+    def __init__(
+        self, answer: Answer, wait: float, view: GroupView, host: str = ""
+    ) -> None:
         self.answer = answer
         self.wait = wait
         self.view = view
+        self.host = host
+
+    def to_json(self, now: float) -> Json:
+        """Return the answer of the peer path ``statement``."""
+        return {
+            "answer": self.answer.to_json(),
+            "wait": self.wait,
+            "view": self.view.to_json(now),
+        }
+
+    @classmethod
+    def from_json(cls, message: Json, asked: float, host: str) -> "Served":
+        """Read the answer of `host` to a statement sent at `asked`."""
+        return cls(
+            Answer.from_json(message["answer"]),
+            message["wait"],
+            GroupView.from_json(message["view"], asked),
+            host,
+        )
 
 
 class Execution(ABC):
--- a/src/reedhook/request/refusal.py
+++ b/src/reedhook/request/refusal.py
@@ -40,6 +40,7 @@
     NO_CONFIGURATION = "no_configuration"
     CONFLICT = "conflict"
     STORE_UNAVAILABLE = "store_unavailable"
+    INTERNAL = "internal"
 
 
 STATUS: Final[dict[Reason, int]] = {
