Read and check the settings of a host

Every daemon learns its addresses, zone, secrets and limits from one YAML file. All faults are found in one pass (schema, addresses that clash, unreadable files, keys that stand twice) and reported together by path, and no fault shows a secret's value. Addresses are IP numbers only.

--- /dev/null
+++ b/src/reedhook/process/settings_schema.py
@@ -0,0 +1,113 @@
+"""Schema of the settings file, and checks of the forms that it names."""
+
+import ipaddress
+from typing import Any, Final
+
+from jsonschema import FormatChecker
+
+HIGHEST_PORT: Final = 65535
+SHORTEST_SECRET: Final = 16
+
+ADDRESS: Final = {"type": "string", "format": "address"}
+NAME: Final = {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,62}$"}
+PATH: Final = {"type": "string", "minLength": 1}
+SECRET: Final = {
+    "oneOf": [
+        {"type": "string", "minLength": SHORTEST_SECRET},
+        {
+            "type": "object",
+            "properties": {"file": PATH},
+            "required": ["file"],
+            "additionalProperties": False,
+        },
+    ]
+}
+TLS: Final = {
+    "type": "object",
+    "properties": {"cert": PATH, "key": PATH, "ca": PATH},
+    "required": ["cert", "key", "ca"],
+    "additionalProperties": False,
+}
+LIMITS: Final = {
+    "type": "object",
+    "properties": {
+        "body_bytes": {"type": "integer", "minimum": 1024, "maximum": 16777216},
+        "admin_body_bytes": {
+            "type": "integer",
+            "minimum": 1024,
+            "maximum": 67108864,
+        },
+        "header_bytes": {"type": "integer", "minimum": 1024, "maximum": 65536},
+        "keepalive_s": {"type": "integer", "minimum": 1, "maximum": 3600},
+        "shutdown_s": {"type": "integer", "minimum": 1, "maximum": 600},
+    },
+    "additionalProperties": False,
+}
+SETTINGS: Final[dict[str, Any]] = {
+    "$schema": "https://json-schema.org/draft/2020-12/schema",
+    "type": "object",
+    "properties": {
+        "host": NAME,
+        "zone": NAME,
+        "listen": ADDRESS,
+        "peer_listen": ADDRESS,
+        "admin_listen": ADDRESS,
+        "store": ADDRESS,
+        "hostlist": ADDRESS,
+        "seeds": {"type": "array", "items": ADDRESS, "uniqueItems": True},
+        "peer_credential": SECRET,
+        "token_secret": SECRET,
+        "admins": {
+            "type": "object",
+            "minProperties": 1,
+            "propertyNames": NAME,
+            "additionalProperties": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
+        },
+        "statsd": ADDRESS,
+        "log_level": {"enum": ["debug", "info", "notice", "warning", "error"]},
+        "tls": TLS,
+        "limits": LIMITS,
+    },
+    "required": [
+        "host",
+        "zone",
+        "listen",
+        "peer_listen",
+        "admin_listen",
+        "store",
+        "hostlist",
+        "peer_credential",
+        "token_secret",
+        "admins",
+    ],
+    "additionalProperties": False,
+}
+
+FORMATS: Final = FormatChecker(formats=())
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:port``; an IPv6 number stands in brackets.
+
+    :raises ValueError: if the host part is no IP number or the port no port.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator:
+        raise ValueError("the port is missing")
+    if host.startswith("[") and host.endswith("]"):
+        ipaddress.IPv6Address(host[1:-1])
+        host = host[1:-1]
+    else:
+        ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdigit()) or int(port) > HIGHEST_PORT:
+        raise ValueError("the port is no number up to 65535")
+    return host, int(port)
+
+
+@FORMATS.checks("address", raises=ValueError)
+def check_address(value: object) -> bool:
+    """Accept an address that other hosts can reach."""
+    if not isinstance(value, str):
+        return True
+    host, port = split_address(value)
+    return port > 0 and not ipaddress.ip_address(host).is_unspecified
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,142 @@
+"""Settings files: every fault at once, and no secret shown."""
+
+from pathlib import Path
+
+import pytest
+import yaml
+
+from reedhook.process.settings import (
+    Settings,
+    SettingsError,
+    load_settings,
+    parse_settings,
+)
+from reedhook.process.settings_schema import split_address
+
+DIGEST = "ab" * 32
+
+
+def document() -> dict[str, object]:
+    """Return settings that pass."""
+    return {
+        "host": "vittoria-1",
+        "zone": "vittoria",
+        "listen": "127.0.0.1:18001",
+        "peer_listen": "127.0.0.1:18011",
+        "admin_listen": "127.0.0.1:18021",
+        "store": "127.0.0.1:18090",
+        "hostlist": "127.0.0.1:18091",
+        "seeds": ["127.0.0.1:18012"],
+        "peer_credential": "peers-peers-peers",
+        "token_secret": "tokens-tokens-tokens",
+        "admins": {"anna": DIGEST},
+    }
+
+
+def parse(changes: dict[str, object], folder: Path = Path(".")) -> Settings:
+    """Parse the settings that pass, with `changes`; None leaves one out."""
+    changed = document() | changes
+    kept = {name: value for name, value in changed.items() if value is not None}
+    return parse_settings(yaml.safe_dump(kept), folder)
+
+
+def faults(changes: dict[str, object], folder: Path = Path(".")) -> dict[str, str]:
+    """Return the reasons by path that `changes` bring about."""
+    with pytest.raises(ExceptionGroup) as caught:
+        parse(changes, folder)
+    errors = caught.value.exceptions
+    assert all(isinstance(error, SettingsError) for error in errors)
+    return {e.path: e.reason for e in errors if isinstance(e, SettingsError)}
+
+
+def test_settings_that_pass_become_typed() -> None:
+    settings = parse({"limits": {"body_bytes": 2048}})
+    assert settings.seeds == ("127.0.0.1:18012",)
+    assert settings.limits.body_bytes == 2048
+    assert settings.tls is None
+    assert "tokens-tokens" not in repr(settings)
+
+
+def test_all_faults_are_reported_at_once() -> None:
+    found = faults(
+        {
+            "host": "Vittoria 1",
+            "zone": None,
+            "listen": "localhost:18001",
+            "store": "0.0.0.0:1",
+            "seeds": ["127.0.0.1:18012", "peer:1"],
+            "admins": {"anna": "plain"},
+            "limits": {"body_bytes": 1, "boddy": 2},
+            "log_level": "loud",
+            "colour": "red",
+        }
+    )
+    assert set(found) == {
+        "host",
+        "zone",
+        "listen",
+        "store",
+        "seeds[1]",
+        "admins.anna",
+        "limits.body_bytes",
+        "limits.boddy",
+        "log_level",
+        "colour",
+    }
+    assert found["zone"] == "the setting is missing"
+    assert "IP number" in found["listen"]
+
+
+def test_two_interfaces_may_not_share_an_address() -> None:
+    assert set(faults({"admin_listen": "127.0.0.1:18001"})) == {"admin_listen"}
+
+
+def test_a_fault_shows_no_secret() -> None:
+    found = faults({"token_secret": "short", "peer_credential": 4711})
+    assert set(found) == {"token_secret", "peer_credential"}
+    assert "short" not in str(found)
+    assert "4711" not in str(found)
+
+
+def test_secrets_come_from_files_beside_the_settings(tmp_path: Path) -> None:
+    (tmp_path / "token").write_text("from-a-file-from-a-file\n")
+    settings = parse({"token_secret": {"file": "token"}}, tmp_path)
+    assert settings.token_secret == "from-a-file-from-a-file"
+
+
+def test_files_that_cannot_be_used_are_reported(tmp_path: Path) -> None:
+    (tmp_path / "token").write_text("short\n")
+    found = faults(
+        {
+            "token_secret": {"file": "token"},
+            "peer_credential": {"file": "absent"},
+            "tls": {"cert": "c.pem", "key": "k.pem", "ca": "a.pem"},
+        },
+        tmp_path,
+    )
+    assert set(found) == {
+        "token_secret.file",
+        "peer_credential.file",
+        "tls.cert",
+        "tls.key",
+        "tls.ca",
+    }
+
+
+@pytest.mark.parametrize("text", ["host: [", "- 1", "", "host: a\nhost: b\n"])
+def test_text_that_is_no_mapping_is_refused(text: str) -> None:
+    with pytest.raises(ExceptionGroup) as caught:
+        parse_settings(text, Path("."))
+    assert caught.group_contains(SettingsError)
+
+
+def test_a_file_that_is_absent_is_refused(tmp_path: Path) -> None:
+    with pytest.raises(ExceptionGroup, match="settings"):
+        load_settings(tmp_path / "absent.yaml")
+
+
+def test_ipv6_numbers_stand_in_brackets() -> None:
+    assert split_address("[::1]:80") == ("::1", 80)
+    for address in ("::1:80", "[127.0.0.1]:80", "1.2.3.4", "1.2.3.4:99999", "a:1"):
+        with pytest.raises(ValueError):
+            split_address(address)
