--- /dev/null
+++ b/src/reedhook_standins/caller.py
@@ -0,0 +1,337 @@
+"""A well-made caller of the statement interface, which records what it sees."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from typing import Any, Final, TypeAlias
+
+import aiohttp
+
+from reedhook import wire
+from reedhook.clock import Clock
+from reedhook.record import Record
+from reedhook.request.statement import Consistency
+from reedhook.request.verdict import Verdict
+from reedhook.wire import Json
+
+from .history import Attempt, History, ReadSeen
+
+DEADLINE_MS: Final = 1500
+ANSWER_SLACK_S: Final = 0.5
+CONNECT_TIMEOUT_S: Final = 0.25
+MOVE_PAUSE_S: Final = 0.01
+UNREACHABLE: Final = "host unreachable"
+NO_ANSWER: Final = "no answer"
+MOVING_REASONS: Final = frozenset({"draining", UNREACHABLE, NO_ANSWER})
+
+
+Note: TypeAlias = Callable[[str, float, "Reply"], None]
+
+
+class GaveUp(Exception):
+    """Say that a request found no answer within the caller's patience."""
+
+
+class Reply(Record):
+    """Carry what one call brought.
+
+    :param body: the answer or refusal; empty if none came.
+    :param reason: why the call brought no answer; None for an answer.
+    :param retry_after: when to come back, in seconds; None if a retry cannot
+        help.
+    """
+
+    __slots__ = ("body", "verdict", "reason", "retry_after")
+
+    def __init__(
+        self,
+        body: Json,
+        verdict: Verdict,
+        reason: str | None = None,
+        retry_after: float | None = None,
+    ) -> None:
+        self.body = body
+        self.verdict = verdict
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+class WriteOrder(Record):
+    """Carry a write that raises a register.
+
+    :param key: the register.
+    :param version: the version that it raises the register to.
+    :param sql: the statement; its first parameter is the request id.
+    :param params: the parameters after the request id.
+    """
+
+    __slots__ = ("group", "key", "version", "sql", "params")
+
+    def __init__(
+        self, group: str, key: str, version: int, sql: str, params: list[Any]
+    ) -> None:
+        self.group = group
+        self.key = key
+        self.version = version
+        self.sql = sql
+        self.params = params
+
+
+class ReadOrder(Record):
+    """Carry a read of registers.
+
+    :param kind: what the workload calls it.
+    :param sql: the statement; its first parameter is given back as the first
+        column, the others are the key and the version that were found.
+    :param params: the parameters after the mark.
+    :param keys: the registers that count as absent if no row names them.
+    :param max_age: the age that is accepted, in seconds; for bounded reads.
+    """
+
+    __slots__ = ("kind", "group", "sql", "params", "keys", "consistency", "max_age")
+
+    def __init__(
+        self,
+        kind: str,
+        group: str,
+        sql: str,
+        params: list[Any],
+        keys: list[str],
+        consistency: Consistency,
+        max_age: float | None = None,
+    ) -> None:
+        self.kind = kind
+        self.group = group
+        self.sql = sql
+        self.params = params
+        self.keys = keys
+        self.consistency = consistency
+        self.max_age = max_age
+
+
+class Caller:
+    """Send one session's requests, one at a time, to one host after another.
+
+    :param name: names the session.
+    :param hosts: ``IP:port`` of the entry hosts that the caller knows.
+    :param credential: the credential of the caller's team.
+    :param delay: one-way delay to the entry hosts, in seconds.
+    """
+
+    __slots__ = (
+        "name",
+        "hosts",
+        "credential",
+        "http",
+        "history",
+        "clock",
+        "random",
+        "delay",
+        "host",
+        "token",
+        "marks",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        hosts: Sequence[str],
+        credential: str,
+        http: aiohttp.ClientSession,
+        history: History,
+        clock: Clock,
+        random: random.Random,
+        delay: float = 0.0,
+    ) -> None:
+        self.name = name
+        self.hosts = hosts
+        self.credential = credential
+        self.http = http
+        self.history = history
+        self.clock = clock
+        self.random = random
+        self.delay = delay
+        self.host = random.choice(hosts)
+        self.token: str | None = None
+        self.marks = 0
+
+    def roam(self) -> None:
+        """Go on at another host, as the balancer may have it."""
+        others = [host for host in self.hosts if host != self.host]
+        self.host = self.random.choice(others or list(self.hosts))
+
+    async def write(self, order: WriteOrder, patience: float) -> Json:
+        """Run a write at most once and return the answer.
+
+        Each try carries the same request id.
+
+        :param patience: how long to go on trying, in seconds.
+        :raises GaveUp: if no answer came by then or a retry cannot help.
+        """
+        request_id = self.new_request_id()
+        body: Json = {
+            "group": order.group,
+            "sql": order.sql,
+            "params": [request_id, *order.params],
+            "request_id": request_id,
+        }
+
+        def note(host: str, started: float, reply: Reply) -> None:
+            self.history.attempts.append(
+                Attempt(
+                    request_id,
+                    order.group,
+                    order.key,
+                    order.version,
+                    self.name,
+                    host,
+                    started,
+                    self.clock.monotonic(),
+                    reply.verdict,
+                    reply.reason,
+                    bool(reply.body.get("repeated")),
+                )
+            )
+
+        return await self.persist("/v1/write", body, patience, note)
+
+    async def read(self, order: ReadOrder, patience: float) -> Json:
+        """Run a read and return the answer.
+
+        :param patience: how long to go on trying, in seconds.
+        :raises GaveUp: if no answer came by then or a retry cannot help.
+        """
+        mark = self.new_mark()
+        body: Json = {
+            "group": order.group,
+            "sql": order.sql,
+            "params": [mark, *order.params],
+            "consistency": order.consistency.value,
+        }
+        if order.max_age is not None:
+            body["max_age_ms"] = round(order.max_age * 1000)
+
+        def note(host: str, started: float, reply: Reply) -> None:
+            self.history.reads.append(self.read_seen(order, mark, host, started, reply))
+
+        return await self.persist("/v1/read", body, patience, note)
+
+    async def define(self, group: str, sql: str, patience: float) -> None:
+        """Run a statement that changes the schema.
+
+        :raises GaveUp: if no answer came by then or a retry cannot help.
+        """
+        body: Json = {
+            "group": group,
+            "sql": sql,
+            "params": [],
+            "request_id": self.new_request_id(),
+        }
+        await self.persist("/v1/write", body, patience, lambda *seen: None)
+
+    async def persist(self, path: str, body: Json, patience: float, note: Note) -> Json:
+        """Send `body` until it is answered, and `note` what each try brought."""
+        until = self.clock.monotonic() + patience
+        while True:
+            host, started = self.host, self.clock.monotonic()
+            reply = await self.call(path, body)
+            note(host, started, reply)
+            if reply.reason is None:
+                return reply.body
+            await self.prepare_retry(reply, until)
+
+    def read_seen(
+        self, order: ReadOrder, mark: str, host: str, started: float, reply: Reply
+    ) -> ReadSeen:
+        """Return the record of a read."""
+        rows = reply.body.get("rows") or []
+        versions = dict.fromkeys(order.keys, 0)
+        versions.update({row[1]: row[2] for row in rows})
+        age_ms = reply.body.get("age_ms")
+        return ReadSeen(
+            kind=order.kind,
+            group=order.group,
+            session=self.name,
+            host=host,
+            consistency=order.consistency,
+            started=started,
+            ended=self.clock.monotonic(),
+            mark=mark,
+            echoed=echo(mark, rows),
+            versions=versions,
+            reason=reply.reason,
+            role=reply.body.get("role"),
+            age=None if age_ms is None else age_ms / 1000,
+        )
+
+    async def call(self, path: str, body: Json) -> Reply:
+        """Send one request to the present host and keep the token it brings."""
+        body = {**body, "deadline_ms": DEADLINE_MS}
+        if self.token is not None:
+            body["token"] = self.token
+        await self.clock.sleep(self.delay)
+        reply = await self.exchange(path, wire.encode(body))
+        await self.clock.sleep(self.delay)
+        self.token = reply.body.get("token") or self.token
+        return reply
+
+    async def exchange(self, path: str, body: bytes) -> Reply:
+        """Send one request and read the answer, or say what is known of it."""
+        timeout = aiohttp.ClientTimeout(
+            total=DEADLINE_MS / 1000 + ANSWER_SLACK_S, connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self.http.post(
+                f"http://{self.host}{path}",
+                data=body,
+                headers={
+                    "Authorization": f"Bearer {self.credential}",
+                    "Content-Type": "application/json",
+                },
+                timeout=timeout,
+            ) as response:
+                return reply_from(wire.decode(await response.read()))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return Reply({}, Verdict.NOT_RUN, UNREACHABLE, MOVE_PAUSE_S)
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            return Reply({}, Verdict.MAY_HAVE_RUN, NO_ANSWER, MOVE_PAUSE_S)
+
+    async def prepare_retry(self, reply: Reply, until: float) -> None:
+        """Wait as told and choose the host of the next try.
+
+        :raises GaveUp: if a retry cannot help or comes too late.
+        """
+        if reply.retry_after is None:
+            raise GaveUp(f"{self.name}: {reply.reason}: {reply.body.get('detail')}")
+        if self.clock.monotonic() + reply.retry_after > until:
+            raise GaveUp(f"{self.name}: still {reply.reason}")
+        if reply.reason in MOVING_REASONS:
+            self.roam()
+        await self.clock.sleep(reply.retry_after)
+
+    def new_request_id(self) -> str:
+        """Return an id that no other request has."""
+        wall_ms = int(self.clock.wall() * 1000)
+        unique = self.random.getrandbits(48)
+        return f"{wall_ms:013d}-{unique:012x}"
+
+    def new_mark(self) -> str:
+        """Return a text that no other read asks to be given back."""
+        self.marks += 1
+        return f"{self.name}/{self.marks}"
+
+
+def reply_from(message: Json) -> Reply:
+    """Read an answer or refusal off the wire."""
+    verdict = Verdict(message["verdict"])
+    if "reason" not in message:
+        return Reply(message, verdict)
+    hint = message.get("retry_after_ms")
+    retry_after = None if hint is None else hint / 1000
+    return Reply(message, verdict, message["reason"], retry_after)
+
+
+def echo(mark: str, rows: list[list[Any]]) -> str:
+    """Return the mark that the rows gave back; without rows there is none."""
+    marks = {str(row[0]) for row in rows}
+    return ",".join(sorted(marks)) if marks else mark
--- /dev/null
+++ b/src/reedhook_standins/outcome.py
@@ -0,0 +1,276 @@
+"""The report of a day: what was promised, what was measured."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from itertools import pairwise
+from typing import Final
+
+from reedhook.record import Record
+from reedhook.request.statement import Consistency
+from reedhook.wire import Json
+
+from .history import Attempt, Effect, Fault, History, Promise, Violation, violations
+
+SHOWN_VIOLATIONS: Final = 10
+NAME_WIDTH: Final = 46
+AFTERMATH_S: Final = 15.0
+
+
+class Gap(Record):
+    """Carry how long one group took no writes after a fault.
+
+    :param to_first_write: from the fault to the first acknowledgement of a
+        write that was sent after it, in seconds; None if none came.
+    :param longest: the longest time without an acknowledgement that the
+        fault lies in or precedes, in seconds.
+    """
+
+    __slots__ = ("fault", "to_first_write", "longest")
+
+    def __init__(
+        self, fault: Fault, to_first_write: float | None, longest: float
+    ) -> None:
+        self.fault = fault
+        self.to_first_write = to_first_write
+        self.longest = longest
+
+    def to_json(self) -> Json:
+        """Return the gap for programs."""
+        return {
+            "fault": self.fault.name,
+            "subject": self.fault.subject,
+            "group": self.fault.group,
+            "to_first_write_s": rounded(self.to_first_write),
+            "longest_without_ack_s": rounded(self.longest),
+        }
+
+
+class Outcome(Record):
+    """Carry the report of a day.
+
+    :param broken: the promises that did not hold.
+    :param missing: what should have happened and did not.
+    :param reads: answered reads by consistency and role.
+    """
+
+    __slots__ = (
+        "deployment",
+        "seconds",
+        "acknowledged",
+        "attempts",
+        "effects",
+        "reads",
+        "refusals",
+        "gave_up",
+        "gaps",
+        "broken",
+        "missing",
+    )
+
+    def __init__(
+        self,
+        deployment: str,
+        seconds: float,
+        acknowledged: int,
+        attempts: int,
+        effects: int,
+        reads: Counter[tuple[str, str]],
+        refusals: Counter[str],
+        gave_up: list[str],
+        gaps: list[Gap],
+        broken: list[Violation],
+        missing: list[str],
+    ) -> None:
+        self.deployment = deployment
+        self.seconds = seconds
+        self.acknowledged = acknowledged
+        self.attempts = attempts
+        self.effects = effects
+        self.reads = reads
+        self.refusals = refusals
+        self.gave_up = gave_up
+        self.gaps = gaps
+        self.broken = broken
+        self.missing = missing
+
+    @property
+    def good(self) -> bool:
+        """Return whether the promises held and the main things happened."""
+        return not self.broken and not self.missing
+
+    def replica_share(self, consistency: Consistency | None = None) -> float | None:
+        """Return the share of answered reads that replicas served."""
+        counted = {
+            role: sum(
+                count
+                for (wanted, served), count in self.reads.items()
+                if served == role and consistency in (None, wanted)
+            )
+            for role in ("primary", "replica")
+        }
+        total = sum(counted.values())
+        return counted["replica"] / total if total else None
+
+    def to_json(self) -> Json:
+        """Return the report for programs."""
+        counts = Counter(violation.promise for violation in self.broken)
+        return {
+            "deployment": self.deployment,
+            "seconds": rounded(self.seconds),
+            "good": self.good,
+            "promises": {promise.value: counts[promise] for promise in Promise},
+            "missing": self.missing,
+            "acknowledged_writes": self.acknowledged,
+            "write_attempts": self.attempts,
+            "effects": self.effects,
+            "reads": sum(self.reads.values()),
+            "replica_share": rounded(self.replica_share()),
+            "replica_share_by_consistency": {
+                one.value: rounded(self.replica_share(one)) for one in Consistency
+            },
+            "refusals": dict(self.refusals),
+            "gave_up": self.gave_up,
+            "gaps": [gap.to_json() for gap in self.gaps],
+            "violations": [
+                [one.promise.value, one.subject, one.detail] for one in self.broken
+            ],
+        }
+
+
+def judge(
+    deployment: str,
+    seconds: float,
+    history: History,
+    effects: Iterable[Effect],
+    gave_up: list[str],
+) -> Outcome:
+    """Return the report of `history`, given what the groups hold at its end."""
+    held = list(effects)
+    gaps = [gap for fault in history.faults if (gap := gap_after(history, fault))]
+    reads = Counter(
+        (read.consistency.value, read.role or "") for read in history.answered()
+    )
+    refusals = Counter(history.refusals())
+    outcome = Outcome(
+        deployment=deployment,
+        seconds=seconds,
+        acknowledged=len(history.acknowledged()),
+        attempts=len(history.attempts),
+        effects=len(held),
+        reads=reads,
+        refusals=refusals,
+        gave_up=gave_up,
+        gaps=gaps,
+        broken=violations(history, held),
+        missing=[],
+    )
+    outcome.missing.extend(what_is_missing(outcome))
+    return outcome
+
+
+def gap_after(history: History, fault: Fault) -> Gap | None:
+    """Return how long writes stood still after a fault of a primary."""
+    if fault.group is None:
+        return None
+    acks = [one for one in history.acknowledged() if one.group == fault.group]
+    after = [one.ended for one in acks if one.ended > fault.at]
+    if not after:
+        return Gap(fault, None, history.end() - fault.at)
+    return Gap(fault, first_new(acks, fault), longest_gap(acks, fault))
+
+
+def first_new(acks: list[Attempt], fault: Fault) -> float | None:
+    """Return the time to the first write that was sent after the fault."""
+    return min(
+        (one.ended - fault.at for one in acks if one.started > fault.at), default=None
+    )
+
+
+def longest_gap(acks: list[Attempt], fault: Fault) -> float:
+    """Return the longest time without an acknowledgement around the fault."""
+    times = sorted(one.ended for one in acks)
+    return max(
+        (
+            later - earlier
+            for earlier, later in pairwise(times)
+            if later > fault.at and earlier < fault.at + AFTERMATH_S
+        ),
+        default=0.0,
+    )
+
+
+def what_is_missing(outcome: Outcome) -> Iterator[str]:
+    """Say what should have happened in a day and did not."""
+    if not outcome.acknowledged:
+        yield "no write was acknowledged"
+    if not outcome.replica_share():
+        yield "no read was served by a replica"
+    if not outcome.gaps:
+        yield "no primary was lost"
+    for gap in outcome.gaps:
+        if gap.to_first_write is None:
+            yield f"writes to {gap.fault.group} did not resume"
+    for complaint in outcome.gave_up:
+        yield f"a caller gave up: {complaint}"
+
+
+def text(outcome: Outcome) -> str:
+    """Return the report for a person."""
+    counts = Counter(violation.promise for violation in outcome.broken)
+    lines = [
+        f"{outcome.deployment}, {outcome.seconds:.1f} s",
+        "",
+        "Promises",
+        *(line(promise.value, str(counts[promise])) for promise in Promise),
+        "",
+        "Measured",
+        line("acknowledged writes", str(outcome.acknowledged)),
+        line("attempts of writes", str(outcome.attempts)),
+        line("writes that the groups hold", str(outcome.effects)),
+        line("answered reads", str(sum(outcome.reads.values()))),
+        line("share of reads served by replicas", percent(outcome.replica_share())),
+        *(share_line(outcome, one) for one in Consistency),
+        *(gap_line(gap) for gap in outcome.gaps),
+        "",
+        "Refusals that callers saw (each was retried)",
+        *(line(reason, str(count)) for reason, count in outcome.refusals.most_common()),
+        "",
+        *(f"MISSING: {one}" for one in outcome.missing),
+        *(broken_line(one) for one in outcome.broken[:SHOWN_VIOLATIONS]),
+        "All promises held." if outcome.good else "NOT GOOD.",
+    ]
+    return "\n".join(lines)
+
+
+def line(name: str, value: str) -> str:
+    """Return one line of the report."""
+    return f"  {name:<{NAME_WIDTH}} {value:>10}"
+
+
+def share_line(outcome: Outcome, consistency: Consistency) -> str:
+    """Return the line of the replica share of one consistency."""
+    share = percent(outcome.replica_share(consistency))
+    return line(f"- {consistency.value} reads", share)
+
+
+def gap_line(gap: Gap) -> str:
+    """Return the line of one failover gap."""
+    name = f"failover gap, {gap.fault.name} {gap.fault.subject}"
+    if gap.to_first_write is None:
+        return line(name, "open")
+    return line(name, f"{gap.to_first_write * 1000:.0f} ms")
+
+
+def broken_line(violation: Violation) -> str:
+    """Return the line of one broken promise."""
+    return f"BROKEN: {violation.promise.value}: {violation.subject}: {violation.detail}"
+
+
+def percent(share: float | None) -> str:
+    """Return a share for a person."""
+    return "-" if share is None else f"{share:.1%}"
+
+
+def rounded(value: float | None) -> float | None:
+    """Return a figure with the digits that it deserves."""
+    return None if value is None else round(value, 4)
