Add stand-ins of the platform and the HTTP adapters, thin

Cause: the daemon and the demo need outside parties that misbehave on demand. Change: stand-ins of the store, the host list and a database group (SQLite as engine, terms, asynchronous replication, connection limit, slots) over HTTP with JSON, and the three adapters of reedhook that speak to them.

--- /dev/null
+++ b/src/reedhook/process/hostlist_http.py
@@ -0,0 +1,42 @@
+"""The platform's list of hosts over HTTP with JSON."""
+
+from aiohttp import (
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    TCPConnector,
+)
+from yarl import URL
+
+from ..wire import WireError, decode
+from .hostlist import HostList, HostListUnavailable, ListedHost, ListedState
+
+
+class HttpHostList(HostList):
+    """Read the list at `address` (``IP:port``)."""
+
+    def __init__(self, address: str) -> None:
+        self.url = URL(f"http://{address}/hosts")
+        self.session = ClientSession(
+            connector=TCPConnector(use_dns_cache=False),
+            cookie_jar=DummyCookieJar(),
+            trust_env=False,
+        )
+
+    async def hosts(self, timeout: float) -> list[ListedHost]:
+        limit = ClientTimeout(total=timeout)
+        try:
+            async with self.session.post(self.url, timeout=limit) as response:
+                message = decode(await response.read())
+            return [
+                ListedHost(host, zone, address, ListedState(state))
+                for host, zone, address, state in message["hosts"]
+            ]
+        except (ClientError, OSError, TimeoutError, WireError) as error:
+            raise HostListUnavailable(f"no answer: {error!r}") from error
+        except (KeyError, TypeError, ValueError) as error:
+            raise HostListUnavailable(f"not a list: {error!r}") from error
+
+    async def close(self) -> None:
+        await self.session.close()
--- /dev/null
+++ b/src/reedhook/process/store_http.py
@@ -0,0 +1,99 @@
+"""The platform's key-value service over HTTP with JSON."""
+
+from base64 import b64decode, b64encode
+from typing import Final
+
+from aiohttp import (
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    TCPConnector,
+)
+from yarl import URL
+
+from ..wire import Json, WireError, decode, encode
+from .store import Entry, Store, StoreConflict, StoreError, StoreUnavailable
+
+HOLD_MARGIN: Final = 1.0
+CODE_CONFLICT: Final = "conflict"
+STATUS_OK: Final = 200
+STATUS_ERROR: Final = 500
+
+
+class HttpStore(Store):
+    """Reach the store at `address` (``IP:port``)."""
+
+    def __init__(self, address: str) -> None:
+        self.base = URL(f"http://{address}")
+        self.session = ClientSession(
+            connector=TCPConnector(limit=0, use_dns_cache=False),
+            cookie_jar=DummyCookieJar(),
+            trust_env=False,
+        )
+
+    async def get(self, key: str, timeout: float) -> Entry | None:
+        return await self.ask_entry("get", {"key": key}, timeout)
+
+    async def put(self, key: str, value: bytes, expected: int, timeout: float) -> Entry:
+        body: Json = {
+            "key": key,
+            "value": b64encode(value).decode(),
+            "expected": expected,
+        }
+        entry = await self.ask_entry("put", body, timeout)
+        if entry is None:
+            raise StoreUnavailable("the store named no entry")
+        return entry
+
+    async def watch(self, key: str, revision: int, hold: float) -> Entry | None:
+        body: Json = {"key": key, "revision": revision, "hold": hold}
+        return await self.ask_entry("watch", body, hold + HOLD_MARGIN)
+
+    async def delete(self, key: str, expected: int, timeout: float) -> None:
+        await self.ask("delete", {"key": key, "expected": expected}, timeout)
+
+    async def close(self) -> None:
+        await self.session.close()
+
+    async def ask_entry(self, path: str, body: Json, timeout: float) -> Entry | None:
+        """Ask for something that is answered with an entry or none."""
+        message = await self.ask(path, body, timeout)
+        try:
+            return read_entry(message["entry"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise StoreUnavailable(f"not an entry: {error!r}") from error
+
+    async def ask(self, path: str, body: Json, timeout: float) -> Json:
+        """Send one call; it is never repeated here.
+
+        :raises StoreUnavailable: if no whole answer came.
+        :raises StoreConflict: if the revision differs.
+        :raises StoreError: if the store refuses for another reason.
+        """
+        try:
+            async with self.session.post(
+                self.base / path,
+                data=encode(body),
+                timeout=ClientTimeout(total=timeout),
+            ) as response:
+                status = response.status
+                message = decode(await response.read())
+        except (ClientError, OSError, TimeoutError, WireError) as error:
+            raise StoreUnavailable(f"no answer to {path}: {error!r}") from error
+        if status == STATUS_OK:
+            return message
+        detail = str(message.get("detail"))
+        if status >= STATUS_ERROR:
+            raise StoreUnavailable(detail)
+        if message.get("code") == CODE_CONFLICT:
+            raise StoreConflict(detail)
+        raise StoreError(detail)
+
+
+def read_entry(message: Json | None) -> Entry | None:
+    """Read an entry from the wire; null stands for none."""
+    if message is None:
+        return None
+    value = b64decode(message["value"], validate=True)
+    return Entry(str(message["key"]), value, int(message["revision"]))
--- /dev/null
+++ b/src/reedhook_standins/group.py
@@ -0,0 +1,160 @@
+"""Stand-in of a database group of several members."""
+
+from bisect import bisect_right
+from collections.abc import Sequence
+from typing import Final
+
+from reedhook.clock import Clock, SystemClock
+from reedhook.record import Record
+from reedhook.request.position import Position
+
+from .log import Log, LogEntry
+from .member import MemberStandin
+
+CONNECTIONS: Final = 15
+SLOTS: Final = 2
+FIRST_TERM: Final = 1
+FIRST_OWNER: Final = "bootstrap"
+
+
+class Reign(Record):
+    """Name the log of the primary of a term."""
+
+    __slots__ = ("term", "log")
+
+    def __init__(self, term: int, log: Log) -> None:
+        self.term = term
+        self.log = log
+
+
+class GroupTruth:
+    """Know what really happened in a group, for tests to compare with.
+
+    :ivar written: all entries that any primary ever wrote, lost ones too.
+    """
+
+    def __init__(self) -> None:
+        self.written: list[LogEntry] = []
+        self.reign = Reign(0, Log())
+
+    def lead(self, term: int, log: Log) -> None:
+        """Take note of the primary of a term."""
+        if term > self.reign.term:
+            self.reign = Reign(term, log)
+
+    @property
+    def entries(self) -> list[LogEntry]:
+        """Return the surviving history: the log of the newest primary."""
+        return self.reign.log.entries
+
+    def truth_age(self, position: Position, now: float) -> float:
+        """Return the age in seconds, at clock time `now`, of what a read at
+        `position` reflects: since when it misses a surviving entry."""
+        place = bisect_right(self.entries, position, key=lambda one: one.position)
+        if place == len(self.entries):
+            return 0.0
+        return max(0.0, now - self.entries[place].written)
+
+    def holds(self, position: Position) -> bool:
+        """Say whether the entry at `position` survives."""
+        place = position.index - 1
+        if not 0 <= place < len(self.entries):
+            return False
+        return self.entries[place].position == position
+
+    def count(self, request_id: str) -> int:
+        """Return how many surviving entries are of a request."""
+        keys = (entry.key for entry in self.entries)
+        return sum(1 for key in keys if key and key.request_id == request_id)
+
+    def contains(self, request_id: str) -> bool:
+        """Say whether the effect of a request survives."""
+        return self.count(request_id) > 0
+
+
+class GroupStandin:
+    """Run the members of a group; the first is primary of term 1.
+
+    :param names: the members' ids.
+    :param connections: connections that each member accepts.
+    :param slots: statements that each member runs at a time.
+    :param ports: the members' TCP ports; 0 takes a free one.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        names: Sequence[str],
+        clock: Clock | None = None,
+        connections: int = CONNECTIONS,
+        slots: int = SLOTS,
+        ports: Sequence[int] | None = None,
+    ) -> None:
+        self.name = name
+        self.clock = clock or SystemClock()
+        self.truth = GroupTruth()
+        self.islands: dict[str, int] = {}
+        self.members: dict[str, MemberStandin] = {}
+        for member, port in zip(names, ports or [0] * len(names), strict=True):
+            self.members[member] = MemberStandin(
+                self, member, self.clock, connections, slots, port
+            )
+        self.found()
+
+    def found(self) -> None:
+        """Make the first member primary of the first term."""
+        first, *others = self.members.values()
+        first.state.raise_term(FIRST_TERM, FIRST_OWNER)
+        first.state.promote(FIRST_TERM, FIRST_OWNER)
+        self.truth.lead(FIRST_TERM, first.state.log)
+        for other in others:
+            other.state.follow(FIRST_TERM, first.name)
+
+    async def start(self) -> None:
+        """Start all members."""
+        for member in self.members.values():
+            await member.revive()
+
+    async def close(self) -> None:
+        """Stop all members."""
+        for member in self.members.values():
+            await member.kill()
+
+    @property
+    def primary(self) -> MemberStandin:
+        """Return the primary of the highest term that was opened."""
+        log = self.truth.reign.log
+        return next(one for one in self.members.values() if one.state.log is log)
+
+    def partition(self, *names: str) -> None:
+        """Cut the replication between the named members and all others."""
+        island = max(self.islands.values(), default=0) + 1
+        for name in names:
+            self.islands[name] = island
+        self.poke()
+
+    def heal(self) -> None:
+        """Undo all partitions."""
+        self.islands.clear()
+        self.poke()
+
+    def reachable(self, one: str, other: str) -> bool:
+        """Say whether two members can replicate from one another."""
+        return self.islands.get(one, 0) == self.islands.get(other, 0)
+
+    def set_lag(self, ship_lag: float, apply_lag: float = 0.0) -> None:
+        """Set the lags of all members, in seconds."""
+        for member in self.members.values():
+            member.ship_lag = ship_lag
+            member.apply_lag = apply_lag
+
+    def written(self, entry: LogEntry) -> None:
+        """Take note of an entry that a primary wrote."""
+        self.truth.written.append(entry)
+        for member in self.members.values():
+            member.replication.shippable.set()
+
+    def poke(self) -> None:
+        """Let all members look again, as a fault or a term has changed."""
+        for member in self.members.values():
+            member.replication.poke()
--- /dev/null
+++ b/src/reedhook_standins/hostlist.py
@@ -0,0 +1,88 @@
+"""Stand-in of the platform's lagging list of entry hosts and targets."""
+
+from reedhook.clock import Clock, SystemClock
+from reedhook.process.hostlist import ListedHost, ListedState
+from reedhook.record import Record
+from reedhook.wire import Json
+
+from .service import AnswerLost, Service, ServiceConnection, ServiceRefusal
+
+
+class ListChange(Record):
+    """Carry a change of the list; `listed` is None for a removal.
+
+    :param at: clock time in seconds.
+    """
+
+    __slots__ = ("at", "host", "listed")
+
+    def __init__(self, at: float, host: str, listed: ListedHost | None) -> None:
+        self.at = at
+        self.host = host
+        self.listed = listed
+
+
+class HostListStandin(Service):
+    """Serve a list that shows each change `lag` seconds late.
+
+    :ivar down: whether each call ends without an answer.
+    """
+
+    def __init__(self, clock: Clock | None = None, lag: float = 0.0) -> None:
+        super().__init__()
+        self.clock = clock or SystemClock()
+        self.lag = lag
+        self.down = False
+        self.calls = 0
+        self.changes: list[ListChange] = []
+
+    def put(
+        self,
+        host: str,
+        zone: str,
+        address: str,
+        state: ListedState = ListedState.LIVE,
+    ) -> None:
+        """Add a host or change its line."""
+        listed = ListedHost(host, zone, address, state)
+        self.changes.append(ListChange(self.clock.monotonic(), host, listed))
+
+    def leave(self, host: str) -> None:
+        """Mark a listed host as leaving."""
+        known = [one for one in self.changes if one.host == host]
+        listed = known[-1].listed
+        assert listed is not None, host
+        self.put(host, listed.zone, listed.address, ListedState.LEAVING)
+
+    def remove(self, host: str) -> None:
+        """Take a host off the list."""
+        self.changes.append(ListChange(self.clock.monotonic(), host, None))
+
+    def visible(self) -> list[ListedHost]:
+        """Return the list as it stood `lag` seconds ago."""
+        newest = self.clock.monotonic() - self.lag
+        lines: dict[str, ListedHost] = {}
+        for change in self.changes:
+            if change.at > newest:
+                continue
+            lines.pop(change.host, None)
+            if change.listed is not None:
+                lines[change.host] = change.listed
+        return list(lines.values())
+
+    async def close(self) -> None:
+        """Stop serving."""
+        self.hang_up()
+
+    async def serve(
+        self, connection: ServiceConnection, name: str, message: Json
+    ) -> Json:
+        self.calls += 1
+        if self.down:
+            raise AnswerLost
+        if name != "hosts":
+            raise ServiceRefusal("bad_request", f"unknown call {name}", 404)
+        lines = [
+            [one.host, one.zone, one.address, one.state.value] for one in self.visible()
+        ]
+        return {"hosts": lines}
--- /dev/null
+++ b/src/reedhook_standins/log.py
@@ -0,0 +1,105 @@
+"""The log of a group: entries with positions, and what they carry."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from reedhook.record import Record
+from reedhook.request.position import ORIGIN, Position
+
+
+class Change(Record):
+    """Carry one statement with its parameters."""
+
+    __slots__ = ("sql", "params")
+
+    def __init__(self, sql: str, params: Sequence[Any]) -> None:
+        self.sql = sql
+        self.params = params
+
+
+class Rows(Record):
+    """Carry what a statement returned."""
+
+    __slots__ = ("columns", "rows", "rowcount")
+
+    def __init__(self, columns: list[str], rows: list[Any], rowcount: int) -> None:
+        self.columns = columns
+        self.rows = rows
+        self.rowcount = rowcount
+
+
+class RequestKey(Record):
+    """Carry the id of a request and a digest of what it asked for.
+
+    :param issued: when the id was made, in milliseconds since the epoch, as
+        the id itself says.
+    """
+
+    __slots__ = ("request_id", "issued", "digest")
+
+    def __init__(self, request_id: str, issued: int, digest: str) -> None:
+        self.request_id = request_id
+        self.issued = issued
+        self.digest = digest
+
+
+class LogEntry(Record):
+    """Carry one entry; the opening entry of a term has no changes.
+
+    :param key: the request whose effect it is, if it has an id.
+    :param result: what the request was answered.
+    :param written: when its primary wrote it, clock time in seconds.
+    """
+
+    __slots__ = ("position", "changes", "key", "result", "written")
+
+    def __init__(
+        self,
+        position: Position,
+        changes: tuple[Change, ...],
+        key: RequestKey | None,
+        result: Rows,
+        written: float,
+    ) -> None:
+        self.position = position
+        self.changes = changes
+        self.key = key
+        self.result = result
+        self.written = written
+
+
+NO_ROWS = Rows([], [], 0)
+
+
+class Log:
+    """Keep the entries that one member holds durably."""
+
+    __slots__ = ("entries",)
+
+    def __init__(self) -> None:
+        self.entries: list[LogEntry] = []
+
+    @property
+    def last(self) -> Position:
+        """Return the position of the last entry."""
+        return self.entries[-1].position if self.entries else ORIGIN
+
+    def position_at(self, index: int) -> Position:
+        """Return the position of entry `index`, counted from 1; 0 is the origin."""
+        return self.entries[index - 1].position if index else ORIGIN
+
+    def append(self, entry: LogEntry) -> None:
+        """Append the entry that follows the last one."""
+        assert entry.position.index == len(self.entries) + 1, entry.position
+        self.entries.append(entry)
+
+    def shared(self, other: "Log") -> int:
+        """Return how many entries both logs begin with.
+
+        Entries of one position are the same entry, and so are all before it,
+        as only one member writes in a term.
+        """
+        count = min(len(self.entries), len(other.entries))
+        while count and self.position_at(count) != other.position_at(count):
+            count -= 1
+        return count
--- /dev/null
+++ b/src/reedhook_standins/member.py
@@ -0,0 +1,486 @@
+"""Stand-in of one member of a database group, on a TCP port of its own."""
+
+import asyncio
+import re
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from enum import IntEnum
+from typing import TYPE_CHECKING, Any, Final, TypeAlias
+
+from reedhook.clock import Clock
+from reedhook.connection.target import MemberState
+from reedhook.request.position import Position
+from reedhook.wire import Json
+
+from .engine import digest
+from .log import NO_ROWS, Change, RequestKey, Rows
+from .replicated import ReplicatedState
+from .replication import SLICE, Replication
+from .service import AnswerLost, Service, ServiceConnection, ServiceRefusal
+from .transaction import Transaction
+
+if TYPE_CHECKING:
+    from .group import GroupStandin
+
+Handler: TypeAlias = Callable[[ServiceConnection, Json], Awaitable[Json]]
+
+REQUEST_ID: Final = re.compile(r"([0-9]{13})-[A-Za-z0-9_-]{8,64}")
+STATEMENT_TIME: Final = 0.002
+SETUP_TIME: Final = 0.010
+IDLE_LIMIT: Final = 10.0
+IDLE_CHECK: Final = 0.05
+LEAVE_GRACE: Final = 3.0
+NEW_WORK: Final = frozenset(("read", "write", "begin"))
+TRANSACTION_DIGEST: Final = "transaction"
+
+
+class Cut(IntEnum):
+    """Name what becomes of messages between a client and a member."""
+
+    NONE = 0
+    REFUSE = 1
+    HANG = 2
+
+
+class MemberStandin(Service):
+    """Serve statements on the rows of one member.
+
+    Faults are attributes that test code sets at any time, and the methods
+    `pause`, `resume`, `kill`, `revive`, `leave` and `silence_connections`.
+
+    :ivar ship_lag: seconds until a replica holds an entry.
+    :ivar apply_lag: further seconds until its reads see it.
+    :ivar statement_time: seconds that a statement occupies a slot.
+    :ivar setup_time: seconds that opening a connection takes.
+    :ivar idle_limit: seconds after which an idle transaction is rolled back.
+    :ivar linger: seconds for which a connection still counts as open when its
+        client closed it while it was silent or cut.
+    :ivar cut: what becomes of messages of all clients.
+    :ivar cuts: what becomes of messages of single clients, by name.
+    :ivar received: requests received, by name.
+    :ivar late_work: new work received more than `LEAVE_GRACE` seconds after
+        `leave`; it is refused.
+    :ivar open_connections: connections open now.
+    :ivar peak_connections: the most that were ever open at once.
+    """
+
+    def __init__(
+        self,
+        group: "GroupStandin",
+        name: str,
+        clock: Clock,
+        connections: int,
+        slots: int,
+        port: int = 0,
+    ) -> None:
+        super().__init__()
+        self.group = group
+        self.name = name
+        self.clock = clock
+        self.port = port
+        self.limit = connections
+        self.state = ReplicatedState(name, clock, self.bump, group.written)
+        self.replication = Replication(self)
+        self.slots = asyncio.Semaphore(slots)
+        self.writing = asyncio.Lock()
+        self.running = asyncio.Event()
+        self.changed = asyncio.Event()
+        self.dead = True
+        self.starts = 0
+        self.left: float | None = None
+        self.ship_lag = 0.0
+        self.apply_lag = 0.0
+        self.statement_time = STATEMENT_TIME
+        self.setup_time = SETUP_TIME
+        self.idle_limit = IDLE_LIMIT
+        self.linger = 0.0
+        self.cut = Cut.NONE
+        self.cuts: dict[str, Cut] = {}
+        self.received: Counter[str] = Counter()
+        self.late_work = 0
+        self.open_connections = 0
+        self.peak_connections = 0
+        self.revision = 0
+        self.tasks: list[asyncio.Task[None]] = []
+        self.handlers: dict[str, Handler] = {
+            "hello": self.hello,
+            "read": self.read,
+            "write": self.write,
+            "begin": self.begin,
+            "step": self.step,
+            "commit": self.commit,
+            "rollback": self.rollback,
+            "state": self.tell_state,
+            "wait_state": self.wait_state,
+            "raise_term": self.raise_term,
+            "promote": self.promote,
+            "follow": self.follow,
+        }
+
+    @property
+    def runs(self) -> bool:
+        """Say whether the member is neither dead nor paused."""
+        return self.running.is_set()
+
+    async def revive(self) -> None:
+        """Start, with what is held from earlier runs."""
+        self.dead = False
+        self.starts += 1
+        self.running.set()
+        await self.listen()
+        loops = (self.replication.ship(), self.replication.apply(), self.expire())
+        self.tasks = [asyncio.create_task(loop) for loop in loops]
+        self.group.poke()
+
+    async def kill(self) -> None:
+        """Die at once; what is held stays, open transactions are lost."""
+        self.dead = True
+        self.running.clear()
+        self.hang_up()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks = []
+
+    def pause(self) -> None:
+        """Stop as a suspended process does; connections stay open."""
+        self.running.clear()
+
+    def resume(self) -> None:
+        """Go on after `pause`."""
+        if not self.dead:
+            self.running.set()
+            self.group.poke()
+
+    def leave(self) -> None:
+        """Take no new work from `LEAVE_GRACE` seconds on."""
+        self.left = self.clock.monotonic()
+
+    def silence_connections(self) -> None:
+        """Let the connections open now answer never again; new ones work."""
+        for connection in self.connections.values():
+            connection.silent = True
+
+    def opened(self, connection: ServiceConnection) -> None:
+        if self.open_connections >= self.limit:
+            connection.admitted = False
+            return
+        self.open_connections += 1
+        self.peak_connections = max(self.peak_connections, self.open_connections)
+        self.bump()
+
+    def ended(self, connection: ServiceConnection) -> None:
+        if not connection.admitted:
+            return
+        unnoticed = connection.silent or self.cut_of(connection) is Cut.HANG
+        if unnoticed and self.linger and not self.dead:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.linger, self.release, connection)
+            return
+        self.release(connection)
+
+    def release(self, connection: ServiceConnection) -> None:
+        """Forget a connection and roll back what was open on it."""
+        self.open_connections -= 1
+        self.end_transaction(connection)
+        self.bump()
+
+    def bump(self) -> None:
+        """Count a change of the state and wake those who wait for one."""
+        self.revision += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(
+        self, connection: ServiceConnection, name: str, message: Json
+    ) -> Json:
+        await self.pass_faults(connection)
+        handler = self.handlers.get(name)
+        if handler is None:
+            raise ServiceRefusal("bad_request", f"unknown call {name}", 404)
+        self.received[name] += 1
+        try:
+            await self.greet(connection, message)
+            self.refuse_late(name)
+            answer = await handler(connection, message)
+        except ServiceRefusal:
+            await self.pass_faults(connection)
+            raise
+        await self.pass_faults(connection)
+        return answer
+
+    async def pass_faults(self, connection: ServiceConnection) -> None:
+        """Return once a message may pass between the client and the member.
+
+        :raises AnswerLost: if it never may.
+        """
+        while True:
+            cut = self.cut_of(connection)
+            if cut is Cut.REFUSE or self.dead:
+                raise AnswerLost
+            if connection.silent:
+                await connection.closed.wait()
+            if connection.closed.is_set():
+                raise AnswerLost
+            if cut is Cut.HANG:
+                await connection.wait_closed(SLICE)
+                continue
+            if self.runs:
+                return
+            await self.running.wait()
+
+    def cut_of(self, connection: ServiceConnection) -> Cut:
+        """Return the worse of the cuts that hold for a connection."""
+        return max(self.cut, self.cuts.get(connection.client, Cut.NONE))
+
+    async def greet(self, connection: ServiceConnection, message: Json) -> None:
+        """Set a connection up on its first request."""
+        if not connection.admitted:
+            detail = f"{self.name} accepts {self.limit} connections"
+            raise ServiceRefusal("full", detail, 429)
+        if connection.greeted:
+            return
+        connection.client = str(message.get("client", ""))
+        await self.clock.sleep(self.setup_time)
+        connection.greeted = True
+        await self.pass_faults(connection)
+
+    def refuse_late(self, name: str) -> None:
+        """Refuse new work that comes too long after the member began to leave."""
+        if self.left is None or name not in NEW_WORK:
+            return
+        if self.clock.monotonic() - self.left > LEAVE_GRACE:
+            self.late_work += 1
+            raise ServiceRefusal("leaving", f"{self.name} is leaving")
+
+    async def hello(self, connection: ServiceConnection, message: Json) -> Json:
+        """Answer the greeting of a client that names itself."""
+        return {"member": self.name}
+
+    async def read(self, connection: ServiceConnection, message: Json) -> Json:
+        """Run a read, whatever the role."""
+        change = change_of(message)
+        await self.occupy(message["timeout"])
+        rows = self.state.engine.read(change)
+        return self.result(rows, self.state.visible)
+
+    async def write(self, connection: ServiceConnection, message: Json) -> Json:
+        """Run a write on the primary, or give the result of its earlier run."""
+        change = change_of(message)
+        key = key_of(message["request_id"], digest([change.sql, change.params]))
+        timeout = message["timeout"]
+        if connection.transaction is not None:
+            raise ServiceRefusal("bad_request", "a transaction is open", 400)
+        self.state.require_primary()
+        await self.lock(timeout)
+        try:
+            await self.occupy(timeout)
+            earlier = self.earlier(key)
+            if earlier is not None:
+                return self.result(earlier, self.state.held, repeated=True)
+            entry = self.state.write(change, key)
+            return self.result(entry.result, entry.position)
+        finally:
+            self.writing.release()
+
+    async def begin(self, connection: ServiceConnection, message: Json) -> Json:
+        """Open a transaction, unless one with the same request id committed."""
+        key = key_of(message["request_id"], TRANSACTION_DIGEST)
+        if connection.transaction is not None:
+            raise ServiceRefusal("bad_request", "a transaction is open", 400)
+        self.state.require_primary()
+        await self.lock(message["timeout"])
+        try:
+            earlier = self.earlier(key)
+            if connection.closed.is_set():
+                raise AnswerLost
+        except BaseException:
+            self.writing.release()
+            raise
+        if earlier is not None:
+            self.writing.release()
+            return self.result(earlier, self.state.held, repeated=True)
+        connection.transaction = Transaction(
+            self.state.engine.copy(),
+            self.state.leader_term,
+            key,
+            self.clock.monotonic(),
+        )
+        return self.result(NO_ROWS, self.state.held)
+
+    async def step(self, connection: ServiceConnection, message: Json) -> Json:
+        """Run a statement in the open transaction."""
+        change = change_of(message)
+        transaction = transaction_of(connection)
+        await self.occupy(message["timeout"])
+        if connection.transaction is not transaction:
+            raise unknown_transaction()
+        rows = transaction.step(change)
+        transaction.active = self.clock.monotonic()
+        return self.result(rows, self.state.held)
+
+    async def commit(self, connection: ServiceConnection, message: Json) -> Json:
+        """Commit the open transaction and record its request id."""
+        transaction = transaction_of(connection)
+        await self.occupy(message["timeout"])
+        if connection.transaction is not transaction:
+            raise unknown_transaction()
+        try:
+            rows = self.state.adopt(
+                transaction.engine, transaction.changes, transaction.key
+            )
+        finally:
+            self.end_transaction(connection)
+        return self.result(rows, self.state.held)
+
+    async def rollback(self, connection: ServiceConnection, message: Json) -> Json:
+        """Roll the open transaction back."""
+        transaction_of(connection)
+        self.end_transaction(connection)
+        return {}
+
+    async def tell_state(self, connection: ServiceConnection, message: Json) -> Json:
+        """Answer with the state."""
+        return self.report().to_json()
+
+    async def wait_state(self, connection: ServiceConnection, message: Json) -> Json:
+        """Answer with the state once its revision differs from the known one."""
+        try:
+            async with asyncio.timeout(message["hold"]):
+                while self.revision == message["revision"]:
+                    await self.changed.wait()
+        except TimeoutError:
+            pass
+        return self.report().to_json()
+
+    async def raise_term(self, connection: ServiceConnection, message: Json) -> Json:
+        """Promise a term."""
+        self.state.raise_term(int(message["term"]), str(message["owner"]))
+        return self.terms_moved()
+
+    async def promote(self, connection: ServiceConnection, message: Json) -> Json:
+        """Become primary of a promised term."""
+        self.state.promote(int(message["term"]), str(message["owner"]))
+        self.group.truth.lead(self.state.leader_term, self.state.log)
+        return self.terms_moved()
+
+    async def follow(self, connection: ServiceConnection, message: Json) -> Json:
+        """Follow the primary of a term."""
+        self.state.follow(int(message["term"]), str(message["primary"]))
+        return self.terms_moved()
+
+    def terms_moved(self) -> Json:
+        """Roll back transactions of a former term and return the state."""
+        for connection in self.connections.values():
+            transaction = connection.transaction
+            if transaction is not None and transaction.term != self.state.promised:
+                self.end_transaction(connection)
+        self.group.poke()
+        return self.report().to_json()
+
+    def report(self) -> MemberState:
+        """Return what the member says of itself."""
+        return MemberState(
+            member=self.name,
+            role=self.state.role,
+            promised=self.state.promised,
+            leader_term=self.state.leader_term,
+            held=self.state.held,
+            applied=self.state.visible,
+            connections=self.open_connections,
+            revision=self.revision,
+        )
+
+    def result(self, rows: Rows, position: Position, repeated: bool = False) -> Json:
+        """Return the result of a statement as it stands on the wire."""
+        return {
+            "columns": rows.columns,
+            "rows": rows.rows,
+            "rowcount": rows.rowcount,
+            "position": position.to_json(),
+            "term": self.state.leader_term,
+            "role": self.state.role.value,
+            "repeated": repeated,
+        }
+
+    def earlier(self, key: RequestKey | None) -> Rows | None:
+        """Return the result of an earlier run of a request, or None."""
+        self.state.require_primary()
+        return self.state.engine.known(key) if key is not None else None
+
+    async def lock(self, timeout: float) -> None:
+        """Wait for the only write transaction, in bounded time."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self.writing.acquire()
+        except TimeoutError:
+            raise busy() from None
+
+    async def occupy(self, timeout: float) -> None:
+        """Occupy a slot for the time of a statement; nothing runs before."""
+        start = self.starts
+        try:
+            async with asyncio.timeout(timeout):
+                await self.slots.acquire()
+        except TimeoutError:
+            raise busy() from None
+        try:
+            await self.clock.sleep(self.statement_time)
+            await self.running.wait()
+        finally:
+            self.slots.release()
+        if self.starts != start:
+            raise AnswerLost
+
+    def end_transaction(self, connection: ServiceConnection) -> None:
+        """Forget the transaction of a connection, if one is open."""
+        if connection.transaction is not None:
+            connection.transaction = None
+            self.writing.release()
+
+    async def expire(self) -> None:
+        """Roll back transactions that are idle for too long."""
+        while True:
+            await self.clock.sleep(IDLE_CHECK)
+            oldest = self.clock.monotonic() - self.idle_limit
+            for connection in self.connections.values():
+                transaction = connection.transaction
+                if transaction is not None and transaction.active < oldest:
+                    self.end_transaction(connection)
+
+
+def change_of(message: Json) -> Change:
+    """Read a statement from the wire."""
+    sql: Any = message["sql"]
+    params: Any = message["params"]
+    if not isinstance(sql, str) or not isinstance(params, list):
+        raise ServiceRefusal("bad_request", "sql is text, params a list", 400)
+    return Change(sql, params)
+
+
+def key_of(request_id: str | None, content: str) -> RequestKey | None:
+    """Read a request id, which begins with its time of issue."""
+    if request_id is None:
+        return None
+    match = REQUEST_ID.fullmatch(request_id)
+    if match is None:
+        raise ServiceRefusal("bad_request", "not a request id", 400)
+    return RequestKey(request_id, int(match[1]), content)
+
+
+def transaction_of(connection: ServiceConnection) -> Transaction:
+    """Return the open transaction of a connection."""
+    transaction = connection.transaction
+    if not isinstance(transaction, Transaction):
+        raise unknown_transaction()
+    return transaction
+
+
+def unknown_transaction() -> ServiceRefusal:
+    """Return the refusal of a step outside a transaction."""
+    return ServiceRefusal("unknown_transaction", "no transaction is open", 404)
+
+
+def busy() -> ServiceRefusal:
+    """Return the refusal of a statement that waited its whole time."""
+    return ServiceRefusal("busy", "no slot or lock came free in time", 429)
--- /dev/null
+++ b/src/reedhook_standins/replication.py
@@ -0,0 +1,89 @@
+"""Asynchronous replication: a member pulls the entries of its primary."""
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from .log import LogEntry
+
+if TYPE_CHECKING:
+    from .member import MemberStandin
+
+# A lag that changes during a wait is noticed after this time, in seconds.
+SLICE: Final = 0.02
+
+
+class Replication:
+    """Hold entries `ship_lag` seconds after they were written, and apply them
+    `apply_lag` seconds after they were held.
+
+    :ivar shippable: set when there may be something to pull.
+    :ivar applicable: set when there may be something to apply.
+    """
+
+    def __init__(self, member: "MemberStandin") -> None:
+        self.member = member
+        self.state = member.state
+        self.clock = member.clock
+        self.shippable = asyncio.Event()
+        self.applicable = asyncio.Event()
+
+    def poke(self) -> None:
+        """Look again, as a fault or a term has changed."""
+        self.shippable.set()
+        self.applicable.set()
+
+    async def ship(self) -> None:
+        """Pull entries for as long as the member runs."""
+        while True:
+            self.shippable.clear()
+            entry = self.next_entry()
+            if entry is None:
+                await self.shippable.wait()
+            elif await self.due(entry.written + self.member.ship_lag):
+                self.state.take(entry)
+                self.applicable.set()
+
+    async def apply(self) -> None:
+        """Apply held entries for as long as the member runs."""
+        while True:
+            self.applicable.clear()
+            place = self.state.applied
+            if not self.member.runs or place == len(self.state.arrivals):
+                await self.applicable.wait()
+            elif await self.due(self.state.arrivals[place] + self.member.apply_lag):
+                self.state.apply_next()
+
+    async def due(self, moment: float) -> bool:
+        """Return True at once if `moment` has come, else False after a sleep."""
+        delay = moment - self.clock.monotonic()
+        if delay <= 0:
+            return True
+        await self.clock.sleep(min(delay, SLICE))
+        return False
+
+    def next_entry(self) -> LogEntry | None:
+        """Return the next entry that the primary has and this member lacks.
+
+        Entries that the primary's log lacks are dropped first.
+        """
+        source = self.source()
+        if source is None:
+            return None
+        self.state.align(source.state.log)
+        place = len(self.state.log.entries)
+        entries = source.state.log.entries
+        return entries[place] if place < len(entries) else None
+
+    def source(self) -> "MemberStandin | None":
+        """Return the primary of the leader term, if entries may come from it."""
+        state = self.state
+        if not self.member.runs or state.promised > state.leader_term:
+            return None
+        source = self.member.group.members.get(state.leader)
+        if source is None or source is self.member or not source.runs:
+            return None
+        leads = source.state.leader == source.name
+        if not leads or source.state.leader_term != state.leader_term:
+            return None
+        reachable = self.member.group.reachable(self.member.name, source.name)
+        return source if reachable else None
