--- /dev/null
+++ b/src/reedhook/process/statsd_metrics.py
@@ -0,0 +1,66 @@
+"""Metrics sent to a statsd server in batches."""
+
+from collections import Counter, defaultdict
+from typing import Final
+
+from statsd import StatsClient
+
+from ..clock import Clock
+from .metrics import MemoryMetrics
+from .settings_schema import split_address
+
+FLUSH_INTERVAL: Final = 1.0
+TIMINGS_PER_FLUSH: Final = 50
+
+
+class StatsdMetrics(MemoryMetrics):
+    """Gather in memory and send once a second, by UDP.
+
+    Statements then cost no system call each. Of each duration the first
+    `TIMINGS_PER_FLUSH` of an interval are sent.
+
+    :param address: ``IP:port`` of the server; no name is looked up.
+    :param prefix: stands before all names.
+    """
+
+    __slots__ = ("client", "sent", "timings")
+
+    def __init__(self, address: str, prefix: str) -> None:
+        super().__init__()
+        host, port = split_address(address)
+        self.client = StatsClient(host, port, prefix=prefix, ipv6=":" in host)
+        # A full socket buffer drops metrics; it must not hold up statements.
+        self.client._sock.setblocking(False)
+        self.sent: Counter[str] = Counter()
+        self.timings: defaultdict[str, list[float]] = defaultdict(list)
+
+    def timing(self, name: str, seconds: float) -> None:
+        super().timing(name, seconds)
+        kept = self.timings[name]
+        if len(kept) < TIMINGS_PER_FLUSH:
+            kept.append(seconds)
+
+    async def run(self, clock: Clock) -> None:
+        """Send at each interval until cancelled."""
+        while True:
+            await clock.sleep(FLUSH_INTERVAL)
+            self.flush()
+
+    def flush(self) -> None:
+        """Send what has changed since the last time."""
+        with self.client.pipeline() as batch:
+            for name, total in self.counters.items():
+                if total != self.sent[name]:
+                    batch.incr(name, total - self.sent[name])
+            for name, value in self.gauges.items():
+                batch.gauge(name, value)
+            for name, durations in self.timings.items():
+                for seconds in durations:
+                    batch.timing(name, seconds * 1000)
+        self.sent = Counter(self.counters)
+        self.timings.clear()
+
+    def close(self) -> None:
+        """Send the rest and close the socket."""
+        self.flush()
+        self.client.close()
--- /dev/null
+++ b/tests/test_daemon_io_uring.py
@@ -0,0 +1,33 @@
+"""The process holds no io_uring descriptor, and would notice one."""
+
+import os
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from reedhook.process.io_uring import (
+    IO_URING,
+    IoUringInUse,
+    forbid_io_uring,
+    require_no_io_uring,
+)
+
+
+def test_a_ring_among_the_descriptors_is_noticed(tmp_path: Path) -> None:
+    (tmp_path / "3").symlink_to("socket:[1234]")
+    require_no_io_uring(tmp_path)
+    (tmp_path / "7").symlink_to(IO_URING)
+    with pytest.raises(IoUringInUse, match="descriptors 7"):
+        require_no_io_uring(tmp_path)
+
+
+def test_a_loop_made_our_way_holds_no_ring(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.delenv("UV_USE_IO_URING", raising=False)
+    forbid_io_uring()
+    loop = uvloop.new_event_loop()
+    try:
+        loop.run_until_complete(loop.run_in_executor(None, os.getpid))
+        require_no_io_uring()
+    finally:
+        loop.close()
--- /dev/null
+++ b/tests/test_daemon_metrics.py
@@ -0,0 +1,45 @@
+"""Metrics by UDP: batched, and never in the way."""
+
+import socket
+
+from reedhook.process.statsd_metrics import TIMINGS_PER_FLUSH, StatsdMetrics
+
+
+def receive(server: socket.socket) -> list[str]:
+    """Return the lines that have arrived, sorted."""
+    lines: list[str] = []
+    while True:
+        try:
+            lines += server.recv(65536).decode().split("\n")
+        except BlockingIOError:
+            return sorted(lines)
+
+
+def test_changes_are_sent_once() -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.setblocking(False)
+        metrics = StatsdMetrics(f"127.0.0.1:{server.getsockname()[1]}", "reedhook.v1")
+        metrics.increment("statement")
+        metrics.increment("statement", 2)
+        metrics.gauge("queue", 4)
+        metrics.timing("write", 0.25)
+        metrics.flush()
+        assert receive(server) == [
+            "reedhook.v1.queue:4|g",
+            "reedhook.v1.statement:3|c",
+            "reedhook.v1.write.count:1|c",
+            "reedhook.v1.write:250.000000|ms",
+        ]
+        metrics.flush()
+        assert receive(server) == ["reedhook.v1.queue:4|g"]
+        metrics.close()
+
+
+def test_durations_of_one_interval_are_bounded() -> None:
+    metrics = StatsdMetrics("127.0.0.1:9", "reedhook.v1")
+    for _ in range(TIMINGS_PER_FLUSH * 3):
+        metrics.timing("read", 0.001)
+    assert len(metrics.timings["read"]) == TIMINGS_PER_FLUSH
+    assert metrics.counters["read.count"] == TIMINGS_PER_FLUSH * 3
+    metrics.close()
