--- a/src/reedhook/process/timeline.py
+++ b/src/reedhook/process/timeline.py
@@ -1,4 +1,7 @@
-"""Bounded ring of typed events with hybrid logical clock stamps."""
+"""Bounded ring of typed events with hybrid logical clock stamps.
+
+docs/design/timeline.md tells why stamps far ahead are not adopted.
+"""
 
 from collections import deque
 from enum import Enum
@@ -6,8 +9,10 @@
 
 from ..clock import Clock
 from ..record import Record
+from ..wire import WireError
 
 RING_SIZE: Final = 4096
+MAX_AHEAD_MS: Final = 60_000
 
 
 class EventKind(str, Enum):
@@ -52,6 +57,16 @@
         """Return the stamp as it stands on the wire."""
         return [self.wall_ms, self.count]
 
+    @classmethod
+    def from_json(cls, value: Any) -> "Stamp":
+        """Read a stamp from the wire.
+
+        :raises WireError: if it has another form.
+        """
+        if not isinstance(value, list) or [type(one) for one in value] != [int, int]:
+            raise WireError("a stamp is two whole numbers")
+        return cls(*value)
+
 
 class Event(Record):
     """Carry one event.
@@ -86,17 +101,38 @@
             "detail": self.detail,
         }
 
+    @classmethod
+    def from_json(cls, message: Any) -> "Event":
+        """Read an event from the wire.
+
+        :raises WireError: if it has another form, or a kind of a newer program.
+        """
+        try:
+            return cls(
+                Stamp.from_json(message["stamp"]),
+                str(message["host"]),
+                EventKind(message["kind"]),
+                str(message["subject"]),
+                dict(message["detail"]),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise WireError(f"not an event: {error}") from error
+
 
 class Timeline:
-    """Keep the last events of this process."""
+    """Keep the last events of this process.
+
+    :ivar rejected: stamps of other processes that were too far ahead.
+    """
 
-    __slots__ = ("host", "clock", "stamp", "events")
+    __slots__ = ("host", "clock", "stamp", "events", "rejected")
 
     def __init__(self, host: str, clock: Clock, size: int = RING_SIZE) -> None:
         self.host = host
         self.clock = clock
         self.stamp = Stamp(0, 0)
         self.events: deque[Event] = deque(maxlen=size)
+        self.rejected = 0
 
     def record(self, kind: EventKind, subject: str, **detail: Any) -> None:
         """Append an event that happens now."""
@@ -112,6 +148,14 @@
         return self.stamp
 
     def observe(self, wall_ms: int, count: int) -> None:
-        """Take note of the stamp on a message from another process."""
-        if (wall_ms, count) > (self.stamp.wall_ms, self.stamp.count):
-            self.stamp = Stamp(wall_ms, count)
+        """Take note of the stamp on a message from another process.
+
+        A stamp more than `MAX_AHEAD_MS` ahead of the own wall clock is not
+        adopted: one host whose clock is wrong would move all others.
+        """
+        if (wall_ms, count) <= (self.stamp.wall_ms, self.stamp.count):
+            return
+        if wall_ms > self.clock.wall() * 1000 + MAX_AHEAD_MS:
+            self.rejected += 1
+            return
+        self.stamp = Stamp(wall_ms, count)
