--- /dev/null
+++ b/src/reedhook/request/api.py
@@ -0,0 +1,462 @@
+"""The callers' interface: HTTP with JSON, described in docs/API.md."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from hashlib import blake2b
+from math import ceil
+from typing import Final, TypeAlias
+
+import logbook
+from aiohttp import web
+from xxhash import xxh3_64_intdigest
+
+from ..clock import Clock
+from ..process.metrics import Metrics
+from ..process.peer import HostRef
+from ..version.catalog import Catalog, Group, Team
+from ..wire import Json, encode
+from .body import MAX_BODY, Body, Entry, parse
+from .credential import authenticate, permit
+from .dispatch import WITHOUT_EFFECT, CatalogSource, Dispatch
+from .execution import Served
+from .handle import Handle, HandleCodec, unknown_transaction
+from .rate import TeamRates
+from .refusal import Reason, Refusal, may_have_run, not_run
+from .router import Router
+from .statement import Consistency, Kind, Statement
+from .token import SessionToken, TokenCodec
+from .verdict import Verdict
+
+MAX_AHEAD: Final = 300.0
+ISSUE_DIGITS: Final = 13
+ID_SIZE: Final = 24
+DRAIN_RETRY_MS: Final = 100
+START_RETRY_MS: Final = 500
+INTERNAL_RETRY_MS: Final = 1000
+BODY_TIMEOUT: Final = 10.0
+JSON_TYPE: Final = "application/json"
+
+Handler: TypeAlias = Callable[[web.Request], Awaitable[web.Response]]
+
+log = logbook.Logger("api")
+
+
+class Ask:
+    """Keep what is known of one request while it is answered.
+
+    :ivar sent: whether it was handed on, so that it may have run.
+    :ivar kind: what it does.
+    """
+
+    __slots__ = ("team", "catalog", "group", "token", "kind", "sent")
+
+    def __init__(
+        self,
+        team: Team,
+        catalog: Catalog,
+        group: Group,
+        token: SessionToken,
+        kind: Kind,
+    ) -> None:
+        self.team = team
+        self.catalog = catalog
+        self.group = group
+        self.token = token
+        self.kind = kind
+        self.sent = False
+
+
+ASK: Final = web.RequestKey("ask", Ask)
+
+
+class Api:
+    """Answer callers.
+
+    The server must let handlers go on when a caller hangs up, as aiohttp's
+    does by default, so that a write comes to a definite end.
+
+    :param me: this host.
+    :param secrets: secrets of session tokens and transaction handles, shared
+        by all hosts; the first one signs.
+    :ivar active: requests in progress.
+    :ivar draining: whether only open transactions are still served.
+    """
+
+    __slots__ = (
+        "me",
+        "catalog",
+        "router",
+        "dispatch",
+        "tokens",
+        "handles",
+        "rates",
+        "clock",
+        "random",
+        "metrics",
+        "max_body",
+        "active",
+        "draining",
+    )
+
+    def __init__(
+        self,
+        me: HostRef,
+        catalog: CatalogSource,
+        router: Router,
+        dispatch: Dispatch,
+        secrets: tuple[bytes, ...],
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        max_body: int = MAX_BODY,
+    ) -> None:
+        self.me = me
+        self.catalog = catalog
+        self.router = router
+        self.dispatch = dispatch
+        self.tokens = TokenCodec(secrets)
+        self.handles = HandleCodec(secrets)
+        self.rates = TeamRates()
+        self.clock = clock
+        self.random = rng
+        self.metrics = metrics
+        self.max_body = max_body
+        self.active = 0
+        self.draining = False
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Answer ``POST /v1/read``."""
+        body, ask = await self.opened(request, Entry.READ, Kind.READ)
+        statement = self.statement(ask, body)
+        set_consistency(statement, body, ask.catalog)
+        return self.answer(ask, await self.run(ask, statement, True))
+
+    async def write(self, request: web.Request) -> web.Response:
+        """Answer ``POST /v1/write``."""
+        body, ask = await self.opened(request, Entry.WRITE, Kind.WRITE)
+        statement = self.statement(ask, body)
+        statement.request_id = self.request_id(ask.team, body)
+        return self.answer(ask, await self.run(ask, statement, True))
+
+    async def begin(self, request: web.Request) -> web.Response:
+        """Answer ``POST /v1/transactions``."""
+        body, ask = await self.opened(request, Entry.BEGIN, Kind.BEGIN)
+        statement = self.statement(ask, body)
+        statement.request_id = self.request_id(ask.team, body)
+        served = await self.run(ask, statement, True)
+        return self.answer(ask, served, self.new_handle(ask, statement, served))
+
+    async def step(self, request: web.Request) -> web.Response:
+        """Answer ``POST /v1/transactions/{id}/statements``."""
+        return await self.continued(request, Entry.STEP, Kind.STEP)
+
+    async def commit(self, request: web.Request) -> web.Response:
+        """Answer ``POST /v1/transactions/{id}/commit``."""
+        return await self.continued(request, Entry.END, Kind.COMMIT)
+
+    async def rollback(self, request: web.Request) -> web.Response:
+        """Answer ``POST /v1/transactions/{id}/rollback``."""
+        return await self.continued(request, Entry.END, Kind.ROLLBACK)
+
+    async def health(self, request: web.Request) -> web.Response:
+        """Answer ``GET /v1/health`` for the platform's balancer."""
+        catalog = self.catalog()
+        status = "draining" if self.draining else "ok" if catalog else "starting"
+        message = {
+            "status": status,
+            "host": self.me.host,
+            "zone": self.me.zone,
+            "version": catalog.version if catalog else None,
+        }
+        return respond(200 if status == "ok" else 503, message)
+
+    async def opened(
+        self, request: web.Request, entry: Entry, kind: Kind
+    ) -> tuple[Body, Ask]:
+        """Check a request that names its group.
+
+        :raises Refusal: if anything is wrong with it; nothing was run.
+        """
+        if self.draining:
+            raise not_run(Reason.DRAINING, "this host is leaving", DRAIN_RETRY_MS)
+        catalog, team = self.admitted(request)
+        body = parse(entry, await read_body(request, self.max_body))
+        group = group_of(body, catalog, team)
+        return body, self.ask(request, team, catalog, group, body, kind)
+
+    async def continued(
+        self, request: web.Request, entry: Entry, kind: Kind
+    ) -> web.Response:
+        """Run a statement of an open transaction at the host that holds it."""
+        catalog, team = self.admitted(request)
+        body = parse(entry, await read_body(request, self.max_body))
+        handle = self.handles.decode(request.match_info["id"], team.name)
+        group = catalog.groups.get(handle.group)
+        if group is None:
+            raise unknown_transaction()
+        permit(team, group)
+        ask = self.ask(request, team, catalog, group, body, kind)
+        statement = self.statement(ask, body)
+        statement.transaction = handle.transaction
+        ask.sent = True
+        served = await self.at_home(handle, statement)
+        open_still = request.match_info["id"] if kind is Kind.STEP else None
+        return self.answer(ask, served, open_still)
+
+    async def at_home(self, handle: Handle, statement: Statement) -> Served:
+        """Run a statement of a transaction where it was begun, once.
+
+        A commit whose transaction is no longer known may have run before.
+        """
+        try:
+            return await self.dispatch.execute_at(handle.host, handle.member, statement)
+        except Refusal as refusal:
+            forgotten = refusal.reason is Reason.UNKNOWN_TRANSACTION
+            if forgotten and statement.kind is Kind.COMMIT:
+                raise may_have_run(refusal.reason, refusal.detail) from refusal
+            raise
+
+    def admitted(self, request: web.Request) -> tuple[Catalog, Team]:
+        """Return the configuration and the team that sent a request.
+
+        :raises Refusal: if it is not to be served; nothing was run.
+        """
+        catalog = self.catalog()
+        if catalog is None:
+            raise not_run(
+                Reason.NO_CONFIGURATION,
+                "no configuration is in force yet",
+                START_RETRY_MS,
+            )
+        team = authenticate(request.headers.get("Authorization"), catalog)
+        self.rates.admit(team, self.clock.monotonic())
+        return catalog, team
+
+    def ask(
+        self,
+        request: web.Request,
+        team: Team,
+        catalog: Catalog,
+        group: Group,
+        body: Body,
+        kind: Kind,
+    ) -> Ask:
+        """Return the request as it is answered, with its session token."""
+        if body.token is None:
+            token = SessionToken(team.name, group.service)
+        else:
+            token = self.tokens.decode(body.token, team.name, group.service)
+        ask = Ask(team, catalog, group, token, kind)
+        request[ASK] = ask
+        return ask
+
+    def statement(self, ask: Ask, body: Body) -> Statement:
+        """Return the statement of a request."""
+        deadline_ms = body.deadline_ms or ask.catalog.limits.deadline_ms
+        return Statement(
+            kind=ask.kind,
+            group=ask.group.name,
+            caller=ask.team.name,
+            sql=body.sql,
+            params=body.params,
+            remaining=deadline_ms / 1000.0,
+            priority=ask.team.priority,
+            covers=ask.token.positions.get(ask.group.name),
+        )
+
+    async def run(self, ask: Ask, statement: Statement, repeatable: bool) -> Served:
+        """Hand a statement on to the router."""
+        ask.sent = True
+        return await self.router.run(ask.group, statement, repeatable)
+
+    def request_id(self, team: Team, body: Body) -> str | None:
+        """Return the request id as targets record it.
+
+        It is made of the caller's id and the team, so that no team can reach
+        another's effect by a guessed id.
+
+        :raises Refusal: if it was issued too far in the future.
+        """
+        given = body.request_id
+        if given is None:
+            return None
+        issued = given[:ISSUE_DIGITS]
+        if int(issued) / 1000.0 > self.clock.wall() + MAX_AHEAD:
+            raise not_run(
+                Reason.BAD_REQUEST, "request_id was issued too far in the future"
+            )
+        scoped = blake2b(f"{team.name}\0{given}".encode(), digest_size=ID_SIZE)
+        return f"{issued}-{scoped.hexdigest()}"
+
+    def new_handle(self, ask: Ask, statement: Statement, served: Served) -> str | None:
+        """Return the handle of the transaction that was begun.
+
+        There is none if the request id had run: its answer is that of the
+        earlier commit.
+        """
+        if served.answer.repeated or statement.transaction is None:
+            return None
+        assert served.host is not None
+        return self.handles.encode(
+            Handle(
+                ask.team.name,
+                ask.group.name,
+                served.answer.target,
+                served.host,
+                statement.transaction,
+            )
+        )
+
+    def answer(
+        self, ask: Ask, served: Served, transaction: str | None = None
+    ) -> web.Response:
+        """Return the response with a token that covers what it shows."""
+        answer = served.answer
+        token = ask.token.advanced(ask.group.name, answer.position)
+        age = answer.age
+        message: Json = {
+            "verdict": Verdict.DONE.value,
+            "columns": answer.columns,
+            "rows": answer.rows,
+            "rowcount": answer.rowcount,
+            "token": self.tokens.encode(token),
+            "age_ms": None if age is None else round(age * 1000.0, 3),
+            "target": answer.target,
+            "role": answer.role,
+            "host": self.me.host,
+            "home": served.host.host if served.host else None,
+            "term": answer.position.term,
+            "position": answer.position.to_json(),
+            "repeated": answer.repeated,
+        }
+        if transaction is not None:
+            message["transaction"] = transaction
+        return respond(200, message)
+
+
+def caller_routes(api: Api) -> list[web.RouteDef]:
+    """Return the routes of the callers' interface."""
+    begun = "/v1/transactions/{id}"
+    return [
+        web.post("/v1/read", typed(api, api.read)),
+        web.post("/v1/write", typed(api, api.write)),
+        web.post("/v1/transactions", typed(api, api.begin)),
+        web.post(f"{begun}/statements", typed(api, api.step)),
+        web.post(f"{begun}/commit", typed(api, api.commit)),
+        web.post(f"{begun}/rollback", typed(api, api.rollback)),
+        web.get("/v1/health", api.health),
+    ]
+
+
+def typed(api: Api, handler: Handler) -> Handler:
+    """Answer with a typed refusal whatever `handler` raises."""
+
+    async def answer(request: web.Request) -> web.Response:
+        api.active += 1
+        try:
+            return await handler(request)
+        except Refusal as refusal:
+            api.metrics.increment(f"api.refused.{refusal.reason.value}")
+            return respond_refused(refusal)
+        except Exception:
+            api.metrics.increment("api.refused.internal")
+            log.exception("A request failed unexpectedly.")
+            return respond_refused(unexpected(request))
+        finally:
+            api.active -= 1
+
+    return answer
+
+
+def unexpected(request: web.Request) -> Refusal:
+    """Return the refusal for an error of this host itself."""
+    ask = request.get(ASK)
+    detail = "this host failed; its log says more"
+    if ask is not None and ask.sent and ask.kind not in WITHOUT_EFFECT:
+        return may_have_run(Reason.INTERNAL, detail, INTERNAL_RETRY_MS)
+    return not_run(Reason.INTERNAL, detail, INTERNAL_RETRY_MS)
+
+
+def respond(status: int, message: Json) -> web.Response:
+    """Return a response with a JSON body."""
+    return web.Response(status=status, body=encode(message), content_type=JSON_TYPE)
+
+
+def respond_refused(refusal: Refusal) -> web.Response:
+    """Return the response that carries a refusal."""
+    response = respond(refusal.status, refusal.to_json())
+    if refusal.retry_after_ms is not None:
+        seconds = ceil(refusal.retry_after_ms / 1000.0)
+        response.headers["Retry-After"] = str(seconds)
+    if refusal.reason is Reason.UNAUTHENTICATED:
+        response.headers["WWW-Authenticate"] = "Bearer"
+    return response
+
+
+async def read_body(request: web.Request, limit: int) -> bytes:
+    """Read the body of a request, within bounds of size and time.
+
+    :raises Refusal: if a bound is passed or the body is cut short.
+    """
+    size = request.content_length
+    if size is not None and size > limit:
+        raise too_large(limit)
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT):
+            raw = await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise too_large(limit) from error
+    except TimeoutError as error:
+        raise not_run(Reason.BAD_REQUEST, "the body did not arrive in time") from error
+    except (web.RequestPayloadError, ConnectionError) as error:
+        raise not_run(Reason.BAD_REQUEST, "the body could not be read") from error
+    if len(raw) > limit:
+        raise too_large(limit)
+    return raw
+
+
+def too_large(limit: int) -> Refusal:
+    """Return the refusal of a body beyond `limit` bytes."""
+    return not_run(Reason.TOO_LARGE, f"a body may hold at most {limit} bytes")
+
+
+def group_of(body: Body, catalog: Catalog, team: Team) -> Group:
+    """Return the group that a request names, by name or by service and key.
+
+    :raises Refusal: if there is none, or the team may not use it.
+    """
+    name = body.group
+    if name is None:
+        assert body.service is not None and body.key is not None
+        if body.service not in team.services:
+            raise not_run(
+                Reason.FORBIDDEN,
+                f"the team {team.name} may not use the service {body.service}",
+            )
+        name = group_of_key(catalog, body.service, body.key)
+    group = catalog.groups.get(name)
+    if group is None:
+        raise not_run(Reason.UNKNOWN_GROUP, f"the group {name} is not known")
+    permit(team, group)
+    return group
+
+
+def group_of_key(catalog: Catalog, service: str, key: str) -> str:
+    """Return the name of the group of `service` that holds `key`."""
+    names = [one.name for one in catalog.groups.values() if one.service == service]
+    if not names:
+        raise not_run(Reason.UNKNOWN_GROUP, f"the service {service} has no groups")
+    names.sort()
+    return names[xxh3_64_intdigest(key.encode()) % len(names)]
+
+
+def set_consistency(statement: Statement, body: Body, catalog: Catalog) -> None:
+    """Set what a read demands."""
+    statement.consistency = Consistency(body.consistency or Consistency.SESSION)
+    if statement.consistency is not Consistency.MAX_AGE:
+        return
+    age_ms = body.max_age_ms
+    if age_ms is None:
+        age_ms = catalog.limits.default_max_age_ms
+    statement.max_age = age_ms / 1000.0
--- /dev/null
+++ b/src/reedhook/request/choice.py
@@ -0,0 +1,264 @@
+"""Which replica is to serve a read: by coverage, age, expected wait and distance.
+
+What a view says of a replica is a lower bound: it has gone on since. So a
+replica is also taken if by its usual lag it should have reached the position
+by now; its home proves it or refuses at once.
+"""
+
+import random
+from bisect import bisect_left
+from typing import Final
+
+from ..version.catalog import Group, Member
+from .position import Position
+from .statement import Consistency, Statement
+from .view import GroupView, MemberView
+
+HEAD_SPACING: Final = 0.05
+MAX_HEADS: Final = 256
+COVER_WAIT: Final = 0.02
+LAG_GAIN: Final = 0.2
+LAG_BACKOFF: Final = 1.2
+EASE_IN: Final = 3.0
+FIRST_EXCLUSION: Final = 0.25
+LAST_EXCLUSION: Final = 5.0
+WAIT_DECAY: Final = 1.0
+INFLIGHT_WAIT: Final = 0.001
+NEAR_HOP: Final = 0.0005
+FAR_HOP: Final = 0.003
+
+
+class Heads:
+    """Keep when the positions of a group were first heard of.
+
+    Recent ones are kept each, older ones at a spacing of `HEAD_SPACING`.
+    """
+
+    __slots__ = ("positions", "times")
+
+    def __init__(self) -> None:
+        self.positions: list[Position] = []
+        self.times: list[float] = []
+
+    def hear(self, position: Position, now: float) -> None:
+        """Note that `position` exists."""
+        if self.positions and self.positions[-1] >= position:
+            return
+        self.positions.append(position)
+        self.times.append(now)
+        if len(self.times) > MAX_HEADS:
+            self.thin()
+
+    def thin(self) -> None:
+        """Drop the older half except for one head in each spacing."""
+        half = len(self.times) // 2
+        kept = [0]
+        for at in range(1, half):
+            if self.times[at] - self.times[kept[-1]] >= HEAD_SPACING:
+                kept.append(at)
+        kept = kept[-half // 2 :]
+        self.positions[:half] = [self.positions[at] for at in kept]
+        self.times[:half] = [self.times[at] for at in kept]
+
+    def since(self, position: Position) -> float | None:
+        """Return by when `position` existed; None if it was never heard of."""
+        at = bisect_left(self.positions, position)
+        return self.times[at] if at < len(self.times) else None
+
+
+class Track:
+    """Keep what this host experienced with one member.
+
+    :ivar lag: usual delay in seconds from an entry's being heard of until the
+        member's reads see it; None if not yet seen.
+    :ivar inflight: statements of this host that run at the member.
+    :ivar excluded_until: no read goes there before this time.
+    :ivar returned: when it served again after a failure.
+    """
+
+    __slots__ = (
+        "lag",
+        "inflight",
+        "exclusion",
+        "excluded_until",
+        "returned",
+        "applied",
+    )
+
+    def __init__(self) -> None:
+        self.lag: float | None = None
+        self.inflight = 0
+        self.exclusion = 0.0
+        self.excluded_until = float("-inf")
+        self.returned = float("-inf")
+        self.applied: Position | None = None
+
+    def failed(self, now: float) -> None:
+        """Exclude the member for a while that doubles with each failure."""
+        self.exclusion = min(max(2 * self.exclusion, FIRST_EXCLUSION), LAST_EXCLUSION)
+        self.excluded_until = now + self.exclusion
+
+    def served(self, now: float) -> None:
+        """Note a success; the first after a failure begins the easing in."""
+        if self.exclusion > 0.0:
+            self.exclusion = 0.0
+            self.returned = now
+
+    def admits(self, now: float, rng: random.Random) -> bool:
+        """Say whether a read may go there; rarely at first after a failure."""
+        if now < self.excluded_until:
+            return False
+        since = now - self.returned
+        if since >= EASE_IN and self.exclusion == 0.0:
+            return True
+        share = 0.05 if self.exclusion > 0.0 else max(0.05, since / EASE_IN)
+        return rng.random() < share
+
+    def sample_lag(self, lag: float) -> None:
+        """Take a sample of the delay into account."""
+        if self.lag is None:
+            self.lag = lag
+        else:
+            self.lag += LAG_GAIN * (lag - self.lag)
+
+
+class GroupTrack:
+    """Keep what this host experienced with the members of one group."""
+
+    __slots__ = ("heads", "members")
+
+    def __init__(self) -> None:
+        self.heads = Heads()
+        self.members: dict[str, Track] = {}
+
+    def member(self, name: str) -> Track:
+        """Return the track of the member `name`."""
+        track = self.members.get(name)
+        if track is None:
+            track = self.members[name] = Track()
+        return track
+
+    def learn(self, view: GroupView, now: float) -> None:
+        """Take the positions of a view into account."""
+        for one in view.members.values():
+            self.heads.hear(one.applied, now)
+        for one in view.members.values():
+            if one.member != view.primary:
+                self.learn_lag(one)
+
+    def learn_lag(self, one: MemberView) -> None:
+        """Sample the lag of a replica whose position has moved on."""
+        track = self.member(one.member)
+        if track.applied is not None and one.applied <= track.applied:
+            return
+        track.applied = one.applied
+        since = self.heads.since(one.applied)
+        if since is not None:
+            track.sample_lag(max(0.0, one.seen - since))
+
+    def missed(self, member: str, position: Position, now: float) -> None:
+        """Note that `member` did not cover `position` when asked."""
+        since = self.heads.since(position)
+        track = self.member(member)
+        delay = COVER_WAIT if since is None else now - since
+        track.lag = max(track.lag or 0.0, LAG_BACKOFF * delay)
+
+
+class Chooser:
+    """Choose replicas for reads of this host.
+
+    :param zone: the availability zone of this host.
+    """
+
+    __slots__ = ("zone", "random")
+
+    def __init__(self, zone: str, rng: random.Random) -> None:
+        self.zone = zone
+        self.random = rng
+
+    def replica(
+        self,
+        group: Group,
+        view: GroupView,
+        track: GroupTrack,
+        statement: Statement,
+        tried: frozenset[str],
+        now: float,
+    ) -> str | None:
+        """Return the replica for a read, or None if only the primary will do."""
+        best = None
+        best_cost = 0.0
+        for member in self.two(self.fit(group, view, track, statement, tried, now)):
+            cost = self.cost(member, view, track, now)
+            if best is None or cost < best_cost:
+                best, best_cost = member.member, cost
+        return best
+
+    def two(self, members: list[Member]) -> list[Member]:
+        """Return two members at random, or fewer if there are not so many."""
+        return members if len(members) <= 2 else self.random.sample(members, 2)
+
+    def fit(
+        self,
+        group: Group,
+        view: GroupView,
+        track: GroupTrack,
+        statement: Statement,
+        tried: frozenset[str],
+        now: float,
+    ) -> list[Member]:
+        """Return the replicas that can be expected to meet the demand.
+
+        Those that are known to meet it go before those that only should.
+        """
+        known = []
+        likely = []
+        for member in group.members:
+            name = member.member
+            one = view.members.get(name)
+            if one is None or one.leaving or name == view.primary or name in tried:
+                continue
+            own = track.member(name)
+            if not own.admits(now, self.random):
+                continue
+            if meets(one, statement, now):
+                known.append(member)
+            elif should_meet(one, own, track.heads, statement, now):
+                likely.append(member)
+        return known or likely
+
+    def cost(
+        self, member: Member, view: GroupView, track: GroupTrack, now: float
+    ) -> float:
+        """Return the wait to expect at `member`, with the way there, in seconds."""
+        one = view.members[member.member]
+        age = now - one.seen
+        wait = one.wait * max(0.0, 1.0 - age / WAIT_DECAY)
+        hop = NEAR_HOP if member.zone == self.zone else FAR_HOP
+        return wait + hop + INFLIGHT_WAIT * track.member(member.member).inflight
+
+
+def meets(one: MemberView, statement: Statement, now: float) -> bool:
+    """Say whether a replica is known to meet what a read demands."""
+    if statement.covers is not None and one.applied < statement.covers:
+        return False
+    if statement.consistency is not Consistency.MAX_AGE:
+        return True
+    assert statement.max_age is not None
+    return one.lag is not None and one.lag + now - one.seen <= statement.max_age
+
+
+def should_meet(
+    one: MemberView, own: Track, heads: Heads, statement: Statement, now: float
+) -> bool:
+    """Say whether a replica should by now meet what a read demands."""
+    if statement.covers is not None and one.applied < statement.covers:
+        since = heads.since(statement.covers)
+        if since is None or own.lag is None:
+            return False
+        if now + COVER_WAIT < since + own.lag:
+            return False
+    if statement.consistency is not Consistency.MAX_AGE:
+        return True
+    assert statement.max_age is not None
+    return one.lag is not None and one.lag <= statement.max_age
--- /dev/null
+++ b/src/reedhook/request/dispatch.py
@@ -0,0 +1,138 @@
+"""Bring a statement to the home of its target, over one hop at most."""
+
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+from ..clock import Clock
+from ..process.directory import Directory
+from ..process.peer import HostRef, PeerError, Peers
+from ..version.catalog import Catalog
+from .execution import Execution, Served
+from .refusal import Reason, Refusal, may_have_run, not_run
+from .statement import Kind, Statement
+from .verdict import Verdict
+
+HOP_GRACE: Final = 0.05
+RETRY_AFTER_MS: Final = 500
+RETRY_SOON_MS: Final = 50
+ELSEWHERE: Final = frozenset({Reason.WRONG_HOME, Reason.HOST_UNREACHABLE})
+WITHOUT_EFFECT: Final = frozenset({Kind.READ, Kind.BEGIN})
+
+CatalogSource: TypeAlias = Callable[[], Catalog | None]
+
+
+class Dispatch(Execution):
+    """Execute statements at the homes of their targets.
+
+    :param local: executes at targets whose home is this host.
+    """
+
+    __slots__ = ("local", "directory", "peers", "catalog", "clock")
+
+    def __init__(
+        self,
+        local: Execution,
+        directory: Directory,
+        peers: Peers,
+        catalog: CatalogSource,
+        clock: Clock,
+    ) -> None:
+        self.local = local
+        self.directory = directory
+        self.peers = peers
+        self.catalog = catalog
+        self.clock = clock
+
+    async def execute(self, member: str, statement: Statement) -> Served:
+        """Execute at the home of `member`, or at the next in rank.
+
+        The next in rank is tried once, and only if the first ran nothing.
+        """
+        home = self.home(member, statement.group)
+        began = self.clock.monotonic()
+        try:
+            return await self.execute_at(home, member, statement)
+        except Refusal as refusal:
+            if refusal.verdict is not Verdict.NOT_RUN:
+                raise
+            if refusal.reason not in ELSEWHERE:
+                raise
+            other = self.other(home, member, statement.group)
+            statement.remaining -= self.clock.monotonic() - began
+            if other is None or statement.remaining <= 0:
+                raise
+        return await self.execute_at(other, member, statement)
+
+    async def execute_at(
+        self, host: HostRef, member: str, statement: Statement
+    ) -> Served:
+        """Execute at `host`, which this may be.
+
+        :raises Refusal: with a verdict that holds also if the hop breaks.
+        """
+        if host.host == self.directory.me.host:
+            served = await self.local.execute(member, statement)
+            served.host = host
+            return served
+        return await self.forward(host, member, statement)
+
+    async def forward(self, host: HostRef, member: str, statement: Statement) -> Served:
+        """Send the statement to `host` and read its answer."""
+        body = {"member": member, "statement": statement.to_json()}
+        asked = self.clock.monotonic()
+        timeout = statement.remaining + HOP_GRACE
+        try:
+            message = await self.peers.call(host, "statement", body, timeout)
+            return Served.from_json(message, asked, host)
+        except PeerError as error:
+            raise broken_hop(host, statement.kind, str(error), error.sent) from error
+        except (LookupError, TypeError, ValueError) as error:
+            raise broken_hop(
+                host, statement.kind, "the answer is malformed", True
+            ) from error
+
+    def home(self, member: str, group: str) -> HostRef:
+        """Return the home of `member`.
+
+        :raises Refusal: if no host is live; nothing was run.
+        """
+        hosts = self.ranked(member, group)
+        if hosts:
+            return hosts[0]
+        raise not_run(
+            Reason.HOST_UNREACHABLE,
+            f"no live host is known for the target {member}",
+            RETRY_AFTER_MS,
+        )
+
+    def other(self, tried: HostRef, member: str, group: str) -> HostRef | None:
+        """Return the host to try after `tried`, by the directory as it is now."""
+        for host in self.ranked(member, group)[:2]:
+            if host.host != tried.host:
+                return host
+        return None
+
+    def ranked(self, member: str, group: str) -> list[HostRef]:
+        """Return the live hosts for `member`, best first."""
+        catalog = self.catalog()
+        found = catalog.groups.get(group) if catalog is not None else None
+        if found is None:
+            raise not_run(Reason.UNKNOWN_GROUP, f"the group {group} is not known")
+        for one in found.members:
+            if one.member == member:
+                return self.directory.ranked(member, one.zone)
+        raise not_run(
+            Reason.TARGET_LEAVING, f"the target {member} has left the group {group}"
+        )
+
+
+def broken_hop(host: HostRef, kind: Kind, detail: str, sent: bool) -> Refusal:
+    """Return the refusal for a hop that gave no answer.
+
+    A read has no effect, and a transaction that was begun and never named to
+    the caller is rolled back, so that both can be called not run.
+    """
+    text = f"the host {host.host} gave no answer: {detail}"
+    if sent and kind not in WITHOUT_EFFECT:
+        return may_have_run(Reason.HOST_UNREACHABLE, text, RETRY_SOON_MS)
+    return not_run(Reason.HOST_UNREACHABLE, text, RETRY_SOON_MS)
--- a/src/reedhook/request/execution.py
+++ b/src/reedhook/request/execution.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+from ..process.peer import HostRef
 from ..record import Record
 from ..wire import Json
 from .statement import Answer, Statement
@@ -13,13 +14,17 @@
 
     :param wait: expected wait of the next statement at this home, in seconds.
     :param view: what the home knows of the group.
-    :param host: the id of the host that executed the statement.
+    :param host: the host that executed the statement; set by the sender.
     """
 
     __slots__ = ("answer", "wait", "view", "host")
 
     def __init__(
-        self, answer: Answer, wait: float, view: GroupView, host: str = ""
+        self,
+        answer: Answer,
+        wait: float,
+        view: GroupView,
+        host: HostRef | None = None,
     ) -> None:
         self.answer = answer
         self.wait = wait
@@ -35,7 +40,7 @@
         }
 
     @classmethod
-    def from_json(cls, message: Json, asked: float, host: str) -> "Served":
+    def from_json(cls, message: Json, asked: float, host: HostRef) -> "Served":
         """Read the answer of `host` to a statement sent at `asked`."""
         return cls(
             Answer.from_json(message["answer"]),
--- /dev/null
+++ b/src/reedhook/request/handle.py
@@ -0,0 +1,91 @@
+"""Handles of interactive transactions, which any host can read."""
+
+import hmac
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from typing import Final
+
+import orjson
+
+from ..process.peer import HostRef
+from ..record import Record
+from .refusal import Reason, Refusal, not_run
+
+MAC_SIZE: Final = 16
+MAX_TEXT: Final = 1024
+
+
+class Handle(Record):
+    """Name a transaction and the host that holds its connection.
+
+    :param team: the team that began it; only this team can use the handle.
+    :param member: the target on which it runs.
+    :param transaction: its id at the home.
+    """
+
+    __slots__ = ("team", "group", "member", "host", "transaction")
+
+    def __init__(
+        self, team: str, group: str, member: str, host: HostRef, transaction: str
+    ) -> None:
+        self.team = team
+        self.group = group
+        self.member = member
+        self.host = host
+        self.transaction = transaction
+
+
+class HandleCodec:
+    """Write and read handles with the secret that all hosts share.
+
+    :param secrets: the first one signs; all verify.
+    """
+
+    __slots__ = ("secrets",)
+
+    def __init__(self, secrets: tuple[bytes, ...]) -> None:
+        self.secrets = secrets
+
+    def encode(self, handle: Handle) -> str:
+        """Return the text of `handle`."""
+        payload = orjson.dumps(
+            [handle.group, handle.member, handle.host.to_json(), handle.transaction]
+        )
+        body = code(self.secrets[0], handle.team, payload) + payload
+        return urlsafe_b64encode(body).rstrip(b"=").decode()
+
+    def decode(self, text: str, team: str) -> Handle:
+        """Read a handle that `team` presents.
+
+        :raises Refusal: ``unknown_transaction`` if it is not one of its own.
+        """
+        body = unpacked(text)
+        given, payload = body[:MAC_SIZE], body[MAC_SIZE:]
+        codes = [code(secret, team, payload) for secret in self.secrets]
+        if not any(hmac.compare_digest(one, given) for one in codes):
+            raise unknown_transaction()
+        group, member, host, transaction = orjson.loads(payload)
+        return Handle(team, group, member, HostRef.from_json(host), transaction)
+
+
+def code(secret: bytes, team: str, payload: bytes) -> bytes:
+    """Return the authentication code of a handle of `team`."""
+    owner = team.encode()
+    size = len(owner).to_bytes(2, "big")
+    signed = b"transaction" + size + owner + payload
+    return hmac.digest(secret, signed, "sha256")[:MAC_SIZE]
+
+
+def unpacked(text: str) -> bytes:
+    """Return the bytes of a handle's text."""
+    if len(text) > MAX_TEXT:
+        raise unknown_transaction()
+    try:
+        packed = text.encode("ascii")
+        return urlsafe_b64decode(packed + b"=" * (-len(packed) % 4))
+    except ValueError as error:
+        raise unknown_transaction() from error
+
+
+def unknown_transaction() -> Refusal:
+    """Return the refusal of a handle that names no transaction of the team."""
+    return not_run(Reason.UNKNOWN_TRANSACTION, "the transaction is not known")
--- /dev/null
+++ b/src/reedhook/request/rate.py
@@ -0,0 +1,93 @@
+"""Token buckets: the rate of each team, and budgets of retries and hedges."""
+
+from typing import Final
+
+from ..version.catalog import Team
+from .refusal import Reason, not_run
+
+BURST_SECONDS: Final = 1.0
+MIN_BURST: Final = 1.0
+
+
+class TokenBucket:
+    """Admit `rate` units a second and bursts of up to `burst` units.
+
+    Times are monotonic, in seconds.
+    """
+
+    __slots__ = ("rate", "burst", "level", "filled_at")
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.level = burst
+        self.filled_at = now
+
+    def take(self, now: float) -> bool:
+        """Take one unit; return whether there was one."""
+        filled = self.level + (now - self.filled_at) * self.rate
+        self.level = min(self.burst, filled)
+        self.filled_at = now
+        if self.level < 1.0:
+            return False
+        self.level -= 1.0
+        return True
+
+    def wait(self) -> float:
+        """Return in how many seconds the next unit is there."""
+        return max(0.0, 1.0 - self.level) / self.rate
+
+
+class Budget:
+    """Bound extra work to a share of the ordinary work, plus a small burst.
+
+    :param share: units gained by each ordinary request.
+    :param burst: the most units that are kept.
+    """
+
+    __slots__ = ("share", "burst", "level")
+
+    def __init__(self, share: float, burst: float) -> None:
+        self.share = share
+        self.burst = burst
+        self.level = burst
+
+    def earn(self) -> None:
+        """Note one ordinary request."""
+        self.level = min(self.burst, self.level + self.share)
+
+    def spend(self) -> bool:
+        """Take the unit of one extra request; return whether there was one."""
+        if self.level < 1.0:
+            return False
+        self.level -= 1.0
+        return True
+
+
+class TeamRates:
+    """Hold each team to its rate on this host."""
+
+    __slots__ = ("buckets",)
+
+    def __init__(self) -> None:
+        self.buckets: dict[str, TokenBucket] = {}
+
+    def admit(self, team: Team, now: float) -> None:
+        """Admit one request of `team`.
+
+        :raises Refusal: ``rate_limited``, with the time to come back.
+        """
+        if team.rate is None:
+            return
+        bucket = self.buckets.get(team.name)
+        if bucket is None or bucket.rate != team.rate:
+            burst = max(MIN_BURST, team.rate * BURST_SECONDS)
+            bucket = self.buckets[team.name] = TokenBucket(team.rate, burst, now)
+        if bucket.take(now):
+            return
+        retry_after_ms = int(bucket.wait() * 1000) + 1
+        raise not_run(
+            Reason.RATE_LIMITED,
+            f"the team {team.name} exceeds its rate of {team.rate:g} a second",
+            retry_after_ms,
+        )
--- /dev/null
+++ b/src/reedhook/request/token.py
@@ -0,0 +1,165 @@
+"""Session tokens: what a session has seen, carried by the caller itself.
+
+A token is opaque to the caller. Its bytes are a format number, the length of
+the payload, the payload, and a truncated HMAC-SHA256 over all of these.
+"""
+
+import hmac
+import re
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from collections.abc import Sequence
+from typing import Final
+
+import orjson
+
+from ..record import Record
+from .position import Position
+from .refusal import Reason, Refusal, not_run
+
+FORMAT: Final = 1
+HEADER_SIZE: Final = 3
+MAC_SIZE: Final = 16
+ALPHABET: Final = re.compile("[A-Za-z0-9_-]*")
+MAX_GROUPS: Final = 256
+MAX_TEXT: Final = 24_576
+
+
+class SessionToken(Record):
+    """Carry for each group the position that the session must not miss.
+
+    :param team: the team whose session it is.
+    :param service: the service that the groups belong to.
+    :param positions: the positions by group.
+    """
+
+    __slots__ = ("team", "service", "positions")
+
+    def __init__(
+        self, team: str, service: str, positions: dict[str, Position] | None = None
+    ) -> None:
+        self.team = team
+        self.service = service
+        self.positions = positions or {}
+
+    def covers(self, other: "SessionToken") -> bool:
+        """Say whether this token demands at least what `other` demands."""
+        return all(
+            group in self.positions and self.positions[group] >= position
+            for group, position in other.positions.items()
+        )
+
+    def advanced(self, group: str, position: Position) -> "SessionToken":
+        """Return a token that also demands `position` of `group`.
+
+        :raises Refusal: if the token would name too many groups.
+        """
+        known = self.positions.get(group)
+        if known is not None and known >= position:
+            return self
+        positions = {**self.positions, group: position}
+        if len(positions) > MAX_GROUPS:
+            raise token_invalid("the token names too many groups")
+        return SessionToken(self.team, self.service, positions)
+
+    def merged(self, other: "SessionToken") -> "SessionToken":
+        """Return a token that demands what either token demands.
+
+        :raises Refusal: if the scopes differ, or for too many groups.
+        """
+        if (self.team, self.service) != (other.team, other.service):
+            raise token_invalid("tokens of different scopes cannot be merged")
+        merged = self
+        for group, position in other.positions.items():
+            merged = merged.advanced(group, position)
+        return merged
+
+
+class TokenCodec:
+    """Write and read tokens with the secret that all hosts share.
+
+    :param secrets: the first one signs; all verify, so that the secret can be
+        replaced while tokens of the former one are in use.
+    """
+
+    __slots__ = ("secrets",)
+
+    def __init__(self, secrets: Sequence[bytes]) -> None:
+        if not secrets:
+            raise ValueError("a token secret is needed")
+        self.secrets = tuple(secrets)
+
+    def encode(self, token: SessionToken) -> str:
+        """Return the text of `token`."""
+        positions = {
+            group: (position.term, position.index)
+            for group, position in token.positions.items()
+        }
+        payload = orjson.dumps([token.team, token.service, positions])
+        head = bytes([FORMAT]) + len(payload).to_bytes(2, "big")
+        signed = head + payload
+        body = signed + mac(self.secrets[0], signed)
+        return packed(body)
+
+    def decode(self, text: str, team: str, service: str) -> SessionToken:
+        """Read a token of `team` for `service`.
+
+        :raises Refusal: ``token_invalid``, with the cause as its detail.
+        """
+        body = unpacked(text)
+        signed = self.verified(body)
+        if packed(body) != text:
+            raise token_invalid("the token is malformed: not base64url")
+        owner, scope, positions = orjson.loads(signed[HEADER_SIZE:])
+        if owner != team:
+            raise token_invalid("the token belongs to another team")
+        if scope != service:
+            raise token_invalid("the token is for another service")
+        return SessionToken(
+            owner,
+            scope,
+            {group: Position(*pair) for group, pair in positions.items()},
+        )
+
+    def verified(self, body: bytes) -> bytes:
+        """Return the signed part of `body` once its form and code hold."""
+        if not body:
+            raise token_invalid("the token is empty")
+        if body[0] > FORMAT:
+            raise token_invalid("the token is of a newer format than this host reads")
+        if body[0] != FORMAT:
+            raise token_invalid("the token is malformed")
+        size = HEADER_SIZE + int.from_bytes(body[1:HEADER_SIZE], "big") + MAC_SIZE
+        if len(body) < max(size, HEADER_SIZE + MAC_SIZE):
+            raise token_invalid("the token is cut short")
+        if len(body) > size:
+            raise token_invalid("the token is malformed: it is too long")
+        signed, code = body[:-MAC_SIZE], body[-MAC_SIZE:]
+        if not any(hmac.compare_digest(mac(one, signed), code) for one in self.secrets):
+            raise token_invalid("the token is forged or altered")
+        return signed
+
+
+def mac(secret: bytes, signed: bytes) -> bytes:
+    """Return the truncated authentication code of `signed`."""
+    return hmac.digest(secret, signed, "sha256")[:MAC_SIZE]
+
+
+def packed(body: bytes) -> str:
+    """Return the one text of `body`."""
+    return urlsafe_b64encode(body).rstrip(b"=").decode()
+
+
+def unpacked(text: str) -> bytes:
+    """Return the bytes of a token's text, which may be cut short."""
+    if len(text) > MAX_TEXT:
+        raise token_invalid("the token is too long")
+    if ALPHABET.fullmatch(text) is None:
+        raise token_invalid("the token is malformed: not base64url")
+    if len(text) % 4 == 1:
+        text = text[:-1]
+    return urlsafe_b64decode(text + "=" * (-len(text) % 4))
+
+
+def token_invalid(detail: str) -> Refusal:
+    """Return the refusal of a token; nothing was run."""
+    return not_run(Reason.TOKEN_INVALID, detail)
--- /dev/null
+++ b/tests/test_api.py
@@ -0,0 +1,397 @@
+"""The callers' interface over HTTP: answers, refusals, effects."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from hashlib import sha256
+from typing import Any, Final
+
+import pytest
+from aiohttp import ClientResponse, ClientSession
+from aiohttp.test_utils import TestClient, TestServer
+from aiohttp.web import Application, AppRunner, Request, TCPSite
+
+from reedhook.clock import SystemClock
+from reedhook.process.metrics import MemoryMetrics
+from reedhook.request.api import Api, caller_routes
+from reedhook.request.choice import Chooser
+from reedhook.request.dispatch import Dispatch
+from reedhook.request.position import Position
+from reedhook.request.refusal import Reason, may_have_run, not_run
+from reedhook.request.router import Router
+from reedhook.request.statement import Kind
+from reedhook.request.views import Views
+from reedhook.version.catalog import Catalog
+
+from .fakes_peers import FakeNetwork
+from .fakes_request import (
+    CREDENTIAL,
+    FakeDirectory,
+    FakeGroup,
+    join_hosts,
+    make_catalog,
+    make_group,
+    make_team,
+)
+from .support import run
+
+Caller = TestClient[Request, Application]
+Test = Callable[["Bench", Caller], Awaitable[None]]
+
+OTHER_CREDENTIAL: Final = "desk-credential"
+READ: Final = {"group": "g1", "sql": "select 1"}
+
+
+class Bench:
+    """Hold an API whose three homes share one model of a group."""
+
+    def __init__(self, seed: int = 1) -> None:
+        digest = sha256(CREDENTIAL.encode()).hexdigest()
+        other = sha256(OTHER_CREDENTIAL.encode()).hexdigest()
+        services = frozenset({"feedlog-db"})
+        self.group = make_group()
+        self.catalog: Catalog | None = make_catalog(
+            [self.group, make_group("d1", "dispatch-core")],
+            [
+                make_team("gate", digest, services),
+                make_team("desk", other, services, rate=2.0),
+            ],
+        )
+        self.clock = SystemClock()
+        self.model = FakeGroup(self.group, lag=0.001)
+        network = FakeNetwork(delay=0.0)
+        hosts = join_hosts(network, self.model)
+        me = hosts[0]
+        self.directory = FakeDirectory(me, hosts)
+        rng = random.Random(seed)
+        peers = network.at[me.address]
+        ask_here = peers.routes.handlers["view"]
+        views = Views(self.clock, rng, self.directory, peers, ask_here)
+        dispatch = Dispatch(
+            self.model, self.directory, peers, lambda: self.catalog, self.clock
+        )
+        self.router = Router(
+            dispatch,
+            views,
+            Chooser(me.zone, rng),
+            self.clock,
+            rng,
+            MemoryMetrics(),
+        )
+        self.api = Api(
+            me,
+            lambda: self.catalog,
+            self.router,
+            dispatch,
+            (b"a secret of the cluster",),
+            self.clock,
+            rng,
+            MemoryMetrics(),
+        )
+
+    def application(self) -> Application:
+        """Return an application that serves the API."""
+        app = Application()
+        app.add_routes(caller_routes(self.api))
+        return app
+
+    def request_id(self, ahead: float = 0.0) -> str:
+        """Return a request id issued `ahead` seconds from now."""
+        return f"{int((self.clock.wall() + ahead) * 1000)}-ticket-0001"
+
+
+def serve(test: Test, bench: Bench | None = None) -> None:
+    """Run `test` against an API on a loopback port."""
+
+    async def main() -> None:
+        served = bench or Bench()
+        server = TestServer(served.application(), host="127.0.0.1", port=0)
+        async with TestClient(server) as caller:
+            await test(served, caller)
+        await served.router.views.close()
+
+    run(main())
+
+
+async def post(
+    caller: Caller, path: str, body: Any, credential: str | None = CREDENTIAL
+) -> tuple[int, dict[str, Any]]:
+    """Send a request and return the status with the decoded answer."""
+    headers = {"Authorization": f"Bearer {credential}"} if credential else {}
+    async with caller.post(path, json=body, headers=headers) as response:
+        return response.status, await decoded(response)
+
+
+async def decoded(response: ClientResponse) -> dict[str, Any]:
+    """Return the JSON object of a response."""
+    message: dict[str, Any] = await response.json()
+    return message
+
+
+def test_a_session_reads_what_it_wrote() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        write = {
+            "group": "g1",
+            "sql": "insert into t values (?)",
+            "params": [1],
+            "request_id": bench.request_id(),
+        }
+        status, wrote = await post(caller, "/v1/write", write)
+        assert (status, wrote["verdict"]) == (200, "done")
+        assert wrote["role"] == "primary" and wrote["host"] == "h1"
+        read = {**READ, "token": wrote["token"]}
+        status, answer = await post(caller, "/v1/read", read)
+        assert status == 200
+        assert answer["position"] >= wrote["position"]
+
+    serve(test)
+
+
+def test_a_repeated_request_id_is_answered_as_the_first() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
+        _, first = await post(caller, "/v1/write", write)
+        _, second = await post(caller, "/v1/write", write)
+        assert second["position"] == first["position"]
+        assert second["repeated"] and not first["repeated"]
+        assert len(bench.model.log) == 1
+
+    serve(test)
+
+
+def test_request_ids_of_two_teams_never_meet() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
+        await post(caller, "/v1/write", write)
+        await post(caller, "/v1/write", write, OTHER_CREDENTIAL)
+        assert len(bench.model.log) == 2
+
+    serve(test)
+
+
+REFUSED: Final[list[tuple[str, Any, int, str, str]]] = [
+    ("/v1/read", {**READ, "group": "d1"}, 403, "forbidden", "dispatch-core"),
+    ("/v1/read", {**READ, "group": "g9"}, 404, "unknown_group", "g9"),
+    ("/v1/read", {"sql": "x"}, 400, "bad_request", "service with key"),
+    ("/v1/read", {"group": "g1"}, 400, "bad_request", "sql is missing"),
+    ("/v1/read", {**READ, "colour": 1}, 400, "bad_request", "'colour'"),
+    ("/v1/read", {**READ, "sql": "a\0b"}, 400, "bad_request", "NUL"),
+    ("/v1/read", {**READ, "params": [[1]]}, 400, "bad_request", "params may"),
+    ("/v1/read", {**READ, "params": [2**63]}, 400, "bad_request", "64 bits"),
+    ("/v1/read", {**READ, "max_age_ms": 5}, 400, "bad_request", "max_age only"),
+    ("/v1/read", {**READ, "deadline_ms": 0}, 400, "bad_request", "deadline_ms"),
+    ("/v1/read", {**READ, "consistency": "x"}, 400, "bad_request", "must be fresh"),
+    ("/v1/read", {**READ, "token": "x"}, 400, "token_invalid", "empty"),
+    ("/v1/read", [1], 400, "bad_request", "JSON object"),
+    ("/v1/write", {"group": "g1", "sql": "x"}, 400, "bad_request", "request_id"),
+    (
+        "/v1/write",
+        {"group": "g1", "sql": "x", "request_id": "1"},
+        400,
+        "bad_request",
+        "13 digits",
+    ),
+    (
+        "/v1/write",
+        {"group": "g1", "sql": "x", "request_id": "9999999999999-ticket-0001"},
+        400,
+        "bad_request",
+        "future",
+    ),
+    ("/v1/transactions/AAAA/commit", {}, 404, "unknown_transaction", "not known"),
+]
+
+
+@pytest.mark.parametrize(("path", "body", "status", "reason", "words"), REFUSED)
+def test_wrong_input_gets_a_clear_refusal_and_no_effect(
+    path: str, body: Any, status: int, reason: str, words: str
+) -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        got, refusal = await post(caller, path, body)
+        assert (got, refusal["reason"]) == (status, reason)
+        assert refusal["verdict"] == "not run"
+        assert words in refusal["detail"]
+        assert not bench.model.executed
+
+    serve(test)
+
+
+@pytest.mark.parametrize("credential", [None, "unknown", "x" * 2000])
+def test_a_caller_without_a_known_credential_is_refused(
+    credential: str | None,
+) -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        status, refusal = await post(caller, "/v1/read", READ, credential)
+        assert (status, refusal["reason"]) == (401, "unauthenticated")
+        assert not bench.model.executed
+
+    serve(test)
+
+
+def test_a_body_beyond_the_bound_is_refused() -> None:
+    async def chunks() -> Any:
+        for _ in range(40):
+            yield b"x" * 65536
+
+    async def test(bench: Bench, caller: Caller) -> None:
+        headers = {"Authorization": f"Bearer {CREDENTIAL}"}
+        for body in (b"x" * 2_000_000, chunks()):
+            async with caller.post("/v1/read", data=body, headers=headers) as response:
+                assert response.status == 413
+                assert (await decoded(response))["reason"] == "too_large"
+
+    serve(test)
+
+
+def test_a_team_beyond_its_rate_is_told_when_to_come_back() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        for _ in range(2):
+            status, _ = await post(caller, "/v1/read", READ, OTHER_CREDENTIAL)
+            assert status == 200
+        headers = {"Authorization": f"Bearer {OTHER_CREDENTIAL}"}
+        async with caller.post("/v1/read", json=READ, headers=headers) as response:
+            refusal = await decoded(response)
+            assert response.status == 429
+            assert response.headers["Retry-After"] == "1"
+        assert 0 < refusal["retry_after_ms"] <= 501
+
+    serve(test)
+
+
+def test_a_transaction_belongs_to_the_team_that_began_it() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        begin = {"group": "g1", "request_id": bench.request_id()}
+        status, begun = await post(caller, "/v1/transactions", begin)
+        assert status == 200
+        path = f"/v1/transactions/{begun['transaction']}"
+        step = {"sql": "insert into t values (1)"}
+        status, answer = await post(caller, f"{path}/statements", step)
+        assert (status, answer["transaction"]) == (200, begun["transaction"])
+        executed = bench.model.executed.total()
+        status, refusal = await post(caller, f"{path}/commit", {}, OTHER_CREDENTIAL)
+        assert (status, refusal["reason"]) == (404, "unknown_transaction")
+        altered = f"/v1/transactions/{begun['transaction'][:-2]}AA/commit"
+        status, refusal = await post(caller, altered, {})
+        assert (status, refusal["reason"]) == (404, "unknown_transaction")
+        assert bench.model.executed.total() == executed
+        status, _ = await post(caller, f"{path}/commit", [])
+        assert status == 400
+        status, answer = await post(caller, f"{path}/commit", {})
+        assert status == 200 and "transaction" not in answer
+
+    serve(test)
+
+
+def test_a_commit_that_is_no_longer_known_may_have_run() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        begin = {"group": "g1", "request_id": bench.request_id()}
+        _, begun = await post(caller, "/v1/transactions", begin)
+        bench.model.refuse(
+            Kind.COMMIT, not_run(Reason.UNKNOWN_TRANSACTION, "not known here")
+        )
+        path = f"/v1/transactions/{begun['transaction']}/commit"
+        status, refusal = await post(caller, path, {})
+        assert (status, refusal["verdict"]) == (404, "may have run")
+
+    serve(test)
+
+
+@pytest.mark.parametrize(
+    ("path", "verdict"), [("/v1/read", "not run"), ("/v1/write", "may have run")]
+)
+def test_an_error_of_the_host_itself_is_a_typed_refusal(
+    path: str, verdict: str
+) -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        bench.model.refuse(Kind.READ, ZeroDivisionError("a fault"))
+        bench.model.refuse(Kind.WRITE, ZeroDivisionError("a fault"))
+        body = {**READ, "idempotent": True} if path == "/v1/write" else READ
+        status, refusal = await post(caller, path, body)
+        assert (status, refusal["reason"]) == (503, "internal")
+        assert refusal["verdict"] == verdict
+        assert "a fault" not in refusal["detail"]
+
+    bench = Bench()
+    for member in bench.group.members:
+        bench.directory.fixed[member.member] = [bench.directory.me]
+    serve(test, bench)
+
+
+def test_a_write_goes_on_when_its_caller_hangs_up() -> None:
+    async def main() -> None:
+        bench = Bench()
+        bench.model.service_time = 0.1
+        runner = AppRunner(bench.application())
+        await runner.setup()
+        await TCPSite(runner, "127.0.0.1", 0).start()
+        port = runner.addresses[0][1]
+        write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
+        headers = {"Authorization": f"Bearer {CREDENTIAL}"}
+        url = f"http://127.0.0.1:{port}/v1/write"
+        async with ClientSession() as session:
+            call = asyncio.create_task(session.post(url, json=write, headers=headers))
+            while not bench.model.executed:
+                await asyncio.sleep(0.005)
+            call.cancel()
+        assert not bench.model.log
+        while bench.api.active:
+            await asyncio.sleep(0.005)
+        assert len(bench.model.log) == 1
+        await runner.cleanup()
+        await bench.router.views.close()
+
+    run(main())
+
+
+def test_a_host_that_leaves_takes_no_new_work_and_ends_transactions() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        begin = {"group": "g1", "request_id": bench.request_id()}
+        _, begun = await post(caller, "/v1/transactions", begin)
+        bench.api.draining = True
+        status, refusal = await post(caller, "/v1/read", READ)
+        assert (status, refusal["reason"]) == (503, "draining")
+        path = f"/v1/transactions/{begun['transaction']}/commit"
+        status, _ = await post(caller, path, {})
+        assert status == 200
+        async with caller.get("/v1/health") as response:
+            assert response.status == 503
+            assert (await decoded(response))["status"] == "draining"
+
+    serve(test)
+
+
+def test_a_host_without_a_configuration_says_so() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        bench.catalog = None
+        status, refusal = await post(caller, "/v1/read", READ)
+        assert (status, refusal["reason"]) == (503, "no_configuration")
+
+    serve(test)
+
+
+def test_a_key_always_finds_the_same_group() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        body = {"service": "feedlog-db", "key": "farm 7", "sql": "select 1"}
+        status, answer = await post(caller, "/v1/read", body)
+        assert status == 200 and answer["target"].startswith("g1-")
+        body["service"] = "dispatch-core"
+        status, refusal = await post(caller, "/v1/read", body)
+        assert (status, refusal["reason"]) == (403, "forbidden")
+
+    serve(test)
+
+
+def test_a_refusal_in_doubt_stays_in_doubt() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        lost = may_have_run(Reason.TARGET_LOST, "no answer")
+        refused = not_run(Reason.OVERLOADED, "no slot", 100)
+        bench.model.refuse(Kind.WRITE, lost)
+        bench.model.refuse(Kind.WRITE, refused)
+        write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
+        status, refusal = await post(caller, "/v1/write", write)
+        assert (status, refusal["reason"]) == (503, "overloaded")
+        assert refusal["verdict"] == "may have run"
+        assert refusal["retry_after_ms"] == 100
+        assert bench.model.applied(bench.model.primary) == Position(1, 0)
+
+    serve(test)
