Check, accept and pass on the configuration, first version

Operators need one base file and an overlay for each site, accepted as a whole and in force everywhere. Documents keep line numbers, the merged result of every site is checked and all faults are reported at once. An overlay may not change the services: any host may be home of any target, so sites that disagree would break a target's budget.

The keeper only moves to a higher version, relays watch the head, other hosts pull from peers.

--- /dev/null
+++ b/src/reedhook/process/configuration.py
@@ -0,0 +1,379 @@
+"""The configuration in force at this host, and how it reaches other hosts."""
+
+import asyncio
+import base64
+import binascii
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, TypeAlias
+
+import logbook
+
+from ..clock import Clock
+from ..request.refusal import Reason, Refusal, not_run
+from ..version.catalog import Catalog
+from ..version.check import check
+from ..version.document import Documents
+from ..version.edition import Edition, EditionError, Head, PartRef, unpack
+from ..version.fault import InvalidConfiguration
+from ..wire import Json
+from .metrics import Metrics
+from .peer import HostRef, PeerError, PeerRoutes, Peers
+from .timeline import EventKind, Timeline
+from .worker import ThreadWorker, Worker
+
+PATH: Final = "config"
+PEER_TIMEOUT: Final = 2.0
+MAX_ANSWER: Final = 256 * 1024
+MAX_PULLS: Final = 256
+FANOUT: Final = 3
+KEPT_SOURCES: Final = 16
+RETRY_MIN: Final = 0.1
+RETRY_MAX: Final = 5.0
+START_WAIT: Final = 1.0
+START_STEP: Final = 0.1
+
+CatalogCallback: TypeAlias = Callable[[Catalog], None]
+PeerChoice: TypeAlias = Callable[[int], list[HostRef]]
+
+log = logbook.Logger("configuration")
+
+
+class ConfigurationKeeper:
+    """Keep the newest known edition in force; never move to a lower version.
+
+    News come from heartbeats, from other hosts' announcements, from the relays
+    that watch the store and from the editor. A host pulls an edition from a
+    peer that has it, part by part, and passes the news on.
+
+    :ivar edition: the edition in force; None before the first.
+    :ivar catalog: what it says for this site; None before the first.
+    :ivar in_force_since: wall-clock time in seconds; None before the first.
+    :ivar ready: set once an edition is in force.
+    """
+
+    def __init__(
+        self,
+        me: HostRef,
+        peers: Peers,
+        some_peers: PeerChoice,
+        clock: Clock,
+        chooser: random.Random,
+        timeline: Timeline,
+        metrics: Metrics,
+        worker: Worker | None = None,
+    ) -> None:
+        """Make a keeper with nothing in force.
+
+        :param me: this host; its zone is the site whose overlay holds here.
+        :param some_peers: gives up to so many live peers, chosen at random.
+        """
+        self.me = me
+        self.peers = peers
+        self.some_peers = some_peers
+        self.clock = clock
+        self.chooser = chooser
+        self.timeline = timeline
+        self.metrics = metrics
+        self.worker = worker or ThreadWorker()
+        self.edition: Edition | None = None
+        self.catalog: Catalog | None = None
+        self.in_force_since: float | None = None
+        self.ready = asyncio.Event()
+        self.callbacks: list[CatalogCallback] = []
+        self.sources: dict[str, tuple[int, HostRef]] = {}
+        self.news = asyncio.Event()
+        self.refused = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; 0 before the first."""
+        return 0 if self.edition is None else self.edition.version
+
+    def parts(self) -> dict[str, bytes]:
+        """Return the packed parts in force, by digest."""
+        return {} if self.edition is None else self.edition.packed
+
+    def on_change(self, callback: CatalogCallback) -> None:
+        """Call `callback` with each catalog that comes into force."""
+        self.callbacks.append(callback)
+
+    def register(self, routes: PeerRoutes) -> None:
+        """Answer the peer path ``config``."""
+        routes.add(PATH, self.answer)
+
+    async def start(self) -> None:
+        """Learn what some peers have, then follow the news."""
+        await self.ask_peers()
+        self.spawn(self.pull_forever())
+
+    async def close(self) -> None:
+        """Stop following the news."""
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def heard(self, version: int, peer: HostRef) -> None:
+        """Take note that `peer` says it has `version`."""
+        if not self.wants(version):
+            return
+        self.sources.pop(peer.host, None)
+        self.sources[peer.host] = (version, peer)
+        while len(self.sources) > KEPT_SOURCES:
+            del self.sources[next(iter(self.sources))]
+        self.news.set()
+
+    def wants(self, version: int) -> bool:
+        """Say whether `version` is newer, and not one refused as invalid."""
+        return version > max(self.version, self.refused)
+
+    async def adopt(self, edition: Edition, source: str) -> bool:
+        """Put `edition` in force if it is newer and valid.
+
+        :param source: where it came from, for the time line.
+        :returns: whether it came into force.
+        """
+        if edition.version <= self.version:
+            return False
+        try:
+            documents = edition.documents()
+            catalog = await self.worker.run(
+                make_catalog, documents, edition.version, self.me.zone
+            )
+        except EditionError as error:
+            self.drop(edition.version, source, str(error))
+            return False
+        except InvalidConfiguration as error:
+            self.refused = max(self.refused, edition.version)
+            self.drop(edition.version, source, str(error.exceptions[0]))
+            return False
+        # Another edition may have come into force during the check.
+        if edition.version <= self.version:
+            return False
+        self.put_in_force(edition, catalog, source)
+        return True
+
+    def put_in_force(self, edition: Edition, catalog: Catalog, source: str) -> None:
+        """Move to `edition`, tell the callbacks, announce it."""
+        previous = self.version
+        self.edition = edition
+        self.catalog = catalog
+        self.in_force_since = self.clock.wall()
+        self.ready.set()
+        self.timeline.record(
+            EventKind.CONFIGURATION,
+            f"version {edition.version}",
+            version=edition.version,
+            previous=previous,
+            source=source,
+            author=edition.head.author,
+            edit_id=edition.head.edit_id,
+        )
+        self.metrics.gauge("configuration.version", edition.version)
+        self.metrics.increment("configuration.changes")
+        log.info(f"Version {edition.version} in force, from {source}.")
+        for callback in self.callbacks:
+            self.tell(callback, catalog)
+        for peer in self.some_peers(FANOUT):
+            self.spawn(self.announce(peer))
+
+    def tell(self, callback: CatalogCallback, catalog: Catalog) -> None:
+        """Call `callback`; its failure must not keep others from the news."""
+        try:
+            callback(catalog)
+        except Exception:
+            log.exception("A callback failed.")
+
+    def drop(self, version: int, source: str, reason: str) -> None:
+        """Take note that an edition was not put in force."""
+        self.metrics.increment("configuration.dropped")
+        log.warning(f"Version {version} from {source} dropped: {reason}.")
+
+    async def announce(self, peer: HostRef) -> None:
+        """Tell a peer which version is in force here."""
+        body = {"offer": self.version, "from": self.me.to_json()}
+        try:
+            await self.peers.call(peer, PATH, body, PEER_TIMEOUT)
+        except (PeerError, Refusal):
+            # Heartbeats carry the version too.
+            return
+
+    async def answer(self, body: Json) -> Json:
+        """Answer the peer path ``config``.
+
+        ``have`` asks for the head if it is newer, ``want`` for parts, and
+        ``offer`` announces a version of the host ``from``.
+
+        :raises Refusal: if the body has another form.
+        """
+        try:
+            if "want" in body:
+                return self.answer_parts([str(one) for one in body["want"]])
+            if "offer" in body:
+                sender = HostRef.from_json(body["from"])
+                self.heard(int(body["offer"]), sender)
+                return {"version": self.version}
+            return self.answer_head(int(body["have"]))
+        except (KeyError, TypeError, ValueError) as error:
+            raise not_run(Reason.BAD_REQUEST, "not a question for config") from error
+
+    def answer_head(self, have: int) -> Json:
+        """Return the head if it is newer than `have`."""
+        if self.edition is None or self.version <= have:
+            return {"version": self.version, "head": None}
+        return {"version": self.version, "head": self.edition.head.to_json()}
+
+    def answer_parts(self, digests: list[str]) -> Json:
+        """Return as many of the wanted parts as fit one answer, at least one."""
+        parts: dict[str, str] = {}
+        size = 0
+        for digest in digests:
+            packed = self.parts().get(digest)
+            if packed is None:
+                continue
+            size += len(packed)
+            if parts and size > MAX_ANSWER:
+                break
+            parts[digest] = base64.b64encode(packed).decode()
+        return {"parts": parts}
+
+    async def ask_peers(self) -> None:
+        """Ask some peers for their version and pull the newest.
+
+        A host that restarts must not serve by an older edition than its peers
+        do, so that it asks them before it reads the store.
+        """
+        deadline = self.clock.monotonic() + START_WAIT
+        peers = self.some_peers(FANOUT)
+        while not peers and self.clock.monotonic() < deadline:
+            await self.clock.sleep(START_STEP)
+            peers = self.some_peers(FANOUT)
+        await asyncio.gather(*map(self.ask_version, peers))
+        while self.choose_source() is not None:
+            await self.pull_once()
+
+    async def ask_version(self, peer: HostRef) -> None:
+        """Learn the version that `peer` has."""
+        try:
+            body = {"have": self.version}
+            answer = await self.peers.call(peer, PATH, body, PEER_TIMEOUT)
+            self.heard(int(answer["version"]), peer)
+        except (PeerError, Refusal, KeyError, TypeError, ValueError):
+            return
+
+    async def pull_forever(self) -> None:
+        """Pull whenever a peer is known to have a newer version."""
+        delay = RETRY_MIN
+        while True:
+            await self.news.wait()
+            if self.choose_source() is None:
+                self.news.clear()
+                continue
+            if await self.pull_once():
+                delay = RETRY_MIN
+                continue
+            await self.clock.sleep(delay * self.chooser.uniform(0.5, 1.5))
+            delay = min(delay * 2, RETRY_MAX)
+
+    async def pull_once(self) -> bool:
+        """Pull from one source; return whether a newer edition came into force.
+
+        A source that gave nothing is forgotten until it is heard again.
+        """
+        source = self.choose_source()
+        if source is None:
+            return False
+        try:
+            edition = await self.pull(source)
+        except (PeerError, Refusal, EditionError) as error:
+            self.metrics.increment("configuration.pull_failed")
+            log.info(f"Pull from {source.host} failed: {error}.")
+            edition = None
+        if edition is not None and await self.adopt(edition, source.host):
+            return True
+        self.sources.pop(source.host, None)
+        return False
+
+    def choose_source(self) -> HostRef | None:
+        """Return a peer that has the newest version heard of, or None."""
+        self.sources = {
+            host: one for host, one in self.sources.items() if self.wants(one[0])
+        }
+        if not self.sources:
+            return None
+        newest = max(version for version, _ in self.sources.values())
+        best = [peer for version, peer in self.sources.values() if version == newest]
+        return self.chooser.choice(best)
+
+    async def pull(self, source: HostRef) -> Edition | None:
+        """Return the edition of a peer, or None if it is not newer.
+
+        :raises PeerError: if no answer came.
+        :raises Refusal: if the peer refused.
+        :raises EditionError: if what came is damaged or cut short.
+        """
+        body = {"have": self.version}
+        answer = await self.peers.call(source, PATH, body, PEER_TIMEOUT)
+        message = answer.get("head")
+        if not isinstance(message, dict):
+            return None
+        head = Head.from_json(message)
+        if head.version <= self.version:
+            return None
+        held = self.parts()
+        packed = {
+            one.digest: held[one.digest] for one in head.parts if one.digest in held
+        }
+        missing = {one.digest: one for one in head.parts if one.digest not in held}
+        for _ in range(MAX_PULLS):
+            if not missing:
+                return Edition(head, packed)
+            await self.pull_parts(source, missing, packed)
+        raise EditionError("too many answers for one edition")
+
+    async def pull_parts(
+        self, source: HostRef, missing: dict[str, PartRef], packed: dict[str, bytes]
+    ) -> None:
+        """Move parts from `missing` to `packed`, as many as come in one answer.
+
+        :raises EditionError: if none came or one is damaged.
+        """
+        body = {"want": list(missing)}
+        answer = await self.peers.call(source, PATH, body, PEER_TIMEOUT)
+        parts = answer.get("parts")
+        if not isinstance(parts, dict) or not parts:
+            raise EditionError("the peer has moved on")
+        for digest, text in parts.items():
+            ref = missing.pop(digest, None)
+            if ref is None:
+                raise EditionError("a part came that was not asked for")
+            packed[digest] = decode_part(ref, text)
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a task until it ends or the keeper is closed."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def decode_part(ref: PartRef, text: str) -> bytes:
+    """Return the packed content of a part from the wire.
+
+    :raises EditionError: if it is damaged.
+    """
+    try:
+        packed = base64.b64decode(text, validate=True)
+    except (binascii.Error, TypeError, ValueError) as error:
+        raise EditionError(f"part {ref.digest} is not base64") from error
+    unpack(ref, packed)
+    return packed
+
+
+def make_catalog(documents: Documents, version: int, site: str) -> Catalog:
+    """Check an accepted edition for one site and return its catalog.
+
+    :raises InvalidConfiguration: with every fault found.
+    """
+    return check(documents, only=site).catalog(version, site)
--- /dev/null
+++ b/src/reedhook/version/check.py
@@ -0,0 +1,248 @@
+"""Checking an edition: every site's merged result, all faults at once."""
+
+import ipaddress
+import re
+from collections.abc import Iterator
+from typing import Any, Final
+
+from ..record import Record
+from ..wire import Json
+from .catalog import Catalog, Group, Limits, Member, Team
+from .document import BASE_FILE, Documents, Parsed, overlay_file, parse
+from .fault import (
+    DisagreementFault,
+    Fault,
+    Mark,
+    Path,
+    ReferenceFault,
+    SchemaFault,
+    refuse,
+)
+from .merge import Merged, merge_site
+from .schema import NAME_PATTERN, violations
+
+EMPTY_SECTIONS: Final[Json] = {"services": {}, "teams": {}, "limits": {}}
+DEFAULT_PRIORITY: Final = 1
+MAX_PORT: Final = 65535
+
+
+class Checked(Record):
+    """Carry an edition that passed all checks.
+
+    :param base: what holds at a zone without an overlay.
+    :param sites: what holds at each site that was checked.
+    """
+
+    __slots__ = ("base", "sites")
+
+    def __init__(self, base: Merged, sites: dict[str, Merged]) -> None:
+        self.base = base
+        self.sites = sites
+
+    def catalog(self, version: int, site: str) -> Catalog:
+        """Return the configuration of `site` as typed objects."""
+        return build_catalog(version, site, self.sites.get(site, self.base).content)
+
+
+def check(documents: Documents, only: str | None = None) -> Checked:
+    """Check the base and the merged result of each site.
+
+    :param only: check this site alone, as a host does with an edition that was
+        accepted earlier.
+    :raises InvalidConfiguration: with every fault found.
+    """
+    faults: list[Fault] = []
+    base = parse(BASE_FILE, documents.base, faults)
+    overlays = parse_overlays(documents, only, faults)
+    if faults:
+        refuse(faults)
+    alone = Merged(None, base.content, base, None)
+    faults += schema_faults(alone, {})
+    sites = {site: merge_site(site, base, one) for site, one in overlays.items()}
+    for site, merged in sites.items():
+        faults += disagreements(base, overlays[site])
+        faults += schema_faults(merged, base.content)
+    # The checks of meaning read values by the shapes that the schema ensures.
+    if not faults:
+        faults += service_faults(alone, set(documents.overlays))
+        for merged in (alone, *sites.values()):
+            faults += team_faults(merged)
+    refuse(faults)
+    return Checked(alone, sites)
+
+
+def parse_overlays(
+    documents: Documents, only: str | None, faults: list[Fault]
+) -> dict[str, Parsed]:
+    """Read the overlays that are to be checked."""
+    overlays: dict[str, Parsed] = {}
+    for site, text in documents.overlays.items():
+        if only in (None, site):
+            overlays[site] = parse(overlay_file(site), text, faults)
+    return overlays
+
+
+def schema_faults(merged: Merged, checked: Json) -> Iterator[Fault]:
+    """Yield what breaks the schema in sections that differ from `checked`.
+
+    Sections that a site shares with the base are checked once, there.
+    """
+    values = dict(merged.content)
+    for section, empty in EMPTY_SECTIONS.items():
+        if section in checked and values[section] == checked[section]:
+            values[section] = empty
+    for path, reason in violations(values):
+        yield SchemaFault(merged.mark(path), path, reason)
+
+
+def disagreements(base: Parsed, overlay: Parsed) -> Iterator[Fault]:
+    """Yield what an overlay changes in the services.
+
+    Any host may be home of any target, so that all sites must agree on the
+    members of each group, their places and their budgets.
+    """
+    if "services" not in overlay.content:
+        return
+    known, stated = base.content.get("services"), overlay.content["services"]
+    for path in overridden(known, stated, ("services",)):
+        reason = "all sites must agree on the services; change it in the base"
+        yield DisagreementFault(overlay.mark(path), path, reason)
+
+
+def overridden(base: Any, overlay: Any, path: Path) -> Iterator[Path]:
+    """Yield the paths whose value in `overlay` is not that of `base`."""
+    if not isinstance(base, dict) or not isinstance(overlay, dict):
+        if base != overlay:
+            yield path
+        return
+    for key, value in overlay.items():
+        if key not in base:
+            yield (*path, key)
+            continue
+        yield from overridden(base[key], value, (*path, key))
+
+
+def service_faults(base: Merged, sites: set[str]) -> Iterator[Fault]:
+    """Yield what is wrong between services, groups and members."""
+    owners = Owners(base)
+    for name, service in base.content["services"].items():
+        path: Path = ("services", name)
+        if service["slots"] > service["connections"]:
+            reason = "must not exceed the connections"
+            yield fault_at(base, (*path, "slots"), reason)
+        for group, content in service["groups"].items():
+            place = (*path, "groups", group)
+            yield from owners.claim("group", group, place)
+            for member, one in content["members"].items():
+                where = (*place, "members", member)
+                yield from owners.claim("member", member, where)
+                yield from member_faults(base, where, one, sites, owners)
+    yield from site_name_faults(sites)
+
+
+def member_faults(
+    base: Merged, path: Path, member: Json, sites: set[str], owners: "Owners"
+) -> Iterator[Fault]:
+    """Yield what is wrong with one member."""
+    if sites and member["zone"] not in sites:
+        reason = f"no site {member['zone']!r} has an overlay"
+        yield fault_at(base, (*path, "zone"), reason)
+    place = (*path, "address")
+    if not is_address(member["address"]):
+        reason = "expected IP:port with a number, such as 127.0.0.1:17101"
+        yield fault_at(base, place, reason)
+        return
+    yield from owners.claim("address", member["address"], place)
+
+
+def site_name_faults(sites: set[str]) -> Iterator[Fault]:
+    """Yield the sites whose name is not a name."""
+    for site in sorted(sites):
+        if re.match(NAME_PATTERN, site) is None:
+            mark = Mark(overlay_file(site), None)
+            yield ReferenceFault(mark, (), "the site's name is not a name")
+
+
+def team_faults(merged: Merged) -> Iterator[Fault]:
+    """Yield what is wrong with the teams of one site."""
+    owners = Owners(merged)
+    for name, team in merged.content["teams"].items():
+        path: Path = ("teams", name)
+        for index, service in enumerate(team["services"]):
+            if service not in merged.content["services"]:
+                reason = f"there is no service {service!r}"
+                yield fault_at(merged, (*path, "services", str(index)), reason)
+        place = (*path, "token_sha256")
+        yield from owners.claim("credential", team["token_sha256"], place)
+
+
+def fault_at(merged: Merged, path: Path, reason: str) -> Fault:
+    """Return a fault of reference at `path`."""
+    return ReferenceFault(merged.mark(path), path, reason)
+
+
+def is_address(text: str) -> bool:
+    """Say whether `text` is an IP number and a port, in their shortest form."""
+    host, _, port = text.rpartition(":")
+    if not port.isascii() or not port.isdecimal() or len(port) > 5:
+        return False
+    if str(int(port)) != port or not 1 <= int(port) <= MAX_PORT:
+        return False
+    try:
+        number = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    written = f"[{number}]" if number.version == 6 else str(number)
+    return host == written
+
+
+class Owners:
+    """Find names that two things share."""
+
+    __slots__ = ("merged", "first")
+
+    def __init__(self, merged: Merged) -> None:
+        self.merged = merged
+        self.first: dict[tuple[str, str], Path] = {}
+
+    def claim(self, kind: str, name: str, path: Path) -> Iterator[Fault]:
+        """Yield a fault if another path claimed the name before."""
+        first = self.first.setdefault((kind, name), path)
+        if first != path:
+            mark = self.merged.mark(first)
+            reason = f"same {kind} as {'.'.join(first)} ({mark})"
+            yield fault_at(self.merged, path, reason)
+
+
+def build_catalog(version: int, site: str, values: Json) -> Catalog:
+    """Return checked values as typed objects."""
+    groups = {
+        group: build_group(group, name, service)
+        for name, service in values["services"].items()
+        for group in service["groups"]
+    }
+    teams = {name: build_team(name, team) for name, team in values["teams"].items()}
+    limits = {name: int(value) for name, value in values.get("limits", {}).items()}
+    return Catalog(version, site, groups, teams, Limits(**limits))
+
+
+def build_group(group: str, name: str, service: Json) -> Group:
+    """Return a group of the service `name`."""
+    members = tuple(
+        Member(member, one["zone"], one["address"])
+        for member, one in service["groups"][group]["members"].items()
+    )
+    return Group(
+        group, name, members, int(service["slots"]), int(service["connections"])
+    )
+
+
+def build_team(name: str, team: Json) -> Team:
+    """Return a team."""
+    return Team(
+        name,
+        frozenset(team["services"]),
+        team["token_sha256"],
+        int(team.get("priority", DEFAULT_PRIORITY)),
+        team.get("rate"),
+    )
--- /dev/null
+++ b/tests/test_config_check.py
@@ -0,0 +1,171 @@
+"""What the check of documents accepts and what it says of the others."""
+
+from pathlib import Path
+from typing import Final
+
+import pytest
+from hypothesis import given, strategies as st
+
+from reedhook.version.check import check
+from reedhook.version.document import Documents
+from reedhook.version.fault import DuplicateKeyFault, InvalidConfiguration, SyntaxFault
+
+EXAMPLES: Final = Path(__file__).parent.parent / "examples"
+DIGEST: Final = "0" * 64
+BASE: Final = f"""\
+services:
+  feedlog-db:
+    slots: 2
+    connections: 15
+    groups:
+      feedlog-1:
+        members:
+          feedlog-1-a: {{zone: vittoria, address: "127.0.0.1:17101"}}
+          feedlog-1-b: {{zone: comiso, address: "127.0.0.1:17102"}}
+teams:
+  gate: {{services: [feedlog-db], token_sha256: "{DIGEST}", rate: 200}}
+limits: {{queue: 64}}
+"""
+OVERLAYS: Final = {"vittoria": "limits: {queue: 9}\n", "comiso": ""}
+
+
+def example(name: str) -> Documents:
+    root = EXAMPLES / name
+    overlays = {path.stem: path.read_text() for path in root.glob("overlays/*.yaml")}
+    return Documents((root / "base.yaml").read_text(), overlays)
+
+
+def faults(base: str, overlays: dict[str, str] | None = None) -> list[str]:
+    with pytest.raises(InvalidConfiguration) as refused:
+        check(Documents(base, OVERLAYS if overlays is None else overlays))
+    return [str(fault) for fault in refused.value.exceptions]
+
+
+@pytest.mark.parametrize(
+    ("name", "service", "connections", "sites"),
+    [("plant", "feedlog-db", 15, 4), ("danube", "dispatch-core", 35, 3)],
+)
+def test_the_examples_hold(
+    name: str, service: str, connections: int, sites: int
+) -> None:
+    documents = example(name)
+    checked = check(documents)
+    catalogs = [checked.catalog(1, site) for site in documents.overlays]
+    assert len(catalogs) == sites
+    for catalog in catalogs:
+        assert [len(group.members) for group in catalog.groups.values()] == [3, 3, 3]
+        for group in catalog.groups.values():
+            budget = (group.service, group.slots, group.connections)
+            assert budget == (service, 2, connections)
+    assert len({repr((one.limits, one.teams)) for one in catalogs}) == sites
+
+
+def test_an_overlay_changes_its_own_site_alone() -> None:
+    checked = check(Documents(BASE, OVERLAYS))
+    assert checked.catalog(3, "vittoria").limits.queue == 9
+    assert checked.catalog(3, "comiso").limits.queue == 64
+    assert checked.catalog(3, "elsewhere").limits.queue == 64
+    assert checked.catalog(3, "vittoria").groups == checked.catalog(3, "comiso").groups
+
+
+def test_all_faults_are_reported_at_once_with_file_and_line() -> None:
+    base = BASE.replace("slots: 2", "slots: two").replace("queue:", "queues:")
+    overlays = {
+        "vittoria": "limits:\n  drain_s: -1\n",
+        "comiso": "\nteams:\n  mix: {services: []}\n",
+    }
+    assert faults(base, overlays) == [
+        "base.yaml:3: services.feedlog-db.slots: expected integer, found string",
+        "base.yaml:12: limits.queues: unknown key",
+        "overlays/vittoria.yaml:2: limits.drain_s: must be at least 0",
+        "overlays/comiso.yaml:3: teams.mix: missing token_sha256",
+    ]
+
+
+@pytest.mark.parametrize(
+    "overlay",
+    [
+        "services: {feedlog-db: {groups: {feedlog-1: {members: {new: {}}}}}}",
+        "services: {feedlog-db: {groups: {feedlog-1: {members:"
+        ' {feedlog-1-a: {address: "127.0.0.1:9"}}}}}}',
+        "services: {feedlog-db: {groups: {feedlog-1: {members:"
+        " {feedlog-1-a: {zone: comiso}}}}}}",
+        "services: {feedlog-db: {connections: 16}}",
+        "services: {other-db: {slots: 1}}",
+        "services: null",
+    ],
+)
+def test_an_overlay_must_not_change_the_services(overlay: str) -> None:
+    told = faults(BASE, {"vittoria": overlay, "comiso": ""})
+    assert "all sites must agree" in told[0]
+    assert told[0].startswith("overlays/vittoria.yaml:1: services")
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "reason"),
+    [
+        ("connections: 15", "connections: 2", "must be at least 3"),
+        ("slots: 2", "slots: 16", "must not exceed the connections"),
+        ("zone: comiso", "zone: ispica", "no site 'ispica' has an overlay"),
+        ("17102", "17101", "same address as"),
+        ("127.0.0.1:17102", "localhost:17102", "expected IP:port"),
+        ("127.0.0.1:17102", "127.0.0.1:017102", "expected IP:port"),
+        ("127.0.0.1:17102", "127.0.0.1:0", "expected IP:port"),
+        ("127.0.0.1:17102", "::1:17102", "expected IP:port"),
+        ("[feedlog-db]", "[feedlog]", "there is no service 'feedlog'"),
+        (DIGEST, "gate-secret", "expected 64 lower-case hex digits"),
+        ("feedlog-1-b:", "feedlog-1-a:", "stated twice; first in line 8"),
+        ("rate: 200", "rate: .inf", "a finite number is expected"),
+        ("slots: 2", "slots: true", "expected integer, found boolean"),
+        ("slots: 2", "slots: !!bool yess", "a text, number or truth value"),
+        ("queue: 64", "queue: &a 64, drain_s: *a", "aliases are not accepted"),
+        ("zone: comiso", "zone: Comiso", "expected a lower-case name"),
+        ("queue: 64", "queue: " + "[" * 200 + "]" * 200, "nested deeper than"),
+    ],
+)
+def test_one_fault_has_one_reason(old: str, new: str, reason: str) -> None:
+    assert BASE.count(old) >= 1
+    told = faults(BASE.replace(old, new))
+    assert len(told) == 1
+    assert reason in told[0]
+
+
+def test_names_are_unique_over_services() -> None:
+    other = BASE.split("teams:")[0].partition("\n")[2].replace("feedlog-db", "x-db")
+    told = faults(BASE.replace("teams:", f"{other}teams:"))
+    kinds = [line.split(": ")[-1].split(" as ")[0] for line in told]
+    assert sorted(kinds) == ["same address"] * 2 + ["same group"] + ["same member"] * 2
+
+
+def test_a_credential_is_never_repeated_in_a_fault() -> None:
+    told = faults(BASE.replace(DIGEST, "gate-secret"))
+    assert not any("gate-secret" in line for line in told)
+
+
+def test_faults_are_typed() -> None:
+    doubled = BASE.replace("limits:", "teams: {}\nlimits:")
+    with pytest.raises(ExceptionGroup) as refused:
+        check(Documents(doubled, {"vittoria": "\t", "comiso": ""}))
+    doubles, rest = refused.value.split(DuplicateKeyFault)
+    assert doubles is not None and rest is not None
+    assert [type(fault) for fault in rest.exceptions] == [SyntaxFault]
+
+
+@given(st.text(max_size=200), st.text(max_size=80))
+def test_any_text_is_accepted_or_refused_with_reasons(base: str, overlay: str) -> None:
+    with pytest.raises(InvalidConfiguration) as refused:
+        check(Documents(base, {"vittoria": overlay}))
+    assert all(str(fault) for fault in refused.value.exceptions)
+
+
+def test_mixed_lines_of_yaml_never_break_the_check() -> None:
+    lines = BASE.splitlines()
+
+    @given(st.lists(st.sampled_from([*lines, "  ? [a]", "x: !!timestamp 1", "<<: {}"])))
+    def attempt(chosen: list[str]) -> None:
+        try:
+            check(Documents("\n".join(chosen), {"vittoria": "\n".join(chosen[::-1])}))
+        except InvalidConfiguration as refused:
+            assert refused.exceptions
+
+    attempt()
