Add the home of a target

A target has about 15 connections and 2 slots, so one host owns them. The pool stays within the share of the host, slots are shared by weighted fair queues with early refusal, silence on a connection is looked into on new connections, transactions are pinned, and each failure has its verdict. Texts that are not known yet are waited for until their deadline, since they may well be slow; a first try that gave up all silent statements after four bounds made a write of 1.5 s impossible.

--- /dev/null
+++ b/src/reedhook/connection/health.py
@@ -0,0 +1,153 @@
+"""Whether a target lives, asked on new connections only.
+
+An open connection can go silent for good while new ones work, so silence
+alone says nothing about the target.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from ..clock import Clock
+from .pool import Pool
+from .target import MemberState, TargetError, TargetFull
+
+PROBE_WINDOW: Final = 0.15
+"""Seconds within which one of the probes has to be answered."""
+
+PROBE_STAGGER: Final = 0.05
+"""Seconds after which a second probe starts, in case a packet was lost."""
+
+PROOF_KEPT: Final = 0.1
+"""Seconds for which an answered probe spares the next one."""
+
+
+class Health:
+    """Probe a target and keep since when it has been unreachable.
+
+    :param learn: takes a state and the monotonic time when it was asked.
+    :param changed: called when the target becomes unreachable or answers again.
+    :ivar unreachable_since: monotonic time in seconds; None while it answers.
+    :ivar proved: monotonic time at which the last answered probe began.
+    """
+
+    __slots__ = (
+        "pool",
+        "clock",
+        "learn",
+        "changed",
+        "unreachable_since",
+        "proved",
+        "examination",
+    )
+
+    def __init__(
+        self,
+        pool: Pool,
+        clock: Clock,
+        learn: Callable[[MemberState, float], None],
+        changed: Callable[[float | None], None],
+    ) -> None:
+        self.pool = pool
+        self.clock = clock
+        self.learn = learn
+        self.changed = changed
+        self.unreachable_since: float | None = None
+        self.proved = float("-inf")
+        self.examination: asyncio.Task[bool] | None = None
+
+    def heard(self) -> None:
+        """Take note of an answer of the target."""
+        if self.unreachable_since is not None:
+            self.unreachable_since = None
+            self.changed(None)
+
+    def examine(self) -> asyncio.Task[bool]:
+        """Return the examination in progress, or start one.
+
+        Its result is whether the target lives.
+        """
+        if self.examination is None or self.examination.done():
+            loop = asyncio.get_running_loop()
+            self.examination = loop.create_task(self.probe())
+        return self.examination
+
+    def proved_lately(self) -> bool:
+        """Say whether a probe has just been answered."""
+        return self.clock.monotonic() - self.proved < PROOF_KEPT
+
+    async def lives(self) -> bool:
+        """Return whether the target answers on a new connection."""
+        if self.proved_lately():
+            return True
+        return await asyncio.shield(self.examine())
+
+    async def close(self) -> None:
+        """Stop an examination in progress."""
+        if self.examination is not None:
+            self.examination.cancel()
+            await asyncio.gather(self.examination, return_exceptions=True)
+
+    async def probe(self) -> bool:
+        """Ask on two new connections, one after the other; one answer is enough."""
+        began = self.clock.monotonic()
+        loop = asyncio.get_running_loop()
+        probes = [loop.create_task(self.attempt())]
+        try:
+            await asyncio.wait(probes, timeout=PROBE_STAGGER)
+            if not answered(probes):
+                probes.append(loop.create_task(self.attempt()))
+                await self.first_answer(probes)
+        finally:
+            for probe in probes:
+                probe.cancel()
+        if not answered(probes):
+            self.failed(began)
+            return False
+        self.heard()
+        return True
+
+    async def first_answer(self, probes: list[asyncio.Task[bool]]) -> None:
+        """Return once one probe is answered, all have failed, or time is up."""
+        try:
+            for probe in asyncio.as_completed(probes, timeout=PROBE_WINDOW):
+                if await probe:
+                    return
+        except TimeoutError:
+            return
+
+    async def attempt(self) -> bool:
+        """Return whether the target answers on one new connection.
+
+        Without room for one nothing is proved, and the target is not
+        suspected: what is silent ends at its deadline.
+        """
+        asked = self.clock.monotonic()
+        try:
+            connection = await self.pool.fresh(PROBE_WINDOW)
+        except TargetFull:
+            return True
+        except TargetError:
+            return False
+        try:
+            state = await connection.state(PROBE_WINDOW)
+        except BaseException as error:
+            self.pool.discard(connection)
+            if isinstance(error, TargetError):
+                return False
+            raise
+        self.pool.keep(connection)
+        self.proved = asked
+        self.learn(state, asked)
+        return True
+
+    def failed(self, began: float) -> None:
+        """Take note that nothing answered."""
+        if self.unreachable_since is None:
+            self.unreachable_since = began
+            self.changed(began)
+
+
+def answered(probes: list[asyncio.Task[bool]]) -> bool:
+    """Say whether one of the probes has been answered."""
+    return any(probe.done() and probe.result() for probe in probes)
--- /dev/null
+++ b/src/reedhook/connection/patience.py
@@ -0,0 +1,65 @@
+"""How long a target may take before a connection counts as silent."""
+
+from typing import Final
+
+SILENCE_LEAST: Final = 0.25
+"""Seconds of silence below which no connection is suspected."""
+
+SILENCE_FACTOR: Final = 4.0
+"""Multiple of the usual service time that counts as silence."""
+
+GIVE_UP_FACTOR: Final = 4.0
+"""Multiple of the silence bound after which a statement that cannot be
+repeated is given up, though the target lives."""
+
+QUANTILE: Final = 0.99
+STEP: Final = 0.1
+"""Quantile of the service time that is followed, and how fast."""
+
+KNOWN_TEXTS: Final = 256
+"""Statement texts whose own time is remembered."""
+
+FORGETTING: Final = 0.95
+"""Factor by which the remembered time of a text falls with each quicker run."""
+
+
+class Patience:
+    """Learn service times and derive the bounds of silence from them.
+
+    :ivar usual: running estimate of the 99th percentile, in seconds.
+    :ivar texts: seconds that known statement texts may take.
+    """
+
+    __slots__ = ("usual", "texts")
+
+    def __init__(self) -> None:
+        self.usual = SILENCE_LEAST / SILENCE_FACTOR
+        self.texts: dict[str, float] = {}
+
+    def learn(self, sql: str, seconds: float) -> None:
+        """Take note of a statement that was answered, or given up."""
+        if seconds > self.usual:
+            self.usual *= 1.0 + STEP * QUANTILE
+        else:
+            self.usual *= 1.0 - STEP * (1.0 - QUANTILE)
+        known = self.texts.get(sql)
+        if known is not None:
+            self.texts[sql] = max(seconds, known * FORGETTING)
+            return
+        if len(self.texts) >= KNOWN_TEXTS:
+            del self.texts[next(iter(self.texts))]
+        self.texts[sql] = seconds
+
+    def bound(self, sql: str) -> float:
+        """Return the seconds after which silence is looked into."""
+        usual = self.texts.get(sql, self.usual)
+        return max(usual * SILENCE_FACTOR, SILENCE_LEAST)
+
+    def give_up(self, sql: str) -> float | None:
+        """Return the seconds after which a silent statement is given up.
+
+        None for an unknown text: it may well be a slow one.
+        """
+        if sql not in self.texts:
+            return None
+        return self.bound(sql) * GIVE_UP_FACTOR
--- /dev/null
+++ b/src/reedhook/connection/pool.py
@@ -0,0 +1,272 @@
+"""Connections to one target, within the share that this host may open."""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from ..clock import Clock
+from .target import (
+    Target,
+    TargetConnection,
+    TargetError,
+    TargetFull,
+    TargetUnreachable,
+)
+
+CONNECT_TIMEOUT: Final = 0.25
+"""Seconds after which an attempt to connect counts as failed."""
+
+CLOSE_TIMEOUT: Final = 1.0
+"""Seconds that closing may take before the connection is forgotten."""
+
+BACKOFF_FIRST: Final = 0.05
+BACKOFF_MOST: Final = 2.0
+"""Seconds of the first and the longest pause after failures to connect."""
+
+IDLE_TIME: Final = 30.0
+"""Seconds after which an unused connection is closed."""
+
+
+class PoolExhausted(TargetFull):
+    """Say that this host may open no further connection to the target."""
+
+
+class Idle:
+    """Keep a connection that nobody uses.
+
+    :ivar since: monotonic time of its last use.
+    """
+
+    __slots__ = ("connection", "since")
+
+    def __init__(self, connection: TargetConnection, since: float) -> None:
+        self.connection = connection
+        self.since = since
+
+
+class Pool:
+    """Open, lend and keep at most `share` connections.
+
+    :param share: connections that may be open at once.
+    :param reserved: how many of them statements may not borrow; they are for
+        control calls and probes.
+    :param crowded: tells whether the target says that it has none left.
+    :ivar open: connections open, being opened or being closed.
+    :ivar lent: connections that statements and transactions use.
+    """
+
+    __slots__ = (
+        "target",
+        "share",
+        "lendable",
+        "clock",
+        "random",
+        "crowded",
+        "open",
+        "lent",
+        "idle",
+        "waiting",
+        "opening",
+        "failures",
+        "retry_at",
+        "tasks",
+        "closed",
+    )
+
+    def __init__(
+        self,
+        target: Target,
+        share: int,
+        reserved: int,
+        clock: Clock,
+        random: random.Random,
+        crowded: Callable[[], bool],
+    ) -> None:
+        self.target = target
+        self.share = share
+        self.lendable = share - reserved
+        self.clock = clock
+        self.random = random
+        self.crowded = crowded
+        self.open = 0
+        self.lent = 0
+        self.idle: list[Idle] = []
+        self.waiting: deque[asyncio.Future[None]] = deque()
+        self.opening = asyncio.Lock()
+        self.failures = 0
+        self.retry_at = 0.0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.closed = False
+
+    async def borrow(self, timeout: float) -> TargetConnection:
+        """Lend a connection for statements.
+
+        :raises TargetUnreachable: if none could be had; nothing was sent.
+        """
+        if self.lent < self.lendable and self.idle:
+            self.lent += 1
+            return self.idle.pop().connection
+        try:
+            async with asyncio.timeout(timeout):
+                return await self.borrow_later()
+        except TimeoutError:
+            raise PoolExhausted("no connection became free in time") from None
+
+    def give_back(self, connection: TargetConnection) -> None:
+        """Take back a borrowed connection that is in good order."""
+        self.lent -= 1
+        self.keep(connection)
+
+    def give_up(self, connection: TargetConnection) -> None:
+        """Take back a borrowed connection in doubt and close it."""
+        self.lent -= 1
+        self.discard(connection)
+
+    async def take(self, timeout: float) -> TargetConnection:
+        """Return a connection for control; the caller keeps or discards it.
+
+        :raises TargetUnreachable: if none could be had; nothing was sent.
+        """
+        if self.idle:
+            return self.idle.pop().connection
+        return await self.fresh(timeout)
+
+    async def fresh(self, timeout: float) -> TargetConnection:
+        """Open a new connection for control, in place of an idle one if need be.
+
+        :raises TargetUnreachable: if it cannot be opened; nothing was sent.
+        """
+        if self.open >= self.share and self.idle:
+            await self.close_one(self.idle.pop(0).connection)
+        if self.open >= self.share:
+            raise PoolExhausted("all connections of this host are in use")
+        return await self.connect(timeout)
+
+    def keep(self, connection: TargetConnection) -> None:
+        """Keep a connection in good order for the next use."""
+        if self.closed:
+            self.discard(connection)
+            return
+        self.idle.append(Idle(connection, self.clock.monotonic()))
+        self.wake()
+
+    def discard(self, connection: TargetConnection) -> None:
+        """Close a connection in the background."""
+        self.spawn(self.close_one(connection))
+
+    def suspect_idle(self) -> None:
+        """Verify each idle connection before its next use."""
+        for one in self.idle:
+            self.spawn(self.verify(one.connection))
+        self.idle.clear()
+
+    def close_unused(self) -> None:
+        """Close connections that nobody used for a while."""
+        before = self.clock.monotonic() - IDLE_TIME
+        while self.idle and self.idle[0].since < before:
+            self.discard(self.idle.pop(0).connection)
+
+    async def close(self) -> None:
+        """Close what is idle; what is lent is closed when it comes back."""
+        self.closed = True
+        while self.idle:
+            self.discard(self.idle.pop().connection)
+        if self.tasks:
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def borrow_later(self) -> TargetConnection:
+        """Wait for a connection of others or open one."""
+        while True:
+            if self.lent >= self.lendable:
+                await self.wait()
+                continue
+            async with self.opening:
+                if self.lent >= self.lendable:
+                    continue
+                self.lent += 1
+                try:
+                    return await self.idle_or_new()
+                except BaseException:
+                    self.lent -= 1
+                    self.wake()
+                    raise
+
+    async def idle_or_new(self) -> TargetConnection:
+        """Return an idle connection, or open one unless that is hopeless."""
+        if self.idle:
+            return self.idle.pop().connection
+        if self.open >= self.share:
+            raise PoolExhausted("all connections of this host are in use")
+        if self.clock.monotonic() < self.retry_at:
+            raise TargetUnreachable("the last attempt to connect failed")
+        if self.crowded():
+            raise TargetFull("the target has no connection left")
+        return await self.connect(CONNECT_TIMEOUT)
+
+    async def connect(self, timeout: float) -> TargetConnection:
+        """Open a connection and keep count."""
+        self.open += 1
+        try:
+            connection = await self.target.connect(timeout)
+        except BaseException as error:
+            self.open -= 1
+            if isinstance(error, TargetError):
+                self.back_off()
+            raise
+        self.failures = 0
+        self.retry_at = 0.0
+        return connection
+
+    def back_off(self) -> None:
+        """Put off the next attempt, longer after each failure, with jitter."""
+        longest = min(BACKOFF_FIRST * 2.0**self.failures, BACKOFF_MOST)
+        self.failures += 1
+        pause = longest * self.random.uniform(0.5, 1.0)
+        self.retry_at = self.clock.monotonic() + pause
+
+    async def wait(self) -> None:
+        """Wait until a connection or the room for one comes free."""
+        ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.waiting.append(ready)
+        try:
+            await ready
+        except asyncio.CancelledError:
+            if ready.done() and not ready.cancelled():
+                self.wake()
+            raise
+
+    def wake(self) -> None:
+        """Let the first that waits try again."""
+        while self.waiting:
+            ready = self.waiting.popleft()
+            if not ready.done():
+                ready.set_result(None)
+                return
+
+    async def verify(self, connection: TargetConnection) -> None:
+        """Keep the connection if it answers, else close it."""
+        try:
+            await connection.state(CONNECT_TIMEOUT)
+        except TargetError:
+            await self.close_one(connection)
+        else:
+            self.keep(connection)
+
+    async def close_one(self, connection: TargetConnection) -> None:
+        """Close a connection and free its place."""
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT):
+                await connection.close()
+        except (TimeoutError, TargetError, OSError):
+            pass
+        finally:
+            self.open -= 1
+            self.wake()
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run `work` in the background."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/src/reedhook/connection/single.py
@@ -0,0 +1,91 @@
+"""Statements outside transactions."""
+
+from ..request.deadline import Deadline
+from ..request.queue import SlotQueue
+from ..request.refusal import Refusal
+from ..request.statement import Kind, Statement
+from .call import Attempt
+from .sender import Sender
+from .target import TargetResult, TargetSilent
+from .verdicts import lost
+
+
+class SingleStatements:
+    """Run each statement in a slot on a borrowed connection."""
+
+    __slots__ = ("sender", "slots")
+
+    def __init__(self, sender: Sender, slots: SlotQueue) -> None:
+        self.sender = sender
+        self.slots = slots
+
+    async def run(self, statement: Statement, deadline: Deadline) -> TargetResult:
+        """Wait for a slot and run the statement.
+
+        :raises Refusal: with a verdict that holds.
+        """
+        caller = statement.caller
+        priority = statement.priority
+        remaining = statement.remaining
+        slot = self.slots.try_enter(caller, priority, remaining)
+        if slot is None:
+            slot = await self.slots.wait_turn(caller, priority, remaining)
+        try:
+            return await self.run_in_slot(statement, deadline)
+        finally:
+            self.slots.leave(slot)
+
+    async def run_in_slot(
+        self, statement: Statement, deadline: Deadline
+    ) -> TargetResult:
+        """Run the statement, and once more if its connection was lost.
+
+        A read has no effect and a request id makes a write idempotent, so
+        both may be repeated.
+        """
+        read = statement.kind is Kind.READ
+        repeatable = read or statement.request_id is not None
+        attempt = Attempt.FIRST_OF_TWO if repeatable else Attempt.ONLY
+        try:
+            return await self.send(statement, deadline, attempt)
+        except TargetSilent as error:
+            first = lost(statement, deadline, error)
+        if not repeatable or deadline.remaining() <= 0.0:
+            raise first
+        if not await self.sender.health.lives():
+            raise first
+        try:
+            return await self.send(statement, deadline, Attempt.SECOND)
+        except TargetSilent as error:
+            raise lost(statement, deadline, error) from error
+        except Refusal as error:
+            if read:
+                raise
+            # The first attempt may have taken effect whatever became of the
+            # second.
+            raise first from error
+
+    async def send(
+        self, statement: Statement, deadline: Deadline, attempt: Attempt
+    ) -> TargetResult:
+        """Run the statement on a borrowed connection.
+
+        :raises Refusal: not run.
+        :raises TargetSilent: if it was sent and not answered.
+        """
+        sender = self.sender
+        connection = await sender.borrow(deadline)
+        in_order = False
+        try:
+            result = await sender.send(connection, statement, deadline, attempt)
+            in_order = True
+        except Refusal:
+            in_order = True
+            raise
+        finally:
+            if in_order:
+                sender.pool.give_back(connection)
+            else:
+                sender.pool.give_up(connection)
+        assert result is not None
+        return result
--- /dev/null
+++ b/src/reedhook/connection/targethome.py
@@ -0,0 +1,305 @@
+"""The home of a target: its connections, slots, queue, health and state."""
+
+import asyncio
+import random
+from typing import Final
+
+from logbook import Logger
+
+from ..clock import Clock
+from ..process.metrics import Metrics
+from ..process.timeline import EventKind, Timeline
+from ..request.deadline import Deadline
+from ..request.position import ORIGIN
+from ..request.queue import SlotQueue
+from ..request.statement import Kind, Statement
+from ..version.catalog import Group, Limits, Member
+from .budget import Budget
+from .call import Calls
+from .control import Control, StateWatch
+from .health import Health
+from .home import Home, HomeLoad
+from .patience import Patience
+from .pool import Pool
+from .sender import Sender
+from .single import SingleStatements
+from .target import (
+    MemberState,
+    Role,
+    Target,
+    TargetConnection,
+    TargetRefused,
+    TargetResult,
+)
+from .transaction import TransactionStatements
+from .verdicts import leaving, unreachable, wrong_home
+
+log = Logger("home")
+
+CROWDED_FOR: Final = 1.0
+"""Seconds for which the target's count of its connections is believed."""
+
+METRICS_INTERVAL: Final = 1.0
+"""Seconds between two reports of how busy the home is."""
+
+LOAD_CALLER: Final = ""
+LOAD_PRIORITY: Final = 1
+"""The imaginary caller whose wait `load` tells."""
+
+CUT_TIME: Final = 1.0
+"""Seconds that work which was cut may take to end."""
+
+SHUT_DOWN: Final = "The host was shut down."
+
+
+class TargetHome(Home):
+    """Own one target on behalf of all hosts.
+
+    :param target: opens connections.
+    :param share: connections that this host may open at once, all told.
+    """
+
+    def __init__(
+        self,
+        group: Group,
+        member: Member,
+        target: Target,
+        share: int,
+        limits: Limits,
+        clock: Clock,
+        random: random.Random,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self.group = group
+        self.member = member
+        self.clock = clock
+        self.timeline = timeline
+        self.metrics = metrics
+        self.state: MemberState | None = None
+        self.state_asked = float("-inf")
+        self.state_received = float("-inf")
+        self.unreachable_since: float | None = None
+        self.leaving = False
+        self.closing = False
+        self.changed = asyncio.Event()
+        self.quiet = asyncio.Event()
+        self.active = 0
+        self.reported = clock.monotonic()
+        self.watching: asyncio.Task[None] | None = None
+
+        budget = Budget(share, group.slots)
+        self.pool = Pool(target, share, budget.reserved, clock, random, self.crowded)
+        self.health = Health(self.pool, clock, self.touch, self.reachability)
+        self.slots = SlotQueue(group.slots, limits.queue, clock, random)
+        self.calls = Calls(self.health, Patience(), clock, self.went_silent)
+        self.sender = Sender(
+            self.pool, self.health, self.calls, self.learn, self.declined
+        )
+        self.single = SingleStatements(self.sender, self.slots)
+        idle_time = limits.transaction_idle_ms / 1000.0
+        self.transactions = TransactionStatements(
+            self.sender, self.slots, budget.transactions, limits.queue, idle_time
+        )
+        self.control = Control(self.pool, self.health, clock, self.touch)
+        self.watch = StateWatch(
+            self.pool,
+            self.health,
+            clock,
+            random,
+            self.touch,
+            budget.held,
+            self.tick,
+            self.went_silent,
+        )
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.watching = loop.create_task(self.watch.run())
+
+    async def close(self, grace: float) -> None:
+        self.closing = True
+        refusal = wrong_home()
+        self.slots.refuse_waiting(refusal)
+        self.transactions.permits.refuse_waiting(refusal)
+        if not await self.becomes_quiet(grace):
+            log.warning("work on {} was cut after the grace", self.member.member)
+            self.transactions.end_all(SHUT_DOWN)
+            self.calls.drop_all()
+            await self.becomes_quiet(CUT_TIME)
+        await self.stop()
+
+    async def run(self, statement: Statement) -> TargetResult:
+        self.active += 1
+        try:
+            return await self.run_by_kind(statement)
+        finally:
+            self.active -= 1
+            if self.closing:
+                self.quiet.set()
+
+    async def wait_change(self, revision: int, timeout: float) -> None:
+        try:
+            async with asyncio.timeout(timeout):
+                while self.state is None or self.state.revision == revision:
+                    await self.changed.wait()
+        except TimeoutError:
+            return
+
+    def touch(self, state: MemberState, asked: float) -> None:
+        known = self.state
+        if known is not None and state.revision < known.revision:
+            # A lower revision is news only if the target has restarted, and
+            # then the question was sent after the last answer came.
+            if asked <= self.state_received:
+                return
+        self.state = state
+        self.state_asked = max(asked, self.state_asked)
+        self.state_received = self.clock.monotonic()
+        if known is None or known.revision != state.revision:
+            self.changed.set()
+            self.changed = asyncio.Event()
+
+    async def ask_state(self, timeout: float) -> MemberState:
+        async def ask(connection: TargetConnection, rest: float) -> MemberState:
+            return await connection.state(rest)
+
+        return await self.control.call(ask, timeout)
+
+    async def raise_term(self, term: int, owner: str, timeout: float) -> MemberState:
+        async def ask(connection: TargetConnection, rest: float) -> MemberState:
+            return await connection.raise_term(term, owner, rest)
+
+        return await self.control.call(ask, timeout)
+
+    async def promote(self, term: int, owner: str, timeout: float) -> MemberState:
+        async def ask(connection: TargetConnection, rest: float) -> MemberState:
+            return await connection.promote(term, owner, rest)
+
+        return await self.control.call(ask, timeout)
+
+    async def follow(self, term: int, primary: str, timeout: float) -> MemberState:
+        async def ask(connection: TargetConnection, rest: float) -> MemberState:
+            return await connection.follow(term, primary, rest)
+
+        return await self.control.call(ask, timeout)
+
+    def load(self) -> HomeLoad:
+        wait = self.slots.expected_wait(LOAD_CALLER, LOAD_PRIORITY)
+        return HomeLoad(wait, self.slots.queued, self.slots.busy)
+
+    async def run_by_kind(self, statement: Statement) -> TargetResult:
+        """Run a statement by the way of its kind."""
+        deadline = Deadline(self.clock, statement.remaining)
+        kind = statement.kind
+        if kind is Kind.READ or kind is Kind.WRITE:
+            self.check_new_work()
+            return await self.single.run(statement, deadline)
+        if kind is Kind.BEGIN:
+            self.check_new_work()
+            return await self.transactions.begin(statement, deadline)
+        result = await self.transactions.run(statement, deadline)
+        return self.rolled_back() if result is None else result
+
+    def check_new_work(self) -> None:
+        """Refuse work that would not be served.
+
+        :raises Refusal: not run.
+        """
+        if self.closing:
+            raise wrong_home()
+        if self.leaving:
+            raise leaving()
+        if self.unreachable_since is not None:
+            raise unreachable()
+
+    def learn(self, result: TargetResult) -> None:
+        """Take over the position that an answer proves."""
+        state = self.state
+        if state is None or result.term != state.leader_term:
+            return
+        position = result.position
+        if not state.applied < position:
+            return
+        self.state = MemberState(
+            state.member,
+            state.role,
+            state.promised,
+            state.leader_term,
+            max(state.held, position),
+            position,
+            state.connections,
+            state.revision,
+        )
+
+    def declined(self, error: TargetRefused) -> None:
+        """Take note of what a refusal of the target says of it."""
+        if error.code == "leaving" and not self.leaving:
+            self.leaving = True
+            self.timeline.record(EventKind.TARGET_LEAVING, self.member.member)
+
+    def reachability(self, since: float | None) -> None:
+        """Take note that the target became unreachable or answers again."""
+        self.unreachable_since = since
+        if since is None:
+            log.info("target {} answers again", self.member.member)
+            return
+        log.warning("target {} answers nothing", self.member.member)
+        self.calls.drop_all()
+        self.pool.suspect_idle()
+
+    def went_silent(self) -> None:
+        """Take note that a connection went silent though the target lives."""
+        log.info("a connection to {} went silent", self.member.member)
+        self.timeline.record(EventKind.CONNECTION_SILENT, self.member.member)
+        self.pool.suspect_idle()
+
+    def crowded(self) -> bool:
+        """Say whether the target reports that it has no connection left."""
+        state = self.state
+        if state is None or state.connections < self.group.connections:
+            return False
+        return self.clock.monotonic() - self.state_received < CROWDED_FOR
+
+    def tick(self) -> None:
+        """Do the housekeeping that is due."""
+        now = self.clock.monotonic()
+        if now - self.reported < METRICS_INTERVAL:
+            return
+        self.reported = now
+        self.pool.close_unused()
+        name = f"target.{self.member.member}"
+        self.metrics.gauge(f"{name}.queued", self.slots.queued)
+        self.metrics.gauge(f"{name}.busy", self.slots.busy)
+        self.metrics.gauge(f"{name}.connections", self.pool.open)
+
+    def rolled_back(self) -> TargetResult:
+        """Return the result of a rollback, which has no entry of its own."""
+        state = self.state
+        if state is None:
+            return TargetResult([], [], 0, ORIGIN, 0, Role.REPLICA)
+        return TargetResult([], [], 0, state.applied, state.leader_term, state.role)
+
+    async def becomes_quiet(self, timeout: float) -> bool:
+        """Return whether all work ends within `timeout` seconds."""
+        try:
+            async with asyncio.timeout(timeout):
+                while not self.is_quiet():
+                    self.quiet.clear()
+                    await self.quiet.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def is_quiet(self) -> bool:
+        """Say whether no work is in progress."""
+        return self.active == 0 and not self.transactions.registry.open
+
+    async def stop(self) -> None:
+        """End the tasks of the home and close its connections."""
+        if self.watching is not None:
+            self.watching.cancel()
+            await asyncio.gather(self.watching, return_exceptions=True)
+        await self.transactions.close()
+        await self.health.close()
+        await self.pool.close()
--- /dev/null
+++ b/src/reedhook/connection/transaction.py
@@ -0,0 +1,261 @@
+"""Interactive transactions, each pinned to one connection."""
+
+import asyncio
+from typing import Final
+
+from ..request.deadline import Deadline
+from ..request.queue import Entry, SlotQueue
+from ..request.refusal import Reason, Refusal, not_run
+from ..request.statement import Kind, Statement
+from .call import Attempt
+from .sender import Sender
+from .target import TargetConnection, TargetError, TargetResult, TargetSilent
+from .verdicts import full, lost, unreachable
+
+KEPT_ENDINGS: Final = 1024
+"""Transactions that were ended here and are remembered to say why."""
+
+ROLLBACK_TIMEOUT: Final = 0.25
+"""Seconds that the rollback of an abandoned transaction may take."""
+
+IDLE: Final = "The transaction was idle for too long and was rolled back."
+LOST: Final = "The connection of the transaction was lost."
+
+FATAL: Final = frozenset(
+    {
+        Reason.NO_PRIMARY,
+        Reason.SUPERSEDED,
+        Reason.TRANSACTION_LOST,
+        Reason.REQUEST_EXPIRED,
+        Reason.REQUEST_REUSED,
+    }
+)
+"""Reasons after which the target holds no open transaction."""
+
+
+class Transaction:
+    """Hold the connection of one open transaction.
+
+    :ivar permit: the entry that counts against the bound of transactions.
+    :ivar running: whether a statement of it is in progress or queued.
+    """
+
+    __slots__ = ("name", "caller", "connection", "permit", "running", "timer")
+
+    def __init__(
+        self, name: str, caller: str, connection: TargetConnection, permit: Entry
+    ) -> None:
+        self.name = name
+        self.caller = caller
+        self.connection = connection
+        self.permit = permit
+        self.running = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def stop_timer(self) -> None:
+        """Stop the timer that ends an idle transaction."""
+        if self.timer is not None:
+            self.timer.cancel()
+
+
+class OpenTransactions:
+    """Keep the open transactions, and why others were ended."""
+
+    __slots__ = ("open", "endings")
+
+    def __init__(self) -> None:
+        self.open: dict[str, Transaction] = {}
+        self.endings: dict[str, str] = {}
+
+    def enter(self, statement: Statement) -> Transaction:
+        """Reserve the transaction of `statement` for it.
+
+        :raises Refusal: not run, if it is not open, not the caller's, or busy.
+        """
+        name = statement.transaction or ""
+        transaction = self.open.get(name)
+        if transaction is None or transaction.caller != statement.caller:
+            raise self.unknown(name)
+        if transaction.running:
+            detail = "Another statement of this transaction is in progress."
+            raise not_run(Reason.CONFLICT, detail)
+        transaction.stop_timer()
+        transaction.running = True
+        return transaction
+
+    def holds(self, transaction: Transaction) -> bool:
+        """Say whether the transaction is still open."""
+        return self.open.get(transaction.name) is transaction
+
+    def remove(self, transaction: Transaction, ending: str | None) -> None:
+        """Forget an open transaction; `ending` says why if nobody asked for it."""
+        transaction.stop_timer()
+        del self.open[transaction.name]
+        if ending is None:
+            return
+        if len(self.endings) >= KEPT_ENDINGS:
+            del self.endings[next(iter(self.endings))]
+        self.endings[transaction.name] = ending
+
+    def unknown(self, name: str) -> Refusal:
+        """Return the refusal of a statement whose transaction is not open."""
+        ending = self.endings.get(name)
+        if ending is not None:
+            return not_run(Reason.TRANSACTION_LOST, ending)
+        detail = "No such transaction is open here."
+        return not_run(Reason.UNKNOWN_TRANSACTION, detail)
+
+
+class TransactionStatements:
+    """Begin transactions and run their statements, each on its connection.
+
+    :param most: transactions that may be open at once.
+    :param limit: transactions that may wait to begin.
+    :param idle_time: seconds after which an idle transaction is rolled back.
+    """
+
+    __slots__ = ("sender", "slots", "most", "permits", "idle_time", "registry", "tasks")
+
+    def __init__(
+        self,
+        sender: Sender,
+        slots: SlotQueue,
+        most: int,
+        limit: int,
+        idle_time: float,
+    ) -> None:
+        self.sender = sender
+        self.slots = slots
+        self.most = most
+        self.permits = SlotQueue(max(most, 1), limit, slots.clock, slots.random)
+        self.idle_time = idle_time
+        self.registry = OpenTransactions()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def begin(self, statement: Statement, deadline: Deadline) -> TargetResult:
+        """Open a transaction on a connection of its own.
+
+        :raises Refusal: not run.
+        """
+        name = statement.transaction
+        if not name or name in self.registry.open:
+            raise not_run(Reason.BAD_REQUEST, "A transaction needs an id of its own.")
+        if self.most == 0:
+            raise full()
+        permit = await self.permits.enter(
+            statement.caller, statement.priority, statement.remaining
+        )
+        connection: TargetConnection | None = None
+        try:
+            connection = await self.sender.borrow(deadline)
+            result = await self.send_in_slot(connection, statement, deadline)
+        except BaseException as error:
+            self.release(permit, connection)
+            if isinstance(error, TargetSilent):
+                raise lost(statement, deadline, error) from error
+            raise
+        assert result is not None
+        transaction = Transaction(name, statement.caller, connection, permit)
+        self.registry.open[name] = transaction
+        self.rest(transaction)
+        return result
+
+    async def run(
+        self, statement: Statement, deadline: Deadline
+    ) -> TargetResult | None:
+        """Run a step, commit or rollback; a rollback has no result.
+
+        :raises Refusal: with a verdict that holds.
+        """
+        transaction = self.registry.enter(statement)
+        ending: str | None = LOST
+        goes_on = False
+        try:
+            if self.sender.health.unreachable_since is not None:
+                raise unreachable()
+            result = await self.send_in_slot(
+                transaction.connection, statement, deadline
+            )
+            goes_on = statement.kind is Kind.STEP
+            ending = None
+            return result
+        except TargetSilent as error:
+            raise lost(statement, deadline, error) from error
+        except Refusal as refusal:
+            goes_on = refusal.reason not in FATAL and not (
+                statement.kind is Kind.COMMIT
+                and refusal.reason is Reason.STATEMENT_FAILED
+            )
+            ending = refusal.detail
+            raise
+        finally:
+            self.leave(transaction, goes_on, ending)
+
+    def end_all(self, ending: str) -> None:
+        """Roll all open transactions back."""
+        for transaction in list(self.registry.open.values()):
+            self.abort(transaction, ending)
+
+    async def close(self) -> None:
+        """Return once the rollbacks in progress have ended."""
+        if self.tasks:
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def leave(
+        self, transaction: Transaction, goes_on: bool, ending: str | None
+    ) -> None:
+        """Let the transaction rest after a statement, or end it."""
+        if not self.registry.holds(transaction):
+            return
+        if goes_on:
+            self.rest(transaction)
+            return
+        self.registry.remove(transaction, ending)
+        self.permits.leave(transaction.permit)
+        if ending is None:
+            self.sender.pool.give_back(transaction.connection)
+        else:
+            self.sender.pool.give_up(transaction.connection)
+
+    def rest(self, transaction: Transaction) -> None:
+        """Wait for the next statement, for a bounded time."""
+        transaction.running = False
+        loop = asyncio.get_running_loop()
+        transaction.timer = loop.call_later(
+            self.idle_time, self.abort, transaction, IDLE
+        )
+
+    def abort(self, transaction: Transaction, ending: str) -> None:
+        """End a transaction on our own account."""
+        self.registry.remove(transaction, ending)
+        task = asyncio.get_running_loop().create_task(self.roll_back(transaction))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def roll_back(self, transaction: Transaction) -> None:
+        """Roll back, then close the connection, which does so in any case."""
+        try:
+            if not transaction.running:
+                await transaction.connection.rollback(ROLLBACK_TIMEOUT)
+        except TargetError:
+            pass
+        finally:
+            self.release(transaction.permit, transaction.connection)
+
+    def release(self, permit: Entry, connection: TargetConnection | None) -> None:
+        """Give up the permit and the connection of a transaction."""
+        self.permits.leave(permit)
+        if connection is not None:
+            self.sender.pool.give_up(connection)
+
+    async def send_in_slot(
+        self, connection: TargetConnection, statement: Statement, deadline: Deadline
+    ) -> TargetResult | None:
+        """Run one statement; the slot is held only meanwhile."""
+        slot = await self.slots.enter(
+            statement.caller, statement.priority, deadline.remaining()
+        )
+        try:
+            return await self.sender.send(connection, statement, deadline, Attempt.ONLY)
+        finally:
+            self.slots.leave(slot)
--- /dev/null
+++ b/tests/home_support.py
@@ -0,0 +1,93 @@
+"""Homes on fake targets, for the tests of homes."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from reedhook.connection.targethome import TargetHome
+from reedhook.process.metrics import MemoryMetrics
+from reedhook.process.timeline import EventKind, Timeline
+from reedhook.request.refusal import Refusal
+from reedhook.request.statement import Kind, Statement
+from reedhook.version.catalog import Group, Limits, Member
+
+from .fakes_clock import LoopClock, run_virtual
+from .fakes_target import FakeTarget
+
+T = TypeVar("T")
+
+
+def statement(
+    kind: Kind, sql: str = "select 1", remaining: float = 2.0, **others: Any
+) -> Statement:
+    """Return a statement of the caller ``gate`` unless told otherwise."""
+    caller = others.pop("caller", "gate")
+    return Statement(kind, "g1", caller, sql, [], remaining, **others)
+
+
+def home_of(target: FakeTarget, share: int = 9, **limits: int) -> TargetHome:
+    """Return a home of `target`; it must be made inside a running loop."""
+    clock = LoopClock()
+    member = Member(target.member, "vittoria", "127.0.0.1:1")
+    group = Group("g1", "feedlog-db", (member,), target.slots, target.limit)
+    return TargetHome(
+        group,
+        member,
+        target,
+        share,
+        Limits(**limits),
+        clock,
+        random.Random(1),
+        Timeline("host-1", clock),
+        MemoryMetrics(),
+    )
+
+
+def with_home(
+    target: FakeTarget,
+    body: Callable[[TargetHome], Awaitable[T]],
+    share: int = 9,
+    **limits: int,
+) -> T:
+    """Run `body` with a started home in virtual time and close the home."""
+
+    async def main() -> T:
+        home = home_of(target, share, **limits)
+        await home.start()
+        try:
+            return await body(home)
+        finally:
+            await home.close(grace=0.5)
+
+    return run_virtual(main())
+
+
+async def refusal_of(awaitable: Awaitable[Any]) -> Refusal:
+    """Return the refusal that `awaitable` ends in."""
+    try:
+        result = await awaitable
+    except Refusal as refusal:
+        return refusal
+    raise AssertionError(f"answered instead of refused: {result}")
+
+
+async def outcome_of(awaitable: Awaitable[T]) -> T | Refusal:
+    """Return the result of `awaitable` or its refusal."""
+    try:
+        return await awaitable
+    except Refusal as refusal:
+        return refusal
+
+
+async def timed(awaitable: Awaitable[T]) -> tuple[T, float]:
+    """Return the result with the seconds of virtual time it took."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    result = await awaitable
+    return result, loop.time() - began
+
+
+def kinds(home: TargetHome) -> list[EventKind]:
+    """Return the kinds of the recorded events."""
+    return [event.kind for event in home.timeline.events]
--- /dev/null
+++ b/tests/test_home_health.py
@@ -0,0 +1,253 @@
+"""Half-open connections, dead and slow targets, and the state that follows."""
+
+import asyncio
+
+from reedhook.connection.target import Role, TargetError
+from reedhook.connection.targethome import TargetHome
+from reedhook.process.timeline import EventKind
+from reedhook.request.position import Position
+from reedhook.request.refusal import Reason
+from reedhook.request.statement import Kind
+from reedhook.request.verdict import Verdict
+
+from .fakes_target import FakeTarget
+from .home_support import kinds, refusal_of, statement, timed, with_home
+
+DETECTION = 0.36
+"""Seconds: hold and margin of the state question, then the probe window."""
+
+
+async def warm(home: TargetHome) -> None:
+    """Open connections and learn the state."""
+    await home.run(statement(Kind.READ))
+    await asyncio.sleep(0.5)
+
+
+def test_a_read_on_a_silent_connection_is_answered_on_a_new_one() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        target.silence_all()
+        result, seconds = await timed(home.run(statement(Kind.READ)))
+        assert result.rows == [[1]]
+        assert seconds < 0.3
+        assert EventKind.CONNECTION_SILENT in kinds(home)
+        assert home.unreachable_since is None
+
+    with_home(target, body)
+    assert target.faults == []
+
+
+def test_a_write_with_an_id_on_a_silent_connection_runs_once() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        target.silence_all()
+        write = statement(Kind.WRITE, "ticket", request_id="r1")
+        result = await home.run(write)
+        assert not result.repeated
+        assert target.ran["ticket"] == 1
+
+    with_home(target, body)
+
+
+def test_a_write_without_an_id_is_told_that_it_may_have_run() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        write = statement(Kind.WRITE, "ticket", remaining=5.0)
+        await home.run(write)
+        await warm(home)
+        target.silence_all()
+        refusal, seconds = await timed(refusal_of(home.run(write)))
+        assert refusal.verdict is Verdict.MAY_HAVE_RUN
+        assert refusal.reason is Reason.TARGET_LOST
+        assert seconds < 1.1
+        assert home.unreachable_since is None
+
+    with_home(target, body)
+
+
+def test_a_dead_target_is_known_without_traffic() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        target.dead = True
+        await asyncio.sleep(DETECTION)
+        assert home.unreachable_since is not None
+        refusal, seconds = await timed(refusal_of(home.run(statement(Kind.WRITE))))
+        assert refusal.verdict is Verdict.NOT_RUN
+        assert refusal.reason is Reason.TARGET_UNREACHABLE
+        assert refusal.retry_after_ms is not None
+        assert seconds == 0.0
+        target.dead = False
+        await asyncio.sleep(1.3)
+        assert home.unreachable_since is None
+        await home.run(statement(Kind.READ))
+
+    with_home(target, body)
+
+
+def test_a_dead_target_ends_statements_in_progress_at_once() -> None:
+    target = FakeTarget(service=0.2)
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        write = asyncio.create_task(refusal_of(home.run(statement(Kind.WRITE))))
+        read = asyncio.create_task(refusal_of(home.run(statement(Kind.READ))))
+        await asyncio.sleep(0.05)
+        target.dead = True
+        (written, seconds), was_read = await asyncio.gather(timed(write), read)
+        assert written.verdict is Verdict.MAY_HAVE_RUN
+        assert was_read.verdict is Verdict.NOT_RUN
+        assert seconds <= DETECTION
+
+    with_home(target, body)
+
+
+def test_a_refused_connection_is_known_sooner_than_a_silent_one() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        target.refusing = True
+        target.silence_all()
+        await asyncio.sleep(0.21)
+        assert home.unreachable_since is not None
+
+    with_home(target, body)
+
+
+def test_a_living_but_slow_target_is_not_suspected() -> None:
+    target = FakeTarget(service=1.5)
+
+    async def body(home: TargetHome) -> None:
+        await asyncio.sleep(0.1)
+        write = statement(Kind.WRITE, "slow", remaining=5.0, request_id="r1")
+        await home.run(write)
+        assert home.unreachable_since is None
+        assert target.ran["slow"] == 1
+
+    with_home(target, body)
+
+
+def test_a_text_known_to_be_slow_is_run_once() -> None:
+    target = FakeTarget(service=0.6)
+
+    async def body(home: TargetHome) -> None:
+        await home.run(statement(Kind.READ, "report", remaining=5.0))
+        texts_before = sum(target.used.values(), []).count("report")
+        await home.run(statement(Kind.READ, "report", remaining=5.0))
+        texts = sum(target.used.values(), []).count("report")
+        assert texts - texts_before == 1
+
+    with_home(target, body)
+
+
+def test_the_other_connections_are_verified_after_a_silence() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        reads = [home.run(statement(Kind.READ)) for _ in range(6)]
+        await asyncio.gather(*reads)
+        target.silence_all()
+        await home.run(statement(Kind.READ))
+        await asyncio.sleep(0.6)
+        _, seconds = await timed(home.run(statement(Kind.READ)))
+        assert seconds < 0.02
+        assert all(not one.silent for one in target.connections)
+
+    with_home(target, body)
+
+
+def test_the_state_follows_changes_and_wakes_who_waits() -> None:
+    target = FakeTarget(role=Role.REPLICA)
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        assert home.state is not None
+        known = home.state.revision
+        waiting = asyncio.create_task(timed(home.wait_change(known, 5.0)))
+        await asyncio.sleep(0.3)
+        target.change(applied=Position(1, 7), held=Position(1, 7))
+        _, seconds = await waiting
+        assert seconds < 0.35
+        assert home.state.applied == Position(1, 7)
+
+    with_home(target, body)
+
+
+def test_an_older_state_does_not_replace_a_newer_one() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        old = target.state_now()
+        asked = home.clock.monotonic()
+        target.append()
+        await asyncio.sleep(0.05)
+        home.touch(old, asked)
+        assert home.state is not None
+        assert home.state.applied == Position(1, 1)
+
+    with_home(target, body)
+
+
+def test_a_restarted_target_with_a_lower_revision_is_believed() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        target.revision = 50
+        await warm(home)
+        target.revision = 2
+        target.change(applied=Position(1, 9))
+        await asyncio.sleep(0.5)
+        assert home.state is not None
+        assert home.state.revision == 3
+
+    with_home(target, body)
+
+
+def test_control_calls_survive_a_silent_connection() -> None:
+    target = FakeTarget(role=Role.REPLICA)
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        target.silence_all()
+        state = await home.raise_term(4, "host-1", timeout=0.5)
+        assert state.promised == 4
+        promoted = await home.promote(4, "host-1", timeout=0.5)
+        assert promoted.role is Role.PRIMARY
+        assert (await home.ask_state(0.5)).leader_term == 4
+
+    with_home(target, body)
+
+
+def test_a_dead_target_fails_a_control_call_in_time() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        target.dead = True
+        try:
+            _, seconds = await timed(home.ask_state(0.3))
+        except TargetError:
+            return
+        raise AssertionError(f"answered after {seconds} s")
+
+    with_home(target, body)
+
+
+def test_what_a_target_at_rest_is_asked() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        before = target.state_questions
+        await asyncio.sleep(10.0)
+        assert target.state_questions - before <= 101
+
+    with_home(target, body)
