--- /dev/null
+++ b/src/reedhook/process/coordinator.py
@@ -0,0 +1,291 @@
+"""When and by whom a change of primary is tried, and how often."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Final, TypeAlias
+
+from logbook import Logger
+
+from ..clock import Clock
+from ..connection.home import Home
+from ..connection.target import MemberState, Role
+from ..record import Record
+from ..request.position import ORIGIN
+from ..request.refusal import Refusal
+from .control import Control, Controller, Op
+from .directory import Directory
+from .knowledge import Knowledge
+from .promotion import STEP_TIMEOUT, Promoted, Promotion, PromotionFailed
+from .suspicion import Cause
+from .timeline import EventKind, Timeline
+
+STAGGER: Final = 0.1
+RAISE_PATIENCE: Final = 0.3
+PATIENCE_STEP: Final = 0.02
+BACKOFF: Final = 0.08
+BACKOFF_LIMIT: Final = 1.0
+SURVEY_GRACE: Final = 0.02
+NONCE_BITS: Final = 48
+
+log = Logger("promotion")
+
+
+class Outcome(Record):
+    """Name the primary that a change of primary brought."""
+
+    __slots__ = ("group", "term", "primary")
+
+    def __init__(self, group: str, term: int, primary: str) -> None:
+        self.group = group
+        self.term = term
+        self.primary = primary
+
+
+OutcomeCallback: TypeAlias = Callable[[Outcome], None]
+
+
+class Survey(Record):
+    """Carry the states that the members gave just now."""
+
+    __slots__ = ("states",)
+
+    def __init__(self, states: dict[str, MemberState]) -> None:
+        self.states = states
+
+    @property
+    def promised(self) -> int:
+        """Return the highest promise among the answers."""
+        return max((state.promised for state in self.states.values()), default=0)
+
+    def leads(self, member: str | None) -> bool:
+        """Say whether `member` answered as a primary that nobody has fenced."""
+        state = self.states.get(member or "")
+        return (
+            state is not None
+            and state.role is Role.PRIMARY
+            and state.leader_term == self.promised
+        )
+
+
+class Coordinator:
+    """Carry out changes of primary for one group, one at a time."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        controller: Controller,
+        homes: Callable[[], Iterable[Home]],
+        directory: Directory,
+        clock: Clock,
+        random: Random,
+        timeline: Timeline,
+        on_outcome: OutcomeCallback,
+    ) -> None:
+        self.knowledge = knowledge
+        self.controller = controller
+        self.homes = homes
+        self.directory = directory
+        self.clock = clock
+        self.random = random
+        self.timeline = timeline
+        self.on_outcome = on_outcome
+        self.attempts = 0
+        self.last_failure: tuple[Cause, str, str] | None = None
+        self.followers: list[Promotion] = []
+        self.asking: set[asyncio.Task[None]] = set()
+
+    async def change(self, cause: Cause, suspicion: float) -> bool:
+        """Try once to bring about a new primary.
+
+        :param suspicion: seconds from the first sign to the decision.
+        :returns: whether a leader of a new term is known.
+        """
+        term = self.knowledge.term
+        former = self.knowledge.primary
+        await self.clock.sleep(self.rank(cause, former) * STAGGER)
+        if await self.overtaken(term):
+            return True
+        survey = await self.survey(avoided(cause, former))
+        if self.settled(term, former, survey, cause):
+            return True
+        if len(survey.states) < self.knowledge.group.majority:
+            self.attempts += 1
+            self.failed(cause, "survey", f"{len(survey.states)} members answered")
+            await self.back_off()
+            return False
+        return await self.attempt(cause, former, suspicion)
+
+    def rank(self, cause: Cause, former: str | None) -> int:
+        """Return how many other hosts should try before this one.
+
+        The home of the replica that holds most goes first. The home of a lost
+        target knows first, and needs no delay.
+        """
+        local = {home.member.member for home in self.homes()}
+        if cause is Cause.PLANNED or (former in local and cause is Cause.TARGET_LOST):
+            return 0
+        ranked = self.ranked(former)
+        places = [place for place, member in enumerate(ranked) if member in local]
+        first = places[0] if places else len(ranked)
+        return first + 1 if cause is Cause.TARGET_LOST else first
+
+    def ranked(self, former: str | None) -> list[str]:
+        """Return the members but `former`, the one that holds most first."""
+        known = self.knowledge.view.members
+        pairs = [
+            (known[one.member].held if one.member in known else ORIGIN, one.member)
+            for one in self.knowledge.group.members
+            if one.member != former
+        ]
+        return [member for _, member in sorted(pairs, reverse=True)]
+
+    async def overtaken(self, term: int) -> bool:
+        """Wait a little if somebody else has begun; return whether it ended."""
+        waited = 0.0
+        while self.knowledge.promised > term and waited < RAISE_PATIENCE:
+            if self.knowledge.term > term:
+                return True
+            await self.clock.sleep(PATIENCE_STEP)
+            waited += PATIENCE_STEP
+        return self.knowledge.term > term
+
+    async def survey(self, absent: frozenset[str]) -> Survey:
+        """Ask all members for their states before anybody is fenced.
+
+        A host that reaches no majority must not raise the terms of a few.
+
+        :param absent: members whose answer is not waited for.
+        """
+        states: dict[str, MemberState] = {}
+        members = [one.member for one in self.knowledge.group.members]
+        asking = {
+            member: asyncio.create_task(self.ask(member, states)) for member in members
+        }
+        for task in asking.values():
+            self.asking.add(task)
+            task.add_done_callback(self.asking.discard)
+        await asyncio.wait([asking[one] for one in members if one not in absent])
+        late = [task for task in asking.values() if not task.done()]
+        if late:
+            await asyncio.wait(late, timeout=SURVEY_GRACE)
+        return Survey(dict(states))
+
+    async def ask(self, member: str, states: dict[str, MemberState]) -> None:
+        """Ask one member and learn from its answer."""
+        asked = self.clock.monotonic()
+        order = Control(member, Op.STATE)
+        try:
+            state = await self.controller.control(order, STEP_TIMEOUT)
+        except Refusal:
+            return
+        states[member] = state
+        self.knowledge.absorb(state, asked)
+
+    def settled(
+        self, term: int, former: str | None, survey: Survey, cause: Cause
+    ) -> bool:
+        """Say whether the survey shows that no change is needed."""
+        if self.knowledge.term > term and self.knowledge.primary is not None:
+            return True
+        if cause in (Cause.PLANNED, Cause.HOMELESS):
+            return False
+        leader = self.knowledge.primary
+        return leader is not None and survey.leads(leader)
+
+    async def attempt(self, cause: Cause, former: str | None, suspicion: float) -> bool:
+        """Raise, promote, tell the others; return whether it went well."""
+        promotion = self.promotion(cause, former)
+        self.attempts += 1
+        try:
+            promoted = await promotion.run()
+        except PromotionFailed as failure:
+            promised = max(self.knowledge.promised, failure.promised)
+            self.knowledge.promised = promised
+            self.failed(cause, failure.step, failure.detail, term=promotion.term)
+            await self.back_off()
+            return self.knowledge.term >= promotion.term
+        self.attempts = 0
+        self.last_failure = None
+        self.followers = [promotion]
+        self.announce(cause, former, promoted, suspicion)
+        return True
+
+    def promotion(self, cause: Cause, former: str | None) -> Promotion:
+        """Make an attempt with a term and an owner of its own."""
+        term = max(self.knowledge.promised, self.knowledge.term) + 1
+        nonce = self.random.getrandbits(NONCE_BITS)
+        owner = f"{self.directory.me.host}.{nonce:x}"
+        return Promotion(
+            self.knowledge.group,
+            self.controller,
+            self.clock,
+            term,
+            owner,
+            preferred=former if cause is Cause.FENCED else None,
+            avoided=avoided(cause, former),
+            on_raised=self.raised,
+        )
+
+    def raised(self, term: int, members: list[str]) -> None:
+        """Record that a majority has promised."""
+        self.timeline.record(
+            EventKind.TERM_RAISED,
+            self.knowledge.group.name,
+            term=term,
+            members=members,
+        )
+
+    def announce(
+        self, cause: Cause, former: str | None, promoted: Promoted, suspicion: float
+    ) -> None:
+        """Make the outcome known on this host."""
+        group = self.knowledge.group.name
+        self.timeline.record(
+            EventKind.PRIMARY_PROMOTED,
+            group,
+            term=promoted.term,
+            primary=promoted.primary,
+            former=former,
+            cause=cause.value,
+            suspicion_ms=milliseconds(suspicion),
+            agreement_ms=milliseconds(promoted.agreement),
+            promotion_ms=milliseconds(promoted.promotion),
+        )
+        log.notice(f"{group}: {promoted.primary} leads in term {promoted.term}")
+        self.knowledge.lead(promoted.term, promoted.primary)
+        self.on_outcome(Outcome(group, promoted.term, promoted.primary))
+
+    def failed(
+        self, cause: Cause, step: str, detail: str, term: int | None = None
+    ) -> None:
+        """Record an attempt that came to nothing, once while it repeats."""
+        failure = (cause, step, detail)
+        if failure == self.last_failure:
+            return
+        self.last_failure = failure
+        self.timeline.record(
+            EventKind.PROMOTION_FAILED,
+            self.knowledge.group.name,
+            cause=cause.value,
+            step=step,
+            reason=detail,
+            term=term,
+        )
+
+    async def back_off(self) -> None:
+        """Wait longer after each failure, with jitter, lest two keep clashing."""
+        limit = min(BACKOFF * 2.0**self.attempts, BACKOFF_LIMIT)
+        await self.clock.sleep(limit * (0.5 + self.random.random()))
+
+
+def avoided(cause: Cause, former: str | None) -> frozenset[str]:
+    """Return the members that the cause speaks against."""
+    if former is None or cause in (Cause.FENCED, Cause.LEADERLESS):
+        return frozenset()
+    return frozenset({former})
+
+
+def milliseconds(seconds: float) -> float:
+    """Return `seconds` in milliseconds, rounded for people."""
+    return round(seconds * 1000, 2)
--- /dev/null
+++ b/src/reedhook/process/durability.py
@@ -0,0 +1,112 @@
+"""One wait, shared by all writes, for a majority of members to hold them."""
+
+import asyncio
+import heapq
+from collections.abc import Iterable
+from itertools import count
+from typing import Final, TypeAlias
+
+from ..connection.target import MemberState
+from ..request.position import ORIGIN, Position
+
+PRUNE_AT: Final = 1024
+
+Waiter: TypeAlias = "asyncio.Future[bool]"
+
+
+def durable_position(
+    states: Iterable[MemberState], term: int, majority: int
+) -> Position | None:
+    """Return the last position of `term` that a majority holds for good.
+
+    A member counts if it held an entry of `term` while it had promised no
+    higher term: any majority that promises a higher one then holds a member
+    whose answer shows the entry. This stays true of old states too.
+
+    :returns: None if no majority holds an entry of `term`.
+    """
+    held = [
+        state.held
+        for state in states
+        if state.promised == term and state.held.term == term
+    ]
+    if len(held) < majority:
+        return None
+    held.sort(reverse=True)
+    return held[majority - 1]
+
+
+class Durability:
+    """Know what is durable at the current term and wake those who wait.
+
+    :ivar term: the highest leader term known.
+    :ivar mark: the last position known to be durable.
+    """
+
+    __slots__ = ("term", "mark", "waiters", "order", "prune_at")
+
+    def __init__(self) -> None:
+        self.term = 0
+        self.mark = ORIGIN
+        self.waiters: list[tuple[Position, int, Waiter]] = []
+        self.order = count()
+        self.prune_at = PRUNE_AT
+
+    def holds(self, position: Position) -> bool:
+        """Say whether `position` is known to be durable.
+
+        A mark of a later term says nothing of an earlier term's last entries,
+        which the later primary may lack.
+        """
+        return position.term == self.mark.term and self.mark.covers(position)
+
+    def superseded(self, position: Position) -> bool:
+        """Say whether a later term leaves the fate of `position` unknown."""
+        return position.term < self.term and not self.holds(position)
+
+    def advance(self, mark: Position) -> bool:
+        """Take note that `mark` is durable; return whether that is news."""
+        if mark <= self.mark:
+            return False
+        self.mark = mark
+        self.enter(mark.term)
+        while self.waiters and self.waiters[0][0] <= mark:
+            position, _, waiter = heapq.heappop(self.waiters)
+            settle(waiter, position.term == mark.term)
+        return True
+
+    def enter(self, term: int) -> None:
+        """Take note of a leader term; waits of lower terms end at once."""
+        if term <= self.term:
+            return
+        self.term = term
+        while self.waiters and self.waiters[0][0].term < term:
+            settle(heapq.heappop(self.waiters)[2], False)
+
+    async def wait(self, position: Position, timeout: float) -> bool:
+        """Return True once `position` is durable, False once superseded.
+
+        :raises TimeoutError: after `timeout` seconds.
+        """
+        if self.holds(position):
+            return True
+        if self.superseded(position):
+            return False
+        waiter: Waiter = asyncio.get_running_loop().create_future()
+        self.push(position, waiter)
+        async with asyncio.timeout(timeout):
+            return await waiter
+
+    def push(self, position: Position, waiter: Waiter) -> None:
+        """Queue `waiter`, and drop those that gave up once they are many."""
+        if len(self.waiters) >= self.prune_at:
+            self.waiters = [one for one in self.waiters if not one[2].done()]
+            heapq.heapify(self.waiters)
+            self.prune_at = max(PRUNE_AT, 2 * len(self.waiters))
+        heapq.heappush(self.waiters, (position, next(self.order), waiter))
+
+
+def settle(waiter: Waiter, durable: bool) -> None:
+    """Answer `waiter` unless it has given up."""
+    if not waiter.done():
+        waiter.set_result(durable)
--- /dev/null
+++ b/src/reedhook/process/group.py
@@ -0,0 +1,405 @@
+"""Keep one database group: what is known of it, proofs, and its primary."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Final
+
+from ..clock import Clock
+from ..connection.home import Home
+from ..connection.target import MemberState, TargetError
+from ..request.position import Position
+from ..request.refusal import Reason, Refusal, may_have_run, not_run
+from ..request.view import GroupView
+from ..version.catalog import Group
+from .confirmation import Confirmation, Lead
+from .control import Control, Controller, Op, PeerController
+from .coordinator import Coordinator, OutcomeCallback, milliseconds
+from .directory import Directory
+from .guard import Guard, HostLostCallback
+from .handover import HandOver
+from .knowledge import Knowledge
+from .metrics import Metrics
+from .peer import PeerError, Peers
+from .report import Report, ReportAnswer, Reporter
+from .sample import Sample
+from .suspicion import Verifier
+from .timeline import EventKind, Timeline
+
+CONFIRM_TIMEOUT: Final = 0.25
+CONFIRM_AGAIN: Final = 0.01
+UNHEARD_AFTER: Final = 0.5
+SAMPLE_SHARE: Final = 3
+SAMPLE_SPACING: Final = 0.05
+SAMPLING_KEPT: Final = 3.0
+PROVE_TIMEOUT: Final = 0.25
+RETRY_SOON_MS: Final = 50
+RETRY_UNSAFE_MS: Final = 250
+
+
+class GroupKeeper:
+    """Answer for one group on a host that is home of one of its members.
+
+    :param homes: returns the local homes of the group's members.
+    :param on_outcome: is told of each change of primary made here.
+    :param on_host_lost: is told when a home seems dead and its target lives.
+    :ivar view: what this host knows of the group.
+    """
+
+    def __init__(
+        self,
+        group: Group,
+        homes: Callable[[], Iterable[Home]],
+        directory: Directory,
+        peers: Peers,
+        clock: Clock,
+        random: Random,
+        timeline: Timeline,
+        metrics: Metrics,
+        on_outcome: OutcomeCallback,
+        on_host_lost: HostLostCallback | None = None,
+        controller: Controller | None = None,
+    ) -> None:
+        self.group = group
+        self.homes = homes
+        self.directory = directory
+        self.peers = peers
+        self.clock = clock
+        self.timeline = timeline
+        self.metrics = metrics
+        self.knowledge = Knowledge(group, clock)
+        self.knowledge.on_leader.append(self.leader_learned)
+        self.knowledge.on_durable.append(self.durable_grew)
+        self.controller = controller or PeerController(
+            group, self.home, directory, peers
+        )
+        self.reporter = Reporter(
+            self.knowledge, homes, directory, peers, clock, self.doubt
+        )
+        self.verifier = Verifier(group, directory, peers)
+        self.coordinator = Coordinator(
+            self.knowledge,
+            self.controller,
+            homes,
+            directory,
+            clock,
+            random,
+            timeline,
+            on_outcome,
+        )
+        self.guard = Guard(
+            self.knowledge,
+            self.reporter,
+            self.verifier,
+            self.coordinator,
+            directory,
+            clock,
+            timeline,
+            on_host_lost,
+        )
+        self.confirmation = Confirmation(
+            [member.member for member in group.members],
+            group.majority,
+            self.ask,
+            self.local_lead,
+            self.sampled,
+            clock,
+            CONFIRM_TIMEOUT,
+        )
+        self.handing = HandOver(self.knowledge, self.coordinator, clock)
+        self.tasks: list[asyncio.Task[None]] = []
+        self.sampling: asyncio.Task[None] | None = None
+        self.sampling_until = 0.0
+        self.sampling_age = 0.0
+        self.proving: asyncio.Task[None] | None = None
+        self.learned_at = 0.0
+        self.resumed = 0
+        self.heard: dict[str, float] = {}
+
+    @property
+    def view(self) -> GroupView:
+        """Return what this host knows of the group."""
+        return self.knowledge.view
+
+    async def start(self) -> None:
+        """Begin to follow the local members and to watch the primary."""
+        self.tasks = [
+            asyncio.create_task(self.guard.run()),
+            asyncio.create_task(self.look_after_lead()),
+        ]
+        self.refresh()
+        self.doubt()
+
+    def refresh(self) -> None:
+        """Take note that the set of local homes may have changed."""
+        self.reporter.refresh()
+
+    async def close(self) -> None:
+        """Stop; the members are left as they are."""
+        self.reporter.close()
+        self.confirmation.close()
+        tasks = [*self.tasks, self.sampling, self.proving]
+        for task in tasks:
+            if task is not None:
+                task.cancel()
+
+    def doubt(self) -> None:
+        """Have the guard look at the primary soon."""
+        self.guard.doubt()
+
+    def home(self, member: str | None) -> Home | None:
+        """Return the local home of `member`, or None."""
+        return self.reporter.home(member)
+
+    def local_lead(self) -> Lead | None:
+        """Return the leader if its home is here."""
+        primary = self.knowledge.primary
+        if primary is None or self.home(primary) is None:
+            return None
+        return Lead(self.knowledge.term, primary)
+
+    # Proofs for statements
+
+    def wrote(self, member: str, position: Position) -> None:
+        """Learn from the answer to a write."""
+        self.knowledge.note_write(member, position)
+
+    async def durable(self, position: Position, timeout: float) -> None:
+        """Return once a majority holds `position` at its term.
+
+        :raises Refusal: ``not_durable`` after `timeout` seconds, or
+            ``superseded`` once a later term leaves its fate unknown; the
+            write may have run.
+        """
+        try:
+            held = await self.knowledge.durability.wait(position, timeout)
+        except TimeoutError:
+            self.metrics.increment("group.not_durable")
+            raise may_have_run(
+                Reason.NOT_DURABLE,
+                "applied, not yet safe: no majority holds it in time",
+                RETRY_UNSAFE_MS,
+            ) from None
+        if not held:
+            self.metrics.increment("group.superseded")
+            raise may_have_run(
+                Reason.SUPERSEDED,
+                "the primary was superseded before a majority held it",
+                RETRY_SOON_MS,
+            )
+
+    def request_confirmation(self) -> int:
+        """Return the ticket of a confirmation that begins from now on."""
+        return self.confirmation.request()
+
+    async def confirmed(self, ticket: int, position: Position, timeout: float) -> None:
+        """Return once the primary is proved to have led after the ticket.
+
+        The position that the read saw must be durable too, lest a change of
+        primary take back what the read showed.
+
+        :raises Refusal: ``unconfirmed``; a read has no effect.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                await self.confirm(ticket, position.term)
+                held = await self.knowledge.durability.wait(position, timeout)
+        except TimeoutError:
+            held = False
+        if not held:
+            self.metrics.increment("group.unconfirmed")
+            raise not_run(
+                Reason.UNCONFIRMED,
+                "no majority confirms that the primary still leads",
+                RETRY_SOON_MS,
+            )
+
+    async def confirm(self, ticket: int, term: int) -> None:
+        """Wait for a round that proves `term`, trying again until one does."""
+        await self.confirmation.wait(ticket)
+        while not self.confirmation.confirms(ticket, term):
+            if self.knowledge.term > term:
+                raise TimeoutError
+            await self.clock.sleep(CONFIRM_AGAIN)
+            await self.confirmation.wait(self.confirmation.request())
+
+    def age(self, applied: Position) -> float | None:
+        """Return the proved upper bound of the age of `applied`, in seconds."""
+        return self.knowledge.age(applied)
+
+    async def prove(self, age: float) -> None:
+        """Fetch a sample not older than `age` seconds; shared by all that wait."""
+        self.reporter.desire(age)
+        if self.proving is None or self.proving.done():
+            self.proving = asyncio.create_task(self.fetch_sample(age))
+        await asyncio.shield(self.proving)
+
+    async def fetch_sample(self, age: float) -> None:
+        """Run a round if the primary's home is here, else ask that home."""
+        if self.local_lead() is not None:
+            await self.confirmation.wait(self.confirmation.request())
+            return
+        primary = self.knowledge.primary
+        for home in self.homes():
+            if home.state is None or primary is None:
+                continue
+            report = Report(self.group.name, home.state, age, prompt=True)
+            try:
+                await self.reporter.call(report, primary, PROVE_TIMEOUT)
+            except (PeerError, Refusal):
+                await self.clock.sleep(CONFIRM_AGAIN)
+            return
+
+    # Questions of other hosts
+
+    async def on_report(self, report: Report) -> ReportAnswer:
+        """Learn from a report and answer it."""
+        now = self.clock.monotonic()
+        self.knowledge.absorb(report.state, now)
+        self.heard[report.state.member] = now
+        if report.want is not None:
+            await self.serve_samples(report.want, report.prompt)
+        return self.report_answer()
+
+    def report_answer(self) -> ReportAnswer:
+        """Return what a reporting host should know."""
+        self.refresh_view()
+        home = self.home(self.knowledge.primary)
+        return ReportAnswer(
+            self.view,
+            self.knowledge.samples.newest,
+            home is not None,
+            home is None or home.unreachable_since is None,
+        )
+
+    def refresh_view(self) -> None:
+        """Bring the view of the local members up to date."""
+        for home in self.homes():
+            self.reporter.learn(home)
+
+    async def on_confirm(self, member: str) -> MemberState:
+        """Ask the local target `member` for a state sent from now on.
+
+        :raises Refusal: if it is not at home here or gives no answer.
+        """
+        home = self.home(member)
+        if home is None:
+            raise not_run(Reason.WRONG_HOME, f"{member} is not at home here")
+        asked = self.clock.monotonic()
+        try:
+            state = await home.ask_state(CONFIRM_TIMEOUT)
+        except TargetError as error:
+            raise not_run(Reason.TARGET_UNREACHABLE, str(error)) from error
+        self.knowledge.absorb(state, asked)
+        return state
+
+    def controlled(self, order: Control, state: MemberState, asked: float) -> None:
+        """Learn from an order that another host gave to a local member."""
+        if order.op is Op.FOLLOW and state.leader_term == order.term:
+            self.knowledge.lead(order.term, order.primary)
+        self.knowledge.absorb(state, asked)
+
+    # Confirmation and samples
+
+    async def ask(self, member: str, timeout: float) -> MemberState | None:
+        """Ask `member` for a state sent from now on, at its home."""
+        try:
+            if self.home(member) is not None:
+                return await self.on_confirm(member)
+            return await self.ask_peer(member, timeout)
+        except (PeerError, Refusal):
+            return None
+
+    async def ask_peer(self, member: str, timeout: float) -> MemberState | None:
+        """Send the question `confirm` to the home of `member`."""
+        host = self.directory.home(member, self.reporter.zone(member))
+        if host is None:
+            return None
+        asked = self.clock.monotonic()
+        body = {"group": self.group.name, "member": member, "term": self.view.term}
+        answer = await self.peers.call(host, "confirm", body, timeout)
+        state = MemberState.from_json(answer["state"])
+        self.knowledge.merge(GroupView.from_json(answer["view"], asked))
+        self.knowledge.absorb(state, asked)
+        self.heard[member] = self.clock.monotonic()
+        return state
+
+    def sampled(self, sample: Sample) -> None:
+        """Keep the sample of a confirmation round."""
+        self.knowledge.samples.add(sample)
+
+    async def serve_samples(self, age: float, prompt: bool) -> None:
+        """Keep samples not older than `age` coming while they are asked for."""
+        now = self.clock.monotonic()
+        if age < self.sampling_age or now > self.sampling_until:
+            self.sampling_age = age
+        self.sampling_until = now + SAMPLING_KEPT
+        if self.sampling is None or self.sampling.done():
+            self.sampling = asyncio.create_task(self.sample())
+        newest = self.knowledge.samples.newest
+        if prompt and (newest is None or now - newest.dated > age / SAMPLE_SHARE):
+            await self.confirmation.wait(self.confirmation.request())
+
+    async def sample(self) -> None:
+        """Run rounds at the pace that bounded reads need, while there are any."""
+        while self.clock.monotonic() < self.sampling_until:
+            pace = max(self.sampling_age / SAMPLE_SHARE, SAMPLE_SPACING)
+            newest = self.knowledge.samples.newest
+            now = self.clock.monotonic()
+            if newest is None or now - newest.dated >= pace:
+                await self.confirmation.wait(self.confirmation.request())
+            await self.clock.sleep(pace)
+
+    # Change of primary
+
+    async def look_after_lead(self) -> None:
+        """Ask the other members when a local primary hears nothing of them.
+
+        A primary that was cut off learns so that it has been superseded.
+        """
+        while True:
+            await self.clock.sleep(UNHEARD_AFTER)
+            lead = self.local_lead()
+            if lead is None or self.hears_majority():
+                continue
+            await self.confirmation.wait(self.confirmation.request())
+
+    def hears_majority(self) -> bool:
+        """Say whether enough members reported lately to make a majority."""
+        now = self.clock.monotonic()
+        local = {home.member.member for home in self.homes()}
+        heard = {
+            member for member, at in self.heard.items() if now - at < UNHEARD_AFTER
+        }
+        return len(local | heard) >= self.group.majority
+
+    async def hand_over(self, timeout: float) -> bool:
+        """Move the lead away from the present primary, with a short pause.
+
+        :returns: whether another member leads now.
+        """
+        return await self.handing.run(timeout)
+
+    def leader_learned(self, term: int, primary: str) -> None:
+        """Act on a new leader."""
+        self.learned_at = self.clock.monotonic()
+        self.reporter.contact.reset()
+        self.timeline.record(
+            EventKind.PRIMARY_LEARNED, self.group.name, term=term, primary=primary
+        )
+
+    def durable_grew(self, mark: Position) -> None:
+        """Record when the first entry of a term is durable."""
+        if mark.term <= self.resumed:
+            return
+        self.resumed = mark.term
+        if self.local_lead() is None:
+            return
+        since = self.clock.monotonic() - self.learned_at
+        self.timeline.record(
+            EventKind.WRITES_RESUMED,
+            self.group.name,
+            term=mark.term,
+            primary=self.knowledge.primary,
+            after_learned_ms=milliseconds(since),
+        )
--- /dev/null
+++ b/src/reedhook/process/grouproutes.py
@@ -0,0 +1,188 @@
+"""Peer paths that concern database groups."""
+
+from collections.abc import Callable
+from typing import Final
+
+from ..clock import Clock
+from ..connection.home import Home
+from ..connection.target import MemberState, TargetError, TargetFactory
+from ..request.execution import Execution
+from ..request.refusal import Reason, Refusal, not_run
+from ..request.statement import Statement
+from ..version.catalog import Catalog, Group, Member
+from ..wire import Json, WireError
+from .control import Control, Op, at_home, at_target
+from .directory import Directory
+from .group import GroupKeeper
+from .peer import PeerHandler, PeerRoutes
+from .report import Report
+from .suspicion import ASKED_HOSTS, Evidence
+
+CONTROL_TIMEOUT: Final = 0.2
+PROBE_TIMEOUT: Final = 0.06
+
+
+class GroupRoutes:
+    """Hand the questions of other hosts to the right keeper or home.
+
+    :param catalog: returns the configuration in force, or None.
+    :param homes: gives the local home of a member, or None.
+    :param keepers: gives the keeper of a group, or None.
+    :param factory: opens a connection to a target that has no home here.
+    """
+
+    def __init__(
+        self,
+        catalog: Callable[[], Catalog | None],
+        homes: Callable[[str], Home | None],
+        keepers: Callable[[str], GroupKeeper | None],
+        execution: Execution,
+        factory: TargetFactory,
+        directory: Directory,
+        clock: Clock,
+    ) -> None:
+        self.catalog = catalog
+        self.homes = homes
+        self.keepers = keepers
+        self.execution = execution
+        self.factory = factory
+        self.directory = directory
+        self.clock = clock
+
+    def register(self, routes: PeerRoutes) -> None:
+        """Add the handlers to `routes`."""
+        routes.add("statement", checked(self.statement))
+        routes.add("report", checked(self.report))
+        routes.add("confirm", checked(self.confirm))
+        routes.add("control", checked(self.control))
+        routes.add("probe", checked(self.probe))
+        routes.add("view", checked(self.view))
+
+    async def statement(self, body: Json) -> Json:
+        """Execute a statement at a member whose home is here."""
+        statement = Statement.from_json(body["statement"])
+        served = await self.execution.execute(body["member"], statement)
+        return served.to_json(self.clock.monotonic())
+
+    async def report(self, body: Json) -> Json:
+        """Take the report of a replica's home."""
+        report = Report.from_json(body)
+        answer = await self.keeper(report.group).on_report(report)
+        return answer.to_json(self.clock.monotonic())
+
+    async def confirm(self, body: Json) -> Json:
+        """Give the state that a local target has from now on."""
+        keeper = self.keeper(body["group"])
+        state = await keeper.on_confirm(body["member"])
+        return {
+            "state": state.to_json(),
+            "view": keeper.view.to_json(self.clock.monotonic()),
+        }
+
+    async def view(self, body: Json) -> Json:
+        """Give what is known of a group here."""
+        keeper = self.keeper(body["group"])
+        keeper.refresh_view()
+        return {"view": keeper.view.to_json(self.clock.monotonic())}
+
+    async def control(self, body: Json) -> Json:
+        """Carry out a step of a change of primary at a member of this zone."""
+        order = Control.from_json(body)
+        asked = self.clock.monotonic()
+        group, member = self.find(order.member)
+        state = await self.obey(order, member)
+        keeper = self.keepers(group.name)
+        if keeper is not None:
+            keeper.controlled(order, state, asked)
+        return {"state": state.to_json()}
+
+    async def obey(self, order: Control, member: Member) -> MemberState:
+        """Use the local home, or as a standby a connection of its own."""
+        home = self.homes(order.member)
+        if home is not None:
+            return await at_home(home, order, CONTROL_TIMEOUT)
+        self.check_standby(member)
+        return await at_target(self.factory, member, order, CONTROL_TIMEOUT)
+
+    async def probe(self, body: Json) -> Json:
+        """Say whether a target answers, from as near as this host can look."""
+        group, member = self.find(body["member"])
+        home = self.homes(member.member)
+        if home is not None:
+            return {"alive": await answers(home), "home": True}
+        if self.stands_by(member):
+            return {"alive": await self.answers_here(member), "home": False}
+        keeper = self.keepers(group.name)
+        if keeper is None or not body["relay"]:
+            raise not_run(Reason.WRONG_HOME, f"{member.member} is not near here")
+        evidence = await keeper.verifier.relayed(member.member)
+        return {
+            "alive": evidence is not Evidence.LOST,
+            "home": evidence is Evidence.ALIVE,
+        }
+
+    async def answers_here(self, member: Member) -> bool:
+        """Say whether a target without a home here answers on a new connection."""
+        order = Control(member.member, Op.STATE)
+        try:
+            await at_target(self.factory, member, order, PROBE_TIMEOUT)
+        except Refusal:
+            return False
+        return True
+
+    def find(self, member: str) -> tuple[Group, Member]:
+        """Return the group and description of a member.
+
+        :raises Refusal: if the configuration in force does not name it.
+        """
+        catalog = self.catalog()
+        found = catalog.member(member) if catalog is not None else None
+        if found is None:
+            raise not_run(Reason.WRONG_HOME, f"no member {member} is known here")
+        return found
+
+    def keeper(self, group: str) -> GroupKeeper:
+        """Return the keeper of `group`.
+
+        :raises Refusal: if no member of it is at home here.
+        """
+        keeper = self.keepers(group)
+        if keeper is None:
+            raise not_run(Reason.WRONG_HOME, f"no member of {group} is at home here")
+        return keeper
+
+    def stands_by(self, member: Member) -> bool:
+        """Say whether this host is among the first that serve a target."""
+        me = self.directory.me.host
+        ranked = self.directory.ranked(member.member, member.zone)
+        return me in [host.host for host in ranked[:ASKED_HOSTS]]
+
+    def check_standby(self, member: Member) -> None:
+        """Refuse what only a host near the target may do."""
+        if not self.stands_by(member):
+            raise not_run(Reason.WRONG_HOME, f"{member.member} is not near here")
+
+
+async def answers(home: Home) -> bool:
+    """Say whether the target of a local home answers.
+
+    A target that is only slow still counts, until its home has tried a new
+    connection in vain.
+    """
+    try:
+        await home.ask_state(PROBE_TIMEOUT)
+    except TargetError:
+        return home.unreachable_since is None
+    return True
+
+
+def checked(handler: PeerHandler) -> PeerHandler:
+    """Turn a body of the wrong form into a typed refusal."""
+
+    async def handle(body: Json) -> Json:
+        try:
+            return await handler(body)
+        except (KeyError, TypeError, ValueError) as error:
+            raise WireError(f"malformed peer message: {error!r}") from error
+
+    return handle
--- /dev/null
+++ b/src/reedhook/process/guard.py
@@ -0,0 +1,194 @@
+"""Watch over the primary of a group, and decide when to replace it."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from ..clock import Clock
+from .coordinator import Coordinator, milliseconds
+from .directory import Directory
+from .knowledge import Knowledge
+from .peer import HostRef
+from .report import DOUBT_AFTER, Reporter
+from .suspicion import Cause, Evidence, Verifier
+from .timeline import EventKind, Timeline
+
+SUSPECT_AFTER: Final = 0.25
+HOMELESS_AFTER: Final = 3.0
+LEADERLESS_AFTER: Final = 0.4
+RECHECK: Final = 0.1
+TOLERANCE: Final = 0.9
+
+HostLostCallback = Callable[[HostRef], None]
+
+
+class Guard:
+    """Turn doubts into evidence and evidence into a change of primary.
+
+    :param on_host_lost: is called when the primary lives and its home seems
+        dead, so that membership may look at that host sooner.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        reporter: Reporter,
+        verifier: Verifier,
+        coordinator: Coordinator,
+        directory: Directory,
+        clock: Clock,
+        timeline: Timeline,
+        on_host_lost: HostLostCallback | None,
+    ) -> None:
+        self.knowledge = knowledge
+        self.reporter = reporter
+        self.verifier = verifier
+        self.coordinator = coordinator
+        self.directory = directory
+        self.clock = clock
+        self.timeline = timeline
+        self.on_host_lost = on_host_lost
+        self.doubted = asyncio.Event()
+        self.leaderless_since: float | None = None
+        self.suspected = False
+
+    def doubt(self) -> None:
+        """Look at the primary soon."""
+        self.doubted.set()
+
+    async def run(self) -> None:
+        """Look at the primary whenever something speaks against it."""
+        while True:
+            await self.doubted.wait()
+            self.doubted.clear()
+            cause = self.cause()
+            if cause is None:
+                self.clear("answers again")
+                continue
+            await self.investigate(cause)
+
+    def cause(self) -> Cause | None:
+        """Return what speaks against the primary now, or None."""
+        primary = self.knowledge.primary
+        if primary is None:
+            return Cause.LEADERLESS
+        lost = self.lost(primary)
+        if lost is None and self.knowledge.promised > self.knowledge.term:
+            return Cause.FENCED
+        self.leaderless_since = None
+        return lost
+
+    def lost(self, primary: str) -> Cause | None:
+        """Return in what way the primary seems lost, or None."""
+        home = self.reporter.home(primary)
+        if home is not None:
+            return Cause.TARGET_LOST if home.unreachable_since is not None else None
+        contact = self.reporter.contact
+        if contact.told_lost:
+            return Cause.TARGET_LOST
+        silence = contact.silence(self.clock.monotonic())
+        return Cause.SILENT if silence >= DOUBT_AFTER * TOLERANCE else None
+
+    async def investigate(self, cause: Cause) -> None:
+        """Gather evidence and act on it."""
+        if cause in (Cause.LEADERLESS, Cause.FENCED):
+            await self.seek_leader(cause)
+            return
+        primary = self.knowledge.primary
+        term = self.knowledge.term
+        since = self.first_sign()
+        if primary is None:
+            return
+        self.suspect(primary, cause, since)
+        evidence = await self.verifier.check(primary)
+        if evidence is Evidence.HOMELESS and self.waits_for_home(primary, since):
+            await self.pause(RECHECK)
+            return
+        if evidence is Evidence.ALIVE and cause is Cause.SILENT:
+            self.clear("answers others")
+            await self.pause(RECHECK)
+            return
+        if cause is Cause.SILENT:
+            await self.outlast_silence()
+        if self.knowledge.term != term or self.cause() is None:
+            self.clear("answers again")
+            return
+        if evidence is Evidence.HOMELESS:
+            cause = Cause.HOMELESS
+        await self.act(cause, since)
+
+    def first_sign(self) -> float:
+        """Return when the primary first seemed lost, in local monotonic time."""
+        now = self.clock.monotonic()
+        home = self.reporter.home(self.knowledge.primary)
+        if home is not None:
+            return home.unreachable_since or now
+        return self.reporter.contact.silent_since or now
+
+    async def act(self, cause: Cause, since: float) -> None:
+        """Try a change of primary once; look again if it came to nothing."""
+        suspicion = self.clock.monotonic() - since
+        if await self.coordinator.change(cause, suspicion):
+            self.reporter.contact.reset()
+            self.leaderless_since = None
+            self.suspected = False
+            return
+        self.doubted.set()
+
+    def waits_for_home(self, primary: str, since: float) -> bool:
+        """Say whether a standby may still take over a primary that lives."""
+        if self.on_host_lost is not None:
+            for host in self.verifier.near(primary)[:1]:
+                self.on_host_lost(host)
+        return self.clock.monotonic() - since < HOMELESS_AFTER
+
+    async def outlast_silence(self) -> None:
+        """Wait until the silence is long enough to act on."""
+        silence = self.reporter.contact.silence(self.clock.monotonic())
+        if 0.0 < silence < SUSPECT_AFTER:
+            await self.clock.sleep(SUSPECT_AFTER - silence)
+
+    async def seek_leader(self, cause: Cause) -> None:
+        """Ask the members who leads; without an answer for long, elect."""
+        now = self.clock.monotonic()
+        if self.leaderless_since is None:
+            self.leaderless_since = now
+        await self.coordinator.survey(frozenset())
+        if self.cause() not in (Cause.LEADERLESS, Cause.FENCED):
+            return
+        if now - self.leaderless_since < LEADERLESS_AFTER:
+            await self.pause(RECHECK)
+            return
+        await self.act(cause, self.leaderless_since)
+
+    async def pause(self, seconds: float) -> None:
+        """Look again after `seconds`."""
+        await self.clock.sleep(seconds)
+        self.doubted.set()
+
+    def suspect(self, primary: str, cause: Cause, since: float) -> None:
+        """Record the suspicion, once while it lasts."""
+        if self.suspected:
+            return
+        self.suspected = True
+        self.timeline.record(
+            EventKind.PRIMARY_SUSPECTED,
+            self.knowledge.group.name,
+            primary=primary,
+            term=self.knowledge.term,
+            cause=cause.value,
+            since_ms=milliseconds(self.clock.monotonic() - since),
+        )
+
+    def clear(self, why: str) -> None:
+        """Record that the suspicion was unfounded."""
+        if not self.suspected:
+            return
+        self.suspected = False
+        self.timeline.record(
+            EventKind.PRIMARY_CLEARED,
+            self.knowledge.group.name,
+            primary=self.knowledge.primary,
+            term=self.knowledge.term,
+            why=why,
+        )
--- /dev/null
+++ b/src/reedhook/process/promotion.py
@@ -0,0 +1,217 @@
+"""Raise the term at a majority, promote its best member, let others follow.
+
+The members are the acceptors, so any number of coordinators may run at once
+and each may stop or be paused between any two steps. An attempt has a term
+and an owner of its own, and promotes one member only.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, NoReturn, TypeAlias
+
+from ..clock import Clock
+from ..connection.target import MemberState, Role
+from ..record import Record
+from ..request.refusal import Reason, Refusal
+from ..version.catalog import Group
+from .control import Control, Controller, Op
+
+STEP_TIMEOUT: Final = 0.25
+RAISE_GRACE: Final = 0.02
+PROMOTE_TRIES: Final = 3
+
+
+RaisedCallback: TypeAlias = Callable[[int, list[str]], None]
+
+
+class PromotionFailed(Exception):
+    """Say that an attempt ended without a primary that it knows of.
+
+    :param step: the step that failed.
+    :param promised: the highest term seen; a later attempt must exceed it.
+    """
+
+    def __init__(self, step: str, detail: str, promised: int) -> None:
+        super().__init__(detail)
+        self.step = step
+        self.detail = detail
+        self.promised = promised
+
+
+class Promoted(Record):
+    """Carry the outcome of an attempt.
+
+    :param agreement: seconds until a majority had promised the term.
+    :param promotion: seconds that the promotion itself took.
+    """
+
+    __slots__ = ("term", "primary", "agreement", "promotion")
+
+    def __init__(
+        self, term: int, primary: str, agreement: float, promotion: float
+    ) -> None:
+        self.term = term
+        self.primary = primary
+        self.agreement = agreement
+        self.promotion = promotion
+
+
+class Promotion:
+    """Carry out one attempt.
+
+    :param term: higher than any term that the coordinator knows of.
+    :param owner: names this attempt and no other.
+    :param preferred: the member chosen among equals; None for any.
+    :param avoided: members passed over if a majority is left without them.
+    :param on_raised: called with the term and those who promised it.
+    """
+
+    def __init__(
+        self,
+        group: Group,
+        controller: Controller,
+        clock: Clock,
+        term: int,
+        owner: str,
+        preferred: str | None = None,
+        avoided: frozenset[str] = frozenset(),
+        on_raised: RaisedCallback | None = None,
+    ) -> None:
+        self.group = group
+        self.controller = controller
+        self.clock = clock
+        self.term = term
+        self.owner = owner
+        self.preferred = preferred
+        self.avoided = avoided
+        self.on_raised = on_raised
+        self.promised = term
+        self.granted: dict[str, MemberState] = {}
+        self.telling: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> Promoted:
+        """Run the attempt up to the promotion; followers are told meanwhile.
+
+        :raises PromotionFailed: if no majority or no member answered.
+        """
+        begun = self.clock.monotonic()
+        await self.raise_term()
+        agreed = self.clock.monotonic()
+        if self.on_raised is not None:
+            self.on_raised(self.term, sorted(self.granted))
+        chosen = self.choose()
+        await self.promote(chosen)
+        promoted = self.clock.monotonic()
+        self.tell_followers(chosen)
+        return Promoted(self.term, chosen, agreed - begun, promoted - agreed)
+
+    async def raise_term(self) -> None:
+        """Ask all members for a promise; return once a majority has given it.
+
+        The members still missing get a moment more, since one of them may
+        lag less; safety does not depend on it.
+        """
+        asking = [
+            self.spawn(self.ask_promise(member.member)) for member in self.group.members
+        ]
+        waiting = set(asking)
+        while waiting and not self.agreed():
+            _, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+        if waiting and not self.complete():
+            await asyncio.wait(waiting, timeout=RAISE_GRACE)
+        if not self.agreed():
+            self.fail_raise()
+
+    def agreed(self) -> bool:
+        """Say whether a majority has promised."""
+        return len(self.granted) >= self.group.majority
+
+    def complete(self) -> bool:
+        """Say whether all members but those passed over have promised."""
+        return all(
+            one.member in self.granted or one.member in self.avoided
+            for one in self.group.members
+        )
+
+    def fail_raise(self) -> NoReturn:
+        """Say how far short of a majority the attempt fell."""
+        detail = f"{len(self.granted)} of {len(self.group.members)} members promised"
+        raise PromotionFailed("raise", detail, self.promised)
+
+    async def ask_promise(self, member: str) -> None:
+        """Ask one member for its promise, and for its state if it declines."""
+        order = Control(member, Op.RAISE, self.term, self.owner)
+        try:
+            self.granted[member] = await self.controller.control(order, STEP_TIMEOUT)
+        except Refusal as refusal:
+            if refusal.reason is Reason.CONFLICT:
+                await self.learn_promise(member)
+
+    async def learn_promise(self, member: str) -> None:
+        """Learn which higher term `member` has promised."""
+        try:
+            state = await self.controller.control(
+                Control(member, Op.STATE), STEP_TIMEOUT
+            )
+        except Refusal:
+            return
+        self.promised = max(self.promised, state.promised)
+
+    def choose(self) -> str:
+        """Return the member with the highest held position of a majority."""
+        candidates = [
+            state for state in self.granted.values() if state.member not in self.avoided
+        ]
+        if len(candidates) < self.group.majority:
+            candidates = list(self.granted.values())
+        best = max(
+            candidates,
+            key=lambda state: (
+                state.held,
+                state.member == self.preferred,
+                state.applied,
+                state.member,
+            ),
+        )
+        return best.member
+
+    async def promote(self, chosen: str) -> None:
+        """Promote `chosen`; the order is repeated if its answer was lost."""
+        order = Control(chosen, Op.PROMOTE, self.term, self.owner)
+        for left in reversed(range(PROMOTE_TRIES)):
+            try:
+                state = await self.controller.control(order, STEP_TIMEOUT)
+            except Refusal as refusal:
+                if left and refusal.reason is not Reason.CONFLICT:
+                    continue
+                await self.learn_promise(chosen)
+                raise PromotionFailed(
+                    "promote", refusal.detail, self.promised
+                ) from refusal
+            if state.role is Role.PRIMARY and state.leader_term == self.term:
+                return
+            self.promised = max(self.promised, state.promised)
+            raise PromotionFailed("promote", "it was superseded", self.promised)
+
+    def tell_followers(self, chosen: str) -> None:
+        """Tell the other members whom to follow, each in a task of its own."""
+        for member in self.group.members:
+            if member.member != chosen:
+                self.spawn(self.tell(member.member, chosen))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
+        """Run `work` in a task that is kept until it ends."""
+        task = asyncio.create_task(work)
+        self.telling.add(task)
+        task.add_done_callback(self.telling.discard)
+        return task
+
+    async def tell(self, member: str, chosen: str) -> None:
+        """Tell one member; its home repeats the order if this one is lost."""
+        order = Control(member, Op.FOLLOW, self.term, primary=chosen)
+        try:
+            await self.controller.control(order, STEP_TIMEOUT)
+        except Refusal:
+            return
--- /dev/null
+++ b/tests/cluster_group.py
@@ -0,0 +1,269 @@
+"""Hosts of three zones around one `FakeGroup`, in virtual time."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from itertools import count
+
+from reedhook.process.control import Controller
+from reedhook.process.coordinator import Outcome
+from reedhook.process.directory import Directory
+from reedhook.process.executor import Executor
+from reedhook.process.group import GroupKeeper
+from reedhook.process.grouproutes import GroupRoutes
+from reedhook.process.metrics import MemoryMetrics
+from reedhook.process.peer import HostRef, PeerRoutes
+from reedhook.process.timeline import Event, EventKind, Timeline
+from reedhook.request.execution import Served
+from reedhook.request.position import Position
+from reedhook.request.statement import Consistency, Kind, Statement
+from reedhook.version.catalog import Catalog, Group, Limits, Member
+
+from .fakes_group import FakeFactory, FakeGroup, FakeHome
+from .fakes_peers import FakeNetwork
+
+NAMES = ["m1", "m2", "m3"]
+ZONES = {"m1": "comiso", "m2": "ragusa-office", "m3": "vittoria"}
+GATE = "gate-desk"
+
+
+class SharedDirectory(Directory):
+    """Rank the hosts of each zone in a fixed order; a test takes hosts out."""
+
+    def __init__(self, cluster: "Cluster", ref: HostRef) -> None:
+        self.cluster = cluster
+        self.ref = ref
+
+    @property
+    def me(self) -> HostRef:
+        return self.ref
+
+    def ranked(self, member: str, zone: str) -> list[HostRef]:
+        return [
+            host.ref
+            for host in self.cluster.hosts.values()
+            if host.ref.zone == zone and host.ref.host not in self.cluster.gone
+        ]
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        self.cluster.subscribers.append(callback)
+
+
+class ClusterHost:
+    """Run the group's part of one host."""
+
+    def __init__(self, cluster: "Cluster", ref: HostRef) -> None:
+        self.cluster = cluster
+        self.ref = ref
+        self.clock = cluster.network.clock(ref.host)
+        self.routes = PeerRoutes()
+        self.peers = cluster.network.join(ref, self.routes)
+        self.directory = SharedDirectory(cluster, ref)
+        self.timeline = Timeline(ref.host, self.clock)
+        self.metrics = MemoryMetrics()
+        self.factory = FakeFactory(cluster.group, cluster.truth)
+        self.local: dict[str, FakeHome] = {}
+        self.outcomes: list[Outcome] = []
+        self.lost_hosts: list[HostRef] = []
+        seed = f"{cluster.seed}-{ref.host}"
+        self.keeper = GroupKeeper(
+            cluster.group,
+            self.local.values,
+            self.directory,
+            self.peers,
+            self.clock,
+            random.Random(seed),
+            self.timeline,
+            self.metrics,
+            self.outcomes.append,
+            self.lost_hosts.append,
+        )
+        if cluster.wrap is not None:
+            wrapped = cluster.wrap(ref.host, self.keeper.controller)
+            self.keeper.controller = wrapped
+            self.keeper.coordinator.controller = wrapped
+        self.executor = Executor(
+            self.local.get, lambda group: self.keeper, self.clock, ref.host
+        )
+        GroupRoutes(
+            lambda: cluster.catalog,
+            self.local.get,
+            lambda group: self.keeper if self.local else None,
+            self.executor,
+            self.factory,
+            self.directory,
+            self.clock,
+        ).register(self.routes)
+
+    async def take_home(self, member: str) -> None:
+        found = next(one for one in self.cluster.group.members if one.member == member)
+        home = FakeHome(self.cluster.group, found, self.cluster.truth.members[member])
+        home.lost = member in self.factory.lost
+        self.local[member] = home
+        await home.start()
+        self.keeper.refresh()
+
+
+class Cluster:
+    """Set up three zones with a home and a standby each.
+
+    :param delay: one-way delay between zones in seconds.
+    :param wrap: replaces the controller of a host, by its id.
+    """
+
+    def __init__(
+        self,
+        seed: int = 0,
+        delay: float = 0.0015,
+        wrap: Callable[[str, Controller], Controller] | None = None,
+    ) -> None:
+        self.seed = seed
+        self.wrap = wrap
+        self.network = FakeNetwork(delay, seed)
+        self.truth = FakeGroup(NAMES, delay)
+        members = tuple(Member(name, ZONES[name], "127.0.0.1:1") for name in NAMES)
+        self.group = Group("g", "feedlog-db", members, 2, 15)
+        self.catalog = Catalog(1, "comiso", {"g": self.group}, {}, Limits())
+        self.gone: set[str] = set()
+        self.subscribers: list[Callable[[], None]] = []
+        self.hosts: dict[str, ClusterHost] = {}
+        self.ids = count()
+        port = 0
+        for member, zone in ZONES.items():
+            for part in ("a", "b"):
+                port += 1
+                name = f"{member}{part}"
+                ref = HostRef(name, zone, f"127.0.0.1:{port}")
+                self.hosts[name] = ClusterHost(self, ref)
+
+    def home(self, member: str) -> ClusterHost:
+        """Return the host that is home of `member` now."""
+        for host in self.hosts.values():
+            if member in host.local and host.ref.host not in self.gone:
+                return host
+        raise LookupError(member)
+
+    async def start(self) -> None:
+        self.truth.found("m1")
+        self.truth.start()
+        for member in NAMES:
+            host = self.hosts[f"{member}a"]
+            await host.take_home(member)
+            await host.keeper.start()
+        await asyncio.sleep(0.5)
+
+    async def stop(self) -> None:
+        self.truth.stop()
+        for host in self.hosts.values():
+            await host.keeper.close()
+            for home in host.local.values():
+                await home.close(0.0)
+        if self.network.failures:
+            raise self.network.failures[0]
+
+    # Faults
+
+    def kill_target(self, member: str) -> None:
+        self.truth.members[member].down = True
+
+    def revive_target(self, member: str) -> None:
+        self.truth.members[member].down = False
+
+    def cut_zone(self, member: str) -> None:
+        """Cut the zone of `member` off from the other zones."""
+        inside = {f"{member}a", f"{member}b"}
+        self.network.isolate(inside, self.hosts.keys() - inside)
+        self.truth.cut({member})
+
+    def heal(self) -> None:
+        self.network.heal()
+        self.truth.cuts.clear()
+
+    async def kill_host(self, host: str, listed: bool = True) -> None:
+        """Stop a host at once; its zone's standby takes over if `listed`."""
+        self.network.crash(host)
+        dead = self.hosts[host]
+        await dead.keeper.close()
+        for home in dead.local.values():
+            await home.close(0.0)
+        if listed:
+            await self.take_over(host)
+
+    async def take_over(self, host: str) -> None:
+        """Take `host` off the directory and let its standby become home."""
+        self.gone.add(host)
+        standby = self.hosts[f"{host[:-1]}b"]
+        for member in self.hosts[host].local:
+            await standby.take_home(member)
+        await standby.keeper.start()
+
+    # Callers
+
+    def statement(self, kind: Kind, sql: str, remaining: float) -> Statement:
+        return Statement(kind, "g", GATE, sql, [], remaining)
+
+    async def write(
+        self,
+        member: str,
+        value: str,
+        remaining: float = 1.0,
+        request_id: str | None = None,
+    ) -> Position:
+        """Write through the home of `member`; return the acknowledged position."""
+        statement = self.statement(Kind.WRITE, value, remaining)
+        statement.request_id = request_id
+        served = await self.home(member).executor.execute(member, statement)
+        return served.answer.position
+
+    async def read(
+        self,
+        member: str,
+        consistency: Consistency,
+        covers: Position | None = None,
+        max_age: float | None = None,
+        remaining: float = 1.0,
+    ) -> Served:
+        statement = self.statement(Kind.READ, "", remaining)
+        statement.consistency = consistency
+        statement.covers = covers
+        statement.max_age = max_age
+        return await self.home(member).executor.execute(member, statement)
+
+    # What happened
+
+    def leader(self) -> str:
+        """Return the member promoted at the highest term."""
+        return self.truth.leaders[max(self.truth.leaders)]
+
+    def events(self, kind: EventKind) -> list[Event]:
+        """Return the events of a kind on all hosts, in order of their stamps."""
+        found = [
+            event
+            for host in self.hosts.values()
+            for event in host.timeline.events
+            if event.kind is kind
+        ]
+        return sorted(found, key=lambda one: (one.stamp.wall_ms, one.stamp.count))
+
+    async def until_writable(self, limit: float = 5.0) -> float:
+        """Write until a write is acknowledged; return seconds that it took."""
+        begun = self.now()
+        for serial in self.ids:
+            member = self.leader()
+            try:
+                await self.write(member, f"probe {serial}", 0.2)
+            except Exception:
+                if self.now() - begun > limit:
+                    raise
+                await asyncio.sleep(0.01)
+                continue
+            return self.now() - begun
+        raise AssertionError
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def values(served: Served) -> list[str]:
+    """Return the values that a read showed."""
+    return [row[0] for row in served.answer.rows]
--- /dev/null
+++ b/tests/fakes_group.py
@@ -0,0 +1,457 @@
+"""A database group in memory with terms, logs, promises, lag and cuts.
+
+The members keep the truth: what ran, who led when, and what each log holds.
+"""
+
+import asyncio
+from itertools import count
+
+from reedhook.connection.home import Home, HomeLoad
+from reedhook.connection.target import (
+    MemberState,
+    Role,
+    Target,
+    TargetConnection,
+    TargetFactory,
+    TargetRefused,
+    TargetResult,
+    TargetSilent,
+    TargetUnreachable,
+)
+from reedhook.request.position import ORIGIN, Position
+from reedhook.request.refusal import Reason, may_have_run, not_run
+from reedhook.request.statement import Kind, Statement
+from reedhook.version.catalog import Group, Member
+
+TRANSPORT = 0.0003
+
+
+class Entry:
+    """Carry one entry of a log."""
+
+    __slots__ = ("position", "value", "request_id")
+
+    def __init__(self, position: Position, value: str, request_id: str | None) -> None:
+        self.position = position
+        self.value = value
+        self.request_id = request_id
+
+
+class FakeMember:
+    """Play one member.
+
+    :ivar lag: seconds between holding an entry and applying it.
+    :ivar down: answers nothing and replicates nothing.
+    :ivar stalled: answers only after it is set again.
+    """
+
+    def __init__(self, group: "FakeGroup", name: str) -> None:
+        self.group = group
+        self.name = name
+        self.role = Role.REPLICA
+        self.promised = 0
+        self.owner = ""
+        self.leader_term = 0
+        self.primary: str | None = None
+        self.log: list[Entry] = []
+        self.applied_count = 0
+        self.lag = 0.0
+        self.down = False
+        self.stalled = asyncio.Event()
+        self.stalled.set()
+        self.revision = 0
+        self.changed = asyncio.Event()
+        self.pull_delay: dict[str, float] = {}
+        self.applying: list[asyncio.TimerHandle] = []
+
+    @property
+    def held(self) -> Position:
+        return self.log[-1].position if self.log else ORIGIN
+
+    @property
+    def applied(self) -> Position:
+        if self.applied_count == 0:
+            return ORIGIN
+        return self.log[self.applied_count - 1].position
+
+    def state(self) -> MemberState:
+        return MemberState(
+            self.name,
+            self.role,
+            self.promised,
+            self.leader_term,
+            self.held,
+            self.applied,
+            1,
+            self.revision,
+        )
+
+    def touch(self) -> None:
+        self.revision += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def append(self, value: str, request_id: str | None) -> Entry:
+        entry = Entry(Position(self.leader_term, len(self.log) + 1), value, request_id)
+        self.log.append(entry)
+        self.applied_count = len(self.log)
+        self.touch()
+        return entry
+
+    def write(self, value: str, request_id: str | None) -> tuple[Position, bool]:
+        """Append a write unless its request id has run; return whether it had."""
+        if self.role is not Role.PRIMARY:
+            raise TargetRefused("not_primary", "not the primary")
+        if request_id is not None:
+            for entry in self.log:
+                if entry.request_id == request_id:
+                    return self.held, True
+        entry = self.append(value, request_id)
+        self.group.executed.append((request_id or value, entry.position))
+        return entry.position, False
+
+    def raise_term(self, term: int, owner: str) -> None:
+        if term < self.promised or (term == self.promised and owner != self.owner):
+            raise TargetRefused("term_refused", f"{self.promised} is promised")
+        self.promised = term
+        self.owner = owner
+        if self.leader_term < term:
+            self.role = Role.FENCED
+        self.touch()
+
+    def promote(self, term: int, owner: str) -> None:
+        if term != self.promised or owner != self.owner:
+            raise TargetRefused("term_refused", f"{self.promised} is promised")
+        if self.role is Role.PRIMARY and self.leader_term == term:
+            return
+        self.role = Role.PRIMARY
+        self.leader_term = term
+        self.primary = self.name
+        self.group.leaders[term] = self.name
+        self.append(f"term {term}", None)
+
+    def follow(self, term: int, primary: str) -> None:
+        if term < self.promised or term < self.leader_term:
+            raise TargetRefused("term_refused", f"{self.promised} is promised")
+        if primary == self.name:
+            raise TargetRefused("bad_request", "cannot follow itself")
+        self.promised = term
+        if self.leader_term == term and self.primary == primary:
+            return
+        self.owner = ""
+        self.leader_term = term
+        self.primary = primary
+        self.role = Role.REPLICA
+        self.touch()
+
+    def pull(self, leader: "FakeMember") -> None:
+        """Take over the leader's log at the same term; drop what it lacks."""
+        if self.promised != leader.leader_term or self.leader_term != self.promised:
+            return
+        same = 0
+        for mine, other in zip(self.log, leader.log):
+            if mine.position != other.position:
+                break
+            same += 1
+        if same == len(self.log) == len(leader.log):
+            return
+        del self.log[same:]
+        self.applied_count = min(self.applied_count, same)
+        self.log.extend(leader.log[same:])
+        self.touch()
+        self.apply_later()
+
+    def apply_later(self) -> None:
+        if self.lag == 0.0:
+            self.apply(len(self.log))
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.lag, self.apply, len(self.log))
+
+    def apply(self, upto: int) -> None:
+        upto = min(upto, len(self.log))
+        if upto > self.applied_count:
+            self.applied_count = upto
+            self.touch()
+
+
+class FakeGroup:
+    """Replicate between members; cuts and delays are set by the test.
+
+    :ivar cuts: pairs of members (puller, leader) that cannot replicate.
+    :ivar executed: request id or value with its position, for each run.
+    :ivar leaders: who was promoted at each term.
+    """
+
+    def __init__(self, names: list[str], delay: float = 0.0015) -> None:
+        self.members = {name: FakeMember(self, name) for name in names}
+        self.delay = delay
+        self.cuts: set[tuple[str, str]] = set()
+        self.executed: list[tuple[str, Position]] = []
+        self.leaders: dict[int, str] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def found(self, primary: str) -> None:
+        """Set the group up with `primary` leading in term 1."""
+        for member in self.members.values():
+            member.promised = 1
+            member.owner = "founder"
+        self.members[primary].promote(1, "founder")
+        for name, member in self.members.items():
+            if name != primary:
+                member.follow(1, primary)
+
+    def start(self) -> None:
+        self.tasks = [
+            asyncio.create_task(self.replicate(member))
+            for member in self.members.values()
+        ]
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    def cut(self, side: set[str]) -> None:
+        """Cut the members of `side` off from all others."""
+        for one in self.members:
+            for two in self.members:
+                if (one in side) != (two in side):
+                    self.cuts.add((one, two))
+
+    async def replicate(self, member: FakeMember) -> None:
+        """Pull from the leader that the member follows, woken by its changes."""
+        while True:
+            leader = self.members.get(member.primary or "")
+            if leader is None or leader is member:
+                await wait_for(member.changed, 0.05)
+                continue
+            news = leader.changed
+            await asyncio.sleep(2 * self.delay)
+            blocked = (member.name, leader.name) in self.cuts
+            if not (blocked or leader.down or member.down):
+                if leader.role is Role.PRIMARY:
+                    member.pull(leader)
+            await wait_for(news, 0.05)
+
+
+async def wait_for(event: asyncio.Event, timeout: float) -> None:
+    try:
+        async with asyncio.timeout(timeout):
+            await event.wait()
+    except TimeoutError:
+        return
+
+
+class FakeHome(Home):
+    """Talk to a `FakeMember` as the home of a real target does.
+
+    :ivar lost: the host can no longer reach the target.
+    :ivar opens: how many transactions are open.
+    """
+
+    def __init__(self, group: Group, member: Member, target: FakeMember) -> None:
+        self.group = group
+        self.member = member
+        self.target = target
+        self.state = target.state()
+        self.state_asked = 0.0
+        self.unreachable_since: float | None = None
+        self.leaving = False
+        self.service = 0.001
+        self.lost_after = 0.15
+        self.lost = False
+        self.task: asyncio.Task[None] | None = None
+        self.news = asyncio.Event()
+
+    async def start(self) -> None:
+        self.task = asyncio.create_task(self.watch())
+
+    async def close(self, grace: float) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    @property
+    def silent(self) -> bool:
+        return self.lost or self.target.down
+
+    async def watch(self) -> None:
+        """Follow the state; notice silence after `lost_after` seconds."""
+        while True:
+            asked = self.now()
+            if self.silent:
+                await asyncio.sleep(self.lost_after)
+                if self.silent and self.unreachable_since is None:
+                    self.unreachable_since = asked
+                    self.announce()
+                continue
+            self.unreachable_since = None
+            self.touch(self.target.state(), asked)
+            await wait_for(self.target.changed, 0.05)
+            await asyncio.sleep(TRANSPORT)
+
+    def announce(self) -> None:
+        self.news.set()
+        self.news = asyncio.Event()
+
+    async def reach(self, timeout: float) -> None:
+        """Cross to the target, or find it silent."""
+        try:
+            async with asyncio.timeout(timeout):
+                await asyncio.sleep(TRANSPORT)
+                await self.target.stalled.wait()
+                if self.silent:
+                    await asyncio.Event().wait()
+        except TimeoutError:
+            raise TargetSilent("no answer") from None
+
+    async def run(self, statement: Statement) -> TargetResult:
+        await self.cross(statement)
+        target = self.target
+        position, repeated = target.applied, False
+        if statement.kind in (Kind.WRITE, Kind.COMMIT):
+            try:
+                position, repeated = target.write(statement.sql, statement.request_id)
+            except TargetRefused as refused:
+                raise not_run(Reason.NO_PRIMARY, refused.detail) from refused
+        result = TargetResult(
+            ["value"],
+            [[entry.value] for entry in target.log[: target.applied_count]],
+            0,
+            position,
+            target.leader_term,
+            target.role,
+            repeated,
+        )
+        await self.cross(statement)
+        return result
+
+    async def cross(self, statement: Statement) -> None:
+        try:
+            await self.reach(statement.remaining)
+        except TargetSilent as silent:
+            raise may_have_run(Reason.TARGET_LOST, "no answer") from silent
+
+    async def wait_change(self, revision: int, timeout: float) -> None:
+        if self.state is not None and self.state.revision != revision:
+            return
+        await wait_for(self.news, timeout)
+
+    def touch(self, state: MemberState, asked: float) -> None:
+        if self.state is None or state.revision >= self.state.revision:
+            self.state = state
+            self.state_asked = asked
+            self.announce()
+
+    async def ask_state(self, timeout: float) -> MemberState:
+        asked = self.now()
+        await self.reach(timeout)
+        state = self.target.state()
+        await self.reach(timeout)
+        self.touch(state, asked)
+        return state
+
+    async def raise_term(self, term: int, owner: str, timeout: float) -> MemberState:
+        await self.reach(timeout)
+        self.target.raise_term(term, owner)
+        return await self.ask_state(timeout)
+
+    async def promote(self, term: int, owner: str, timeout: float) -> MemberState:
+        await self.reach(timeout)
+        self.target.promote(term, owner)
+        return await self.ask_state(timeout)
+
+    async def follow(self, term: int, primary: str, timeout: float) -> MemberState:
+        await self.reach(timeout)
+        self.target.follow(term, primary)
+        return await self.ask_state(timeout)
+
+    def load(self) -> HomeLoad:
+        return HomeLoad(0.0, 0, 0)
+
+
+class FakeConnection(TargetConnection):
+    """Open a connection of a standby to a `FakeMember`; for control only."""
+
+    def __init__(self, home: FakeHome) -> None:
+        self.home = home
+
+    async def state(self, timeout: float) -> MemberState:
+        return await self.home.ask_state(timeout)
+
+    async def raise_term(self, term: int, owner: str, timeout: float) -> MemberState:
+        return await self.home.raise_term(term, owner, timeout)
+
+    async def promote(self, term: int, owner: str, timeout: float) -> MemberState:
+        return await self.home.promote(term, owner, timeout)
+
+    async def follow(self, term: int, primary: str, timeout: float) -> MemberState:
+        return await self.home.follow(term, primary, timeout)
+
+    async def close(self) -> None:
+        return
+
+    async def read(
+        self, sql: str, params: list[object], timeout: float
+    ) -> TargetResult:
+        raise TargetRefused("bad_request", "for control only")
+
+    async def write(
+        self, sql: str, params: list[object], request_id: str | None, timeout: float
+    ) -> TargetResult:
+        raise TargetRefused("bad_request", "for control only")
+
+    async def begin(self, request_id: str | None, timeout: float) -> TargetResult:
+        raise TargetRefused("bad_request", "for control only")
+
+    async def step(
+        self, sql: str, params: list[object], timeout: float
+    ) -> TargetResult:
+        raise TargetRefused("bad_request", "for control only")
+
+    async def commit(self, timeout: float) -> TargetResult:
+        raise TargetRefused("bad_request", "for control only")
+
+    async def rollback(self, timeout: float) -> None:
+        raise TargetRefused("bad_request", "for control only")
+
+    async def wait_state(self, revision: int, hold: float) -> MemberState:
+        return await self.home.ask_state(hold)
+
+
+class FakeTarget(Target):
+    """Open connections to one member, as long as the host reaches it."""
+
+    def __init__(self, home: FakeHome) -> None:
+        self.home = home
+
+    async def connect(self, timeout: float) -> TargetConnection:
+        try:
+            async with asyncio.timeout(timeout):
+                await asyncio.sleep(0.01)
+                if self.home.silent:
+                    await asyncio.Event().wait()
+        except TimeoutError:
+            raise TargetUnreachable("no answer") from None
+        return FakeConnection(self.home)
+
+
+class FakeFactory(TargetFactory):
+    """Open connections from one host to the members of a `FakeGroup`.
+
+    :ivar lost: members that the host cannot reach.
+    """
+
+    def __init__(self, group: Group, truth: FakeGroup) -> None:
+        self.group = group
+        self.truth = truth
+        self.lost: set[str] = set()
+        self.serial = count()
+
+    def target(self, member: str, address: str) -> Target:
+        found = next(one for one in self.group.members if one.member == member)
+        home = FakeHome(self.group, found, self.truth.members[member])
+        home.lost = member in self.lost
+        return FakeTarget(home)
