--- a/src/reedhook/process/executor.py
+++ b/src/reedhook/process/executor.py
@@ -12,6 +12,7 @@
 from ..request.refusal import Reason, not_run
 from ..request.statement import Answer, Consistency, Kind, Statement
 from .group import GroupKeeper
+from .peer import HostRef
 
 COVER_SHARE: Final = 0.2
 COVER_LIMIT: Final = 0.05
@@ -65,10 +66,12 @@
 
     :param homes: gives the local home of a member, or None.
     :param keepers: gives the keeper of a group, or None.
-    :param host: the id of this host.
+    :param host: this host.
     """
 
-    def __init__(self, homes: Homes, keepers: Keepers, clock: Clock, host: str) -> None:
+    def __init__(
+        self, homes: Homes, keepers: Keepers, clock: Clock, host: HostRef
+    ) -> None:
         self.homes = homes
         self.keepers = keepers
         self.clock = clock
--- a/tests/cluster_group.py
+++ b/tests/cluster_group.py
@@ -83,7 +83,7 @@
             self.keeper.controller = wrapped
             self.keeper.coordinator.controller = wrapped
         self.executor = Executor(
-            self.local.get, lambda group: self.keeper, self.clock, ref.host
+            self.local.get, lambda group: self.keeper, self.clock, ref
         )
         GroupRoutes(
             lambda: cluster.catalog,
