Answer operators: hosts, groups, events of all hosts, drain

Operators need one place that tells of all hosts. Any host answers; what only another host knows comes by the peer paths status, events and drain, to at most 32 hosts at once, and a host that gives no answer is named with the reason instead of being left out.

--- /dev/null
+++ b/src/reedhook/process/admin.py
@@ -0,0 +1,199 @@
+"""The administration API: HTTP with JSON, described in docs/ADMIN.md."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final, TypeAlias
+
+import logbook
+from aiohttp import web
+
+from ..request.api import read_body, respond, respond_refused
+from ..request.refusal import Reason, Refusal, not_run
+from ..request.verdict import Verdict
+from ..version.catalog import Group
+from ..wire import Json, WireError, decode
+from .admin_fleet import Fleet
+from .admin_operator import Operators
+from .admin_query import bad, kinds, require_known, whole_number
+from .admin_source import AdminSource
+from .admin_status import group_json
+from .timeline_filter import EventFilter
+
+Handler: TypeAlias = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+OPERATOR: Final = web.RequestKey("operator", str)
+
+log = logbook.Logger("admin")
+
+
+class Admin:
+    """Answer operators.
+
+    :param limit: size of a request body, in bytes.
+    """
+
+    __slots__ = ("source", "fleet", "operators", "limit")
+
+    def __init__(
+        self, source: AdminSource, fleet: Fleet, operators: Operators, limit: int
+    ) -> None:
+        self.source = source
+        self.fleet = fleet
+        self.operators = operators
+        self.limit = limit
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Answer ``GET /admin/status``."""
+        require_known(request, ())
+        return respond(200, self.source.status().to_json())
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Answer ``GET /admin/metrics``."""
+        require_known(request, ())
+        kept = self.source.metrics()
+        if kept is None:
+            return respond(200, {"counters": {}, "gauges": {}})
+        return respond(200, {"counters": dict(kept.counters), "gauges": kept.gauges})
+
+    async def hosts(self, request: web.Request) -> web.Response:
+        """Answer ``GET /admin/hosts``."""
+        require_known(request, ())
+        hosts = sorted(self.source.known_hosts(), key=lambda one: (one.zone, one.host))
+        return respond(200, {"hosts": [one.to_json() for one in hosts]})
+
+    async def groups(self, request: web.Request) -> web.Response:
+        """Answer ``GET /admin/groups``."""
+        require_known(request, ("group",))
+        name = request.query.get("group")
+        if name is None:
+            groups = list(self.all_groups().values())
+        else:
+            groups = [self.group(name)]
+        found = [await self.group_status(group) for group in groups]
+        return respond(200, {"groups": found})
+
+    async def group_status(self, group: Group) -> Json:
+        """Return what is known of a group."""
+        view = await self.source.view(group)
+        homes: dict[str, str | None] = {}
+        for member in group.members:
+            home = self.source.home(member.member, member.zone)
+            homes[member.member] = None if home is None else home.host
+        return group_json(group, view, homes, self.source.now())
+
+    async def events(self, request: web.Request) -> web.Response:
+        """Answer ``GET /admin/events``."""
+        require_known(request, ("group", "host", "kind", "since", "all"))
+        group = request.query.get("group")
+        wanted = EventFilter(
+            names=None if group is None else self.names(group),
+            host=request.query.get("host"),
+            kinds=kinds(request),
+            since_ms=whole_number(request, "since"),
+        )
+        everywhere = whole_number(request, "all") == 1
+        history = await self.fleet.history(wanted, everywhere)
+        return respond(200, history.to_json())
+
+    async def drain(self, request: web.Request) -> web.Response:
+        """Answer ``POST /admin/drain``; the body may name a ``host``."""
+        body = await self.body(request)
+        host = body.get("host", self.source.me.host)
+        if not isinstance(host, str) or set(body) - {"host"}:
+            raise bad("the body is {} or names a host as a text")
+        log.notice("{} drains {}.", request[OPERATOR], host)
+        await self.fleet.drain(host)
+        return respond(202, {"verdict": Verdict.DONE.value, "host": host})
+
+    async def body(self, request: web.Request) -> Json:
+        """Return the JSON object in the body; {} if there is none.
+
+        :raises Refusal: if it is malformed, too large or late.
+        """
+        raw = await read_body(request, self.limit)
+        if not raw:
+            return {}
+        try:
+            return decode(raw)
+        except WireError as error:
+            raise bad(f"the body is {error}") from error
+
+    def all_groups(self) -> dict[str, Group]:
+        """Return the groups by name.
+
+        :raises Refusal: if no configuration is in force yet.
+        """
+        catalog = self.source.catalog()
+        if catalog is None:
+            raise not_run(Reason.NO_CONFIGURATION, "no configuration is in force here")
+        return catalog.groups
+
+    def group(self, name: str) -> Group:
+        """Return a group.
+
+        :raises Refusal: if there is none of that name.
+        """
+        group = self.all_groups().get(name)
+        if group is None:
+            raise not_run(Reason.UNKNOWN_GROUP, f"there is no group {name}")
+        return group
+
+    def names(self, group: str) -> frozenset[str]:
+        """Return the names of a group and its targets."""
+        members = (member.member for member in self.group(group).members)
+        return frozenset({group, *members})
+
+
+def admin_app(admin: Admin, routes: list[web.RouteDef]) -> web.Application:
+    """Return the application with the routes of `admin` and further ones."""
+    app = web.Application(
+        middlewares=[typed_errors, authentication(admin.operators)],
+        client_max_size=admin.limit,
+    )
+    app.add_routes(admin_routes(admin))
+    app.add_routes(routes)
+    return app
+
+
+def admin_routes(admin: Admin) -> list[web.RouteDef]:
+    """Return the routes that need no configuration editor."""
+    return [
+        web.get("/admin/status", admin.status),
+        web.get("/admin/metrics", admin.metrics),
+        web.get("/admin/hosts", admin.hosts),
+        web.get("/admin/groups", admin.groups),
+        web.get("/admin/events", admin.events),
+        web.post("/admin/drain", admin.drain),
+    ]
+
+
+@web.middleware
+async def typed_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Answer with a typed refusal whatever `handler` raises."""
+    try:
+        return await handler(request)
+    except Refusal as refusal:
+        return respond_refused(refusal)
+    except web.HTTPException as error:
+        detail = f"{request.method} {request.path}: {error.reason}"
+        return respond(error.status, bad(detail).to_json())
+    except Exception:
+        log.exception("A request of an operator failed.")
+        detail = "this host failed; its log says more"
+        verdict = Verdict.NOT_RUN if request.method == "GET" else Verdict.MAY_HAVE_RUN
+        return respond_refused(Refusal(Reason.INTERNAL, verdict, detail))
+
+
+def authentication(
+    operators: Operators,
+) -> Callable[..., Awaitable[web.StreamResponse]]:
+    """Return a middleware that lets only operators pass."""
+
+    @web.middleware
+    async def authenticate(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        header = request.headers.get("Authorization")
+        request[OPERATOR] = operators.authenticate(header)
+        return await handler(request)
+
+    return authenticate
--- /dev/null
+++ b/src/reedhook/process/admin_fleet.py
@@ -0,0 +1,141 @@
+"""Questions that operators ask of all hosts, and this host's part of the answer."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Final, TypeVar
+
+from ..request.refusal import Reason, Refusal, may_have_run, not_run
+from ..wire import Json, WireError
+from .admin_source import AdminSource
+from .admin_status import HostStatus
+from .peer import HostRef, PeerError, PeerRoutes, Peers
+from .timeline import Event
+from .timeline_filter import EventFilter
+from .timeline_merge import History, merge
+
+AT_ONCE: Final = 32
+TIMEOUT: Final = 2.0
+MOST_EVENTS: Final = 1000
+RETRY_MS: Final = 1000
+
+T = TypeVar("T")
+
+
+class Fleet:
+    """Ask all hosts, a bounded number at once."""
+
+    __slots__ = ("source", "peers")
+
+    def __init__(self, source: AdminSource, peers: Peers) -> None:
+        self.source = source
+        self.peers = peers
+
+    def register(self, routes: PeerRoutes) -> None:
+        """Answer the peer paths ``status``, ``events`` and ``drain``."""
+        routes.add("status", self.answer_status)
+        routes.add("events", self.answer_events)
+        routes.add("drain", self.answer_drain)
+
+    async def answer_status(self, body: Json) -> Json:
+        """Answer the peer path ``status``."""
+        return self.source.status().to_json()
+
+    async def answer_events(self, body: Json) -> Json:
+        """Answer the peer path ``events``; the body is a filter."""
+        events = self.own_events(EventFilter.from_json(body))
+        return {"events": [one.to_json() for one in events]}
+
+    async def answer_drain(self, body: Json) -> Json:
+        """Answer the peer path ``drain``."""
+        self.source.start_drain()
+        return {"host": self.source.me.host}
+
+    def own_events(self, wanted: EventFilter) -> list[Event]:
+        """Return the newest events of this host that are wanted."""
+        found = [one for one in self.source.timeline.events if wanted.accepts(one)]
+        return found[-MOST_EVENTS:]
+
+    async def statuses(self) -> tuple[list[HostStatus], dict[str, str]]:
+        """Return the status of each host, and why it is missing of the others."""
+        answers, missing = await self.ask_all(self.status_of)
+        return [self.source.status(), *answers.values()], missing
+
+    async def history(self, wanted: EventFilter, everywhere: bool) -> History:
+        """Return the events of this host or of all hosts in one causal order."""
+        rings: dict[str, list[Event]] = {}
+        missing: dict[str, str] = {}
+
+        async def events_of(peer: HostRef) -> list[Event]:
+            answer = await self.call(peer, "events", wanted.to_json())
+            return [Event.from_json(one) for one in answer["events"]]
+
+        if everywhere:
+            asked = self.asked_hosts(wanted)
+            rings, missing = await self.ask_all(events_of, asked)
+        own = self.own_events(wanted)
+        return History(merge([own, *rings.values()]), missing)
+
+    def asked_hosts(self, wanted: EventFilter) -> list[HostRef]:
+        """Return the hosts that may have such events."""
+        others = self.source.others()
+        if wanted.host is None:
+            return others
+        return [one for one in others if one.host == wanted.host]
+
+    async def drain(self, host: str) -> None:
+        """Let `host` begin to hand over all its work.
+
+        :raises Refusal: if it is not known or does not answer.
+        """
+        if host == self.source.me.host:
+            self.source.start_drain()
+            return
+        for peer in self.source.others():
+            if peer.host == host:
+                await self.drain_other(peer)
+                return
+        raise not_run(Reason.BAD_REQUEST, f"no host {host} is known")
+
+    async def drain_other(self, peer: HostRef) -> None:
+        """Pass the request on."""
+        try:
+            await self.call(peer, "drain", {})
+        except PeerError as error:
+            detail = f"{peer.host} gave no answer; asking again is safe"
+            refuse = may_have_run if error.sent else not_run
+            raise refuse(Reason.HOST_UNREACHABLE, detail, RETRY_MS) from error
+
+    async def status_of(self, peer: HostRef) -> HostStatus:
+        """Ask one host for its status."""
+        return HostStatus.from_json(await self.call(peer, "status", {}))
+
+    async def call(self, peer: HostRef, path: str, body: Json) -> Json:
+        """Call another host."""
+        return await self.peers.call(peer, path, body, TIMEOUT)
+
+    async def ask_all(
+        self,
+        question: Callable[[HostRef], Awaitable[T]],
+        hosts: Iterable[HostRef] | None = None,
+    ) -> tuple[dict[str, T], dict[str, str]]:
+        """Return the answers by host, and why there is none of the others.
+
+        :param hosts: all other hosts if None.
+        """
+        answers: dict[str, T] = {}
+        missing: dict[str, str] = {}
+        places = asyncio.Semaphore(AT_ONCE)
+
+        async def ask(peer: HostRef) -> None:
+            async with places:
+                try:
+                    answers[peer.host] = await question(peer)
+                except (PeerError, Refusal) as error:
+                    missing[peer.host] = str(error)
+                except (WireError, KeyError, TypeError) as error:
+                    missing[peer.host] = f"its answer is malformed: {error}"
+
+        async with asyncio.TaskGroup() as tasks:
+            for peer in self.source.others() if hosts is None else hosts:
+                tasks.create_task(ask(peer))
+        return answers, missing
