Hold the well-made caller to verdicts and hints by tests

Cause: the history is worth as much as the caller that writes it.

Change: a scripted host refuses, cuts and repeats; the caller must keep its request id, its token and the retry hint, and move on.

Conclusion: eight tests pass on sockets without a sleep.

--- a/src/reedhook_standins/workload.py
+++ b/src/reedhook_standins/workload.py
@@ -4,9 +4,8 @@
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
-from typing import Any, ClassVar, Final
+from typing import Any, ClassVar, Final, TypeAlias
 
-from reedhook.clock import Clock
 from reedhook.record import Record
 from reedhook.request.statement import Consistency
 
@@ -14,7 +13,7 @@
 
 PATIENCE_S: Final = 15.0
 
-MakeCaller = Callable[[str], Caller]
+MakeCaller: TypeAlias = Callable[[str, str], Caller]
 
 
 class Table(Record):
@@ -86,22 +85,23 @@
     """Run the callers of one deployment until told to stop.
 
     :param groups: the names of the database groups.
-    :param make_caller: makes a caller of a name.
+    :param make_caller: makes a caller of a name and its team's name.
+    :cvar tables: the tables of the deployment.
+    :cvar writers: the team that creates them.
     :ivar gave_up: what callers said when they gave up.
     """
 
     tables: ClassVar[tuple[Table, ...]]
+    writers: ClassVar[str]
 
     def __init__(
         self,
         groups: Sequence[str],
         make_caller: MakeCaller,
-        clock: Clock,
         random: random.Random,
     ) -> None:
         self.groups = groups
         self.make_caller = make_caller
-        self.clock = clock
         self.random = random
         self.stopping = asyncio.Event()
         self.gave_up: list[str] = []
@@ -113,7 +113,7 @@
     async def prepare(self) -> None:
         """Create the tables of all groups through the system."""
         for group in self.groups:
-            caller = self.make_caller(f"{group}/operator")
+            caller = self.make_caller(f"{group}/operator", self.writers)
             for table in self.tables:
                 await caller.define(group, table.create, PATIENCE_S)
                 await caller.define(group, table.index, PATIENCE_S)
@@ -187,6 +187,7 @@
     tickets: Final = Table("tickets", "gate", "serial", ["farmer TEXT", "kilos REAL"])
     mixes: Final = Table("mixes", "digester", "step", ["feed TEXT", "share REAL"])
     tables = (tickets, mixes)
+    writers = "gate"
 
     feeds: Final = ("olive pomace", "citrus peel", "manure", "whey")
     gates: Final = 3
@@ -211,7 +212,7 @@
 
     async def gate(self, group: str, gate: str) -> None:
         """Record each delivery once, then look it up through another host."""
-        caller = self.make_caller(gate)
+        caller = self.make_caller(gate, "gate")
 
         async def deliver(serial: int) -> None:
             farmer = f"farmer-{self.random.randrange(40)}"
@@ -229,7 +230,7 @@
 
     async def operator(self, group: str, digester: str) -> None:
         """Dose the digester step by step."""
-        caller = self.make_caller(f"{group}/operator-on-duty")
+        caller = self.make_caller(f"{group}/operator-on-duty", "mix")
 
         async def dose(step: int) -> None:
             feed = self.random.choice(self.feeds)
@@ -243,7 +244,7 @@
 
     async def agronomist(self, group: str, name: str, digester: str) -> None:
         """View the mix: fresh before dosing, else a moment old."""
-        caller = self.make_caller(name)
+        caller = self.make_caller(name, "mix")
 
         async def view(turn: int) -> None:
             if turn % 3 == 0:
@@ -270,7 +271,7 @@
 
     async def clerk(self, group: str, gates: list[str]) -> None:
         """Report settlements, which may be a little old."""
-        caller = self.make_caller(f"{group}/clerk")
+        caller = self.make_caller(f"{group}/clerk", "settlement")
 
         async def report(turn: int) -> None:
             await self.read_overview(
@@ -287,6 +288,7 @@
         "assignments", "desk", "serial", ["tug TEXT", "convoy TEXT"]
     )
     tables = (assignments,)
+    writers = "desk"
 
     desks: Final = 2
     skippers: Final = 6
@@ -310,7 +312,7 @@
 
     async def desk(self, group: str, desk: str) -> None:
         """Assign each convoy one tug, then check it through another host."""
-        caller = self.make_caller(desk)
+        caller = self.make_caller(desk, "desk")
 
         async def assign(serial: int) -> None:
             tug = f"tug-{self.random.randrange(30)}"
@@ -331,7 +333,7 @@
 
     async def skipper(self, group: str, name: str, desks: list[str]) -> None:
         """Check the queue from the wheelhouse; it never runs backwards."""
-        caller = self.make_caller(name)
+        caller = self.make_caller(name, "skipper")
 
         async def check(turn: int) -> None:
             if turn % 10 == 0:
@@ -349,7 +351,7 @@
 
     async def harbour_master(self, group: str, name: str, desks: list[str]) -> None:
         """Pull the berth and lock schedules."""
-        caller = self.make_caller(name)
+        caller = self.make_caller(name, "harbour")
 
         async def pull(turn: int) -> None:
             await self.read_overview(
--- /dev/null
+++ b/tests/test_demo_caller.py
@@ -0,0 +1,176 @@
+"""A caller retries by verdict and hint, with the same id, and moves on."""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from reedhook import wire
+from reedhook.clock import Clock, SystemClock
+from reedhook.request.statement import Consistency
+from reedhook.request.verdict import Verdict
+from reedhook.wire import Json
+from reedhook_standins.caller import Caller, GaveUp, ReadOrder, WriteOrder
+from reedhook_standins.history import History
+
+from .support import run
+
+ORDER = WriteOrder("feed", "gate", 7, "INSERT INTO t VALUES (?, ?)", ["gate"])
+LOOK = ReadOrder("ticket", "feed", "SELECT ?", [], ["gate"], Consistency.SESSION)
+DONE: Json = {"verdict": "done", "rows": [], "token": "t1", "repeated": False}
+CUT = None
+
+
+def refusal(verdict: str, hint: int | None, reason: str = "no_primary") -> Json:
+    return {
+        "verdict": verdict,
+        "reason": reason,
+        "detail": "as scripted",
+        "retry_after_ms": hint,
+    }
+
+
+class ScriptedHost:
+    """Answer requests by a script; `CUT` closes without an answer."""
+
+    def __init__(self, *script: Json | None) -> None:
+        self.script = deque(script)
+        self.seen: list[Json] = []
+        self.address = ""
+
+    async def __aenter__(self) -> "ScriptedHost":
+        self.runner = web.ServerRunner(web.Server(self.answer))
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        port = self.runner.addresses[0][1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.runner.cleanup()
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        self.seen.append(wire.decode(await request.read()))
+        scripted = self.script.popleft()
+        if scripted is None:
+            assert request.transport is not None
+            request.transport.close()
+            return web.Response()
+        return web.Response(body=wire.encode(scripted))
+
+
+class SleeplessClock(SystemClock):
+    """Note how long callers want to sleep, and let them go on at once."""
+
+    def __init__(self) -> None:
+        self.sleeps: list[float] = []
+
+    async def sleep(self, seconds: float) -> None:
+        self.sleeps.append(seconds)
+
+
+Act = Callable[[Caller], Awaitable[Json]]
+
+
+def play(act: Act, *hosts: ScriptedHost, clock: Clock | None = None) -> History:
+    async def main() -> History:
+        history = History()
+        async with hosts[0], hosts[-1], aiohttp.ClientSession() as http:
+            addresses = [host.address for host in hosts]
+            caller = Caller(
+                "gate",
+                addresses,
+                "credential",
+                http,
+                history,
+                clock or SleeplessClock(),
+                random.Random(1),
+            )
+            caller.host = addresses[0]
+            await act(caller)
+        return history
+
+    return run(main())
+
+
+def test_a_refused_write_is_tried_again_with_the_same_id() -> None:
+    host = ScriptedHost(refusal("not run", 1), refusal("may have run", 1), DONE)
+    history = play(lambda caller: caller.write(ORDER, 5.0), host)
+    assert len({body["request_id"] for body in host.seen}) == 1
+    assert [one.verdict for one in history.attempts] == [
+        Verdict.NOT_RUN,
+        Verdict.MAY_HAVE_RUN,
+        Verdict.DONE,
+    ]
+    assert {one.version for one in history.attempts} == {7}
+
+
+def test_the_retry_hint_is_kept() -> None:
+    clock = SleeplessClock()
+    host = ScriptedHost(refusal("not run", 80), DONE)
+    play(lambda caller: caller.write(ORDER, 5.0), host, clock=clock)
+    assert [slept for slept in clock.sleeps if slept] == [0.08]
+
+
+def test_no_hint_means_that_a_retry_cannot_help() -> None:
+    host = ScriptedHost(refusal("not run", None, "statement_failed"))
+    with pytest.raises(GaveUp, match="statement_failed"):
+        play(lambda caller: caller.write(ORDER, 5.0), host)
+    assert len(host.seen) == 1
+
+
+def test_patience_ends() -> None:
+    host = ScriptedHost(refusal("not run", 2000))
+    with pytest.raises(GaveUp, match="still no_primary"):
+        play(lambda caller: caller.write(ORDER, 1.0), host)
+
+
+def test_a_broken_answer_may_have_run_and_is_asked_for_at_another_host() -> None:
+    first, second = ScriptedHost(CUT), ScriptedHost({**DONE, "repeated": True})
+    history = play(lambda caller: caller.write(ORDER, 5.0), first, second)
+    assert first.seen[0]["request_id"] == second.seen[0]["request_id"]
+    broken, answered = history.attempts
+    assert broken.verdict is Verdict.MAY_HAVE_RUN
+    assert answered.repeated
+
+
+def test_the_token_goes_along_to_the_next_host() -> None:
+    first = ScriptedHost(DONE)
+    second = ScriptedHost({**DONE, "rows": [["gate/1", "gate", 9]]})
+
+    async def write_and_look(caller: Caller) -> Json:
+        await caller.write(ORDER, 5.0)
+        caller.roam()
+        return await caller.read(LOOK, 5.0)
+
+    history = play(write_and_look, first, second)
+    assert second.seen[0]["token"] == "t1"
+    (look,) = history.reads
+    assert look.versions == {"gate": 9}
+    assert look.echoed == look.mark == "gate/1"
+
+
+def test_an_answer_to_another_read_is_recorded_as_such() -> None:
+    host = ScriptedHost({**DONE, "rows": [["skipper/4", "gate", 9]]})
+    history = play(lambda caller: caller.read(LOOK, 5.0), host)
+    (look,) = history.reads
+    assert (look.mark, look.echoed) == ("gate/1", "skipper/4")
+
+
+def test_an_unreachable_host_means_not_run() -> None:
+    host = ScriptedHost(DONE)
+
+    async def from_nowhere(caller: Caller) -> Json:
+        with_listener_gone = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        port = with_listener_gone.sockets[0].getsockname()[1]
+        with_listener_gone.close()
+        await with_listener_gone.wait_closed()
+        caller.host = f"127.0.0.1:{port}"
+        return await caller.write(ORDER, 5.0)
+
+    history = play(from_nowhere, host)
+    assert [one.verdict for one in history.attempts] == [Verdict.NOT_RUN, Verdict.DONE]
