Prove acceptance and distribution of the configuration on fakes

Acceptance and distribution had no tests. Now an in-memory store with outages, stale reads, lost requests and answers, and mute watches, and a fleet of keepers over the fake network bring the failures about.

Two faults showed: parts were cut by share of lines, so that long lines met the hard limit and one changed line rewrote most parts; the chance of a cut now grows with the length of the line. One round of announcements left hosts behind after 1 s; there are two rounds now.

--- a/src/reedhook/process/configuration.py
+++ b/src/reedhook/process/configuration.py
@@ -27,6 +27,8 @@
 MAX_ANSWER: Final = 256 * 1024
 MAX_PULLS: Final = 256
 FANOUT: Final = 3
+ROUNDS: Final = 2
+ROUND_DELAY: Final = 0.3
 KEPT_SOURCES: Final = 16
 RETRY_MIN: Final = 0.1
 RETRY_MAX: Final = 5.0
@@ -176,8 +178,7 @@
         log.info(f"Version {edition.version} in force, from {source}.")
         for callback in self.callbacks:
             self.tell(callback, catalog)
-        for peer in self.some_peers(FANOUT):
-            self.spawn(self.announce(peer))
+        self.spawn(self.announce(edition.version))
 
     def tell(self, callback: CatalogCallback, catalog: Catalog) -> None:
         """Call `callback`; its failure must not keep others from the news."""
@@ -191,14 +192,22 @@
         self.metrics.increment("configuration.dropped")
         log.warning(f"Version {version} from {source} dropped: {reason}.")
 
-    async def announce(self, peer: HostRef) -> None:
-        """Tell a peer which version is in force here."""
+    async def announce(self, version: int) -> None:
+        """Tell some peers which version is in force here, and some others later.
+
+        One round of random peers leaves out a few hosts in a hundred; heartbeats
+        reach those that the second leaves out too.
+        """
+        for _ in range(ROUNDS):
+            if self.version != version:
+                return
+            await asyncio.gather(*map(self.offer, self.some_peers(FANOUT)))
+            await self.clock.sleep(ROUND_DELAY * self.chooser.uniform(0.5, 1.5))
+
+    async def offer(self, peer: HostRef) -> None:
+        """Tell one peer; learn from the answer if it has a newer version."""
         body = {"offer": self.version, "from": self.me.to_json()}
-        try:
-            await self.peers.call(peer, PATH, body, PEER_TIMEOUT)
-        except (PeerError, Refusal):
-            # Heartbeats carry the version too.
-            return
+        await self.ask(peer, body)
 
     async def answer(self, body: Json) -> Json:
         """Answer the peer path ``config``.
@@ -256,11 +265,15 @@
 
     async def ask_version(self, peer: HostRef) -> None:
         """Learn the version that `peer` has."""
+        await self.ask(peer, {"have": self.version})
+
+    async def ask(self, peer: HostRef, body: Json) -> None:
+        """Send a question whose answer states the peer's version."""
         try:
-            body = {"have": self.version}
             answer = await self.peers.call(peer, PATH, body, PEER_TIMEOUT)
             self.heard(int(answer["version"]), peer)
         except (PeerError, Refusal, KeyError, TypeError, ValueError):
+            # Heartbeats carry the version too.
             return
 
     async def pull_forever(self) -> None:
--- a/src/reedhook/version/edition.py
+++ b/src/reedhook/version/edition.py
@@ -13,9 +13,7 @@
 
 MIN_PART: Final = 4 * 1024
 MAX_PART: Final = 128 * 1024
-# One line in so many ends a part, so that an edit changes the parts around it
-# alone and the others keep their digests.
-LINES_PER_CUT: Final = 256
+MEAN_PART: Final = 16 * 1024
 KEPT_EDIT_IDS: Final = 32
 
 
@@ -264,7 +262,9 @@
 def split(raw: bytes) -> list[bytes]:
     """Cut `raw` behind lines that its content chooses.
 
-    Whether a part ends behind a line depends on that line, not on its place.
+    Whether a part ends behind a line depends on that line, not on its place,
+    so that an edit changes the parts around it alone and the others keep their
+    digests. The longer a line, the likelier it ends a part.
     """
     parts: list[bytes] = []
     start = end = 0
@@ -273,7 +273,7 @@
         while end - start > MAX_PART:
             parts.append(raw[start : start + MAX_PART])
             start += MAX_PART
-        chosen = xxhash.xxh32_intdigest(line) % LINES_PER_CUT == 0
+        chosen = xxhash.xxh32_intdigest(line) % MEAN_PART < len(line)
         if chosen and end - start >= MIN_PART:
             parts.append(raw[start:end])
             start = end
--- /dev/null
+++ b/tests/config_fleet.py
@@ -0,0 +1,189 @@
+"""Hosts that keep a configuration, over a faulty network and a faulty store."""
+
+import asyncio
+import random
+from typing import Any, Final
+
+from reedhook.process.archive import Archive
+from reedhook.process.configuration import ConfigurationKeeper
+from reedhook.process.editor import ConfigurationEditor
+from reedhook.process.metrics import MemoryMetrics
+from reedhook.process.peer import HostRef, PeerError, PeerRoutes
+from reedhook.process.relay import ConfigurationRelay
+from reedhook.process.timeline import Timeline
+from reedhook.process.worker import InlineWorker
+from reedhook.version.catalog import Catalog
+from reedhook.version.document import Documents
+from reedhook.version.edition import Head
+from reedhook.wire import Json
+
+from .fakes_peers import FakeNetwork
+from .fakes_store import FakeStore
+
+ZONES: Final = ("vittoria", "comiso", "ispica")
+HEARTBEAT: Final = 1.0
+RELAYS: Final = 2
+BASE: Final = """\
+services:
+  feedlog-db:
+    slots: 2
+    connections: 15
+    groups:
+      feedlog-1:
+        members:
+          feedlog-1-a: {zone: vittoria, address: "127.0.0.1:17101"}
+teams: {}
+"""
+
+
+def documents(queue: int, base: str = BASE) -> Documents:
+    """Return documents whose catalogs show `queue`."""
+    overlays = dict.fromkeys(ZONES, "")
+    return Documents(f"{base}limits: {{queue: {queue}}}\n", overlays)
+
+
+class FleetHost:
+    """Run one host; `restart` forgets all that it knew.
+
+    :ivar versions: the versions that came into force in this life.
+    :ivar fell: whether a version ever went down within a life.
+    """
+
+    def __init__(self, fleet: "Fleet", ref: HostRef, rank: int) -> None:
+        self.fleet = fleet
+        self.ref = ref
+        self.relaying = rank < RELAYS
+        self.random = random.Random(ref.host)
+        self.store = FakeStore(shared=fleet.store)
+        self.metrics = MemoryMetrics()
+        self.heart: asyncio.Task[None] | None = None
+        self.fell = False
+        self.build()
+
+    def build(self) -> None:
+        """Make the parts of a host that knows nothing."""
+        clock = self.fleet.network.clock(self.ref.host)
+        routes = PeerRoutes()
+        self.peers = self.fleet.network.join(self.ref, routes)
+        self.keeper = ConfigurationKeeper(
+            self.ref,
+            self.peers,
+            self.some_peers,
+            clock,
+            self.random,
+            Timeline(self.ref.host, clock),
+            self.metrics,
+            InlineWorker(),
+        )
+        self.keeper.register(routes)
+        self.keeper.on_change(self.note)
+        routes.add("heartbeat", self.hear)
+        archive = Archive(self.store)
+        self.relay = ConfigurationRelay(
+            self.keeper, archive, lambda: self.relaying, clock, self.random
+        )
+        self.editor = ConfigurationEditor(self.keeper, archive, clock, InlineWorker())
+        self.versions: list[int] = []
+
+    def note(self, catalog: Catalog) -> None:
+        """Take note of what came into force."""
+        self.fell |= bool(self.versions) and catalog.version <= self.versions[-1]
+        self.versions.append(catalog.version)
+
+    def some_peers(self, count: int) -> list[HostRef]:
+        """Return other hosts at random, alive or not."""
+        others = [one.ref for one in self.fleet.hosts if one is not self]
+        return self.random.sample(others, min(count, len(others)))
+
+    async def hear(self, body: Json) -> Json:
+        """Take a heartbeat."""
+        self.keeper.heard(body["version"], HostRef.from_json(body["from"]))
+        return {}
+
+    async def start(self) -> None:
+        """Start all parts."""
+        await self.keeper.start()
+        await self.relay.start()
+        self.heart = asyncio.create_task(self.beat())
+
+    async def beat(self) -> None:
+        """Send the version to one peer now and then."""
+        while True:
+            await asyncio.sleep(HEARTBEAT * self.random.uniform(0.5, 1.5))
+            body = {"version": self.keeper.version, "from": self.ref.to_json()}
+            for peer in self.some_peers(1):
+                try:
+                    await self.peers.call(peer, "heartbeat", body, HEARTBEAT)
+                except PeerError:
+                    continue
+
+    async def close(self) -> None:
+        """Stop all parts."""
+        if self.heart is not None:
+            self.heart.cancel()
+        await self.relay.close()
+        await self.keeper.close()
+        await self.peers.close()
+
+    async def restart(self) -> None:
+        """Begin a new life at the same address."""
+        await self.close()
+        self.build()
+        await self.start()
+
+    async def apply(self, queue: int, edit_id: str, parent: int | None = None) -> Head:
+        """Apply `documents(queue)`."""
+        parent = self.keeper.version if parent is None else parent
+        return await self.editor.apply(documents(queue), parent, "ana", "why", edit_id)
+
+
+class Fleet:
+    """Hold the hosts of some zones, the network and the store."""
+
+    def __init__(self, per_zone: int = 3, zones: tuple[str, ...] = ZONES) -> None:
+        self.network = FakeNetwork()
+        self.store = FakeStore()
+        self.hosts: list[FleetHost] = []
+        for zone in zones:
+            for rank in range(per_zone):
+                name = f"{zone}-{rank}"
+                ref = HostRef(name, zone, f"127.0.0.1:{len(self.hosts) + 1}")
+                self.hosts.append(FleetHost(self, ref, rank))
+
+    async def __aenter__(self) -> "Fleet":
+        await asyncio.gather(*(host.start() for host in self.hosts))
+        return self
+
+    async def __aexit__(self, *error: Any) -> None:
+        await asyncio.gather(*(host.close() for host in self.hosts))
+        if self.network.failures:
+            raise ExceptionGroup("handlers failed", self.network.failures)
+
+    def zone(self, zone: str) -> list[FleetHost]:
+        """Return the hosts of a zone."""
+        return [host for host in self.hosts if host.ref.zone == zone]
+
+    def versions(self) -> set[int]:
+        """Return the versions in force."""
+        return {host.keeper.version for host in self.hosts}
+
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone off from the other zones and from the store."""
+        inside = [host.ref.host for host in self.zone(zone)]
+        outside = [one.ref.host for one in self.hosts if one.ref.zone != zone]
+        self.network.isolate(inside, outside)
+        for host in self.zone(zone):
+            host.store.down = True
+
+    def end_faults(self) -> None:
+        """Undo all faults."""
+        self.network.heal()
+        self.store.down = False
+        for host in self.hosts:
+            host.store.down = host.store.mute_watches = False
+            host.store.lose_answers = host.store.lose_requests = 0
+            host.store.stale = lambda key: 0
+
+    def calls(self) -> int:
+        """Return how many calls the store has counted."""
+        return sum(host.store.calls.total() for host in self.hosts)
--- a/tests/fakes_store.py
+++ b/tests/fakes_store.py
@@ -3,6 +3,7 @@
     store = FakeStore()
     store.down = True                  # no call is answered
     store.lose_answers = 2             # the next two writes take effect unheard
+    store.lose_requests = 1            # the next write has no effect, unheard
     store.stale = lambda key: 1        # reads lag one revision behind
     store.mute_watches = True          # watches armed from now on hear nothing
 
@@ -24,7 +25,8 @@
     """Keep every revision of every key.
 
     :param delay: time that a call takes, in seconds.
-    :ivar cut_off: a store that shares data with others but is cut off.
+    :param shared: the platform's store, of which this is one host's access
+        with faults of its own.
     """
 
     def __init__(self, delay: float = DELAY, shared: "FakeStore | None" = None) -> None:
@@ -55,6 +57,10 @@
 
     async def get(self, key: str, timeout: float) -> Entry | None:
         await self.begin("get", key)
+        return self.read(key)
+
+    def read(self, key: str) -> Entry | None:
+        """Return what a read sees, however stale."""
         past = self.platform.past[key]
         seen = len(past) - min(self.stale(key), len(past))
         value = past[seen - 1] if seen else None
@@ -83,7 +89,7 @@
             self.refuse_if_down()
             return None
         self.refuse_if_down()
-        return await self.get(key, hold)
+        return self.read(key)
 
     async def close(self) -> None:
         return
--- /dev/null
+++ b/tests/test_config_accept.py
@@ -0,0 +1,308 @@
+"""Acceptance of edits: racing operators, lost answers, crashes, sizes."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import pytest
+
+from reedhook.process import archive as archive_module
+from reedhook.process.archive import HEAD_KEY, PART_PREFIX, history_key
+from reedhook.process.editor import EditConflict
+from reedhook.request.refusal import Reason, Refusal
+from reedhook.request.verdict import Verdict
+from reedhook.version.document import Documents
+from reedhook.version.edition import MAX_PART, Head
+from reedhook.version.fault import InvalidConfiguration
+
+from .config_fleet import Fleet, FleetHost, documents
+from .fakes_clock import run_virtual
+from .fakes_store import MAX_VALUE
+
+Scene = Callable[[Fleet, FleetHost], Awaitable[None]]
+ONE_ZONE: Final = ("vittoria",)
+
+
+def play(scene: Scene) -> None:
+    """Run `scene` with two hosts of one zone; version 1 stands."""
+
+    async def main() -> None:
+        async with Fleet(per_zone=2, zones=ONE_ZONE) as fleet:
+            await fleet.hosts[0].apply(1, "first", 0)
+            await asyncio.sleep(1.0)
+            await scene(fleet, fleet.hosts[0])
+
+    run_virtual(main())
+
+
+async def edit_ids(host: FleetHost) -> list[str]:
+    return [head.edit_id for head in await host.editor.history()]
+
+
+def test_an_accepted_edit_is_in_force_here_at_once() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        head = await host.apply(7, "second")
+        assert (head.version, head.parent, head.author) == (2, 1, "ana")
+        assert host.keeper.catalog is not None
+        assert host.keeper.catalog.limits.queue == 7
+        assert await edit_ids(host) == ["second", "first"]
+        assert (await host.editor.show(1))[1] == documents(1)
+
+    play(scene)
+
+
+def test_an_invalid_edit_touches_nothing() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        before = fleet.store.keys()
+        with pytest.raises(InvalidConfiguration):
+            await host.apply(-1, "second")
+        assert fleet.store.keys() == before
+
+    play(scene)
+
+
+def test_of_racing_operators_one_wins_and_the_others_learn_what_changed() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        edits = [one.apply(n + 10, f"edit-{n}", 1) for n, one in enumerate(fleet.hosts)]
+        results = await asyncio.gather(*edits, return_exceptions=True)
+        won = [one for one in results if isinstance(one, Head)]
+        lost = [one for one in results if isinstance(one, EditConflict)]
+        assert (len(won), len(lost)) == (1, 1)
+        assert lost[0].verdict is Verdict.NOT_RUN
+        (since,) = lost[0].since
+        assert since.head == won[0]
+        assert [change.path for change in since.changes] == ["limits.queue"]
+        assert await edit_ids(host) == [won[0].edit_id, "first"]
+        # The loser's parts are gone: version 1 and the winner have one each.
+        assert len(fleet.store.keys(PART_PREFIX)) == 2
+
+    play(scene)
+
+
+def test_a_conflict_names_each_version_since() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        for queue in range(2, 14):
+            await host.apply(queue, f"edit-{queue}")
+        with pytest.raises(EditConflict) as conflict:
+            await host.apply(99, "late", 1)
+        told = conflict.value.to_json()
+        assert told["version"] == 13
+        assert [one["version"] for one in told["since"]] == list(range(13, 5, -1))
+        assert told["omitted"] == 4
+
+    play(scene)
+
+
+@pytest.mark.parametrize("lost", [1, 2, 3])
+@pytest.mark.parametrize("kind", ["lose_answers", "lose_requests"])
+def test_lost_messages_do_not_double_or_drop_an_edit(kind: str, lost: int) -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        setattr(host.store, kind, lost)
+        head = await host.apply(7, "second")
+        assert head.version == 2
+        assert await edit_ids(host) == ["second", "first"]
+
+    play(scene)
+
+
+def swap_unheard(host: FleetHost, then: Callable[[], Awaitable[None]]) -> None:
+    """Lose the answer of the next swap of the head, and run `then`."""
+    put = host.store.put
+
+    async def unheard(key: str, value: bytes, expected: int, timeout: float) -> object:
+        if key == HEAD_KEY:
+            host.store.put = put  # type: ignore[method-assign]
+            host.store.lose_answers = 1
+            try:
+                await put(key, value, expected, timeout)
+            finally:
+                await then()
+        return await put(key, value, expected, timeout)
+
+    host.store.put = unheard  # type: ignore[assignment,method-assign]
+
+
+def test_an_edit_whose_answer_was_lost_is_found_below_later_versions() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        async def edit_on() -> None:
+            other = fleet.hosts[1]
+            for version in range(2, 5):
+                await other.apply(version * 10, f"other-{version}", version)
+
+        swap_unheard(host, edit_on)
+        head = await host.apply(7, "second")
+        assert (head.version, head.edit_id) == (2, "second")
+        assert (await edit_ids(host)).count("second") == 1
+
+    play(scene)
+
+
+def test_the_store_goes_down_with_the_answer() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        async def fail() -> None:
+            fleet.store.down = True
+
+        swap_unheard(host, fail)
+        with pytest.raises(Refusal) as refused:
+            await host.apply(7, "second")
+        assert refused.value.verdict is Verdict.MAY_HAVE_RUN
+        fleet.store.down = False
+        head = await host.apply(7, "second", 1)
+        assert head.version == 2
+        assert await edit_ids(host) == ["second", "first"]
+
+    play(scene)
+
+
+def test_with_the_store_down_an_edit_has_no_effect() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        fleet.store.down = True
+        with pytest.raises(Refusal) as refused:
+            await host.apply(7, "second")
+        assert refused.value.reason is Reason.STORE_UNAVAILABLE
+        assert refused.value.verdict is Verdict.NOT_RUN
+        fleet.store.down = False
+        assert await edit_ids(host) == ["first"]
+        assert (await host.editor.show())[1] == documents(1)
+
+    play(scene)
+
+
+def test_a_stale_read_is_no_reason_to_accept_or_to_refuse() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        await host.apply(2, "second")
+        other = fleet.hosts[1]
+        await asyncio.sleep(3.0)
+        reads = iter([1, 1, 1])
+        other.store.stale = lambda key: next(reads, 0) if key == HEAD_KEY else 0
+        head = await other.apply(3, "third", 2)
+        assert head.version == 3
+        reads = iter([1, 1, 1])
+        with pytest.raises(EditConflict):
+            await other.apply(4, "fourth", 2)
+
+    play(scene)
+
+
+def test_a_repeated_id_with_other_documents_is_refused() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        with pytest.raises(Refusal) as refused:
+            await host.apply(5, "first")
+        assert refused.value.reason is Reason.REQUEST_REUSED
+        assert host.keeper.version == 1
+
+    play(scene)
+
+
+@pytest.mark.parametrize("step", range(6))
+def test_a_crash_between_any_two_steps_leaves_one_whole_edition(step: int) -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        left = step
+
+        async def crash(
+            key: str, value: bytes, expected: int, timeout: float
+        ) -> object:
+            nonlocal left
+            if left == 0:
+                raise asyncio.CancelledError
+            left -= 1
+            return await put(key, value, expected, timeout)
+
+        put = host.store.put
+        host.store.put = crash  # type: ignore[assignment,method-assign]
+        edit = asyncio.create_task(host.editor.apply(large(), 1, "ana", "", "second"))
+        await asyncio.wait([edit])
+        host.store.put = put  # type: ignore[method-assign]
+        await host.restart()
+        await asyncio.sleep(5.0)
+        whole = documents(1) if edit.cancelled() else large()
+        for one in fleet.hosts:
+            assert (await one.editor.show())[1] == whole
+        # The next edit goes on from there, without a gap in the history.
+        head = await host.apply(9, "third")
+        heads = await host.editor.history()
+        assert [one.version for one in heads] == list(range(head.version, 0, -1))
+
+    play(scene)
+
+
+def large(groups: int = 280, note: str = "") -> Documents:
+    """Return documents with 3 members for each group."""
+    lines = ["services:", "  feedlog-db:", "    slots: 2", "    connections: 15"]
+    lines.append("    groups:")
+    for group in range(groups):
+        lines += [f"      group-{group}:", "        members:"]
+        for member in range(3):
+            address = f"10.{group // 250}.{group % 250}.{member}:17101"
+            text = f'{{zone: vittoria, address: "{address}"}}'
+            lines.append(f"          target-{group}-{member}: {text}{note}")
+    return Documents("\n".join([*lines, "teams: {}", ""]), {"vittoria": ""})
+
+
+def test_840_databases_of_nearly_a_megabyte_are_split_and_swapped_whole() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        padding = f"  # {'x' * 1050}"
+        edition = large(note=padding)
+        assert 0.9 * MAX_VALUE < len(edition.base) < MAX_VALUE
+        await host.editor.apply(edition, 1, "ana", "", "second")
+        await asyncio.sleep(5.0)
+        assert fleet.versions() == {2}
+        for one in fleet.hosts:
+            assert one.keeper.catalog is not None
+            assert len(one.keeper.catalog.groups) == 280
+            assert (await one.editor.show())[1] == edition
+        assert host.store.largest <= MAX_PART
+        parts = len(fleet.store.keys(PART_PREFIX))
+        assert parts > 4
+        # A change of one line writes one part anew, not the whole.
+        text = edition.base.replace("10.0.100.1:17101", "10.9.9.9:17101")
+        await host.editor.apply(
+            Documents(text, edition.overlays), 2, "ana", "", "third"
+        )
+        assert len(fleet.store.keys(PART_PREFIX)) <= parts + 2
+        changes = await host.editor.diff(2, 3)
+        member = "services.feedlog-db.groups.group-100.members.target-100-1"
+        assert [change.path for change in changes] == [f"{member}.address"]
+
+    play(scene)
+
+
+def test_history_is_bounded_and_old_parts_are_deleted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(archive_module, "KEPT_VERSIONS", 5)
+
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        for version in range(2, 21):
+            # Every third edit brings back what an earlier one had.
+            await host.apply(version % 3 + 1, f"edit-{version}")
+        heads = await host.editor.history(100)
+        assert [head.version for head in heads] == list(range(20, 14, -1))
+        assert len(fleet.store.keys(PART_PREFIX)) == len(heads)
+        assert history_key(14) not in fleet.store.keys()
+        for head in heads:
+            queue = head.version % 3 + 1
+            assert (await host.editor.show(head.version))[1] == documents(queue)
+        with pytest.raises(Refusal) as refused:
+            await host.editor.show(2)
+        assert "not kept" in refused.value.detail
+
+    play(scene)
+
+
+def test_a_damaged_part_in_the_store_is_mended_by_the_next_writer() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        await host.apply(2, "second")
+        (key,) = [one for one in fleet.store.keys(PART_PREFIX) if "/2-" in one]
+        fleet.store.past[HEAD_KEY].pop()
+        fleet.store.past[key][-1] = b"damaged"
+        other = fleet.hosts[1]
+        await other.restart()
+        other.keeper.edition = None
+        await other.keeper.close()
+        with pytest.raises(Refusal):
+            await other.editor.show(2)
+        await other.apply(2, "again", 1)
+        assert fleet.store.past[key][-1] != b"damaged"
+
+    play(scene)
--- /dev/null
+++ b/tests/test_config_distribution.py
@@ -0,0 +1,325 @@
+"""Editions reach every host, and no host ever moves to a lower version."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from reedhook.process.archive import HEAD_KEY
+from reedhook.process.peer import HostRef
+from reedhook.process.timeline import EventKind
+from reedhook.request.refusal import Refusal
+from reedhook.request.verdict import Verdict
+from reedhook.wire import Json
+
+from .config_fleet import ZONES, Fleet
+from .fakes_clock import run_virtual
+
+IN_FORCE_WITHIN = 5.0
+
+
+def play(scene: Callable[[Fleet], Awaitable[None]], per_zone: int = 3) -> None:
+    """Run `scene` with a fleet in which version 1 stands."""
+
+    async def main() -> None:
+        async with Fleet(per_zone) as fleet:
+            await fleet.hosts[0].apply(1, "first", 0)
+            await asyncio.sleep(IN_FORCE_WITHIN)
+            assert fleet.versions() == {1}
+            await scene(fleet)
+            assert not any(host.fell for host in fleet.hosts)
+
+    run_virtual(main())
+
+
+def test_an_edit_is_in_force_everywhere_within_a_second() -> None:
+    async def scene(fleet: Fleet) -> None:
+        await fleet.hosts[4].apply(2, "second")
+        await asyncio.sleep(1.0)
+        assert fleet.versions() == {2}
+        for host in fleet.hosts:
+            event = host.keeper.timeline.events[-1]
+            assert event.kind is EventKind.CONFIGURATION
+            assert event.detail["version"] == 2
+
+    play(scene, per_zone=10)
+
+
+def test_an_edit_made_elsewhere_arrives_by_the_watches() -> None:
+    async def scene(fleet: Fleet) -> None:
+        # The operator's host tells nobody: it dies right after the swap.
+        fleet.network.crash(fleet.hosts[0].ref.host)
+        await fleet.hosts[0].apply(2, "second")
+        await asyncio.sleep(1.0)
+        assert fleet.versions() == {2}
+
+    play(scene)
+
+
+@pytest.mark.parametrize("per_zone", [3, 12])
+def test_store_calls_do_not_grow_with_the_hosts(per_zone: int) -> None:
+    async def scene(fleet: Fleet) -> None:
+        before = fleet.calls()
+        await fleet.hosts[-1].apply(2, "second")
+        await asyncio.sleep(1.0)
+        assert fleet.versions() == {2}
+        # Two relays in each of three zones: one watch each, armed anew, one
+        # part read, and at most one poll; the edit itself takes four calls.
+        assert fleet.calls() - before <= 4 + 6 * 3
+
+    play(scene, per_zone)
+
+
+def test_lost_watches_are_made_up_for() -> None:
+    async def scene(fleet: Fleet) -> None:
+        for host in fleet.hosts:
+            host.store.mute_watches = True
+        fleet.store.down = True
+        await asyncio.sleep(60.0)
+        fleet.store.down = False
+        fleet.network.crash(fleet.hosts[0].ref.host)
+        await fleet.hosts[0].apply(2, "second")
+        await asyncio.sleep(IN_FORCE_WITHIN)
+        assert fleet.versions() == {2}
+
+    play(scene)
+
+
+def test_stale_reads_never_revert_a_host() -> None:
+    async def scene(fleet: Fleet) -> None:
+        for queue in (2, 3):
+            await fleet.hosts[0].apply(queue, f"edit-{queue}")
+            await asyncio.sleep(1.0)
+        for host in fleet.hosts:
+            host.store.stale = lambda key: 2 if key == HEAD_KEY else 0
+        await asyncio.sleep(60.0)
+        assert fleet.versions() == {3}
+        assert all(host.relay.store_version == 1 for host in fleet.hosts[:2])
+
+    play(scene)
+
+
+def test_with_the_store_down_for_long_a_restarted_host_learns_from_its_peers() -> None:
+    async def scene(fleet: Fleet) -> None:
+        await fleet.hosts[0].apply(2, "second")
+        await asyncio.sleep(1.0)
+        fleet.store.down = True
+        await asyncio.sleep(600.0)
+        for host in fleet.hosts:
+            await host.restart()
+            assert host.versions == [2]
+            with pytest.raises(Refusal) as refused:
+                await host.apply(3, "third")
+            assert refused.value.verdict is Verdict.NOT_RUN
+        fleet.store.down = False
+        await fleet.hosts[0].apply(3, "third")
+        await asyncio.sleep(IN_FORCE_WITHIN)
+        assert fleet.versions() == {3}
+
+    play(scene)
+
+
+def test_a_relay_that_restarts_on_a_stale_store_begins_where_its_peers_are() -> None:
+    async def scene(fleet: Fleet) -> None:
+        await fleet.hosts[0].apply(2, "second")
+        await asyncio.sleep(1.0)
+        relay = fleet.hosts[0]
+        relay.store.stale = lambda key: 1 if key == HEAD_KEY else 0
+        await relay.restart()
+        assert relay.versions == [2]
+
+    play(scene)
+
+
+def test_a_zone_cut_off_keeps_its_version_and_catches_up() -> None:
+    async def scene(fleet: Fleet) -> None:
+        fleet.cut_zone("ispica")
+        await fleet.hosts[0].apply(2, "second")
+        await asyncio.sleep(60.0)
+        cut_off = fleet.zone("ispica")
+        assert {host.keeper.version for host in cut_off} == {1}
+        assert fleet.versions() == {1, 2}
+        await cut_off[0].restart()
+        assert cut_off[0].keeper.version == 1
+        fleet.end_faults()
+        await asyncio.sleep(IN_FORCE_WITHIN)
+        assert fleet.versions() == {2}
+
+    play(scene)
+
+
+def test_a_damaged_or_shortened_pull_is_dropped_and_repaired() -> None:
+    async def scene(fleet: Fleet) -> None:
+        spoiled = 0
+
+        def spoil(answer: Json) -> Json:
+            nonlocal spoiled
+            spoiled += 1
+            if answer.get("parts"):
+                cut = {
+                    key: text[: len(text) // 2] for key, text in answer["parts"].items()
+                }
+                return {"parts": cut}
+            if answer.get("head"):
+                return {**answer, "head": {**answer["head"], "version": 99}}
+            return answer
+
+        for host in fleet.hosts:
+            call = host.peers.call
+
+            async def faulty(
+                peer: HostRef, path: str, body: Json, timeout: float, call: Any = call
+            ) -> Json:
+                answer: Json = await call(peer, path, body, timeout)
+                return spoil(answer) if spoiled < 40 else answer
+
+            host.peers.call = faulty  # type: ignore[method-assign]
+            host.relaying = host is fleet.hosts[0]
+        await fleet.hosts[0].apply(2, "second")
+        await asyncio.sleep(60.0)
+        assert spoiled >= 40
+        assert fleet.versions() == {2}
+        failures = sum(
+            host.metrics.counters["configuration.pull_failed"] for host in fleet.hosts
+        )
+        assert failures > 0
+
+    play(scene)
+
+
+def test_a_false_rumour_moves_nobody_and_is_forgotten() -> None:
+    async def scene(fleet: Fleet) -> None:
+        keeper = fleet.hosts[5].keeper
+        keeper.heard(1000, fleet.hosts[3].ref)
+        await asyncio.sleep(60.0)
+        assert fleet.versions() == {1}
+        assert keeper.sources == {}
+
+    play(scene)
+
+
+def test_a_failing_callback_does_not_keep_others_from_the_news() -> None:
+    async def scene(fleet: Fleet) -> None:
+        host = fleet.hosts[2]
+        host.keeper.callbacks.insert(0, lambda catalog: [][0])
+        await fleet.hosts[0].apply(2, "second")
+        await asyncio.sleep(1.0)
+        assert host.versions == [1, 2]
+
+    play(scene)
+
+
+@pytest.mark.parametrize("body", [{}, {"have": "x"}, {"want": 3}, {"offer": 2}])
+def test_a_malformed_question_is_refused(body: Json) -> None:
+    async def scene(fleet: Fleet) -> None:
+        with pytest.raises(Refusal) as refused:
+            await fleet.hosts[0].peers.call(fleet.hosts[1].ref, "config", body, 1.0)
+        assert refused.value.verdict is Verdict.NOT_RUN
+
+    play(scene)
+
+
+class Outcomes:
+    """Hold what each edit's operator was told, against the history."""
+
+    def __init__(self) -> None:
+        self.told: dict[str, Verdict] = {}
+        self.versions: dict[str, int] = {}
+
+    async def apply(self, fleet: Fleet, at: int, edit: int) -> None:
+        """Apply an edit at one host and keep the answer."""
+        name = f"edit-{edit}"
+        try:
+            head = await fleet.hosts[at].apply(edit + 10, name)
+        except Refusal as refusal:
+            self.told[name] = refusal.verdict
+            return
+        self.told[name] = Verdict.DONE
+        self.versions[name] = head.version
+
+    def compare(self, history: dict[int, str]) -> None:
+        """Hold the answers against the versions that came to stand."""
+        stands = list(history.values())
+        assert sorted(history) == list(range(1, len(history) + 1))
+        assert len(set(stands)) == len(stands)
+        for name, verdict in self.told.items():
+            if verdict is Verdict.DONE:
+                assert history[self.versions[name]] == name
+            if verdict is Verdict.NOT_RUN:
+                assert name not in stands
+
+
+HOSTS = st.integers(0, 5)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("apply"), HOSTS),
+        st.tuples(st.just("race"), HOSTS),
+        st.tuples(st.just("restart"), HOSTS),
+        st.tuples(st.just("down"), HOSTS),
+        st.tuples(st.just("lose_answers"), HOSTS),
+        st.tuples(st.just("lose_requests"), HOSTS),
+        st.tuples(st.just("stale"), HOSTS),
+        st.tuples(st.just("mute"), HOSTS),
+        st.tuples(st.just("old_news"), HOSTS),
+        st.tuples(st.just("outage"), st.just(0)),
+        st.tuples(st.just("cut"), st.sampled_from(range(len(ZONES)))),
+        st.tuples(st.just("end"), st.just(0)),
+        st.tuples(st.just("wait"), st.integers(0, 8)),
+    ),
+    max_size=25,
+)
+
+
+@given(STEPS)
+@settings(max_examples=100)
+def test_versions_never_fall_and_all_hosts_converge(
+    steps: list[tuple[str, int]],
+) -> None:
+    outcomes = Outcomes()
+
+    async def step(fleet: Fleet, number: int, kind: str, at: int) -> None:
+        host = fleet.hosts[at % len(fleet.hosts)]
+        match kind:
+            case "apply":
+                await outcomes.apply(fleet, at, number)
+            case "race":
+                edits = [(at, number * 100), ((at + 3) % 6, number * 100 + 1)]
+                await asyncio.gather(*(outcomes.apply(fleet, *one) for one in edits))
+            case "restart":
+                await host.restart()
+            case "down":
+                host.store.down = True
+            case "lose_answers" | "lose_requests":
+                setattr(host.store, kind, 2)
+            case "stale":
+                host.store.stale = lambda key: 2
+            case "mute":
+                host.store.mute_watches = True
+            case "old_news":
+                host.keeper.heard(host.keeper.version + 1, fleet.hosts[0].ref)
+            case "outage":
+                fleet.store.down = True
+            case "cut":
+                fleet.cut_zone(ZONES[at])
+            case "end":
+                fleet.end_faults()
+            case "wait":
+                await asyncio.sleep(at)
+
+    async def main() -> None:
+        async with Fleet(per_zone=2) as fleet:
+            await fleet.hosts[0].apply(1, "first", 0)
+            await asyncio.sleep(IN_FORCE_WITHIN)
+            for number, (kind, at) in enumerate(steps):
+                await step(fleet, number, kind, at)
+                await asyncio.sleep(0.05)
+            fleet.end_faults()
+            await asyncio.sleep(20.0)
+            heads = await fleet.hosts[0].editor.history(100)
+            assert fleet.versions() == {heads[0].version}
+            assert not any(host.fell for host in fleet.hosts)
+            outcomes.compare({head.version: head.edit_id for head in heads})
+
+    run_virtual(main())
