Keep coordinators from colliding and free reports of a dead home

Cause: two homes that each held the newest knowledge of their own replica both ranked themselves first; a raise waited for the dead primary twice 250 ms; reports to the dead home kept both slots, so the first report to the new one came late. Change: the order is by name, begun at another member each term; nobody waits for members that are to be passed over; reports end when the leader changes.

--- a/src/reedhook/process/coordinator.py
+++ b/src/reedhook/process/coordinator.py
@@ -11,7 +11,6 @@
 from ..connection.home import Home
 from ..connection.target import MemberState, Role
 from ..record import Record
-from ..request.position import ORIGIN
 from ..request.refusal import Refusal
 from .control import Control, Controller, Op
 from .directory import Directory
@@ -25,7 +24,6 @@
 PATIENCE_STEP: Final = 0.02
 BACKOFF: Final = 0.08
 BACKOFF_LIMIT: Final = 1.0
-SURVEY_GRACE: Final = 0.02
 NONCE_BITS: Final = 48
 
 log = Logger("promotion")
@@ -91,6 +89,7 @@
         self.timeline = timeline
         self.on_outcome = on_outcome
         self.attempts = 0
+        self.own_term = 0
         self.last_failure: tuple[Cause, str, str] | None = None
         self.followers: list[Promotion] = []
         self.asking: set[asyncio.Task[None]] = set()
@@ -119,8 +118,10 @@
     def rank(self, cause: Cause, former: str | None) -> int:
         """Return how many other hosts should try before this one.
 
-        The home of the replica that holds most goes first. The home of a lost
-        target knows first, and needs no delay.
+        The order must be the same on all hosts, and what they know of held
+        positions differs just after a write. So it is by name, and each term
+        begins at another member. The home of a lost target knows first, and
+        needs no delay.
         """
         local = {home.member.member for home in self.homes()}
         if cause is Cause.PLANNED or (former in local and cause is Cause.TARGET_LOST):
@@ -131,19 +132,16 @@
         return first + 1 if cause is Cause.TARGET_LOST else first
 
     def ranked(self, former: str | None) -> list[str]:
-        """Return the members but `former`, the one that holds most first."""
-        known = self.knowledge.view.members
-        pairs = [
-            (known[one.member].held if one.member in known else ORIGIN, one.member)
-            for one in self.knowledge.group.members
-            if one.member != former
-        ]
-        return [member for _, member in sorted(pairs, reverse=True)]
+        """Return the members but `former` in the order of this term."""
+        members = sorted(one.member for one in self.knowledge.group.members)
+        turn = self.knowledge.term % len(members)
+        return [one for one in members[turn:] + members[:turn] if one != former]
 
     async def overtaken(self, term: int) -> bool:
         """Wait a little if somebody else has begun; return whether it ended."""
         waited = 0.0
-        while self.knowledge.promised > term and waited < RAISE_PATIENCE:
+        own = max(term, self.own_term)
+        while self.knowledge.promised > own and waited < RAISE_PATIENCE:
             if self.knowledge.term > term:
                 return True
             await self.clock.sleep(PATIENCE_STEP)
@@ -166,9 +164,6 @@
             self.asking.add(task)
             task.add_done_callback(self.asking.discard)
         await asyncio.wait([asking[one] for one in members if one not in absent])
-        late = [task for task in asking.values() if not task.done()]
-        if late:
-            await asyncio.wait(late, timeout=SURVEY_GRACE)
         return Survey(dict(states))
 
     async def ask(self, member: str, states: dict[str, MemberState]) -> None:
@@ -196,6 +191,7 @@
     async def attempt(self, cause: Cause, former: str | None, suspicion: float) -> bool:
         """Raise, promote, tell the others; return whether it went well."""
         promotion = self.promotion(cause, former)
+        self.own_term = promotion.term
         self.attempts += 1
         try:
             promoted = await promotion.run()
--- a/src/reedhook/process/group.py
+++ b/src/reedhook/process/group.py
@@ -383,7 +383,7 @@
     def leader_learned(self, term: int, primary: str) -> None:
         """Act on a new leader."""
         self.learned_at = self.clock.monotonic()
-        self.reporter.contact.reset()
+        self.reporter.reset()
         self.timeline.record(
             EventKind.PRIMARY_LEARNED, self.group.name, term=term, primary=primary
         )
--- a/src/reedhook/process/promotion.py
+++ b/src/reedhook/process/promotion.py
@@ -109,17 +109,22 @@
         """Ask all members for a promise; return once a majority has given it.
 
         The members still missing get a moment more, since one of them may
-        lag less; safety does not depend on it.
+        lag less; safety does not depend on it. Nobody waits for members that
+        are to be passed over.
         """
-        asking = [
-            self.spawn(self.ask_promise(member.member)) for member in self.group.members
-        ]
-        waiting = set(asking)
+        asking = {
+            one.member: self.spawn(self.ask_promise(one.member))
+            for one in self.group.members
+        }
+        expected = {
+            task for member, task in asking.items() if member not in self.avoided
+        }
+        waiting = expected
         while waiting and not self.agreed():
             _, waiting = await asyncio.wait(
                 waiting, return_when=asyncio.FIRST_COMPLETED
             )
-        if waiting and not self.complete():
+        if waiting:
             await asyncio.wait(waiting, timeout=RAISE_GRACE)
         if not self.agreed():
             self.fail_raise()
@@ -128,13 +133,6 @@
         """Say whether a majority has promised."""
         return len(self.granted) >= self.group.majority
 
-    def complete(self) -> bool:
-        """Say whether all members but those passed over have promised."""
-        return all(
-            one.member in self.granted or one.member in self.avoided
-            for one in self.group.members
-        )
-
     def fail_raise(self) -> NoReturn:
         """Say how far short of a majority the attempt fell."""
         detail = f"{len(self.granted)} of {len(self.group.members)} members promised"
--- a/src/reedhook/process/report.py
+++ b/src/reedhook/process/report.py
@@ -185,6 +185,12 @@
                 self.slots[member] = asyncio.Semaphore(IN_FLIGHT)
                 self.tasks[member] = asyncio.create_task(self.follow(home))
 
+    def reset(self) -> None:
+        """Give up reports to a former primary's home; they hold the slots."""
+        self.contact.reset()
+        for task in self.sending - {asyncio.current_task()}:
+            task.cancel()
+
     def close(self) -> None:
         """Stop following and reporting."""
         for task in [*self.tasks.values(), *self.sending]:
--- a/tests/cluster_group.py
+++ b/tests/cluster_group.py
@@ -1,6 +1,7 @@
 """Hosts of three zones around one `FakeGroup`, in virtual time."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from itertools import count
@@ -16,10 +17,11 @@
 from reedhook.process.timeline import Event, EventKind, Timeline
 from reedhook.request.execution import Served
 from reedhook.request.position import Position
+from reedhook.request.refusal import Refusal
 from reedhook.request.statement import Consistency, Kind, Statement
 from reedhook.version.catalog import Catalog, Group, Limits, Member
 
-from .fakes_group import FakeFactory, FakeGroup, FakeHome
+from .fakes_group import FakeFactory, FakeGroup, FakeHome, wait_for
 from .fakes_peers import FakeNetwork
 
 NAMES = ["m1", "m2", "m3"]
@@ -246,19 +248,26 @@
         return sorted(found, key=lambda one: (one.stamp.wall_ms, one.stamp.count))
 
     async def until_writable(self, limit: float = 5.0) -> float:
-        """Write until a write is acknowledged; return seconds that it took."""
+        """Try a write every few milliseconds until one is acknowledged.
+
+        :returns: seconds until then.
+        """
         begun = self.now()
-        for serial in self.ids:
-            member = self.leader()
-            try:
-                await self.write(member, f"probe {serial}", 0.2)
-            except Exception:
-                if self.now() - begun > limit:
-                    raise
-                await asyncio.sleep(0.01)
-                continue
-            return self.now() - begun
-        raise AssertionError
+        done = asyncio.Event()
+        tries: set[asyncio.Task[None]] = set()
+        while not done.is_set():
+            assert self.now() - begun < limit, "writes did not resume"
+            task = asyncio.create_task(self.try_write(f"probe {next(self.ids)}", done))
+            tries.add(task)
+            task.add_done_callback(tries.discard)
+            await wait_for(done, 0.005)
+        return self.now() - begun
+
+    async def try_write(self, value: str, done: asyncio.Event) -> None:
+        """Write at the member promoted last, wherever its home is."""
+        with contextlib.suppress(Refusal):
+            await self.write(self.leader(), value, 0.3)
+            done.set()
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/tests/fakes_group.py
+++ b/tests/fakes_group.py
@@ -226,12 +226,22 @@
                 await wait_for(member.changed, 0.05)
                 continue
             news = leader.changed
+            own = member.changed
             await asyncio.sleep(2 * self.delay)
             blocked = (member.name, leader.name) in self.cuts
             if not (blocked or leader.down or member.down):
                 if leader.role is Role.PRIMARY:
                     member.pull(leader)
-            await wait_for(news, 0.05)
+            await wait_for_either(news, own, 0.05)
+
+
+async def wait_for_either(
+    one: asyncio.Event, other: asyncio.Event, timeout: float
+) -> None:
+    tasks = [asyncio.ensure_future(event.wait()) for event in (one, other)]
+    await asyncio.wait(tasks, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
 
 
 async def wait_for(event: asyncio.Event, timeout: float) -> None:
@@ -340,9 +350,12 @@
         await wait_for(self.news, timeout)
 
     def touch(self, state: MemberState, asked: float) -> None:
-        if self.state is None or state.revision >= self.state.revision:
-            self.state = state
-            self.state_asked = asked
+        if self.state is not None and state.revision < self.state.revision:
+            return
+        news = self.state is None or state.revision > self.state.revision
+        self.state = state
+        self.state_asked = asked
+        if news:
             self.announce()
 
     async def ask_state(self, timeout: float) -> MemberState:
