Hold verdicts, sessions and routing against a model of a group

Cause: nothing showed that a verdict holds when the hop breaks, that a session which roams misses nothing, or that odd input has no effect. Trying it found: a hop over a silent connection used up the whole deadline, a read whose home failed was called may have run, and aiohttp answered a body in an unknown encoding itself, untyped. Change: what may be repeated is given up over the hop at half its time; a read is not run without an answer; compressed bodies are refused by the handler (the server must not decompress). Tests of each. Ruled out: a deadline cut short at the home, which would make it refuse work that it could still do.

--- a/src/reedhook/request/api.py
+++ b/src/reedhook/request/api.py
@@ -1,7 +1,6 @@
 """The callers' interface: HTTP with JSON, described in docs/API.md."""
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 from hashlib import blake2b
 from math import ceil
@@ -9,6 +8,7 @@
 
 import logbook
 from aiohttp import web
+from aiohttp.hdrs import CONTENT_ENCODING
 from xxhash import xxh3_64_intdigest
 
 from ..clock import Clock
@@ -35,6 +35,7 @@
 START_RETRY_MS: Final = 500
 INTERNAL_RETRY_MS: Final = 1000
 BODY_TIMEOUT: Final = 10.0
+IDENTITY: Final = "identity"
 JSON_TYPE: Final = "application/json"
 
 Handler: TypeAlias = Callable[[web.Request], Awaitable[web.Response]]
@@ -74,7 +75,8 @@
     """Answer callers.
 
     The server must let handlers go on when a caller hangs up, as aiohttp's
-    does by default, so that a write comes to a definite end.
+    does by default, so that a write comes to a definite end. It must leave
+    compressed bodies alone (``auto_decompress=False``); they are refused here.
 
     :param me: this host.
     :param secrets: secrets of session tokens and transaction handles, shared
@@ -92,7 +94,6 @@
         "handles",
         "rates",
         "clock",
-        "random",
         "metrics",
         "max_body",
         "active",
@@ -107,7 +108,6 @@
         dispatch: Dispatch,
         secrets: tuple[bytes, ...],
         clock: Clock,
-        rng: random.Random,
         metrics: Metrics,
         max_body: int = MAX_BODY,
     ) -> None:
@@ -119,7 +119,6 @@
         self.handles = HandleCodec(secrets)
         self.rates = TeamRates()
         self.clock = clock
-        self.random = rng
         self.metrics = metrics
         self.max_body = max_body
         self.active = 0
@@ -399,6 +398,8 @@
 
     :raises Refusal: if a bound is passed or the body is cut short.
     """
+    if request.headers.get(CONTENT_ENCODING, IDENTITY) != IDENTITY:
+        raise not_run(Reason.BAD_REQUEST, "compressed bodies are not accepted")
     size = request.content_length
     if size is not None and size > limit:
         raise too_large(limit)
--- a/src/reedhook/request/choice.py
+++ b/src/reedhook/request/choice.py
@@ -9,6 +9,7 @@
 from bisect import bisect_left
 from typing import Final
 
+from ..record import Record
 from ..version.catalog import Group, Member
 from .position import Position
 from .statement import Consistency, Statement
@@ -164,6 +165,32 @@
         track.lag = max(track.lag or 0.0, LAG_BACKOFF * delay)
 
 
+class Need(Record):
+    """Say which read needs a replica now, and what is known of the group.
+
+    :param tried: replicas that refused it already.
+    :param now: local monotonic time in seconds.
+    """
+
+    __slots__ = ("group", "view", "track", "statement", "tried", "now")
+
+    def __init__(
+        self,
+        group: Group,
+        view: GroupView,
+        track: GroupTrack,
+        statement: Statement,
+        tried: frozenset[str],
+        now: float,
+    ) -> None:
+        self.group = group
+        self.view = view
+        self.track = track
+        self.statement = statement
+        self.tried = tried
+        self.now = now
+
+
 class Chooser:
     """Choose replicas for reads of this host.
 
@@ -176,20 +203,12 @@
         self.zone = zone
         self.random = rng
 
-    def replica(
-        self,
-        group: Group,
-        view: GroupView,
-        track: GroupTrack,
-        statement: Statement,
-        tried: frozenset[str],
-        now: float,
-    ) -> str | None:
+    def replica(self, need: Need) -> str | None:
         """Return the replica for a read, or None if only the primary will do."""
         best = None
         best_cost = 0.0
-        for member in self.two(self.fit(group, view, track, statement, tried, now)):
-            cost = self.cost(member, view, track, now)
+        for member in self.two(self.fit(need)):
+            cost = self.cost(member, need)
             if best is None or cost < best_cost:
                 best, best_cost = member.member, cost
         return best
@@ -198,44 +217,37 @@
         """Return two members at random, or fewer if there are not so many."""
         return members if len(members) <= 2 else self.random.sample(members, 2)
 
-    def fit(
-        self,
-        group: Group,
-        view: GroupView,
-        track: GroupTrack,
-        statement: Statement,
-        tried: frozenset[str],
-        now: float,
-    ) -> list[Member]:
+    def fit(self, need: Need) -> list[Member]:
         """Return the replicas that can be expected to meet the demand.
 
         Those that are known to meet it go before those that only should.
         """
         known = []
         likely = []
-        for member in group.members:
-            name = member.member
-            one = view.members.get(name)
-            if one is None or one.leaving or name == view.primary or name in tried:
+        for member in need.group.members:
+            one = need.view.members.get(member.member)
+            if one is None or not self.admitted(one, need):
                 continue
-            own = track.member(name)
-            if not own.admits(now, self.random):
-                continue
-            if meets(one, statement, now):
+            if meets(one, need.statement, need.now):
                 known.append(member)
-            elif should_meet(one, own, track.heads, statement, now):
+            elif should_meet(one, need):
                 likely.append(member)
         return known or likely
 
-    def cost(
-        self, member: Member, view: GroupView, track: GroupTrack, now: float
-    ) -> float:
+    def admitted(self, one: MemberView, need: Need) -> bool:
+        """Say whether a member is a replica that takes reads at all."""
+        if one.leaving or one.member == need.view.primary or one.member in need.tried:
+            return False
+        return need.track.member(one.member).admits(need.now, self.random)
+
+    def cost(self, member: Member, need: Need) -> float:
         """Return the wait to expect at `member`, with the way there, in seconds."""
-        one = view.members[member.member]
-        age = now - one.seen
+        one = need.view.members[member.member]
+        age = need.now - one.seen
         wait = one.wait * max(0.0, 1.0 - age / WAIT_DECAY)
         hop = NEAR_HOP if member.zone == self.zone else FAR_HOP
-        return wait + hop + INFLIGHT_WAIT * track.member(member.member).inflight
+        inflight = need.track.member(member.member).inflight
+        return wait + hop + INFLIGHT_WAIT * inflight
 
 
 def meets(one: MemberView, statement: Statement, now: float) -> bool:
@@ -248,15 +260,15 @@
     return one.lag is not None and one.lag + now - one.seen <= statement.max_age
 
 
-def should_meet(
-    one: MemberView, own: Track, heads: Heads, statement: Statement, now: float
-) -> bool:
+def should_meet(one: MemberView, need: Need) -> bool:
     """Say whether a replica should by now meet what a read demands."""
+    statement = need.statement
     if statement.covers is not None and one.applied < statement.covers:
-        since = heads.since(statement.covers)
-        if since is None or own.lag is None:
+        since = need.track.heads.since(statement.covers)
+        lag = need.track.member(one.member).lag
+        if since is None or lag is None:
             return False
-        if now + COVER_WAIT < since + own.lag:
+        if need.now + COVER_WAIT < since + lag:
             return False
     if statement.consistency is not Consistency.MAX_AGE:
         return True
--- a/src/reedhook/request/dispatch.py
+++ b/src/reedhook/request/dispatch.py
@@ -13,6 +13,8 @@
 from .verdict import Verdict
 
 HOP_GRACE: Final = 0.05
+MIN_PATIENCE: Final = 0.25
+PATIENCE_SHARE: Final = 0.5
 RETRY_AFTER_MS: Final = 500
 RETRY_SOON_MS: Final = 50
 ELSEWHERE: Final = frozenset({Reason.WRONG_HOME, Reason.HOST_UNREACHABLE})
@@ -80,10 +82,15 @@
         """Send the statement to `host` and read its answer."""
         body = {"member": member, "statement": statement.to_json()}
         asked = self.clock.monotonic()
-        timeout = statement.remaining + HOP_GRACE
         try:
-            message = await self.peers.call(host, "statement", body, timeout)
+            message = await self.peers.call(
+                host, "statement", body, patience(statement)
+            )
             return Served.from_json(message, asked, host)
+        except Refusal as refusal:
+            if statement.kind in WITHOUT_EFFECT:
+                refusal.verdict = Verdict.NOT_RUN
+            raise
         except PeerError as error:
             raise broken_hop(host, statement.kind, str(error), error.sent) from error
         except (LookupError, TypeError, ValueError) as error:
@@ -126,6 +133,18 @@
         )
 
 
+def patience(statement: Statement) -> float:
+    """Return how long to wait for an answer over the hop, in seconds.
+
+    A connection may have gone silent. What can be repeated safely is given
+    up while there is time left to repeat it on another connection.
+    """
+    left = statement.remaining + HOP_GRACE
+    if statement.kind is Kind.READ or statement.request_id is not None:
+        return min(left, max(MIN_PATIENCE, PATIENCE_SHARE * left))
+    return left
+
+
 def broken_hop(host: HostRef, kind: Kind, detail: str, sent: bool) -> Refusal:
     """Return the refusal for a hop that gave no answer.
 
--- a/src/reedhook/request/retry.py
+++ b/src/reedhook/request/retry.py
@@ -15,24 +15,6 @@
     NEWS = auto()
 
 
-LOST_PRIMARY: Final = frozenset(
-    {
-        Reason.NO_PRIMARY,
-        Reason.SUPERSEDED,
-        Reason.UNCONFIRMED,
-        Reason.NOT_DURABLE,
-        Reason.AGE_UNPROVED,
-        Reason.NOT_COVERED,
-        Reason.DRAINING,
-        Reason.TARGET_LEAVING,
-        Reason.TARGET_LOST,
-        Reason.TARGET_FULL,
-        Reason.TARGET_UNREACHABLE,
-        Reason.HOST_UNREACHABLE,
-        Reason.WRONG_HOME,
-    }
-)
-ELSEWHERE: Final = LOST_PRIMARY | {Reason.OVERLOADED}
 MEMBER_FAULTS: Final = frozenset(
     {
         Reason.DRAINING,
@@ -44,6 +26,15 @@
         Reason.WRONG_HOME,
     }
 )
+LOST_PRIMARY: Final = MEMBER_FAULTS | {
+    Reason.NO_PRIMARY,
+    Reason.SUPERSEDED,
+    Reason.UNCONFIRMED,
+    Reason.NOT_DURABLE,
+    Reason.AGE_UNPROVED,
+    Reason.NOT_COVERED,
+}
+ELSEWHERE: Final = LOST_PRIMARY | {Reason.OVERLOADED}
 
 
 def reaction(refusal: Refusal, repeatable: bool, at_primary: bool) -> Reaction:
--- a/src/reedhook/request/router.py
+++ b/src/reedhook/request/router.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..process.metrics import Metrics
 from ..version.catalog import Group
-from .choice import Chooser, GroupTrack
+from .choice import Chooser, GroupTrack, Need
 from .execution import Execution, Served
 from .hedge import Hedge, SlowBound
 from .rate import Budget
@@ -312,7 +312,7 @@
         """Return the replica to ask next, or None."""
         track = self.track(group.name)
         now = self.clock.monotonic()
-        return self.chooser.replica(group, view, track, statement, tried, now)
+        return self.chooser.replica(Need(group, view, track, statement, tried, now))
 
     def track(self, group: str) -> GroupTrack:
         """Return what this host experienced with `group`."""
--- a/tests/fakes_request.py
+++ b/tests/fakes_request.py
@@ -5,17 +5,25 @@
 """
 
 import asyncio
+import random
+from bisect import bisect_right
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from typing import Final
 
+from reedhook.clock import Clock
 from reedhook.process.directory import Directory
+from reedhook.process.metrics import MemoryMetrics
 from reedhook.process.peer import HostRef, PeerRoutes
+from reedhook.request.choice import Chooser
+from reedhook.request.dispatch import Dispatch
 from reedhook.request.execution import Execution, Served
 from reedhook.request.position import Position
 from reedhook.request.refusal import Reason, not_run
+from reedhook.request.router import Router
 from reedhook.request.statement import Answer, Consistency, Kind, Statement
 from reedhook.request.view import GroupView, MemberView
+from reedhook.request.views import Views
 from reedhook.version.catalog import Catalog, Group, Limits, Member, Team
 from reedhook.wire import Json
 
@@ -75,23 +83,17 @@
         pass
 
 
-class Write:
-    """Keep one entry of the model's log and when the primary wrote it."""
-
-    def __init__(self, position: Position, at: float, key: str) -> None:
-        self.position = position
-        self.at = at
-        self.key = key
-
-
 class FakeGroup(Execution):
     """Execute statements against the model.
 
     :ivar lags: how long each replica is behind, in seconds.
-    :ivar log: the entries that hold; a promotion drops those that the new
-        primary has not got.
+    :ivar log: the positions of all entries, and `times` when each was written.
+    :ivar view_delay: age in seconds of what a home knows of other members.
+    :ivar proof_delay: age in seconds of the samples that prove an age.
     :ivar ran: how often the effect of each request ran.
     :ivar executed: statements that reached a member, by member.
+    :ivar proves: whether homes check what a read demands, as they must.
+    :ivar frozen: whether nobody leads, so that each write is refused.
     :ivar errors: what the next statements of a kind raise before they run.
     """
 
@@ -101,7 +103,10 @@
         self.primary = names[0]
         self.term = 1
         self.lags = {name: lag for name in names}
-        self.log: list[Write] = []
+        self.log: list[Position] = []
+        self.times: list[float] = []
+        self.view_delay = 0.0
+        self.proof_delay = 0.0
         self.results: dict[str, Position] = {}
         self.ran: Counter[str] = Counter()
         self.executed: Counter[str] = Counter()
@@ -109,6 +114,8 @@
         self.leaving: set[str] = set()
         self.delays: dict[str, float] = {}
         self.service_time = SERVICE_TIME
+        self.proves = True
+        self.frozen = False
         self.errors: defaultdict[Kind, list[Exception]] = defaultdict(list)
 
     def now(self) -> float:
@@ -117,23 +124,20 @@
 
     def head(self) -> Position:
         """Return the last position of the primary."""
-        return self.log[-1].position if self.log else Position(1, 0)
+        return self.log[-1] if self.log else Position(1, 0)
 
-    def applied(self, member: str) -> Position:
-        """Return the position that reads of `member` see now."""
-        if member == self.primary:
-            return self.head()
-        horizon = self.now() - self.lags[member]
-        seen = Position(1, 0)
-        for write in reversed(self.log):
-            if write.at <= horizon:
-                return write.position
-        return seen
+    def applied(self, member: str, back: float = 0.0) -> Position:
+        """Return the position that reads of `member` saw `back` seconds ago."""
+        if member != self.primary:
+            back += self.lags[member]
+        at = bisect_right(self.times, self.now() - back)
+        return self.log[at - 1] if at > 0 else Position(1, 0)
 
     def append(self, key: str) -> Position:
         """Write an entry at the primary."""
         position = Position(self.term, self.head().index + 1)
-        self.log.append(Write(position, self.now(), key))
+        self.log.append(position)
+        self.times.append(self.now())
         self.ran[key] += 1
         return position
 
@@ -143,27 +147,31 @@
         self.primary = member
         self.append(f"term {self.term}")
 
-    def view(self) -> GroupView:
-        """Return what a home knows; replicas' ages are exact."""
-        now = self.now()
+    def view(self, member: str | None = None) -> GroupView:
+        """Return what the home of `member` knows, or one that knows all."""
         view = GroupView(self.group.name, self.term, self.primary)
         for one in self.group.members:
-            name = one.member
-            lag = 0.0 if name == self.primary else self.lags[name]
-            applied = self.applied(name)
-            view.learn(
-                MemberView(
-                    name,
-                    applied,
-                    applied,
-                    now,
-                    self.waits[name],
-                    lag,
-                    name in self.leaving,
-                )
-            )
+            delay = 0.0 if member in (None, one.member) else self.view_delay
+            view.learn(self.member_view(one.member, delay))
         return view
 
+    def member_view(self, name: str, delay: float) -> MemberView:
+        """Return what was known of a member `delay` seconds ago."""
+        applied = self.applied(name, delay)
+        return MemberView(
+            name,
+            applied,
+            applied,
+            self.now() - delay,
+            self.waits[name],
+            0.0 if name == self.primary else self.age(name),
+            name in self.leaving,
+        )
+
+    def age(self, member: str) -> float:
+        """Return the age of a replica that can be proved, in seconds."""
+        return self.lags[member] + self.proof_delay
+
     async def execute(self, member: str, statement: Statement) -> Served:
         self.executed[member] += 1
         await asyncio.sleep(self.delays.get(member, self.service_time))
@@ -181,7 +189,7 @@
         answer = Answer(
             ["at"], [[position.index]], 1, member, role, position, age, repeated
         )
-        return Served(answer, self.waits[member], self.view())
+        return Served(answer, self.waits[member], self.view(member))
 
     async def read(self, member: str, statement: Statement) -> tuple[Position, float]:
         """Serve a read, or refuse it as its home would."""
@@ -190,7 +198,7 @@
         if statement.consistency is Consistency.FRESH:
             raise not_run(Reason.NO_PRIMARY, f"{member} is not the primary")
         await self.cover(member, statement.covers)
-        age = self.lags[member]
+        age = self.age(member)
         if statement.consistency is Consistency.MAX_AGE:
             assert statement.max_age is not None
             if age > statement.max_age:
@@ -199,7 +207,7 @@
 
     async def cover(self, member: str, covers: Position | None) -> None:
         """Wait a little until `member` covers a position."""
-        if covers is None or self.applied(member) >= covers:
+        if covers is None or not self.proves or self.applied(member) >= covers:
             return
         await asyncio.sleep(COVER_WAIT)
         if self.applied(member) < covers:
@@ -207,7 +215,7 @@
 
     def write(self, member: str, statement: Statement) -> Position:
         """Run a write once for each request id."""
-        if member != self.primary:
+        if member != self.primary or self.frozen:
             raise not_run(Reason.SUPERSEDED, f"{member} does not lead", 50)
         if statement.kind is not Kind.WRITE:
             return self.head()
@@ -222,8 +230,10 @@
         """Let a coming statement of `kind` raise `error`, with no effect."""
         self.errors[kind].append(error)
 
-    def routes(self, clock_now: Callable[[], float]) -> PeerRoutes:
-        """Return the peer paths that a home of this group serves."""
+    def routes(
+        self, clock_now: Callable[[], float], member: str | None = None
+    ) -> PeerRoutes:
+        """Return the peer paths that the home of `member` serves."""
         routes = PeerRoutes()
 
         async def serve_statement(body: Json) -> Json:
@@ -232,7 +242,7 @@
             return served.to_json(clock_now())
 
         async def serve_view(body: Json) -> Json:
-            return {"view": self.view().to_json(clock_now())}
+            return {"view": self.view(member).to_json(clock_now())}
 
         routes.add("statement", serve_statement)
         routes.add("view", serve_view)
@@ -246,6 +256,108 @@
     hosts = []
     for at, zone in enumerate(zones):
         host = HostRef(f"h{at + 1}", zone, f"127.0.0.1:{9000 + at}")
-        network.join(host, group.routes(network.clock(host.host).monotonic))
+        member = group.group.members[at].member
+        clock = network.clock(host.host)
+        network.join(host, group.routes(clock.monotonic, member))
         hosts.append(host)
     return hosts
+
+
+class EntryHost:
+    """Hold what a host needs to route statements to a model of a group.
+
+    :param local: executes at targets whose home is this host.
+    """
+
+    def __init__(
+        self,
+        network: FakeNetwork,
+        directory: FakeDirectory,
+        catalog: Callable[[], Catalog | None],
+        local: Execution,
+        clock: Clock,
+        seed: int = 1,
+    ) -> None:
+        peers = network.at[directory.me.address]
+        self.random = random.Random(seed)
+        self.clock = clock
+        self.metrics = MemoryMetrics()
+        self.directory = directory
+        self.views = Views(
+            clock, self.random, directory, peers, peers.routes.handlers["view"]
+        )
+        self.dispatch = Dispatch(local, directory, peers, catalog, clock)
+        self.router = Router(
+            self.dispatch,
+            self.views,
+            Chooser(directory.me.zone, self.random),
+            clock,
+            self.random,
+            self.metrics,
+        )
+
+
+class World:
+    """Hold a model of a group with its three homes and entry hosts beside them.
+
+    Host ``e1`` stands in the zone ``z1`` and so on; none of them is a home.
+    """
+
+    def __init__(self, lag: float = 0.005, entries: int = 2, seed: int = 1) -> None:
+        self.network = FakeNetwork(seed=seed)
+        self.model = FakeGroup(make_group(), lag)
+        self.homes = join_hosts(self.network, self.model)
+        self.catalog = make_catalog([self.model.group], [])
+        self.entries = [self.entry(at, seed + at) for at in range(entries)]
+
+    def entry(self, at: int, seed: int) -> EntryHost:
+        """Attach an entry host in the zone with the index `at`."""
+        name = f"e{at + 1}"
+        me = HostRef(name, ZONES[at], f"127.0.0.1:{9100 + at}")
+        clock = self.network.clock(name)
+        self.network.join(me, self.model.routes(clock.monotonic))
+        directory = FakeDirectory(me, self.homes)
+        return EntryHost(
+            self.network, directory, lambda: self.catalog, self.model, clock, seed
+        )
+
+    async def run(self, statement: Statement, entry: int = 0) -> Served:
+        """Run a statement through an entry host."""
+        return await self.entries[entry].router.run(self.model.group, statement)
+
+    async def warm(self) -> None:
+        """Let each entry host learn of the group."""
+        for entry in self.entries:
+            await entry.views.refresh(self.model.group)
+
+    async def close(self) -> None:
+        """Stop what runs in the background."""
+        for entry in self.entries:
+            await entry.views.close()
+
+
+def read(
+    covers: Position | None = None,
+    max_age: float | None = None,
+    remaining: float = 1.0,
+) -> Statement:
+    """Return a session read, or a bounded one if `max_age` is given."""
+    consistency = Consistency.SESSION if max_age is None else Consistency.MAX_AGE
+    return Statement(
+        Kind.READ,
+        "g1",
+        "gate",
+        "select 1",
+        [],
+        remaining,
+        consistency=consistency,
+        covers=covers,
+        max_age=max_age,
+    )
+
+
+def write(request_id: str, remaining: float = 1.0) -> Statement:
+    """Return a write that is not idempotent."""
+    return Statement(
+        Kind.WRITE, "g1", "gate", "pay", [], remaining, request_id=request_id
+    )
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -1,7 +1,6 @@
 """The callers' interface over HTTP: answers, refusals, effects."""
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 from hashlib import sha256
 from typing import Any, Final
@@ -12,20 +11,16 @@
 from aiohttp.web import Application, AppRunner, Request, TCPSite
 
 from reedhook.clock import SystemClock
-from reedhook.process.metrics import MemoryMetrics
 from reedhook.request.api import Api, caller_routes
-from reedhook.request.choice import Chooser
-from reedhook.request.dispatch import Dispatch
 from reedhook.request.position import Position
 from reedhook.request.refusal import Reason, may_have_run, not_run
-from reedhook.request.router import Router
 from reedhook.request.statement import Kind
-from reedhook.request.views import Views
 from reedhook.version.catalog import Catalog
 
 from .fakes_peers import FakeNetwork
 from .fakes_request import (
     CREDENTIAL,
+    EntryHost,
     FakeDirectory,
     FakeGroup,
     join_hosts,
@@ -63,30 +58,23 @@
         hosts = join_hosts(network, self.model)
         me = hosts[0]
         self.directory = FakeDirectory(me, hosts)
-        rng = random.Random(seed)
-        peers = network.at[me.address]
-        ask_here = peers.routes.handlers["view"]
-        views = Views(self.clock, rng, self.directory, peers, ask_here)
-        dispatch = Dispatch(
-            self.model, self.directory, peers, lambda: self.catalog, self.clock
-        )
-        self.router = Router(
-            dispatch,
-            views,
-            Chooser(me.zone, rng),
+        entry = EntryHost(
+            network,
+            self.directory,
+            lambda: self.catalog,
+            self.model,
             self.clock,
-            rng,
-            MemoryMetrics(),
+            seed,
         )
+        self.router = entry.router
         self.api = Api(
             me,
             lambda: self.catalog,
-            self.router,
-            dispatch,
+            entry.router,
+            entry.dispatch,
             (b"a secret of the cluster",),
             self.clock,
-            rng,
-            MemoryMetrics(),
+            entry.metrics,
         )
 
     def application(self) -> Application:
--- /dev/null
+++ b/tests/test_request_sessions.py
@@ -0,0 +1,158 @@
+"""Sessions that roam between hosts, whatever becomes of the group and the hops.
+
+Each example is a history: steps of sessions through two hosts, changes of
+primary, of lag, and of the network between them, in virtual time.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final
+
+from hypothesis import given, strategies as st
+
+from reedhook.request.execution import Served
+from reedhook.request.position import Position
+from reedhook.request.refusal import Refusal
+from reedhook.request.statement import Statement
+from reedhook.request.token import SessionToken, TokenCodec
+from reedhook.request.verdict import Verdict
+
+from .fakes_clock import run_virtual
+from .fakes_request import World, read, write
+
+SECRET: Final = b"a secret of the cluster"
+TEAM: Final = "gate"
+SERVICE: Final = "feedlog-db"
+MEMBERS: Final = ("g1-z1", "g1-z2", "g1-z3")
+HOSTS: Final = ("h1", "h2", "h3")
+SETTLE: Final = 10.0
+
+sessions = st.integers(0, 2)
+entries = st.integers(0, 1)
+steps = st.one_of(
+    st.tuples(st.just("write"), sessions, entries),
+    st.tuples(st.just("read"), sessions, entries, st.none()),
+    st.tuples(st.just("read"), sessions, entries, st.sampled_from([0.01, 0.5, 3.0])),
+    st.tuples(st.just("again"), sessions, entries),
+    st.tuples(st.just("pass"), st.sampled_from([0.001, 0.02, 0.3, 2.0])),
+    st.tuples(
+        st.just("lag"),
+        st.sampled_from(MEMBERS),
+        st.sampled_from([0.0, 0.005, 0.2, 5.0]),
+    ),
+    st.tuples(st.just("promote"), st.sampled_from(MEMBERS)),
+    st.tuples(st.just("cut"), entries, st.sampled_from(HOSTS), st.booleans()),
+    st.tuples(st.just("heal")),
+)
+
+
+class History:
+    """Run the steps of one example and hold each answer against the truth."""
+
+    def __init__(self, proves: bool) -> None:
+        self.world = World(lag=0.05)
+        self.world.model.proves = proves
+        self.codecs = [TokenCodec([SECRET]) for _ in self.world.entries]
+        empty = self.codecs[0].encode(SessionToken(TEAM, SERVICE))
+        self.tokens = [empty] * 3
+        self.last: list[str | None] = [None] * 3
+        self.verdicts: dict[str, list[Verdict]] = {}
+        self.calls: list[asyncio.Task[None]] = []
+        self.issued = 0
+
+    async def run(self, history: list[tuple[Any, ...]]) -> None:
+        """Run all steps, then compare verdicts with what really ran."""
+        acts: dict[str, Callable[..., None]] = {
+            "write": self.write,
+            "again": self.again,
+            "read": self.read,
+            "lag": self.lag,
+            "promote": self.world.model.promote,
+            "cut": self.cut,
+            "heal": self.world.network.heal,
+        }
+        for name, *arguments in history:
+            if name == "pass":
+                await asyncio.sleep(arguments[0])
+            else:
+                acts[name](*arguments)
+                await asyncio.sleep(0)
+        await asyncio.gather(*self.calls)
+        await asyncio.sleep(SETTLE)
+        self.check_truth()
+        await self.world.close()
+
+    def write(self, session: int, entry: int) -> None:
+        """Begin a write under a new request id."""
+        self.issued += 1
+        self.last[session] = f"{self.issued}-id"
+        self.again(session, entry)
+
+    def again(self, session: int, entry: int) -> None:
+        """Send the last write of the session again, perhaps while it runs."""
+        request_id = self.last[session]
+        if request_id is not None:
+            call = self.answered(session, entry, write(request_id))
+            self.calls.append(asyncio.create_task(call))
+
+    def read(self, session: int, entry: int, max_age: float | None) -> None:
+        """Begin a read."""
+        call = self.answered(session, entry, read(max_age=max_age))
+        self.calls.append(asyncio.create_task(call))
+
+    async def answered(self, session: int, entry: int, statement: Statement) -> None:
+        """Run a statement with the token as it is now and check the answer."""
+        codec = self.codecs[entry]
+        before = codec.decode(self.tokens[session], TEAM, SERVICE)
+        statement.covers = before.positions.get("g1")
+        try:
+            served = await self.world.run(statement, entry)
+        except Refusal as refusal:
+            self.note(statement, refusal.verdict)
+            return
+        self.note(statement, Verdict.DONE)
+        self.check(statement, served)
+        now = codec.decode(self.tokens[session], TEAM, SERVICE)
+        after = now.advanced("g1", served.answer.position)
+        assert after.covers(before) and after.covers(now)
+        self.tokens[session] = codec.encode(after)
+
+    def check(self, statement: Statement, served: Served) -> None:
+        """Hold an answer against what it must cover."""
+        covers: Position | None = statement.covers
+        if covers is not None and statement.request_id is None:
+            assert served.answer.position.covers(covers)
+        if statement.max_age is not None:
+            assert served.answer.age is not None
+            assert served.answer.age <= statement.max_age
+
+    def note(self, statement: Statement, verdict: Verdict) -> None:
+        """Keep the verdict on a write."""
+        if statement.request_id is not None:
+            self.verdicts.setdefault(statement.request_id, []).append(verdict)
+
+    def lag(self, member: str, seconds: float) -> None:
+        """Change the lag of a member."""
+        self.world.model.lags[member] = seconds
+
+    def cut(self, entry: int, home: str, outwards: bool) -> None:
+        """Cut one direction between an entry host and a home."""
+        pair = (f"e{entry + 1}", home)
+        self.world.network.cut(*(pair if outwards else pair[::-1]))
+
+    def check_truth(self) -> None:
+        """Hold all verdicts on each request id against how often it ran."""
+        for request_id, verdicts in self.verdicts.items():
+            ran = self.world.model.ran[request_id]
+            assert ran <= 1
+            if Verdict.DONE in verdicts:
+                assert ran == 1
+            if set(verdicts) == {Verdict.NOT_RUN}:
+                assert ran == 0
+
+
+@given(st.lists(steps, max_size=40), st.booleans())
+def test_no_session_misses_what_its_token_covers_and_no_verdict_lies(
+    history: list[tuple[Any, ...]], proves: bool
+) -> None:
+    run_virtual(History(proves).run(history))
--- a/tests/test_token.py
+++ b/tests/test_token.py
@@ -64,6 +64,15 @@
     refused(altered)
 
 
+@pytest.mark.parametrize("group", ["g", "g1", "g12"])
+def test_each_bit_of_a_token_counts(group: str) -> None:
+    text = CODEC.encode(SessionToken("gate", "feedlog-db", {group: Position(1, 2)}))
+    for at, character in enumerate(text):
+        for bit in range(8):
+            altered = chr(ord(character) ^ (1 << bit))
+            refused(text[:at] + altered + text[at + 1 :])
+
+
 @given(tokens, st.data())
 def test_a_token_cut_anywhere_never_decodes(
     token: SessionToken, data: st.DataObject
