Add calls between hosts, membership and the directory of homes

Cause: the interfaces for peers and the directory had no implementation. Change: HttpPeers and its listener (envelope, credential, stamps, half-open connections given up after a call without an answer, bounded bodies); a table of hosts with incarnations and incremental digests; heartbeats on a ring of the zone, random questions, urgent news, repair by differing buckets; homes by rendezvous hashing with shares by rank.

--- a/src/reedhook/process/directory.py
+++ b/src/reedhook/process/directory.py
@@ -1,9 +1,12 @@
-"""Interface that tells which host is the home of a target."""
+"""Which host is the home of a target."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
+from .membership_record import HostRecord
+from .membership_table import Change, MembershipTable
 from .peer import HostRef
+from .rendezvous import ranked_hosts
 
 
 class Directory(ABC):
@@ -31,3 +34,122 @@
         """Return the home of the target, or None if no host is live."""
         hosts = self.ranked(member, zone)
         return hosts[0] if hosts else None
+
+
+class Orders:
+    """Keep the order of known hosts for each key until the known set changes."""
+
+    __slots__ = ("table", "epoch", "orders")
+
+    def __init__(self, table: MembershipTable) -> None:
+        self.table = table
+        self.epoch = -1
+        self.orders: dict[tuple[str, str, bool], list[str]] = {}
+
+    def order(self, key: str, zone: str, inside: bool) -> list[str]:
+        """Return the known hosts inside (or outside) `zone`, best first."""
+        if self.epoch != self.table.known_epoch:
+            self.orders.clear()
+            self.epoch = self.table.known_epoch
+        asked = (key, zone, inside)
+        known = self.orders.get(asked)
+        if known is None:
+            known = self.orders[asked] = ranked_hosts(key, self.hosts(zone, inside))
+        return known
+
+    def hosts(self, zone: str, inside: bool) -> list[str]:
+        """Return the known hosts inside or outside `zone`, in no order."""
+        if inside:
+            return list(self.table.zones.get(zone, ()))
+        return [
+            host
+            for other, hosts in self.table.zones.items()
+            if other != zone
+            for host in hosts
+        ]
+
+
+class MembershipDirectory(Directory):
+    """Derive homes from the table of known hosts.
+
+    Hosts with equal tables give equal answers. Among live hosts, those with a
+    penalty for flapping come last.
+    """
+
+    def __init__(self, me: HostRef, table: MembershipTable) -> None:
+        self.ref = me
+        self.table = table
+        self.orders = Orders(table)
+        self.callbacks: list[Callable[[], None]] = []
+        table.listeners.append(self.notify)
+
+    @property
+    def me(self) -> HostRef:
+        return self.ref
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        self.callbacks.append(callback)
+
+    def notify(self, change: Change) -> None:
+        """Tell the subscribers of changes that can move a home."""
+        if change.before and change.after and same_for_homes(change):
+            return
+        for callback in self.callbacks:
+            callback()
+
+    def ranked(self, member: str, zone: str) -> list[HostRef]:
+        hosts = self.live_order(self.orders.order(member, zone, True))
+        if hosts:
+            return hosts
+        return self.live_order(self.orders.order(member, zone, False))
+
+    def home(self, member: str, zone: str) -> HostRef | None:
+        """Return the home without building the whole ranking."""
+        inside = self.first(self.orders.order(member, zone, True))
+        if inside is not None:
+            return inside
+        return self.first(self.orders.order(member, zone, False))
+
+    def first(self, order: list[str]) -> HostRef | None:
+        """Return the first live host without a penalty, else the first live."""
+        fallback = None
+        for host in order:
+            record = self.table.records[host]
+            if not record.live:
+                continue
+            if record.penalty == 0:
+                return record.ref
+            fallback = fallback or record.ref
+        return fallback
+
+    def live_order(self, order: list[str]) -> list[HostRef]:
+        """Return the live hosts of `order`, those with a penalty last."""
+        records = [self.table.records[host] for host in order]
+        live = [record for record in records if record.live]
+        live.sort(key=lambda record: record.penalty > 0)
+        return [record.ref for record in live]
+
+    def rank_of(self, member: str, zone: str, host: str) -> int | None:
+        """Return the rank of `host` among all known hosts, live or not.
+
+        The hosts of the target's zone come first, then all others.
+        """
+        inside = self.orders.order(member, zone, True)
+        if host in inside:
+            return inside.index(host)
+        outside = self.orders.order(member, zone, False)
+        if host in outside:
+            return len(inside) + outside.index(host)
+        return None
+
+
+def same_for_homes(change: Change) -> bool:
+    """Return whether a change of a known host moves no home."""
+    return shape(change.before) == shape(change.after)
+
+
+def shape(record: HostRecord | None) -> tuple[HostRef, bool, bool] | None:
+    """Return what of a record decides on homes."""
+    if record is None:
+        return None
+    return record.ref, record.live, record.penalty > 0
--- /dev/null
+++ b/src/reedhook/process/heartbeat.py
@@ -0,0 +1,451 @@
+"""Heartbeats between hosts: who is asked, how often, and when one is suspected.
+
+Each host watches the next few hosts on a ring of its availability zone, asks
+a random host now and then, and spreads urgent news to a few at once. What a
+host sends in an interval does not grow with the number of hosts.
+"""
+
+import asyncio
+import random
+from collections.abc import Iterable
+from typing import Final
+
+import logbook
+
+from ..clock import Clock
+from ..record import Record
+from ..request.refusal import Reason, Refusal
+from ..wire import Json, WireError
+from .membership import Membership
+from .membership_record import HostRecord, HostState
+from .membership_table import MembershipTable
+from .peer import HostRef, PeerError, PeerRoutes, Peers
+from .rendezvous import score
+
+WATCHED: Final = 2
+HELPERS: Final = 2
+SPREAD: Final = 4
+FAR_EVERY: Final = 4
+DEAD_EVERY: Final = 2
+SEED_EVERY: Final = 5
+JOIN_PULLS: Final = 32
+SPREAD_BURST: Final = 6.0
+SPREAD_RATE: Final = 2.0
+RING: Final = "ring"
+UNKNOWN: Final = "?"
+
+log = logbook.Logger("heartbeat")
+
+
+class Timing(Record):
+    """Set the pace; all values are in seconds.
+
+    :param watch: between two questions to a watched host.
+    :param answer: how long an answer may take.
+    :param refute: how long a suspected host of the own zone may refute.
+    :param refute_far: the same for a host of another zone.
+    :param round: between two questions to a random host.
+    :param tick: between two looks at the table.
+    :param late: a tick that comes this late means that this host was paused.
+    :param batch: how long urgent news waits for more of it.
+    :param pull: between two pulls of differing records.
+    :param gone: how long the record of a host that left is kept.
+    :param dead: how long the record of a dead host is kept.
+    """
+
+    __slots__ = (
+        "watch",
+        "answer",
+        "refute",
+        "refute_far",
+        "round",
+        "tick",
+        "late",
+        "batch",
+        "pull",
+        "gone",
+        "dead",
+    )
+
+    def __init__(
+        self,
+        watch: float = 0.25,
+        answer: float = 0.1,
+        refute: float = 0.15,
+        refute_far: float = 1.0,
+        round: float = 1.0,
+        tick: float = 0.05,
+        late: float = 0.1,
+        batch: float = 0.002,
+        pull: float = 2.0,
+        gone: float = 300.0,
+        dead: float = 3600.0,
+    ) -> None:
+        self.watch = watch
+        self.answer = answer
+        self.refute = refute
+        self.refute_far = refute_far
+        self.round = round
+        self.tick = tick
+        self.late = late
+        self.batch = batch
+        self.pull = pull
+        self.gone = gone
+        self.dead = dead
+
+
+class Heartbeats:
+    """Exchange heartbeats with other hosts.
+
+    :param seeds: addresses (``IP:port``) at which other hosts may be found.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        peers: Peers,
+        clock: Clock,
+        rng: random.Random,
+        seeds: Iterable[str] = (),
+        timing: Timing | None = None,
+    ) -> None:
+        self.membership = membership
+        self.table = membership.table
+        self.me = membership.me
+        self.peers = peers
+        self.clock = clock
+        self.rng = rng
+        self.seeds = [seed for seed in seeds if seed != self.me.address]
+        self.timing = timing if timing is not None else Timing()
+        self.group: asyncio.TaskGroup | None = None
+        self.watchers: dict[str, asyncio.Task[None]] = {}
+        self.asked_now: set[str] = set()
+        self.urgent = asyncio.Event()
+        self.allowance = SPREAD_BURST
+        self.allowed_at = clock.monotonic()
+        self.resumed_at = clock.monotonic()
+        self.pulled_at = -self.timing.pull
+        self.differs: HostRef | None = None
+        self.shuffled: list[str] = []
+        self.rounds = 0
+        membership.on_urgent = self.urgent.set
+        membership.on_mismatch = self.note_mismatch
+
+    def register(self, routes: PeerRoutes) -> None:
+        """Add the handlers of this host."""
+        routes.add("heartbeat", self.answer_heartbeat)
+        routes.add("members", self.answer_members)
+        routes.add("reach", self.answer_reach)
+
+    async def answer_heartbeat(self, body: Json) -> Json:
+        """Merge a heartbeat and answer it."""
+        return self.membership.answer(body)
+
+    async def answer_members(self, body: Json) -> Json:
+        """Answer a pull of differing records."""
+        return self.membership.pull_answer(body)
+
+    async def answer_reach(self, body: Json) -> Json:
+        """Ask a host on behalf of another that gets no answer from it."""
+        record = HostRecord.from_json(body.get("host"))
+        return {"alive": await self.ask(record.ref)}
+
+    async def run(self) -> None:
+        """Exchange heartbeats until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            self.group = group
+            group.create_task(self.look_after())
+            group.create_task(self.spread_news())
+            group.create_task(self.repair())
+            await self.join()
+            group.create_task(self.ask_around())
+
+    async def join(self) -> None:
+        """Ask the seeds at once and take over the table of the first to answer."""
+        for seed in self.rng.sample(self.seeds, len(self.seeds)):
+            if not await self.ask(HostRef(UNKNOWN, UNKNOWN, seed)):
+                continue
+            ref = self.table.records[self.table.by_address[seed]].ref
+            for _ in range(JOIN_PULLS):
+                if not await self.pull(ref):
+                    return
+
+    async def ask(self, ref: HostRef) -> bool:
+        """Exchange one heartbeat; return whether the host itself answered."""
+        membership = self.membership
+        try:
+            answer = await self.peers.call(
+                ref, "heartbeat", membership.message(), self.timing.answer
+            )
+            sender = membership.merge(answer)
+        except Refusal as refusal:
+            return refusal.reason is not Reason.UNAUTHENTICATED
+        except (PeerError, WireError):
+            return False
+        earlier = answer.get("was")
+        if type(earlier) is int:
+            membership.succeed(earlier)
+        return ref.host in (UNKNOWN, sender.ref.host)
+
+    async def check(self, record: HostRecord) -> bool:
+        """Ask a host in all ways before it is suspected.
+
+        The second question goes out on a new connection, since the transport
+        gives up those on which the first got no answer. At the same time
+        others are asked to reach it.
+        """
+        host = record.ref.host
+        if host in self.asked_now:
+            return True
+        self.asked_now.add(host)
+        started = self.clock.monotonic()
+        try:
+            if await self.ask(record.ref):
+                return True
+            questions = [self.ask(record.ref)]
+            questions += [self.ask_through(one, record) for one in self.helpers(host)]
+            answers = await asyncio.gather(*questions)
+        finally:
+            self.asked_now.discard(host)
+        if any(answers):
+            return True
+        if self.resumed_at > started or self.heard_since(host, started):
+            return True
+        self.membership.suspect(record)
+        return False
+
+    def heard_since(self, host: str, moment: float) -> bool:
+        """Return whether `host` gave a sign of life after `moment`."""
+        return self.membership.heard.get(host, -1.0) > moment
+
+    async def ask_through(self, helper: HostRef, record: HostRecord) -> bool:
+        """Let `helper` ask a host."""
+        body: Json = {"host": record.to_json()}
+        try:
+            answer = await self.peers.call(
+                helper, "reach", body, 2 * self.timing.answer
+            )
+        except (PeerError, Refusal):
+            return False
+        return answer.get("alive") is True
+
+    def helpers(self, host: str) -> list[HostRef]:
+        """Choose hosts to ask on our behalf, the zone of `host` first."""
+        zone = self.table.records[host].ref.zone if host in self.table.records else ""
+        near = self.others(self.table.refs(zone), host)
+        far = self.others(self.table.refs(), host)
+        chosen = self.sample(near, 1)
+        return chosen + self.sample([ref for ref in far if ref not in chosen], 1)
+
+    def others(self, refs: list[HostRef], host: str = "") -> list[HostRef]:
+        """Return `refs` without this host and `host`."""
+        return [ref for ref in refs if ref.host not in (self.me.host, host)]
+
+    def sample(self, refs: list[HostRef], count: int) -> list[HostRef]:
+        """Return up to `count` of `refs` at random."""
+        return self.rng.sample(refs, min(count, len(refs)))
+
+    def doubt(self, host: str) -> None:
+        """Ask `host` now, since a call to it failed."""
+        record = self.table.get(host)
+        if self.group is None or record is None or not record.live:
+            return
+        if host not in self.asked_now and host != self.me.host:
+            self.group.create_task(self.settle_doubt(record))
+
+    async def settle_doubt(self, record: HostRecord) -> None:
+        """Check a host that a call failed to."""
+        await self.check(record)
+
+    async def look_after(self) -> None:
+        """Notice a pause of this host, expire suspicions, forget, watch."""
+        before = self.clock.monotonic()
+        epoch = -1
+        while True:
+            await self.clock.sleep(self.timing.tick)
+            now = self.clock.monotonic()
+            if now - before > self.timing.tick + self.timing.late:
+                self.resume(now - before, now)
+            before = now
+            self.expire(now)
+            self.membership.recover(now)
+            if epoch != self.table.epoch:
+                epoch = self.table.epoch
+                self.watch()
+
+    def resume(self, pause: float, now: float) -> None:
+        """Give all hosts a fresh chance after a pause of this one."""
+        log.info("This host was paused for {:.2f} s.", pause)
+        self.resumed_at = now
+        for host in self.table.unsettled:
+            self.table.since[host] = now
+
+    def expire(self, now: float) -> None:
+        """Declare suspected hosts dead and forget those long gone."""
+        for host in list(self.table.unsettled - {self.me.host}):
+            record = self.table.records[host]
+            age = now - self.table.since[host]
+            if record.state is HostState.SUSPECTED and age >= self.bound(record):
+                self.table.apply(record.in_state(HostState.DEAD), now)
+            elif record.state is HostState.GONE and age >= self.timing.gone:
+                self.table.forget(host, now)
+            elif record.state is HostState.DEAD and age >= self.timing.dead:
+                self.table.forget(host, now)
+
+    def bound(self, record: HostRecord) -> float:
+        """Return how long a suspected host may refute."""
+        near = record.ref.zone == self.me.zone
+        return self.timing.refute if near else self.timing.refute_far
+
+    def watch(self) -> None:
+        """Start and stop the tasks that watch single hosts."""
+        assert self.group is not None
+        wanted = watched(self.me, self.table)
+        for host in set(self.watchers) - wanted:
+            self.watchers.pop(host).cancel()
+        for host in sorted(wanted - set(self.watchers)):
+            self.watchers[host] = self.group.create_task(self.watch_host(host))
+
+    async def watch_host(self, host: str) -> None:
+        """Ask `host` again and again, at once more often while suspected."""
+        await self.clock.sleep(self.rng.random() * self.timing.watch)
+        while True:
+            record = self.table.get(host)
+            if record is None:
+                return
+            alive = await self.check(record)
+            await self.clock.sleep(self.timing.watch if alive else self.timing.tick)
+
+    async def ask_around(self) -> None:
+        """Ask a random host each round; now and then far, dead and seed ones."""
+        while True:
+            await self.clock.sleep(self.timing.round * (0.8 + 0.4 * self.rng.random()))
+            self.rounds += 1
+            near = self.next_near()
+            if near is not None:
+                await self.check(near)
+            if self.rounds % FAR_EVERY == 0:
+                await self.ask_far()
+            if self.rounds % DEAD_EVERY == 0:
+                await self.ask_dead()
+            if self.rounds % SEED_EVERY == 0:
+                await self.ask_seed()
+
+    def next_near(self) -> HostRecord | None:
+        """Return the next host of the own zone, all in turn in a random order."""
+        for _ in range(2):
+            while self.shuffled:
+                record = self.table.get(self.shuffled.pop())
+                if record is not None and record.live:
+                    return record
+            self.shuffled = [
+                ref.host for ref in self.others(self.table.refs(self.me.zone))
+            ]
+            self.rng.shuffle(self.shuffled)
+        return None
+
+    async def ask_far(self) -> None:
+        """Ask a random host of another zone."""
+        far = [ref for ref in self.table.refs() if ref.zone != self.me.zone]
+        for ref in self.sample(far, 1):
+            await self.check(self.table.records[ref.host])
+
+    async def ask_dead(self) -> None:
+        """Ask a random dead host, so that healed partitions are noticed."""
+        dead = [
+            record.ref
+            for record in self.table.records.values()
+            if record.state is HostState.DEAD
+        ]
+        for ref in self.sample(dead, 1):
+            await self.ask(ref)
+
+    async def ask_seed(self) -> None:
+        """Ask a seed that no known host stands for."""
+        missing = [seed for seed in self.seeds if seed not in self.table.by_address]
+        for seed in self.rng.sample(missing, min(1, len(missing))):
+            await self.ask(HostRef(UNKNOWN, UNKNOWN, seed))
+
+    async def spread_news(self) -> None:
+        """Tell a few hosts at once of what others should know soon."""
+        while True:
+            await self.urgent.wait()
+            await self.clock.sleep(self.timing.batch)
+            self.urgent.clear()
+            await self.spend()
+            await asyncio.gather(*map(self.ask, self.chosen()))
+
+    def chosen(self) -> list[HostRef]:
+        """Choose hosts to tell, most of them of the own zone."""
+        near = self.others(self.table.refs(self.me.zone))
+        far = [ref for ref in self.table.refs() if ref.zone != self.me.zone]
+        some = self.sample(near, SPREAD - 1)
+        return some + self.sample(far, SPREAD - len(some))
+
+    async def spend(self) -> None:
+        """Wait until another round of news is within the allowed rate."""
+        now = self.clock.monotonic()
+        gained = (now - self.allowed_at) * SPREAD_RATE
+        self.allowance = min(SPREAD_BURST, self.allowance + gained)
+        self.allowed_at = now
+        self.allowance -= 1.0
+        if self.allowance < 0:
+            await self.clock.sleep(-self.allowance / SPREAD_RATE)
+
+    def note_mismatch(self, peer: HostRef) -> None:
+        """Remember a peer whose table differs; `repair` looks into it."""
+        self.differs = peer
+
+    async def repair(self) -> None:
+        """Pull differing records once the news had its chance."""
+        while True:
+            await self.clock.sleep(self.timing.pull)
+            peer, self.differs = self.differs, None
+            if peer is not None and self.table.live(peer.host):
+                await self.pull(peer)
+
+    async def pull(self, peer: HostRef) -> int:
+        """Pull differing records; return how many were new."""
+        request = self.membership.pull_request()
+        try:
+            answer = await self.peers.call(
+                peer, "members", request, 5 * self.timing.answer
+            )
+            return self.membership.take_pulled(answer)
+        except (PeerError, Refusal, WireError):
+            return 0
+
+
+def watched(me: HostRef, table: MembershipTable) -> set[str]:
+    """Return the hosts that `me` watches.
+
+    Each host is watched by the ones before it on the ring of its zone; the
+    only host of a zone by those before it on the ring of all hosts.
+    """
+    wanted = set(successors(me.host, present(table, me.zone)))
+    for zone in table.zones:
+        alone = present(table, zone)
+        if zone == me.zone or len(alone) != 1:
+            continue
+        everyone = present(table, None)
+        wanted |= set(alone) & set(successors(me.host, everyone))
+    return wanted
+
+
+def present(table: MembershipTable, zone: str | None) -> list[str]:
+    """Return the hosts of a zone that are neither dead nor gone."""
+    return [
+        record.ref.host
+        for record in table.in_zone(zone)
+        if record.state < HostState.DEAD
+    ]
+
+
+def successors(host: str, hosts: list[str]) -> list[str]:
+    """Return the hosts that come next after `host` on the ring."""
+    ring = sorted(hosts, key=lambda one: (score(RING, one), one))
+    if host not in ring:
+        return []
+    start = ring.index(host)
+    count = min(WATCHED, len(ring) - 1)
+    return [ring[(start + step + 1) % len(ring)] for step in range(count)]
--- /dev/null
+++ b/src/reedhook/process/membership.py
@@ -0,0 +1,321 @@
+"""Which hosts there are, learned from heartbeats between them."""
+
+import math
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Final
+
+import logbook
+
+from ..clock import Clock
+from ..wire import Json, WireError
+from .membership_record import HostRecord, HostState
+from .membership_table import BUCKETS, Change, MembershipTable
+from .peer import HostRef
+from .timeline import EventKind, Timeline
+
+MOST_NEWS: Final = 10
+MOST_PULLED: Final = 64
+RETRANSMIT: Final = 4
+FLAP_WINDOW: Final = 60.0
+FLAPS: Final = 2
+SETTLE: Final = 5.0
+MOST_PENALTY: Final = 6
+# A refutation raises the incarnation by little; a new life begins with the
+# wall clock.
+NEW_LIFE: Final = 500
+
+log = logbook.Logger("membership")
+
+
+class News:
+    """Keep changes that are still to be passed on, each a bounded number of times."""
+
+    __slots__ = ("left",)
+
+    def __init__(self) -> None:
+        self.left: dict[str, int] = {}
+
+    def add(self, host: str, hosts: int) -> None:
+        """Pass on the record of `host`; `hosts` is how many there are."""
+        self.left[host] = RETRANSMIT * max(1, math.ceil(math.log10(hosts + 1)))
+
+    def take(self) -> list[str]:
+        """Return the hosts to tell of in one message, the newest first."""
+        if not self.left:
+            return []
+        newest = sorted(self.left, key=self.left.__getitem__, reverse=True)
+        chosen = newest[:MOST_NEWS]
+        for host in chosen:
+            self.left[host] -= 1
+            if self.left[host] <= 0:
+                del self.left[host]
+        return chosen
+
+
+class Membership:
+    """Hold this host's view of all hosts and merge what others say.
+
+    It sends nothing itself; `Heartbeats` does.
+
+    :param me: this host.
+    :ivar version: the version of the configuration in force here.
+    :ivar versions: the version that each host last stated to this one.
+    :ivar heard: monotonic time in seconds at which each host was last heard.
+    :ivar on_version: called with a peer and its version, if that is newer.
+    :ivar on_urgent: called when there is news that others should have soon.
+    :ivar on_told_to_leave: called when the platform lists this host as leaving.
+    :ivar on_mismatch: called with a peer whose table differs from ours.
+    """
+
+    def __init__(
+        self, me: HostRef, clock: Clock, rng: random.Random, timeline: Timeline
+    ) -> None:
+        self.me = me
+        self.clock = clock
+        self.rng = rng
+        self.timeline = timeline
+        self.table = MembershipTable()
+        self.news = News()
+        self.version = 0
+        self.versions: dict[str, int] = {}
+        self.heard: dict[str, float] = {}
+        self.deaths: deque[float] = deque(maxlen=FLAPS)
+        self.steady_at = math.inf
+        self.on_version: Callable[[HostRef, int], None] = lambda peer, version: None
+        self.on_urgent: Callable[[], None] = lambda: None
+        self.on_told_to_leave: Callable[[], None] = lambda: None
+        self.on_mismatch: Callable[[HostRef], None] = lambda peer: None
+        self.own = HostRecord(me, int(clock.wall() * 1000))
+        self.table.listeners.append(self.note)
+        self.table.apply(self.own, clock.monotonic())
+
+    def set_version(self, version: int) -> None:
+        """State the version of the configuration that is in force here."""
+        if version <= self.version:
+            return
+        self.version = version
+        self.on_urgent()
+
+    def message(self) -> Json:
+        """Return the body of a heartbeat or of its answer."""
+        updates = [
+            self.table.records[host].to_json()
+            for host in self.news.take()
+            if host in self.table.records
+        ]
+        message: Json = {
+            "me": self.own.to_json(),
+            "v": self.version,
+            "d": self.table.digest(),
+        }
+        if updates:
+            message["u"] = updates
+        return message
+
+    def answer(self, message: Json) -> Json:
+        """Merge a heartbeat and return the answer to it.
+
+        :raises WireError: if the message is malformed.
+        """
+        sender = HostRecord.from_json(message.get("me"))
+        known = self.table.get(sender.ref.host)
+        self.merge(message)
+        answer = self.message()
+        if known is not None and predecessor(known, sender):
+            answer["was"] = known.penalty
+        current = self.table.get(sender.ref.host)
+        if current is not None and current.beats(sender):
+            answer.setdefault("u", []).append(current.to_json())
+        return answer
+
+    def merge(self, message: Json) -> HostRecord:
+        """Take over what a peer says; return the peer's record.
+
+        :raises WireError: if the message is malformed.
+        """
+        sender = HostRecord.from_json(message.get("me"))
+        updates = [HostRecord.from_json(one) for one in listed(message, "u")]
+        version, digest = message.get("v"), message.get("d")
+        if type(version) is not int or type(digest) is not int:
+            raise WireError("a heartbeat has a version and a digest")
+        now = self.clock.monotonic()
+        self.learn(sender, now)
+        self.hear(sender.ref, now)
+        for record in updates:
+            self.learn(record, now)
+        self.versions[sender.ref.host] = version
+        if version > self.version:
+            self.on_version(sender.ref, version)
+        if digest != self.table.digest():
+            self.on_mismatch(sender.ref)
+        return sender
+
+    def hear(self, ref: HostRef, now: float) -> None:
+        """Note a sign of life."""
+        if ref.host in self.table.records:
+            self.heard[ref.host] = now
+
+    def learn(self, record: HostRecord, now: float) -> bool:
+        """Take over a record unless a better one is known."""
+        if record.ref.host == self.me.host:
+            return self.learn_of_self(record, now)
+        return self.table.apply(record, now)
+
+    def learn_of_self(self, record: HostRecord, now: float) -> bool:
+        """Refute what others wrongly say of this host."""
+        if not record.beats(self.own):
+            return False
+        if record.state is HostState.LEAVING:
+            self.leave()
+            self.on_told_to_leave()
+            return True
+        if record.state >= HostState.DEAD:
+            self.count_death(now)
+        self.announce(record.incarnation + 1, self.own.state)
+        return True
+
+    def count_death(self, now: float) -> None:
+        """Take a penalty if this host was declared dead repeatedly of late."""
+        self.deaths.append(now)
+        if len(self.deaths) < FLAPS or now - self.deaths[0] > FLAP_WINDOW:
+            return
+        self.penalize(self.own.penalty + 1, now)
+
+    def penalize(self, penalty: int, now: float) -> None:
+        """Rank this host after others until it was steady for long enough."""
+        penalty = min(penalty, MOST_PENALTY)
+        self.own = HostRecord(self.me, self.own.incarnation, self.own.state, penalty)
+        self.steady_at = now + SETTLE * 2 ** (penalty - 1)
+
+    def succeed(self, penalty: int) -> None:
+        """Take over the penalty of an earlier life that ended unplanned."""
+        if self.own.penalty > penalty:
+            return
+        self.penalize(penalty + 1, self.clock.monotonic())
+        self.announce(self.own.incarnation + 1, self.own.state)
+
+    def recover(self, now: float) -> None:
+        """Drop the penalty once this host was steady for long enough."""
+        if now < self.steady_at:
+            return
+        self.steady_at = math.inf
+        self.own = HostRecord(self.me, self.own.incarnation, self.own.state, 0)
+        self.announce(self.own.incarnation + 1, self.own.state)
+
+    def announce(self, incarnation: int, state: HostState) -> None:
+        """Put a new record of this host in force and let others know."""
+        penalty = self.own.penalty
+        self.own = HostRecord(self.me, incarnation, state, penalty)
+        self.table.apply(self.own, self.clock.monotonic())
+
+    def leave(self) -> None:
+        """State that this host takes no new work."""
+        if self.own.state is HostState.LEAVING:
+            return
+        self.announce(self.own.incarnation + 1, HostState.LEAVING)
+
+    def suspect(self, record: HostRecord) -> None:
+        """Suspect a host that does not answer; one that leaves is gone."""
+        current = self.table.get(record.ref.host)
+        if current is None or current.incarnation != record.incarnation:
+            return
+        state = HostState.SUSPECTED
+        if current.state is HostState.LEAVING:
+            state = HostState.GONE
+        self.table.apply(current.in_state(state), self.clock.monotonic())
+
+    def note(self, change: Change) -> None:
+        """Pass a change on and record it in the time line."""
+        after = change.after
+        if after is None:
+            return
+        if after.ref.host == self.me.host:
+            self.on_urgent()
+            return
+        self.news.add(after.ref.host, len(self.table.records))
+        self.record_event(change.before, after)
+        self.on_urgent()
+
+    def record_event(self, before: HostRecord | None, after: HostRecord) -> None:
+        """Record joins, suspicions and departures."""
+        host = after.ref.host
+        was_live = before is not None and before.live
+        if after.state is HostState.SUSPECTED:
+            self.timeline.record(EventKind.MEMBER_SUSPECTED, host)
+        elif after.live and not was_live:
+            self.timeline.record(EventKind.MEMBER_JOINED, host, zone=after.ref.zone)
+        elif was_live and not after.live:
+            state = after.state.name.lower()
+            self.timeline.record(EventKind.MEMBER_LEFT, host, state=state)
+
+    def pull_request(self) -> Json:
+        """Return the question for records that differ."""
+        return {"me": self.own.to_json(), "b": list(self.table.buckets)}
+
+    def pull_answer(self, message: Json) -> Json:
+        """Return records of buckets that differ, a bounded number.
+
+        :raises WireError: if the message is malformed.
+        """
+        self.learn(HostRecord.from_json(message.get("me")), self.clock.monotonic())
+        buckets = read_buckets(message)
+        records = self.table.in_buckets(differing(buckets, self.table.buckets))
+        self.rng.shuffle(records)
+        return {
+            "b": list(self.table.buckets),
+            "r": [record.to_json() for record in records[:MOST_PULLED]],
+            "all": len(records) <= MOST_PULLED,
+        }
+
+    def take_pulled(self, message: Json) -> int:
+        """Merge the answer to a pull; return how many records were new.
+
+        What we know better becomes news, so that the other side learns it.
+
+        :raises WireError: if the message is malformed.
+        """
+        buckets = differing(read_buckets(message), self.table.buckets)
+        now = self.clock.monotonic()
+        theirs = {
+            record.ref.host: record
+            for record in map(HostRecord.from_json, listed(message, "r"))
+        }
+        new = sum(self.learn(record, now) for record in theirs.values())
+        for record in self.table.in_buckets(buckets)[:MOST_PULLED]:
+            other = theirs.get(record.ref.host)
+            unknown = other is None and message.get("all") is True
+            if record.ref.host == self.me.host:
+                continue
+            if unknown or (other is not None and record.beats(other)):
+                self.news.add(record.ref.host, len(self.table.records))
+        return new
+
+
+def predecessor(known: HostRecord, sender: HostRecord) -> bool:
+    """Return whether `known` is an earlier life of a host that ended unplanned."""
+    if sender.incarnation < known.incarnation + NEW_LIFE:
+        return False
+    return known.live or known.state is HostState.DEAD
+
+
+def differing(theirs: list[int], ours: list[int]) -> set[int]:
+    """Return the indexes of the buckets that differ."""
+    return {index for index in range(BUCKETS) if theirs[index] != ours[index]}
+
+
+def read_buckets(message: Json) -> list[int]:
+    """Read bucket digests from a message."""
+    buckets = listed(message, "b")
+    if len(buckets) != BUCKETS or not all(type(one) is int for one in buckets):
+        raise WireError("bucket digests are malformed")
+    return buckets
+
+
+def listed(message: Json, name: str) -> list[Any]:
+    """Return a list from a message; it may be left out."""
+    value = message.get(name, [])
+    if not isinstance(value, list):
+        raise WireError(f"{name} is not a list")
+    return value
--- /dev/null
+++ b/src/reedhook/process/membership_table.py
@@ -0,0 +1,172 @@
+"""The table of known hosts, with digests that change along with it."""
+
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from .membership_record import HostRecord, HostState
+from .peer import HostRef
+from .rendezvous import score
+
+BUCKETS: Final = 32
+BUCKET_KEY: Final = "bucket"
+MOST_RECORDS: Final = 4096
+
+
+class Change:
+    """Carry what became of a record.
+
+    :ivar before: the record that was replaced; None for a new host.
+    :ivar after: the record in force; None if the host was forgotten.
+    """
+
+    __slots__ = ("before", "after")
+
+    def __init__(self, before: HostRecord | None, after: HostRecord | None) -> None:
+        self.before = before
+        self.after = after
+
+
+class MembershipTable:
+    """Keep the record in force of each known host.
+
+    The digest of each bucket is the XOR of its records' digests, so that a
+    change costs the same whatever the number of hosts.
+
+    :ivar since: monotonic time in seconds of the last change of each host.
+    :ivar unsettled: hosts in any state but live.
+    :ivar epoch: grows with each change of the table.
+    :ivar known_epoch: grows when a host becomes known or is forgotten.
+    """
+
+    def __init__(self) -> None:
+        self.records: dict[str, HostRecord] = {}
+        self.since: dict[str, float] = {}
+        self.by_address: dict[str, str] = {}
+        self.unsettled: set[str] = set()
+        self.zones: dict[str, set[str]] = {}
+        self.buckets: list[int] = [0] * BUCKETS
+        self.epoch = 0
+        self.known_epoch = 0
+        self.changed_at = 0.0
+        self.listeners: list[Callable[[Change], None]] = []
+
+    def apply(self, record: HostRecord, now: float) -> bool:
+        """Take `record` over if it beats what is known; return whether it did."""
+        host = record.ref.host
+        before = self.records.get(host)
+        if before is not None and not record.beats(before):
+            return False
+        if before is None and len(self.records) >= MOST_RECORDS:
+            return False
+        if before is None and record.state >= HostState.DEAD:
+            return False
+        self.put(record, before, now)
+        self.supersede(record, now)
+        return True
+
+    def put(self, record: HostRecord, before: HostRecord | None, now: float) -> None:
+        """Store `record` and tell the listeners."""
+        host = record.ref.host
+        if before is None or before.ref != record.ref:
+            self.unlink(before)
+            self.link(record)
+        index = bucket_of(host)
+        self.buckets[index] ^= record.digest() ^ (before.digest() if before else 0)
+        self.records[host] = record
+        self.since[host] = now
+        if record.state is HostState.LIVE:
+            self.unsettled.discard(host)
+        else:
+            self.unsettled.add(host)
+        self.notify(Change(before, record), now)
+
+    def supersede(self, record: HostRecord, now: float) -> None:
+        """Declare another host gone that had this address in an earlier life."""
+        previous = self.by_address.get(record.ref.address)
+        if not record.live or previous is None:
+            return
+        if previous == record.ref.host:
+            return
+        other = self.records[previous]
+        if other.incarnation > record.incarnation:
+            return
+        self.by_address[record.ref.address] = record.ref.host
+        if other.state < HostState.GONE:
+            self.put(other.in_state(HostState.GONE), other, now)
+
+    def forget(self, host: str, now: float) -> None:
+        """Drop the record of `host`."""
+        record = self.records.pop(host, None)
+        if record is None:
+            return
+        self.buckets[bucket_of(host)] ^= record.digest()
+        self.unsettled.discard(host)
+        del self.since[host]
+        self.unlink(record)
+        self.notify(Change(record, None), now)
+
+    def link(self, record: HostRecord) -> None:
+        """Index a host by zone and address."""
+        self.zones.setdefault(record.ref.zone, set()).add(record.ref.host)
+        self.by_address.setdefault(record.ref.address, record.ref.host)
+        self.known_epoch += 1
+
+    def unlink(self, record: HostRecord | None) -> None:
+        """Undo `link`."""
+        if record is None:
+            return
+        zone = self.zones[record.ref.zone]
+        zone.discard(record.ref.host)
+        if not zone:
+            del self.zones[record.ref.zone]
+        if self.by_address.get(record.ref.address) == record.ref.host:
+            del self.by_address[record.ref.address]
+        self.known_epoch += 1
+
+    def notify(self, change: Change, now: float) -> None:
+        """Count the change and tell the listeners."""
+        self.epoch += 1
+        self.changed_at = now
+        for listener in self.listeners:
+            listener(change)
+
+    def digest(self) -> int:
+        """Return the digest of the whole table."""
+        whole = 0
+        for one in self.buckets:
+            whole ^= one
+        return whole
+
+    def get(self, host: str) -> HostRecord | None:
+        """Return the record of `host`, or None."""
+        return self.records.get(host)
+
+    def live(self, host: str) -> bool:
+        """Return whether work may go to `host`."""
+        record = self.records.get(host)
+        return record is not None and record.live
+
+    def refs(self, zone: str | None = None) -> list[HostRef]:
+        """Return the live hosts, of one zone if it is given."""
+        return [one.ref for one in self.in_zone(zone) if one.live]
+
+    def in_zone(self, zone: str | None) -> Iterator[HostRecord]:
+        """Iterate over the records of a zone, or over all for None."""
+        if zone is None:
+            yield from self.records.values()
+            return
+        for host in self.zones.get(zone, ()):
+            yield self.records[host]
+
+    def in_buckets(self, indexes: set[int]) -> list[HostRecord]:
+        """Return the records that fall into the buckets."""
+        return [
+            record
+            for host, record in self.records.items()
+            if bucket_of(host) in indexes
+        ]
+
+
+def bucket_of(host: str) -> int:
+    """Return the bucket that `host` falls into."""
+    return score(BUCKET_KEY, host) % BUCKETS
--- /dev/null
+++ b/src/reedhook/process/rendezvous.py
@@ -0,0 +1,56 @@
+"""Rendezvous hashing, and the shares of connections that go with ranks."""
+
+from collections.abc import Iterable
+from typing import Final
+
+import xxhash
+
+HOME_SHARE: Final = 0.6
+STANDBY_SHARE: Final = 0.3
+LATER_SHARE: Final = 0.1
+
+
+def score(key: str, host: str) -> int:
+    """Return how well `host` suits `key`; the highest is the best."""
+    return xxhash.xxh3_64_intdigest(f"{key}\0{host}".encode())
+
+
+def ranked_hosts(key: str, hosts: Iterable[str]) -> list[str]:
+    """Return `hosts` for `key`, best first; all hosts compute the same."""
+    return sorted(hosts, key=lambda host: (score(key, host), host), reverse=True)
+
+
+def share(connections: int, rank: int) -> int:
+    """Return how many of a target's connections the host of `rank` may open.
+
+    The shares of all ranks sum up to `connections` at most, so that any set
+    of hosts that believe to be the home stays within it together. Every rank
+    gets one connection at least while any are left.
+    """
+    left = connections
+    given = 0
+    for one in range(rank + 1):
+        wanted = max(1, int(connections * portion(one)))
+        given = min(wanted, left)
+        left -= given
+    return given
+
+
+def portion(rank: int) -> float:
+    """Return the part of the connections that goes to `rank`."""
+    if rank == 0:
+        return HOME_SHARE
+    if rank == 1:
+        return STANDBY_SHARE
+    return LATER_SHARE if rank == 2 else 0.0
+
+
+def room(connections: int, own_share: int, own: int, reported: int) -> int:
+    """Return how many connections a home may still open now.
+
+    :param own_share: what `share` gives to this host.
+    :param own: connections that this host has open.
+    :param reported: connections open from all hosts, as the target says.
+    """
+    others = max(0, reported - own)
+    return max(0, min(own_share, connections - others) - own)
--- /dev/null
+++ b/tests/fakes_hosts.py
@@ -0,0 +1,119 @@
+"""Several hosts with membership and heartbeats on a fake network."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+
+from reedhook.process.directory import MembershipDirectory
+from reedhook.process.heartbeat import Heartbeats, Timing
+from reedhook.process.membership import Membership
+from reedhook.process.membership_record import HostState
+from reedhook.process.peer import HostRef, PeerRoutes
+from reedhook.process.timeline import Timeline
+
+from .fakes_peers import FakeNetwork
+
+
+class FakeHost:
+    """Run membership of one host.
+
+    :ivar stopped: whether the host crashed.
+    :ivar task: the running heartbeats; cancel it to stop the host.
+    """
+
+    def __init__(
+        self, network: FakeNetwork, ref: HostRef, seeds: Iterable[str], seed: int = 0
+    ) -> None:
+        self.ref = ref
+        self.network = network
+        self.clock = network.clock(ref.host)
+        self.timeline = Timeline(ref.host, self.clock)
+        self.routes = PeerRoutes()
+        self.peers = network.join(ref, self.routes)
+        rng = random.Random(f"{ref.host}{seed}")
+        self.membership = Membership(ref, self.clock, rng, self.timeline)
+        self.table = self.membership.table
+        self.directory = MembershipDirectory(ref, self.table)
+        self.heartbeats = Heartbeats(
+            self.membership, self.peers, self.clock, rng, seeds, Timing()
+        )
+        self.heartbeats.register(self.routes)
+        self.stopped = False
+        self.task = asyncio.create_task(self.heartbeats.run())
+
+    def state(self, host: str) -> HostState | None:
+        """Return the state in which this host has `host`."""
+        record = self.table.get(host)
+        return None if record is None else record.state
+
+    def live(self) -> set[str]:
+        """Return the ids of the hosts that are live for this one."""
+        return {ref.host for ref in self.table.refs()}
+
+    def crash(self) -> None:
+        """End the process without a word."""
+        self.stopped = True
+        self.task.cancel()
+        if self.network.at.get(self.ref.address) is self.peers:
+            self.network.crash(self.ref.host)
+
+
+class FakeHosts:
+    """Run hosts ``<zone>-<n>`` in several zones.
+
+    :param zones: how many hosts each zone has.
+    """
+
+    def __init__(self, zones: dict[str, int], network: FakeNetwork | None = None):
+        self.network = network if network is not None else FakeNetwork()
+        self.hosts: dict[str, FakeHost] = {}
+        self.seeds: list[str] = []
+        for zone, count in zones.items():
+            for number in range(count):
+                self.start(f"{zone}-{number}", zone)
+
+    def start(self, host: str, zone: str, address: str = "") -> FakeHost:
+        """Start a host, at a fresh address unless one is given."""
+        address = address or f"10.0.0.1:{len(self.seeds) + 1}"
+        ref = HostRef(host, zone, address)
+        fake = FakeHost(self.network, ref, self.seeds[:3], len(self.seeds))
+        self.hosts[host] = fake
+        self.seeds.append(address)
+        return fake
+
+    def __getitem__(self, host: str) -> FakeHost:
+        return self.hosts[host]
+
+    def in_zone(self, zone: str) -> list[str]:
+        """Return the ids of the hosts of `zone`."""
+        return [host for host, fake in self.hosts.items() if fake.ref.zone == zone]
+
+    def agree(self) -> bool:
+        """Return whether all running hosts have the same live hosts."""
+        views = {frozenset(one.live()) for one in self.running()}
+        return views == {frozenset(one.ref.host for one in self.running())}
+
+    def running(self) -> list[FakeHost]:
+        """Return the hosts that run."""
+        return [one for one in self.hosts.values() if not one.stopped]
+
+    async def until_agreed(self, limit: float = 30.0) -> float:
+        """Wait until all views agree; return how long it took in seconds."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while not self.agree():
+            if loop.time() - started > limit:
+                views = {one.ref.host: sorted(one.live()) for one in self.running()}
+                raise AssertionError(f"no agreement: {views}")
+            await asyncio.sleep(0.01)
+        return loop.time() - started
+
+    async def stop(self) -> None:
+        """Stop all hosts and fail on what went wrong in their tasks."""
+        tasks = [one.task for one in self.hosts.values()]
+        for task in tasks:
+            task.cancel()
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        faults = [one for one in results if isinstance(one, Exception)]
+        if faults or self.network.failures:
+            raise ExceptionGroup("hosts failed", faults + self.network.failures)
--- /dev/null
+++ b/tests/test_peer_http.py
@@ -0,0 +1,308 @@
+"""Calls between hosts over real connections on loopback."""
+
+import asyncio
+import random
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+from aiohttp import ClientSession, web
+from hypothesis import given, settings, strategies as st
+
+from reedhook.clock import SystemClock
+from reedhook.process.peer import HostRef, PeerError, PeerRoutes
+from reedhook.process.peer_http import (
+    BODY_LIMIT,
+    CREDENTIAL,
+    HttpPeers,
+    PeerEndpoint,
+    peer_runner,
+)
+from reedhook.process.timeline import Timeline
+from reedhook.request.refusal import Reason, Refusal, not_run
+from reedhook.request.verdict import Verdict
+from reedhook.wire import Json, WireError
+
+from .support import run
+
+SECRET = "a credential of the hosts"
+
+
+class Listener:
+    """Serve peer calls and note what reached a handler."""
+
+    def __init__(self) -> None:
+        self.seen: list[Json] = []
+        self.timeline = Timeline("there", SystemClock())
+        self.routes = PeerRoutes()
+        self.routes.add("note", self.note)
+        self.routes.add("refuse", self.refuse)
+        self.routes.add("break", self.fail)
+        self.routes.add("strict", self.strict)
+        self.routes.add("slow", self.slow)
+        self.ref = HostRef("there", "comiso", "127.0.0.1:0")
+        self.url = ""
+
+    async def note(self, body: Json) -> Json:
+        self.seen.append(body)
+        return {"seen": len(self.seen)}
+
+    async def refuse(self, body: Json) -> Json:
+        raise not_run(Reason.WRONG_HOME, "elsewhere", 20)
+
+    async def fail(self, body: Json) -> Json:
+        raise RuntimeError("a fault of the handler")
+
+    async def strict(self, body: Json) -> Json:
+        raise WireError("a field is missing")
+
+    async def slow(self, body: Json) -> Json:
+        await asyncio.sleep(body["seconds"])
+        return await self.note(body)
+
+
+@asynccontextmanager
+async def listening(credential: str = SECRET) -> AsyncIterator[Listener]:
+    listener = Listener()
+    endpoint = PeerEndpoint(listener.routes, credential, listener.timeline)
+    runner = peer_runner(endpoint, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    port = runner.addresses[0][1]
+    listener.ref = HostRef("there", "comiso", f"127.0.0.1:{port}")
+    listener.url = f"http://127.0.0.1:{port}/peer/"
+    try:
+        yield listener
+    finally:
+        await runner.cleanup()
+
+
+@asynccontextmanager
+async def calling() -> AsyncIterator[HttpPeers]:
+    me = HostRef("here", "vittoria", "127.0.0.1:1")
+    clock = SystemClock()
+    peers = HttpPeers(me, SECRET, Timeline("here", clock), clock)
+    try:
+        yield peers
+    finally:
+        await peers.close()
+
+
+def with_both(test: Callable[[HttpPeers, Listener], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with listening() as listener, calling() as peers:
+            await test(peers, listener)
+
+    run(main())
+
+
+def test_answers_and_refusals_travel_and_stamps_ride_along() -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        listener.timeline.observe(9_000_000_000_000, 3)
+        assert await peers.call(listener.ref, "note", {"n": 1}, 1.0) == {"seen": 1}
+        assert peers.timeline.stamp.wall_ms == 9_000_000_000_000
+        with pytest.raises(Refusal) as refused:
+            await peers.call(listener.ref, "refuse", {}, 1.0)
+        assert refused.value.reason is Reason.WRONG_HOME
+        assert refused.value.verdict is Verdict.NOT_RUN
+        assert refused.value.retry_after_ms == 20
+
+    with_both(test)
+
+
+@pytest.mark.parametrize(
+    ("path", "reason", "verdict"),
+    [
+        ("break", Reason.HOST_UNREACHABLE, Verdict.MAY_HAVE_RUN),
+        ("strict", Reason.BAD_REQUEST, Verdict.NOT_RUN),
+        ("nowhere", Reason.BAD_REQUEST, Verdict.NOT_RUN),
+    ],
+)
+def test_a_failing_handler_becomes_a_refusal(
+    path: str, reason: Reason, verdict: Verdict
+) -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        with pytest.raises(Refusal) as refused:
+            await peers.call(listener.ref, path, {}, 1.0)
+        assert refused.value.reason is reason
+        assert refused.value.verdict is verdict
+
+    with_both(test)
+
+
+def test_a_refused_connection_was_not_sent() -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        nobody = HostRef("nobody", "comiso", "127.0.0.1:1")
+        with pytest.raises(PeerError) as failed:
+            await peers.call(nobody, "note", {}, 1.0)
+        assert not failed.value.sent
+
+    with_both(test)
+
+
+def test_an_unaccepted_connection_was_not_sent() -> None:
+    """A full backlog drops the connection request, as a dead host does."""
+
+    async def main() -> None:
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+            port = full.getsockname()[1]
+            waiting = [socket.socket() for _ in range(4)]
+            for one in waiting:
+                one.setblocking(False)
+                one.connect_ex(("127.0.0.1", port))
+            async with calling() as peers:
+                silent = HostRef("silent", "comiso", f"127.0.0.1:{port}")
+                with pytest.raises(PeerError) as failed:
+                    await peers.call(silent, "note", {}, 0.2)
+            for one in waiting:
+                one.close()
+        assert not failed.value.sent
+
+    run(main())
+
+
+async def serve_raw(
+    answer: Callable[
+        [int, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+    ],
+) -> tuple[asyncio.Server, HostRef, list[int]]:
+    """Serve raw connections; `answer` gets the number of each."""
+    opened: list[int] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        opened.append(len(opened))
+        await answer(opened[-1], reader, writer)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    return server, HostRef("raw", "comiso", f"127.0.0.1:{port}"), opened
+
+
+async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer one call as a peer does."""
+    await reader.readuntil(b"}}")
+    body = b'{"body":{"ok":1},"stamp":[1,1]}'
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body)
+    await writer.drain()
+
+
+def test_a_broken_exchange_was_sent_and_is_not_repeated() -> None:
+    """The peer reads the call and closes; a second connection must not come."""
+    calls: list[bytes] = []
+
+    async def cut(
+        number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if number == 0:
+            await respond(reader, writer)
+        calls.append(await reader.readuntil(b"}}"))
+        writer.close()
+
+    async def main() -> None:
+        server, ref, opened = await serve_raw(cut)
+        async with server, calling() as peers:
+            assert await peers.call(ref, "note", {}, 1.0) == {"ok": 1}
+            with pytest.raises(PeerError) as failed:
+                await peers.call(ref, "note", {}, 1.0)
+            assert failed.value.sent
+            assert opened == [0]
+            assert len(calls) == 1
+
+    run(main())
+
+
+def test_after_a_silent_connection_the_next_call_opens_a_new_one() -> None:
+    async def silent(
+        number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await respond(reader, writer)
+        if number == 0:
+            await asyncio.Event().wait()
+        await respond(reader, writer)
+
+    async def main() -> None:
+        server, ref, opened = await serve_raw(silent)
+        async with server, calling() as peers:
+            await peers.call(ref, "note", {}, 1.0)
+            with pytest.raises(PeerError) as failed:
+                await peers.call(ref, "note", {}, 0.05)
+            assert failed.value.sent
+            assert await peers.call(ref, "note", {}, 1.0) == {"ok": 1}
+            assert opened == [0, 1]
+            assert await peers.call(ref, "note", {}, 1.0) == {"ok": 1}
+            assert opened == [0, 1]
+
+    run(main())
+
+
+def test_a_silent_connection_leaves_other_calls_alone() -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        long = asyncio.create_task(
+            peers.call(listener.ref, "slow", {"seconds": 0.3}, 2.0)
+        )
+        with pytest.raises(PeerError):
+            await peers.call(listener.ref, "slow", {"seconds": 1.0}, 0.05)
+        assert await long == {"seen": 1}
+
+    with_both(test)
+
+
+@pytest.mark.parametrize("given_credential", ["", "wrong", SECRET + "x", SECRET[:-1]])
+def test_a_wrong_credential_has_no_effect(given_credential: str) -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        peers.headers[CREDENTIAL] = given_credential
+        with pytest.raises(Refusal) as refused:
+            await peers.call(listener.ref, "note", {}, 1.0)
+        assert refused.value.reason is Reason.UNAUTHENTICATED
+        assert listener.seen == []
+
+    with_both(test)
+
+
+def test_a_large_body_is_refused_before_it_is_read() -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        with pytest.raises(Refusal) as refused:
+            await peers.call(listener.ref, "note", {"x": "y" * BODY_LIMIT}, 5.0)
+        assert refused.value.reason is Reason.TOO_LARGE
+        assert listener.seen == []
+
+    with_both(test)
+
+
+@settings(max_examples=10)
+@given(st.integers(0, 2**32))
+def test_no_input_gets_a_server_error_or_an_effect(seed: int) -> None:
+    async def main() -> None:
+        rng = random.Random(seed)
+        async with listening() as listener, ClientSession() as session:
+            for _ in range(20):
+                status = await send_junk(session, listener.url, rng)
+                assert 400 <= status < 500
+            assert listener.seen == []
+
+    run(main())
+
+
+async def send_junk(session: ClientSession, url: str, rng: random.Random) -> int:
+    """Send a malformed call with a valid or a missing credential."""
+    junk = [
+        rng.randbytes(rng.randrange(200)),
+        b"[]",
+        b'{"body":{}}',
+        b'{"stamp":[1],"body":{}}',
+        b'{"stamp":["a",{}],"body":{}}',
+        b'{"stamp":[1,1],"body":7}',
+        b'{"stamp":[1e400,1],"body":{}}',
+        b"[" * 5000,
+    ]
+    headers = {CREDENTIAL: rng.choice([SECRET, "x", "\u00e9"])}
+    if rng.random() < 0.2:
+        headers["Content-Encoding"] = "gzip"
+    path = rng.choice(["note", "nowhere", "..", "note/x", "%00"])
+    async with session.post(
+        url + path, data=rng.choice(junk), headers=headers
+    ) as response:
+        await response.read()
+        return response.status
