--- a/src/reedhook/process/peer_http.py
+++ b/src/reedhook/process/peer_http.py
@@ -1,36 +1,21 @@
-"""Calls between hosts as HTTP with JSON.
-
-A call is ``POST /peer/<path>``. The body is an envelope: the sender's id, its
-time-line stamp and the body proper. The answer carries a stamp and either a
-body or a refusal. The credential that all hosts share is a header.
-"""
+"""Calls to other hosts over HTTP; `peer_wire` tells the form."""
 
 import asyncio
-import hmac
 import ssl
 from typing import Final
 
 import aiohttp
-import logbook
-from aiohttp import hdrs, web
+from aiohttp import hdrs
 from multidict import CIMultiDict
 from yarl import URL
 
 from ..clock import Clock
-from ..request.refusal import Reason, Refusal, may_have_run, not_run
+from ..request.refusal import Refusal
 from ..wire import Json, WireError, decode, encode
-from .peer import HostRef, PeerError, PeerRoutes, Peers
+from .peer import HostRef, PeerError, Peers
+from .peer_wire import BODY_LIMIT, CLIENT_KEEPALIVE, CREDENTIAL, PREFIX
 from .timeline import Timeline
 
-CREDENTIAL: Final = "X-Peer"
-PREFIX: Final = "/peer/"
-BODY_LIMIT: Final = 4 * 1024 * 1024
-BODY_TIMEOUT: Final = 5.0
-KEEPALIVE: Final = 15.0
-# Longer than at the client, so that no call meets a closing connection.
-SERVER_KEEPALIVE: Final = 75.0
-SHUTDOWN_TIMEOUT: Final = 10.0
-LINGERING: Final = 1.0
 LINK_IDLE: Final = 60.0
 SWEEP_INTERVAL: Final = 10.0
 # A call whose connection could not be opened in time is proved not sent only
@@ -45,8 +30,6 @@
     hdrs.CONTENT_TYPE,
 )
 
-log = logbook.Logger("peers")
-
 
 class Link:
     """Hold the connections to one peer.
@@ -66,7 +49,7 @@
             connector=aiohttp.TCPConnector(
                 limit=0,
                 ssl=context if context is not None else True,
-                keepalive_timeout=KEEPALIVE,
+                keepalive_timeout=CLIENT_KEEPALIVE,
                 use_dns_cache=False,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -201,106 +184,3 @@
         for link in links:
             link.retired = True
             await link.session.close()
-
-
-class PeerEndpoint:
-    """Answer the calls of other hosts."""
-
-    def __init__(self, routes: PeerRoutes, credential: str, timeline: Timeline) -> None:
-        self.routes = routes
-        self.credential = credential.encode()
-        self.timeline = timeline
-
-    async def handle(self, request: web.BaseRequest) -> web.Response:
-        """Answer one call; a failure becomes a refusal, never a bare 500."""
-        try:
-            self.authenticate(request)
-            envelope = await read_envelope(request)
-            answer = await self.dispatch(path_of(request), envelope)
-        except Refusal as refusal:
-            return self.respond({"refusal": refusal.to_json()}, refusal.status)
-        return self.respond({"body": answer}, 200)
-
-    def authenticate(self, request: web.BaseRequest) -> None:
-        """Check the shared credential in constant time."""
-        given = request.headers.get(CREDENTIAL, "").encode(errors="replace")
-        if not hmac.compare_digest(given, self.credential):
-            raise not_run(Reason.UNAUTHENTICATED, "the peer credential is wrong")
-
-    async def dispatch(self, path: str, envelope: Json) -> Json:
-        """Run the handler of `path`."""
-        handler = self.routes.handlers.get(path)
-        if handler is None:
-            raise not_run(Reason.BAD_REQUEST, "there is no such peer path")
-        try:
-            wall_ms, count = envelope["stamp"]
-            self.timeline.observe(int(wall_ms), int(count))
-            body = envelope["body"]
-        except (KeyError, TypeError, ValueError):
-            raise not_run(Reason.BAD_REQUEST, "the envelope is malformed") from None
-        if not isinstance(body, dict):
-            raise not_run(Reason.BAD_REQUEST, "the body is not an object")
-        try:
-            return await handler(body)
-        except WireError as error:
-            raise not_run(Reason.BAD_REQUEST, str(error)) from None
-        except Refusal:
-            raise
-        except Exception:
-            log.exception("The handler of {} failed.", path)
-            detail = "the handler failed at the peer"
-            raise may_have_run(Reason.HOST_UNREACHABLE, detail) from None
-
-    def respond(self, message: Json, status: int) -> web.Response:
-        """Encode an answer with this host's stamp."""
-        message["stamp"] = self.timeline.tick().to_json()
-        return web.Response(
-            body=encode(message), status=status, content_type="application/json"
-        )
-
-
-def path_of(request: web.BaseRequest) -> str:
-    """Return the peer path that a request names; empty if it names none."""
-    if request.method != hdrs.METH_POST or not request.path.startswith(PREFIX):
-        return ""
-    return request.path[len(PREFIX) :]
-
-
-async def read_envelope(request: web.BaseRequest) -> Json:
-    """Read a body of bounded size in bounded time.
-
-    :raises Refusal: if it is too large, late, compressed or malformed.
-    """
-    length = request.content_length
-    if length is None or hdrs.CONTENT_ENCODING in request.headers:
-        raise not_run(Reason.BAD_REQUEST, "a plain body of stated length is expected")
-    if length > BODY_LIMIT:
-        raise not_run(Reason.TOO_LARGE, "the body is too large")
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT):
-            return decode(await request.content.read())
-    except WireError as error:
-        raise not_run(Reason.BAD_REQUEST, str(error)) from None
-    except TimeoutError:
-        raise not_run(Reason.DEADLINE, "the body did not arrive") from None
-
-
-def peer_runner(
-    endpoint: PeerEndpoint, shutdown_timeout: float = SHUTDOWN_TIMEOUT
-) -> web.ServerRunner:
-    """Return the runner of the listener that other hosts reach.
-
-    It has no router, since the one path prefix needs none. Bodies are not
-    decompressed, so that a small one can't grow.
-
-    :param shutdown_timeout: how long `cleanup` waits for calls in progress,
-        in seconds.
-    """
-    server = web.Server(
-        endpoint.handle,
-        auto_decompress=False,
-        access_log=None,
-        keepalive_timeout=SERVER_KEEPALIVE,
-        lingering_time=LINGERING,
-    )
-    return web.ServerRunner(server, shutdown_timeout=shutdown_timeout)
