Test the stand-ins' faults and rules; carry targets on a lean channel

Cause: a session of aiohttp's client keeps a pool, and its processor time a statement was most of what a home spends. A target counts connections and pins transactions to them, so that a pool is in the way. Change: connection/channel.py drives the protocol class of aiohttp's client directly, one TCP connection each, no retry; the target adapter uses it.

--- a/src/reedhook/connection/target_http.py
+++ b/src/reedhook/connection/target_http.py
@@ -1,22 +1,19 @@
 """Targets over HTTP with JSON: one TCP connection for each target connection."""
 
-import socket
+import asyncio
 from typing import Any, Final
 
 import orjson
-from aiohttp import (
-    AddrInfoType,
-    ClientConnectorError,
-    ClientError,
-    ClientSession,
-    ClientTimeout,
-    DummyCookieJar,
-    TCPConnector,
-)
-from yarl import URL
 
 from ..request.position import Position
 from ..wire import Json, WireError, decode, encode
+from .channel import (
+    Channel,
+    ChannelAnswer,
+    ChannelBroken,
+    ChannelClosed,
+    open_channel,
+)
 from .target import (
     MemberState,
     Role,
@@ -30,45 +27,13 @@
     TargetUnreachable,
 )
 
-KEEP_OPEN: Final = 30 * 86400.0
 HOLD_MARGIN: Final = 1.0
+# The target gives up waiting a little earlier than this side, so that its
+# refusal, which proves that nothing ran, arrives in time.
+WAIT_SHARE: Final = 0.9
 CODE_FULL: Final = "full"
 STATUS_OK: Final = 200
 STATUS_ERROR: Final = 500
-PATHS: Final = (
-    "hello",
-    "read",
-    "write",
-    "begin",
-    "step",
-    "commit",
-    "rollback",
-    "state",
-    "wait_state",
-    "raise_term",
-    "promote",
-    "follow",
-)
-
-
-class SecondConnection(OSError):
-    """Say that the one TCP connection is gone and no other may be opened."""
-
-
-class OneSocket:
-    """Give a session one socket and refuse it a second."""
-
-    __slots__ = ("given",)
-
-    def __init__(self) -> None:
-        self.given = False
-
-    def __call__(self, info: AddrInfoType) -> socket.socket:
-        if self.given:
-            raise SecondConnection("the connection to the target has ended")
-        self.given = True
-        family, kind, protocol, _, _ = info
-        return socket.socket(family, kind, protocol)
 
 
 class HttpTargetFactory(TargetFactory):
@@ -88,45 +53,36 @@
     """Open connections to the target at `address`."""
 
     def __init__(self, address: str, client: str) -> None:
+        self.address = address
         self.client = client
-        base = URL(f"http://{address}")
-        self.urls = {path: base / path for path in PATHS}
 
     async def connect(self, timeout: float) -> "HttpTargetConnection":
-        connection = HttpTargetConnection(self.urls)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        try:
+            channel = await open_channel(self.address, timeout)
+        except ChannelClosed as error:
+            raise TargetUnreachable(str(error)) from error
+        connection = HttpTargetConnection(channel)
         try:
-            await connection.ask("hello", {"client": self.client}, timeout)
+            await connection.ask(
+                "hello", {"client": self.client}, deadline - loop.time()
+            )
         except TargetRefused as error:
-            await connection.close()
+            channel.close()
             if error.code == CODE_FULL:
                 raise TargetFull(error.detail) from error
             raise TargetUnreachable(error.detail) from error
         except TargetSilent as error:
             raise TargetUnreachable(f"no greeting: {error}") from error
-        except BaseException:
-            await connection.close()
-            raise
         return connection
 
 
 class HttpTargetConnection(TargetConnection):
     """Run one exchange at a time on one TCP connection."""
 
-    def __init__(self, urls: dict[str, URL]) -> None:
-        self.urls = urls
-        self.session = ClientSession(
-            connector=TCPConnector(
-                limit=1,
-                keepalive_timeout=KEEP_OPEN,
-                use_dns_cache=False,
-                socket_factory=OneSocket(),
-            ),
-            cookie_jar=DummyCookieJar(),
-            timeout=ClientTimeout(total=None),
-            skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
-            auto_decompress=False,
-            trust_env=False,
-        )
+    def __init__(self, channel: Channel) -> None:
+        self.channel = channel
 
     async def read(self, sql: str, params: list[Any], timeout: float) -> Result:
         return result(await self.ask("read", sql_json(sql, params, timeout), timeout))
@@ -139,14 +95,16 @@
         return result(await self.ask("write", body, timeout))
 
     async def begin(self, request_id: str | None, timeout: float) -> Result:
-        body: Json = {"request_id": request_id, "timeout": timeout}
+        body: Json = {"request_id": request_id, "timeout": timeout * WAIT_SHARE}
         return result(await self.ask("begin", body, timeout))
 
     async def step(self, sql: str, params: list[Any], timeout: float) -> Result:
         return result(await self.ask("step", sql_json(sql, params, timeout), timeout))
 
     async def commit(self, timeout: float) -> Result:
-        return result(await self.ask("commit", {"timeout": timeout}, timeout))
+        return result(
+            await self.ask("commit", {"timeout": timeout * WAIT_SHARE}, timeout)
+        )
 
     async def rollback(self, timeout: float) -> None:
         await self.ask("rollback", {}, timeout)
@@ -171,7 +129,7 @@
         return await self.ask_state("follow", body, timeout)
 
     async def close(self) -> None:
-        await self.session.close()
+        self.channel.close()
 
     async def ask_state(self, path: str, body: Json, timeout: float) -> MemberState:
         """Ask for something that is answered with the member's state."""
@@ -194,47 +152,33 @@
         except orjson.JSONEncodeError as error:
             raise TargetRefused("bad_request", str(error)) from error
         try:
-            status, answer = await self.exchange(path, data, timeout)
-        except ClientConnectorError as error:
-            await self.close()
+            answer = await self.channel.exchange(path, data, timeout)
+        except ChannelClosed as error:
             raise TargetUnreachable(str(error)) from error
-        except (ClientError, OSError, TimeoutError) as error:
-            await self.close()
-            raise TargetSilent(f"no answer to {path}: {error!r}") from error
-        except BaseException:
-            await self.close()
-            raise
-        return await self.check(status, answer)
-
-    async def exchange(
-        self, path: str, data: bytes, timeout: float
-    ) -> tuple[int, bytes]:
-        """Return the status and body of one HTTP exchange."""
-        async with self.session.post(
-            self.urls[path], data=data, timeout=ClientTimeout(total=timeout)
-        ) as response:
-            return response.status, await response.read()
-
-    async def check(self, status: int, answer: bytes) -> Json:
+        except ChannelBroken as error:
+            raise TargetSilent(f"no answer to {path}: {error}") from error
+        return self.check(answer)
+
+    def check(self, answer: ChannelAnswer) -> Json:
         """Return the message of an answer, or raise what it refuses."""
         try:
-            message = decode(answer)
-            if status == STATUS_OK:
+            message = decode(answer.body)
+            if answer.status == STATUS_OK:
                 return message
             code = str(message["code"])
             detail = str(message["detail"])
         except (WireError, KeyError) as error:
-            await self.close()
+            self.channel.close()
             raise TargetSilent(f"no usable answer: {error!r}") from error
-        if status >= STATUS_ERROR:
-            await self.close()
+        if answer.status >= STATUS_ERROR:
+            self.channel.close()
             raise TargetSilent(detail)
         raise TargetRefused(code, detail)
 
 
 def sql_json(sql: str, params: list[Any], timeout: float) -> Json:
     """Return the body that carries a statement."""
-    return {"sql": sql, "params": params, "timeout": timeout}
+    return {"sql": sql, "params": params, "timeout": timeout * WAIT_SHARE}
 
 
 def result(message: Json) -> Result:
--- /dev/null
+++ b/tests/test_hostlist_http.py
@@ -0,0 +1,82 @@
+"""The host list's adapter against its stand-in."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from reedhook.process.hostlist import (
+    HostListUnavailable,
+    ListedHost,
+    ListedState,
+)
+from reedhook.process.hostlist_http import HttpHostList
+from reedhook_standins.hostlist import HostListStandin
+
+from .fakes_clock import LoopClock
+from .support import run
+
+FIRST = ListedHost("h1", "vittoria", "127.0.0.1:1001", ListedState.LIVE)
+SECOND = ListedHost("h2", "comiso", "127.0.0.1:1002", ListedState.LIVE)
+
+
+@asynccontextmanager
+async def listed(
+    lag: float = 0.0,
+) -> AsyncIterator[tuple[HostListStandin, HttpHostList]]:
+    standin = HostListStandin(LoopClock(), lag)
+    standin.put(FIRST.host, FIRST.zone, FIRST.address)
+    standin.put(SECOND.host, SECOND.zone, SECOND.address)
+    await standin.listen()
+    hosts = HttpHostList(standin.address)
+    try:
+        yield standin, hosts
+    finally:
+        await hosts.close()
+        await standin.close()
+
+
+def test_hosts_are_listed_with_their_state() -> None:
+    async def main() -> None:
+        async with listed() as (standin, hosts):
+            assert await hosts.hosts(1.0) == [FIRST, SECOND]
+            standin.leave("h1")
+            standin.remove("h2")
+            leaving = ListedHost("h1", "vittoria", FIRST.address, ListedState.LEAVING)
+            assert await hosts.hosts(1.0) == [leaving]
+
+    run(main())
+
+
+def test_a_change_shows_only_after_the_lag() -> None:
+    async def main() -> None:
+        async with listed(lag=60.0) as (standin, hosts):
+            assert await hosts.hosts(1.0) == []
+            standin.changes[0].at -= 90.0
+            assert await hosts.hosts(1.0) == [FIRST]
+            standin.lag = 0.0
+            assert await hosts.hosts(1.0) == [FIRST, SECOND]
+
+    run(main())
+
+
+def test_a_list_that_is_down_is_unavailable() -> None:
+    async def main() -> None:
+        async with listed() as (standin, hosts):
+            standin.down = True
+            with pytest.raises(HostListUnavailable):
+                await hosts.hosts(1.0)
+            standin.down = False
+            assert len(await hosts.hosts(1.0)) == 2
+
+    run(main())
+
+
+def test_an_answer_of_another_form_is_no_list() -> None:
+    async def main() -> None:
+        async with listed() as (standin, hosts):
+            hosts.url = hosts.url.with_path("/nothing")
+            with pytest.raises(HostListUnavailable):
+                await hosts.hosts(1.0)
+
+    run(main())
--- a/tests/test_target_http.py
+++ b/tests/test_target_http.py
@@ -1,39 +1,82 @@
-"""The HTTP adapter of targets against the stand-in of a database group."""
+"""The HTTP adapter of targets: one connection, whole answers, honest errors."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from reedhook.connection.target import Role
+import pytest
+
+from reedhook.connection.target import (
+    Role,
+    TargetFull,
+    TargetRefused,
+    TargetSilent,
+    TargetUnreachable,
+)
 from reedhook.connection.target_http import HttpTargetConnection, HttpTargetFactory
 from reedhook.request.position import Position
-from reedhook_standins.group import GroupStandin
-from reedhook_standins.member import MemberStandin
 
 from .support import run
+from .support_group import INSERT, SELECT, applied, connect, group_of
+
+GREETING = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+NOTHING = (
+    b'{"columns":[],"rows":[],"rowcount":0,"position":[1,1],'
+    b'"term":1,"role":"primary","repeated":false}'
+)
+
+
+class RawTarget:
+    """Answer the greeting, then each request with the next raw answer.
+
+    An answer of None closes the connection.
+    """
 
-CREATE = "CREATE TABLE ticket (id INTEGER PRIMARY KEY, load TEXT)"
-INSERT = "INSERT INTO ticket (load) VALUES (?)"
-COUNT = "SELECT count(*) FROM ticket"
+    def __init__(self, answers: list[bytes | None]) -> None:
+        self.answers = answers
+        self.accepted = 0
+        self.requests = 0
+        self.port = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        try:
+            await self.request(reader)
+            writer.write(GREETING)
+            while True:
+                await self.request(reader)
+                self.requests += 1
+                answer = self.answers.pop(0)
+                if answer is None:
+                    break
+                writer.write(answer)
+        except asyncio.IncompleteReadError:
+            pass
+        writer.close()
+
+    async def request(self, reader: asyncio.StreamReader) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.split(b"Content-Length: ")[1].split(b"\r\n")[0])
+        await reader.readexactly(length)
+
+    async def connect(self) -> HttpTargetConnection:
+        target = HttpTargetFactory().target("raw", f"127.0.0.1:{self.port}")
+        return await target.connect(1.0)
 
 
 @asynccontextmanager
-async def group_of(
-    count: int = 3, connections: int = 15
-) -> AsyncIterator[GroupStandin]:
-    names = [f"m{number}" for number in range(1, count + 1)]
-    group = GroupStandin("g1", names, connections=connections)
-    for member in group.members.values():
-        member.statement_time = 0.0
-    await group.start()
-    try:
-        yield group
-    finally:
-        await group.close()
+async def raw_target(*answers: bytes | None) -> AsyncIterator[RawTarget]:
+    raw = RawTarget(list(answers))
+    server = await asyncio.start_server(raw.serve, "127.0.0.1", 0)
+    raw.port = server.sockets[0].getsockname()[1]
+    async with server:
+        yield raw
 
 
-async def connect(member: MemberStandin, client: str = "") -> HttpTargetConnection:
-    target = HttpTargetFactory(client).target(member.name, member.address)
-    return await target.connect(1.0)
+def whole(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
 
 def test_a_write_reaches_the_replicas() -> None:
@@ -42,19 +85,160 @@
             first, second, _ = group.members.values()
             one = await connect(first)
             other = await connect(second)
-            await one.write(CREATE, [], None, 1.0)
             written = await one.write(INSERT, ["pomace"], None, 1.0)
             assert written.position == Position(1, 3)
             assert written.role is Role.PRIMARY
-            state = await other.state(1.0)
-            while not state.applied.covers(written.position):
-                state = await other.wait_state(state.revision, 1.0)
-            read = await other.read("SELECT id, load FROM ticket", [], 1.0)
-            assert read.rows == [[1, "pomace"]]
-            assert read.columns == ["id", "load"]
+            await applied(other, written.position)
+            read = await other.read(SELECT, [], 1.0)
+            assert read.rows == [["pomace"]]
+            assert read.columns == ["load"]
             assert read.position == written.position
             assert read.role is Role.REPLICA
-            await one.close()
-            await other.close()
+
+    run(main())
+
+
+def test_no_listener_means_that_nothing_was_sent() -> None:
+    async def main() -> None:
+        async with group_of() as group:
+            await group.primary.kill()
+            with pytest.raises(TargetUnreachable):
+                await connect(group.primary)
+
+    run(main())
+
+
+def test_a_full_target_says_so_and_has_room_after_a_close() -> None:
+    async def main() -> None:
+        async with group_of(connections=3) as group:
+            open_ones = [await connect(group.primary) for _ in range(3)]
+            with pytest.raises(TargetFull):
+                await connect(group.primary)
+            assert group.primary.open_connections == 3
+            await open_ones[0].close()
+            state = await open_ones[1].state(1.0)
+            while state.connections == 3:
+                state = await open_ones[1].wait_state(state.revision, 1.0)
+            again = await connect(group.primary)
+            assert (await again.state(1.0)).connections == 3
+            assert group.primary.peak_connections == 3
+
+    run(main())
+
+
+def test_a_broken_connection_is_neither_replaced_nor_is_the_request_repeated() -> None:
+    async def main() -> None:
+        async with raw_target(None) as raw:
+            connection = await raw.connect()
+            with pytest.raises(TargetSilent):
+                await connection.read("SELECT 1", [], 1.0)
+            with pytest.raises(TargetUnreachable):
+                await connection.read("SELECT 1", [], 1.0)
+            assert raw.requests == 1
+            assert raw.accepted == 1
+
+    run(main())
+
+
+def test_a_connection_that_ended_while_idle_sends_nothing() -> None:
+    async def main() -> None:
+        async with group_of() as group:
+            connection = await connect(group.primary)
+            await group.primary.kill()
+            await group.primary.revive()
+            group.primary.received.clear()
+            with pytest.raises(TargetUnreachable):
+                await connection.write(INSERT, ["pomace"], None, 1.0)
+            assert not group.primary.received
+            assert group.primary.open_connections == 0
+
+    run(main())
+
+
+def test_an_answer_cut_short_is_no_answer() -> None:
+    async def main() -> None:
+        cut = whole(NOTHING)[:-10]
+        async with raw_target(cut, None) as raw:
+            connection = await raw.connect()
+            with pytest.raises(TargetSilent):
+                await connection.read("SELECT 1", [], 0.2)
+            assert connection.channel.closed
+
+    run(main())
+
+
+def test_a_result_that_lacks_a_field_is_no_answer() -> None:
+    async def main() -> None:
+        async with raw_target(whole(b'{"rows":[]}')) as raw:
+            connection = await raw.connect()
+            with pytest.raises(TargetSilent):
+                await connection.write("DELETE FROM ticket", [], None, 1.0)
+
+    run(main())
+
+
+def test_an_answer_that_nobody_asked_for_is_not_given_to_the_next_request() -> None:
+    async def main() -> None:
+        stray = NOTHING.replace(b'"rowcount":0', b'"rowcount":7')
+        async with raw_target(whole(NOTHING) + whole(stray), None) as raw:
+            connection = await raw.connect()
+            first = await connection.read("SELECT 1", [], 1.0)
+            assert first.rowcount == 0
+            with pytest.raises(TargetUnreachable):
+                await connection.read("SELECT 2", [], 1.0)
+            assert raw.requests == 1
+
+    run(main())
+
+
+def test_a_request_that_was_cancelled_leaves_no_usable_connection() -> None:
+    async def main() -> None:
+        async with group_of() as group:
+            group.primary.statement_time = 0.2
+            connection = await connect(group.primary)
+            reading = asyncio.create_task(connection.read(SELECT, [], 1.0))
+            await asyncio.sleep(0.05)
+            reading.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await reading
+            with pytest.raises(TargetUnreachable):
+                await connection.read(SELECT, [], 1.0)
+
+    run(main())
+
+
+def test_a_large_answer_is_read_whole() -> None:
+    async def main() -> None:
+        async with group_of() as group:
+            connection = await connect(group.primary)
+            load = "citrus" * 500_000
+            await connection.write(INSERT, [load], None, 5.0)
+            read = await connection.read(SELECT, [], 5.0)
+            assert read.rows == [[load]]
+
+    run(main())
+
+
+def test_parameters_that_json_cannot_carry_are_refused_before_sending() -> None:
+    async def main() -> None:
+        async with group_of() as group:
+            connection = await connect(group.primary)
+            with pytest.raises(TargetRefused, match="not JSON serializable") as caught:
+                await connection.write(INSERT, [object()], None, 1.0)
+            assert caught.value.code == "bad_request"
+            assert (await connection.read(SELECT, [], 1.0)).rows == []
+
+    run(main())
+
+
+def test_two_exchanges_at_once_on_one_connection_are_a_defect() -> None:
+    async def main() -> None:
+        async with group_of() as group:
+            connection = await connect(group.primary)
+            waiting = asyncio.create_task(connection.wait_state(-1, 0.0))
+            await asyncio.sleep(0)
+            with pytest.raises(RuntimeError):
+                await connection.read(SELECT, [], 1.0)
+            assert (await waiting).member == "m1"
 
     run(main())
