Keep homes in step with hosts and configuration, with hand-over on drain

Cause: nothing decided which host holds the home of a target. Change: Homes reconciles after each change of hosts or configuration, lets a home that moves elsewhere serve on for 200 ms, and hands all homes over to the next in rank before a host leaves. A host that knows no other yet takes none.

--- a/src/reedhook/process/directory.py
+++ b/src/reedhook/process/directory.py
@@ -2,12 +2,16 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from typing import Final
 
 from .membership_record import HostRecord
 from .membership_table import Change, MembershipTable
 from .peer import HostRef
 from .rendezvous import ranked_hosts
 
+RELAYS: Final = 2
+RELAY_KEY: Final = "relay"
+
 
 class Directory(ABC):
     """Tell the home and the standbys of each target.
@@ -129,6 +133,28 @@
         live.sort(key=lambda record: record.penalty > 0)
         return [record.ref for record in live]
 
+    def successor(self, member: str, zone: str) -> HostRef | None:
+        """Return the host that takes over once this one has left."""
+        for inside in (True, False):
+            order = self.orders.order(member, zone, inside)
+            others = [host for host in order if host != self.ref.host]
+            first = self.first(others)
+            if first is not None:
+                return first
+        return None
+
+    def served(self, zone: str) -> bool:
+        """Return whether `zone` has a live host."""
+        return any(record.live for record in self.table.in_zone(zone))
+
+    def relays(self, zone: str) -> list[HostRef]:
+        """Return the hosts that ask the platform on behalf of `zone`."""
+        return self.live_order(self.orders.order(RELAY_KEY, zone, True))[:RELAYS]
+
+    def is_relay(self) -> bool:
+        """Return whether this host is a relay of its zone."""
+        return self.ref in self.relays(self.ref.zone)
+
     def rank_of(self, member: str, zone: str, host: str) -> int | None:
         """Return the rank of `host` among all known hosts, live or not.
 
--- a/src/reedhook/process/heartbeat.py
+++ b/src/reedhook/process/heartbeat.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Final
 
 import logbook
@@ -29,6 +29,8 @@
 DEAD_EVERY: Final = 2
 SEED_EVERY: Final = 5
 JOIN_PULLS: Final = 32
+JOIN_PATIENCE: Final = 2.0
+JOIN_RETRY: Final = 0.2
 SPREAD_BURST: Final = 6.0
 SPREAD_RATE: Final = 2.0
 RING: Final = "ring"
@@ -98,6 +100,9 @@
     """Exchange heartbeats with other hosts.
 
     :param seeds: addresses (``IP:port``) at which other hosts may be found.
+    :param listed: reads more such addresses from the platform's list.
+    :ivar joined: set once the table of another host was taken over, or once
+        none answered for long enough to go on alone.
     """
 
     def __init__(
@@ -108,6 +113,7 @@
         rng: random.Random,
         seeds: Iterable[str] = (),
         timing: Timing | None = None,
+        listed: Callable[[], Awaitable[list[str]]] | None = None,
     ) -> None:
         self.membership = membership
         self.table = membership.table
@@ -117,6 +123,8 @@
         self.rng = rng
         self.seeds = [seed for seed in seeds if seed != self.me.address]
         self.timing = timing if timing is not None else Timing()
+        self.listed = listed
+        self.joined = asyncio.Event()
         self.group: asyncio.TaskGroup | None = None
         self.watchers: dict[str, asyncio.Task[None]] = {}
         self.asked_now: set[str] = set()
@@ -161,14 +169,36 @@
             group.create_task(self.ask_around())
 
     async def join(self) -> None:
-        """Ask the seeds at once and take over the table of the first to answer."""
-        for seed in self.rng.sample(self.seeds, len(self.seeds)):
-            if not await self.ask(HostRef(UNKNOWN, UNKNOWN, seed)):
+        """Take over the table of the first host to answer."""
+        deadline = self.clock.monotonic() + JOIN_PATIENCE
+        while not await self.join_once():
+            if self.clock.monotonic() >= deadline:
+                log.info("No other host answers; this one goes on alone.")
+                break
+            await self.clock.sleep(JOIN_RETRY)
+        self.joined.set()
+
+    async def join_once(self) -> bool:
+        """Try all known addresses once; return whether there is nothing to wait for."""
+        listed = await self.listed() if self.listed is not None else []
+        addresses = {*self.seeds, *listed} - {self.me.address}
+        for address in self.rng.sample(sorted(addresses), len(addresses)):
+            if not await self.greet(address):
                 continue
-            ref = self.table.records[self.table.by_address[seed]].ref
+            ref = self.table.records[self.table.by_address[address]].ref
             for _ in range(JOIN_PULLS):
                 if not await self.pull(ref):
-                    return
+                    break
+            return True
+        return not addresses
+
+    async def greet(self, address: str) -> bool:
+        """Ask whoever is at `address`; return whether a host answered."""
+        return await self.ask(HostRef(UNKNOWN, UNKNOWN, address))
+
+    def some_peers(self, count: int) -> list[HostRef]:
+        """Return up to `count` live hosts chosen at random."""
+        return self.sample(self.others(self.table.refs()), count)
 
     async def ask(self, ref: HostRef) -> bool:
         """Exchange one heartbeat; return whether the host itself answered."""
@@ -364,7 +394,7 @@
         """Ask a seed that no known host stands for."""
         missing = [seed for seed in self.seeds if seed not in self.table.by_address]
         for seed in self.rng.sample(missing, min(1, len(missing))):
-            await self.ask(HostRef(UNKNOWN, UNKNOWN, seed))
+            await self.greet(seed)
 
     async def spread_news(self) -> None:
         """Tell a few hosts at once of what others should know soon."""
--- /dev/null
+++ b/src/reedhook/process/homes.py
@@ -0,0 +1,351 @@
+"""The homes at this host: taken and released as hosts and configuration change."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Iterator
+from typing import Final, TypeAlias
+
+import logbook
+
+from ..clock import Clock
+from ..connection.home import Home
+from ..request.refusal import Refusal
+from ..version.catalog import Catalog, Group, Member
+from ..wire import Json, WireError
+from .directory import MembershipDirectory
+from .membership import Membership
+from .membership_record import HostRecord, HostState
+from .peer import HostRef, PeerError, PeerRoutes, Peers
+from .rendezvous import share
+from .timeline import EventKind, Timeline
+
+HomeFactory: TypeAlias = Callable[[Group, Member, int], Home]
+
+TAKEOVER: Final = "takeover"
+TAKEOVER_TIMEOUT: Final = 1.0
+TAKEOVER_WAIT: Final = 0.5
+# Hosts whose view is a little older still find the former home meanwhile.
+LINGER: Final = 0.2
+INTERVAL: Final = 5.0
+LEAST_GAP: Final = 0.002
+# After a pass that took long, the next one waits many times as long.
+PACE: Final = 10.0
+GROWTH_AFTER: Final = 10.0
+
+log = logbook.Logger("homes")
+
+
+class HeldHome:
+    """Hold a home with what it was made from.
+
+    :ivar since: monotonic time in seconds at which it was taken.
+    :ivar release_at: monotonic time at which it is to be released, or None.
+    """
+
+    __slots__ = ("home", "group", "member", "share", "since", "release_at")
+
+    def __init__(
+        self, home: Home, group: Group, member: Member, share: int, since: float
+    ) -> None:
+        self.home = home
+        self.group = group
+        self.member = member
+        self.share = share
+        self.since = since
+        self.release_at: float | None = None
+
+    def fits(self, group: Group, member: Member) -> bool:
+        """Return whether a configuration leaves this home as it is."""
+        same = self.member == member and self.group.slots == group.slots
+        return same and self.group.connections == group.connections
+
+    def adopt(self, group: Group) -> None:
+        """Take over a description that differs in other members only."""
+        if group != self.group:
+            self.group = self.home.group = group
+
+
+class Homes:
+    """Keep a home for each target whose home this host is.
+
+    :param make_home: makes a home from group, member and share.
+    :param grace: how long work in progress may take to end, in seconds.
+    :param joined: set once this host knows the others.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        directory: MembershipDirectory,
+        peers: Peers,
+        clock: Clock,
+        timeline: Timeline,
+        make_home: HomeFactory,
+        grace: float,
+        joined: asyncio.Event,
+    ) -> None:
+        self.membership = membership
+        self.directory = directory
+        self.me = directory.me
+        self.peers = peers
+        self.clock = clock
+        self.timeline = timeline
+        self.make_home = make_home
+        self.grace = grace
+        self.joined = joined
+        self.catalog: Catalog | None = None
+        self.configured: set[str] = set()
+        self.held: dict[str, HeldHome] = {}
+        self.closing: dict[str, list[Home]] = {}
+        self.closers: set[asyncio.Task[None]] = set()
+        self.former: dict[str, HostRef | None] = {}
+        self.draining = False
+        self.wake = asyncio.Event()
+        self.passed = asyncio.Event()
+        self.callbacks: list[Callable[[], None]] = []
+        directory.subscribe(self.wake.set)
+
+    def register(self, routes: PeerRoutes) -> None:
+        """Add the handler of this host."""
+        routes.add(TAKEOVER, self.answer_takeover)
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change of the set of homes."""
+        self.callbacks.append(callback)
+
+    def apply(self, catalog: Catalog) -> None:
+        """Put a configuration in force; homes that it leaves alone stay."""
+        self.catalog = catalog
+        self.configured = {member.member for _, member in targets(catalog)}
+        self.wake.set()
+
+    def get(self, member: str) -> Home | None:
+        """Return the home of `member` if it is here and takes new work."""
+        held = self.held.get(member)
+        return None if held is None else held.home
+
+    def of_group(self, group: str) -> list[Home]:
+        """Return the homes here of the members of `group`."""
+        return [held.home for held in self.held.values() if held.group.name == group]
+
+    def closing_of(self, member: str) -> list[Home]:
+        """Return former homes of `member` in which transactions may still end."""
+        return list(self.closing.get(member, ()))
+
+    async def run(self) -> None:
+        """Follow hosts and configuration until cancelled.
+
+        A host that knows no other yet would take homes that are not its own.
+        """
+        await self.joined.wait()
+        while True:
+            await self.awakened()
+            self.wake.clear()
+            started = self.clock.monotonic()
+            await self.reconcile()
+            cost = self.clock.monotonic() - started
+            self.passed.set()
+            await self.clock.sleep(max(LEAST_GAP, PACE * cost))
+
+    async def awakened(self) -> None:
+        """Wait for a change, or for the next home that is due."""
+        now = self.clock.monotonic()
+        due = [one.release_at for one in self.held.values() if one.release_at]
+        wait = min([now + INTERVAL, *due]) - now
+        try:
+            async with asyncio.timeout(max(wait, 0.0)):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+
+    async def reconcile(self) -> None:
+        """Take and release homes until they match hosts and configuration."""
+        if self.catalog is None or self.draining:
+            return
+        now = self.clock.monotonic()
+        wanted = {member.member: (group, member) for group, member in self.wanted()}
+        changed = False
+        for name, held in list(self.held.items()):
+            if name not in wanted:
+                changed |= self.let_go(name, held, now)
+            else:
+                held.release_at = None
+        for group, member in wanted.values():
+            changed |= await self.keep(group, member, now)
+        if changed:
+            self.notify()
+
+    def wanted(self) -> Iterator[tuple[Group, Member]]:
+        """Iterate over the targets whose home is here by the view of this host."""
+        served: dict[str, bool] = {}
+        for group, member in targets(self.catalog):
+            zone = member.zone
+            if zone not in served:
+                served[zone] = self.directory.served(zone)
+            if zone != self.me.zone and served[zone]:
+                continue
+            home = self.directory.home(member.member, zone)
+            if home == self.me:
+                yield group, member
+            else:
+                self.former[member.member] = home
+
+    async def keep(self, group: Group, member: Member, now: float) -> bool:
+        """Make the home of a target unless it is there as it should be."""
+        held = self.held.get(member.member)
+        size = self.share(group, member)
+        if held is None:
+            return await self.take(group, member, size, self.cause(member.member))
+        grown = size > held.share and now - held.since > GROWTH_AFTER
+        if held.fits(group, member) and not (grown or size < held.share):
+            held.adopt(group)
+            return False
+        cause = "share" if held.fits(group, member) else "configuration"
+        self.release(member.member, cause)
+        return await self.take(group, member, size, cause)
+
+    def share(self, group: Group, member: Member) -> int:
+        """Return the connections that this host may open to a target."""
+        rank = self.directory.rank_of(member.member, member.zone, self.me.host)
+        return 0 if rank is None else share(group.connections, rank)
+
+    async def take(self, group: Group, member: Member, size: int, cause: str) -> bool:
+        """Make and start a home; return whether it is there now."""
+        if size == 0:
+            return False
+        home = self.make_home(group, member, size)
+        try:
+            await home.start()
+        except Exception:
+            log.exception("The home of {} did not start.", member.member)
+            return False
+        now = self.clock.monotonic()
+        self.held[member.member] = HeldHome(home, group, member, size, now)
+        self.timeline.record(
+            EventKind.HOME_TAKEN, member.member, cause=cause, share=size
+        )
+        return True
+
+    def cause(self, member: str) -> str:
+        """Say why this host takes over `member`."""
+        former = self.former.pop(member, None)
+        if former is None:
+            return "start"
+        record = self.membership.table.get(former.host)
+        state = HostState.GONE if record is None else record.state
+        if state <= HostState.SUSPECTED:
+            return f"preferred to {former.host}"
+        return f"{former.host} is {state.name.lower()}"
+
+    def let_go(self, member: str, held: HeldHome, now: float) -> bool:
+        """Release a home that is another host's, once that had time to start."""
+        if member not in self.configured:
+            self.release(member, "configuration")
+            return True
+        if held.release_at is None:
+            held.release_at = now + LINGER
+        if now < held.release_at:
+            return False
+        former = self.former.get(member)
+        self.release(member, "home moved", to=former.host if former else None)
+        return True
+
+    def release(self, member: str, cause: str, to: str | None = None) -> None:
+        """Let a home take no new work and close once its work has ended."""
+        held = self.held.pop(member)
+        self.timeline.record(EventKind.HOME_RELEASED, member, cause=cause, to=to)
+        self.closing.setdefault(member, []).append(held.home)
+        task = asyncio.create_task(self.close_home(member, held.home))
+        self.closers.add(task)
+        task.add_done_callback(self.closers.discard)
+
+    async def close_home(self, member: str, home: Home) -> None:
+        """Close a home after its grace period."""
+        try:
+            await home.close(self.grace)
+        except Exception:
+            log.exception("The home of {} did not close.", member)
+        finally:
+            self.closing[member].remove(home)
+            if not self.closing[member]:
+                del self.closing[member]
+
+    def notify(self) -> None:
+        """Tell that the set of homes has changed."""
+        for callback in self.callbacks:
+            callback()
+
+    async def answer_takeover(self, body: Json) -> Json:
+        """Take homes over from a host that is about to leave."""
+        leaver = HostRecord.from_json(body.get("me"))
+        members = body.get("members")
+        if leaver.state is not HostState.LEAVING or not isinstance(members, list):
+            raise WireError("a host that leaves and its targets are expected")
+        self.membership.learn(leaver, self.clock.monotonic())
+        await self.settled(set(map(str, members)))
+        return {"taken": [one for one in members if one in self.held]}
+
+    async def settled(self, members: set[str]) -> None:
+        """Wait a little until the homes of `members` are here."""
+        try:
+            async with asyncio.timeout(TAKEOVER_WAIT):
+                while not members <= self.held.keys():
+                    self.passed.clear()
+                    self.wake.set()
+                    await self.passed.wait()
+        except TimeoutError:
+            return
+
+    async def drain(self) -> None:
+        """Hand all homes over, then let work in progress end.
+
+        The next in rank is told first, so that it is ready before any host
+        looks for it.
+        """
+        self.draining = True
+        await asyncio.gather(
+            *(self.hand_over(ref, names) for ref, names in self.successors().items())
+        )
+        self.membership.leave()
+        await self.clock.sleep(LINGER)
+        for member in list(self.held):
+            self.release(member, "drain")
+        self.notify()
+        await asyncio.gather(*self.closers)
+
+    def successors(self) -> dict[HostRef, list[str]]:
+        """Return which targets go to which host when this one leaves."""
+        found: dict[HostRef, list[str]] = {}
+        for name, held in self.held.items():
+            ref = self.directory.successor(name, held.member.zone)
+            if ref is not None:
+                found.setdefault(ref, []).append(name)
+        return found
+
+    async def hand_over(self, ref: HostRef, members: list[str]) -> None:
+        """Ask `ref` to take targets over; without an answer it learns it later."""
+        body: Json = {
+            "me": self.membership.farewell().to_json(),
+            "members": members,
+        }
+        try:
+            await self.peers.call(ref, TAKEOVER, body, TAKEOVER_TIMEOUT)
+        except (PeerError, Refusal) as error:
+            log.info("{} did not take over: {}", ref.host, error)
+
+    async def close(self) -> None:
+        """Close all homes at once."""
+        homes = [held.home for held in self.held.values()]
+        self.held.clear()
+        await asyncio.gather(*(home.close(0.0) for home in homes))
+        for task in self.closers:
+            task.cancel()
+        await asyncio.gather(*self.closers, return_exceptions=True)
+
+
+def targets(catalog: Catalog | None) -> Iterable[tuple[Group, Member]]:
+    """Iterate over all targets of a configuration with their groups."""
+    if catalog is None:
+        return
+    for group in catalog.groups.values():
+        for member in group.members:
+            yield group, member
--- a/src/reedhook/process/membership.py
+++ b/src/reedhook/process/membership.py
@@ -92,11 +92,11 @@
         self.table.apply(self.own, clock.monotonic())
 
     def set_version(self, version: int) -> None:
-        """State the version of the configuration that is in force here."""
-        if version <= self.version:
-            return
-        self.version = version
-        self.on_urgent()
+        """State the version of the configuration that is in force here.
+
+        It rides on the next heartbeats; the configuration announces itself.
+        """
+        self.version = max(self.version, version)
 
     def message(self) -> Json:
         """Return the body of a heartbeat or of its answer."""
@@ -210,11 +210,19 @@
         self.own = HostRecord(self.me, incarnation, state, penalty)
         self.table.apply(self.own, self.clock.monotonic())
 
+    def farewell(self) -> HostRecord:
+        """Return the record with which this host leaves."""
+        if self.own.state is HostState.LEAVING:
+            return self.own
+        return HostRecord(
+            self.me, self.own.incarnation + 1, HostState.LEAVING, self.own.penalty
+        )
+
     def leave(self) -> None:
         """State that this host takes no new work."""
-        if self.own.state is HostState.LEAVING:
-            return
-        self.announce(self.own.incarnation + 1, HostState.LEAVING)
+        farewell = self.farewell()
+        if farewell.beats(self.own):
+            self.announce(farewell.incarnation, farewell.state)
 
     def suspect(self, record: HostRecord) -> None:
         """Suspect a host that does not answer; one that leaves is gone."""
--- /dev/null
+++ b/tests/fakes_homes.py
@@ -0,0 +1,159 @@
+"""Homes without targets, on hosts of a fake network."""
+
+import asyncio
+
+from reedhook.connection.home import Home, HomeLoad
+from reedhook.connection.target import MemberState, TargetResult
+from reedhook.process.homes import Homes
+from reedhook.request.statement import Statement
+from reedhook.version.catalog import Catalog, Group, Limits, Member
+
+from .fakes_hosts import FakeHosts
+
+GRACE = 5.0
+CONNECTIONS = 15
+
+
+class FakeHome(Home):
+    """Note what is done with a home.
+
+    :ivar busy: set while work is in progress; `close` waits for its end.
+    """
+
+    def __init__(self, group: Group, member: Member, share: int) -> None:
+        self.group = group
+        self.member = member
+        self.share = share
+        self.leaving = False
+        self.started = False
+        self.closed_at: float | None = None
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    async def start(self) -> None:
+        self.started = True
+
+    async def close(self, grace: float) -> None:
+        try:
+            async with asyncio.timeout(grace):
+                await self.idle.wait()
+        except TimeoutError:
+            pass
+        self.closed_at = asyncio.get_running_loop().time()
+
+    async def run(self, statement: Statement) -> TargetResult:
+        raise NotImplementedError
+
+    async def wait_change(self, revision: int, timeout: float) -> None:
+        raise NotImplementedError
+
+    def touch(self, state: MemberState, asked: float) -> None:
+        raise NotImplementedError
+
+    async def ask_state(self, timeout: float) -> MemberState:
+        raise NotImplementedError
+
+    async def raise_term(self, term: int, owner: str, timeout: float) -> MemberState:
+        raise NotImplementedError
+
+    async def promote(self, term: int, owner: str, timeout: float) -> MemberState:
+        raise NotImplementedError
+
+    async def follow(self, term: int, primary: str, timeout: float) -> MemberState:
+        raise NotImplementedError
+
+    def load(self) -> HomeLoad:
+        return HomeLoad(0.0, 0, 0)
+
+
+class HomesOfHosts:
+    """Run `Homes` on each of several fake hosts.
+
+    :ivar made: every home that was ever made, with its host.
+    """
+
+    def __init__(self, hosts: FakeHosts, catalog: Catalog) -> None:
+        self.hosts = hosts
+        self.catalog = catalog
+        self.made: list[tuple[str, FakeHome]] = []
+        self.of: dict[str, Homes] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        for host in hosts.hosts:
+            self.start(host)
+
+    def start(self, host: str) -> Homes:
+        """Run the homes of a host."""
+        fake = self.hosts[host]
+
+        def make_home(group: Group, member: Member, share: int) -> Home:
+            home = FakeHome(group, member, share)
+            self.made.append((host, home))
+            return home
+
+        homes = Homes(
+            fake.membership,
+            fake.directory,
+            fake.peers,
+            fake.clock,
+            fake.timeline,
+            make_home,
+            GRACE,
+            fake.heartbeats.joined,
+        )
+        homes.register(fake.routes)
+        homes.apply(self.catalog)
+        self.of[host] = homes
+        self.tasks[host] = asyncio.create_task(homes.run())
+        return homes
+
+    def crash(self, host: str) -> None:
+        """End a host without a word."""
+        self.tasks[host].cancel()
+        self.of[host].held.clear()
+        self.hosts[host].crash()
+
+    def holders(self, member: str) -> list[str]:
+        """Return the hosts that hold a home of `member` now."""
+        return [host for host, homes in self.of.items() if homes.get(member)]
+
+    def settled(self) -> bool:
+        """Return whether each target has exactly one home."""
+        names = members_of(self.catalog)
+        return all(len(self.holders(name)) == 1 for name in names)
+
+    async def until_settled(self, limit: float = 10.0) -> float:
+        """Wait until each target has one home; return how long it took."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while not self.settled():
+            assert loop.time() - started < limit
+            await asyncio.sleep(0.005)
+        return loop.time() - started
+
+    async def stop(self) -> None:
+        """Stop everything and fail on what went wrong."""
+        for task in self.tasks.values():
+            task.cancel()
+        results = await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        await self.hosts.stop()
+        faults = [one for one in results if isinstance(one, Exception)]
+        if faults:
+            raise ExceptionGroup("homes failed", faults)
+
+
+def members_of(catalog: Catalog) -> list[str]:
+    """Return the ids of all targets."""
+    return [one.member for group in catalog.groups.values() for one in group.members]
+
+
+def catalog_of(zones: list[str], groups: int, version: int = 1) -> Catalog:
+    """Return a configuration with a member of each group in each zone."""
+    made = {}
+    for number in range(groups):
+        name = f"g{number}"
+        members = tuple(
+            Member(f"{name}-{zone}", zone, f"10.1.0.{number}:{5000 + index}")
+            for index, zone in enumerate(zones)
+        )
+        made[name] = Group(name, "service", members, 2, CONNECTIONS)
+    return Catalog(version, "a", made, {}, Limits())
--- /dev/null
+++ b/tests/test_membership_directory.py
@@ -0,0 +1,180 @@
+"""Rendezvous hashing, shares and the directory, by properties."""
+
+import random
+
+from hypothesis import given, strategies as st
+
+from reedhook.process.directory import MembershipDirectory
+from reedhook.process.membership_record import HostRecord, HostState
+from reedhook.process.membership_table import MembershipTable
+from reedhook.process.peer import HostRef
+from reedhook.process.rendezvous import ranked_hosts, room, share
+
+ZONES = ("a", "b", "c")
+TARGETS = tuple((f"t{number}", zone) for number in range(8) for zone in ZONES)
+
+connections = st.integers(1, 200)
+sizes = st.tuples(st.integers(0, 5), st.integers(0, 5), st.integers(1, 5))
+states = st.sampled_from(list(HostState))
+seeds = st.integers(0, 1000)
+
+
+def hosts_of(counts: tuple[int, ...]) -> list[HostRef]:
+    """Return so many hosts in each zone."""
+    return [
+        HostRef(f"{zone}-{number}", zone, f"10.0.{index}.1:{number + 1}")
+        for index, zone in enumerate(ZONES)
+        for number in range(counts[index])
+    ]
+
+
+def table_of(records: list[HostRecord]) -> MembershipTable:
+    """Return a table in which each host was live before it got its state."""
+    table = MembershipTable()
+    for record in records:
+        live = HostRecord(record.ref, record.incarnation, penalty=record.penalty)
+        table.apply(live, 0.0)
+        table.apply(record, 0.0)
+    return table
+
+
+def drawn(seed: int, refs: list[HostRef]) -> list[HostRecord]:
+    """Return a record in some state for each host."""
+    rng = random.Random(seed)
+    return [
+        HostRecord(ref, 10, rng.choice(list(HostState)), rng.choice([0, 0, 0, 2]))
+        for ref in refs
+    ]
+
+
+@given(connections, st.sets(st.integers(0, 300)))
+def test_shares_of_any_believers_fit_the_connections(
+    count: int, ranks: set[int]
+) -> None:
+    assert sum(share(count, rank) for rank in ranks) <= count
+    assert share(count, 0) >= 1
+
+
+@given(connections)
+def test_shares_fall_with_the_rank(count: int) -> None:
+    shares = [share(count, rank) for rank in range(8)]
+    assert shares == sorted(shares, reverse=True)
+    if count >= 10:
+        assert shares[0] == int(count * 0.6)
+        assert shares[1] == int(count * 0.3)
+
+
+@given(connections, st.integers(0, 9), st.integers(0, 200), st.integers(0, 400))
+def test_room_keeps_to_what_the_target_reports(
+    count: int, rank: int, own: int, others: int
+) -> None:
+    more = room(count, share(count, rank), own, own + others)
+    assert more >= 0
+    if more:
+        assert own + more <= share(count, rank)
+        assert own + others + more <= count
+
+
+@given(sizes, st.lists(seeds, min_size=1, max_size=6), connections)
+def test_hosts_with_any_views_of_the_same_hosts_stay_within_the_connections(
+    counts: tuple[int, ...], views: list[int], count: int
+) -> None:
+    refs = hosts_of(counts)
+    for member, zone in TARGETS:
+        given_out: dict[str, int] = {}
+        for seed in views:
+            table = table_of(drawn(seed, refs))
+            directory = MembershipDirectory(refs[0], table)
+            home = directory.home(member, zone)
+            if home is None:
+                continue
+            rank = directory.rank_of(member, zone, home.host)
+            assert rank is not None
+            given_out[home.host] = share(count, rank)
+        assert sum(given_out.values()) <= count
+
+
+@given(sizes, seeds, seeds)
+def test_equal_tables_give_equal_homes_whatever_the_order(
+    counts: tuple[int, ...], seed: int, order: int
+) -> None:
+    records = drawn(seed, hosts_of(counts))
+    shuffled = records[:]
+    random.Random(order).shuffle(shuffled)
+    one, other = table_of(records), table_of(shuffled)
+    assert one.digest() == other.digest()
+    assert one.buckets == other.buckets
+    here = MembershipDirectory(records[0].ref, one)
+    there = MembershipDirectory(records[-1].ref, other)
+    for member, zone in TARGETS:
+        assert here.ranked(member, zone) == there.ranked(member, zone)
+        first = here.ranked(member, zone)[:1]
+        home = here.home(member, zone)
+        assert first == ([] if home is None else [home])
+
+
+@given(sizes, seeds)
+def test_homes_are_live_of_the_zone_and_steady_where_that_can_be(
+    counts: tuple[int, ...], seed: int
+) -> None:
+    records = drawn(seed, hosts_of(counts))
+    live = {one.ref: one.penalty for one in records if one.live}
+    directory = MembershipDirectory(records[0].ref, table_of(records))
+    for member, zone in TARGETS:
+        home = directory.home(member, zone)
+        if not live:
+            assert home is None
+            continue
+        assert home is not None
+        near = {ref: value for ref, value in live.items() if ref.zone == zone}
+        pool = near or live
+        assert home in pool
+        assert pool[home] == 0 or all(pool.values())
+
+
+@given(sizes, seeds)
+def test_the_successor_is_the_home_once_this_host_has_left(
+    counts: tuple[int, ...], seed: int
+) -> None:
+    records = drawn(seed, hosts_of(counts))
+    me = records[0].ref
+    before = MembershipDirectory(me, table_of(records))
+    records[0] = HostRecord(me, 11, HostState.LEAVING)
+    after = MembershipDirectory(me, table_of(records))
+    for member, zone in TARGETS:
+        assert before.successor(member, zone) == after.home(member, zone)
+
+
+def test_a_lost_host_moves_only_its_own_targets() -> None:
+    hosts = [f"host-{number}" for number in range(20)]
+    keys = [f"target-{number}" for number in range(500)]
+    before = {key: ranked_hosts(key, hosts) for key in keys}
+    after = {key: ranked_hosts(key, hosts[1:])[0] for key in keys}
+    for key in keys:
+        first, second = before[key][:2]
+        assert after[key] == (second if first == "host-0" else first)
+
+
+@given(sizes, seeds, seeds)
+def test_tables_merge_to_the_same_whatever_the_order_and_repeats(
+    counts: tuple[int, ...], seed: int, order: int
+) -> None:
+    """Records travel by several ways; each way must lead to the same table."""
+    rng = random.Random(seed)
+    refs = hosts_of(counts)
+    records = [HostRecord(ref, 0) for ref in refs]
+    news = [
+        HostRecord(rng.choice(refs), rng.randrange(3), rng.choice(list(HostState)))
+        for _ in range(20)
+    ]
+    tables = []
+    for shuffler in (random.Random(order), random.Random(order + 1)):
+        table = table_of(records)
+        sequence = news + news[:5]
+        shuffler.shuffle(sequence)
+        for record in sequence:
+            table.apply(record, 1.0)
+        tables.append(table)
+    assert tables[0].records == tables[1].records
+    assert tables[0].buckets == tables[1].buckets
+    assert tables[0].unsettled == tables[1].unsettled
