Close the gaps in the tests of the configuration that mutations showed

26 single faults were put into the code by hand, one at a time. 10 went unseen by the tests, so that the tests were too kind: hosts checked an edition without time passing, racing operators never met between the parts and the head, pulls were only spoiled in one way.

Checks now take an uneven time in the fleet, and pulls are shortened, swapped or relabelled. Of the 26, the tests now see all but two that change no outcome: an early return before a check that is repeated, and a second digest check, which is gone. A part with a cut trailer was taken for whole; it is refused now. A host tells operators which edition it refused, and gives a status.

--- a/src/reedhook/process/configuration.py
+++ b/src/reedhook/process/configuration.py
@@ -14,7 +14,7 @@
 from ..version.catalog import Catalog
 from ..version.check import check
 from ..version.document import Documents
-from ..version.edition import Edition, EditionError, Head, PartRef, unpack
+from ..version.edition import Edition, EditionError, Head, PartRef
 from ..version.fault import InvalidConfiguration
 from ..wire import Json
 from .metrics import Metrics
@@ -97,6 +97,17 @@
         """Return the packed parts in force, by digest."""
         return {} if self.edition is None else self.edition.packed
 
+    def status(self) -> Json:
+        """Return what operators see of this host's configuration."""
+        summary = {} if self.edition is None else self.edition.head.summary()
+        return {
+            **summary,
+            "version": self.version,
+            "site": self.me.zone,
+            "in_force_since": self.in_force_since,
+            "refused": self.refused or None,
+        }
+
     def on_change(self, callback: CatalogCallback) -> None:
         """Call `callback` with each catalog that comes into force."""
         self.callbacks.append(callback)
@@ -148,8 +159,7 @@
             self.drop(edition.version, source, str(error))
             return False
         except InvalidConfiguration as error:
-            self.refused = max(self.refused, edition.version)
-            self.drop(edition.version, source, str(error.exceptions[0]))
+            self.refuse(edition.version, source, str(error.exceptions[0]))
             return False
         # Another edition may have come into force during the check.
         if edition.version <= self.version:
@@ -187,6 +197,22 @@
         except Exception:
             log.exception("A callback failed.")
 
+    def refuse(self, version: int, source: str, reason: str) -> None:
+        """Take note of an edition that this program does not find valid.
+
+        Another release of the program accepted it; asking for it again would
+        change nothing.
+        """
+        self.refused = max(self.refused, version)
+        self.timeline.record(
+            EventKind.CONFIGURATION,
+            f"version {version}",
+            version=version,
+            source=source,
+            refused=reason,
+        )
+        self.drop(version, source, reason)
+
     def drop(self, version: int, source: str, reason: str) -> None:
         """Take note that an edition was not put in force."""
         self.metrics.increment("configuration.dropped")
@@ -325,7 +351,7 @@
 
         :raises PeerError: if no answer came.
         :raises Refusal: if the peer refused.
-        :raises EditionError: if what came is damaged or cut short.
+        :raises EditionError: if what came is not readable.
         """
         body = {"have": self.version}
         answer = await self.peers.call(source, PATH, body, PEER_TIMEOUT)
@@ -351,7 +377,7 @@
     ) -> None:
         """Move parts from `missing` to `packed`, as many as come in one answer.
 
-        :raises EditionError: if none came or one is damaged.
+        :raises EditionError: if none came or one is not readable.
         """
         body = {"want": list(missing)}
         answer = await self.peers.call(source, PATH, body, PEER_TIMEOUT)
@@ -359,10 +385,9 @@
         if not isinstance(parts, dict) or not parts:
             raise EditionError("the peer has moved on")
         for digest, text in parts.items():
-            ref = missing.pop(digest, None)
-            if ref is None:
+            if missing.pop(digest, None) is None:
                 raise EditionError("a part came that was not asked for")
-            packed[digest] = decode_part(ref, text)
+            packed[digest] = decode_part(digest, text)
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a task until it ends or the keeper is closed."""
@@ -371,17 +396,17 @@
         task.add_done_callback(self.tasks.discard)
 
 
-def decode_part(ref: PartRef, text: str) -> bytes:
+def decode_part(digest: str, text: str) -> bytes:
     """Return the packed content of a part from the wire.
 
-    :raises EditionError: if it is damaged.
+    Its digest is checked when the edition is put together.
+
+    :raises EditionError: if it is not base64.
     """
     try:
-        packed = base64.b64decode(text, validate=True)
+        return base64.b64decode(text, validate=True)
     except (binascii.Error, TypeError, ValueError) as error:
-        raise EditionError(f"part {ref.digest} is not base64") from error
-    unpack(ref, packed)
-    return packed
+        raise EditionError(f"part {digest} is not base64") from error
 
 
 def make_catalog(documents: Documents, version: int, site: str) -> Catalog:
--- a/src/reedhook/process/editor.py
+++ b/src/reedhook/process/editor.py
@@ -324,7 +324,8 @@
             raise self.refuse_unknown_parent(stored)
         if stored.version > self.parent:
             raise await self.conflict(stored)
-        edition = make_edition(
+        edition = await self.editor.worker.run(
+            make_edition,
             self.documents,
             stored.head,
             self.edit_id,
--- a/src/reedhook/process/relay.py
+++ b/src/reedhook/process/relay.py
@@ -9,6 +9,7 @@
 
 from ..clock import Clock
 from ..version.edition import EditionError
+from ..wire import Json
 from .archive import HEAD_KEY, Archive, StoredHead, stored_head
 from .configuration import ConfigurationKeeper
 from .store import StoreError
@@ -68,6 +69,17 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    def status(self) -> Json:
+        """Return what operators see of the store's side."""
+        read = self.store_read
+        age = None if read is None else round(self.clock.monotonic() - read, 3)
+        return {
+            "relay": self.is_relay(),
+            "store_reachable": self.reachable if self.is_relay() else None,
+            "store_version": self.store_version,
+            "store_age": age,
+        }
+
     async def watch_forever(self) -> None:
         """Keep a watch armed while this host is a relay."""
         delay = REARM_MIN
--- a/src/reedhook/process/worker.py
+++ b/src/reedhook/process/worker.py
@@ -26,12 +26,3 @@
         self, function: Callable[P, T], *args: P.args, **kwargs: P.kwargs
     ) -> T:
         return await asyncio.to_thread(function, *args, **kwargs)
-
-
-class InlineWorker(Worker):
-    """Run functions at once, for small documents and for tests."""
-
-    async def run(
-        self, function: Callable[P, T], *args: P.args, **kwargs: P.kwargs
-    ) -> T:
-        return function(*args, **kwargs)
--- a/src/reedhook/version/edition.py
+++ b/src/reedhook/version/edition.py
@@ -197,9 +197,12 @@
     if part.size > MAX_PART:
         raise EditionError(f"part {part.digest} is too large")
     try:
-        content = zlib.decompressobj().decompress(packed, part.size + 1)
+        unpacker = zlib.decompressobj()
+        content = unpacker.decompress(packed, part.size + 1)
     except zlib.error as error:
         raise EditionError(f"part {part.digest} is damaged") from error
+    if not unpacker.eof or unpacker.unused_data:
+        raise EditionError(f"part {part.digest} has another length")
     if hashlib.sha256(content).hexdigest() != part.digest:
         raise EditionError(f"part {part.digest} has another digest")
     return content
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, ParamSpec, TypeVar
 
 from reedhook.process.archive import Archive
 from reedhook.process.configuration import ConfigurationKeeper
@@ -11,7 +12,7 @@
 from reedhook.process.peer import HostRef, PeerError, PeerRoutes
 from reedhook.process.relay import ConfigurationRelay
 from reedhook.process.timeline import Timeline
-from reedhook.process.worker import InlineWorker
+from reedhook.process.worker import Worker
 from reedhook.version.catalog import Catalog
 from reedhook.version.document import Documents
 from reedhook.version.edition import Head
@@ -20,9 +21,13 @@
 from .fakes_peers import FakeNetwork
 from .fakes_store import FakeStore
 
+P = ParamSpec("P")
+T = TypeVar("T")
+
 ZONES: Final = ("vittoria", "comiso", "ispica")
 HEARTBEAT: Final = 1.0
 RELAYS: Final = 2
+MAX_WORK: Final = 0.2
 BASE: Final = """\
 services:
   feedlog-db:
@@ -42,6 +47,20 @@
     return Documents(f"{base}limits: {{queue: {queue}}}\n", overlays)
 
 
+class UnevenWorker(Worker):
+    """Take a random time for each function, so that ends come out of order."""
+
+    def __init__(self, chooser: random.Random) -> None:
+        self.random = chooser
+        self.most = MAX_WORK
+
+    async def run(
+        self, function: Callable[P, T], *args: P.args, **kwargs: P.kwargs
+    ) -> T:
+        await asyncio.sleep(self.random.uniform(0.0, self.most))
+        return function(*args, **kwargs)
+
+
 class FleetHost:
     """Run one host; `restart` forgets all that it knew.
 
@@ -63,6 +82,7 @@
     def build(self) -> None:
         """Make the parts of a host that knows nothing."""
         clock = self.fleet.network.clock(self.ref.host)
+        worker = self.worker = UnevenWorker(self.random)
         routes = PeerRoutes()
         self.peers = self.fleet.network.join(self.ref, routes)
         self.keeper = ConfigurationKeeper(
@@ -73,7 +93,7 @@
             self.random,
             Timeline(self.ref.host, clock),
             self.metrics,
-            InlineWorker(),
+            worker,
         )
         self.keeper.register(routes)
         self.keeper.on_change(self.note)
@@ -82,7 +102,7 @@
         self.relay = ConfigurationRelay(
             self.keeper, archive, lambda: self.relaying, clock, self.random
         )
-        self.editor = ConfigurationEditor(self.keeper, archive, clock, InlineWorker())
+        self.editor = ConfigurationEditor(self.keeper, archive, clock, worker)
         self.versions: list[int] = []
 
     def note(self, catalog: Catalog) -> None:
--- a/tests/test_config_accept.py
+++ b/tests/test_config_accept.py
@@ -7,17 +7,21 @@
 import pytest
 
 from reedhook.process import archive as archive_module
-from reedhook.process.archive import HEAD_KEY, PART_PREFIX, history_key
+from reedhook.process.archive import HEAD_KEY, PART_PREFIX, history_key, part_key
 from reedhook.process.editor import EditConflict
+from reedhook.process.worker import ThreadWorker
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.verdict import Verdict
+from reedhook.version import edition as edition_module
+from reedhook.version.check import check
 from reedhook.version.document import Documents
 from reedhook.version.edition import MAX_PART, Head
 from reedhook.version.fault import InvalidConfiguration
 
-from .config_fleet import Fleet, FleetHost, documents
+from .config_fleet import BASE, Fleet, FleetHost, documents
 from .fakes_clock import run_virtual
 from .fakes_store import MAX_VALUE
+from .support import run
 
 Scene = Callable[[Fleet, FleetHost], Awaitable[None]]
 ONE_ZONE: Final = ("vittoria",)
@@ -61,9 +65,17 @@
     play(scene)
 
 
-def test_of_racing_operators_one_wins_and_the_others_learn_what_changed() -> None:
+@pytest.mark.parametrize("queues", [(10, 11), (10, 10)])
+def test_of_racing_operators_one_wins_and_the_others_learn_what_changed(
+    queues: tuple[int, int],
+) -> None:
     async def scene(fleet: Fleet, host: FleetHost) -> None:
-        edits = [one.apply(n + 10, f"edit-{n}", 1) for n, one in enumerate(fleet.hosts)]
+        for one in fleet.hosts:
+            one.worker.most = 0.0
+        edits = [
+            one.apply(queue, f"edit by {one.ref.host}", 1)
+            for one, queue in zip(fleet.hosts, queues)
+        ]
         results = await asyncio.gather(*edits, return_exceptions=True)
         won = [one for one in results if isinstance(one, Head)]
         lost = [one for one in results if isinstance(one, EditConflict)]
@@ -73,8 +85,9 @@
         assert since.head == won[0]
         assert [change.path for change in since.changes] == ["limits.queue"]
         assert await edit_ids(host) == [won[0].edit_id, "first"]
-        # The loser's parts are gone: version 1 and the winner have one each.
+        # The loser's parts are gone, the winner's are not.
         assert len(fleet.store.keys(PART_PREFIX)) == 2
+        await host.editor.archive.edition(won[0], {})
 
     play(scene)
 
@@ -122,7 +135,40 @@
     host.store.put = unheard  # type: ignore[assignment,method-assign]
 
 
-def test_an_edit_whose_answer_was_lost_is_found_below_later_versions() -> None:
+def before_swap(host: FleetHost, then: Callable[[], Awaitable[None]]) -> None:
+    """Run `then` before the next swap of the head."""
+    put = host.store.put
+
+    async def late(key: str, value: bytes, expected: int, timeout: float) -> object:
+        if key == HEAD_KEY:
+            host.store.put = put  # type: ignore[method-assign]
+            await then()
+        return await put(key, value, expected, timeout)
+
+    host.store.put = late  # type: ignore[assignment,method-assign]
+
+
+def test_who_loses_leaves_the_parts_that_the_winner_uses() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        async def overtake() -> None:
+            await fleet.hosts[1].apply(7, "winner", 1)
+
+        before_swap(host, overtake)
+        with pytest.raises(EditConflict):
+            await host.apply(7, "loser", 1)
+        head, _ = await host.editor.history()
+        edition = await host.editor.archive.edition(head, {})
+        assert edition.documents() == documents(7)
+
+    play(scene)
+
+
+@pytest.mark.parametrize("kept_ids", [32, 1])
+def test_an_edit_whose_answer_was_lost_is_found_below_later_versions(
+    kept_ids: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(edition_module, "KEPT_EDIT_IDS", kept_ids)
+
     async def scene(fleet: Fleet, host: FleetHost) -> None:
         async def edit_on() -> None:
             other = fleet.hosts[1]
@@ -180,6 +226,10 @@
         reads = iter([1, 1, 1])
         with pytest.raises(EditConflict):
             await other.apply(4, "fourth", 2)
+        reads = iter([1])
+        with pytest.raises(Refusal) as refused:
+            await other.editor.history()
+        assert refused.value.reason is Reason.STORE_UNAVAILABLE
 
     play(scene)
 
@@ -226,6 +276,17 @@
     play(scene)
 
 
+def test_checks_run_in_threads_beside_the_loop() -> None:
+    async def main() -> None:
+        worker = ThreadWorker()
+        checked = await worker.run(check, documents(5), only="comiso")
+        assert checked.catalog(1, "comiso").limits.queue == 5
+        with pytest.raises(InvalidConfiguration):
+            await worker.run(check, documents(-5))
+
+    run(main())
+
+
 def large(groups: int = 280, note: str = "") -> Documents:
     """Return documents with 3 members for each group."""
     lines = ["services:", "  feedlog-db:", "    slots: 2", "    connections: 15"]
@@ -272,17 +333,24 @@
 ) -> None:
     monkeypatch.setattr(archive_module, "KEPT_VERSIONS", 5)
 
+    # Parts that stay from version to version, and one that changes.
+    lasting = "".join(f"# {n} {'x' * 90}\n" for n in range(500)) + BASE
+
     async def scene(fleet: Fleet, host: FleetHost) -> None:
         for version in range(2, 21):
             # Every third edit brings back what an earlier one had.
-            await host.apply(version % 3 + 1, f"edit-{version}")
+            edition = documents(version % 3 + 1, lasting)
+            await host.editor.apply(edition, version - 1, "ana", "", f"edit-{version}")
         heads = await host.editor.history(100)
         assert [head.version for head in heads] == list(range(20, 14, -1))
-        assert len(fleet.store.keys(PART_PREFIX)) == len(heads)
+        used = {part_key(part) for head in heads for part in head.parts}
+        assert len(heads[0].parts) > 1
+        assert set(fleet.store.keys(PART_PREFIX)) == used
         assert history_key(14) not in fleet.store.keys()
         for head in heads:
             queue = head.version % 3 + 1
-            assert (await host.editor.show(head.version))[1] == documents(queue)
+            shown = (await host.editor.show(head.version))[1]
+            assert shown == documents(queue, lasting)
         with pytest.raises(Refusal) as refused:
             await host.editor.show(2)
         assert "not kept" in refused.value.detail
--- a/tests/test_config_distribution.py
+++ b/tests/test_config_distribution.py
@@ -1,6 +1,7 @@
 """Editions reach every host, and no host ever moves to a lower version."""
 
 import asyncio
+import base64
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -8,13 +9,16 @@
 from hypothesis import given, settings, strategies as st
 
 from reedhook.process.archive import HEAD_KEY
+from reedhook.process.editor import ConfigurationEditor
 from reedhook.process.peer import HostRef
 from reedhook.process.timeline import EventKind
 from reedhook.request.refusal import Refusal
 from reedhook.request.verdict import Verdict
+from reedhook.version.document import Documents
+from reedhook.version.edition import pack
 from reedhook.wire import Json
 
-from .config_fleet import ZONES, Fleet
+from .config_fleet import ZONES, Fleet, documents
 from .fakes_clock import run_virtual
 
 IN_FORCE_WITHIN = 5.0
@@ -79,10 +83,16 @@
         fleet.store.down = True
         await asyncio.sleep(60.0)
         fleet.store.down = False
+        await asyncio.sleep(60.0)
         fleet.network.crash(fleet.hosts[0].ref.host)
         await fleet.hosts[0].apply(2, "second")
         await asyncio.sleep(IN_FORCE_WITHIN)
         assert fleet.versions() == {2}
+        # A watch that hears nothing is given up and armed anew.
+        relay = fleet.hosts[3].store
+        armed = relay.calls["watch head"]
+        await asyncio.sleep(60.0)
+        assert relay.calls["watch head"] >= armed + 1
 
     play(scene)
 
@@ -94,7 +104,9 @@
             await asyncio.sleep(1.0)
         for host in fleet.hosts:
             host.store.stale = lambda key: 2 if key == HEAD_KEY else 0
+            host.store.calls.clear()
         await asyncio.sleep(60.0)
+        assert not any(host.store.calls["get part"] for host in fleet.hosts)
         assert fleet.versions() == {3}
         assert all(host.relay.store_version == 1 for host in fleet.hosts[:2])
 
@@ -150,21 +162,37 @@
     play(scene)
 
 
-def test_a_damaged_or_shortened_pull_is_dropped_and_repaired() -> None:
+def shorten(answer: Json) -> Json:
+    """Cut parts short."""
+    if not answer.get("parts"):
+        return answer
+    return {"parts": {key: text[:-8] for key, text in answer["parts"].items()}}
+
+
+def swap_parts(answer: Json) -> Json:
+    """Send other content of the same length in the place of parts."""
+    if not answer.get("parts"):
+        return answer
+    other = base64.b64encode(pack(documents(9).base.encode())).decode()
+    return {"parts": dict.fromkeys(answer["parts"], other)}
+
+
+def raise_version(answer: Json) -> Json:
+    """Send a head that claims another version."""
+    if not answer.get("head"):
+        return answer
+    return {**answer, "head": {**answer["head"], "version": 99}}
+
+
+@pytest.mark.parametrize("spoil", [shorten, swap_parts, raise_version])
+def test_a_damaged_pull_is_dropped_and_repaired(spoil: Callable[[Json], Json]) -> None:
     async def scene(fleet: Fleet) -> None:
         spoiled = 0
 
-        def spoil(answer: Json) -> Json:
+        def spoil_some(answer: Json) -> Json:
             nonlocal spoiled
-            spoiled += 1
-            if answer.get("parts"):
-                cut = {
-                    key: text[: len(text) // 2] for key, text in answer["parts"].items()
-                }
-                return {"parts": cut}
-            if answer.get("head"):
-                return {**answer, "head": {**answer["head"], "version": 99}}
-            return answer
+            spoiled += spoil(answer) != answer and spoiled < 12
+            return spoil(answer) if spoiled < 12 else answer
 
         for host in fleet.hosts:
             call = host.peers.call
@@ -172,19 +200,42 @@
             async def faulty(
                 peer: HostRef, path: str, body: Json, timeout: float, call: Any = call
             ) -> Json:
-                answer: Json = await call(peer, path, body, timeout)
-                return spoil(answer) if spoiled < 40 else answer
+                return spoil_some(await call(peer, path, body, timeout))
 
             host.peers.call = faulty  # type: ignore[method-assign]
             host.relaying = host is fleet.hosts[0]
         await fleet.hosts[0].apply(2, "second")
         await asyncio.sleep(60.0)
-        assert spoiled >= 40
+        assert spoiled == 12
         assert fleet.versions() == {2}
-        failures = sum(
-            host.metrics.counters["configuration.pull_failed"] for host in fleet.hosts
-        )
-        assert failures > 0
+        assert all(host.versions == [1, 2] for host in fleet.hosts)
+
+    play(scene)
+
+
+def test_an_edition_that_this_release_refuses_is_not_put_in_force(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def accept_all(editor: ConfigurationEditor, documents: Documents) -> None:
+        return
+
+    async def scene(fleet: Fleet) -> None:
+        monkeypatch.setattr(ConfigurationEditor, "check", accept_all)
+        newer = fleet.hosts[0]
+        assert (await newer.apply(-1, "second")).version == 2
+        await asyncio.sleep(10.0)
+        assert fleet.versions() == {1}
+        relays = [host for host in fleet.hosts if host.relaying]
+        for host in relays:
+            event = host.keeper.timeline.events[-1]
+            assert event.detail["version"] == 2
+            assert "limits.queue" in event.detail["refused"]
+        pulls = fleet.network.calls["config"]
+        await asyncio.sleep(60.0)
+        assert fleet.network.calls["config"] == pulls
+        await newer.apply(3, "third", 2)
+        await asyncio.sleep(IN_FORCE_WITHIN)
+        assert fleet.versions() == {3}
 
     play(scene)
 
