--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,221 @@
+"""Measure the configuration: cost of an edition, slopes over hosts.
+
+    python -m bench.configuration [--hosts=3,9,30,90] [--edits=10]
+
+Prints JSON. The cost of an edition is processor time on this machine. The
+slopes come from hosts in one process over the fake network and store of the
+tests, in virtual time: calls, messages and bytes are counted, times to be in
+force follow from the delays (0.5 ms one way, 2 ms a store call) and from the
+intervals in the code, not from this machine's speed.
+"""
+
+import asyncio
+import json
+import statistics
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+import docopt
+
+from reedhook.process.worker import ThreadWorker
+from reedhook.version.check import check
+from reedhook.version.document import BASE_FILE, Documents, parse
+from reedhook.version.edition import Edition, make_edition
+from reedhook.version.merge import merge_site
+from tests.config_fleet import Fleet, FleetHost
+from tests.fakes_clock import run_virtual
+
+SITES: Final = 10
+SERVICES: Final = 10
+REPEATS: Final = 5
+SPACING_S: Final = 10.0
+
+
+def main() -> None:
+    """Run all measurements and print them."""
+    options = docopt.docopt(USAGE)
+    hosts = [int(number) for number in options["--hosts"].split(",")]
+    report = {
+        "edition": [edition_cost(members) for members in (84, 840, 2520)],
+        "fleet": [fleet_cost(number, int(options["--edits"])) for number in hosts],
+    }
+    print(json.dumps(report, indent=2))
+
+
+USAGE: Final = """Measure the configuration.
+
+Usage: configuration [--hosts=LIST] [--edits=N]
+
+Options:
+  --hosts=LIST  Numbers of hosts [default: 3,9,30,90].
+  --edits=N     Edits for each number [default: 10].
+"""
+
+
+def large_documents(members: int) -> Documents:
+    """Return documents with so many members in groups of 3, over all sites."""
+    lines = ["services:"]
+    for service in range(SERVICES):
+        lines += [f"  service-{service}:", "    slots: 2", "    connections: 15"]
+        lines.append("    groups:")
+        for group in range(service, members // 3, SERVICES):
+            lines += [f"      group-{group}:", "        members:"]
+            lines += [member_line(group, one) for one in range(3)]
+    lines += ["teams: {}", "limits: {queue: 64}", ""]
+    overlays = {f"zone-{n}": f"limits: {{queue: {n + 1}}}\n" for n in range(SITES)}
+    return Documents("\n".join(lines), overlays)
+
+
+def member_line(group: int, member: int) -> str:
+    """Return the line of one member."""
+    address = f"10.{group // 250}.{group % 250}.{member}:17101"
+    zone = f"zone-{(group + member) % SITES}"
+    return f'          target-{group}-{member}: {{zone: {zone}, address: "{address}"}}'
+
+
+def edition_cost(members: int) -> dict[str, Any]:
+    """Return what one edition of so many members costs."""
+    edition = large_documents(members)
+    first = make_edition(edition, None, "one", "bench", "", 0.0)
+    text = edition.base.replace("10.0.9.1:17101", "10.9.9.9:17101")
+    changed = Documents(text, edition.overlays)
+    second = make_edition(changed, first.head, "two", "bench", "", 0.0)
+    base = parse(BASE_FILE, edition.base, [])
+    overlay = parse("overlay", edition.overlays["zone-1"], [])
+    return {
+        "members": members,
+        "text_bytes": len(edition.base),
+        "parts": len(first.head.parts),
+        "packed_bytes": packed_size(first, 0),
+        "head_bytes": len(first.head.encode()),
+        "changed_line_parts": fresh_parts(second),
+        "changed_line_packed_bytes": packed_size(second, 1),
+        "check_all_sites_ms": cpu_ms(lambda: check(edition)),
+        "check_one_site_ms": cpu_ms(lambda: check(edition, only="zone-1")),
+        "merge_one_site_ms": cpu_ms(lambda: merge_site("zone-1", base, overlay)),
+        "make_edition_ms": cpu_ms(
+            lambda: make_edition(changed, first.head, "two", "bench", "", 0.0)
+        ),
+        "unpack_ms": cpu_ms(first.documents),
+        "longest_block_of_loop_ms": longest_block_ms(edition),
+    }
+
+
+def fresh_parts(edition: Edition) -> int:
+    """Return how many parts an edition adds."""
+    return sum(part.version == edition.version for part in edition.head.parts)
+
+
+def packed_size(edition: Edition, after: int) -> int:
+    """Return the packed size of the parts that came after a version."""
+    fresh = {part.digest for part in edition.head.parts if part.version > after}
+    return sum(len(edition.packed[digest]) for digest in fresh)
+
+
+def cpu_ms(function: Callable[[], object]) -> float:
+    """Return the median processor time of `function` in milliseconds."""
+    times = []
+    for _ in range(REPEATS):
+        begin = time.process_time()
+        function()
+        times.append(time.process_time() - begin)
+    return round(statistics.median(times) * 1000, 2)
+
+
+def longest_block_ms(edition: Documents) -> float:
+    """Return the longest pause of an event loop beside a check in a thread."""
+
+    async def watch() -> float:
+        check_task = asyncio.create_task(ThreadWorker().run(check, edition))
+        longest, last = 0.0, time.perf_counter()
+        while not check_task.done():
+            await asyncio.sleep(0)
+            now = time.perf_counter()
+            longest, last = max(longest, now - last), now
+        return longest
+
+    pauses = [asyncio.run(watch()) for _ in range(REPEATS)]
+    return round(statistics.median(pauses) * 1000, 2)
+
+
+def fleet_cost(number: int, edits: int) -> dict[str, Any]:
+    """Return what edits cost a fleet of so many hosts in three zones."""
+    return run_virtual(measure_fleet(number, edits))
+
+
+async def measure_fleet(number: int, edits: int) -> dict[str, Any]:
+    """Apply edits one after another and count."""
+    async with Fleet(per_zone=number // 3) as fleet:
+        await fleet.hosts[0].apply(1, "first", 0)
+        await asyncio.sleep(SPACING_S)
+        idle = Counts(fleet)
+        await asyncio.sleep(SPACING_S * edits)
+        idle.stop()
+        busy, times = Counts(fleet), []
+        for edit in range(edits):
+            times += await time_edit(fleet, edit)
+        busy.stop()
+    return {
+        "hosts": number,
+        "relays": sum(host.relaying for host in fleet.hosts),
+        "idle_store_calls_per_s": round(idle.calls / (SPACING_S * edits), 2),
+        "store_calls_per_edit": round((busy.calls - idle.calls) / edits, 1),
+        "peer_calls_per_edit_and_host": per_host(busy.pulls, edits, number),
+        "bytes_per_edit_and_host": per_host(busy.sent - idle.sent, edits, number),
+        "in_force_p50_ms": quantile_ms(times, 0.5),
+        "in_force_p99_ms": quantile_ms(times, 0.99),
+        "in_force_max_ms": quantile_ms(times, 1.0),
+    }
+
+
+class Counts:
+    """Count store calls, peer calls and bytes over a stretch of time."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.calls = -fleet.calls()
+        self.pulls = -fleet.network.calls["config"]
+        self.sent = -sum(fleet.network.sent_bytes.values())
+
+    def stop(self) -> None:
+        """End the stretch."""
+        self.calls += self.fleet.calls()
+        self.pulls += self.fleet.network.calls["config"]
+        self.sent += sum(self.fleet.network.sent_bytes.values())
+
+
+async def time_edit(fleet: Fleet, edit: int) -> list[float]:
+    """Apply one edit; return for each host when it came into force."""
+    begin = asyncio.get_running_loop().time()
+    host = fleet.hosts[edit % len(fleet.hosts)]
+    waits = [asyncio.create_task(wait_for_change(one)) for one in fleet.hosts]
+    await asyncio.sleep(0)
+    await host.apply(edit + 10, f"edit-{edit}")
+    times = [await wait - begin for wait in waits]
+    await asyncio.sleep(max(0.0, SPACING_S - max(times)))
+    return times
+
+
+async def wait_for_change(host: FleetHost) -> float:
+    """Return the time at which the next version comes into force."""
+    changed = asyncio.Event()
+    host.keeper.on_change(lambda catalog: changed.set())
+    await changed.wait()
+    return asyncio.get_running_loop().time()
+
+
+def per_host(total: int, edits: int, hosts: int) -> float:
+    """Return a total for each edit and host."""
+    return round(total / edits / hosts, 1)
+
+
+def quantile_ms(times: list[float], share: float) -> float:
+    """Return a quantile in milliseconds."""
+    ordered = sorted(times)
+    place = min(len(ordered) - 1, int(share * len(ordered)))
+    return round(ordered[place] * 1000, 1)
+
+
+if __name__ == "__main__":
+    main()
