--- /dev/null
+++ b/src/reedhook/process/host.py
@@ -0,0 +1,327 @@
+"""One host of the system: its parts and their order of start and end."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any, Final
+
+import logbook
+
+from ..clock import Clock
+from ..connection.home import Home
+from ..connection.target import TargetFactory
+from ..connection.targethome import TargetHome
+from ..request.api import Api
+from ..request.choice import Chooser
+from ..request.dispatch import Dispatch
+from ..request.router import Router
+from ..request.views import Views
+from ..version.catalog import Catalog, Group, Limits, Member
+from .admin import Admin
+from .admin_fleet import Fleet
+from .admin_operator import Operators
+from .admin_status import HostState
+from .archive import Archive
+from .configuration import ConfigurationKeeper
+from .directory import MembershipDirectory
+from .editor import ConfigurationEditor
+from .executor import Executor
+from .group import GroupKeeper
+from .grouproutes import GroupRoutes
+from .heartbeat import Heartbeats
+from .hint import OutcomeHints
+from .homes import Homes
+from .hostlist import HostList
+from .hostsource import HostSource
+from .keepers import Keepers
+from .lifecycle import Lifecycle
+from .membership import Membership
+from .metrics import Metrics
+from .peer import HostRef, PeerRoutes, Peers
+from .relay import ConfigurationRelay
+from .settings import Settings
+from .store import Store
+from .timeline import EventKind, Timeline
+
+DRAIN_GRACE: Final = 10.0
+DRAIN_POLL: Final = 0.02
+
+log = logbook.Logger("host")
+
+
+class Host(Lifecycle):
+    """Hold the parts of one host.
+
+    :param store: the platform's key-value service.
+    :param hostlist: the platform's list of hosts.
+    :param targets: opens connections to targets.
+    :ivar routes: the handlers that other hosts call.
+    :ivar api: answers callers.
+    :ivar admin: answers operators.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        random: Random,
+        store: Store,
+        hostlist: HostList,
+        targets: TargetFactory,
+        timeline: Timeline,
+        peers: Peers,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.random = random
+        self.store = store
+        self.hostlist = hostlist
+        self.targets = targets
+        self.timeline = timeline
+        self.peers = peers
+        self.metrics = metrics
+        self.me = HostRef(settings.host, settings.zone, settings.peer_listen)
+        self.routes = PeerRoutes()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.draining: asyncio.Task[None] | None = None
+        self.on_drained: Callable[[], None] = lambda: None
+        self.make_membership()
+        self.make_configuration()
+        self.make_groups()
+        self.make_requests()
+        self.make_administration()
+        self.connect()
+
+    def make_membership(self) -> None:
+        """Make what knows the other hosts."""
+        self.membership = Membership(self.me, self.clock, self.random, self.timeline)
+        self.directory = MembershipDirectory(self.me, self.membership.table)
+        self.heartbeats = Heartbeats(
+            self.membership, self.peers, self.clock, self.random, self.settings.seeds
+        )
+
+    def make_configuration(self) -> None:
+        """Make what accepts, fetches and passes on the configuration."""
+        self.archive = Archive(self.store)
+        self.configuration = ConfigurationKeeper(
+            self.me,
+            self.peers,
+            self.some_peers,
+            self.clock,
+            self.random,
+            self.timeline,
+            self.metrics,
+        )
+        self.editor = ConfigurationEditor(self.configuration, self.archive, self.clock)
+        self.relay = ConfigurationRelay(
+            self.configuration,
+            self.archive,
+            self.directory.is_relay,
+            self.clock,
+            self.random,
+        )
+
+    def make_groups(self) -> None:
+        """Make the homes of targets and the keepers of their groups."""
+        self.homes = Homes(
+            self.membership,
+            self.directory,
+            self.peers,
+            self.clock,
+            self.timeline,
+            self.make_home,
+            DRAIN_GRACE,
+            self.heartbeats.joined,
+        )
+        self.keepers = Keepers(self.make_keeper, self.homes.of_group)
+        self.hints = OutcomeHints(self.store, self.clock, self.random)
+        self.executor = Executor(self.homes.get, self.keepers.get, self.clock, self.me)
+        self.group_routes = GroupRoutes(
+            self.catalog,
+            self.homes.get,
+            self.keepers.get,
+            self.executor,
+            self.targets,
+            self.directory,
+            self.clock,
+        )
+
+    def make_requests(self) -> None:
+        """Make what routes the statements of callers."""
+        self.dispatch = Dispatch(
+            self.executor, self.directory, self.peers, self.catalog, self.clock
+        )
+        self.views = Views(
+            self.clock,
+            self.random,
+            self.directory,
+            self.peers,
+            self.group_routes.view,
+        )
+        self.router = Router(
+            self.dispatch,
+            self.views,
+            Chooser(self.me.zone, self.random),
+            self.clock,
+            self.random,
+            self.metrics,
+        )
+        self.api = Api(
+            self.me,
+            self.catalog,
+            self.router,
+            self.dispatch,
+            (self.settings.token_secret.encode(),),
+            self.clock,
+            self.metrics,
+            self.settings.limits.body_bytes,
+        )
+
+    def make_administration(self) -> None:
+        """Make what answers operators."""
+        self.source = HostSource(
+            self.timeline,
+            self.membership,
+            self.configuration,
+            self.homes,
+            self.views,
+            self.api,
+            self.metrics,
+            self.start_drain,
+        )
+        self.fleet = Fleet(self.source, self.peers)
+        self.admin = Admin(
+            self.source,
+            self.fleet,
+            Operators(self.settings.admins),
+            self.settings.limits.admin_body_bytes,
+        )
+
+    def connect(self) -> None:
+        """Register the handlers of peer calls and tell the parts of each other."""
+        self.heartbeats.register(self.routes)
+        self.homes.register(self.routes)
+        self.configuration.register(self.routes)
+        self.group_routes.register(self.routes)
+        self.fleet.register(self.routes)
+        self.homes.on_change(self.keepers.reconcile)
+        self.membership.on_version = self.heard_version
+        self.membership.on_told_to_leave = self.start_drain
+        self.configuration.on_change(self.configured)
+
+    async def start(self) -> None:
+        """Join the other hosts and begin to serve."""
+        self.timeline.record(EventKind.HOST_STARTED, self.me.host, zone=self.me.zone)
+        self.spawn(self.heartbeats.run())
+        await self.heartbeats.joined.wait()
+        await self.configuration.start()
+        await self.relay.start()
+        self.spawn(self.homes.run())
+        self.source.state = HostState.SERVING
+
+    async def drain(self) -> None:
+        """Hand the homes over, then let requests in progress end."""
+        if self.draining is None:
+            self.draining = asyncio.create_task(self.hand_over())
+        await self.draining
+
+    async def hand_over(self) -> None:
+        """Leave: first as a home, then as an entry for callers."""
+        self.timeline.record(EventKind.HOST_STOPPING, self.me.host)
+        self.source.state = HostState.DRAINING
+        self.api.draining = True
+        await self.homes.drain()
+        while self.api.active > 0:
+            await self.clock.sleep(DRAIN_POLL)
+        self.timeline.record(EventKind.DRAIN, self.me.host, step="done")
+
+    async def close(self) -> None:
+        """Release everything at once."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.keepers.close()
+        await self.homes.close()
+        await self.relay.close()
+        await self.configuration.close()
+        await self.hints.close()
+        await self.views.close()
+        await self.peers.close()
+        await self.store.close()
+        await self.hostlist.close()
+
+    def start_drain(self) -> None:
+        """Begin to drain; `on_drained` is called when that is done."""
+        task = asyncio.create_task(self.drain_and_tell())
+        self.tasks.append(task)
+
+    async def drain_and_tell(self) -> None:
+        """Drain on an order, then tell who waits for it."""
+        await self.drain()
+        self.on_drained()
+
+    def catalog(self) -> Catalog | None:
+        """Return the configuration in force."""
+        return self.configuration.catalog
+
+    def configured(self, catalog: Catalog) -> None:
+        """Put a configuration in force in all parts."""
+        self.membership.set_version(catalog.version)
+        self.homes.apply(catalog)
+        self.keepers.configured(catalog)
+
+    def heard_version(self, peer: HostRef, version: int) -> None:
+        """Pass on that a peer has a newer configuration."""
+        self.configuration.heard(version, peer)
+
+    def some_peers(self, count: int) -> list[HostRef]:
+        """Return up to `count` live peers, chosen at random."""
+        others = self.source.others()
+        return self.random.sample(others, min(count, len(others)))
+
+    def make_home(self, group: Group, member: Member, share: int) -> Home:
+        """Make the home of a target."""
+        catalog = self.catalog()
+        return TargetHome(
+            group,
+            member,
+            self.targets.target(member.member, member.address),
+            share,
+            Limits() if catalog is None else catalog.limits,
+            self.clock,
+            self.random,
+            self.timeline,
+            self.metrics,
+        )
+
+    def make_keeper(self, group: Group) -> GroupKeeper:
+        """Make the keeper of a group."""
+        return GroupKeeper(
+            group,
+            lambda: self.homes.of_group(group.name),
+            self.directory,
+            self.peers,
+            self.clock,
+            self.random,
+            self.timeline,
+            self.metrics,
+            self.hints.publish,
+            self.host_lost,
+        )
+
+    def host_lost(self, peer: HostRef) -> None:
+        """Have a host asked that seems dead while its target lives."""
+        self.heartbeats.doubt(peer.host)
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a task for as long as the host lives."""
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(report_failure)
+        self.tasks.append(task)
+
+
+def report_failure(task: asyncio.Task[None]) -> None:
+    """Log what a task raised that should run for ever."""
+    if not task.cancelled() and task.exception() is not None:
+        log.error("A part of the host failed: {!r}.", task.exception())
--- /dev/null
+++ b/src/reedhook/process/hostsource.py
@@ -0,0 +1,110 @@
+"""What the administration API learns of this host and does to it."""
+
+from collections.abc import Callable
+from typing import Final
+
+from ..request.api import Api
+from ..request.view import GroupView
+from ..request.views import Views
+from ..version.catalog import Catalog, Group
+from .admin_source import AdminSource
+from .admin_status import HostState, HostStatus, KnownHost
+from .configuration import ConfigurationKeeper
+from .homes import Homes
+from .membership import Membership
+from .metrics import MemoryMetrics, Metrics
+from .peer import HostRef
+from .timeline import Timeline
+
+MILLISECONDS: Final = 1000
+
+
+class HostSource(AdminSource):
+    """Answer the administration API from the parts of a host.
+
+    :param drain: begins to drain the host; returns at once.
+    :ivar state: what the host does now; the host sets it.
+    """
+
+    def __init__(
+        self,
+        timeline: Timeline,
+        membership: Membership,
+        configuration: ConfigurationKeeper,
+        homes: Homes,
+        views: Views,
+        api: Api,
+        kept_metrics: Metrics,
+        drain: Callable[[], None],
+    ) -> None:
+        self.me = membership.me
+        self.timeline = timeline
+        self.membership = membership
+        self.configuration = configuration
+        self.homes = homes
+        self.views = views
+        self.api = api
+        self.kept_metrics = kept_metrics
+        self.drain = drain
+        self.state = HostState.STARTING
+        self.started_ms = int(timeline.clock.wall() * MILLISECONDS)
+
+    def now(self) -> float:
+        return self.timeline.clock.monotonic()
+
+    def status(self) -> HostStatus:
+        since = self.configuration.in_force_since
+        return HostStatus(
+            host=self.me.host,
+            zone=self.me.zone,
+            address=self.me.address,
+            state=self.state,
+            version=self.configuration.version,
+            in_force_ms=None if since is None else int(since * MILLISECONDS),
+            started_ms=self.started_ms,
+            active=self.api.active,
+            homes=tuple(sorted(self.homes.held)),
+            rejected_stamps=self.timeline.rejected,
+        )
+
+    def known_hosts(self) -> list[KnownHost]:
+        return [
+            KnownHost(
+                record.ref.host,
+                record.ref.zone,
+                record.ref.address,
+                record.state.name.lower(),
+                self.version_of(record.ref.host),
+            )
+            for record in self.membership.table.records.values()
+        ]
+
+    def version_of(self, host: str) -> int | None:
+        """Return the version that `host` last stated, or None."""
+        if host == self.me.host:
+            return self.configuration.version
+        return self.membership.versions.get(host)
+
+    def others(self) -> list[HostRef]:
+        return [
+            record.ref
+            for record in self.membership.table.records.values()
+            if record.live and record.ref.host != self.me.host
+        ]
+
+    def catalog(self) -> Catalog | None:
+        return self.configuration.catalog
+
+    async def view(self, group: Group) -> GroupView:
+        await self.views.refresh(group)
+        return self.views.group(group.name).view
+
+    def home(self, member: str, zone: str) -> HostRef | None:
+        return self.homes.directory.home(member, zone)
+
+    def start_drain(self) -> None:
+        self.drain()
+
+    def metrics(self) -> MemoryMetrics | None:
+        kept = self.kept_metrics
+        return kept if isinstance(kept, MemoryMetrics) else None
--- /dev/null
+++ b/src/reedhook/process/keepers.py
@@ -0,0 +1,93 @@
+"""Keepers of the groups that this host is home of a member of."""
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeAlias
+
+import logbook
+
+from ..connection.home import Home
+from ..version.catalog import Catalog, Group
+from .group import GroupKeeper
+
+HomesOf: TypeAlias = Callable[[str], list[Home]]
+KeeperFactory: TypeAlias = Callable[[Group], GroupKeeper]
+
+log = logbook.Logger("keepers")
+
+
+class Keepers:
+    """Hold one keeper for each group of which a home is here.
+
+    :param make_keeper: makes a keeper that is not started yet.
+    :param homes: returns the local homes of a group's members.
+    """
+
+    __slots__ = ("make_keeper", "homes", "catalog", "held", "tasks")
+
+    def __init__(self, make_keeper: KeeperFactory, homes: HomesOf) -> None:
+        self.make_keeper = make_keeper
+        self.homes = homes
+        self.catalog: Catalog | None = None
+        self.held: dict[str, GroupKeeper] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def get(self, group: str) -> GroupKeeper | None:
+        """Return the keeper of `group`, or None if no home of it is here."""
+        return self.held.get(group)
+
+    def configured(self, catalog: Catalog) -> None:
+        """Take note of the configuration now in force."""
+        self.catalog = catalog
+        self.reconcile()
+
+    def reconcile(self) -> None:
+        """Start, refresh and close keepers to match the homes that are here."""
+        wanted = self.wanted()
+        for name, keeper in list(self.held.items()):
+            if wanted.get(name) == keeper.group:
+                keeper.refresh()
+                continue
+            del self.held[name]
+            self.spawn(keeper)
+        for name, group in wanted.items():
+            if name not in self.held:
+                self.open(group)
+
+    def wanted(self) -> dict[str, Group]:
+        """Return the groups of which a home is here."""
+        if self.catalog is None:
+            return {}
+        return {
+            name: group
+            for name, group in self.catalog.groups.items()
+            if self.homes(name)
+        }
+
+    def open(self, group: Group) -> None:
+        """Make and start the keeper of `group`."""
+        keeper = self.make_keeper(group)
+        self.held[group.name] = keeper
+        task = asyncio.create_task(keeper.start())
+        self.tasks.add(task)
+        task.add_done_callback(self.ended)
+
+    def spawn(self, keeper: GroupKeeper) -> None:
+        """Close a keeper in the background."""
+        task = asyncio.create_task(keeper.close())
+        self.tasks.add(task)
+        task.add_done_callback(self.ended)
+
+    def ended(self, task: asyncio.Task[None]) -> None:
+        """Forget a task; log what it raised."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("A keeper failed: {!r}.", task.exception())
+
+    async def close(self) -> None:
+        """Close all keepers."""
+        held, self.held = self.held, {}
+        for keeper in held.values():
+            await keeper.close()
+        if self.tasks:
+            await asyncio.wait(self.tasks)
--- /dev/null
+++ b/src/reedhook/process/lifecycle.py
@@ -0,0 +1,99 @@
+"""Start and graceful end of a host with its three HTTP servers."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import Final
+
+import logbook
+
+from ..clock import Clock
+from .peer_server import PeerServer
+from .server import Server
+
+LINGER: Final = 1.0
+
+log = logbook.Logger("daemon")
+
+
+class Lifecycle(ABC):
+    """Start, drain and close what a host consists of."""
+
+    @abstractmethod
+    async def start(self) -> None:
+        """Join the other hosts and begin to serve."""
+
+    @abstractmethod
+    async def drain(self) -> None:
+        """Announce the end, hand homes over, let work in progress end."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Release everything at once."""
+
+
+class ShutdownOverdue(Exception):
+    """Say that work was still in progress when the shutdown's time ran out."""
+
+
+class HostProcess:
+    """Run a host behind its servers.
+
+    :param callers: serves callers; opened last and closed first.
+    :param peers: serves other hosts, which may wait for this one's homes.
+    :param admin: serves operators.
+    :param bound: time in seconds for a graceful shutdown.
+    """
+
+    __slots__ = ("host", "callers", "peers", "admin", "clock", "bound")
+
+    def __init__(
+        self,
+        host: Lifecycle,
+        callers: Server,
+        peers: Server | PeerServer,
+        admin: Server,
+        clock: Clock,
+        bound: float,
+    ) -> None:
+        self.host = host
+        self.callers = callers
+        self.peers = peers
+        self.admin = admin
+        self.clock = clock
+        self.bound = bound
+
+    async def start(self) -> None:
+        """Open the servers and start the host.
+
+        :raises OSError: if an address cannot be had.
+        """
+        await self.peers.start()
+        await self.admin.start()
+        await self.host.start()
+        await self.callers.start()
+
+    async def stop(self) -> None:
+        """Shut down without cutting a request in progress.
+
+        :raises ShutdownOverdue: once the bound has passed; what was still in
+            progress is cut then.
+        """
+        try:
+            async with asyncio.timeout(self.bound):
+                await self.drain()
+        except TimeoutError as error:
+            log.error("Requests in progress are cut after {} s.", self.bound)
+            raise ShutdownOverdue(f"not done after {self.bound} s") from error
+        finally:
+            await self.host.close()
+
+    async def drain(self) -> None:
+        """Hand over, then close the servers one by one."""
+        log.info("The host drains.")
+        self.callers.start_leaving()
+        # Idle clients get a chance to be told before their connections close.
+        await asyncio.gather(self.host.drain(), self.clock.sleep(LINGER))
+        await self.callers.stop()
+        await self.peers.stop()
+        await self.admin.stop()
+        log.info("The host is drained.")
