Open HTTP connections without the step that aborts the process

Cause: the benchmark of membership at 90 hosts aborted. aiohttp connects a socket and hands it to uvloop's create_connection; a timeout that cancels the second step makes both the socket object and the transport close the descriptor: libuv aborts, or another connection loses its descriptor. Change: Connector overrides that step and connects by address; peers, store and host list use it. Every further HTTP client of the process is to use Connector.

--- /dev/null
+++ b/src/reedhook/connector.py
@@ -0,0 +1,45 @@
+"""Connector of the HTTP clients of the process."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import ClientConnectorError, ClientTimeout, TCPConnector
+from aiohttp.client_proto import ResponseHandler
+
+
+class Connector(TCPConnector):
+    """Open connections to IP numbers in one step.
+
+    aiohttp first connects a socket and then hands it to the loop. If a timeout
+    cancels the second step, uvloop 0.22.1 and the socket object both close the
+    descriptor, which aborts the process or closes a connection that has
+    nothing to do with it. The loop's own connect has no such second step.
+    """
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(use_dns_cache=False, **options)
+
+    async def _wrap_create_connection(  # type: ignore[override]
+        self,
+        factory: Any,
+        addr_infos: list[Any],
+        req: Any,
+        timeout: ClientTimeout,
+        client_error: type[ClientConnectorError] = ClientConnectorError,
+        **options: Any,
+    ) -> tuple[asyncio.Transport, ResponseHandler]:
+        """Connect to the one address that an IP number stands for.
+
+        :raises ClientConnectorError: if the connection cannot be opened.
+        """
+        host, port = addr_infos[0][4][:2]
+        loop = asyncio.get_running_loop()
+        opened: tuple[asyncio.Transport, ResponseHandler]
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                opened = await loop.create_connection(factory, host, port, **options)
+                return opened
+        except TimeoutError:
+            raise
+        except OSError as error:
+            raise client_error(req.connection_key, error) from error
--- a/src/reedhook/process/hostlist_http.py
+++ b/src/reedhook/process/hostlist_http.py
@@ -5,10 +5,10 @@
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
-    TCPConnector,
 )
 from yarl import URL
 
+from ..connector import Connector
 from ..wire import WireError, decode
 from .hostlist import HostList, HostListUnavailable, ListedHost, ListedState
 
@@ -19,7 +19,7 @@
     def __init__(self, address: str) -> None:
         self.url = URL(f"http://{address}/hosts")
         self.session = ClientSession(
-            connector=TCPConnector(use_dns_cache=False),
+            connector=Connector(),
             cookie_jar=DummyCookieJar(),
             trust_env=False,
         )
--- a/src/reedhook/process/peer_http.py
+++ b/src/reedhook/process/peer_http.py
@@ -10,6 +10,7 @@
 from yarl import URL
 
 from ..clock import Clock
+from ..connector import Connector
 from ..request.refusal import Refusal
 from ..wire import Json, WireError, decode, encode
 from .peer import HostRef, PeerError, Peers
@@ -46,11 +47,10 @@
         scheme = "http" if context is None else "https"
         self.base = URL(f"{scheme}://{address}{PREFIX}")
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=Connector(
                 limit=0,
                 ssl=context if context is not None else True,
                 keepalive_timeout=CLIENT_KEEPALIVE,
-                use_dns_cache=False,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=SPARE_HEADERS,
--- a/src/reedhook/process/store_http.py
+++ b/src/reedhook/process/store_http.py
@@ -8,10 +8,10 @@
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
-    TCPConnector,
 )
 from yarl import URL
 
+from ..connector import Connector
 from ..wire import Json, WireError, decode, encode
 from .store import Entry, Store, StoreConflict, StoreError, StoreUnavailable
 
@@ -27,7 +27,7 @@
     def __init__(self, address: str) -> None:
         self.base = URL(f"http://{address}")
         self.session = ClientSession(
-            connector=TCPConnector(limit=0, use_dns_cache=False),
+            connector=Connector(limit=0),
             cookie_jar=DummyCookieJar(),
             trust_env=False,
         )
--- /dev/null
+++ b/tests/test_peer_connector.py
@@ -0,0 +1,49 @@
+"""The connector of all HTTP clients."""
+
+import asyncio
+import os
+import subprocess
+import sys
+
+import pytest
+from aiohttp import ClientConnectorError, ClientSession, ClientTimeout, web
+
+from reedhook.connector import Connector
+
+from .support import run
+
+
+def test_timeouts_while_connections_open_do_no_harm() -> None:
+    """With aiohttp's own connector the process aborts."""
+    done = subprocess.run(
+        [sys.executable, "-m", "tests.connector_storm"],
+        env={"PYTHONPATH": os.pathsep.join(sys.path)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert (done.returncode, done.stderr) == (0, "")
+
+
+def test_a_refused_connection_and_one_in_time() -> None:
+    async def main() -> None:
+        server = web.ServerRunner(web.Server(respond))
+        await server.setup()
+        await web.TCPSite(server, "127.0.0.1", 0).start()
+        url = f"http://127.0.0.1:{server.addresses[0][1]}/"
+        async with ClientSession(connector=Connector()) as session:
+            limit = ClientTimeout(total=2.0, sock_connect=1.0)
+            async with session.get(url, timeout=limit) as response:
+                assert await response.read() == b"here"
+            await server.cleanup()
+            with pytest.raises(ClientConnectorError):
+                await session.get(url, timeout=limit)
+
+    run(main())
+
+
+async def respond(request: web.BaseRequest) -> web.Response:
+    """Answer anything."""
+    await asyncio.sleep(0)
+    return web.Response(body=b"here")
