Judge a replica by its lag between two entries and the proofs of age

The age proved when a replica was last seen holds the time since the last sample; the lag made out by this host held the gap to the next entry; and after a refusal for age a second replica cost another wait. Change: the lag is taken between the ages of the applied entry and the next, within what the proved age allows; the likely replica least behind is taken; after a refusal for age the primary serves.

--- a/src/reedhook/request/choice.py
+++ b/src/reedhook/request/choice.py
@@ -18,8 +18,10 @@
 HEAD_SPACING: Final = 0.05
 MAX_HEADS: Final = 256
 COVER_WAIT: Final = 0.02
+PROOF_INTERVAL: Final = 0.2
+GAP_SHARE: Final = 0.3
 LAG_GAIN: Final = 0.2
-LAG_BACKOFF: Final = 1.2
+LAG_BACKOFF: Final = 1.05
 EASE_IN: Final = 3.0
 FIRST_EXCLUSION: Final = 0.25
 LAST_EXCLUSION: Final = 5.0
@@ -66,6 +68,18 @@
         at = bisect_left(self.positions, position)
         return self.times[at] if at < len(self.times) else None
 
+    def lag(self, applied: Position, seen: float) -> float | None:
+        """Estimate the lag of a member that had just `applied` at `seen`.
+
+        It lies between the ages of this entry and of the next, which the
+        member does not show yet. None if there is no next one.
+        """
+        at = bisect_left(self.positions, applied)
+        if at + 1 >= len(self.times):
+            return None
+        gap = self.times[at + 1] - self.times[at]
+        return max(0.0, seen - self.times[at] - GAP_SHARE * gap)
+
 
 class Track:
     """Keep what this host experienced with one member.
@@ -153,15 +167,21 @@
         if track.applied is not None and one.applied <= track.applied:
             return
         track.applied = one.applied
+        lag = self.heads.lag(one.applied, one.seen)
         since = self.heads.since(one.applied)
-        if since is not None:
-            track.sample_lag(max(0.0, one.seen - since))
+        if lag is not None:
+            track.sample_lag(lag)
+        elif track.lag is None and since is not None and since < one.seen:
+            track.lag = one.seen - since
 
     def missed(self, member: str, position: Position, now: float) -> None:
         """Note that `member` did not cover `position` when asked."""
         since = self.heads.since(position)
+        self.lags(member, COVER_WAIT if since is None else now - since)
+
+    def lags(self, member: str, delay: float) -> None:
+        """Note that `member` is at least `delay` seconds behind."""
         track = self.member(member)
-        delay = COVER_WAIT if since is None else now - since
         track.lag = max(track.lag or 0.0, LAG_BACKOFF * delay)
 
 
@@ -220,19 +240,23 @@
     def fit(self, need: Need) -> list[Member]:
         """Return the replicas that can be expected to meet the demand.
 
-        Those that are known to meet it go before those that only should.
+        Those that are known to meet it go before those that only should, of
+        which the one least behind is taken.
         """
         known = []
         likely = []
+        views = need.view.members
         for member in need.group.members:
-            one = need.view.members.get(member.member)
+            one = views.get(member.member)
             if one is None or not self.admitted(one, need):
                 continue
             if meets(one, need.statement, need.now):
                 known.append(member)
             elif should_meet(one, need):
                 likely.append(member)
-        return known or likely
+        if known or not likely:
+            return known
+        return [min(likely, key=lambda member: usual_lag(views[member.member], need))]
 
     def admitted(self, one: MemberView, need: Need) -> bool:
         """Say whether a member is a replica that takes reads at all."""
@@ -250,6 +274,20 @@
         return wait + hop + INFLIGHT_WAIT * inflight
 
 
+def usual_lag(one: MemberView, need: Need) -> float:
+    """Return the lag in seconds to expect of a replica, infinite if unknown.
+
+    The age proved when it was seen is its lag and the time since the last
+    sample, which bounds what this host made out itself.
+    """
+    lag = need.track.member(one.member).lag
+    if one.lag is None:
+        return float("inf") if lag is None else lag
+    if lag is None:
+        return one.lag
+    return min(one.lag, max(lag, one.lag - PROOF_INTERVAL))
+
+
 def meets(one: MemberView, statement: Statement, now: float) -> bool:
     """Say whether a replica is known to meet what a read demands."""
     if statement.covers is not None and one.applied < statement.covers:
@@ -263,14 +301,12 @@
 def should_meet(one: MemberView, need: Need) -> bool:
     """Say whether a replica should by now meet what a read demands."""
     statement = need.statement
+    lag = usual_lag(one, need)
     if statement.covers is not None and one.applied < statement.covers:
         since = need.track.heads.since(statement.covers)
-        lag = need.track.member(one.member).lag
-        if since is None or lag is None:
-            return False
-        if need.now + COVER_WAIT < since + lag:
+        if since is None or need.now + COVER_WAIT < since + lag:
             return False
     if statement.consistency is not Consistency.MAX_AGE:
         return True
     assert statement.max_age is not None
-    return one.lag is not None and one.lag <= statement.max_age
+    return one.lag is not None and lag <= statement.max_age
--- a/src/reedhook/request/router.py
+++ b/src/reedhook/request/router.py
@@ -142,6 +142,8 @@
                 attempts.note(refusal)
                 attempts.tried |= {member}
                 self.after_replica(group, member, statement, attempts, refusal)
+                if refusal.reason is Reason.AGE_UNPROVED:
+                    return None
         return None
 
     def after_replica(
@@ -159,7 +161,8 @@
         if refusal.reason is Reason.NOT_COVERED and statement.covers is not None:
             track.missed(member, statement.covers, self.clock.monotonic())
             return
-        if refusal.reason is Reason.AGE_UNPROVED:
+        if refusal.reason is Reason.AGE_UNPROVED and statement.max_age is not None:
+            track.lags(member, statement.max_age)
             return
         if refusal.reason is Reason.OVERLOADED and not self.spill(group):
             raise refusal
--- a/tests/fakes_request.py
+++ b/tests/fakes_request.py
@@ -31,6 +31,8 @@
 
 CREDENTIAL: Final = "gate-credential"
 COVER_WAIT: Final = 0.02
+PROOF_WAIT: Final = 0.25
+PROOF_STEP: Final = 0.001
 SERVICE_TIME: Final = 0.002
 ZONES: Final = ("z1", "z2", "z3")
 
@@ -89,7 +91,8 @@
     :ivar lags: how long each replica is behind, in seconds.
     :ivar log: the positions of all entries, and `times` when each was written.
     :ivar view_delay: age in seconds of what a home knows of other members.
-    :ivar proof_delay: age in seconds of the samples that prove an age.
+    :ivar proof_interval: seconds between the samples that prove an age; 0 if
+        each age is proved exactly.
     :ivar ran: how often the effect of each request ran.
     :ivar executed: statements that reached a member, by member.
     :ivar proves: whether homes check what a read demands, as they must.
@@ -106,7 +109,7 @@
         self.log: list[Position] = []
         self.times: list[float] = []
         self.view_delay = 0.0
-        self.proof_delay = 0.0
+        self.proof_interval = 0.0
         self.results: dict[str, Position] = {}
         self.ran: Counter[str] = Counter()
         self.executed: Counter[str] = Counter()
@@ -169,8 +172,22 @@
         )
 
     def age(self, member: str) -> float:
-        """Return the age of a replica that can be proved, in seconds."""
-        return self.lags[member] + self.proof_delay
+        """Return the age of a replica that is proved now, in seconds."""
+        lag = self.lags[member]
+        if self.proof_interval == 0.0:
+            return lag
+        return lag + (self.now() - lag) % self.proof_interval
+
+    async def proved_age(self, member: str, bound: float) -> float:
+        """Return a proved age within `bound`, waiting a little for the proof."""
+        until = self.now() + PROOF_WAIT
+        while self.age(member) > bound:
+            behind = self.age(member) - self.lags[member]
+            pause = max(0.0, self.proof_interval - behind) + PROOF_STEP
+            if self.now() + pause > until:
+                raise not_run(Reason.AGE_UNPROVED, f"{member} is too old")
+            await asyncio.sleep(pause)
+        return self.age(member)
 
     async def execute(self, member: str, statement: Statement) -> Served:
         self.executed[member] += 1
@@ -198,12 +215,11 @@
         if statement.consistency is Consistency.FRESH:
             raise not_run(Reason.NO_PRIMARY, f"{member} is not the primary")
         await self.cover(member, statement.covers)
-        age = self.age(member)
         if statement.consistency is Consistency.MAX_AGE:
             assert statement.max_age is not None
-            if age > statement.max_age:
-                raise not_run(Reason.AGE_UNPROVED, f"{member} is too old")
-        return self.applied(member), age
+            age = await self.proved_age(member, statement.max_age)
+            return self.applied(member), age
+        return self.applied(member), self.age(member)
 
     async def cover(self, member: str, covers: Position | None) -> None:
         """Wait a little until `member` covers a position."""
