--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -19,6 +19,7 @@
 import docopt
 
 from reedhook.process.worker import ThreadWorker
+from reedhook.version.catalog import Catalog
 from reedhook.version.check import check
 from reedhook.version.document import BASE_FILE, Documents, parse
 from reedhook.version.edition import Edition, make_edition
@@ -200,7 +201,13 @@
 async def wait_for_change(host: FleetHost) -> float:
     """Return the time at which the next version comes into force."""
     changed = asyncio.Event()
-    host.keeper.on_change(lambda catalog: changed.set())
+    before = host.keeper.version
+
+    def note(catalog: Catalog) -> None:
+        if catalog.version > before:
+            changed.set()
+
+    host.keeper.on_change(note)
     await changed.wait()
     return asyncio.get_running_loop().time()
 
--- a/src/reedhook/process/configuration.py
+++ b/src/reedhook/process/configuration.py
@@ -109,8 +109,10 @@
         }
 
     def on_change(self, callback: CatalogCallback) -> None:
-        """Call `callback` with each catalog that comes into force."""
+        """Call `callback` with the catalog in force, if any, and each later one."""
         self.callbacks.append(callback)
+        if self.catalog is not None:
+            self.tell(callback, self.catalog)
 
     def register(self, routes: PeerRoutes) -> None:
         """Answer the peer path ``config``."""
--- a/src/reedhook/process/editor.py
+++ b/src/reedhook/process/editor.py
@@ -17,7 +17,7 @@
 from ..wire import Json
 from .archive import Archive, StoredHead
 from .configuration import ConfigurationKeeper
-from .store import Entry, StoreConflict, StoreUnavailable
+from .store import Entry, StoreConflict, StoreError, StoreUnavailable
 from .worker import ThreadWorker, Worker
 
 APPLY_TIMEOUT: Final = 10.0
@@ -156,7 +156,7 @@
         try:
             edition = await self.load(await self.head_of(version))
             return edition.head, edition.documents()
-        except (EditionError, StoreUnavailable) as error:
+        except (EditionError, StoreError) as error:
             raise store_refusal(error) from error
 
     async def diff(self, old: int, new: int) -> list[Change]:
@@ -183,7 +183,7 @@
             ]
             heads = [stored.head, *await asyncio.gather(*past)]
             return [head for head in heads if head is not None]
-        except (EditionError, StoreUnavailable) as error:
+        except (EditionError, StoreError) as error:
             raise store_refusal(error) from error
 
     async def newest(self) -> StoredHead:
@@ -303,7 +303,7 @@
         while True:
             try:
                 return await self.attempt()
-            except (StoreUnavailable, EditionError) as error:
+            except (StoreError, EditionError) as error:
                 if self.editor.clock.monotonic() >= deadline:
                     raise self.unanswered(error) from error
             await self.editor.clock.sleep(RETRY_DELAY)
@@ -386,7 +386,7 @@
             return None
         try:
             return await self.editor.load(stored.head)
-        except (EditionError, StoreUnavailable):
+        except (EditionError, StoreError):
             return None
 
     def refuse_reuse(self, found: Head) -> None:
--- a/tests/test_config_distribution.py
+++ b/tests/test_config_distribution.py
@@ -9,17 +9,21 @@
 from hypothesis import given, settings, strategies as st
 
 from reedhook.process.archive import HEAD_KEY
-from reedhook.process.editor import ConfigurationEditor
+from reedhook.process.editor import ConfigurationEditor, EditConflict
 from reedhook.process.peer import HostRef
+from reedhook.process.store_http import HttpStore
 from reedhook.process.timeline import EventKind
 from reedhook.request.refusal import Refusal
 from reedhook.request.verdict import Verdict
 from reedhook.version.document import Documents
-from reedhook.version.edition import pack
+from reedhook.version.edition import Head, pack
 from reedhook.wire import Json
+from reedhook_standins.store import StoreStandin
 
 from .config_fleet import ZONES, Fleet, documents
 from .fakes_clock import run_virtual
+from .support import run
+from .support_group import until
 
 IN_FORCE_WITHIN = 5.0
 
@@ -272,6 +276,36 @@
     play(scene)
 
 
+def test_edits_pass_through_the_http_store() -> None:
+    async def main() -> None:
+        standin = StoreStandin()
+        await standin.listen()
+        stores = []
+        fleet = Fleet(per_zone=2)
+        for host in fleet.hosts:
+            stores.append(HttpStore(standin.address))
+            host.editor.archive.store = stores[-1]
+        async with fleet:
+            standin.lose_answers = 2
+            await fleet.hosts[0].apply(1, "first", 0)
+            await until(lambda: fleet.versions() == {1})
+            with pytest.raises(EditConflict):
+                await fleet.hosts[1].apply(2, "late", 0)
+            standin.drop_watches()
+            edits = [host.apply(3, host.ref.host, 1) for host in fleet.hosts]
+            results = await asyncio.gather(*edits, return_exceptions=True)
+            assert sum(isinstance(one, Head) for one in results) == 1
+            assert sum(isinstance(one, EditConflict) for one in results) == 5
+            await until(lambda: fleet.versions() == {2})
+            await fleet.hosts[2].restart()
+            assert fleet.hosts[2].versions == [2]
+        for store in stores:
+            await store.close()
+        await standin.close()
+
+    run(main())
+
+
 class Outcomes:
     """Hold what each edit's operator was told, against the history."""
 
