--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,87 @@
+"""Run all benchmarks, print their figures as JSON and draw them.
+
+Each benchmark runs in a process of its own, one after another, so that none
+disturbs another's figures.
+"""
+
+import importlib.util
+import json
+import os
+import platform
+import subprocess
+import sys
+from datetime import date
+from pathlib import Path
+from typing import Any, Final
+
+from .plot import draw
+
+BENCHMARKS: Final = (
+    "hop",
+    "deployment",
+    "routing",
+    "overload",
+    "failover",
+    "membership",
+    "configuration",
+)
+TIMEOUT_S: Final = 600
+PLOT: Final = Path("build/bench.png")
+ERROR_LINES: Final = 5
+
+
+def main() -> int:
+    """Run the benchmarks that exist; return 1 if one of them failed."""
+    names = sys.argv[1:] or [name for name in BENCHMARKS if exists(name)]
+    figures = {name: run(name) for name in names}
+    report = {"machine": machine(), "figures": figures}
+    print(json.dumps(report, indent=2))
+    draw(figures, PLOT)
+    print(f"plot: {PLOT}", file=sys.stderr)
+    return int(any("error" in one for one in figures.values()))
+
+
+def exists(name: str) -> bool:
+    """Return whether the benchmark is part of this tree."""
+    return importlib.util.find_spec(f"bench.{name}") is not None
+
+
+def run(name: str) -> dict[str, Any]:
+    """Run one benchmark and return its figures, or what went wrong."""
+    print(f"running {name}", file=sys.stderr)
+    command = [sys.executable, "-m", f"bench.{name}"]
+    try:
+        done = subprocess.run(
+            command, capture_output=True, text=True, timeout=TIMEOUT_S, check=False
+        )
+    except subprocess.TimeoutExpired:
+        return {"error": f"not done within {TIMEOUT_S} s"}
+    if done.returncode:
+        last = done.stderr.splitlines()[-ERROR_LINES:]
+        return {"error": "\n".join(last), "exit": done.returncode}
+    return read_figures(done.stdout)
+
+
+def read_figures(text: str) -> dict[str, Any]:
+    """Read the JSON object that a benchmark printed."""
+    try:
+        figures = json.loads(text)
+    except json.JSONDecodeError as error:
+        return {"error": f"no JSON: {error}"}
+    if not isinstance(figures, dict):
+        return {"error": "no JSON object"}
+    return figures
+
+
+def machine() -> dict[str, Any]:
+    """Say what the figures were measured on."""
+    return {
+        "date": date.today().isoformat(),
+        "python": platform.python_version(),
+        "cores": os.cpu_count(),
+        "load_before": os.getloadavg()[0],
+    }
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/reedhook_standins/demo.py
@@ -0,0 +1,161 @@
+"""Show a deployment's day with faults, and judge it.
+
+Usage:
+    demo [--deployment NAME] [--seconds N] [--seed N] [--json]
+
+Options:
+    --deployment NAME  plant or danube [default: plant]
+    --seconds N        how long the day lasts [default: 24]
+    --seed N           seed of all random choices [default: 1]
+    --json             print the report as JSON
+"""
+
+import asyncio
+import os
+import random
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import docopt
+import orjson
+
+from reedhook.clock import SystemClock
+from reedhook.record import Record
+
+from .deployment import Deployment
+from .history import Fault, History
+from .outcome import Outcome, judge, text
+from .truth import effects
+from .workload import DAYS
+from .world import World
+
+EXIT_GOOD: Final = 0
+EXIT_BROKEN: Final = 1
+
+
+class Happening(Record):
+    """Carry something that happens during the day.
+
+    :param at: when, as a share of the day.
+    :param act: brings it about.
+    """
+
+    __slots__ = ("at", "act")
+
+    def __init__(self, at: float, act: Callable[[], Awaitable[None]]) -> None:
+        self.at = at
+        self.act = act
+
+
+class Programme:
+    """Bring about the faults of the day, and undo them.
+
+    The first group's primary dies and returns; the second group's primary is
+    cut off while it believes that it leads; the home of the third group's
+    primary dies and returns.
+    """
+
+    def __init__(self, world: World, history: History) -> None:
+        self.world = world
+        self.history = history
+        self.groups = list(world.platform.groups.values())
+        self.dead_member = self.groups[0].primary
+        self.cut_member = self.groups[1].primary
+        self.dead_host = ""
+
+    def happenings(self) -> list[Happening]:
+        """Return what happens, in the order of time."""
+        return [
+            Happening(0.2, self.kill_primary),
+            Happening(0.4, self.cut_primary_off),
+            Happening(0.5, self.return_primary),
+            Happening(0.6, self.kill_home),
+            Happening(0.7, self.heal_primary),
+            Happening(0.8, self.return_home),
+        ]
+
+    async def run(self, seconds: float) -> None:
+        """Run the day's programme, which lasts `seconds`."""
+        clock = self.world.clock
+        start = clock.monotonic()
+        for happening in self.happenings():
+            await clock.sleep(start + happening.at * seconds - clock.monotonic())
+            await happening.act()
+        await clock.sleep(start + seconds - clock.monotonic())
+
+    async def kill_primary(self) -> None:
+        """Let the first group's primary die."""
+        self.note("primary killed", self.dead_member.name, self.groups[0].name)
+        await self.dead_member.kill()
+
+    async def return_primary(self) -> None:
+        """Let the dead primary return, which still believes that it leads."""
+        await self.dead_member.revive()
+
+    async def cut_primary_off(self) -> None:
+        """Cut the second group's primary off, while it goes on running."""
+        self.note("primary cut off", self.cut_member.name, self.groups[1].name)
+        self.world.cut_target_off(self.cut_member.name)
+
+    async def heal_primary(self) -> None:
+        """Undo the cut."""
+        self.world.heal_target(self.cut_member.name)
+
+    async def kill_home(self) -> None:
+        """Kill the host that is home of the third group's primary."""
+        group = self.groups[2]
+        self.dead_host = self.world.home_of(group.primary.name)
+        self.note("home killed", self.dead_host, group.name)
+        await self.world.kill_host(self.dead_host)
+
+    async def return_home(self) -> None:
+        """Start the killed host again."""
+        await self.world.start_host(self.dead_host)
+
+    def note(self, name: str, subject: str, group: str) -> None:
+        """Record a fault that comes now."""
+        now = self.world.clock.monotonic()
+        self.history.faults.append(Fault(name, subject, group, now))
+
+
+async def run_day(name: str, seconds: float, seed: int) -> Outcome:
+    """Run the day of a deployment and return its report."""
+    clock = SystemClock()
+    rng = random.Random(seed)
+    history = History()
+    async with World(Deployment(name), clock, rng) as world:
+        day = DAYS[name](list(world.platform.groups), world.caller_of(history), rng)
+        await day.prepare()
+        programme = Programme(world, history)
+        start = clock.monotonic()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(day.run())
+            await programme.run(seconds)
+            day.stop()
+        held = [
+            effect
+            for group in world.platform.groups.values()
+            for effect in effects(group, type(day))
+        ]
+        return judge(name, clock.monotonic() - start, history, held, day.gave_up)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the demo and return the exit code."""
+    options = docopt.docopt(__doc__, argv)
+    os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    seconds = float(options["--seconds"])
+    seed = int(options["--seed"])
+    outcome = uvloop.run(run_day(options["--deployment"], seconds, seed))
+    if options["--json"]:
+        sys.stdout.buffer.write(orjson.dumps(outcome.to_json()) + b"\n")
+    else:
+        print(text(outcome))
+    return EXIT_GOOD if outcome.good else EXIT_BROKEN
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/reedhook_standins/world.py
@@ -0,0 +1,251 @@
+"""A whole deployment in one process: stand-ins and real hosts on loopback."""
+
+import asyncio
+import random
+import socket
+from collections.abc import Callable, Iterable
+from contextlib import ExitStack
+from hashlib import sha256
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+
+from reedhook.clock import Clock, SystemClock
+from reedhook.process.assembly import assemble
+from reedhook.process.host import Host
+from reedhook.process.lifecycle import HostProcess
+from reedhook.process.metrics import MemoryMetrics
+from reedhook.process.settings import Settings
+from reedhook.version.document import Documents
+
+from .caller import Caller
+from .deployment import HOSTS, Deployment, credential
+from .history import History
+from .member import Cut
+from .platform import Platform
+from .workload import MakeCaller
+
+LOOPBACK: Final = "127.0.0.1"
+OPERATOR: Final = "operator"
+OPERATOR_CREDENTIAL: Final = "credential-of-the-operator"
+PEER_CREDENTIAL: Final = "credential-of-all-hosts"
+TOKEN_SECRET: Final = "secret-of-all-session-tokens"
+SEEDS: Final = 3
+LISTENERS: Final = 3
+READY_TIMEOUT_S: Final = 20.0
+READY_STEP_S: Final = 0.02
+ABRUPT_S: Final = 0.001
+
+
+class WorldNotReady(Exception):
+    """Say that the deployment did not come up in time."""
+
+
+class World:
+    """Run a deployment's stand-ins and hosts, and bring about faults.
+
+    :param hosts: how many entry hosts there are, spread over the zones.
+    :ivar settings: the settings of all hosts, running or not.
+    :ivar running: the running hosts by name.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+        hosts: int = HOSTS,
+    ) -> None:
+        self.deployment = deployment
+        self.clock = clock or SystemClock()
+        self.random = rng or random.Random(0)
+        self.platform = Platform(deployment, self.clock)
+        self.zones = deployment.host_zones(hosts)
+        self.settings: dict[str, Settings] = {}
+        self.running: dict[str, HostProcess] = {}
+        self.http: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "World":
+        try:
+            await self.start()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.close()
+
+    async def start(self) -> None:
+        """Start the stand-ins and all hosts, and put the configuration in force.
+
+        :raises WorldNotReady: if it is not in force everywhere in time.
+        """
+        self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        await self.platform.start()
+        self.settings = self.make_settings()
+        for name, one in self.settings.items():
+            self.platform.hostlist.put(name, one.zone, one.peer_listen)
+        await asyncio.gather(*map(self.start_host, self.settings))
+        await self.apply_configuration()
+        await self.wait_until(self.in_force, "the configuration is not in force")
+        await self.wait_until(self.all_at_home, "a target has no home")
+
+    async def close(self) -> None:
+        """Kill all hosts and stop the stand-ins."""
+        await asyncio.gather(*map(self.kill_host, list(self.running)))
+        await self.platform.close()
+        if self.http is not None:
+            await self.http.close()
+
+    def make_settings(self) -> dict[str, Settings]:
+        """Return the settings of each host, on ports that are free now."""
+        ports = iter(free_addresses(LISTENERS * len(self.zones)))
+        listeners = {
+            name: (next(ports), next(ports), next(ports)) for name in self.zones
+        }
+        seeds = tuple(peer for _, peer, _ in listeners.values())[:SEEDS]
+        return {
+            name: Settings(
+                host=name,
+                zone=zone,
+                listen=listeners[name][0],
+                peer_listen=listeners[name][1],
+                admin_listen=listeners[name][2],
+                store=self.platform.store.address,
+                hostlist=self.platform.hostlist.address,
+                peer_credential=PEER_CREDENTIAL,
+                token_secret=TOKEN_SECRET,
+                admins={OPERATOR: sha256(OPERATOR_CREDENTIAL.encode()).hexdigest()},
+                seeds=seeds,
+                log_level="error",
+            )
+            for name, zone in self.zones.items()
+        }
+
+    async def apply_configuration(self) -> None:
+        """Let an operator apply the deployment's base file and overlays."""
+        documents = Documents(
+            self.deployment.base_text(), self.deployment.overlay_texts()
+        )
+        editor = self.any_host().editor
+        await editor.apply(documents, 0, OPERATOR, "first version", "first-version")
+
+    async def wait_until(self, holds: Callable[[], bool], complaint: str) -> None:
+        """Wait until something holds.
+
+        :raises WorldNotReady: if it does not in time.
+        """
+        until = self.clock.monotonic() + READY_TIMEOUT_S
+        while not holds():
+            if self.clock.monotonic() > until:
+                raise WorldNotReady(complaint)
+            await self.clock.sleep(READY_STEP_S)
+
+    def in_force(self) -> bool:
+        """Return whether all hosts have the same configuration in force."""
+        versions = {host.configuration.version for host in self.hosts()}
+        return len(versions) == 1 and versions != {0}
+
+    def all_at_home(self) -> bool:
+        """Return whether each target has a home that knows its state."""
+        return all(self.at_home(member) for member in self.platform.members())
+
+    def at_home(self, member: str) -> bool:
+        """Return whether some host is home of `member` and knows its state."""
+        homes = [host.homes.get(member) for host in self.hosts()]
+        return any(home is not None and home.state is not None for home in homes)
+
+    def hosts(self) -> Iterable[Host]:
+        """Return the running hosts."""
+        for process in self.running.values():
+            assert isinstance(process.host, Host)
+            yield process.host
+
+    def any_host(self) -> Host:
+        """Return a running host."""
+        return next(iter(self.hosts()))
+
+    def home_of(self, member: str) -> str:
+        """Return the name of the host that is home of `member`."""
+        for host in self.hosts():
+            if host.homes.get(member) is not None:
+                return host.me.host
+        raise WorldNotReady(f"{member} has no home")
+
+    async def start_host(self, name: str) -> None:
+        """Start a host, anew if it ran before."""
+        chooser = random.Random(self.random.random())
+        process = assemble(self.settings[name], self.clock, chooser, MemoryMetrics())
+        await process.start()
+        self.running[name] = process
+
+    async def stop_host(self, name: str) -> None:
+        """Shut a host down gracefully."""
+        await self.running[name].stop()
+        del self.running[name]
+
+    async def kill_host(self, name: str) -> None:
+        """Let a host die: its connections end at once, nothing is handed over."""
+        process = self.running.pop(name)
+        for server in (process.callers, process.peers, process.admin):
+            await cut(server.runner)
+        await process.host.close()
+
+    def cut_target_off(self, member: str) -> None:
+        """Cut a target off from its group and from all hosts; it runs on."""
+        target = self.platform.members()[member]
+        target.group.partition(member)
+        target.cut = Cut.HANG
+
+    def heal_target(self, member: str) -> None:
+        """Undo all cuts of the target's group."""
+        target = self.platform.members()[member]
+        target.cut = Cut.NONE
+        target.group.heal()
+
+    def caller_of(self, history: History) -> MakeCaller:
+        """Return what makes callers that record to `history`."""
+        assert self.http is not None
+        http = self.http
+
+        def make(name: str, team: str) -> Caller:
+            return Caller(
+                name,
+                self.addresses(team),
+                credential(team),
+                http,
+                history,
+                self.clock,
+                random.Random(f"{self.random.random()} {name}"),
+                self.deployment.network.callers,
+            )
+
+        return make
+
+    def addresses(self, team: str) -> list[str]:
+        """Return where the callers of a team reach the hosts that serve it."""
+        zones = self.deployment.zones_of(team)
+        return [one.listen for one in self.settings.values() if one.zone in zones]
+
+
+async def cut(runner: web.ServerRunner | web.AppRunner | None) -> None:
+    """Stop a server without answering what is in progress."""
+    if runner is None or runner.server is None:
+        return
+    for site in list(runner.sites):
+        await site.stop()
+    for handler in list(runner.server.connections):
+        if handler.transport is not None:
+            handler.transport.abort()
+    await runner.server.shutdown(ABRUPT_S)
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return `count` addresses on loopback that nobody listens on now."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind((LOOPBACK, 0))
+        return [f"{LOOPBACK}:{one.getsockname()[1]}" for one in sockets]
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,140 @@
+"""A whole deployment on loopback, from a caller's write to a killed host."""
+
+from collections.abc import Awaitable, Callable
+
+from reedhook.request.statement import Consistency
+from reedhook_standins.caller import Caller, ReadOrder, WriteOrder
+from reedhook_standins.deployment import Deployment
+from reedhook_standins.group import GroupStandin
+from reedhook_standins.history import History, Promise, violations
+from reedhook_standins.truth import effects
+from reedhook_standins.workload import DanubeDay
+from reedhook_standins.world import World
+
+from .support import run
+
+DESK = "desk-1"
+PATIENCE = 30.0
+
+
+class Scene:
+    """Hold a running world with one desk at work on one group."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.history = History()
+        make = world.caller_of(self.history)
+        self.group = next(iter(world.platform.groups.values()))
+        self.desk: Caller = make(DESK, "desk")
+        self.day = DanubeDay([self.group.name], make, world.random)
+        self.serial = 0
+
+    async def assign(self) -> None:
+        """Write the next assignment."""
+        self.serial += 1
+        values = [DESK, self.serial, "tug-1", f"convoy-{self.serial}"]
+        sql = DanubeDay.assignments.insert
+        order = WriteOrder(self.group.name, DESK, self.serial, sql, values)
+        await self.desk.write(order, PATIENCE)
+
+    async def look(self, consistency: Consistency, max_age: float | None = None) -> int:
+        """Return the newest serial, read through another host."""
+        self.desk.roam()
+        order = ReadOrder(
+            "assignment",
+            self.group.name,
+            DanubeDay.assignments.newest,
+            [DESK, DESK],
+            [DESK],
+            consistency,
+            max_age,
+        )
+        await self.desk.read(order, PATIENCE)
+        return self.history.reads[-1].versions[DESK]
+
+    def broken(self) -> list[Promise]:
+        """Return the broken promises so far."""
+        held = effects(self.group, DanubeDay)
+        return [one.promise for one in violations(self.history, held)]
+
+
+def play(act: Callable[[Scene], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with World(Deployment("danube"), hosts=3) as world:
+            scene = Scene(world)
+            await scene.day.prepare()
+            await act(scene)
+
+    run(main())
+
+
+def test_reads_of_each_consistency_see_a_write_through_other_hosts() -> None:
+    async def act(scene: Scene) -> None:
+        await scene.assign()
+        assert await scene.look(Consistency.SESSION) == 1
+        assert await scene.look(Consistency.FRESH) == 1
+        await scene.look(Consistency.MAX_AGE, 5.0)
+        assert scene.history.reads[-1].age is not None
+        assert scene.history.acknowledged()[0].version == 1
+        assert scene.broken() == []
+
+    play(act)
+
+
+def test_a_cut_off_primary_is_replaced_and_loses_nothing() -> None:
+    async def act(scene: Scene) -> None:
+        await scene.assign()
+        lost = scene.group.primary.name
+        scene.world.cut_target_off(lost)
+        await scene.assign()
+        assert scene.group.primary.name != lost
+        scene.world.heal_target(lost)
+        assert await scene.look(Consistency.FRESH) == 2
+        assert scene.broken() == []
+
+    play(act)
+
+
+def test_a_killed_home_is_taken_over_and_returns() -> None:
+    async def act(scene: Scene) -> None:
+        await scene.assign()
+        home = scene.world.home_of(scene.group.primary.name)
+        await scene.world.kill_host(home)
+        await scene.assign()
+        assert scene.world.home_of(scene.group.primary.name) != home
+        await scene.world.start_host(home)
+        assert await scene.look(Consistency.SESSION) == 2
+        assert scene.broken() == []
+
+    play(act)
+
+
+def test_a_row_that_vanished_or_doubled_is_found() -> None:
+    async def act(scene: Scene) -> None:
+        await scene.assign()
+        assert scene.broken() == []
+        table = DanubeDay.assignments.name
+        tamper(scene.group, f"INSERT INTO {table} SELECT * FROM {table}")
+        assert scene.broken() == [Promise.DOUBLED]
+        tamper(scene.group, f"DELETE FROM {table}")
+        assert scene.broken() == [Promise.LOST]
+
+    play(act)
+
+
+def tamper(group: GroupStandin, sql: str) -> None:
+    """Change the rows of the primary behind everybody's back."""
+    group.primary.state.engine.database.execute(sql)
+
+
+def test_callers_keep_away_from_zones_that_do_not_serve_their_team() -> None:
+    plant = Deployment("plant")
+    assert "ispica" in plant.zones
+    assert "ispica" in plant.zones_of("gate")
+    assert "ispica" not in plant.zones_of("settlement")
+
+
+def test_hosts_spread_evenly_over_zones() -> None:
+    zones = list(Deployment("plant").host_zones(9).values())
+    counts = {zone: zones.count(zone) for zone in zones}
+    assert sorted(counts.values()) == [2, 2, 2, 3]
