--- a/src/reedhook/process/server.py
+++ b/src/reedhook/process/server.py
@@ -126,9 +126,14 @@
 
 
 async def until_unused(runner: web.AppRunner) -> None:
-    """Return once no connection is open, or after `IDLE_GRACE` seconds."""
+    """Return once no connection is open, or after `IDLE_GRACE` seconds.
+
+    The first look comes late, since the last connections that were accepted
+    are not among the runner's yet; its own end would wait on them for long.
+    """
     try:
         async with asyncio.timeout(IDLE_GRACE):
+            await asyncio.sleep(POLL_INTERVAL)
             while runner.server is not None and runner.server.connections:
                 await asyncio.sleep(POLL_INTERVAL)
     except TimeoutError:
--- /dev/null
+++ b/tests/daemon_fakes.py
@@ -0,0 +1,80 @@
+"""A host with nothing behind its servers."""
+
+import asyncio
+
+from aiohttp import web
+
+from reedhook.clock import SystemClock
+from reedhook.process.lifecycle import HostProcess, Lifecycle
+from reedhook.process.server import Server
+from reedhook.process.settings import ServerLimits
+
+
+class QuickClock(SystemClock):
+    """Sleep for a tenth of the time."""
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds / 10)
+
+
+class FakeHost(Lifecycle):
+    """Note what happens to it.
+
+    :ivar steps: what was called, in order.
+    :ivar drained: lets the drain end.
+    """
+
+    def __init__(self) -> None:
+        self.steps: list[str] = []
+        self.drained = asyncio.Event()
+        self.drained.set()
+        self.started = asyncio.Event()
+        self.started.set()
+
+    async def start(self) -> None:
+        self.steps.append("start")
+        await self.started.wait()
+        self.steps.append("started")
+
+    async def drain(self) -> None:
+        self.steps.append("drain")
+        await self.drained.wait()
+        self.steps.append("drained")
+
+    async def close(self) -> None:
+        self.steps.append("close")
+
+
+class Counted:
+    """Answer slowly and count what was begun and ended."""
+
+    def __init__(self) -> None:
+        self.begun = 0
+        self.ended = 0
+
+    async def answer(self, request: web.Request) -> web.Response:
+        self.begun += 1
+        body = await request.read()
+        await asyncio.sleep(0.01)
+        self.ended += 1
+        return web.Response(body=body)
+
+    def app(self) -> web.Application:
+        """Return an application that answers ``POST /``."""
+        app = web.Application()
+        app.router.add_post("/", self.answer)
+        return app
+
+
+def a_process(host: FakeHost, app: web.Application, bound: float) -> HostProcess:
+    """Return a process around `host` on free ports."""
+    limits = ServerLimits()
+    here = "127.0.0.1:0"
+    return HostProcess(
+        host,
+        Server("callers", app, here, limits),
+        Server("peers", web.Application(), here, limits),
+        Server("operators", web.Application(), here, limits),
+        QuickClock(),
+        bound,
+    )
--- /dev/null
+++ b/tests/test_daemon_lifecycle.py
@@ -0,0 +1,106 @@
+"""Start and graceful end of a host."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from reedhook.process.lifecycle import HostProcess, ShutdownOverdue
+
+from .daemon_fakes import Counted, FakeHost, a_process
+from .support import run
+
+CLIENTS = 20
+
+
+class Load:
+    """Send requests from many clients until the host accepts no more.
+
+    :ivar answered: whole answers.
+    :ivar cut: requests whose connection broke after they were sent.
+    """
+
+    def __init__(self, url: str) -> None:
+        self.url = url
+        self.answered = 0
+        self.cut: list[Exception] = []
+
+    async def client(self, number: int) -> None:
+        """Send one request after the other on a kept connection."""
+        body = str(number).encode() * 100
+        async with aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    async with session.post(self.url, data=body) as response:
+                        assert await response.read() == body
+                        self.answered += 1
+                except aiohttp.ClientConnectorError:
+                    return
+                except aiohttp.ClientError as error:
+                    self.cut.append(error)
+
+    async def run(self) -> None:
+        """Run all clients to their end."""
+        await asyncio.gather(*map(self.client, range(CLIENTS)))
+
+
+def test_a_stop_under_load_cuts_no_request() -> None:
+    async def main() -> tuple[Load, Counted, FakeHost]:
+        host, counted = FakeHost(), Counted()
+        process = a_process(host, counted.app(), 10)
+        await process.start()
+        load = Load(f"http://{process.callers.address}/")
+        running = asyncio.create_task(load.run())
+        await asyncio.sleep(0.2)
+        await process.stop()
+        await running
+        return load, counted, host
+
+    load, counted, host = run(main())
+    assert load.cut == []
+    assert load.answered > CLIENTS
+    assert counted.begun == counted.ended == load.answered
+    assert host.steps == ["start", "started", "drain", "drained", "close"]
+
+
+def test_callers_and_peers_are_served_while_the_host_drains() -> None:
+    async def main() -> tuple[int, int]:
+        host, counted = FakeHost(), Counted()
+        host.drained.clear()
+        process = a_process(host, counted.app(), 10)
+        await process.start()
+        stopping = asyncio.create_task(process.stop())
+        await asyncio.sleep(0.3)
+        async with aiohttp.ClientSession() as session:
+            async with session.post(f"http://{process.callers.address}/") as response:
+                served = response.status
+            async with session.get(f"http://{process.peers.address}/") as response:
+                reached = response.status
+        host.drained.set()
+        await stopping
+        return served, reached
+
+    assert run(main()) == (200, 404)
+
+
+def test_a_shutdown_past_its_bound_is_reported_and_closes() -> None:
+    async def main() -> FakeHost:
+        host = FakeHost()
+        host.drained.clear()
+        process = a_process(host, Counted().app(), 0.2)
+        await process.start()
+        with pytest.raises(ShutdownOverdue):
+            await process.stop()
+        return host
+
+    assert run(main()).steps[-1] == "close"
+
+
+def test_a_process_that_has_not_started_can_be_stopped() -> None:
+    async def main() -> FakeHost:
+        host = FakeHost()
+        process: HostProcess = a_process(host, Counted().app(), 10)
+        await process.stop()
+        return host
+
+    assert run(main()).steps[-1] == "close"
