Follow the platform's list and retire targets that leave

Cause: nothing read the list of live and leaving hosts. A line of an earlier life is believed only after ten seconds. Lines say whether they stand for an entry host or a target, so that no credential of the hosts is ever sent to a target.

--- a/src/reedhook/process/host.py
+++ b/src/reedhook/process/host.py
@@ -34,7 +34,9 @@
 from .hostlist import HostList
 from .hostsource import HostSource
 from .keepers import Keepers
+from .leaving import LeavingTargets
 from .lifecycle import Lifecycle
+from .listing import Listing
 from .membership import Membership
 from .metrics import Metrics
 from .peer import HostRef, PeerRoutes, Peers
@@ -97,8 +99,22 @@
         """Make what knows the other hosts."""
         self.membership = Membership(self.me, self.clock, self.random, self.timeline)
         self.directory = MembershipDirectory(self.me, self.membership.table)
+        self.listing = Listing(
+            self.hostlist,
+            self.membership,
+            self.directory,
+            self.peers,
+            self.catalog,
+            self.clock,
+            self.random,
+        )
         self.heartbeats = Heartbeats(
-            self.membership, self.peers, self.clock, self.random, self.settings.seeds
+            self.membership,
+            self.peers,
+            self.clock,
+            self.random,
+            self.settings.seeds,
+            listed=self.listing.addresses,
         )
 
     def make_configuration(self) -> None:
@@ -135,6 +151,9 @@
             self.heartbeats.joined,
         )
         self.keepers = Keepers(self.make_keeper, self.homes.of_group)
+        self.leaving_targets = LeavingTargets(
+            self.homes.get, self.keepers.get, self.clock, self.timeline
+        )
         self.hints = OutcomeHints(self.store, self.clock, self.random)
         self.executor = Executor(self.homes.get, self.keepers.get, self.clock, self.me)
         self.group_routes = GroupRoutes(
@@ -204,6 +223,7 @@
         self.homes.register(self.routes)
         self.configuration.register(self.routes)
         self.group_routes.register(self.routes)
+        self.leaving_targets.register(self.routes)
         self.fleet.register(self.routes)
         self.homes.on_change(self.keepers.reconcile)
         self.membership.on_version = self.heard_version
@@ -218,6 +238,7 @@
         await self.configuration.start()
         await self.relay.start()
         self.spawn(self.homes.run())
+        self.spawn(self.listing.run())
         self.source.state = HostState.SERVING
 
     async def drain(self) -> None:
@@ -241,6 +262,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.leaving_targets.close()
         await self.keepers.close()
         await self.homes.close()
         await self.relay.close()
--- a/src/reedhook/process/hostlist.py
+++ b/src/reedhook/process/hostlist.py
@@ -13,21 +13,37 @@
     LEAVING = "leaving"
 
 
+class ListedKind(str, Enum):
+    """Name what a line of the list stands for."""
+
+    HOST = "host"
+    TARGET = "target"
+
+
 class ListedHost(Record):
     """Carry one line of the platform's list.
 
     :param host: the id of the entry host or target.
     :param zone: its availability zone.
     :param address: ``IP:port`` where other hosts reach it.
+    :param kind: whether it is an entry host or a target.
     """
 
-    __slots__ = ("host", "zone", "address", "state")
+    __slots__ = ("host", "zone", "address", "state", "kind")
 
-    def __init__(self, host: str, zone: str, address: str, state: ListedState) -> None:
+    def __init__(
+        self,
+        host: str,
+        zone: str,
+        address: str,
+        state: ListedState,
+        kind: ListedKind = ListedKind.HOST,
+    ) -> None:
         self.host = host
         self.zone = zone
         self.address = address
         self.state = state
+        self.kind = kind
 
 
 class HostListUnavailable(Exception):
--- a/src/reedhook/process/hostlist_http.py
+++ b/src/reedhook/process/hostlist_http.py
@@ -10,7 +10,7 @@
 
 from ..connector import Connector
 from ..wire import WireError, decode
-from .hostlist import HostList, HostListUnavailable, ListedHost, ListedState
+from .hostlist import HostList, HostListUnavailable, ListedHost, ListedKind, ListedState
 
 
 class HttpHostList(HostList):
@@ -30,8 +30,8 @@
             async with self.session.post(self.url, timeout=limit) as response:
                 message = decode(await response.read())
             return [
-                ListedHost(host, zone, address, ListedState(state))
-                for host, zone, address, state in message["hosts"]
+                ListedHost(host, zone, address, ListedState(state), ListedKind(kind))
+                for host, zone, address, state, kind in message["hosts"]
             ]
         except (ClientError, OSError, TimeoutError, WireError) as error:
             raise HostListUnavailable(f"no answer: {error!r}") from error
--- /dev/null
+++ b/src/reedhook/process/listing.py
@@ -0,0 +1,160 @@
+"""What the platform's list says, read by the relays of each zone."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Final, TypeAlias
+
+import logbook
+
+from ..clock import Clock
+from ..request.refusal import Refusal
+from ..version.catalog import Catalog, Member
+from .directory import MembershipDirectory
+from .hostlist import (
+    HostList,
+    HostListUnavailable,
+    ListedHost,
+    ListedKind,
+    ListedState,
+)
+from .leaving import PATH
+from .membership import Membership
+from .membership_record import HostState
+from .peer import PeerError, Peers
+
+POLL_INTERVAL: Final = 1.0
+POLL_TIMEOUT: Final = 1.0
+TELL_TIMEOUT: Final = 0.5
+# The list lags: a line may still speak of an earlier life of a host.
+TRUSTED_AFTER: Final = 10.0
+
+CatalogSource: TypeAlias = Callable[[], Catalog | None]
+
+log = logbook.Logger("listing")
+
+
+class Listing:
+    """Poll the list while this host is a relay and pass on who leaves.
+
+    Entry hosts that leave are told through the membership, targets through
+    their homes. Both are told again with each poll, so that a lost message
+    is repaired by the next.
+
+    :ivar seen: whether each listed host was leaving, as of the last poll.
+    :ivar leaving_since: monotonic time since when a host is seen leaving.
+    :ivar told: targets whose homes were told that they leave.
+    """
+
+    def __init__(
+        self,
+        hostlist: HostList,
+        membership: Membership,
+        directory: MembershipDirectory,
+        peers: Peers,
+        catalog: CatalogSource,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self.hostlist = hostlist
+        self.membership = membership
+        self.directory = directory
+        self.peers = peers
+        self.catalog = catalog
+        self.clock = clock
+        self.random = random
+        self.seen: dict[str, bool] = {}
+        self.leaving_since: dict[str, float] = {}
+        self.told: set[str] = set()
+        self.reachable = True
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            if self.directory.is_relay():
+                await self.poll()
+            await self.clock.sleep(POLL_INTERVAL * self.random.uniform(0.8, 1.2))
+
+    async def poll(self) -> None:
+        """Read the list once and act on it."""
+        lines = await self.read()
+        if lines is None:
+            return
+        for line in lines:
+            if line.kind is ListedKind.HOST:
+                self.note_host(line)
+        leaving = {
+            line.host
+            for line in lines
+            if line.kind is ListedKind.TARGET and line.state is ListedState.LEAVING
+        }
+        self.seen = {line.host: line.state is ListedState.LEAVING for line in lines}
+        for member in self.own_targets():
+            if member.member in leaving:
+                await self.tell_home(member, True)
+            elif member.member in self.told:
+                await self.tell_home(member, False)
+
+    async def addresses(self) -> list[str]:
+        """Return the addresses of all other listed entry hosts, to join by."""
+        lines = await self.read() or []
+        return [
+            line.address
+            for line in lines
+            if line.kind is ListedKind.HOST and line.host != self.membership.me.host
+        ]
+
+    async def read(self) -> list[ListedHost] | None:
+        """Return the list, or None if it cannot be read."""
+        try:
+            lines = await self.hostlist.hosts(POLL_TIMEOUT)
+        except HostListUnavailable as error:
+            if self.reachable:
+                log.warning("The host list does not answer: {}.", error)
+            self.reachable = False
+            return None
+        self.reachable = True
+        return lines
+
+    def note_host(self, line: ListedHost) -> None:
+        """Let a host that the platform takes away know that it leaves."""
+        if line.state is not ListedState.LEAVING:
+            self.leaving_since.pop(line.host, None)
+            return
+        now = self.clock.monotonic()
+        since = self.leaving_since.setdefault(line.host, now)
+        turned = self.seen.get(line.host) is False
+        if not turned and now - since < TRUSTED_AFTER:
+            return
+        record = self.membership.table.get(line.host)
+        if record is None or not record.live:
+            return
+        self.membership.learn(record.in_state(HostState.LEAVING), now)
+
+    def own_targets(self) -> list[Member]:
+        """Return the targets of this zone and of zones without live hosts."""
+        catalog = self.catalog()
+        if catalog is None:
+            return []
+        zone = self.membership.me.zone
+        return [
+            member
+            for group in catalog.groups.values()
+            for member in group.members
+            if member.zone == zone or not self.directory.served(member.zone)
+        ]
+
+    async def tell_home(self, member: Member, leaving: bool) -> None:
+        """Tell the home of a target whether the platform takes it away."""
+        home = self.directory.home(member.member, member.zone)
+        if home is None:
+            return
+        try:
+            body = {"member": member.member, "leaving": leaving}
+            await self.peers.call(home, PATH, body, TELL_TIMEOUT)
+        except (PeerError, Refusal) as error:
+            log.info("{} was not told of {}: {}", home.host, member.member, error)
+            return
+        if leaving:
+            self.told.add(member.member)
+        else:
+            self.told.discard(member.member)
--- a/src/reedhook_standins/hostlist.py
+++ b/src/reedhook_standins/hostlist.py
@@ -1,7 +1,7 @@
 """Stand-in of the platform's lagging list of entry hosts and targets."""
 
 from reedhook.clock import Clock, SystemClock
-from reedhook.process.hostlist import ListedHost, ListedState
+from reedhook.process.hostlist import ListedHost, ListedKind, ListedState
 from reedhook.record import Record
 from reedhook.wire import Json
 
@@ -42,9 +42,10 @@
         zone: str,
         address: str,
         state: ListedState = ListedState.LIVE,
+        kind: ListedKind = ListedKind.HOST,
     ) -> None:
         """Add a host or change its line."""
-        listed = ListedHost(host, zone, address, state)
+        listed = ListedHost(host, zone, address, state, kind)
         self.changes.append(ListChange(self.clock.monotonic(), host, listed))
 
     def leave(self, host: str) -> None:
@@ -52,7 +53,7 @@
         known = [one for one in self.changes if one.host == host]
         listed = known[-1].listed
         assert listed is not None, host
-        self.put(host, listed.zone, listed.address, ListedState.LEAVING)
+        self.put(host, listed.zone, listed.address, ListedState.LEAVING, listed.kind)
 
     def remove(self, host: str) -> None:
         """Take a host off the list."""
@@ -83,6 +84,7 @@
         if name != "hosts":
             raise ServiceRefusal("bad_request", f"unknown call {name}", 404)
         lines = [
-            [one.host, one.zone, one.address, one.state.value] for one in self.visible()
+            [one.host, one.zone, one.address, one.state.value, one.kind.value]
+            for one in self.visible()
         ]
         return {"hosts": lines}
--- a/src/reedhook_standins/platform.py
+++ b/src/reedhook_standins/platform.py
@@ -1,6 +1,7 @@
 """The platform's part of a deployment: store, host list, database groups."""
 
 from reedhook.clock import Clock, SystemClock
+from reedhook.process.hostlist import ListedKind
 
 from .deployment import Deployment
 from .group import GroupStandin
@@ -48,7 +49,9 @@
         self.deployment.adapt(addresses)
         for plan in self.deployment.groups():
             for member, zone in plan.members.items():
-                self.hostlist.put(member, zone, addresses[member])
+                self.hostlist.put(
+                    member, zone, addresses[member], kind=ListedKind.TARGET
+                )
 
     async def close(self) -> None:
         """Stop all stand-ins."""
--- /dev/null
+++ b/tests/test_listing.py
@@ -0,0 +1,172 @@
+"""Hosts and targets that the platform takes away, and a list that lags."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+from reedhook.process.hostlist import (
+    HostList,
+    HostListUnavailable,
+    ListedHost,
+    ListedKind,
+    ListedState,
+)
+from reedhook.process.listing import TRUSTED_AFTER, Listing
+from reedhook.process.membership_record import HostState
+from reedhook.process.peer import HostRef
+from reedhook.version.catalog import Catalog, Group, Limits, Member
+from reedhook.wire import Json
+
+from .fakes_clock import run_virtual
+from .fakes_hosts import FakeHost
+from .fakes_peers import FakeNetwork
+
+ME = HostRef("h1", "comiso", "127.0.0.1:1")
+OTHER = HostRef("h2", "comiso", "127.0.0.1:2")
+TARGET = Member("db-a", "comiso", "127.0.0.1:9")
+FAR = Member("db-b", "ispica", "127.0.0.1:8")
+
+
+class FakeHostList(HostList):
+    """Serve what a test puts in."""
+
+    def __init__(self) -> None:
+        self.lines: list[ListedHost] = []
+        self.down = False
+
+    async def hosts(self, timeout: float) -> list[ListedHost]:
+        if self.down:
+            raise HostListUnavailable("down")
+        return self.lines
+
+    async def close(self) -> None:
+        return
+
+
+class Scene:
+    """One relay with the list before it and a home for all targets."""
+
+    def __init__(self) -> None:
+        network = FakeNetwork()
+        self.host = FakeHost(network, ME, [])
+        self.told: list[Json] = []
+        self.host.routes.add("leaving", self.take)
+        self.other = FakeHost(network, OTHER, [ME.address])
+        self.host.membership.learn(self.other.membership.own, 0.0)
+        self.lines = FakeHostList()
+        group = Group("db", "feedlog-db", (TARGET, FAR), 2, 15)
+        catalog = Catalog(1, "comiso", {"db": group}, {}, Limits())
+        self.listing = Listing(
+            self.lines,
+            self.host.membership,
+            self.host.directory,
+            self.host.peers,
+            lambda: catalog,
+            self.host.clock,
+            random.Random(0),
+        )
+        # The home of the target is this host whatever the hash says.
+        directory = self.host.directory
+        directory.home = lambda member, zone: ME  # type: ignore[method-assign]
+
+    async def take(self, body: Json) -> Json:
+        """Note what a home is told."""
+        self.told.append(body)
+        return {}
+
+    def list_host(self, state: ListedState) -> None:
+        """Let the list show the other host in `state`."""
+        self.lines.lines = [ListedHost("h2", "comiso", OTHER.address, state)]
+
+    def list_target(self, member: Member, state: ListedState) -> None:
+        """Let the list show a target in `state`."""
+        self.lines.lines = [
+            ListedHost(
+                member.member, member.zone, member.address, state, ListedKind.TARGET
+            )
+        ]
+
+
+def play(script: Callable[[Scene], Awaitable[None]]) -> None:
+    """Run a script on a scene in virtual time."""
+
+    async def main() -> None:
+        scene = Scene()
+        await script(scene)
+        scene.host.crash()
+        scene.other.crash()
+
+    run_virtual(main())
+
+
+def test_a_host_that_turns_to_leaving_is_told_at_the_next_poll() -> None:
+    async def script(scene: Scene) -> None:
+        scene.list_host(ListedState.LIVE)
+        await scene.listing.poll()
+        assert scene.host.state("h2") is HostState.LIVE
+        scene.list_host(ListedState.LEAVING)
+        await scene.listing.poll()
+        assert scene.host.state("h2") is HostState.LEAVING
+
+    play(script)
+
+
+def test_a_line_left_from_an_earlier_life_drains_no_new_host() -> None:
+    async def script(scene: Scene) -> None:
+        scene.list_host(ListedState.LEAVING)
+        await scene.listing.poll()
+        await scene.host.clock.sleep(TRUSTED_AFTER / 2)
+        await scene.listing.poll()
+        assert scene.host.state("h2") is HostState.LIVE
+        scene.list_host(ListedState.LIVE)
+        await scene.listing.poll()
+        await scene.host.clock.sleep(TRUSTED_AFTER)
+        assert scene.host.state("h2") is HostState.LIVE
+
+    play(script)
+
+
+def test_a_line_that_stays_is_believed_by_a_relay_that_saw_no_turn() -> None:
+    async def script(scene: Scene) -> None:
+        scene.list_host(ListedState.LEAVING)
+        await scene.listing.poll()
+        await scene.host.clock.sleep(TRUSTED_AFTER + 1.0)
+        await scene.listing.poll()
+        assert scene.host.state("h2") is HostState.LEAVING
+
+    play(script)
+
+
+def test_the_home_of_a_leaving_target_is_told_until_the_target_is_back() -> None:
+    async def script(scene: Scene) -> None:
+        scene.list_target(TARGET, ListedState.LEAVING)
+        await scene.listing.poll()
+        await scene.listing.poll()
+        scene.list_target(TARGET, ListedState.LIVE)
+        await scene.listing.poll()
+        await scene.listing.poll()
+        leaving = {"member": "db-a", "leaving": True}
+        assert scene.told == [leaving, leaving, {"member": "db-a", "leaving": False}]
+
+    play(script)
+
+
+def test_a_zone_without_hosts_is_looked_after_from_here() -> None:
+    async def script(scene: Scene) -> None:
+        scene.list_target(FAR, ListedState.LEAVING)
+        await scene.listing.poll()
+        assert scene.told == [{"member": "db-b", "leaving": True}]
+
+    play(script)
+
+
+def test_a_list_that_is_down_changes_nothing() -> None:
+    async def script(scene: Scene) -> None:
+        scene.list_host(ListedState.LIVE)
+        await scene.listing.poll()
+        scene.list_host(ListedState.LEAVING)
+        scene.lines.down = True
+        await scene.listing.poll()
+        assert scene.host.state("h2") is HostState.LIVE
+        assert await scene.listing.addresses() == []
+
+    play(script)
