--- a/src/reedhook/process/admin_query.py
+++ b/src/reedhook/process/admin_query.py
@@ -1,13 +1,14 @@
 """Query parameters of the administration API, checked."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from aiohttp import web
 
 from ..request.refusal import Reason, Refusal, not_run
 from .timeline import EventKind
 
-HIGHEST: int = 2**53
+HIGHEST: Final = 2**53
 
 
 def require_known(request: web.Request, known: Iterable[str]) -> None:
--- a/src/reedhook/process/assembly.py
+++ b/src/reedhook/process/assembly.py
@@ -9,6 +9,7 @@
 from ..connection.target_http import HttpTargetFactory
 from ..request.api import caller_routes
 from .admin import admin_app
+from .admin_config import config_routes
 from .host import Host
 from .hostlist_http import HttpHostList
 from .lifecycle import HostProcess
@@ -45,7 +46,7 @@
         PeerServer(endpoint, settings.peer_listen),
         Server(
             "operators",
-            admin_app(host.admin, []),
+            admin_app(host.admin, config_routes(host.admin, host.editor)),
             settings.admin_listen,
             settings.limits,
         ),
