Put changed limits in force at homes that stay

Cause: a home kept the limits of the edition it was made under, so that an accepted edit of queue, idle or drain time was not in force everywhere. Change: homes take limits over with each catalog; the drain's bound comes from the configuration. Conclusion: tests change limits under a running home.

--- a/src/reedhook/connection/home.py
+++ b/src/reedhook/connection/home.py
@@ -4,7 +4,7 @@
 
 from ..record import Record
 from ..request.statement import Statement
-from ..version.catalog import Group, Member
+from ..version.catalog import Group, Limits, Member
 from .target import MemberState, TargetResult
 
 
@@ -52,6 +52,10 @@
     async def close(self, grace: float) -> None:
         """Refuse new work, let work in progress end for `grace` seconds, close."""
 
+    @abstractmethod
+    def limit(self, limits: Limits) -> None:
+        """Put limits in force that the configuration has changed."""
+
     @abstractmethod
     async def run(self, statement: Statement) -> TargetResult:
         """Queue `statement`, run it in a slot, and return the result.
--- a/src/reedhook/connection/targethome.py
+++ b/src/reedhook/connection/targethome.py
@@ -47,6 +47,7 @@
 """The imaginary caller whose wait `load` tells."""
 
 CUT_TIME: Final = 1.0
+MILLISECONDS: Final = 1000.0
 """Seconds that work which was cut may take to end."""
 
 SHUT_DOWN: Final = "The host was shut down."
@@ -97,7 +98,7 @@
             self.pool, self.health, self.calls, self.learn, self.declined
         )
         self.single = SingleStatements(self.sender, self.slots)
-        idle_time = limits.transaction_idle_ms / 1000.0
+        idle_time = limits.transaction_idle_ms / MILLISECONDS
         self.transactions = TransactionStatements(
             self.sender, self.slots, budget.transactions, limits.queue, idle_time
         )
@@ -129,6 +130,11 @@
             await self.becomes_quiet(CUT_TIME)
         await self.stop()
 
+    def limit(self, limits: Limits) -> None:
+        self.slots.limit = limits.queue
+        self.transactions.permits.limit = limits.queue
+        self.transactions.idle_time = limits.transaction_idle_ms / MILLISECONDS
+
     async def run(self, statement: Statement) -> TargetResult:
         self.active += 1
         try:
--- a/src/reedhook/process/homes.py
+++ b/src/reedhook/process/homes.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..connection.home import Home
 from ..request.refusal import Refusal
-from ..version.catalog import Catalog, Group, Member
+from ..version.catalog import Catalog, Group, Limits, Member
 from ..wire import Json, WireError
 from .directory import MembershipDirectory
 from .membership import Membership
@@ -68,7 +68,6 @@
     """Keep a home for each target whose home this host is.
 
     :param make_home: makes a home from group, member and share.
-    :param grace: how long work in progress may take to end, in seconds.
     :param joined: set once this host knows the others.
     """
 
@@ -80,7 +79,6 @@
         clock: Clock,
         timeline: Timeline,
         make_home: HomeFactory,
-        grace: float,
         joined: asyncio.Event,
     ) -> None:
         self.membership = membership
@@ -90,7 +88,7 @@
         self.clock = clock
         self.timeline = timeline
         self.make_home = make_home
-        self.grace = grace
+        self.limits = Limits()
         self.joined = joined
         self.catalog: Catalog | None = None
         self.configured: set[str] = set()
@@ -116,6 +114,9 @@
         """Put a configuration in force; homes that it leaves alone stay."""
         self.catalog = catalog
         self.configured = {member.member for _, member in targets(catalog)}
+        self.limits = catalog.limits
+        for held in self.held.values():
+            held.home.limit(catalog.limits)
         self.wake.set()
 
     def get(self, member: str) -> Home | None:
@@ -261,7 +262,7 @@
     async def close_home(self, member: str, home: Home) -> None:
         """Close a home after its grace period."""
         try:
-            await home.close(self.grace)
+            await home.close(float(self.limits.drain_s))
         except Exception:
             log.exception("The home of {} did not close.", member)
         finally:
--- a/src/reedhook/process/host.py
+++ b/src/reedhook/process/host.py
@@ -45,7 +45,6 @@
 from .store import Store
 from .timeline import EventKind, Timeline
 
-DRAIN_GRACE: Final = 10.0
 DRAIN_POLL: Final = 0.02
 
 log = logbook.Logger("host")
@@ -147,7 +146,6 @@
             self.clock,
             self.timeline,
             self.make_home,
-            DRAIN_GRACE,
             self.heartbeats.joined,
         )
         self.keepers = Keepers(self.make_keeper, self.homes.of_group)
--- a/tests/fakes_group.py
+++ b/tests/fakes_group.py
@@ -21,7 +21,7 @@
 from reedhook.request.position import ORIGIN, Position
 from reedhook.request.refusal import Reason, may_have_run, not_run
 from reedhook.request.statement import Kind, Statement
-from reedhook.version.catalog import Group, Member
+from reedhook.version.catalog import Group, Limits, Member
 
 TRANSPORT = 0.0003
 
@@ -276,6 +276,9 @@
     async def start(self) -> None:
         self.task = asyncio.create_task(self.watch())
 
+    def limit(self, limits: Limits) -> None:
+        raise NotImplementedError
+
     async def close(self, grace: float) -> None:
         if self.task is not None:
             self.task.cancel()
--- a/tests/fakes_homes.py
+++ b/tests/fakes_homes.py
@@ -10,7 +10,7 @@
 
 from .fakes_hosts import FakeHosts
 
-GRACE = 5.0
+GRACE = 5
 CONNECTIONS = 15
 
 
@@ -24,6 +24,7 @@
         self.group = group
         self.member = member
         self.share = share
+        self.limits: Limits | None = None
         self.leaving = False
         self.started = False
         self.closed_at: float | None = None
@@ -41,6 +42,9 @@
             pass
         self.closed_at = asyncio.get_running_loop().time()
 
+    def limit(self, limits: Limits) -> None:
+        self.limits = limits
+
     async def run(self, statement: Statement) -> TargetResult:
         raise NotImplementedError
 
@@ -97,7 +101,6 @@
             fake.clock,
             fake.timeline,
             make_home,
-            GRACE,
             fake.heartbeats.joined,
         )
         homes.register(fake.routes)
@@ -156,4 +159,4 @@
             for index, zone in enumerate(zones)
         )
         made[name] = Group(name, "service", members, 2, CONNECTIONS)
-    return Catalog(version, "a", made, {}, Limits())
+    return Catalog(version, "a", made, {}, Limits(drain_s=GRACE))
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -132,6 +132,21 @@
     with_homes(test)
 
 
+def test_limits_of_a_new_configuration_reach_homes_that_stay() -> None:
+    async def test(homes: HomesOfHosts) -> None:
+        host, members = victim(homes)
+        kept = homes.of[host].get(members[0])
+        assert isinstance(kept, FakeHome)
+        limits = Limits(queue=7)
+        catalog = homes.catalog
+        changed = Catalog(catalog.version + 1, catalog.site, catalog.groups, {}, limits)
+        homes.of[host].apply(changed)
+        assert kept.limits == limits
+        assert homes.of[host].get(members[0]) is kept
+
+    with_homes(test)
+
+
 def test_a_drain_ends_when_work_outlasts_its_grace_and_peers_hang() -> None:
     async def test(homes: HomesOfHosts) -> None:
         host, members = victim(homes)
