--- a/src/reedhook/request/token.py
+++ b/src/reedhook/request/token.py
@@ -87,12 +87,12 @@
         replaced while tokens of the former one are in use.
     """
 
-    __slots__ = ("secrets",)
+    __slots__ = ("keyed",)
 
     def __init__(self, secrets: Sequence[bytes]) -> None:
         if not secrets:
             raise ValueError("a token secret is needed")
-        self.secrets = tuple(secrets)
+        self.keyed = [hmac.new(secret, digestmod="sha256") for secret in secrets]
 
     def encode(self, token: SessionToken) -> str:
         """Return the text of `token`."""
@@ -103,7 +103,7 @@
         payload = orjson.dumps([token.team, token.service, positions])
         head = bytes([FORMAT]) + len(payload).to_bytes(2, "big")
         signed = head + payload
-        body = signed + mac(self.secrets[0], signed)
+        body = signed + mac(self.keyed[0], signed)
         return packed(body)
 
     def decode(self, text: str, team: str, service: str) -> SessionToken:
@@ -139,15 +139,20 @@
         if len(body) > size:
             raise token_invalid("the token is malformed: it is too long")
         signed, code = body[:-MAC_SIZE], body[-MAC_SIZE:]
-        for secret in self.secrets:
-            if hmac.compare_digest(mac(secret, signed), code):
+        for keyed in self.keyed:
+            if hmac.compare_digest(mac(keyed, signed), code):
                 return signed
         raise token_invalid("the token is forged or altered")
 
 
-def mac(secret: bytes, signed: bytes) -> bytes:
-    """Return the truncated authentication code of `signed`."""
-    return hmac.digest(secret, signed, "sha256")[:MAC_SIZE]
+def mac(keyed: hmac.HMAC, signed: bytes) -> bytes:
+    """Return the truncated authentication code of `signed`.
+
+    :param keyed: holds the secret; a copy spares setting the key up again.
+    """
+    code = keyed.copy()
+    code.update(signed)
+    return code.digest()[:MAC_SIZE]
 
 
 def packed(body: bytes) -> str:
