Add the tool reedhook

It uses the administration API alone, and the callers' interface for statements. Every request of it may be repeated: edits and writes carry an id, so that it goes on to the next host when one gives no answer, and names the id when the outcome stays unknown (exit 5). A version is edited in a folder that remembers which version it was made of; another operator's edit in between is refused (exit 4) and named.

--- /dev/null
+++ b/src/reedhook/process/command_client.py
@@ -0,0 +1,136 @@
+"""Questions to the hosts over HTTP with JSON."""
+
+from typing import Final
+
+import aiohttp
+
+from ..wire import Json, WireError, decode, encode
+from .command_access import Endpoint
+from .command_error import CommandError, Exit, Unreachable
+
+TIMEOUT: Final = 30.0
+CONNECT_TIMEOUT: Final = 3.0
+BAD_INPUT: Final = frozenset({400, 404, 413, 422})
+CONFLICT: Final = 409
+REDIRECTION: Final = 300
+NOT_SENT: Final = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+
+
+class Refused(Exception):
+    """Carry a refusal of a host.
+
+    :param status: the HTTP status.
+    :param body: the typed refusal.
+    """
+
+    def __init__(self, status: int, body: Json) -> None:
+        super().__init__(str(body.get("detail")))
+        self.status = status
+        self.body = body
+
+    def error(self) -> CommandError:
+        """Return the error that the user sees."""
+        detail = str(self.body.get("detail"))
+        reason = str(self.body.get("reason"))
+        verdict = self.body.get("verdict")
+        return CommandError(
+            self.code(),
+            f"{reason}: {detail} ({verdict})",
+            advice_for(self.body),
+        )
+
+    def code(self) -> Exit:
+        """Return the exit code."""
+        if self.body.get("verdict") == "may have run":
+            return Exit.IN_DOUBT
+        if self.status == CONFLICT:
+            return Exit.CONFLICT
+        return Exit.USAGE if self.status in BAD_INPUT else Exit.REFUSED
+
+
+def advice_for(body: Json) -> str:
+    """Return what to do about a refusal."""
+    if body.get("reason") == "unauthenticated":
+        return "check the credential"
+    retry_ms = body.get("retry_after_ms")
+    return "" if retry_ms is None else f"try again after {retry_ms} ms"
+
+
+class Client:
+    """Ask the first host that can be reached.
+
+    All requests of the tool may be repeated: edits and writes carry an id.
+    """
+
+    __slots__ = ("endpoint", "session")
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "Client":
+        tls = self.endpoint.tls
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                ssl=True if tls is None else tls, use_dns_cache=False
+            ),
+            headers={"Authorization": f"Bearer {self.endpoint.credential}"},
+            timeout=aiohttp.ClientTimeout(TIMEOUT, sock_connect=CONNECT_TIMEOUT),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            trust_env=False,
+        )
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        if self.session is not None:
+            await self.session.close()
+
+    async def get(self, path: str, **query: str | int | None) -> Json:
+        """Ask a question; parameters that are None are left out.
+
+        :raises Refused: if the host refused.
+        :raises Unreachable: if no host answered.
+        """
+        params = {name: str(one) for name, one in query.items() if one is not None}
+        return await self.ask("GET", path, params, None)
+
+    async def post(self, path: str, body: Json) -> Json:
+        """Send a body; raises as `get`."""
+        return await self.ask("POST", path, {}, encode(body))
+
+    async def ask(
+        self, method: str, path: str, params: dict[str, str], data: bytes | None
+    ) -> Json:
+        """Ask one host after the other until one answers."""
+        failures: list[str] = []
+        sent = False
+        for address in self.endpoint.addresses:
+            url = f"{self.endpoint.scheme}://{address}{path}"
+            try:
+                return await self.exchange(method, url, params, data)
+            except NOT_SENT as error:
+                failures.append(f"{address}: {cause_of(error)}")
+            except (aiohttp.ClientError, OSError, WireError) as error:
+                sent = True
+                failures.append(f"{address}: {cause_of(error)}")
+        raise Unreachable("no host answers: " + "; ".join(failures), sent)
+
+    async def exchange(
+        self, method: str, url: str, params: dict[str, str], data: bytes | None
+    ) -> Json:
+        """Ask one host."""
+        assert self.session is not None
+        async with self.session.request(
+            method, url, params=params, data=data, allow_redirects=False
+        ) as response:
+            body = decode(await response.read())
+            if response.status >= REDIRECTION:
+                raise Refused(response.status, body)
+            return body
+
+
+def cause_of(error: Exception) -> str:
+    """Return why a host gave no answer."""
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return str(error.os_error.strerror or error.os_error)
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/src/reedhook/process/command_config.py
@@ -0,0 +1,158 @@
+"""The tool's commands about the configuration."""
+
+from difflib import unified_diff
+from pathlib import Path
+from typing import Final
+from uuid import uuid4
+
+from ..wire import Json
+from .command_client import Client, Refused
+from .command_error import CommandError, Exit, Unreachable
+from .command_folder import Folder
+from .command_report import Result, history_text, moment, status_text
+
+INVALID: Final = "invalid_configuration"
+
+
+async def check(client: Client, folder: Path) -> Result:
+    """Have a folder checked; nothing changes."""
+    documents = Folder(folder).documents()
+    try:
+        body = await client.post("/admin/config/check", documents)
+    except Refused as refused:
+        raise explain(refused, "") from refused
+    return Result(body, "The configuration is valid.")
+
+
+async def apply(
+    client: Client, path: Path, parent: int | None, comment: str, edit_id: str | None
+) -> Result:
+    """Put the documents of a folder in force.
+
+    :param parent: the version that was edited; None takes the folder's.
+    :param edit_id: of an earlier attempt whose outcome is unknown, or None.
+    """
+    folder = Folder(path)
+    known = folder.version() if parent is None else parent
+    if known is None:
+        problem = f"it is not known which version {path} was made of"
+        advice = "give --parent N, 0 for the first, or begin by config show --output"
+        raise CommandError(Exit.USAGE, problem, advice)
+    edit_id = edit_id or uuid4().hex
+    edit = {"parent": known, "comment": comment, "edit_id": edit_id}
+    try:
+        body = await client.post("/admin/config/apply", folder.documents() | edit)
+    except Refused as refused:
+        raise explain(refused, edit_id) from refused
+    except Unreachable as error:
+        advice = f"repeat it with --edit-id {edit_id}"
+        raise error.in_doubt(advice) from error
+    version = body["head"]["version"]
+    folder.set_version(version)
+    return Result(body, f"Version {version} is accepted.")
+
+
+def explain(refused: Refused, edit_id: str) -> CommandError:
+    """Return the error that the user sees, with its details."""
+    body = refused.body
+    if body.get("reason") == INVALID:
+        faults = tuple(map(fault_line, body["faults"]))
+        return CommandError(Exit.USAGE, str(body["detail"]), "mend them", faults)
+    error = refused.error()
+    if error.code is Exit.CONFLICT and "since" in body:
+        details = tuple(map(since_line, body["since"]))
+        advice = f"take version {body['version']} as the base of your edit"
+        return CommandError(error.code, str(body["detail"]), advice, details)
+    if error.code is Exit.IN_DOUBT:
+        advice = f"repeat it with --edit-id {edit_id}"
+        return CommandError(error.code, error.problem, advice)
+    return error
+
+
+def fault_line(fault: Json) -> str:
+    """Return one fault as compilers print them."""
+    place = (
+        fault["file"] if fault["line"] is None else f"{fault['file']}:{fault['line']}"
+    )
+    where = fault["path"] or "the document"
+    return f"{place}: {where}: {fault['reason']}"
+
+
+def since_line(version: Json) -> str:
+    """Say who changed what in a version."""
+    paths = ", ".join(f"{one['file']} {one['path']}" for one in version["changes"])
+    number, author, when = (
+        version["version"],
+        version["author"],
+        moment(version["wall"]),
+    )
+    return f"version {number} by {author} at {when}: {paths or 'no values'}"
+
+
+async def show(
+    client: Client, version: int | None, output: Path | None, force: bool
+) -> Result:
+    """Show a version, or write it to a folder to be edited."""
+    body = await client.get("/admin/config", version=version)
+    number = body["head"]["version"]
+    if output is None:
+        return Result(body, "\n".join(documents_lines(body)))
+    Folder(output).write(body, number, force)
+    return Result(body, f"Version {number} is in {output}.")
+
+
+def documents_lines(body: Json) -> list[str]:
+    """Return a version's documents, each after its name."""
+    head = body["head"]
+    when = moment(head["wall"])
+    lines = [f"# version {head['version']} by {head['author']} at {when}"]
+    for name, text in texts_of(body).items():
+        lines += [f"# --- {name}", text.rstrip("\n")]
+    return lines
+
+
+async def diff(client: Client, old: int, new: int | None) -> Result:
+    """Compare two versions line by line; None stands for the one in force."""
+    before = await client.get("/admin/config", version=old)
+    after = await client.get("/admin/config", version=new)
+    number = after["head"]["version"]
+    body = await client.get("/admin/config/diff", **{"from": old, "to": number})
+    lines = diff_lines(texts_of(before), texts_of(after))
+    return Result(body, "\n".join(lines) or "No difference.")
+
+
+def diff_lines(before: dict[str, str], after: dict[str, str]) -> list[str]:
+    """Return a unified diff of all documents."""
+    lines: list[str] = []
+    for name in sorted({*before, *after}):
+        old = before.get(name, "").splitlines()
+        new = after.get(name, "").splitlines()
+        lines += unified_diff(old, new, f"a/{name}", f"b/{name}", lineterm="")
+    return lines
+
+
+def texts_of(body: Json) -> dict[str, str]:
+    """Return the text of each document by its file name."""
+    overlays = body["overlays"].items()
+    return {"base.yaml": body["base"]} | {
+        f"overlays/{site}.yaml": text for site, text in overlays
+    }
+
+
+async def history(client: Client, limit: int | None) -> Result:
+    """Show the accepted versions, the newest first."""
+    body = await client.get("/admin/config/history", limit=limit)
+    return Result(body, history_text(body))
+
+
+async def status(client: Client) -> Result:
+    """Show which host has which version; fail unless all have the newest."""
+    body = await client.get("/admin/config/status")
+    newest = body["newest"]
+    behind = [one["host"] for one in body["hosts"] if one["version"] != newest]
+    late = len(behind) + len(body["missing"])
+    summary = f"Version {newest} is in force everywhere."
+    if late:
+        summary = f"{late} host(s) are not known to have version {newest}."
+    code = Exit.REFUSED if late else Exit.DONE
+    return Result(body, f"{status_text(body)}\n{summary}", code)
--- /dev/null
+++ b/src/reedhook/process/command_query.py
@@ -0,0 +1,116 @@
+"""The tool's command that sends one statement, as a caller does."""
+
+import time
+from typing import Any, Final
+from uuid import uuid4
+
+import orjson
+
+from ..record import Record
+from ..wire import Json
+from .command_client import Client
+from .command_error import CommandError, Exit, Unreachable
+from .command_report import Result, query_text
+
+CONSISTENCIES: Final = ("fresh", "session", "max_age")
+
+
+class Query(Record):
+    """Carry a statement as the user states it.
+
+    :param params: each as JSON, or else as a text.
+    :param write: whether it is a write.
+    :param max_age_ms: accepted age of the answer; implies ``max_age``.
+    :param request_id: of an earlier attempt whose outcome is unknown.
+    """
+
+    __slots__ = (
+        "group",
+        "sql",
+        "params",
+        "write",
+        "consistency",
+        "max_age_ms",
+        "token",
+        "deadline_ms",
+        "request_id",
+    )
+
+    def __init__(
+        self,
+        group: str,
+        sql: str,
+        params: list[str],
+        write: bool = False,
+        consistency: str | None = None,
+        max_age_ms: int | None = None,
+        token: str | None = None,
+        deadline_ms: int | None = None,
+        request_id: str | None = None,
+    ) -> None:
+        self.group = group
+        self.sql = sql
+        self.params = params
+        self.write = write
+        self.consistency = consistency
+        self.max_age_ms = max_age_ms
+        self.token = token
+        self.deadline_ms = deadline_ms
+        self.request_id = request_id
+
+    def body(self) -> Json:
+        """Return the request as the callers' interface takes it.
+
+        :raises CommandError: if the consistency is unknown.
+        """
+        body: Json = {
+            "group": self.group,
+            "sql": self.sql,
+            "params": [parameter(text) for text in self.params],
+            "token": self.token,
+            "deadline_ms": self.deadline_ms,
+        }
+        if self.write:
+            body["request_id"] = self.request_id or new_request_id()
+        else:
+            body |= self.read_fields()
+        return {name: value for name, value in body.items() if value is not None}
+
+    def read_fields(self) -> Json:
+        """Return the fields that only a read has."""
+        consistency = self.consistency
+        if consistency is None and self.max_age_ms is not None:
+            consistency = "max_age"
+        if consistency not in (None, *CONSISTENCIES):
+            choices = ", ".join(CONSISTENCIES)
+            problem = f"the consistency '{consistency}' is unknown"
+            raise CommandError(Exit.USAGE, problem, f"give one of: {choices}")
+        return {"consistency": consistency, "max_age_ms": self.max_age_ms}
+
+
+async def query(client: Client, wanted: Query) -> Result:
+    """Send a statement and return its answer."""
+    body = wanted.body()
+    path = "/v1/write" if wanted.write else "/v1/read"
+    try:
+        answer = await client.post(path, body)
+    except Unreachable as error:
+        if not wanted.write:
+            raise
+        advice = f"repeat it with --request-id {body['request_id']}"
+        raise error.in_doubt(advice) from error
+    return Result(answer, query_text(answer))
+
+
+def parameter(text: str) -> Any:
+    """Return a parameter: a JSON number, text, true, false or null, or the text."""
+    try:
+        value = orjson.loads(text)
+    except orjson.JSONDecodeError:
+        return text
+    return text if isinstance(value, list | dict) else value
+
+
+def new_request_id() -> str:
+    """Return an id that holds the time of issue and is used once."""
+    return f"{int(time.time() * 1000):013d}-{uuid4().hex}"
--- /dev/null
+++ b/src/reedhook/process/command_report.py
@@ -0,0 +1,162 @@
+"""What users of the tool see: text for people, JSON for programs."""
+
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from typing import Any, TextIO
+
+import orjson
+
+from ..record import Record
+from ..wire import Json
+from .command_error import CommandError, Exit
+
+
+class Result(Record):
+    """Carry the outcome of a command.
+
+    :param value: for programs.
+    :param text: for people.
+    """
+
+    __slots__ = ("value", "text", "code")
+
+    def __init__(self, value: Json, text: str, code: Exit = Exit.DONE) -> None:
+        self.value = value
+        self.text = text
+        self.code = code
+
+
+class Report:
+    """Write results and errors."""
+
+    __slots__ = ("out", "err", "as_json")
+
+    def __init__(self, out: TextIO, err: TextIO, as_json: bool) -> None:
+        self.out = out
+        self.err = err
+        self.as_json = as_json
+
+    def result(self, result: Result) -> None:
+        """Write a result."""
+        text = pretty(result.value) if self.as_json else result.text
+        print(text.rstrip("\n"), file=self.out)
+
+    def error(self, error: CommandError) -> None:
+        """Write an error: one line, after its details."""
+        for line in error.details:
+            print(line, file=self.err)
+        print(f"reedhook: {error.line}", file=self.err)
+
+
+def pretty(value: Json) -> str:
+    """Return `value` as JSON."""
+    return orjson.dumps(value, option=orjson.OPT_INDENT_2).decode()
+
+
+def table(titles: tuple[str, ...], rows: Iterable[tuple[Any, ...]]) -> str:
+    """Return columns with titles."""
+    lines = [titles, *(tuple(map(cell, row)) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines)]
+    return "\n".join(
+        "  ".join(text.ljust(width) for text, width in zip(line, widths)).rstrip()
+        for line in lines
+    )
+
+
+def cell(value: Any) -> str:
+    """Return a value as a person reads it."""
+    if value is None:
+        return "-"
+    return ("no", "yes")[value] if isinstance(value, bool) else str(value)
+
+
+def moment(seconds: float | None) -> str:
+    """Return a time since the epoch in UTC."""
+    if seconds is None:
+        return "-"
+    text = datetime.fromtimestamp(seconds, UTC).isoformat(timespec="seconds")
+    return text.replace("+00:00", "Z")
+
+
+def hosts_text(body: Json) -> str:
+    """Return the answer about hosts."""
+    rows = [
+        (one["host"], one["zone"], one["address"], one["state"], one["version"])
+        for one in body["hosts"]
+    ]
+    return table(("HOST", "ZONE", "ADDRESS", "STATE", "VERSION"), rows)
+
+
+def groups_text(body: Json) -> str:
+    """Return the answer about groups."""
+    rows = [
+        member_row(group, member)
+        for group in body["groups"]
+        for member in group["members"]
+    ]
+    titles = ("GROUP", "TERM", "MEMBER", "ZONE", "ROLE", "HOME", "APPLIED", "LAG")
+    return table(titles, rows)
+
+
+def member_row(group: Json, member: Json) -> tuple[Any, ...]:
+    """Return the row of one member."""
+    applied = member.get("applied")
+    position = None if applied is None else "/".join(map(str, applied))
+    lag = member.get("lag_ms")
+    role = member["role"] + (", leaving" if member.get("leaving") else "")
+    return (
+        group["group"],
+        group["term"],
+        member["member"],
+        member["zone"],
+        role if member["known"] else f"{role}, not heard of",
+        member["home"],
+        position,
+        None if lag is None else f"{lag} ms",
+    )
+
+
+def status_text(body: Json) -> str:
+    """Return which host has which version."""
+    rows: list[tuple[Any, ...]] = [
+        (one["host"], one["zone"], one["version"], moment_ms(one["in_force_ms"]))
+        for one in body["hosts"]
+    ]
+    rows += [(host, None, why, None) for host, why in sorted(body["missing"].items())]
+    return table(("HOST", "ZONE", "VERSION", "IN FORCE SINCE"), rows)
+
+
+def moment_ms(milliseconds: int | None) -> str:
+    """Return a time in milliseconds since the epoch in UTC."""
+    return moment(None if milliseconds is None else milliseconds / 1000)
+
+
+def history_text(body: Json) -> str:
+    """Return the accepted versions."""
+    rows = [
+        (one["version"], moment(one["wall"]), one["author"], one["comment"])
+        for one in body["versions"]
+    ]
+    return table(("VERSION", "ACCEPTED", "AUTHOR", "COMMENT"), rows)
+
+
+def query_text(body: Json) -> str:
+    """Return the answer to a statement."""
+    lines = []
+    if body["columns"]:
+        lines.append(table(tuple(body["columns"]), map(tuple, body["rows"])))
+    lines.append(answer_line(body))
+    if body.get("token"):
+        lines.append(f"token: {body['token']}")
+    return "\n".join(lines)
+
+
+def answer_line(body: Json) -> str:
+    """Say in one line where an answer comes from and how old it is."""
+    age = body["age_ms"]
+    proved = "" if age is None else f", at most {age:g} ms old"
+    repeated = ", the answer of an earlier run" if body["repeated"] else ""
+    count = len(body["rows"]) if body["columns"] else body["rowcount"]
+    what = "rows" if body["columns"] else "rows changed"
+    target, role, host = body["target"], body["role"], body["host"]
+    return f"{count} {what}; {target} ({role}) by {host}{proved}{repeated}"
--- /dev/null
+++ b/src/reedhook/process/command_timeline.py
@@ -0,0 +1,83 @@
+"""The tool's command that shows what happened on all hosts."""
+
+import re
+import time
+from datetime import datetime
+from pathlib import Path
+from typing import Final
+
+from ..wire import WireError
+from .command_client import Client
+from .command_error import CommandError, Exit
+from .command_report import Result
+from .timeline_merge import History
+from .timeline_page import page_of
+from .timeline_text import text_of
+
+AGO: Final = re.compile(r"([0-9]{1,6})([smhd])")
+SECONDS: Final = {"s": 1, "m": 60, "h": 3600, "d": 86400}
+
+
+async def timeline(
+    client: Client,
+    group: str | None,
+    host: str | None,
+    kind: str | None,
+    since: str | None,
+    page: str | None,
+) -> Result:
+    """Show the events of all hosts in one causal order.
+
+    :param page: file to write an HTML page to, or None.
+    """
+    body = await client.get(
+        "/admin/events",
+        all=1,
+        group=group,
+        host=host,
+        kind=kind,
+        since=None if since is None else since_ms(since, time.time()),
+    )
+    try:
+        history = History.from_json(body)
+    except WireError as error:
+        problem = f"the host gave events of another form: {error}"
+        advice = "use the tool of the hosts' version"
+        raise CommandError(Exit.REFUSED, problem, advice) from error
+    if page is None:
+        return Result(body, text_of(history))
+    write_page(Path(page), page_of(history, title(group)))
+    return Result(body, f"The time line is in {page}.")
+
+
+def title(group: str | None) -> str:
+    """Return the title of the page."""
+    return "Time line" if group is None else f"Time line of {group}"
+
+
+def write_page(file: Path, page: str) -> None:
+    """Write a page.
+
+    :raises CommandError: if the file cannot be written.
+    """
+    try:
+        file.write_text(page, encoding="utf-8")
+    except OSError as error:
+        raise CommandError(Exit.USAGE, str(error), "give another file") from error
+
+
+def since_ms(text: str, now: float) -> int:
+    """Return a moment, such as ``10m`` ago, in milliseconds since the epoch.
+
+    :param now: wall-clock time in seconds.
+    :raises CommandError: if `text` is no moment.
+    """
+    ago = AGO.fullmatch(text)
+    if ago is not None:
+        return int((now - int(ago[1]) * SECONDS[ago[2]]) * 1000)
+    try:
+        return int(datetime.fromisoformat(text).timestamp() * 1000)
+    except ValueError:
+        problem = f"--since is '{text}'"
+        advice = "give 90s, 10m, 2h, or 2026-03-12T06:30:00Z"
+        raise CommandError(Exit.USAGE, problem, advice) from None
