Ask near peers first at the start, and part the modules by job

A host that restarted in a zone that was cut off asked three random hosts of the whole fleet; with all three outside it began without a configuration until a heartbeat came. A starting host now asks up to three peers of its own zone and three of others, again for up to 2 s until one answers, and its first pulls are bounded in number.

The editor and the keeper had grown: reading (`reader`), one edit on its way (`edit`), the exchange between hosts (`exchange`) and differences (`version.difference`) have modules of their own. The keeper's and the editor's interfaces are as before; `EditConflict` is in `edit`.

--- a/src/reedhook/process/archive.py
+++ b/src/reedhook/process/archive.py
@@ -82,15 +82,10 @@
         :raises StoreUnavailable: if no answer came.
         :raises EditionError: if a part is missing or damaged.
         """
-        packed = {
-            part.digest: known[part.digest]
-            for part in head.parts
-            if part.digest in known
-        }
         missing = {part.digest: part for part in head.parts if part.digest not in known}
         contents = await asyncio.gather(*map(self.part, missing.values()))
-        packed.update(zip(missing, contents))
-        return Edition(head, packed)
+        held = {**known, **dict(zip(missing, contents))}
+        return Edition(head, {part.digest: held[part.digest] for part in head.parts})
 
     async def part(self, part: PartRef) -> bytes:
         """Return the packed content of a part after a check of its digest.
--- a/src/reedhook/process/configuration.py
+++ b/src/reedhook/process/configuration.py
@@ -1,8 +1,6 @@
 """The configuration in force at this host, and how it reaches other hosts."""
 
 import asyncio
-import base64
-import binascii
 import random
 from collections.abc import Callable, Coroutine
 from typing import Any, Final, TypeAlias
@@ -14,26 +12,26 @@
 from ..version.catalog import Catalog
 from ..version.check import check
 from ..version.document import Documents
-from ..version.edition import Edition, EditionError, Head, PartRef
+from ..version.edition import Edition, EditionError
 from ..version.fault import InvalidConfiguration
 from ..wire import Json
+from .exchange import PATH, PEER_TIMEOUT, Pull, head_answer, parts_answer
 from .metrics import Metrics
 from .peer import HostRef, PeerError, PeerRoutes, Peers
 from .timeline import EventKind, Timeline
 from .worker import ThreadWorker, Worker
 
-PATH: Final = "config"
-PEER_TIMEOUT: Final = 2.0
-MAX_ANSWER: Final = 256 * 1024
-MAX_PULLS: Final = 256
 FANOUT: Final = 3
-ROUNDS: Final = 2
+ROUNDS: Final = 3
 ROUND_DELAY: Final = 0.3
 KEPT_SOURCES: Final = 16
 RETRY_MIN: Final = 0.1
 RETRY_MAX: Final = 5.0
-START_WAIT: Final = 1.0
+START_WAIT: Final = 2.0
+START_TIMEOUT: Final = 1.0
+START_CHOICE: Final = 64
 START_STEP: Final = 0.1
+START_PULLS: Final = 4
 
 CatalogCallback: TypeAlias = Callable[[Catalog], None]
 PeerChoice: TypeAlias = Callable[[int], list[HostRef]]
@@ -223,8 +221,8 @@
     async def announce(self, version: int) -> None:
         """Tell some peers which version is in force here, and some others later.
 
-        One round of random peers leaves out a few hosts in a hundred; heartbeats
-        reach those that the second leaves out too.
+        One round of random peers leaves out a few hosts in a hundred, three
+        rounds few in a fleet; heartbeats reach those.
         """
         for _ in range(ROUNDS):
             if self.version != version:
@@ -235,7 +233,7 @@
     async def offer(self, peer: HostRef) -> None:
         """Tell one peer; learn from the answer if it has a newer version."""
         body = {"offer": self.version, "from": self.me.to_json()}
-        await self.ask(peer, body)
+        await self.ask(peer, body, PEER_TIMEOUT)
 
     async def answer(self, body: Json) -> Json:
         """Answer the peer path ``config``.
@@ -247,35 +245,15 @@
         """
         try:
             if "want" in body:
-                return self.answer_parts([str(one) for one in body["want"]])
+                return parts_answer(self.edition, [str(one) for one in body["want"]])
             if "offer" in body:
                 sender = HostRef.from_json(body["from"])
                 self.heard(int(body["offer"]), sender)
                 return {"version": self.version}
-            return self.answer_head(int(body["have"]))
+            return head_answer(self.edition, int(body["have"]))
         except (KeyError, TypeError, ValueError) as error:
             raise not_run(Reason.BAD_REQUEST, "not a question for config") from error
 
-    def answer_head(self, have: int) -> Json:
-        """Return the head if it is newer than `have`."""
-        if self.edition is None or self.version <= have:
-            return {"version": self.version, "head": None}
-        return {"version": self.version, "head": self.edition.head.to_json()}
-
-    def answer_parts(self, digests: list[str]) -> Json:
-        """Return as many of the wanted parts as fit one answer, at least one."""
-        parts: dict[str, str] = {}
-        size = 0
-        for digest in digests:
-            packed = self.parts().get(digest)
-            if packed is None:
-                continue
-            size += len(packed)
-            if parts and size > MAX_ANSWER:
-                break
-            parts[digest] = base64.b64encode(packed).decode()
-        return {"parts": parts}
-
     async def ask_peers(self) -> None:
         """Ask some peers for their version and pull the newest.
 
@@ -283,26 +261,38 @@
         do, so that it asks them before it reads the store.
         """
         deadline = self.clock.monotonic() + START_WAIT
-        peers = self.some_peers(FANOUT)
-        while not peers and self.clock.monotonic() < deadline:
+        while not await self.any_answers(self.first_peers()):
+            if self.clock.monotonic() >= deadline:
+                return
             await self.clock.sleep(START_STEP)
-            peers = self.some_peers(FANOUT)
-        await asyncio.gather(*map(self.ask_version, peers))
-        while self.choose_source() is not None:
+        # Peers may be heard and yet not answer; the news is followed later on.
+        for _ in range(START_PULLS):
             await self.pull_once()
 
-    async def ask_version(self, peer: HostRef) -> None:
-        """Learn the version that `peer` has."""
-        await self.ask(peer, {"have": self.version})
+    def first_peers(self) -> list[HostRef]:
+        """Return peers of this zone and of others, any of which may be cut off."""
+        known = self.some_peers(START_CHOICE)
+        near = [peer for peer in known if peer.zone == self.me.zone]
+        far = [peer for peer in known if peer.zone != self.me.zone]
+        return near[:FANOUT] + far[:FANOUT]
 
-    async def ask(self, peer: HostRef, body: Json) -> None:
-        """Send a question whose answer states the peer's version."""
+    async def any_answers(self, peers: list[HostRef]) -> bool:
+        """Ask `peers` for their versions; return whether one answered."""
+        body = {"have": self.version}
+        questions = [self.ask(peer, body, START_TIMEOUT) for peer in peers]
+        return any(await asyncio.gather(*questions))
+
+    async def ask(self, peer: HostRef, body: Json, timeout: float) -> bool:
+        """Send a question whose answer states the peer's version.
+
+        :returns: whether an answer came; heartbeats carry the version too.
+        """
         try:
-            answer = await self.peers.call(peer, PATH, body, PEER_TIMEOUT)
+            answer = await self.peers.call(peer, PATH, body, timeout)
             self.heard(int(answer["version"]), peer)
         except (PeerError, Refusal, KeyError, TypeError, ValueError):
-            # Heartbeats carry the version too.
-            return
+            return False
+        return True
 
     async def pull_forever(self) -> None:
         """Pull whenever a peer is known to have a newer version."""
@@ -327,7 +317,7 @@
         if source is None:
             return False
         try:
-            edition = await self.pull(source)
+            edition = await Pull(self.peers, source, self.edition).run()
         except (PeerError, Refusal, EditionError) as error:
             self.metrics.increment("configuration.pull_failed")
             log.info(f"Pull from {source.host} failed: {error}.")
@@ -348,49 +338,6 @@
         best = [peer for version, peer in self.sources.values() if version == newest]
         return self.chooser.choice(best)
 
-    async def pull(self, source: HostRef) -> Edition | None:
-        """Return the edition of a peer, or None if it is not newer.
-
-        :raises PeerError: if no answer came.
-        :raises Refusal: if the peer refused.
-        :raises EditionError: if what came is not readable.
-        """
-        body = {"have": self.version}
-        answer = await self.peers.call(source, PATH, body, PEER_TIMEOUT)
-        message = answer.get("head")
-        if not isinstance(message, dict):
-            return None
-        head = Head.from_json(message)
-        if head.version <= self.version:
-            return None
-        held = self.parts()
-        packed = {
-            one.digest: held[one.digest] for one in head.parts if one.digest in held
-        }
-        missing = {one.digest: one for one in head.parts if one.digest not in held}
-        for _ in range(MAX_PULLS):
-            if not missing:
-                return Edition(head, packed)
-            await self.pull_parts(source, missing, packed)
-        raise EditionError("too many answers for one edition")
-
-    async def pull_parts(
-        self, source: HostRef, missing: dict[str, PartRef], packed: dict[str, bytes]
-    ) -> None:
-        """Move parts from `missing` to `packed`, as many as come in one answer.
-
-        :raises EditionError: if none came or one is not readable.
-        """
-        body = {"want": list(missing)}
-        answer = await self.peers.call(source, PATH, body, PEER_TIMEOUT)
-        parts = answer.get("parts")
-        if not isinstance(parts, dict) or not parts:
-            raise EditionError("the peer has moved on")
-        for digest, text in parts.items():
-            if missing.pop(digest, None) is None:
-                raise EditionError("a part came that was not asked for")
-            packed[digest] = decode_part(digest, text)
-
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a task until it ends or the keeper is closed."""
         task = asyncio.create_task(coroutine)
@@ -398,19 +345,6 @@
         task.add_done_callback(self.tasks.discard)
 
 
-def decode_part(digest: str, text: str) -> bytes:
-    """Return the packed content of a part from the wire.
-
-    Its digest is checked when the edition is put together.
-
-    :raises EditionError: if it is not base64.
-    """
-    try:
-        return base64.b64decode(text, validate=True)
-    except (binascii.Error, TypeError, ValueError) as error:
-        raise EditionError(f"part {digest} is not base64") from error
-
-
 def make_catalog(documents: Documents, version: int, site: str) -> Catalog:
     """Check an accepted edition for one site and return its catalog.
 
--- /dev/null
+++ b/src/reedhook/version/difference.py
@@ -0,0 +1,62 @@
+"""What differs between two editions."""
+
+from ..record import Record
+from ..wire import Json
+from .document import BASE_FILE, Documents, overlay_file, parse
+from .edition import Head
+from .fault import Fault
+from .merge import changed_paths
+
+
+class Change(Record):
+    """Carry one path that differs between two versions.
+
+    :param file: the document.
+    :param path: the keys that lead to what differs.
+    """
+
+    __slots__ = ("file", "path")
+
+    def __init__(self, file: str, path: str) -> None:
+        self.file = file
+        self.path = path
+
+    def to_json(self) -> Json:
+        """Return the change as it stands on the wire."""
+        return {"file": self.file, "path": self.path}
+
+
+class VersionChanges(Record):
+    """Carry what one version changed.
+
+    :param head: the version's head.
+    :param changes: what it changed; empty if only comments or layout did.
+    """
+
+    __slots__ = ("head", "changes")
+
+    def __init__(self, head: Head, changes: tuple[Change, ...]) -> None:
+        self.head = head
+        self.changes = changes
+
+    def to_json(self) -> Json:
+        """Return the changes as they stand on the wire."""
+        changes = [change.to_json() for change in self.changes]
+        return {**self.head.summary(), "changes": changes}
+
+
+def changes_between(before: Documents, after: Documents) -> list[Change]:
+    """Return the paths at which two editions differ."""
+    ignored: list[Fault] = []
+    texts = {BASE_FILE: (before.base, after.base)}
+    for site in sorted({*before.overlays, *after.overlays}):
+        pair = before.overlays.get(site, ""), after.overlays.get(site, "")
+        texts[overlay_file(site)] = pair
+    changes: list[Change] = []
+    for file, (old, new) in texts.items():
+        if old == new:
+            continue
+        left, right = parse(file, old, ignored), parse(file, new, ignored)
+        for path in changed_paths(left.content, right.content):
+            changes.append(Change(file, ".".join(path)))
+    return changes
--- a/tests/test_config_accept.py
+++ b/tests/test_config_accept.py
@@ -8,7 +8,7 @@
 
 from reedhook.process import archive as archive_module
 from reedhook.process.archive import HEAD_KEY, PART_PREFIX, history_key, part_key
-from reedhook.process.editor import EditConflict
+from reedhook.process.edit import EditConflict
 from reedhook.process.worker import ThreadWorker
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.verdict import Verdict
@@ -87,7 +87,7 @@
         assert await edit_ids(host) == [won[0].edit_id, "first"]
         # The loser's parts are gone, the winner's are not.
         assert len(fleet.store.keys(PART_PREFIX)) == 2
-        await host.editor.archive.edition(won[0], {})
+        await host.editor.reader.archive.edition(won[0], {})
 
     play(scene)
 
@@ -157,7 +157,7 @@
         with pytest.raises(EditConflict):
             await host.apply(7, "loser", 1)
         head, _ = await host.editor.history()
-        edition = await host.editor.archive.edition(head, {})
+        edition = await host.editor.reader.archive.edition(head, {})
         assert edition.documents() == documents(7)
 
     play(scene)
--- a/tests/test_config_distribution.py
+++ b/tests/test_config_distribution.py
@@ -9,7 +9,8 @@
 from hypothesis import given, settings, strategies as st
 
 from reedhook.process.archive import HEAD_KEY
-from reedhook.process.editor import ConfigurationEditor, EditConflict
+from reedhook.process.edit import EditConflict
+from reedhook.process.editor import ConfigurationEditor
 from reedhook.process.peer import HostRef
 from reedhook.process.store_http import HttpStore
 from reedhook.process.timeline import EventKind
@@ -284,7 +285,7 @@
         fleet = Fleet(per_zone=2)
         for host in fleet.hosts:
             stores.append(HttpStore(standin.address))
-            host.editor.archive.store = stores[-1]
+            host.editor.reader.archive.store = stores[-1]
         async with fleet:
             standin.lose_answers = 2
             await fleet.hosts[0].apply(1, "first", 0)
