--- /dev/null
+++ b/tests/test_peer_tls.py
@@ -0,0 +1,166 @@
+"""TLS between hosts: mutual checks, and reload under open connections."""
+
+import asyncio
+import ssl
+from pathlib import Path
+
+import pytest
+import trustme
+
+from reedhook.clock import SystemClock
+from reedhook.process.peer import HostRef, PeerError, PeerRoutes
+from reedhook.process.peer_http import HttpPeers
+from reedhook.process.peer_server import PeerEndpoint, PeerServer
+from reedhook.process.settings import TlsSettings
+from reedhook.process.timeline import Timeline
+from reedhook.process.tls import TlsContexts
+from reedhook.wire import Json
+
+from .support import run
+
+SECRET = "a credential of the hosts"
+
+
+def issue(authority: trustme.CA, folder: Path, address: str = "127.0.0.1") -> None:
+    """Write a new certificate of `authority` with its key."""
+    certificate = authority.issue_cert(address)
+    certificate.private_key_pem.write_to_path(folder / "key.pem")
+    chain = b"".join(blob.bytes() for blob in certificate.cert_chain_pems)
+    (folder / "cert.pem").write_bytes(chain)
+    authority.cert_pem.write_to_path(folder / "ca.pem")
+
+
+def settings_in(folder: Path) -> TlsSettings:
+    """Return the settings that name the files of `folder`."""
+    return TlsSettings(folder / "cert.pem", folder / "key.pem", folder / "ca.pem")
+
+
+class Pair:
+    """Serve one host and call it from another."""
+
+    def __init__(self, served: TlsContexts, client: ssl.SSLContext | None) -> None:
+        clock = SystemClock()
+        timeline = Timeline("there", clock)
+        routes = PeerRoutes()
+        routes.add("echo", self.echo)
+        routes.add("slow", self.slow)
+        endpoint = PeerEndpoint(routes, SECRET, timeline)
+        self.server = PeerServer(endpoint, "127.0.0.1:0", served.peers, 0.1)
+        me = HostRef("here", "vittoria", "127.0.0.1:1")
+        self.peers = HttpPeers(me, SECRET, Timeline("here", clock), clock, client)
+
+    async def echo(self, body: Json) -> Json:
+        return body
+
+    async def slow(self, body: Json) -> Json:
+        await asyncio.sleep(0.2)
+        return body
+
+    async def call(self, path: str = "echo") -> Json:
+        ref = HostRef("there", "comiso", self.server.address)
+        return await self.peers.call(ref, path, {"n": 1}, 2.0)
+
+    async def __aenter__(self) -> "Pair":
+        await self.server.start()
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self.peers.close()
+        await self.server.stop()
+
+
+def test_hosts_of_one_authority_reach_one_another(tmp_path: Path) -> None:
+    async def main() -> None:
+        issue(trustme.CA(), tmp_path)
+        contexts = TlsContexts(settings_in(tmp_path))
+        async with Pair(contexts, contexts.client) as pair:
+            assert await pair.call() == {"n": 1}
+
+    run(main())
+
+
+@pytest.mark.parametrize("shown", ["none", "other authority", "plain"])
+def test_a_host_without_a_certificate_of_the_authority_gets_nothing(
+    tmp_path: Path, shown: str
+) -> None:
+    async def main() -> None:
+        authority = trustme.CA()
+        issue(authority, tmp_path)
+        client: ssl.SSLContext | None = None
+        if shown != "plain":
+            client = ssl.create_default_context(cafile=str(tmp_path / "ca.pem"))
+        if client is not None and shown == "other authority":
+            trustme.CA().issue_cert("127.0.0.1").configure_cert(client)
+        async with Pair(TlsContexts(settings_in(tmp_path)), client) as pair:
+            with pytest.raises(PeerError):
+                await pair.call()
+
+    run(main())
+
+
+def test_a_listener_with_another_address_in_its_certificate_is_not_trusted(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        issue(trustme.CA(), tmp_path, "127.0.0.2")
+        contexts = TlsContexts(settings_in(tmp_path))
+        async with Pair(contexts, contexts.client) as pair:
+            with pytest.raises(PeerError) as failed:
+                await pair.call()
+            assert not failed.value.sent
+
+    run(main())
+
+
+def test_a_reload_cuts_no_connection_and_shows_the_new_certificate(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        authority = trustme.CA()
+        issue(authority, tmp_path)
+        contexts = TlsContexts(settings_in(tmp_path))
+        assert not contexts.reload()
+        async with Pair(contexts, contexts.client) as pair:
+            await pair.call()
+            link = pair.peers.links[pair.server.address]
+            call = asyncio.create_task(pair.call("slow"))
+            await asyncio.sleep(0.05)
+            before = await shown_by(pair.server.address)
+            issue(authority, tmp_path)
+            assert contexts.reload()
+            assert await call == {"n": 1}
+            assert await pair.call() == {"n": 1}
+            assert pair.peers.links[pair.server.address] is link
+            assert await shown_by(pair.server.address) != before
+
+    run(main())
+
+
+async def shown_by(address: str) -> bytes:
+    """Return the certificate that a listener shows to a new connection."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    host, port = address.rsplit(":", 1)
+    _, writer = await asyncio.open_connection(host, int(port), ssl=context)
+    shown: bytes = writer.get_extra_info("ssl_object").getpeercert(True)
+    writer.close()
+    return shown
+
+
+@pytest.mark.parametrize("name", ["cert.pem", "key.pem", "ca.pem"])
+def test_a_broken_file_leaves_the_contexts_as_they_were(
+    tmp_path: Path, name: str
+) -> None:
+    async def main() -> None:
+        issue(trustme.CA(), tmp_path)
+        contexts = TlsContexts(settings_in(tmp_path))
+        async with Pair(contexts, contexts.client) as pair:
+            (tmp_path / name).write_text("not a certificate")
+            assert not contexts.reload()
+            assert await pair.call() == {"n": 1}
+            (tmp_path / name).unlink()
+            assert not contexts.reload()
+            assert await pair.call() == {"n": 1}
+
+    run(main())
