Tell a change of primary from a host that learns of one

A trial with nine daemons and the stand-ins by hand showed the time line call a primary that a starting host learned of a change of primary, the column LAG show the proved age, which grows while nobody asks, and a host drained by an operator keep its callers' connections open.

--- a/src/reedhook/process/command_client.py
+++ b/src/reedhook/process/command_client.py
@@ -13,6 +13,10 @@
 BAD_INPUT: Final = frozenset({400, 404, 413, 422})
 CONFLICT: Final = 409
 REDIRECTION: Final = 300
+ADVICE: Final = {
+    "unauthenticated": "check the credential",
+    "no_configuration": "put one in force by config apply DIR --parent 0",
+}
 NOT_SENT: Final = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -50,8 +54,9 @@
 
 def advice_for(body: Json) -> str:
     """Return what to do about a refusal."""
-    if body.get("reason") == "unauthenticated":
-        return "check the credential"
+    advice = ADVICE.get(str(body.get("reason")))
+    if advice is not None:
+        return advice
     retry_ms = body.get("retry_after_ms")
     return "" if retry_ms is None else f"try again after {retry_ms} ms"
 
--- a/src/reedhook/process/command_report.py
+++ b/src/reedhook/process/command_report.py
@@ -94,7 +94,7 @@
         for group in body["groups"]
         for member in group["members"]
     ]
-    titles = ("GROUP", "TERM", "MEMBER", "ZONE", "ROLE", "HOME", "APPLIED", "LAG")
+    titles = ("GROUP", "TERM", "MEMBER", "ZONE", "ROLE", "HOME", "APPLIED", "AGE <=")
     return table(titles, rows)
 
 
@@ -157,6 +157,7 @@
     proved = "" if age is None else f", at most {age:g} ms old"
     repeated = ", the answer of an earlier run" if body["repeated"] else ""
     count = len(body["rows"]) if body["columns"] else body["rowcount"]
-    what = "rows" if body["columns"] else "rows changed"
+    rows = "row" if count == 1 else "rows"
+    what = rows if body["columns"] else f"{rows} changed"
     target, role, host = body["target"], body["role"], body["host"]
     return f"{count} {what}; {target} ({role}) by {host}{proved}{repeated}"
--- a/src/reedhook/process/lifecycle.py
+++ b/src/reedhook/process/lifecycle.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Final
 
 import logbook
@@ -16,7 +17,12 @@
 
 
 class Lifecycle(ABC):
-    """Start, drain and close what a host consists of."""
+    """Start, drain and close what a host consists of.
+
+    :ivar on_drained: called once a drain that an operator ordered is done.
+    """
+
+    on_drained: Callable[[], None]
 
     @abstractmethod
     async def start(self) -> None:
@@ -67,6 +73,7 @@
 
         :raises OSError: if an address cannot be had.
         """
+        self.host.on_drained = self.callers.start_leaving
         await self.peers.start()
         await self.admin.start()
         await self.host.start()
--- a/src/reedhook/process/timeline_merge.py
+++ b/src/reedhook/process/timeline_merge.py
@@ -102,9 +102,13 @@
 
 
 def failovers_of(events: list[Event]) -> list[Failover]:
-    """Return the changes of primary of one group."""
+    """Return the changes of primary of one group.
+
+    A host that learns of a primary at its start saw no change.
+    """
     terms = sorted({term_of(one) for one in events if one.kind in NEW_TERM_KINDS})
-    return [failover_of(events, term) for term in terms]
+    found = [failover_of(events, term) for term in terms]
+    return [one for one in found if one.suspected or one.raised or one.promoted]
 
 
 def failover_of(events: list[Event], term: int) -> Failover:
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -138,6 +138,12 @@
     assert [len(one.suspected) for one in found] == [2, 1, 0]
 
 
+def test_a_host_that_learns_of_a_primary_at_its_start_saw_no_failover() -> None:
+    learned = event(10, "h", EventKind.PRIMARY_LEARNED, "feedlog-1", term=1)
+    resumed = event(20, "h", EventKind.WRITES_RESUMED, "feedlog-1", term=1)
+    assert failovers([learned, resumed]) == []
+
+
 def test_the_page_is_whole_and_escapes(snapshot: SnapshotAssertion) -> None:
     rings = a_failover()
     rings.append([event(6000, "h", EventKind.STORE, "<script>alert(1)</script>")])
