--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -266,7 +266,7 @@
         holder = await queue.enter("gate", 0, 10.0)
         gone = asyncio.create_task(serve(queue, "gate", 0, SOON))
         await asyncio.sleep(SOON)
-        next_one = asyncio.create_task(serve(queue, "view", 0, SOON))
+        next_one = asyncio.create_task(serve(queue, "gate", 0, SOON))
         await asyncio.sleep(SOON)
         queue.leave(holder)
         gone.cancel()
