--- a/src/reedhook/process/report.py
+++ b/src/reedhook/process/report.py
@@ -18,6 +18,7 @@
 
 REPORT_INTERVAL: Final = 0.2
 SILENT_INTERVAL: Final = 0.1
+LOOK_INTERVAL: Final = 0.05
 DOUBT_AFTER: Final = 0.1
 REPORT_TIMEOUT: Final = 0.25
 HOME_SILENT_AFTER: Final = 0.25
@@ -215,8 +216,14 @@
         """Return the age that bounded reads asked lately, in seconds."""
         return self.want if self.clock.monotonic() <= self.want_until else None
 
-    def interval(self) -> float:
-        """Return after how many seconds an unchanged state is reported."""
+    def interval(self, member: str) -> float:
+        """Return after how many seconds an unchanged state is looked at again.
+
+        The home of the primary looks often, since it sees first whether the
+        primary answers, and a look costs no message.
+        """
+        if member == self.knowledge.primary:
+            return LOOK_INTERVAL
         if self.contact.silent_since is not None:
             return SILENT_INTERVAL
         want = self.wanted()
@@ -228,7 +235,7 @@
         """Learn each change of the state of one local member, and report it."""
         revision = -1
         while True:
-            await home.wait_change(revision, self.interval())
+            await home.wait_change(revision, self.interval(home.member.member))
             state = home.state
             if home.unreachable_since is not None or self.fenced(state):
                 self.doubt()
--- a/tests/cluster_group.py
+++ b/tests/cluster_group.py
@@ -90,7 +90,7 @@
         GroupRoutes(
             lambda: cluster.catalog,
             self.local.get,
-            lambda group: self.keeper if self.local else None,
+            lambda group: self.keeper if self.local and group == "g" else None,
             self.executor,
             self.factory,
             self.directory,
--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -185,6 +185,16 @@
     def cut(self, member: str) -> None:
         self.cluster.cut_zone(member)
 
+    @rule()
+    def isolate_leader(self) -> None:
+        """Cut the leader off until another one leads, if one can."""
+
+        async def main() -> None:
+            self.cluster.cut_zone(self.cluster.leader())
+            await asyncio.sleep(0.8)
+
+        self.do(main())
+
     @rule()
     def heal(self) -> None:
         self.cluster.heal()
--- /dev/null
+++ b/tests/test_group_proofs.py
@@ -0,0 +1,268 @@
+"""The proofs by themselves: durable positions, confirmations, samples."""
+
+import asyncio
+
+import pytest
+from hypothesis import given, strategies as st
+
+from reedhook.connection.target import MemberState, Role
+from reedhook.process.confirmation import Confirmation, Lead
+from reedhook.process.durability import Durability, durable_position
+from reedhook.process.sample import Sample, Samples
+from reedhook.request.position import ORIGIN, Position
+from reedhook.request.refusal import Reason, Refusal
+from reedhook.request.statement import Consistency
+
+from .cluster_group import Cluster
+from .fakes_clock import LoopClock, run_virtual
+
+
+def state(
+    member: str, promised: int, held: Position, role: Role = Role.REPLICA
+) -> MemberState:
+    return MemberState(member, role, promised, held.term, held, held, 1, 1)
+
+
+def test_an_entry_of_a_former_term_is_not_durable_by_being_on_a_majority() -> None:
+    # Of five, two hold (2, 2) since term 2; one took it over in term 4 from a
+    # primary whose own entry no majority holds. A holder of (3, 2) may still
+    # win term 5 and drop it.
+    taken = MemberState("m3", Role.REPLICA, 4, 4, Position(2, 2), Position(2, 2), 1, 1)
+    leader = state("m1", 4, Position(4, 3), Role.PRIMARY)
+    states = [leader, state("m2", 2, Position(2, 2)), taken]
+    states += [state("m4", 2, Position(1, 1)), state("m5", 3, Position(3, 2))]
+    assert durable_position(states, 4, 3) is None
+    assert durable_position(states, 2, 3) is None
+
+
+def test_a_member_that_promised_a_higher_term_does_not_count() -> None:
+    leader = state("m1", 3, Position(3, 9), Role.PRIMARY)
+    fenced = state("m2", 4, Position(3, 9), Role.FENCED)
+    behind = state("m3", 3, Position(3, 5))
+    assert durable_position([leader, fenced, behind], 3, 2) == Position(3, 5)
+    assert durable_position([leader, fenced], 3, 2) is None
+
+
+def test_a_later_term_proves_nothing_of_the_last_entries_of_a_former_one() -> None:
+    async def main() -> None:
+        durability = Durability()
+        durability.advance(Position(1, 5))
+        assert durability.holds(Position(1, 5))
+        waiting = asyncio.create_task(durability.wait(Position(1, 7), 1.0))
+        await asyncio.sleep(0.01)
+        durability.advance(Position(2, 6))
+        assert await waiting is False
+        assert not durability.holds(Position(1, 7))
+        assert await durability.wait(Position(2, 6), 1.0) is True
+
+    run_virtual(main())
+
+
+def test_waits_end_at_once_when_a_higher_term_is_seen() -> None:
+    async def main() -> None:
+        durability = Durability()
+        durability.enter(1)
+        waiting = [
+            asyncio.create_task(durability.wait(Position(1, index), 10.0))
+            for index in range(1, 6)
+        ]
+        await asyncio.sleep(0.01)
+        durability.advance(Position(1, 2))
+        durability.enter(2)
+        assert await asyncio.gather(*waiting) == [True, True, False, False, False]
+        assert asyncio.get_running_loop().time() < 0.1
+
+    run_virtual(main())
+
+
+def test_waits_that_gave_up_are_dropped() -> None:
+    async def main() -> None:
+        durability = Durability()
+        durability.enter(1)
+        for serial in range(5000):
+            with pytest.raises(TimeoutError):
+                await durability.wait(Position(1, serial), 0.0)
+        assert len(durability.waiters) <= 1100
+
+    run_virtual(main())
+
+
+class Members:
+    """Answer the questions of confirmation rounds.
+
+    :ivar states: answers by member; None gives none.
+    :ivar delay: seconds until an answer.
+    """
+
+    def __init__(self, states: dict[str, MemberState | None]) -> None:
+        self.states = states
+        self.delay = 0.01
+        self.asked = 0
+        self.samples: list[Sample] = []
+
+    async def ask(self, member: str, timeout: float) -> MemberState | None:
+        self.asked += 1
+        answer = self.states[member]
+        await asyncio.sleep(self.delay)
+        return answer
+
+    def confirmation(self) -> Confirmation:
+        return Confirmation(
+            list(self.states),
+            len(self.states) // 2 + 1,
+            self.ask,
+            lambda: Lead(3, "m1"),
+            self.samples.append,
+            LoopClock(),
+            0.25,
+        )
+
+
+LEADER = state("m1", 3, Position(3, 9), Role.PRIMARY)
+
+
+@pytest.mark.parametrize(
+    "second, third, proved",
+    [
+        (state("m2", 3, Position(3, 8)), None, True),
+        (state("m2", 2, Position(2, 1)), None, True),
+        (None, None, False),
+        (state("m2", 4, Position(3, 8)), state("m3", 4, Position(3, 8)), False),
+        (state("m2", 4, Position(3, 8)), state("m3", 3, Position(3, 8)), True),
+    ],
+)
+def test_a_round_needs_a_majority_that_promised_nothing_higher(
+    second: MemberState | None, third: MemberState | None, proved: bool
+) -> None:
+    async def main() -> None:
+        members = Members({"m1": LEADER, "m2": second, "m3": third})
+        confirmation = members.confirmation()
+        ticket = confirmation.request()
+        await confirmation.wait(ticket)
+        assert confirmation.confirms(ticket, 3) is proved
+        assert not confirmation.confirms(ticket, 2)
+        assert len(members.samples) == int(proved)
+
+    run_virtual(main())
+
+
+def test_a_round_without_its_primary_proves_nothing() -> None:
+    async def main() -> None:
+        replica = state("m2", 3, Position(3, 8))
+        other = state("m3", 3, Position(3, 8))
+        fenced = state("m1", 3, Position(3, 9), Role.FENCED)
+        for first in (None, fenced):
+            members = Members({"m1": first, "m2": replica, "m3": other})
+            confirmation = members.confirmation()
+            ticket = confirmation.request()
+            await confirmation.wait(ticket)
+            assert not confirmation.confirms(ticket, 3)
+
+    run_virtual(main())
+
+
+def test_a_round_begun_before_the_question_does_not_serve_it() -> None:
+    async def main() -> None:
+        replica = state("m2", 3, Position(3, 8))
+        members = Members({"m1": LEADER, "m2": replica, "m3": None})
+        confirmation = members.confirmation()
+        first = confirmation.request()
+        await asyncio.sleep(0.005)
+        members.states["m2"] = state("m2", 4, Position(3, 8))
+        tickets = {confirmation.request() for _ in range(10)}
+        assert len(tickets) == 1
+        second = tickets.pop()
+        await confirmation.wait(first)
+        assert confirmation.confirms(first, 3)
+        assert not confirmation.confirms(second, 3)
+        await confirmation.wait(second)
+        assert not confirmation.confirms(second, 3)
+        assert members.asked == 6
+
+    run_virtual(main())
+
+
+times = st.floats(0.0, 100.0)
+positions = st.builds(Position, st.integers(1, 3), st.integers(1, 9))
+
+
+@given(dated=times, asked=times, gap=times, transit=times, back=times)
+def test_a_sample_handed_on_is_never_dated_later(
+    dated: float, asked: float, gap: float, transit: float, back: float
+) -> None:
+    # Both clocks are read off one axis here; `gap` is how far they differ.
+    answered = max(dated, asked + transit)
+    sample = Sample(Position(1, 1), dated)
+    handed = Sample.from_json(sample.to_json(answered), asked + gap)
+    assert handed.dated - gap <= dated + 1e-6
+
+
+@given(st.lists(st.tuples(positions, times), max_size=80), positions)
+def test_an_age_is_that_of_a_sample_that_is_covered(
+    given_samples: list[tuple[Position, float]], applied: Position
+) -> None:
+    samples = Samples()
+    for position, dated in given_samples:
+        samples.add(Sample(position, dated))
+    age = samples.age(applied, 200.0)
+    covered = [
+        200.0 - dated for position, dated in given_samples if position <= applied
+    ]
+    if age is None:
+        return
+    assert age in covered
+
+
+def test_a_replica_that_lags_proves_an_older_sample() -> None:
+    samples = Samples()
+    for index in range(1, 50):
+        samples.add(Sample(Position(1, index), index * 0.1))
+    assert samples.age(Position(1, 20), 10.0) == pytest.approx(8.0)
+    assert samples.age(ORIGIN, 10.0) is None
+
+
+def test_a_superseded_primary_that_wrote_nothing_reads_nothing_fresh() -> None:
+    async def main() -> None:
+        cluster = Cluster()
+        await cluster.start()
+        await cluster.write("m1", "a")
+        cluster.cut_zone("m1")
+        await cluster.until_writable()
+        with pytest.raises(Refusal) as caught:
+            await cluster.read("m1", Consistency.FRESH, remaining=0.6)
+        assert caught.value.reason is Reason.UNCONFIRMED
+        await cluster.stop()
+
+    run_virtual(main())
+
+
+def test_a_fresh_read_does_not_show_what_may_still_be_lost() -> None:
+    async def main() -> None:
+        cluster = Cluster()
+        await cluster.start()
+        cluster.truth.cut({"m1"})
+        with pytest.raises(Refusal):
+            await cluster.write("m1", "unsafe", 0.1)
+        with pytest.raises(Refusal) as caught:
+            await cluster.read("m1", Consistency.FRESH, remaining=0.3)
+        assert caught.value.reason is Reason.UNCONFIRMED
+        await cluster.stop()
+
+    run_virtual(main())
+
+
+def test_a_write_whose_proof_took_long_is_confirmed_first() -> None:
+    async def main() -> None:
+        cluster = Cluster()
+        await cluster.start()
+        position = await cluster.write("m1", "a")
+        keeper = cluster.hosts["m1a"].keeper
+        await keeper.durable(position, 0.3, since=cluster.now() - 1.0)
+        cluster.network.isolate({"m1a"}, {"m2a", "m3a"})
+        await keeper.durable(position, 0.3)
+        with pytest.raises(Refusal) as caught:
+            await keeper.durable(position, 0.3, since=cluster.now() - 1.0)
+        assert caught.value.reason is Reason.NOT_DURABLE
+        await cluster.stop()
+
+    run_virtual(main())
