--- a/src/reedhook_standins/platform.py
+++ b/src/reedhook_standins/platform.py
@@ -1,9 +1,31 @@
-"""The platform's part of a deployment: store, host list, database groups."""
+"""The platform's part of a deployment: store, host list, database groups.
+
+Run by hand as ``python -m reedhook_standins.platform``, it serves until it is
+interrupted. The members listen at the addresses in the deployment's base file;
+the calls by which faults are switched are those of `Control`.
+
+Usage:
+  platform --deployment NAME [--port-base N]
+
+Options:
+  --deployment NAME  plant or danube.
+  --port-base N      port of the control; the store and the host list take
+                     the next two [default: 17000].
+"""
+
+import asyncio
+import signal
+import sys
+
+import uvloop
+from docopt import docopt
 
 from reedhook.clock import Clock, SystemClock
 from reedhook.process.hostlist import ListedKind
+from reedhook.process.io_uring import forbid_io_uring
 
-from .deployment import Deployment
+from .control import Control, groups_text
+from .deployment import NETWORKS, Deployment
 from .group import GroupStandin
 from .hostlist import HostListStandin
 from .member import MemberStandin
@@ -67,3 +89,51 @@
             for group in self.groups.values()
             for name, member in group.members.items()
         }
+
+
+async def serve(platform: Platform, port_base: int) -> None:
+    """Serve at fixed ports until the process is told to end."""
+    control = Control(platform)
+    control.port = port_base
+    platform.store.port = port_base + 1
+    platform.hostlist.port = port_base + 2
+    for name, port in base_ports(platform.deployment).items():
+        platform.members()[name].port = port
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, ended.set)
+    await platform.start()
+    await control.listen()
+    print(f"{'control':20} {control.address}")
+    print(f"{'store':20} {platform.store.address}")
+    print(f"{'hostlist':20} {platform.hostlist.address}")
+    print(groups_text(platform.groups), flush=True)
+    await ended.wait()
+    control.hang_up()
+    await platform.close()
+
+
+def base_ports(deployment: Deployment) -> dict[str, int]:
+    """Return the port of each member, as the base file gives it."""
+    return {
+        member: int(one["address"].rpartition(":")[2])
+        for service in deployment.base["services"].values()
+        for group in service["groups"].values()
+        for member, one in group["members"].items()
+    }
+
+
+def main() -> None:
+    """Run the stand-ins of a deployment by hand."""
+    options = docopt(__doc__)
+    name = options["--deployment"]
+    if name not in NETWORKS:
+        known = ", ".join(NETWORKS)
+        sys.exit(f"no deployment {name}: choose one of {known}")
+    forbid_io_uring()
+    uvloop.run(serve(Platform(Deployment(name)), int(options["--port-base"])))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_standin_control.py
@@ -0,0 +1,112 @@
+"""Faults switched by hand over HTTP."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from reedhook.connection.channel import open_channel
+from reedhook.connection.target import TargetUnreachable
+from reedhook.process.hostlist import ListedState
+from reedhook.wire import Json, decode, encode
+from reedhook_standins.control import Control
+from reedhook_standins.deployment import Deployment
+from reedhook_standins.platform import Platform, base_ports
+
+from .support import run
+from .support_group import connect
+
+
+class Hand:
+    """Call the control as a person does."""
+
+    def __init__(self, platform: Platform, control: Control) -> None:
+        self.platform = platform
+        self.control = control
+
+    async def call(self, name: str, status: int = 200, **message: object) -> Json:
+        channel = await open_channel(self.control.address, 1.0)
+        answer = await channel.exchange(name, encode(message), 1.0)
+        channel.close()
+        assert answer.status == status, answer.body
+        return decode(answer.body)
+
+
+@asynccontextmanager
+async def hand_of(name: str = "plant") -> AsyncIterator[Hand]:
+    platform = Platform(Deployment(name))
+    control = Control(platform)
+    await platform.start()
+    await control.listen()
+    try:
+        yield Hand(platform, control)
+    finally:
+        control.hang_up()
+        await platform.close()
+
+
+def test_a_member_is_killed_and_revived_at_its_address() -> None:
+    async def main() -> None:
+        async with hand_of() as hand:
+            member = hand.platform.members()["feedlog-1-a"]
+            address = member.address
+            await hand.call("kill", member=member.name)
+            with pytest.raises(TargetUnreachable):
+                await connect(member)
+            await hand.call("revive", member=member.name)
+            await hand.call("revive", 400, member=member.name)
+            assert member.address == address
+            assert (await (await connect(member)).state(1.0)).member == member.name
+
+    run(main())
+
+
+def test_faults_reach_the_stand_ins() -> None:
+    async def main() -> None:
+        async with hand_of() as hand:
+            platform = hand.platform
+            member = platform.members()["feedlog-1-a"]
+            await hand.call("pause", member=member.name)
+            assert not member.runs
+            await hand.call("resume", member=member.name)
+            assert member.runs
+            await hand.call("lag", member=member.name, ship=2, apply=1)
+            assert (member.ship_lag, member.apply_lag) == (2.0, 1.0)
+            await hand.call("partition", members=[member.name])
+            group = platform.groups["feedlog-1"]
+            assert not group.reachable(member.name, "feedlog-1-b")
+            await hand.call("heal")
+            assert group.reachable(member.name, "feedlog-1-b")
+            await hand.call("store", down=True, slow=0.5)
+            assert platform.store.down and platform.store.slow == 0.5
+            await hand.call("leave", member=member.name)
+            assert member.left is not None
+            await hand.call(
+                "list", host="h1", zone="comiso", address="127.0.0.1:1", state="live"
+            )
+            listed = {one.host: one.state for one in platform.hostlist.visible()}
+            assert listed["h1"] is ListedState.LIVE
+            assert listed[member.name] is ListedState.LEAVING
+            await hand.call("list", host="h1", state=None)
+            assert len(platform.hostlist.visible()) == len(platform.members())
+
+    run(main())
+
+
+def test_an_unknown_call_member_or_fault_is_refused() -> None:
+    async def main() -> None:
+        async with hand_of() as hand:
+            await hand.call("explode", 404)
+            await hand.call("kill", 404, member="nobody")
+            await hand.call("store", 400, broken=True)
+            answer = await hand.call("status")
+            assert len(answer["members"]) == 9
+
+    run(main())
+
+
+@pytest.mark.parametrize("name", ["plant", "danube"])
+def test_the_base_files_give_each_member_a_port_of_its_own(name: str) -> None:
+    ports = base_ports(Deployment(name))
+    assert len(ports) == 9
+    assert len(set(ports.values())) == 9
