Speak TLS on all interfaces, and send the metrics

TLS contexts and the statsd metrics existed and nothing ran them: metrics were gathered and never sent. What runs beside a host until it has stopped (sending metrics, reloading certificates) is now handed to its process; the last metrics go out at the end. Certificate files are tried when the settings are checked, so that a key of another certificate is a settings error with its path, not a failed start.

--- a/src/reedhook/process/assembly.py
+++ b/src/reedhook/process/assembly.py
@@ -12,7 +12,7 @@
 from .admin_config import config_routes
 from .host import Host
 from .hostlist_http import HttpHostList
-from .lifecycle import HostProcess
+from .lifecycle import Companion, HostProcess
 from .metrics import MemoryMetrics, Metrics
 from .peer import HostRef
 from .peer_http import HttpPeers
@@ -22,45 +22,60 @@
 from .statsd_metrics import StatsdMetrics
 from .store_http import HttpStore
 from .timeline import Timeline
+from .tls import TlsContexts
 
 METRICS_PREFIX: Final = "reedhook"
 
 
 def assemble_host(settings: Settings) -> HostProcess:
     """Return the process of a host as the daemon runs it."""
-    metrics: Metrics = MemoryMetrics()
-    if settings.statsd is not None:
-        metrics = StatsdMetrics(settings.statsd, METRICS_PREFIX)
-    return assemble(settings, SystemClock(), Random(), metrics)
+    if settings.statsd is None:
+        return assemble(settings, SystemClock(), Random(), MemoryMetrics())
+    metrics = StatsdMetrics(settings.statsd, f"{METRICS_PREFIX}.{settings.host}")
+    return assemble(settings, SystemClock(), Random(), metrics, (metrics.run,))
 
 
 def assemble(
-    settings: Settings, clock: Clock, random: Random, metrics: Metrics
+    settings: Settings,
+    clock: Clock,
+    random: Random,
+    metrics: Metrics,
+    companions: tuple[Companion, ...] = (),
 ) -> HostProcess:
-    """Return the process of a host with the given clock and random source."""
-    host = make_host(settings, clock, random, metrics)
+    """Return the process of a host with the given clock and random source.
+
+    :raises OSError: if a certificate file cannot be used.
+    """
+    tls = None if settings.tls is None else TlsContexts(settings.tls)
+    if tls is not None:
+        companions = (*companions, tls.follow)
+    host = make_host(settings, clock, random, metrics, tls)
     endpoint = PeerEndpoint(host.routes, settings.peer_credential, host.timeline)
+    operators_app = admin_app(host.admin, config_routes(host.admin, host.editor))
+    limits = settings.limits
+    shown = None if tls is None else tls.callers
     return HostProcess(
         host,
-        Server("callers", caller_app(host), settings.listen, settings.limits),
-        PeerServer(endpoint, settings.peer_listen),
-        Server(
-            "operators",
-            admin_app(host.admin, config_routes(host.admin, host.editor)),
-            settings.admin_listen,
-            settings.limits,
-        ),
+        Server("callers", caller_app(host), settings.listen, limits, shown),
+        PeerServer(endpoint, settings.peer_listen, None if tls is None else tls.peers),
+        Server("operators", operators_app, settings.admin_listen, limits, shown),
         clock,
-        settings.limits.shutdown_s,
+        limits.shutdown_s,
+        companions,
     )
 
 
 def make_host(
-    settings: Settings, clock: Clock, random: Random, metrics: Metrics
+    settings: Settings,
+    clock: Clock,
+    random: Random,
+    metrics: Metrics,
+    tls: TlsContexts | None = None,
 ) -> Host:
     """Return a host with HTTP adapters to the outside."""
     timeline = Timeline(settings.host, clock)
     me = HostRef(settings.host, settings.zone, settings.peer_listen)
+    context = None if tls is None else tls.client
     return Host(
         settings,
         clock,
@@ -69,7 +84,7 @@
         HttpHostList(settings.hostlist),
         HttpTargetFactory(settings.host),
         timeline,
-        HttpPeers(me, settings.peer_credential, timeline, clock),
+        HttpPeers(me, settings.peer_credential, timeline, clock, context),
         metrics,
     )
 
--- a/src/reedhook/process/lifecycle.py
+++ b/src/reedhook/process/lifecycle.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, TypeAlias
 
 import logbook
 
@@ -11,6 +11,8 @@
 from .peer_server import PeerServer
 from .server import Server
 
+Companion: TypeAlias = Callable[[Clock], Coroutine[Any, Any, None]]
+
 LINGER: Final = 1.0
 
 log = logbook.Logger("daemon")
@@ -48,9 +50,19 @@
     :param peers: serves other hosts, which may wait for this one's homes.
     :param admin: serves operators.
     :param bound: time in seconds for a graceful shutdown.
+    :param companions: run beside the host until it has stopped.
     """
 
-    __slots__ = ("host", "callers", "peers", "admin", "clock", "bound")
+    __slots__ = (
+        "host",
+        "callers",
+        "peers",
+        "admin",
+        "clock",
+        "bound",
+        "companions",
+        "tasks",
+    )
 
     def __init__(
         self,
@@ -60,6 +72,7 @@
         admin: Server,
         clock: Clock,
         bound: float,
+        companions: tuple[Companion, ...] = (),
     ) -> None:
         self.host = host
         self.callers = callers
@@ -67,6 +80,8 @@
         self.admin = admin
         self.clock = clock
         self.bound = bound
+        self.companions = companions
+        self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Open the servers and start the host.
@@ -74,6 +89,7 @@
         :raises OSError: if an address cannot be had.
         """
         self.host.on_drained = self.callers.start_leaving
+        self.tasks = [asyncio.create_task(run(self.clock)) for run in self.companions]
         await self.peers.start()
         await self.admin.start()
         await self.host.start()
@@ -93,6 +109,9 @@
             raise ShutdownOverdue(f"not done after {self.bound} s") from error
         finally:
             await self.host.close()
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
 
     async def drain(self) -> None:
         """Hand over, then close the servers one by one."""
--- a/src/reedhook/process/settings.py
+++ b/src/reedhook/process/settings.py
@@ -1,5 +1,6 @@
 """Settings of one host, read from a YAML file and checked as a whole."""
 
+import ssl
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, Final
@@ -282,12 +283,28 @@
     for name in SECRETS:
         yield from secret_file_errors(name, document.get(name), folder)
     tls = document.get("tls")
-    if not isinstance(tls, dict):
+    if isinstance(tls, dict):
+        yield from tls_errors(tls, folder)
+
+
+def tls_errors(tls: dict[Any, Any], folder: Path) -> Iterator[SettingsError]:
+    """Report certificate files that cannot be used."""
+    stated = [name for name in TLS_FILES if isinstance(tls.get(name), str)]
+    paths = {name: folder / str(tls[name]) for name in stated}
+    absent = [name for name, path in paths.items() if not path.is_file()]
+    for name in absent:
+        yield SettingsError(f"tls.{name}", "the file does not exist")
+    if absent or len(paths) < len(TLS_FILES):
         return
-    for name in TLS_FILES:
-        file = tls.get(name)
-        if isinstance(file, str) and not (folder / file).is_file():
-            yield SettingsError(f"tls.{name}", "the file does not exist")
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    try:
+        context.load_cert_chain(paths["cert"], paths["key"])
+    except OSError as error:
+        yield SettingsError("tls.cert", f"not a certificate with its key: {error}")
+    try:
+        context.load_verify_locations(paths["ca"])
+    except OSError as error:
+        yield SettingsError("tls.ca", f"not a list of authorities: {error}")
 
 
 def secret_file_errors(
--- a/src/reedhook/process/statsd_metrics.py
+++ b/src/reedhook/process/statsd_metrics.py
@@ -41,10 +41,13 @@
             kept.append(seconds)
 
     async def run(self, clock: Clock) -> None:
-        """Send at each interval until cancelled."""
-        while True:
-            await clock.sleep(FLUSH_INTERVAL)
-            self.flush()
+        """Send at each interval until cancelled, then send the rest."""
+        try:
+            while True:
+                await clock.sleep(FLUSH_INTERVAL)
+                self.flush()
+        finally:
+            self.close()
 
     def flush(self) -> None:
         """Send what has changed since the last time."""
--- a/tests/daemon_fakes.py
+++ b/tests/daemon_fakes.py
@@ -26,6 +26,7 @@
 
     def __init__(self) -> None:
         self.steps: list[str] = []
+        self.on_drained = lambda: None
         self.drained = asyncio.Event()
         self.drained.set()
         self.started = asyncio.Event()
--- /dev/null
+++ b/tests/test_daemon_host.py
@@ -0,0 +1,82 @@
+"""A real host, assembled as the daemon does, with its three interfaces."""
+
+import asyncio
+from pathlib import Path
+from random import Random
+
+import pytest
+import trustme
+
+from reedhook.clock import SystemClock
+from reedhook.process.assembly import assemble
+from reedhook.process.command_access import Endpoint, trust
+from reedhook.process.command_client import Client
+from reedhook.process.command_error import Unreachable
+from reedhook.process.lifecycle import HostProcess
+from reedhook.process.metrics import MemoryMetrics
+from reedhook.process.settings import Settings, TlsSettings
+
+from .admin_fakes import CREDENTIAL, DIGESTS
+from .support import run
+
+NOWHERE = "127.0.0.1:1"
+
+
+def settings(tls: TlsSettings | None = None) -> Settings:
+    """Return settings of a host without platform and peers."""
+    here = "127.0.0.1:0"
+    return Settings(
+        host="vittoria-1",
+        zone="vittoria",
+        listen=here,
+        peer_listen=here,
+        admin_listen=here,
+        store=NOWHERE,
+        hostlist=NOWHERE,
+        peer_credential="peers-peers-peers",
+        token_secret="tokens-tokens-tokens",
+        admins=DIGESTS,
+        tls=tls,
+    )
+
+
+def assembled(given: Settings) -> HostProcess:
+    """Return the process of a host."""
+    return assemble(given, SystemClock(), Random(1), MemoryMetrics())
+
+
+def test_a_host_without_its_platform_starts_answers_and_ends() -> None:
+    async def main() -> None:
+        process = assembled(settings())
+        await process.start()
+        endpoint = Endpoint((process.admin.address,), CREDENTIAL)
+        async with Client(endpoint) as client:
+            assert (await client.get("/admin/status"))["state"] == "serving"
+        await process.stop()
+        left = [one for one in asyncio.all_tasks() if one is not asyncio.current_task()]
+        assert left == []
+
+    run(main())
+
+
+def test_with_certificates_only_tls_is_spoken(tmp_path: Path) -> None:
+    authority = trustme.CA()
+    pair = authority.issue_cert("127.0.0.1").private_key_and_cert_chain_pem
+    authority.cert_pem.write_to_path(str(tmp_path / "ca"))
+    pair.write_to_path(str(tmp_path / "pair"))
+    files = TlsSettings(tmp_path / "pair", tmp_path / "pair", tmp_path / "ca")
+
+    async def main() -> None:
+        process = assembled(settings(files))
+        await process.start()
+        here = (process.admin.address,)
+        async with Client(
+            Endpoint(here, CREDENTIAL, trust(str(tmp_path / "ca")))
+        ) as client:
+            assert (await client.get("/admin/status"))["host"] == "vittoria-1"
+        async with Client(Endpoint(here, CREDENTIAL)) as client:
+            with pytest.raises(Unreachable):
+                await client.get("/admin/status")
+        await process.stop()
+
+    run(main())
--- a/tests/test_daemon_metrics.py
+++ b/tests/test_daemon_metrics.py
@@ -1,9 +1,13 @@
 """Metrics by UDP: batched, and never in the way."""
 
+import asyncio
 import socket
 
+from reedhook.clock import SystemClock
 from reedhook.process.statsd_metrics import TIMINGS_PER_FLUSH, StatsdMetrics
 
+from .support import run
+
 
 def receive(server: socket.socket) -> list[str]:
     """Return the lines that have arrived, sorted."""
@@ -36,6 +40,22 @@
         metrics.close()
 
 
+def test_the_rest_is_sent_at_the_end() -> None:
+    async def main(metrics: StatsdMetrics) -> None:
+        running = asyncio.create_task(metrics.run(SystemClock()))
+        await asyncio.sleep(0)
+        metrics.increment("statement")
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.setblocking(False)
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        run(main(StatsdMetrics(address, "reedhook.v1")))
+        assert receive(server) == ["reedhook.v1.statement:1|c"]
+
+
 def test_durations_of_one_interval_are_bounded() -> None:
     metrics = StatsdMetrics("127.0.0.1:9", "reedhook.v1")
     for _ in range(TIMINGS_PER_FLUSH * 3):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+import trustme
 import yaml
 
 from reedhook.process.settings import (
@@ -140,3 +141,16 @@
     for address in ("::1:80", "[127.0.0.1]:80", "1.2.3.4", "1.2.3.4:99999", "a:1"):
         with pytest.raises(ValueError):
             split_address(address)
+
+
+def test_certificate_files_are_tried(tmp_path: Path) -> None:
+    authority, other = trustme.CA(), trustme.CA()
+    issued, stranger = (one.issue_cert("127.0.0.1") for one in (authority, other))
+    authority.cert_pem.write_to_path(str(tmp_path / "ca"))
+    issued.private_key_and_cert_chain_pem.write_to_path(str(tmp_path / "pair"))
+    stranger.private_key_pem.write_to_path(str(tmp_path / "key"))
+    (tmp_path / "text").write_text("not PEM\n")
+    good = {"cert": "pair", "key": "pair", "ca": "ca"}
+    assert parse({"tls": good}, tmp_path).tls is not None
+    assert set(faults({"tls": good | {"key": "key"}}, tmp_path)) == {"tls.cert"}
+    assert set(faults({"tls": good | {"ca": "text"}}, tmp_path)) == {"tls.ca"}
