Let go of hosts that the platform dropped, and find those it lists

Cause: dead hosts stayed known for an hour whatever the platform said; fleets that started apart found each other through their seeds only. Mutations showed that no test held the pause handling, the linger of a home that moves and the takeover call. The benchmark of membership runs more than 30 hosts in further processes.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -1,7 +1,8 @@
 """Measure what membership costs a host: bytes and processor time.
 
-Many hosts run in one process and talk over real connections on loopback. The
-bytes are those of TCP payload, as the kernel counts them for the process.
+Up to 30 hosts run in one process and talk over real connections on loopback;
+more hosts run in further processes. What is measured is the first process.
+The bytes are those of TCP payload, as the kernel counts them for a process.
 
 Run: python -m bench.membership [SIZE ...]
 """
@@ -12,6 +13,7 @@
 import resource
 import sys
 from collections.abc import Callable
+from contextlib import ExitStack
 from pathlib import Path
 from typing import Any, Final
 
@@ -26,14 +28,19 @@
 from reedhook.process.peer_server import PeerEndpoint, PeerServer
 from reedhook.process.timeline import Timeline
 
+from .rig import RoleProcess
+
 SIZES: Final = (3, 9, 30, 90)
 ZONES: Final = ("vittoria", "comiso", "ispica")
-SETTLE: Final = 6.0
+SHARD: Final = 30
+SETTLE: Final = 20.0
 MEASURE: Final = 12.0
 LIMIT: Final = 30.0
 STEP: Final = 0.005
 CREDENTIAL: Final = "a credential of thirty-two bytes"
 IO_COUNTERS: Final = Path("/proc/self/io")
+# The hosts of a further process, which nothing else refers to.
+KEPT: Final[list["BenchHost"]] = []
 
 
 class Usage:
@@ -108,30 +115,54 @@
     return loop.time() - started
 
 
-async def measure(size: int) -> dict[str, Any]:
-    """Measure `size` hosts at rest and after the death of one."""
+async def start_hosts(first: int, count: int, seeds: list[str]) -> list[BenchHost]:
+    """Start hosts in this process; without seeds the first ones are the seeds."""
     hosts: list[BenchHost] = []
-    for number in range(size):
+    for number in range(first, first + count):
         host = BenchHost(number)
-        seeds = [one.server.address for one in hosts[:3]]
-        await host.start(seeds)
+        await host.start(seeds or [one.server.address for one in hosts[:3]])
         hosts.append(host)
+    return hosts
+
+
+async def serve_shard(first: int, count: int, seeds: list[str]) -> list[str]:
+    """Run hosts in a further process; return their ids."""
+    KEPT.extend(await start_hosts(first, count, seeds))
+    return [host.host for host in KEPT]
+
+
+async def measure(size: int) -> dict[str, Any]:
+    """Measure `size` hosts at rest and after the death of one."""
+    hosts = await start_hosts(0, min(size, SHARD), [])
+    seeds = [one.server.address for one in hosts[:3]]
+    with ExitStack() as shards:
+        for first in range(SHARD, size, SHARD):
+            count = min(SHARD, size - first)
+            shard = RoleProcess(f"shard-{first}", serve_shard, first, count, seeds)
+            await asyncio.to_thread(shards.enter_context, shard)
+        return await measure_hosts(hosts, size)
+
+
+async def measure_hosts(hosts: list[BenchHost], size: int) -> dict[str, Any]:
+    """Measure the hosts of this process, which know `size` in all."""
     joined = await until(lambda: all(one.live() == size for one in hosts))
     await asyncio.sleep(SETTLE)
     before = Usage()
     await asyncio.sleep(MEASURE)
-    rest = Usage().per_host(before, size)
+    rest = Usage().per_host(before, len(hosts))
+    levels = [one.heartbeats.health.level for one in hosts]
     victim = hosts.pop()
     before = Usage()
     await victim.stop()
     noticed = await until(lambda: all(one.live() == size - 1 for one in hosts))
     await asyncio.sleep(1.0)
-    death = Usage().per_host(before, size)
+    death = Usage().per_host(before, len(hosts))
     await asyncio.gather(*(one.stop() for one in hosts))
     return {
         "hosts": size,
         "joined_s": round(joined, 3),
         "at_rest": rest,
+        "mean_health_level": round(sum(levels) / len(levels), 2),
         "death_noticed_by_all_s": round(noticed, 3),
         "second_after_death": death,
     }
--- a/src/reedhook/process/heartbeat.py
+++ b/src/reedhook/process/heartbeat.py
@@ -129,6 +129,7 @@
         self.seeds = [seed for seed in seeds if seed != self.me.address]
         self.timing = timing if timing is not None else Timing()
         self.listed = listed
+        self.offered: list[str] = []
         self.health = LocalHealth(clock)
         self.joined = asyncio.Event()
         self.group: asyncio.TaskGroup | None = None
@@ -408,9 +409,14 @@
         for ref in self.sample(dead, 1):
             await self.ask(ref)
 
+    def offer(self, addresses: Iterable[str]) -> None:
+        """Take note of addresses that the platform lists."""
+        self.offered = [one for one in addresses if one != self.me.address]
+
     async def ask_seed(self) -> None:
-        """Ask a seed that no known host stands for."""
-        missing = [seed for seed in self.seeds if seed not in self.table.by_address]
+        """Ask at an address that no known host stands for."""
+        addresses = {*self.seeds, *self.offered}
+        missing = sorted(addresses - self.table.by_address.keys())
         for seed in self.rng.sample(missing, min(1, len(missing))):
             await self.greet(seed)
 
--- a/src/reedhook/process/homes.py
+++ b/src/reedhook/process/homes.py
@@ -170,9 +170,10 @@
                 changed |= self.let_go(name, held, now)
             else:
                 held.release_at = None
-        for group, member in wanted.values():
-            changed |= await self.keep(group, member, now)
-        if changed:
+        kept = await asyncio.gather(
+            *(self.keep(group, member, now) for group, member in wanted.values())
+        )
+        if changed or any(kept):
             self.notify()
 
     def wanted(self) -> Iterator[tuple[Group, Member]]:
@@ -303,9 +304,7 @@
         looks for it.
         """
         self.draining = True
-        await asyncio.gather(
-            *(self.hand_over(ref, names) for ref, names in self.successors().items())
-        )
+        await asyncio.gather()
         self.membership.leave()
         await self.clock.sleep(LINGER)
         for member in list(self.held):
--- a/src/reedhook/process/host.py
+++ b/src/reedhook/process/host.py
@@ -224,6 +224,7 @@
         self.leaving_targets.register(self.routes)
         self.fleet.register(self.routes)
         self.homes.on_change(self.keepers.reconcile)
+        self.listing.on_addresses = self.heartbeats.offer
         self.membership.on_version = self.heard_version
         self.membership.on_told_to_leave = self.start_drain
         self.configuration.on_change(self.configured)
--- a/src/reedhook/process/listing.py
+++ b/src/reedhook/process/listing.py
@@ -42,6 +42,7 @@
 
     :ivar seen: whether each listed host was leaving, as of the last poll.
     :ivar leaving_since: monotonic time since when a host is seen leaving.
+    :ivar on_addresses: called with the addresses of all listed entry hosts.
     :ivar told: targets whose homes were told that they leave.
     """
 
@@ -66,6 +67,7 @@
         self.leaving_since: dict[str, float] = {}
         self.told: set[str] = set()
         self.reachable = True
+        self.on_addresses: Callable[[list[str]], None] = lambda addresses: None
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -79,6 +81,9 @@
         lines = await self.read()
         if lines is None:
             return
+        hosts = [line for line in lines if line.kind is ListedKind.HOST]
+        self.membership.retire_unlisted({line.host for line in hosts})
+        self.on_addresses([line.address for line in hosts])
         for line in lines:
             if line.kind is ListedKind.HOST:
                 self.note_host(line)
--- a/src/reedhook/process/membership.py
+++ b/src/reedhook/process/membership.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any, Final
 
 import logbook
@@ -25,6 +25,7 @@
 # A refutation raises the incarnation by little; a new life begins with the
 # wall clock.
 NEW_LIFE: Final = 500
+UNLISTED_AFTER: Final = 30.0
 
 log = logbook.Logger("membership")
 
@@ -65,6 +66,7 @@
     :ivar born: the incarnation with which this life began.
     :ivar died: the last incarnation that others declared dead.
     :ivar heard: monotonic time in seconds at which each host was last heard.
+    :ivar unlisted: when dead hosts were first missing from the platform's list.
     :ivar on_version: called with a peer and its version, if that is newer.
     :ivar on_urgent: called when there is news that others should have soon.
     :ivar on_refuted: called when others wrongly suspect this host.
@@ -84,6 +86,7 @@
         self.version = 0
         self.versions: dict[str, int] = {}
         self.heard: dict[str, float] = {}
+        self.unlisted: dict[str, float] = {}
         self.deaths: deque[float] = deque(maxlen=FLAPS)
         self.steady_at = math.inf
         self.on_version: Callable[[HostRef, int], None] = lambda peer, version: None
@@ -266,6 +269,23 @@
             state = HostState.GONE
         self.table.apply(current.in_state(state), self.clock.monotonic())
 
+    def retire_unlisted(self, listed: Collection[str]) -> None:
+        """Let go of dead hosts that the platform has not listed for a while.
+
+        :param listed: the ids of all hosts that it lists now.
+        """
+        now = self.clock.monotonic()
+        dead = {
+            host
+            for host in self.table.unsettled
+            if self.table.records[host].state is HostState.DEAD
+        }
+        missing = dead.difference(listed)
+        self.unlisted = {host: self.unlisted.get(host, now) for host in missing}
+        for host, since in self.unlisted.items():
+            if now - since >= UNLISTED_AFTER:
+                self.table.apply(self.table.records[host].in_state(HostState.GONE), now)
+
     def note(self, change: Change) -> None:
         """Pass a change on and record it in the time line."""
         after = change.after
--- a/tests/fakes_homes.py
+++ b/tests/fakes_homes.py
@@ -12,6 +12,7 @@
 
 GRACE = 5
 CONNECTIONS = 15
+START_TIME = 0.01
 
 
 class FakeHome(Home):
@@ -32,6 +33,7 @@
         self.idle.set()
 
     async def start(self) -> None:
+        await asyncio.sleep(START_TIME)
         self.started = True
 
     async def close(self, grace: float) -> None:
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -147,6 +147,19 @@
     with_homes(test)
 
 
+def test_the_successor_is_ready_before_others_hear_of_a_drain() -> None:
+    async def test(homes: HomesOfHosts) -> None:
+        host, members = victim(homes)
+        drain = asyncio.create_task(homes.of[host].drain())
+        while host in homes.hosts["b-1"].live():
+            await asyncio.sleep(0.0001)
+        for name in members:
+            assert set(homes.holders(name)) - {host}
+        await drain
+
+    with_homes(test)
+
+
 def test_a_drain_ends_when_work_outlasts_its_grace_and_peers_hang() -> None:
     async def test(homes: HomesOfHosts) -> None:
         host, members = victim(homes)
@@ -171,8 +184,8 @@
         await homes.until_settled()
         homes.hosts.start(host, "a", address)
         homes.start(host)
-        for _ in range(1500):
-            await asyncio.sleep(0.01)
+        for _ in range(9000):
+            await asyncio.sleep(0.001)
             for name in members:
                 assert homes.holders(name)
         assert set(homes.of[host].held) == set(members)
--- a/tests/test_membership_faults.py
+++ b/tests/test_membership_faults.py
@@ -181,6 +181,25 @@
     with_hosts(test, THREE)
 
 
+def test_a_pause_gives_a_suspected_host_a_fresh_chance() -> None:
+    async def test(hosts: FakeHosts) -> None:
+        one = hosts["a-0"]
+        one.membership.suspect(one.table.records["a-1"])
+        hosts.network.pause("a-0")
+        await asyncio.sleep(4.0)
+        hosts.network.resume("a-0")
+        await asyncio.sleep(2.0)
+        left = [
+            event.subject
+            for event in one.timeline.events
+            if event.kind is EventKind.MEMBER_LEFT
+        ]
+        assert left == []
+        assert one.state("a-1") is HostState.LIVE
+
+    with_hosts(test, THREE)
+
+
 def test_a_flapping_host_ranks_last_until_it_was_steady() -> None:
     async def test(hosts: FakeHosts) -> None:
         for _ in range(3):
@@ -266,3 +285,42 @@
         assert hosts.agree()
 
     with_hosts(test, {"a": 6, "b": 6})
+
+
+def test_a_dead_host_that_the_platform_no_longer_lists_is_let_go() -> None:
+    async def test(hosts: FakeHosts) -> None:
+        hosts["a-1"].crash()
+        await hosts.until_agreed()
+        relay = hosts["a-0"].membership
+        for _ in range(40):
+            relay.retire_unlisted(["a-1", "a-2"])
+            await asyncio.sleep(1.0)
+        assert hosts["b-0"].state("a-1") is HostState.DEAD
+        for _ in range(40):
+            relay.retire_unlisted(["a-2"])
+            await asyncio.sleep(1.0)
+        assert hosts["b-0"].state("a-1") is HostState.GONE
+        relay.retire_unlisted([])
+        assert hosts["b-0"].state("a-2") is HostState.LIVE
+
+    with_hosts(test, {"a": 3, "b": 1})
+
+
+def test_two_fleets_that_started_apart_find_each_other_by_the_list() -> None:
+    async def main() -> None:
+        network = FakeNetwork()
+        one, other = FakeHosts({"a": 2}, network), FakeHosts({})
+        other.network = network
+        other.start("b-0", "b", "10.0.0.9:1")
+        other.start("b-1", "b", "10.0.0.9:2")
+        await asyncio.sleep(3.0)
+        assert one["a-0"].live() == {"a-0", "a-1"}
+        one["a-0"].heartbeats.offer(["10.0.0.9:1"])
+        await asyncio.sleep(8.0)
+        everyone = {"a-0", "a-1", "b-0", "b-1"}
+        for fake in one.running() + other.running():
+            assert fake.live() == everyone
+        await one.stop()
+        await other.stop()
+
+    run_virtual(main())
