--- a/src/reedhook/version/check.py
+++ b/src/reedhook/version/check.py
@@ -54,31 +54,59 @@
     faults: list[Fault] = []
     base = parse(BASE_FILE, documents.base, faults)
     overlays = parse_overlays(documents, only, faults)
-    if faults:
+    if not base.readable:
         refuse(faults)
+    unread = {(fault.mark.file, fault.path) for fault in faults}
     alone = Merged(None, base.content, base, None)
-    faults += schema_faults(alone, {})
-    sites = {site: merge_site(site, base, one) for site, one in overlays.items()}
-    for site, merged in sites.items():
-        faults += disagreements(base, overlays[site])
-        faults += schema_faults(merged, base.content)
-    # The checks of meaning read values by the shapes that the schema ensures.
-    if not faults:
+    broken = check_schema(alone, {}, unread, faults)
+    if "services" not in broken:
         faults += service_faults(alone, set(documents.overlays))
-        for merged in (alone, *sites.values()):
-            faults += team_faults(merged)
+    check_teams(alone, broken, faults)
+    sites: dict[str, Merged] = {}
+    for site, overlay in overlays.items():
+        merged = sites[site] = merge_site(site, base, overlay)
+        faults += disagreements(base, overlay)
+        broken_here = check_schema(merged, base.content, unread, faults)
+        check_teams(merged, broken | broken_here, faults)
     refuse(faults)
     return Checked(alone, sites)
 
 
+def check_schema(
+    merged: Merged, checked: Json, unread: set[tuple[str, Path]], faults: list[Fault]
+) -> set[str]:
+    """Append what breaks the schema; return the sections that are not sound.
+
+    The checks of meaning read sections by the shape that the schema ensures.
+
+    :param unread: files and paths of values that could not be read as plain
+        YAML and were told already.
+    """
+    broken = {path[0] for file, path in unread if path and file in merged.files}
+    for fault in schema_faults(merged, checked):
+        broken.update(fault.path[:1] or EMPTY_SECTIONS)
+        if (fault.mark.file, fault.path) not in unread:
+            faults.append(fault)
+    return broken
+
+
+def check_teams(merged: Merged, broken: set[str], faults: list[Fault]) -> None:
+    """Append what is wrong with the teams, if they and the services are sound."""
+    if broken.isdisjoint(("services", "teams")):
+        faults += team_faults(merged)
+
+
 def parse_overlays(
     documents: Documents, only: str | None, faults: list[Fault]
 ) -> dict[str, Parsed]:
-    """Read the overlays that are to be checked."""
+    """Return the overlays that are to be checked and can be read."""
     overlays: dict[str, Parsed] = {}
     for site, text in documents.overlays.items():
-        if only in (None, site):
-            overlays[site] = parse(overlay_file(site), text, faults)
+        if only not in (None, site):
+            continue
+        overlay = parse(overlay_file(site), text, faults)
+        if overlay.readable:
+            overlays[site] = overlay
     return overlays
 
 
--- a/src/reedhook/version/document.py
+++ b/src/reedhook/version/document.py
@@ -56,14 +56,16 @@
     :param file: the document's name.
     :param content: its values, as plain dicts, lists and scalars.
     :param lines: the line of each path, counted from 1.
+    :ivar readable: whether the document is a mapping in YAML, or empty.
     """
 
-    __slots__ = ("file", "content", "lines")
+    __slots__ = ("file", "content", "lines", "readable")
 
     def __init__(self, file: str, content: Json, lines: dict[Path, int]) -> None:
         self.file = file
         self.content = content
         self.lines = lines
+        self.readable = False
 
     def mark(self, path: Path) -> Mark:
         """Return where `path`, or the nearest mapping around it, is stated."""
@@ -121,6 +123,7 @@
         try:
             node = self.loader.get_single_node()
             if node is None or node.tag == f"{TAG}null":
+                self.parsed.readable = True
                 return
             values = self.value(node, ())
         finally:
@@ -129,6 +132,7 @@
             self.fault(node, (), "a mapping is expected")
             return
         self.parsed.content = values
+        self.parsed.readable = True
 
     def value(self, node: yaml.Node, path: Path) -> Any:
         """Return the plain value of `node`."""
--- a/src/reedhook/version/merge.py
+++ b/src/reedhook/version/merge.py
@@ -24,6 +24,12 @@
         self.base = base
         self.overlay = overlay
 
+    @property
+    def files(self) -> tuple[str, ...]:
+        """Return the names of the documents that were merged."""
+        overlay = () if self.overlay is None else (self.overlay.file,)
+        return (self.base.file, *overlay)
+
     def mark(self, path: Path) -> Mark:
         """Return where the value at `path`, or the nearest around it, is stated."""
         while path:
--- a/tests/test_config_accept.py
+++ b/tests/test_config_accept.py
@@ -92,6 +92,26 @@
     play(scene)
 
 
+@pytest.mark.parametrize("lost", [1, 2, 3, 4])
+def test_operators_race_while_both_lose_answers_and_read_stale(lost: int) -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        for one in fleet.hosts:
+            one.worker.most = 0.0
+            one.store.lose_answers = lost
+            reads = iter([1, 0, 1, 0, 1])
+            one.store.stale = lambda key, reads=reads: (  # type: ignore[misc]
+                next(reads, 0) if key == HEAD_KEY else 0
+            )
+        edits = [one.apply(n + 7, f"edit-{n}", 1) for n, one in enumerate(fleet.hosts)]
+        results = await asyncio.gather(*edits, return_exceptions=True)
+        assert {type(one) for one in results} == {Head, EditConflict}
+        (won,) = [one for one in results if isinstance(one, Head)]
+        assert won.version == 2
+        assert await edit_ids(host) == [won.edit_id, "first"]
+
+    play(scene)
+
+
 def test_a_conflict_names_each_version_since() -> None:
     async def scene(fleet: Fleet, host: FleetHost) -> None:
         for queue in range(2, 14):
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -1,11 +1,13 @@
 """What the check of documents accepts and what it says of the others."""
 
+import re
 from pathlib import Path
 from typing import Final
 
 import pytest
 from hypothesis import given, strategies as st
 
+from reedhook.version.catalog import Limits
 from reedhook.version.check import check
 from reedhook.version.document import Documents
 from reedhook.version.fault import DuplicateKeyFault, InvalidConfiguration, SyntaxFault
@@ -60,6 +62,16 @@
     assert len({repr((one.limits, one.teams)) for one in catalogs}) == sites
 
 
+def test_the_operators_page_shows_what_holds() -> None:
+    page = (EXAMPLES.parent / "docs" / "CONFIGURATION.md").read_text()
+    base, overlay = re.findall(r"```yaml\n(.*?)```", page, re.DOTALL)
+    overlays = {"vittoria": overlay, "comiso": "", "ispica": ""}
+    checked = check(Documents(base, overlays))
+    assert checked.catalog(1, "comiso").limits == Limits()
+    assert checked.catalog(1, "vittoria").limits.deadline_ms == 4000
+    assert checked.catalog(1, "vittoria").teams["gate"].rate == 400
+
+
 def test_an_overlay_changes_its_own_site_alone() -> None:
     checked = check(Documents(BASE, OVERLAYS))
     assert checked.catalog(3, "vittoria").limits.queue == 9
@@ -82,6 +94,25 @@
     ]
 
 
+def test_faults_of_all_kinds_are_reported_together() -> None:
+    base = BASE.replace("17102", "17101").replace("queue:", "queue: &a 6, queues:")
+    overlays = {
+        "vittoria": "teams: {gate: {services: [other]}}\nlimits: {queue: *a}",
+        "comiso": "services: {feedlog-db: {slots: 3}}\nlimits: {queue: 1, queue: 2}",
+        "Ispica": "",
+        "ispica": "teams: {gate: {services: [other]}}",
+    }
+    assert [line.split(": ")[0] for line in faults(base, overlays)] == [
+        "overlays/vittoria.yaml:2",
+        "overlays/comiso.yaml:2",
+        "base.yaml:12",
+        "base.yaml:9",
+        "overlays/Ispica.yaml",
+        "overlays/comiso.yaml:1",
+        "overlays/ispica.yaml:1",
+    ]
+
+
 @pytest.mark.parametrize(
     "overlay",
     [
--- a/tests/test_config_distribution.py
+++ b/tests/test_config_distribution.py
@@ -360,7 +360,7 @@
 
 @given(STEPS)
 @settings(max_examples=100)
-def test_versions_never_fall_and_all_hosts_converge(
+def test_an_accepted_configuration_is_in_force_everywhere_and_never_reverts(
     steps: list[tuple[str, int]],
 ) -> None:
     outcomes = Outcomes()
