Ready the successor's homes before anybody hears of a drain

With the call back, the test still failed once a home takes 10 ms to start: the successor learned of the leave from the call and spread that news itself. Change: the call is back; it no longer carries the leave. The successor keeps the targets for 5 s on the leaver's word and answers once their homes are here. Conclusion: the test passes, and fails with the call removed.

--- a/src/reedhook/process/homes.py
+++ b/src/reedhook/process/homes.py
@@ -13,7 +13,7 @@
 from ..wire import Json, WireError
 from .directory import MembershipDirectory
 from .membership import Membership
-from .membership_record import HostRecord, HostState
+from .membership_record import HostState
 from .peer import HostRef, PeerError, PeerRoutes, Peers
 from .rendezvous import share
 from .timeline import EventKind, Timeline
@@ -23,6 +23,8 @@
 TAKEOVER: Final = "takeover"
 TAKEOVER_TIMEOUT: Final = 1.0
 TAKEOVER_WAIT: Final = 0.5
+# How long targets are kept for a host that said it would leave and did not.
+PROMISE: Final = 5.0
 # Hosts whose view is a little older still find the former home meanwhile.
 LINGER: Final = 0.2
 INTERVAL: Final = 5.0
@@ -96,6 +98,7 @@
         self.closing: dict[str, list[Home]] = {}
         self.closers: set[asyncio.Task[None]] = set()
         self.former: dict[str, HostRef | None] = {}
+        self.promises: dict[str, tuple[str, float]] = {}
         self.draining = False
         self.wake = asyncio.Event()
         self.passed = asyncio.Event()
@@ -181,6 +184,9 @@
         served: dict[str, bool] = {}
         for group, member in targets(self.catalog):
             zone = member.zone
+            if self.promised(member.member):
+                yield group, member
+                continue
             if zone not in served:
                 served[zone] = self.directory.served(zone)
             if zone != self.me.zone and served[zone]:
@@ -191,6 +197,17 @@
             else:
                 self.former[member.member] = home
 
+    def promised(self, member: str) -> bool:
+        """Return whether a host that is about to leave passed `member` on."""
+        promise = self.promises.get(member)
+        if promise is None:
+            return False
+        leaver, until = promise
+        if self.membership.table.live(leaver) and self.clock.monotonic() < until:
+            return True
+        del self.promises[member]
+        return False
+
     async def keep(self, group: Group, member: Member, now: float) -> bool:
         """Make the home of a target unless it is there as it should be."""
         held = self.held.get(member.member)
@@ -230,6 +247,8 @@
     def cause(self, member: str) -> str:
         """Say why this host takes over `member`."""
         former = self.former.pop(member, None)
+        if member in self.promises:
+            return f"{self.promises[member][0]} is leaving"
         if former is None:
             return "start"
         record = self.membership.table.get(former.host)
@@ -277,13 +296,17 @@
             callback()
 
     async def answer_takeover(self, body: Json) -> Json:
-        """Take homes over from a host that is about to leave."""
-        leaver = HostRecord.from_json(body.get("me"))
-        members = body.get("members")
-        if leaver.state is not HostState.LEAVING or not isinstance(members, list):
+        """Take homes over from a host that is about to leave.
+
+        The host is still live for others; it leaves once these homes are here.
+        """
+        leaver, members = body.get("host"), body.get("members")
+        if not isinstance(leaver, str) or not isinstance(members, list):
             raise WireError("a host that leaves and its targets are expected")
-        self.membership.learn(leaver, self.clock.monotonic())
-        await self.settled(set(map(str, members)))
+        until = self.clock.monotonic() + PROMISE
+        known = self.configured.intersection(map(str, members))
+        self.promises.update(dict.fromkeys(known, (leaver, until)))
+        await self.settled(known)
         return {"taken": [one for one in members if one in self.held]}
 
     async def settled(self, members: set[str]) -> None:
@@ -304,7 +327,9 @@
         looks for it.
         """
         self.draining = True
-        await asyncio.gather()
+        await asyncio.gather(
+            *(self.hand_over(ref, names) for ref, names in self.successors().items())
+        )
         self.membership.leave()
         await self.clock.sleep(LINGER)
         for member in list(self.held):
@@ -324,7 +349,7 @@
     async def hand_over(self, ref: HostRef, members: list[str]) -> None:
         """Ask `ref` to take targets over; without an answer it learns it later."""
         body: Json = {
-            "me": self.membership.farewell().to_json(),
+            "host": self.me.host,
             "members": members,
         }
         try:
