--- a/src/reedhook/process/host.py
+++ b/src/reedhook/process/host.py
@@ -189,12 +189,17 @@
             self.catalog,
             self.router,
             self.dispatch,
-            (self.settings.token_secret.encode(),),
+            self.token_secrets(),
             self.clock,
             self.metrics,
             self.settings.limits.body_bytes,
         )
 
+    def token_secrets(self) -> tuple[bytes, ...]:
+        """Return the secrets of session tokens; the first one signs."""
+        former = self.settings.former_token_secrets
+        return tuple(one.encode() for one in (self.settings.token_secret, *former))
+
     def make_administration(self) -> None:
         """Make what answers operators."""
         self.source = HostSource(
--- a/src/reedhook/process/settings.py
+++ b/src/reedhook/process/settings.py
@@ -14,6 +14,7 @@
 LISTENERS: Final = ("listen", "peer_listen", "admin_listen")
 TLS_FILES: Final = ("cert", "key", "ca")
 SECRETS: Final = ("peer_credential", "token_secret")
+FORMER: Final = "former_token_secrets"
 REASONS: Final = {
     "format": "an IP number with a port is expected, such as 10.0.0.1:8000",
     "additionalProperties": "unknown setting",
@@ -100,6 +101,8 @@
     :param seeds: peer addresses of some other hosts.
     :param peer_credential: shared by all hosts of the deployment.
     :param token_secret: signs session tokens; shared by all hosts.
+    :param former_token_secrets: verify tokens besides, while the secret is
+        being replaced.
     :param admins: SHA-256 hex digest of each operator's credential, by name.
     :param statsd: where metrics go; None for nowhere.
     :param log_level: the lowest level that is logged.
@@ -117,6 +120,7 @@
         "seeds",
         "peer_credential",
         "token_secret",
+        "former_token_secrets",
         "admins",
         "statsd",
         "log_level",
@@ -137,6 +141,7 @@
         token_secret: str,
         admins: dict[str, str],
         seeds: tuple[str, ...] = (),
+        former_token_secrets: tuple[str, ...] = (),
         statsd: str | None = None,
         log_level: str = "info",
         tls: TlsSettings | None = None,
@@ -152,6 +157,7 @@
         self.seeds = seeds
         self.peer_credential = peer_credential
         self.token_secret = token_secret
+        self.former_token_secrets = former_token_secrets
         self.admins = admins
         self.statsd = statsd
         self.log_level = log_level
@@ -282,6 +288,9 @@
     """Report files that are named and cannot be used."""
     for name in SECRETS:
         yield from secret_file_errors(name, document.get(name), folder)
+    former = document.get(FORMER)
+    for index, one in enumerate(former if isinstance(former, list) else ()):
+        yield from secret_file_errors(f"{FORMER}[{index}]", one, folder)
     tls = document.get("tls")
     if isinstance(tls, dict):
         yield from tls_errors(tls, folder)
@@ -337,6 +346,8 @@
     values = dict(document)
     for name in SECRETS:
         values[name] = read_secret(document[name], folder)
+    former = document.get(FORMER, ())
+    values[FORMER] = tuple(read_secret(one, folder) for one in former)
     values["seeds"] = tuple(document.get("seeds", ()))
     tls = document.get("tls")
     if tls is not None:
--- a/src/reedhook/process/settings_schema.py
+++ b/src/reedhook/process/settings_schema.py
@@ -57,6 +57,7 @@
         "seeds": {"type": "array", "items": ADDRESS, "uniqueItems": True},
         "peer_credential": SECRET,
         "token_secret": SECRET,
+        "former_token_secrets": {"type": "array", "items": SECRET},
         "admins": {
             "type": "object",
             "minProperties": 1,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -105,6 +105,19 @@
     assert settings.token_secret == "from-a-file-from-a-file"
 
 
+def test_former_secrets_are_checked_and_read(tmp_path: Path) -> None:
+    (tmp_path / "old").write_text("old-old-old-old-old\n")
+    former = [{"file": "old"}, "older-older-older-older"]
+    settings = parse({"former_token_secrets": former}, tmp_path)
+    expected = ("old-old-old-old-old", "older-older-older-older")
+    assert settings.former_token_secrets == expected
+    wrong: dict[str, object] = {"former_token_secrets": ["short", {"file": "absent"}]}
+    assert set(faults(wrong, tmp_path)) == {
+        "former_token_secrets[0]",
+        "former_token_secrets[1].file",
+    }
+
+
 def test_files_that_cannot_be_used_are_reported(tmp_path: Path) -> None:
     (tmp_path / "token").write_text("short\n")
     found = faults(
