Replace connections that the target has closed

Cause: the HTTP adapter says TargetUnreachable when a kept connection had already ended, so nothing was sent; the home took this for no refusal at all and let it through as an error, as after a restart of a target. The fake could not bring it about. Change: a single statement goes to a new connection, a transaction is told that it is lost and not run, also at its commit, and a control call asks on a new connection.

--- a/src/reedhook/connection/control.py
+++ b/src/reedhook/connection/control.py
@@ -14,6 +14,7 @@
     TargetError,
     TargetFull,
     TargetSilent,
+    TargetUnreachable,
 )
 
 HOLD: Final = 0.1
@@ -65,7 +66,7 @@
             connection = await self.pool.take(timeout)
             try:
                 return await self.ask(connection, question, KEPT_SILENCE)
-            except TargetSilent:
+            except (TargetSilent, TargetUnreachable):
                 self.pool.suspect_idle()
         rest = max(timeout - (self.clock.monotonic() - began), KEPT_SILENCE)
         connection = await self.pool.fresh(rest)
--- a/src/reedhook/connection/sender.py
+++ b/src/reedhook/connection/sender.py
@@ -65,6 +65,8 @@
         :raises Refusal: not run, if it is too late or the target refused; the
             connection is in order.
         :raises TargetSilent: if no answer came; the connection is in doubt.
+        :raises TargetUnreachable: if the target had closed the connection;
+            nothing was sent.
         """
         if deadline.remaining() <= 0.0:
             raise late()
--- a/src/reedhook/connection/single.py
+++ b/src/reedhook/connection/single.py
@@ -6,8 +6,8 @@
 from ..request.statement import Kind, Statement
 from .call import Attempt
 from .sender import Sender
-from .target import TargetResult, TargetSilent
-from .verdicts import lost
+from .target import TargetResult, TargetSilent, TargetUnreachable
+from .verdicts import lost, unreachable
 
 
 class SingleStatements:
@@ -67,11 +67,29 @@
 
     async def send(
         self, statement: Statement, deadline: Deadline, attempt: Attempt
+    ) -> TargetResult:
+        """Run the statement on a borrowed connection that is still open.
+
+        :raises Refusal: not run.
+        :raises TargetSilent: if it was sent and not answered.
+        """
+        try:
+            return await self.send_borrowed(statement, deadline, attempt)
+        except TargetUnreachable:
+            self.sender.pool.suspect_idle()
+        try:
+            return await self.send_borrowed(statement, deadline, attempt)
+        except TargetUnreachable as error:
+            raise unreachable() from error
+
+    async def send_borrowed(
+        self, statement: Statement, deadline: Deadline, attempt: Attempt
     ) -> TargetResult:
         """Run the statement on a borrowed connection.
 
         :raises Refusal: not run.
         :raises TargetSilent: if it was sent and not answered.
+        :raises TargetUnreachable: if the target had closed the connection.
         """
         sender = self.sender
         connection = await sender.borrow(deadline)
--- a/src/reedhook/connection/transaction.py
+++ b/src/reedhook/connection/transaction.py
@@ -9,7 +9,13 @@
 from ..request.statement import Kind, Statement
 from .call import Attempt
 from .sender import Sender
-from .target import TargetConnection, TargetError, TargetResult, TargetSilent
+from .target import (
+    TargetConnection,
+    TargetError,
+    TargetResult,
+    TargetSilent,
+    TargetUnreachable,
+)
 from .verdicts import full, lost, unreachable
 
 KEPT_ENDINGS: Final = 1024
@@ -153,6 +159,9 @@
             self.release(permit, connection)
             if isinstance(error, TargetSilent):
                 raise lost(statement, deadline, error) from error
+            if isinstance(error, TargetUnreachable):
+                self.sender.pool.suspect_idle()
+                raise unreachable() from error
             raise
         assert result is not None
         transaction = Transaction(name, statement.caller, connection, permit)
@@ -181,6 +190,8 @@
             return result
         except TargetSilent as error:
             raise lost(statement, deadline, error) from error
+        except TargetUnreachable as error:
+            raise not_run(Reason.TRANSACTION_LOST, LOST) from error
         except Refusal as refusal:
             goes_on = refusal.reason not in FATAL and not (
                 statement.kind is Kind.COMMIT
--- a/tests/fakes_target.py
+++ b/tests/fakes_target.py
@@ -144,6 +144,12 @@
         position = Position(self.leader_term, self.held.index + 1)
         self.change(held=position, applied=position)
 
+    def hang_up_all(self) -> None:
+        """Close all connections from this side, as a restart does."""
+        for connection in self.connections:
+            connection.hung_up = True
+        self.connections.clear()
+
     def silence_all(self) -> None:
         """Make all open connections half-open; new ones work."""
         for connection in self.connections:
@@ -154,12 +160,14 @@
     """Hold one connection to a `FakeTarget`.
 
     :ivar silent: nothing that is sent arrives.
+    :ivar hung_up: the target has closed it, which the next use finds out.
     """
 
     def __init__(self, target: FakeTarget, number: int) -> None:
         self.target = target
         self.number = number
         self.silent = False
+        self.hung_up = False
         self.busy = False
         self.closed = False
         self.in_doubt = False
@@ -266,7 +274,8 @@
             return
         self.closed = True
         self.pending = None
-        self.target.connections.remove(self)
+        if not self.hung_up:
+            self.target.connections.remove(self)
 
     def outside_transaction(self, text: str) -> None:
         if self.pending is not None:
@@ -287,6 +296,9 @@
             self.fault(f"{text} after close")
         if self.in_doubt:
             self.fault(f"{text} in doubt")
+        if self.hung_up:
+            self.in_doubt = True
+            raise TargetUnreachable("the connection has ended")
         self.busy = True
         self.in_doubt = True
 
--- a/tests/test_home_transactions.py
+++ b/tests/test_home_transactions.py
@@ -134,6 +134,26 @@
         assert target.ran["t1:step"] == times
 
 
+def test_a_commit_on_a_connection_that_the_target_closed_did_not_run() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        await begin(home, "t1")
+        await step(home, "t1")
+        target.hang_up_all()
+        refusal = await refusal_of(commit(home, "t1"))
+        assert refusal.reason is Reason.TRANSACTION_LOST
+        assert refusal.verdict is Verdict.NOT_RUN
+        target.hang_up_all()
+        await outcome_of(begin(home, "t2"))
+        await begin(home, "t3")
+        await commit(home, "t3")
+
+    with_home(target, body)
+    assert target.ran == {}
+    assert target.faults == []
+
+
 def test_a_failed_step_leaves_the_transaction_open() -> None:
     target = FakeTarget()
 
