--- /dev/null
+++ b/tests/test_rolling_restart.py
@@ -0,0 +1,34 @@
+"""All hosts are restarted in turn while callers are at work."""
+
+import asyncio
+from collections import Counter
+
+from reedhook.request.statement import Consistency
+from reedhook.request.verdict import Verdict
+
+from .test_world import Scene, play
+
+
+async def work(scene: Scene, stop: asyncio.Event) -> None:
+    """Write and read through changing hosts until told to stop."""
+    while not stop.is_set():
+        await scene.assign()
+        await scene.look(Consistency.SESSION)
+
+
+def test_a_rolling_restart_cuts_no_request_and_loses_nothing() -> None:
+    async def act(scene: Scene) -> None:
+        world = scene.world
+        stop = asyncio.Event()
+        at_work = asyncio.create_task(work(scene, stop))
+        for name in list(world.settings):
+            await world.stop_host(name)
+            await world.start_host(name)
+        stop.set()
+        await at_work
+        assert scene.broken() == []
+        verdicts = Counter(one.verdict for one in scene.history.attempts)
+        assert verdicts[Verdict.MAY_HAVE_RUN] == 0
+        assert verdicts[Verdict.DONE] >= len(world.settings)
+
+    play(act)
