Say which events are left out, and ask for groups side by side

A ring part was cut at 1000 events without a word, so that a reader could take a gap for silence; the hosts with older events are now named. Groups were asked one after the other, up to half a second each while a home is gone; 16 are now asked at once. A property test sends edits of any form.

--- a/src/reedhook/process/admin.py
+++ b/src/reedhook/process/admin.py
@@ -1,5 +1,6 @@
 """The administration API: HTTP with JSON, described in docs/ADMIN.md."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeAlias
 
@@ -9,6 +10,7 @@
 from ..request.api import read_body, respond, respond_refused
 from ..request.refusal import Reason, Refusal, not_run
 from ..request.verdict import Verdict
+from ..request.view import GroupView
 from ..version.catalog import Group
 from ..wire import Json, WireError, decode
 from .admin_fleet import Fleet
@@ -20,6 +22,7 @@
 
 Handler: TypeAlias = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
+GROUPS_AT_ONCE: Final = 16
 OPERATOR: Final = web.RequestKey("operator", str)
 
 log = logbook.Logger("admin")
@@ -68,12 +71,18 @@
             groups = list(self.all_groups().values())
         else:
             groups = [self.group(name)]
-        found = [await self.group_status(group) for group in groups]
-        return respond(200, {"groups": found})
-
-    async def group_status(self, group: Group) -> Json:
-        """Return what is known of a group."""
-        view = await self.source.view(group)
+        places = asyncio.Semaphore(GROUPS_AT_ONCE)
+        asked = (self.group_status(group, places) for group in groups)
+        return respond(200, {"groups": await asyncio.gather(*asked)})
+
+    async def group_status(self, group: Group, places: asyncio.Semaphore) -> Json:
+        """Return what the homes of a group know of it."""
+        async with places:
+            view = await self.source.view(group)
+        return self.group_line(group, view)
+
+    def group_line(self, group: Group, view: GroupView) -> Json:
+        """Return a group as it stands on the wire."""
         homes: dict[str, str | None] = {}
         for member in group.members:
             home = self.source.home(member.member, member.zone)
--- a/src/reedhook/process/admin_fleet.py
+++ b/src/reedhook/process/admin_fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Final, TypeVar
 
+from ..record import Record
 from ..request.refusal import Reason, Refusal, may_have_run, not_run
 from ..wire import Json, WireError
 from .admin_source import AdminSource
@@ -21,6 +22,19 @@
 T = TypeVar("T")
 
 
+class RingPart(Record):
+    """Carry events of one host.
+
+    :param cut: whether there are older ones that are wanted.
+    """
+
+    __slots__ = ("events", "cut")
+
+    def __init__(self, events: list[Event], cut: bool) -> None:
+        self.events = events
+        self.cut = cut
+
+
 class Fleet:
     """Ask all hosts, a bounded number at once."""
 
@@ -42,18 +56,18 @@
 
     async def answer_events(self, body: Json) -> Json:
         """Answer the peer path ``events``; the body is a filter."""
-        events = self.own_events(EventFilter.from_json(body))
-        return {"events": [one.to_json() for one in events]}
+        part = self.own_part(EventFilter.from_json(body))
+        return {"events": [one.to_json() for one in part.events], "cut": part.cut}
 
     async def answer_drain(self, body: Json) -> Json:
         """Answer the peer path ``drain``."""
         self.source.start_drain()
         return {"host": self.source.me.host}
 
-    def own_events(self, wanted: EventFilter) -> list[Event]:
+    def own_part(self, wanted: EventFilter) -> "RingPart":
         """Return the newest events of this host that are wanted."""
         found = [one for one in self.source.timeline.events if wanted.accepts(one)]
-        return found[-MOST_EVENTS:]
+        return RingPart(found[-MOST_EVENTS:], len(found) > MOST_EVENTS)
 
     async def statuses(self) -> tuple[list[HostStatus], dict[str, str]]:
         """Return the status of each host, and why it is missing of the others."""
@@ -62,18 +76,21 @@
 
     async def history(self, wanted: EventFilter, everywhere: bool) -> History:
         """Return the events of this host or of all hosts in one causal order."""
-        rings: dict[str, list[Event]] = {}
+        parts: dict[str, RingPart] = {}
         missing: dict[str, str] = {}
 
-        async def events_of(peer: HostRef) -> list[Event]:
+        async def part_of(peer: HostRef) -> RingPart:
             answer = await self.call(peer, "events", wanted.to_json())
-            return [Event.from_json(one) for one in answer["events"]]
+            events = [Event.from_json(one) for one in answer["events"]]
+            return RingPart(events, answer["cut"] is True)
 
         if everywhere:
             asked = self.asked_hosts(wanted)
-            rings, missing = await self.ask_all(events_of, asked)
-        own = self.own_events(wanted)
-        return History(merge([own, *rings.values()]), missing)
+            parts, missing = await self.ask_all(part_of, asked)
+        parts[self.source.me.host] = self.own_part(wanted)
+        cut = tuple(host for host, part in parts.items() if part.cut)
+        rings = [part.events for part in parts.values()]
+        return History(merge(rings), missing, cut)
 
     def asked_hosts(self, wanted: EventFilter) -> list[HostRef]:
         """Return the hosts that may have such events."""
--- a/src/reedhook/process/timeline_merge.py
+++ b/src/reedhook/process/timeline_merge.py
@@ -14,19 +14,27 @@
 
     :param events: in that order.
     :param missing: why the events of a host are not there, by host.
+    :param cut: hosts that have older events than were asked for.
     """
 
-    __slots__ = ("events", "missing")
+    __slots__ = ("events", "missing", "cut")
 
-    def __init__(self, events: tuple[Event, ...], missing: dict[str, str]) -> None:
+    def __init__(
+        self,
+        events: tuple[Event, ...],
+        missing: dict[str, str],
+        cut: tuple[str, ...] = (),
+    ) -> None:
         self.events = events
         self.missing = missing
+        self.cut = cut
 
     def to_json(self) -> Json:
         """Return the history as it stands on the wire."""
         return {
             "events": [event.to_json() for event in self.events],
             "missing": self.missing,
+            "cut": self.cut,
         }
 
     @classmethod
@@ -36,7 +44,7 @@
         :raises WireError: if an event has another form.
         """
         events = tuple(Event.from_json(one) for one in message["events"])
-        return cls(events, dict(message["missing"]))
+        return cls(events, dict(message["missing"]), tuple(message["cut"]))
 
 
 class Failover(Record):
--- a/src/reedhook/process/timeline_page.py
+++ b/src/reedhook/process/timeline_page.py
@@ -8,7 +8,7 @@
 from ..record import Record
 from .timeline import Event, EventKind
 from .timeline_merge import Failover, History, failovers, order
-from .timeline_text import clock_time, details, text_of
+from .timeline_text import clock_time, details, failover_lines, gaps
 
 LEFT: Final = 170
 TOP: Final = 40
@@ -61,7 +61,7 @@
 svg .time { fill: #777; font-size: 10px; }
 svg .failover { fill: #d55e00; fill-opacity: 0.12; }
 table { border-collapse: collapse; font: 13px monospace; }
-td, th { padding: 2px 12px 2px 0; text-align: left; vertical-align: top; }
+td, th { padding: 2px 12px 2px 0; text-align: left; white-space: nowrap; }
 .key { display: inline-block; margin-right: 16px; }
 .key i { display: inline-block; width: 10px; height: 10px; border-radius: 5px; }
 .off { display: none; }
@@ -140,7 +140,7 @@
         "<figure>",
         *picture(history.events),
         "</figure>",
-        *missing(history),
+        *(f"<p>{escape(gap)}</p>" for gap in gaps(history)),
         *failover_texts(history),
         *table(history.events),
         f"<script>{SCRIPT}</script></body></html>",
@@ -216,16 +216,11 @@
     return f'<circle data-subject="{subject}" {where}><title>{title}</title></circle>'
 
 
-def missing(history: History) -> Iterator[str]:
-    """Name the hosts whose events are not there."""
-    for host, reason in sorted(history.missing.items()):
-        yield f"<p>The events of {escape(host)} are missing: {escape(reason)}.</p>"
-
-
 def failover_texts(history: History) -> Iterator[str]:
     """Give the changes of primary in words."""
-    _, separator, text = text_of(history).partition("\n\n")
-    if separator and failovers(history.events):
+    found = failovers(history.events)
+    if found:
+        text = "\n".join(line for one in found for line in failover_lines(one))
         yield f"<h2>Changes of primary</h2><pre>{escape(text)}</pre>"
 
 
--- a/src/reedhook/process/timeline_text.py
+++ b/src/reedhook/process/timeline_text.py
@@ -13,11 +13,19 @@
     lines = list(event_lines(history.events)) or ["No events."]
     for failover in failovers(history.events):
         lines += ["", *failover_lines(failover)]
-    for host, reason in sorted(history.missing.items()):
-        lines += ["", f"The events of {host} are missing: {reason}."]
+    for gap in gaps(history):
+        lines += ["", gap]
     return "\n".join(lines)
 
 
+def gaps(history: History) -> Iterator[str]:
+    """Say what is not there."""
+    for host, reason in sorted(history.missing.items()):
+        yield f"The events of {host} are missing: {reason}."
+    for host in sorted(history.cut):
+        yield f"Older events of {host} are left out."
+
+
 def event_lines(events: Iterable[Event]) -> Iterator[str]:
     """Give one line for each event, in columns."""
     rows = [
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -9,6 +9,7 @@
 from syrupy.assertion import SnapshotAssertion
 
 from reedhook.process.admin import Admin, admin_app
+from reedhook.process.admin_fleet import MOST_EVENTS
 from reedhook.process.admin_operator import Operators
 from reedhook.process.timeline import EventKind
 from reedhook.wire import Json
@@ -164,6 +165,20 @@
     assert body["missing"] == {}
 
 
+def test_a_host_with_older_events_is_named() -> None:
+    network = FakeNetwork()
+    for number, count in ((1, MOST_EVENTS), (2, MOST_EVENTS + 1)):
+        timeline = network.sources[f"vittoria-{number}"].timeline
+        for index in range(count):
+            timeline.record(EventKind.STORE, str(index))
+    _, body = get(network, "/admin/events?all=1")
+    assert body["cut"] == ["vittoria-2"]
+    assert len(body["events"]) == 2 * MOST_EVENTS
+    assert "0" not in {
+        one["subject"] for one in body["events"] if one["host"] == "vittoria-2"
+    }
+
+
 def test_many_hosts_are_asked_a_bounded_number_at_once() -> None:
     network = FakeNetwork(100)
     statuses, missing = run(network.fleet().statuses())
--- a/tests/test_admin_config.py
+++ b/tests/test_admin_config.py
@@ -1,10 +1,12 @@
 """The administration API of the configuration, with the real editor."""
 
+import json
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp.test_utils import TestClient, TestServer
+from hypothesis import given, settings, strategies as st
 
 from reedhook.clock import SystemClock
 from reedhook.process.admin import Admin, admin_app
@@ -17,7 +19,7 @@
 from reedhook.wire import Json
 
 from .admin_fakes import DIGESTS, HEADERS, FakeNetwork
-from .config_fleet import documents
+from .config_fleet import BASE, documents
 from .fakes_store import FakeStore
 from .support import run
 
@@ -176,6 +178,41 @@
     visit(steps)
 
 
+values = st.recursive(
+    st.none() | st.booleans() | st.integers(-2, 2**70) | st.text(max_size=6),
+    lambda inner: st.lists(inner, max_size=2)
+    | st.dictionaries(st.text(max_size=4), inner, max_size=2),
+    max_leaves=4,
+)
+edits = st.fixed_dictionaries(
+    {},
+    optional={
+        "base": st.sampled_from([BASE, "a: [", "\0"]) | values,
+        "overlays": st.dictionaries(st.text(max_size=4), values, max_size=2) | values,
+        "parent": values,
+        "comment": values,
+        "edit_id": st.just("e1") | values,
+        "odd": values,
+    },
+)
+
+
+@settings(max_examples=60)
+@given(path=st.sampled_from(["check", "apply"]), body=edits | values)
+def test_no_edit_fails_within_or_takes_effect_by_mistake(path: str, body: Any) -> None:
+    async def steps(client: Any) -> None:
+        url = f"/admin/config/{path}"
+        data = json.dumps(body).encode()
+        async with client.post(url, data=data) as response:
+            answer = await response.json()
+        assert response.status in (200, 400, 409, 422), answer
+        accepted = path == "apply" and response.status == 200
+        assert accepted or answer["verdict"] == "not run" or answer["valid"]
+        assert len((await get(client, "/history"))[1]["versions"]) == int(accepted)
+
+    visit(steps)
+
+
 def test_the_status_names_each_hosts_version() -> None:
     network = FakeNetwork(3)
     network.sources["vittoria-3"].version = 9
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -116,6 +116,14 @@
     assert text_of(history) == snapshot
 
 
+def test_what_is_left_out_is_said() -> None:
+    history = History(merge(a_failover()), {"i": "no answer"}, ("comiso-1",))
+    for shown in (text_of(history), page_of(history)):
+        assert "The events of i are missing: no answer." in shown
+        assert "Older events of comiso-1 are left out." in shown
+    assert History.from_json(json.loads(json.dumps(history.to_json()))) == history
+
+
 def test_a_failover_names_who_suspected_agreed_and_resumed() -> None:
     (found,) = failovers(merge(a_failover()))
     assert [one.host for one in found.suspected] == ["comiso-1", "ispica-1"]
