--- a/src/reedhook/process/heartbeat.py
+++ b/src/reedhook/process/heartbeat.py
@@ -13,94 +13,27 @@
 import logbook
 
 from ..clock import Clock
-from ..record import Record
 from ..request.refusal import Reason, Refusal
 from ..wire import Json, WireError
+from .heartbeat_timing import Timing
 from .local_health import LocalHealth
 from .membership import Membership
 from .membership_record import HostRecord, HostState
-from .membership_table import MembershipTable
+from .news_spreader import NewsSpreader
 from .peer import HostRef, PeerError, PeerRoutes, Peers
-from .rendezvous import score
+from .ring import watched
 
-WATCHED: Final = 2
-HELPERS: Final = 2
-SPREAD: Final = 4
 FAR_EVERY: Final = 4
 DEAD_EVERY: Final = 2
 SEED_EVERY: Final = 5
 JOIN_PULLS: Final = 32
 JOIN_PATIENCE: Final = 2.0
 JOIN_RETRY: Final = 0.2
-SPREAD_BURST: Final = 6.0
-SPREAD_RATE: Final = 2.0
-RING: Final = "ring"
 UNKNOWN: Final = "?"
 
 log = logbook.Logger("heartbeat")
 
 
-class Timing(Record):
-    """Set the pace; all values are in seconds.
-
-    :param watch: between two questions to a watched host.
-    :param answer: how long an answer may take.
-    :param refute: how long a suspected host of the own zone may refute.
-    :param refute_far: the same for a host of another zone.
-    :param round: between two questions to a random host.
-    :param tick: between two looks at the table.
-    :param late: a tick that comes this late means that this host was paused.
-    :param slow: a tick that comes this late is a sign that this host is slow.
-    :param batch: how long urgent news waits for more of it.
-    :param pull: between two pulls of differing records.
-    :param gone: how long the record of a host that left is kept.
-    :param dead: how long the record of a dead host is kept.
-    """
-
-    __slots__ = (
-        "watch",
-        "answer",
-        "refute",
-        "refute_far",
-        "round",
-        "tick",
-        "late",
-        "slow",
-        "batch",
-        "pull",
-        "gone",
-        "dead",
-    )
-
-    def __init__(
-        self,
-        watch: float = 0.25,
-        answer: float = 0.1,
-        refute: float = 0.15,
-        refute_far: float = 1.0,
-        round: float = 1.0,
-        tick: float = 0.05,
-        late: float = 0.1,
-        slow: float = 0.03,
-        batch: float = 0.002,
-        pull: float = 2.0,
-        gone: float = 300.0,
-        dead: float = 3600.0,
-    ) -> None:
-        self.watch = watch
-        self.answer = answer
-        self.refute = refute
-        self.refute_far = refute_far
-        self.round = round
-        self.tick = tick
-        self.late = late
-        self.slow = slow
-        self.batch = batch
-        self.pull = pull
-        self.gone = gone
-        self.dead = dead
-
-
 class Heartbeats:
     """Exchange heartbeats with other hosts.
 
@@ -135,15 +68,15 @@
         self.group: asyncio.TaskGroup | None = None
         self.watchers: dict[str, asyncio.Task[None]] = {}
         self.asked_now: set[str] = set()
-        self.urgent = asyncio.Event()
-        self.allowance = SPREAD_BURST
-        self.allowed_at = clock.monotonic()
+        self.spreader = NewsSpreader(
+            self.me, self.table, self.ask, self.health, clock, rng
+        )
         self.resumed_at = clock.monotonic()
         self.pulled_at = -self.timing.pull
         self.differs: HostRef | None = None
         self.shuffled: list[str] = []
         self.rounds = 0
-        membership.on_urgent = self.urgent.set
+        membership.on_urgent = self.spreader.urgent.set
         membership.on_refuted = self.health.worsen
         membership.on_mismatch = self.note_mismatch
 
@@ -171,7 +104,7 @@
         async with asyncio.TaskGroup() as group:
             self.group = group
             group.create_task(self.look_after())
-            group.create_task(self.spread_news())
+            group.create_task(self.spreader.run())
             group.create_task(self.repair())
             await self.join()
             group.create_task(self.ask_around())
@@ -420,32 +353,6 @@
         for seed in self.rng.sample(missing, min(1, len(missing))):
             await self.greet(seed)
 
-    async def spread_news(self) -> None:
-        """Tell a few hosts at once of what others should know soon."""
-        while True:
-            await self.urgent.wait()
-            await self.clock.sleep(self.timing.batch)
-            self.urgent.clear()
-            await self.spend()
-            await asyncio.gather(*map(self.ask, self.chosen()))
-
-    def chosen(self) -> list[HostRef]:
-        """Choose hosts to tell, most of them of the own zone."""
-        near = self.others(self.table.refs(self.me.zone))
-        far = [ref for ref in self.table.refs() if ref.zone != self.me.zone]
-        some = self.sample(near, SPREAD - 1)
-        return some + self.sample(far, SPREAD - len(some))
-
-    async def spend(self) -> None:
-        """Wait until another round of news is within the allowed rate."""
-        now = self.clock.monotonic()
-        gained = (now - self.allowed_at) * SPREAD_RATE / self.health.factor
-        self.allowance = min(SPREAD_BURST, self.allowance + gained)
-        self.allowed_at = now
-        self.allowance -= 1.0
-        if self.allowance < 0:
-            await self.clock.sleep(-self.allowance / SPREAD_RATE)
-
     def note_mismatch(self, peer: HostRef) -> None:
         """Remember a peer whose table differs; `repair` looks into it."""
         self.differs = peer
@@ -468,38 +375,3 @@
             return self.membership.take_pulled(answer)
         except (PeerError, Refusal, WireError):
             return 0
-
-
-def watched(me: HostRef, table: MembershipTable) -> set[str]:
-    """Return the hosts that `me` watches.
-
-    Each host is watched by the ones before it on the ring of its zone; the
-    only host of a zone by those before it on the ring of all hosts.
-    """
-    wanted = set(successors(me.host, present(table, me.zone)))
-    for zone in table.zones:
-        alone = present(table, zone)
-        if zone == me.zone or len(alone) != 1:
-            continue
-        everyone = present(table, None)
-        wanted |= set(alone) & set(successors(me.host, everyone))
-    return wanted
-
-
-def present(table: MembershipTable, zone: str | None) -> list[str]:
-    """Return the hosts of a zone that are neither dead nor gone."""
-    return [
-        record.ref.host
-        for record in table.in_zone(zone)
-        if record.state < HostState.DEAD
-    ]
-
-
-def successors(host: str, hosts: list[str]) -> list[str]:
-    """Return the hosts that come next after `host` on the ring."""
-    ring = sorted(hosts, key=lambda one: (score(RING, one), one))
-    if host not in ring:
-        return []
-    start = ring.index(host)
-    count = min(WATCHED, len(ring) - 1)
-    return [ring[(start + step + 1) % len(ring)] for step in range(count)]
--- a/src/reedhook/process/membership.py
+++ b/src/reedhook/process/membership.py
@@ -10,14 +10,13 @@
 
 from ..clock import Clock
 from ..wire import Json, WireError
+from .membership_news import News
 from .membership_record import HostRecord, HostState
 from .membership_table import BUCKETS, Change, MembershipTable
 from .peer import HostRef
 from .timeline import EventKind, Timeline
 
-MOST_NEWS: Final = 10
 MOST_PULLED: Final = 64
-RETRANSMIT: Final = 4
 FLAP_WINDOW: Final = 60.0
 FLAPS: Final = 2
 SETTLE: Final = 5.0
@@ -30,31 +29,6 @@
 log = logbook.Logger("membership")
 
 
-class News:
-    """Keep changes that are still to be passed on, each a bounded number of times."""
-
-    __slots__ = ("left",)
-
-    def __init__(self) -> None:
-        self.left: dict[str, int] = {}
-
-    def add(self, host: str, hosts: int) -> None:
-        """Pass on the record of `host`; `hosts` is how many there are."""
-        self.left[host] = RETRANSMIT * max(1, math.ceil(math.log10(hosts + 1)))
-
-    def take(self) -> list[str]:
-        """Return the hosts to tell of in one message, the newest first."""
-        if not self.left:
-            return []
-        newest = sorted(self.left, key=self.left.__getitem__, reverse=True)
-        chosen = newest[:MOST_NEWS]
-        for host in chosen:
-            self.left[host] -= 1
-            if self.left[host] <= 0:
-                del self.left[host]
-        return chosen
-
-
 class Membership:
     """Hold this host's view of all hosts and merge what others say.
 
--- a/src/reedhook/process/rendezvous.py
+++ b/src/reedhook/process/rendezvous.py
@@ -43,14 +43,3 @@
     if rank == 1:
         return STANDBY_SHARE
     return LATER_SHARE if rank == 2 else 0.0
-
-
-def room(connections: int, own_share: int, own: int, reported: int) -> int:
-    """Return how many connections a home may still open now.
-
-    :param own_share: what `share` gives to this host.
-    :param own: connections that this host has open.
-    :param reported: connections open from all hosts, as the target says.
-    """
-    others = max(0, reported - own)
-    return max(0, min(own_share, connections - others) - own)
--- a/tests/fakes_hosts.py
+++ b/tests/fakes_hosts.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from reedhook.process.directory import MembershipDirectory
-from reedhook.process.heartbeat import Heartbeats, Timing
+from reedhook.process.heartbeat import Heartbeats
 from reedhook.process.membership import Membership
 from reedhook.process.membership_record import HostState
 from reedhook.process.peer import HostRef, PeerRoutes
@@ -35,7 +35,7 @@
         self.table = self.membership.table
         self.directory = MembershipDirectory(ref, self.table)
         self.heartbeats = Heartbeats(
-            self.membership, self.peers, self.clock, rng, seeds, Timing()
+            self.membership, self.peers, self.clock, rng, seeds
         )
         self.heartbeats.register(self.routes)
         self.stopped = False
--- a/tests/test_membership_directory.py
+++ b/tests/test_membership_directory.py
@@ -8,7 +8,7 @@
 from reedhook.process.membership_record import HostRecord, HostState
 from reedhook.process.membership_table import MembershipTable
 from reedhook.process.peer import HostRef
-from reedhook.process.rendezvous import ranked_hosts, room, share
+from reedhook.process.rendezvous import ranked_hosts, share
 
 ZONES = ("a", "b", "c")
 TARGETS = tuple((f"t{number}", zone) for number in range(8) for zone in ZONES)
@@ -64,17 +64,6 @@
         assert shares[1] == int(count * 0.3)
 
 
-@given(connections, st.integers(0, 9), st.integers(0, 200), st.integers(0, 400))
-def test_room_keeps_to_what_the_target_reports(
-    count: int, rank: int, own: int, others: int
-) -> None:
-    more = room(count, share(count, rank), own, own + others)
-    assert more >= 0
-    if more:
-        assert own + more <= share(count, rank)
-        assert own + others + more <= count
-
-
 @given(sizes, st.lists(seeds, min_size=1, max_size=6), connections)
 def test_hosts_with_any_views_of_the_same_hosts_stay_within_the_connections(
     counts: tuple[int, ...], views: list[int], count: int
