Measure a statement through a home and a forwarding host

Change: bench/hop.py runs a home and a forwarding host, each a process of its own, in the same turns as the bare ways, and counts only answers with rows.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -16,12 +16,17 @@
 from typing import Any, Final, TypeAlias
 
 from reedhook import wire
+from reedhook.process.assembly import assemble_host
+from reedhook.process.host import Host
 from reedhook.record import Record
+from reedhook.request.statement import Consistency
+from reedhook.version.document import Documents
 from reedhook.wire import Json
-from reedhook_standins.deployment import Deployment
+from reedhook_standins.deployment import Deployment, credential
 from reedhook_standins.log import Change
 from reedhook_standins.platform import Platform
 from reedhook_standins.workload import PlantDay
+from reedhook_standins.world import OPERATOR, free_addresses, host_settings
 
 from .bare import Link, open_link, serve_echo, serve_pass_through
 from .rig import RoleProcess, Serve, processor_time
@@ -32,12 +37,20 @@
 IDLE_S: Final = 3.0
 MICROSECONDS: Final = 1e6
 ZONE: Final = "vittoria"
+OTHER_ZONE: Final = "comiso"
+ZONES: Final = (ZONE, OTHER_ZONE)
+THROUGH: Final = ("pass-through", "home", "forwarding")
+TEAM: Final = "mix"
 TIMEOUT_S: Final = 2.0
 KEY: Final = "digester"
 
 Send: TypeAlias = Callable[[], Awaitable[Json]]
 
 
+class NotAnswered(Exception):
+    """Say that a statement of the benchmark was refused."""
+
+
 class Course(Record):
     """Carry one way of a statement and what it cost.
 
@@ -81,8 +94,9 @@
         start = time.perf_counter()
         for _ in range(BLOCK):
             sent = time.perf_counter()
-            await self.send()
+            answer = await self.send()
             self.latencies.append(time.perf_counter() - sent)
+            refuse_other(answer)
         self.wall += time.perf_counter() - start
         self.processor += processor_time(self.pid) - began
 
@@ -103,7 +117,12 @@
 async def measure() -> dict[str, Any]:
     """Start the roles, run the blocks and return the figures."""
     async with AsyncExitStack() as stack:
-        courses = await bare_courses(stack, partial(start_role, stack))
+        start = partial(start_role, stack)
+        platform = start("platform", serve_platform)
+        courses = [
+            *await bare_courses(stack, start, platform),
+            *await system_courses(stack, start, platform.facts),
+        ]
         for course in courses:
             for _ in range(WARM_UP):
                 await course.send()
@@ -111,7 +130,33 @@
         for _ in range(ROUNDS):
             for course in courses:
                 await course.run_block()
-        return {course.name: course.figures() for course in courses}
+        return figures({course.name: course for course in courses})
+
+
+def figures(courses: dict[str, Course]) -> Json:
+    """Return the figures of all ways, and how they compare."""
+    trip = courses["round trip"].median
+    straight = courses["straight"].median
+    bare = courses["pass-through"].cost
+    return {
+        "courses": {name: course.figures() for name, course in courses.items()},
+        "added_round_trips": {
+            name: round((courses[name].median - straight) / trip, 2) for name in THROUGH
+        },
+        "processor_ratio": {
+            name: round(courses[name].cost / bare, 2) for name in THROUGH
+        },
+        "statements_each": ROUNDS * BLOCK,
+    }
+
+
+def refuse_other(answer: Json) -> None:
+    """Refuse to count anything but an answer with rows, or an echo.
+
+    :raises NotAnswered: for a refusal.
+    """
+    if "rows" not in answer and "params" not in answer:
+        raise NotAnswered(str(answer))
 
 
 def start_role(
@@ -122,10 +167,9 @@
 
 
 async def bare_courses(
-    stack: AsyncExitStack, start: Callable[..., RoleProcess]
+    stack: AsyncExitStack, start: Callable[..., RoleProcess], platform: RoleProcess
 ) -> list[Course]:
     """Return the ways that do not lead through the system."""
-    platform = start("platform", serve_platform)
     echo = start("echo", serve_echo)
     bare = start("pass-through", serve_pass_through, platform.facts["target"])
     body = wire.encode(target_read())
@@ -139,6 +183,53 @@
     ]
 
 
+async def system_courses(
+    stack: AsyncExitStack, start: Callable[..., RoleProcess], platform: Json
+) -> list[Course]:
+    """Return the ways through the home of the targets and another host."""
+    peers = free_addresses(2)
+    home = start("home", serve_host, platform, ZONE, peers)
+    other = start("forwarding", serve_host, platform, OTHER_ZONE, peers)
+    headers = {"Authorization": f"Bearer {credential(TEAM)}"}
+    body = wire.encode(
+        {
+            "group": platform["group"],
+            "sql": PlantDay.mixes.newest,
+            "params": read_params(),
+            "consistency": Consistency.SESSION.value,
+        }
+    )
+    at_home = await open_link(stack, home.facts, headers)
+    forwarded = await open_link(stack, other.facts, headers)
+    return [
+        Course("home", partial(at_home.ask_raw, "/v1/read", body), home.pid),
+        Course("forwarding", partial(forwarded.ask_raw, "/v1/read", body), other.pid),
+    ]
+
+
+async def serve_host(platform: Json, zone: str, peers: list[str]) -> str:
+    """Start a host in `zone`; return where callers reach it."""
+    listen, admin = free_addresses(2)
+    peer = peers[ZONES.index(zone)]
+    settings = host_settings(
+        f"{zone}-1",
+        zone,
+        (listen, peer, admin),
+        platform["store"],
+        platform["hostlist"],
+        tuple(peers),
+    )
+    process = assemble_host(settings)
+    await process.start()
+    host = process.host
+    assert isinstance(host, Host)
+    if zone == ZONE:
+        documents = Documents(platform["base"], platform["overlays"])
+        await host.editor.apply(documents, 0, OPERATOR, "benchmark", "benchmark")
+    await host.configuration.ready.wait()
+    return listen
+
+
 async def serve_platform() -> Json:
     """Start a platform with one group in one zone; return its addresses."""
     deployment = one_zone_plant()
@@ -168,6 +259,9 @@
         service["groups"] = {name: group}
         for member in group["members"].values():
             member["zone"] = ZONE
+    for team in deployment.base["teams"].values():
+        del team["rate"]
+    deployment.overlays = {}
     return deployment
 
 
