Cut a whole zone off in the demo

Cause: cutting one target off says little of a zone whose hosts and targets go on together while all others give them up.

Change: the world's hosts feel a partition in their calls to peers, store and host list, and targets feel it by client; assembly.serve puts servers around a host made elsewhere (small and additive). Callers move on after a refusal that another host may not give, and come back after a missed deadline as the callers' interface says, also where the refusal gives no hint.

--- a/src/reedhook/process/assembly.py
+++ b/src/reedhook/process/assembly.py
@@ -49,7 +49,16 @@
     tls = None if settings.tls is None else TlsContexts(settings.tls)
     if tls is not None:
         companions = (*companions, tls.follow)
-    host = make_host(settings, clock, random, metrics, tls)
+    return serve(make_host(settings, clock, random, metrics, tls), tls, companions)
+
+
+def serve(
+    host: Host,
+    tls: TlsContexts | None = None,
+    companions: tuple[Companion, ...] = (),
+) -> HostProcess:
+    """Return the process of `host` with its three servers."""
+    settings = host.settings
     endpoint = PeerEndpoint(host.routes, settings.peer_credential, host.timeline)
     operators_app = admin_app(host.admin, config_routes(host.admin, host.editor))
     limits = settings.limits
@@ -59,7 +68,7 @@
         Server("callers", caller_app(host), settings.listen, limits, shown),
         PeerServer(endpoint, settings.peer_listen, None if tls is None else tls.peers),
         Server("operators", operators_app, settings.admin_listen, limits, shown),
-        clock,
+        host.clock,
         limits.shutdown_s,
         companions,
     )
--- a/src/reedhook_standins/caller.py
+++ b/src/reedhook_standins/caller.py
@@ -20,10 +20,25 @@
 ANSWER_SLACK_S: Final = 0.5
 CONNECT_TIMEOUT_S: Final = 0.25
 MOVE_PAUSE_S: Final = 0.01
+LATE: Final = "deadline"
+LATE_PAUSE_S: Final = 0.05
 UNREACHABLE: Final = "host unreachable"
 NO_ANSWER: Final = "no answer"
-MOVING_REASONS: Final = frozenset({"draining", UNREACHABLE, NO_ANSWER})
-
+MOVING_REASONS: Final = frozenset(
+    {
+        "draining",
+        "host_unreachable",
+        "no_configuration",
+        "no_primary",
+        "not_durable",
+        "target_lost",
+        "target_unreachable",
+        "unconfirmed",
+        "wrong_home",
+        UNREACHABLE,
+        NO_ANSWER,
+    }
+)
 
 Note: TypeAlias = Callable[[str, float, "Reply"], None]
 
@@ -322,13 +337,19 @@
 
 
 def reply_from(message: Json) -> Reply:
-    """Read an answer or refusal off the wire."""
+    """Read an answer or refusal off the wire.
+
+    The callers' interface says to come back after a missed deadline, with or
+    without a hint when.
+    """
     verdict = Verdict(message["verdict"])
     if "reason" not in message:
         return Reply(message, verdict)
+    reason = message["reason"]
     hint = message.get("retry_after_ms")
-    retry_after = None if hint is None else hint / 1000
-    return Reply(message, verdict, message["reason"], retry_after)
+    if hint is None and reason == LATE:
+        return Reply(message, verdict, reason, LATE_PAUSE_S)
+    return Reply(message, verdict, reason, None if hint is None else hint / 1000)
 
 
 def echo(mark: str, rows: list[list[Any]]) -> str:
--- a/src/reedhook_standins/demo.py
+++ b/src/reedhook_standins/demo.py
@@ -51,9 +51,9 @@
 class Programme:
     """Bring about the faults of the day, and undo them.
 
-    The first group's primary dies and returns; the second group's primary is
-    cut off while it believes that it leads; the home of the third group's
-    primary dies and returns.
+    The first group's primary dies and returns; the zone of the second group's
+    primary is cut off while that primary still believes that it leads; the
+    home of the third group's primary dies and returns.
     """
 
     def __init__(self, world: World, history: History) -> None:
@@ -61,17 +61,17 @@
         self.history = history
         self.groups = list(world.platform.groups.values())
         self.dead_member = self.groups[0].primary
-        self.cut_member = self.groups[1].primary
+        self.cut_zone = ""
         self.dead_host = ""
 
     def happenings(self) -> list[Happening]:
         """Return what happens, in the order of time."""
         return [
             Happening(0.2, self.kill_primary),
-            Happening(0.4, self.cut_primary_off),
+            Happening(0.4, self.cut_zone_off),
             Happening(0.5, self.return_primary),
             Happening(0.6, self.kill_home),
-            Happening(0.7, self.heal_primary),
+            Happening(0.7, self.heal_zone),
             Happening(0.8, self.return_home),
         ]
 
@@ -93,14 +93,16 @@
         """Let the dead primary return, which still believes that it leads."""
         await self.dead_member.revive()
 
-    async def cut_primary_off(self) -> None:
-        """Cut the second group's primary off, while it goes on running."""
-        self.note("primary cut off", self.cut_member.name, self.groups[1].name)
-        self.world.cut_target_off(self.cut_member.name)
+    async def cut_zone_off(self) -> None:
+        """Cut off the zone of the second group's primary."""
+        primary = self.groups[1].primary.name
+        self.cut_zone = self.world.target_zones()[primary]
+        self.note("zone cut off", self.cut_zone, self.groups[1].name)
+        self.world.cut_zone_off(self.cut_zone)
 
-    async def heal_primary(self) -> None:
+    async def heal_zone(self) -> None:
         """Undo the cut."""
-        self.world.heal_target(self.cut_member.name)
+        self.world.heal_zone(self.cut_zone)
 
     async def kill_home(self) -> None:
         """Kill the host that is home of the third group's primary."""
--- /dev/null
+++ b/src/reedhook_standins/partition.py
@@ -0,0 +1,93 @@
+"""A network partition between zones, as the hosts' adapters feel it."""
+
+from typing import Final
+
+from reedhook.clock import Clock
+from reedhook.process.hostlist import HostListUnavailable, ListedHost
+from reedhook.process.hostlist_http import HttpHostList
+from reedhook.process.peer import HostRef, PeerError, Peers
+from reedhook.process.store import StoreUnavailable
+from reedhook.process.store_http import HttpStore
+from reedhook.wire import Json
+
+LOST: Final = "the message was lost in the partition"
+
+
+class Partition:
+    """Know which zones are cut off from one another and from the platform.
+
+    :ivar cut_off: the zones that are cut off, each by itself.
+    """
+
+    __slots__ = ("cut_off", "clock")
+
+    def __init__(self, clock: Clock) -> None:
+        self.cut_off: set[str] = set()
+        self.clock = clock
+
+    def separates(self, one: str, other: str) -> bool:
+        """Return whether messages between two zones are lost."""
+        return one != other and bool({one, other} & self.cut_off)
+
+
+class PartitionedPeers(Peers):
+    """Lose calls across the partition, and answers that were under way.
+
+    :param zone: the zone of the calling host.
+    """
+
+    def __init__(self, peers: Peers, zone: str, partition: Partition) -> None:
+        self.peers = peers
+        self.zone = zone
+        self.partition = partition
+        self.closed = False
+
+    async def call(self, peer: HostRef, path: str, body: Json, timeout: float) -> Json:
+        if self.closed:
+            raise PeerError("the calling host is dead", sent=False)
+        clock = self.partition.clock
+        until = clock.monotonic() + timeout
+        if not self.partition.separates(self.zone, peer.zone):
+            answer = await self.peers.call(peer, path, body, timeout)
+            if not self.partition.separates(self.zone, peer.zone):
+                return answer
+        await clock.sleep(until - clock.monotonic())
+        raise PeerError(LOST, sent=True)
+
+    async def close(self) -> None:
+        self.closed = True
+        await self.peers.close()
+
+
+class PartitionedStore(HttpStore):
+    """Lose calls of a zone that is cut off from the platform."""
+
+    def __init__(self, address: str, zone: str, partition: Partition) -> None:
+        super().__init__(address)
+        self.zone = zone
+        self.partition = partition
+
+    async def ask(self, path: str, body: Json, timeout: float) -> Json:
+        clock = self.partition.clock
+        until = clock.monotonic() + timeout
+        if self.zone not in self.partition.cut_off:
+            answer = await super().ask(path, body, timeout)
+            if self.zone not in self.partition.cut_off:
+                return answer
+        await clock.sleep(until - clock.monotonic())
+        raise StoreUnavailable(LOST)
+
+
+class PartitionedHostList(HttpHostList):
+    """Lose calls of a zone that is cut off from the platform."""
+
+    def __init__(self, address: str, zone: str, partition: Partition) -> None:
+        super().__init__(address)
+        self.zone = zone
+        self.partition = partition
+
+    async def hosts(self, timeout: float) -> list[ListedHost]:
+        if self.zone in self.partition.cut_off:
+            await self.partition.clock.sleep(timeout)
+            raise HostListUnavailable(LOST)
+        return await super().hosts(timeout)
--- a/src/reedhook_standins/world.py
+++ b/src/reedhook_standins/world.py
@@ -12,17 +12,28 @@
 from aiohttp import web
 
 from reedhook.clock import Clock, SystemClock
-from reedhook.process.assembly import assemble
+from reedhook.connection.target_http import HttpTargetFactory
+from reedhook.process.assembly import serve
 from reedhook.process.host import Host
 from reedhook.process.lifecycle import HostProcess
 from reedhook.process.metrics import MemoryMetrics
+from reedhook.process.peer import HostRef
+from reedhook.process.peer_http import HttpPeers
 from reedhook.process.settings import Settings
+from reedhook.process.timeline import Timeline
+from reedhook.process.tls import TlsContexts
 from reedhook.version.document import Documents
 
 from .caller import Caller
 from .deployment import HOSTS, Deployment, credential
 from .history import History
 from .member import Cut
+from .partition import (
+    Partition,
+    PartitionedHostList,
+    PartitionedPeers,
+    PartitionedStore,
+)
 from .platform import Platform
 from .workload import MakeCaller
 
@@ -35,7 +46,6 @@
 LISTENERS: Final = 3
 READY_TIMEOUT_S: Final = 20.0
 READY_STEP_S: Final = 0.02
-ABRUPT_S: Final = 0.001
 
 
 class WorldNotReady(Exception):
@@ -65,6 +75,7 @@
         self.settings: dict[str, Settings] = {}
         self.running: dict[str, HostProcess] = {}
         self.http: aiohttp.ClientSession | None = None
+        self.partition = Partition(self.clock)
 
     async def __aenter__(self) -> "World":
         try:
@@ -106,20 +117,15 @@
             name: (next(ports), next(ports), next(ports)) for name in self.zones
         }
         seeds = tuple(peer for _, peer, _ in listeners.values())[:SEEDS]
+        platform = self.platform
         return {
-            name: Settings(
-                host=name,
-                zone=zone,
-                listen=listeners[name][0],
-                peer_listen=listeners[name][1],
-                admin_listen=listeners[name][2],
-                store=self.platform.store.address,
-                hostlist=self.platform.hostlist.address,
-                peer_credential=PEER_CREDENTIAL,
-                token_secret=TOKEN_SECRET,
-                admins={OPERATOR: sha256(OPERATOR_CREDENTIAL.encode()).hexdigest()},
-                seeds=seeds,
-                log_level="error",
+            name: host_settings(
+                name,
+                zone,
+                listeners[name],
+                platform.store.address,
+                platform.hostlist.address,
+                seeds,
             )
             for name, zone in self.zones.items()
         }
@@ -177,10 +183,32 @@
     async def start_host(self, name: str) -> None:
         """Start a host, anew if it ran before."""
         chooser = random.Random(self.random.random())
-        process = assemble(self.settings[name], self.clock, chooser, MemoryMetrics())
+        settings = self.settings[name]
+        tls = None if settings.tls is None else TlsContexts(settings.tls)
+        process = serve(self.make_host(settings, chooser, tls), tls)
         await process.start()
         self.running[name] = process
 
+    def make_host(
+        self, settings: Settings, chooser: random.Random, tls: TlsContexts | None
+    ) -> Host:
+        """Return a host that feels the partition."""
+        timeline = Timeline(settings.host, self.clock)
+        me = HostRef(settings.host, settings.zone, settings.peer_listen)
+        context = None if tls is None else tls.client
+        peers = HttpPeers(me, settings.peer_credential, timeline, self.clock, context)
+        return Host(
+            settings,
+            self.clock,
+            chooser,
+            PartitionedStore(settings.store, settings.zone, self.partition),
+            PartitionedHostList(settings.hostlist, settings.zone, self.partition),
+            HttpTargetFactory(settings.host),
+            timeline,
+            PartitionedPeers(peers, settings.zone, self.partition),
+            MemoryMetrics(),
+        )
+
     async def stop_host(self, name: str) -> None:
         """Shut a host down gracefully."""
         await self.running[name].stop()
@@ -200,11 +228,46 @@
         target.cut = Cut.HANG
 
     def heal_target(self, member: str) -> None:
-        """Undo all cuts of the target's group."""
+        """Undo the cut of a target."""
         target = self.platform.members()[member]
         target.cut = Cut.NONE
         target.group.heal()
 
+    def cut_zone_off(self, zone: str) -> None:
+        """Cut a zone's hosts and targets off from all others and the platform.
+
+        All of them run on, and reach each other.
+        """
+        self.partition.cut_off.add(zone)
+        self.feel_partition()
+
+    def heal_zone(self, zone: str) -> None:
+        """Undo the cut of a zone."""
+        self.partition.cut_off.discard(zone)
+        self.feel_partition()
+
+    def feel_partition(self) -> None:
+        """Let the targets lose what the partition loses."""
+        zones = self.target_zones()
+        for name, target in self.platform.members().items():
+            target.cuts = {
+                host: Cut.HANG
+                for host, zone in self.zones.items()
+                if self.partition.separates(zone, zones[name])
+            }
+        for group in self.platform.groups.values():
+            group.heal()
+            for zone in self.partition.cut_off:
+                group.partition(*(one for one in group.members if zones[one] == zone))
+
+    def target_zones(self) -> dict[str, str]:
+        """Return the zone of each target."""
+        return {
+            member: zone
+            for plan in self.deployment.groups()
+            for member, zone in plan.members.items()
+        }
+
     def caller_of(self, history: History) -> MakeCaller:
         """Return what makes callers that record to `history`."""
         assert self.http is not None
@@ -230,8 +293,41 @@
         return [one.listen for one in self.settings.values() if one.zone in zones]
 
 
+def host_settings(
+    name: str,
+    zone: str,
+    listeners: tuple[str, str, str],
+    store: str,
+    hostlist: str,
+    seeds: tuple[str, ...],
+) -> Settings:
+    """Return the settings of a host of the stand-in world.
+
+    :param listeners: where callers, peers and operators reach it.
+    """
+    listen, peer_listen, admin_listen = listeners
+    return Settings(
+        host=name,
+        zone=zone,
+        listen=listen,
+        peer_listen=peer_listen,
+        admin_listen=admin_listen,
+        store=store,
+        hostlist=hostlist,
+        peer_credential=PEER_CREDENTIAL,
+        token_secret=TOKEN_SECRET,
+        admins={OPERATOR: sha256(OPERATOR_CREDENTIAL.encode()).hexdigest()},
+        seeds=seeds,
+        log_level="error",
+    )
+
+
 async def cut(runner: web.ServerRunner | web.AppRunner | None) -> None:
-    """Stop a server without answering what is in progress."""
+    """Stop a server without answering what is in progress.
+
+    The handlers run on, as nobody could tell from outside, until the host that
+    they work for is closed under them.
+    """
     if runner is None or runner.server is None:
         return
     for site in list(runner.sites):
@@ -239,7 +335,6 @@
     for handler in list(runner.server.connections):
         if handler.transport is not None:
             handler.transport.abort()
-    await runner.server.shutdown(ABRUPT_S)
 
 
 def free_addresses(count: int) -> list[str]:
--- a/tests/test_demo_caller.py
+++ b/tests/test_demo_caller.py
@@ -123,6 +123,15 @@
     assert len(host.seen) == 1
 
 
+def test_a_missed_deadline_is_tried_again_without_a_hint() -> None:
+    host = ScriptedHost(refusal("may have run", None, "deadline"), DONE)
+    history = play(lambda caller: caller.write(ORDER, 5.0), host)
+    assert [one.verdict for one in history.attempts] == [
+        Verdict.MAY_HAVE_RUN,
+        Verdict.DONE,
+    ]
+
+
 def test_patience_ends() -> None:
     host = ScriptedHost(refusal("not run", 2000))
     with pytest.raises(GaveUp, match="still no_primary"):
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -37,9 +37,15 @@
         order = WriteOrder(self.group.name, DESK, self.serial, sql, values)
         await self.desk.write(order, PATIENCE)
 
-    async def look(self, consistency: Consistency, max_age: float | None = None) -> int:
-        """Return the newest serial, read through another host."""
+    async def look(
+        self,
+        consistency: Consistency,
+        max_age: float | None = None,
+        through: str | None = None,
+    ) -> int:
+        """Return the newest serial, read through another host or a given one."""
         self.desk.roam()
+        self.desk.host = through or self.desk.host
         order = ReadOrder(
             "assignment",
             self.group.name,
@@ -95,6 +101,28 @@
     play(act)
 
 
+def test_a_zone_that_is_cut_off_loses_nothing_and_shows_nothing_stale() -> None:
+    async def act(scene: Scene) -> None:
+        await scene.assign()
+        lost = scene.group.primary.name
+        zone = scene.world.target_zones()[lost]
+        scene.world.cut_zone_off(zone)
+        await scene.assign()
+        assert scene.group.primary.name != lost
+        (inside,) = (
+            one.listen for one in scene.world.settings.values() if one.zone == zone
+        )
+        assert await scene.look(Consistency.FRESH, through=inside) == 2
+        refused, *_, answered = scene.history.reads
+        assert refused.host == inside
+        assert answered.host != inside
+        scene.world.heal_zone(zone)
+        await scene.assign()
+        assert scene.broken() == []
+
+    play(act)
+
+
 def test_a_killed_home_is_taken_over_and_returns() -> None:
     async def act(scene: Scene) -> None:
         await scene.assign()
