--- a/src/reedhook/process/archive.py
+++ b/src/reedhook/process/archive.py
@@ -175,15 +175,17 @@
         bound = min(head.version - KEPT_VERSIONS, trimmed + TRIMMED_PER_EDIT)
         try:
             while trimmed < bound:
-                await self.trim_version(trimmed + 1, head)
+                await self.trim_version(trimmed + 1)
                 trimmed += 1
         except (StoreError, EditionError):
             return trimmed
         return trimmed
 
-    async def trim_version(self, version: int, newest: Head) -> None:
+    async def trim_version(self, version: int) -> None:
         """Delete a version's history and the parts that its successor dropped.
 
+        No later version refers to those parts; see the class.
+
         :raises StoreError: if a call failed; a repeat takes it up again.
         :raises EditionError: if the successor is not readable.
         """
@@ -193,7 +195,7 @@
         successor = await self.past_head(version + 1)
         if successor is None:
             raise EditionError(f"history of version {version + 1} is not readable")
-        used = {part_key(part) for part in (*successor.parts, *newest.parts)}
+        used = {part_key(part) for part in successor.parts}
         for part in past.parts:
             if part_key(part) not in used:
                 await self.delete(part_key(part))
--- a/tests/test_config_accept.py
+++ b/tests/test_config_accept.py
@@ -1,6 +1,7 @@
 """Acceptance of edits: racing operators, lost answers, crashes, sizes."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -9,13 +10,14 @@
 from reedhook.process import archive as archive_module
 from reedhook.process.archive import HEAD_KEY, PART_PREFIX, history_key, part_key
 from reedhook.process.edit import EditConflict
+from reedhook.process.exchange import MAX_ANSWER, parts_answer
 from reedhook.process.worker import ThreadWorker
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.verdict import Verdict
 from reedhook.version import edition as edition_module
 from reedhook.version.check import check
 from reedhook.version.document import Documents
-from reedhook.version.edition import MAX_PART, Head
+from reedhook.version.edition import MAX_PART, EditionError, Head, make_edition, unpack
 from reedhook.version.fault import InvalidConfiguration
 
 from .config_fleet import BASE, Fleet, FleetHost, documents
@@ -254,6 +256,17 @@
     play(scene)
 
 
+def test_a_version_that_nobody_knows_cannot_be_edited() -> None:
+    async def scene(fleet: Fleet, host: FleetHost) -> None:
+        with pytest.raises(Refusal) as refused:
+            await host.apply(5, "second", 99)
+        assert refused.value.reason is Reason.CONFLICT
+        assert refused.value.verdict is Verdict.NOT_RUN
+        assert host.keeper.version == 1
+
+    play(scene)
+
+
 def test_a_repeated_id_with_other_documents_is_refused() -> None:
     async def scene(fleet: Fleet, host: FleetHost) -> None:
         with pytest.raises(Refusal) as refused:
@@ -307,6 +320,31 @@
     run(main())
 
 
+def test_a_part_cut_short_or_lengthened_is_refused() -> None:
+    edition = make_edition(documents(1), None, "first", "ana", "", 0.0)
+    (part,) = edition.head.parts
+    packed = edition.packed[part.digest]
+    assert unpack(part, packed)
+    for damaged in [packed[:size] for size in range(len(packed))] + [packed + b"x"]:
+        with pytest.raises(EditionError):
+            unpack(part, damaged)
+
+
+def test_parts_go_out_in_answers_of_bounded_size() -> None:
+    noise = random.Random(1)
+    lines = [f"# {noise.randbytes(500).hex()}\n" for _ in range(900)]
+    edition = make_edition(documents(1, "".join(lines)), None, "e", "ana", "", 0.0)
+    wanted = [part.digest for part in edition.head.parts]
+    sent: list[str] = []
+    while len(sent) < len(wanted):
+        parts = parts_answer(edition, wanted[len(sent) :])["parts"]
+        packed = sum(len(edition.packed[digest]) for digest in parts)
+        assert 0 < packed <= MAX_ANSWER
+        sent += parts
+    assert sent == wanted
+    assert sum(map(len, edition.packed.values())) > MAX_ANSWER
+
+
 def large(groups: int = 280, note: str = "") -> Documents:
     """Return documents with 3 members for each group."""
     lines = ["services:", "  feedlog-db:", "    slots: 2", "    connections: 15"]
@@ -361,6 +399,12 @@
             # Every third edit brings back what an earlier one had.
             edition = documents(version % 3 + 1, lasting)
             await host.editor.apply(edition, version - 1, "ana", "", f"edit-{version}")
+            if version == 12:
+                # An edit that lost had deleted history before it lost.
+                archive = host.editor.reader.archive
+                stored = await archive.head()
+                assert stored.head is not None
+                assert await archive.trim(stored.head) > stored.head.trimmed
         heads = await host.editor.history(100)
         assert [head.version for head in heads] == list(range(20, 14, -1))
         used = {part_key(part) for head in heads for part in head.parts}
@@ -374,6 +418,9 @@
         with pytest.raises(Refusal) as refused:
             await host.editor.show(2)
         assert "not kept" in refused.value.detail
+        with pytest.raises(Refusal) as refused:
+            await host.apply(3, "very late", 2)
+        assert refused.value.verdict is Verdict.MAY_HAVE_RUN
 
     play(scene)
 
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -137,6 +137,7 @@
     [
         ("connections: 15", "connections: 2", "must be at least 3"),
         ("slots: 2", "slots: 16", "must not exceed the connections"),
+        ("services: [feedlog-db]", "services: 3", "expected array, found integer"),
         ("zone: comiso", "zone: ispica", "no site 'ispica' has an overlay"),
         ("17102", "17101", "same address as"),
         ("127.0.0.1:17102", "localhost:17102", "expected IP:port"),
--- a/tests/test_config_distribution.py
+++ b/tests/test_config_distribution.py
@@ -146,6 +146,11 @@
         relay.store.stale = lambda key: 1 if key == HEAD_KEY else 0
         await relay.restart()
         assert relay.versions == [2]
+        # A stale answer to a watch does not make it spin.
+        relay.store.calls.clear()
+        await asyncio.sleep(60.0)
+        assert relay.store.calls["watch head"] <= 60
+        assert relay.versions == [2]
 
     play(scene)
 
