Split the calls of a member from its faults; name the refusal of a wait

Change: calls.py holds the calls of clients, member.py the connections, slots and faults; the code busy is documented and becomes overloaded, with a hint to come back.

--- a/src/reedhook/connection/target.py
+++ b/src/reedhook/connection/target.py
@@ -151,7 +151,8 @@
 
     :param code: ``not_primary``, ``superseded``, ``statement_failed``,
         ``request_expired``, ``request_reused``, ``unknown_transaction``,
-        ``leaving``, ``term_refused`` or ``bad_request``.
+        ``leaving``, ``term_refused``, ``busy`` (no slot or lock came free in
+        time) or ``bad_request``.
     """
 
     def __init__(self, code: str, detail: str) -> None:
--- a/src/reedhook/connection/verdicts.py
+++ b/src/reedhook/connection/verdicts.py
@@ -18,12 +18,18 @@
     "request_reused": Reason.REQUEST_REUSED,
     "unknown_transaction": Reason.TRANSACTION_LOST,
     "leaving": Reason.TARGET_LEAVING,
+    "busy": Reason.OVERLOADED,
     "term_refused": Reason.SUPERSEDED,
     "bad_request": Reason.BAD_REQUEST,
 }
 
 PASSING: Final = frozenset(
-    {Reason.NO_PRIMARY, Reason.SUPERSEDED, Reason.TARGET_LEAVING}
+    {
+        Reason.NO_PRIMARY,
+        Reason.SUPERSEDED,
+        Reason.TARGET_LEAVING,
+        Reason.OVERLOADED,
+    }
 )
 """Reasons that pass by themselves, so that a retry can help."""
 
--- a/src/reedhook_standins/member.py
+++ b/src/reedhook_standins/member.py
@@ -1,37 +1,28 @@
 """Stand-in of one member of a database group, on a TCP port of its own."""
 
 import asyncio
-import re
 from collections import Counter
-from collections.abc import Awaitable, Callable
 from enum import IntEnum
-from typing import TYPE_CHECKING, Any, Final, TypeAlias
+from typing import TYPE_CHECKING, Final
 
 from reedhook.clock import Clock
 from reedhook.connection.target import MemberState
-from reedhook.request.position import Position
 from reedhook.wire import Json
 
-from .engine import digest
-from .log import NO_ROWS, Change, RequestKey, Rows
+from .calls import Calls
 from .replicated import ReplicatedState
 from .replication import SLICE, Replication
 from .service import AnswerLost, Service, ServiceConnection, ServiceRefusal
-from .transaction import Transaction
 
 if TYPE_CHECKING:
     from .group import GroupStandin
 
-Handler: TypeAlias = Callable[[ServiceConnection, Json], Awaitable[Json]]
-
-REQUEST_ID: Final = re.compile(r"([0-9]{13})-[A-Za-z0-9_-]{8,64}")
 STATEMENT_TIME: Final = 0.002
 SETUP_TIME: Final = 0.010
 IDLE_LIMIT: Final = 10.0
 IDLE_CHECK: Final = 0.05
 LEAVE_GRACE: Final = 3.0
 NEW_WORK: Final = frozenset(("read", "write", "begin"))
-TRANSACTION_DIGEST: Final = "transaction"
 
 
 class Cut(IntEnum):
@@ -102,20 +93,7 @@
         self.peak_connections = 0
         self.revision = 0
         self.tasks: list[asyncio.Task[None]] = []
-        self.handlers: dict[str, Handler] = {
-            "hello": self.hello,
-            "read": self.read,
-            "write": self.write,
-            "begin": self.begin,
-            "step": self.step,
-            "commit": self.commit,
-            "rollback": self.rollback,
-            "state": self.tell_state,
-            "wait_state": self.wait_state,
-            "raise_term": self.raise_term,
-            "promote": self.promote,
-            "follow": self.follow,
-        }
+        self.calls = Calls(self)
 
     @property
     def runs(self) -> bool:
@@ -195,7 +173,7 @@
         self, connection: ServiceConnection, name: str, message: Json
     ) -> Json:
         await self.pass_faults(connection)
-        handler = self.handlers.get(name)
+        handler = self.calls.handlers.get(name)
         if handler is None:
             raise ServiceRefusal("bad_request", f"unknown call {name}", 404)
         self.received[name] += 1
@@ -253,131 +231,6 @@
             self.late_work += 1
             raise ServiceRefusal("leaving", f"{self.name} is leaving")
 
-    async def hello(self, connection: ServiceConnection, message: Json) -> Json:
-        """Answer the greeting of a client that names itself."""
-        return {"member": self.name}
-
-    async def read(self, connection: ServiceConnection, message: Json) -> Json:
-        """Run a read, whatever the role."""
-        change = change_of(message)
-        await self.occupy(message["timeout"])
-        rows = self.state.engine.read(change)
-        return self.result(rows, self.state.visible)
-
-    async def write(self, connection: ServiceConnection, message: Json) -> Json:
-        """Run a write on the primary, or give the result of its earlier run."""
-        change = change_of(message)
-        key = key_of(message["request_id"], digest([change.sql, change.params]))
-        timeout = message["timeout"]
-        if connection.transaction is not None:
-            raise ServiceRefusal("bad_request", "a transaction is open", 400)
-        self.state.require_primary()
-        await self.lock(timeout)
-        try:
-            await self.occupy(timeout)
-            earlier = self.earlier(key)
-            if earlier is not None:
-                return self.result(earlier, self.state.held, repeated=True)
-            entry = self.state.write(change, key)
-            return self.result(entry.result, entry.position)
-        finally:
-            self.writing.release()
-
-    async def begin(self, connection: ServiceConnection, message: Json) -> Json:
-        """Open a transaction, unless one with the same request id committed."""
-        key = key_of(message["request_id"], TRANSACTION_DIGEST)
-        if connection.transaction is not None:
-            raise ServiceRefusal("bad_request", "a transaction is open", 400)
-        self.state.require_primary()
-        await self.lock(message["timeout"])
-        try:
-            earlier = self.earlier(key)
-            if connection.closed.is_set():
-                raise AnswerLost
-        except BaseException:
-            self.writing.release()
-            raise
-        if earlier is not None:
-            self.writing.release()
-            return self.result(earlier, self.state.held, repeated=True)
-        connection.transaction = Transaction(
-            self.state.engine.copy(),
-            self.state.leader_term,
-            key,
-            self.clock.monotonic(),
-        )
-        return self.result(NO_ROWS, self.state.held)
-
-    async def step(self, connection: ServiceConnection, message: Json) -> Json:
-        """Run a statement in the open transaction."""
-        change = change_of(message)
-        transaction = transaction_of(connection)
-        await self.occupy(message["timeout"])
-        if connection.transaction is not transaction:
-            raise unknown_transaction()
-        rows = transaction.step(change)
-        transaction.active = self.clock.monotonic()
-        return self.result(rows, self.state.held)
-
-    async def commit(self, connection: ServiceConnection, message: Json) -> Json:
-        """Commit the open transaction and record its request id."""
-        transaction = transaction_of(connection)
-        await self.occupy(message["timeout"])
-        if connection.transaction is not transaction:
-            raise unknown_transaction()
-        try:
-            rows = self.state.adopt(
-                transaction.engine, transaction.changes, transaction.key
-            )
-        finally:
-            self.end_transaction(connection)
-        return self.result(rows, self.state.held)
-
-    async def rollback(self, connection: ServiceConnection, message: Json) -> Json:
-        """Roll the open transaction back."""
-        transaction_of(connection)
-        self.end_transaction(connection)
-        return {}
-
-    async def tell_state(self, connection: ServiceConnection, message: Json) -> Json:
-        """Answer with the state."""
-        return self.report().to_json()
-
-    async def wait_state(self, connection: ServiceConnection, message: Json) -> Json:
-        """Answer with the state once its revision differs from the known one."""
-        try:
-            async with asyncio.timeout(message["hold"]):
-                while self.revision == message["revision"]:
-                    await self.changed.wait()
-        except TimeoutError:
-            pass
-        return self.report().to_json()
-
-    async def raise_term(self, connection: ServiceConnection, message: Json) -> Json:
-        """Promise a term."""
-        self.state.raise_term(int(message["term"]), str(message["owner"]))
-        return self.terms_moved()
-
-    async def promote(self, connection: ServiceConnection, message: Json) -> Json:
-        """Become primary of a promised term."""
-        self.state.promote(int(message["term"]), str(message["owner"]))
-        self.group.truth.lead(self.state.leader_term, self.state.log)
-        return self.terms_moved()
-
-    async def follow(self, connection: ServiceConnection, message: Json) -> Json:
-        """Follow the primary of a term."""
-        self.state.follow(int(message["term"]), str(message["primary"]))
-        return self.terms_moved()
-
-    def terms_moved(self) -> Json:
-        """Roll back transactions of a former term and return the state."""
-        for connection in self.connections.values():
-            transaction = connection.transaction
-            if transaction is not None and transaction.term != self.state.promised:
-                self.end_transaction(connection)
-        self.group.poke()
-        return self.report().to_json()
-
     def report(self) -> MemberState:
         """Return what the member says of itself."""
         return MemberState(
@@ -391,23 +244,6 @@
             revision=self.revision,
         )
 
-    def result(self, rows: Rows, position: Position, repeated: bool = False) -> Json:
-        """Return the result of a statement as it stands on the wire."""
-        return {
-            "columns": rows.columns,
-            "rows": rows.rows,
-            "rowcount": rows.rowcount,
-            "position": position.to_json(),
-            "term": self.state.leader_term,
-            "role": self.state.role.value,
-            "repeated": repeated,
-        }
-
-    def earlier(self, key: RequestKey | None) -> Rows | None:
-        """Return the result of an earlier run of a request, or None."""
-        self.state.require_primary()
-        return self.state.engine.known(key) if key is not None else None
-
     async def lock(self, timeout: float) -> None:
         """Wait for the only write transaction, in bounded time."""
         try:
@@ -432,6 +268,15 @@
         if self.starts != start:
             raise AnswerLost
 
+    def terms_moved(self) -> Json:
+        """Roll back transactions of a former term and return the state."""
+        for connection in self.connections.values():
+            transaction = connection.transaction
+            if transaction is not None and transaction.term != self.state.promised:
+                self.end_transaction(connection)
+        self.group.poke()
+        return self.report().to_json()
+
     def end_transaction(self, connection: ServiceConnection) -> None:
         """Forget the transaction of a connection, if one is open."""
         if connection.transaction is not None:
@@ -449,38 +294,6 @@
                     self.end_transaction(connection)
 
 
-def change_of(message: Json) -> Change:
-    """Read a statement from the wire."""
-    sql: Any = message["sql"]
-    params: Any = message["params"]
-    if not isinstance(sql, str) or not isinstance(params, list):
-        raise ServiceRefusal("bad_request", "sql is text, params a list", 400)
-    return Change(sql, params)
-
-
-def key_of(request_id: str | None, content: str) -> RequestKey | None:
-    """Read a request id, which begins with its time of issue."""
-    if request_id is None:
-        return None
-    match = REQUEST_ID.fullmatch(request_id)
-    if match is None:
-        raise ServiceRefusal("bad_request", "not a request id", 400)
-    return RequestKey(request_id, int(match[1]), content)
-
-
-def transaction_of(connection: ServiceConnection) -> Transaction:
-    """Return the open transaction of a connection."""
-    transaction = connection.transaction
-    if not isinstance(transaction, Transaction):
-        raise unknown_transaction()
-    return transaction
-
-
-def unknown_transaction() -> ServiceRefusal:
-    """Return the refusal of a step outside a transaction."""
-    return ServiceRefusal("unknown_transaction", "no transaction is open", 404)
-
-
 def busy() -> ServiceRefusal:
     """Return the refusal of a statement that waited its whole time."""
     return ServiceRefusal("busy", "no slot or lock came free in time", 429)
