Bound the lag of a replica by sightings in place of averaging it

An average of ages is off by half the distance between writes, which were rare; a replica of which nothing was known was not tried; and an old proof of age held the estimate up. Change: each sighting gives the least and the greatest lag, and the estimate moves as little as they allow; unknown counts as 0; a miss doubles the distance and sends that read to the primary. Changed test: the one of the session read that waits for no replica far behind gave the host no evidence but positions 6 s apart; it now shows the replica behind, and a second test bounds the tries without evidence.

--- a/src/reedhook/request/choice.py
+++ b/src/reedhook/request/choice.py
@@ -7,6 +7,7 @@
 
 import random
 from bisect import bisect_left
+from math import inf
 from typing import Final
 
 from ..record import Record
@@ -18,10 +19,8 @@
 HEAD_SPACING: Final = 0.05
 MAX_HEADS: Final = 256
 COVER_WAIT: Final = 0.02
-PROOF_INTERVAL: Final = 0.2
-GAP_SHARE: Final = 0.3
-LAG_GAIN: Final = 0.2
-LAG_BACKOFF: Final = 1.05
+MISS_BACKOFF: Final = 2.0
+AGE_BACKOFF: Final = 1.05
 EASE_IN: Final = 3.0
 FIRST_EXCLUSION: Final = 0.25
 LAST_EXCLUSION: Final = 5.0
@@ -68,24 +67,27 @@
         at = bisect_left(self.positions, position)
         return self.times[at] if at < len(self.times) else None
 
-    def lag(self, applied: Position, seen: float) -> float | None:
-        """Estimate the lag of a member that had just `applied` at `seen`.
+    def lags(self, applied: Position, seen: float) -> tuple[float, float]:
+        """Return the least and the greatest lag of a member, in seconds.
 
-        It lies between the ages of this entry and of the next, which the
-        member does not show yet. None if there is no next one.
+        At `seen` it showed the entry `applied`, and not yet the next one that
+        was heard of. The oldest head may have been written long before it was
+        heard of, so that it bounds nothing from above.
         """
         at = bisect_left(self.positions, applied)
+        if at >= len(self.times):
+            return 0.0, 0.0
+        greatest = max(0.0, seen - self.times[at]) if at > 0 else inf
         if at + 1 >= len(self.times):
-            return None
-        gap = self.times[at + 1] - self.times[at]
-        return max(0.0, seen - self.times[at] - GAP_SHARE * gap)
+            return 0.0, greatest
+        return max(0.0, seen - self.times[at + 1]), greatest
 
 
 class Track:
     """Keep what this host experienced with one member.
 
     :ivar lag: usual delay in seconds from an entry's being heard of until the
-        member's reads see it; None if not yet seen.
+        member's reads see it; 0 until something else is seen.
     :ivar inflight: statements of this host that run at the member.
     :ivar excluded_until: no read goes there before this time.
     :ivar returned: when it served again after a failure.
@@ -97,16 +99,14 @@
         "exclusion",
         "excluded_until",
         "returned",
-        "applied",
     )
 
     def __init__(self) -> None:
-        self.lag: float | None = None
+        self.lag = 0.0
         self.inflight = 0
         self.exclusion = 0.0
         self.excluded_until = float("-inf")
         self.returned = float("-inf")
-        self.applied: Position | None = None
 
     def failed(self, now: float) -> None:
         """Exclude the member for a while that doubles with each failure."""
@@ -129,13 +129,6 @@
         share = 0.05 if self.exclusion > 0.0 else max(0.05, since / EASE_IN)
         return rng.random() < share
 
-    def sample_lag(self, lag: float) -> None:
-        """Take a sample of the delay into account."""
-        if self.lag is None:
-            self.lag = lag
-        else:
-            self.lag += LAG_GAIN * (lag - self.lag)
-
 
 class GroupTrack:
     """Keep what this host experienced with the members of one group."""
@@ -159,30 +152,24 @@
             self.heads.hear(one.applied, now)
         for one in view.members.values():
             if one.member != view.primary:
-                self.learn_lag(one)
+                self.sighted(one.member, one.applied, one.seen)
 
-    def learn_lag(self, one: MemberView) -> None:
-        """Sample the lag of a replica whose position has moved on."""
-        track = self.member(one.member)
-        if track.applied is not None and one.applied <= track.applied:
-            return
-        track.applied = one.applied
-        lag = self.heads.lag(one.applied, one.seen)
-        since = self.heads.since(one.applied)
-        if lag is not None:
-            track.sample_lag(lag)
-        elif track.lag is None and since is not None and since < one.seen:
-            track.lag = one.seen - since
+    def sighted(self, member: str, applied: Position, seen: float) -> None:
+        """Move the usual lag of a replica as little as this sighting allows."""
+        least, greatest = self.heads.lags(applied, seen)
+        track = self.member(member)
+        track.lag = min(max(track.lag, least), greatest)
 
     def missed(self, member: str, position: Position, now: float) -> None:
         """Note that `member` did not cover `position` when asked."""
         since = self.heads.since(position)
-        self.lags(member, COVER_WAIT if since is None else now - since)
+        delay = COVER_WAIT if since is None else now - since
+        self.lags(member, MISS_BACKOFF * delay)
 
     def lags(self, member: str, delay: float) -> None:
-        """Note that `member` is at least `delay` seconds behind."""
+        """Note that `member` is taken to be `delay` seconds behind at least."""
         track = self.member(member)
-        track.lag = max(track.lag or 0.0, LAG_BACKOFF * delay)
+        track.lag = max(track.lag, delay)
 
 
 class Need(Record):
@@ -275,17 +262,14 @@
 
 
 def usual_lag(one: MemberView, need: Need) -> float:
-    """Return the lag in seconds to expect of a replica, infinite if unknown.
+    """Return the lag in seconds to expect of a replica.
 
     The age proved when it was seen is its lag and the time since the last
-    sample, which bounds what this host made out itself.
+    sample, hence never less. A replica of which nothing is known is taken to
+    keep up; its home knows better.
     """
     lag = need.track.member(one.member).lag
-    if one.lag is None:
-        return float("inf") if lag is None else lag
-    if lag is None:
-        return one.lag
-    return min(one.lag, max(lag, one.lag - PROOF_INTERVAL))
+    return lag if one.lag is None else min(one.lag, lag)
 
 
 def meets(one: MemberView, statement: Statement, now: float) -> bool:
@@ -309,4 +293,4 @@
     if statement.consistency is not Consistency.MAX_AGE:
         return True
     assert statement.max_age is not None
-    return one.lag is not None and lag <= statement.max_age
+    return lag <= statement.max_age
--- a/src/reedhook/request/router.py
+++ b/src/reedhook/request/router.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..process.metrics import Metrics
 from ..version.catalog import Group
-from .choice import Chooser, GroupTrack, Need
+from .choice import AGE_BACKOFF, Chooser, GroupTrack, Need
 from .execution import Execution, Served
 from .hedge import Hedge, SlowBound
 from .rate import Budget
@@ -19,6 +19,8 @@
 from .view import GroupView
 from .views import FIRST_BACKOFF, LAST_BACKOFF, Views
 
+PRIMARY: Final = "primary"
+BEHIND: Final = frozenset({Reason.NOT_COVERED, Reason.AGE_UNPROVED})
 MIN_REMAINING: Final = 0.005
 MAX_REPLICAS: Final = 2
 SPILL_WAIT: Final = 0.02
@@ -142,7 +144,7 @@
                 attempts.note(refusal)
                 attempts.tried |= {member}
                 self.after_replica(group, member, statement, attempts, refusal)
-                if refusal.reason is Reason.AGE_UNPROVED:
+                if refusal.reason in BEHIND:
                     return None
         return None
 
@@ -162,7 +164,7 @@
             track.missed(member, statement.covers, self.clock.monotonic())
             return
         if refusal.reason is Reason.AGE_UNPROVED and statement.max_age is not None:
-            track.lags(member, statement.max_age)
+            track.lags(member, AGE_BACKOFF * statement.max_age)
             return
         if refusal.reason is Reason.OVERLOADED and not self.spill(group):
             raise refusal
@@ -297,6 +299,8 @@
         if known is None:
             return
         known.wait = served.wait
+        if answer.role != PRIMARY:
+            track.sighted(answer.target, answer.position, now)
         if known.applied < answer.position:
             known.applied = answer.position
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -55,13 +55,14 @@
     run_virtual(main())
 
 
-def test_a_session_read_waits_for_no_replica_that_is_far_behind() -> None:
+def test_a_session_read_waits_for_no_replica_seen_far_behind() -> None:
     async def main() -> None:
         world = World(lag=5.0)
         for at in range(3):
             await world.run(write(f"{at}-a"))
-            await asyncio.sleep(6.0)
-            await world.run(read())
+            for pause in (4.9, 0.2):
+                await asyncio.sleep(pause)
+                await world.run(read())
         wrote = await world.run(write("9-a"))
         began = world.model.now()
         served = await world.run(read(covers=wrote.answer.position))
@@ -75,6 +76,25 @@
     run_virtual(main())
 
 
+def test_replicas_behind_are_tried_ever_more_rarely() -> None:
+    async def main() -> None:
+        world = World(lag=5.0)
+        wrote = await world.run(write("1-a"))
+        times = []
+        while world.model.now() < 2.0:
+            began = world.model.now()
+            served = await world.run(read(covers=wrote.answer.position))
+            assert served.answer.role == "primary"
+            times.append(world.model.now() - began)
+        assert max(times) < 0.03
+        tries = sum(one > 0.02 for one in times)
+        assert tries == world.model.executed.total() - len(times) - 1
+        assert 1 <= tries <= 12 and len(times) > 500
+        await world.close()
+
+    run_virtual(main())
+
+
 def test_a_bounded_read_goes_to_a_replica_that_is_young_enough() -> None:
     async def main() -> None:
         world = World(lag=0.3)
