Part the settings by job, and the tool's test from its fakes

settings.py had grown to 370 lines with three jobs: types and loading stay, what is wrong with the document moves to settings_check, files that it names to settings_files. No behaviour changes.

--- a/src/reedhook/process/admin_status.py
+++ b/src/reedhook/process/admin_status.py
@@ -18,7 +18,17 @@
     DRAINING = "draining"
 
 
-class HostStatus(Record):
+class Line(Record):
+    """Stand on the wire as an object with all its values."""
+
+    __slots__ = ()
+
+    def to_json(self) -> Json:
+        """Return the values by their names."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class HostStatus(Line):
     """Carry what a host says of itself.
 
     :param version: the version of the configuration in force; 0 before the first.
@@ -66,10 +76,6 @@
         self.homes = homes
         self.rejected_stamps = rejected_stamps
 
-    def to_json(self) -> Json:
-        """Return the status as it stands on the wire."""
-        return {name: getattr(self, name) for name in self.__slots__}
-
     @classmethod
     def from_json(cls, message: Any) -> "HostStatus":
         """Read a status from the wire.
@@ -85,7 +91,7 @@
         return cls(**values)
 
 
-class KnownHost(Record):
+class KnownHost(Line):
     """Carry what this host knows of another.
 
     :param state: ``live``, ``suspected``, ``leaving``, ``dead`` or ``gone``.
@@ -104,10 +110,6 @@
         self.state = state
         self.version = version
 
-    def to_json(self) -> Json:
-        """Return it as it stands on the wire."""
-        return {name: getattr(self, name) for name in self.__slots__}
-
 
 def group_json(
     group: Group, view: GroupView, homes: dict[str, str | None], now: float
--- a/src/reedhook/process/settings.py
+++ b/src/reedhook/process/settings.py
@@ -1,41 +1,13 @@
 """Settings of one host, read from a YAML file and checked as a whole."""
 
-import ssl
-from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, Final
+from typing import Any
 
 import yaml
-from jsonschema import Draft202012Validator, ValidationError
 
 from ..record import Record
-from .settings_schema import FORMATS, SETTINGS, SHORTEST_SECRET
-
-LISTENERS: Final = ("listen", "peer_listen", "admin_listen")
-TLS_FILES: Final = ("cert", "key", "ca")
-SECRETS: Final = ("peer_credential", "token_secret")
-FORMER: Final = "former_token_secrets"
-REASONS: Final = {
-    "format": "an IP number with a port is expected, such as 10.0.0.1:8000",
-    "additionalProperties": "unknown setting",
-    "oneOf": f"a text of {SHORTEST_SECRET} characters or more, or 'file: PATH',"
-    " is expected",
-    "uniqueItems": "an entry stands twice",
-    "minProperties": "at least one entry is expected",
-}
-
-
-class SettingsError(Exception):
-    """Say what is wrong with one setting.
-
-    :param path: names the setting, such as ``limits.body_bytes``.
-    :param reason: one sentence for a person; never shows a secret.
-    """
-
-    def __init__(self, path: str, reason: str) -> None:
-        super().__init__(f"{path}: {reason}" if path else reason)
-        self.path = path
-        self.reason = reason
+from .settings_check import SettingsError, listener_errors, schema_errors
+from .settings_files import FORMER, SECRETS, TLS_FILES, file_errors, read_secret
 
 
 class TlsSettings(Record):
@@ -218,129 +190,6 @@
         return super().construct_mapping(node, deep)
 
 
-def schema_errors(document: object) -> Iterator[SettingsError]:
-    """Check `document` against the schema."""
-    validator = Draft202012Validator(SETTINGS, format_checker=FORMATS)
-    errors = validator.iter_errors(document)
-    for error in sorted(errors, key=lambda one: one.json_path):
-        yield from describe(error)
-
-
-def describe(error: ValidationError) -> Iterator[SettingsError]:
-    """Turn an error of the validator into errors that show no value."""
-    place = dotted(error.absolute_path)
-    if error.validator == "required":
-        for name in missing(error):
-            yield SettingsError(join(place, name), "the setting is missing")
-        return
-    if error.validator == "additionalProperties":
-        for name in unknown(error):
-            yield SettingsError(join(place, name), REASONS["additionalProperties"])
-        return
-    yield SettingsError(place, reason_of(error))
-
-
-def missing(error: ValidationError) -> list[str]:
-    """Return the one required name that `error` is about."""
-    required: Any = error.validator_value
-    return [name for name in required if error.message.startswith(f"'{name}'")]
-
-
-def unknown(error: ValidationError) -> list[str]:
-    """Return the names that the schema does not know."""
-    schema: Any = error.schema
-    allowed = schema["properties"]
-    instance: Any = error.instance
-    return [str(name) for name in instance if name not in allowed]
-
-
-def reason_of(error: ValidationError) -> str:
-    """Say in a few words what was expected."""
-    expected: Any = error.validator_value
-    match error.validator:
-        case "type":
-            return f"{expected} is expected"
-        case "enum":
-            choices = ", ".join(expected)
-            return f"one of {choices} is expected"
-        case "pattern":
-            return f"text of the form {expected} is expected"
-        case "minimum":
-            return f"{expected} or more is expected"
-        case "maximum":
-            return f"{expected} or less is expected"
-    return REASONS.get(str(error.validator), "not accepted")
-
-
-def listener_errors(document: dict[Any, Any]) -> Iterator[SettingsError]:
-    """Report an address on which two interfaces would listen."""
-    taken: dict[str, str] = {}
-    for name in LISTENERS:
-        address = document.get(name)
-        if not isinstance(address, str):
-            continue
-        first = taken.setdefault(address, name)
-        if first != name:
-            yield SettingsError(name, f"the address is that of {first}")
-
-
-def file_errors(document: dict[Any, Any], folder: Path) -> Iterator[SettingsError]:
-    """Report files that are named and cannot be used."""
-    for name in SECRETS:
-        yield from secret_file_errors(name, document.get(name), folder)
-    former = document.get(FORMER)
-    for index, one in enumerate(former if isinstance(former, list) else ()):
-        yield from secret_file_errors(f"{FORMER}[{index}]", one, folder)
-    tls = document.get("tls")
-    if isinstance(tls, dict):
-        yield from tls_errors(tls, folder)
-
-
-def tls_errors(tls: dict[Any, Any], folder: Path) -> Iterator[SettingsError]:
-    """Report certificate files that cannot be used."""
-    stated = [name for name in TLS_FILES if isinstance(tls.get(name), str)]
-    paths = {name: folder / str(tls[name]) for name in stated}
-    absent = [name for name, path in paths.items() if not path.is_file()]
-    for name in absent:
-        yield SettingsError(f"tls.{name}", "the file does not exist")
-    if absent or len(paths) < len(TLS_FILES):
-        return
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    try:
-        context.load_cert_chain(paths["cert"], paths["key"])
-    except OSError as error:
-        yield SettingsError("tls.cert", f"not a certificate with its key: {error}")
-    try:
-        context.load_verify_locations(paths["ca"])
-    except OSError as error:
-        yield SettingsError("tls.ca", f"not a list of authorities: {error}")
-
-
-def secret_file_errors(
-    name: str, value: object, folder: Path
-) -> Iterator[SettingsError]:
-    """Report a secret's file that cannot be read or is too short."""
-    if not isinstance(value, dict) or not isinstance(value.get("file"), str):
-        return
-    try:
-        secret = read_secret(value, folder)
-    except (OSError, UnicodeDecodeError) as error:
-        detail = getattr(error, "strerror", None) or "not UTF-8"
-        yield SettingsError(f"{name}.file", f"the file cannot be read: {detail}")
-        return
-    if len(secret) < SHORTEST_SECRET:
-        reason = f"the file holds fewer than {SHORTEST_SECRET} characters"
-        yield SettingsError(f"{name}.file", reason)
-
-
-def read_secret(value: Any, folder: Path) -> str:
-    """Return a secret that stands inline or in a file."""
-    if isinstance(value, str):
-        return value
-    path: Path = folder / value["file"]
-    return path.read_text(encoding="utf-8").strip()
-
-
 def build(document: dict[str, Any], folder: Path) -> Settings:
     """Make typed settings of a checked document."""
     values = dict(document)
@@ -355,16 +204,3 @@
         values["tls"] = TlsSettings(**files)
     values["limits"] = ServerLimits(**document.get("limits", {}))
     return Settings(**values)
-
-
-def dotted(path: Any) -> str:
-    """Return the path of a setting as text, such as ``seeds[1]``."""
-    text = ""
-    for part in path:
-        text = f"{text}[{part}]" if isinstance(part, int) else join(text, str(part))
-    return text
-
-
-def join(place: str, name: str) -> str:
-    """Return the path of `name` below `place`."""
-    return f"{place}.{name}" if place else name
--- /dev/null
+++ b/src/reedhook/process/settings_check.py
@@ -0,0 +1,110 @@
+"""What is wrong with a settings document by itself."""
+
+from collections.abc import Iterator
+from typing import Any, Final
+
+from jsonschema import Draft202012Validator, ValidationError
+
+from .settings_schema import FORMATS, SETTINGS, SHORTEST_SECRET
+
+LISTENERS: Final = ("listen", "peer_listen", "admin_listen")
+REASONS: Final = {
+    "format": "an IP number with a port is expected, such as 10.0.0.1:8000",
+    "additionalProperties": "unknown setting",
+    "oneOf": f"a text of {SHORTEST_SECRET} characters or more, or 'file: PATH',"
+    " is expected",
+    "uniqueItems": "an entry stands twice",
+    "minProperties": "at least one entry is expected",
+}
+
+
+class SettingsError(Exception):
+    """Say what is wrong with one setting.
+
+    :param path: names the setting, such as ``limits.body_bytes``.
+    :param reason: one sentence for a person; never shows a secret.
+    """
+
+    def __init__(self, path: str, reason: str) -> None:
+        super().__init__(f"{path}: {reason}" if path else reason)
+        self.path = path
+        self.reason = reason
+
+
+def schema_errors(document: object) -> Iterator[SettingsError]:
+    """Check `document` against the schema."""
+    validator = Draft202012Validator(SETTINGS, format_checker=FORMATS)
+    errors = validator.iter_errors(document)
+    for error in sorted(errors, key=lambda one: one.json_path):
+        yield from describe(error)
+
+
+def describe(error: ValidationError) -> Iterator[SettingsError]:
+    """Turn an error of the validator into errors that show no value."""
+    place = dotted(error.absolute_path)
+    if error.validator == "required":
+        for name in missing(error):
+            yield SettingsError(join(place, name), "the setting is missing")
+        return
+    if error.validator == "additionalProperties":
+        for name in unknown(error):
+            yield SettingsError(join(place, name), REASONS["additionalProperties"])
+        return
+    yield SettingsError(place, reason_of(error))
+
+
+def missing(error: ValidationError) -> list[str]:
+    """Return the one required name that `error` is about."""
+    required: Any = error.validator_value
+    return [name for name in required if error.message.startswith(f"'{name}'")]
+
+
+def unknown(error: ValidationError) -> list[str]:
+    """Return the names that the schema does not know."""
+    schema: Any = error.schema
+    allowed = schema["properties"]
+    instance: Any = error.instance
+    return [str(name) for name in instance if name not in allowed]
+
+
+def reason_of(error: ValidationError) -> str:
+    """Say in a few words what was expected."""
+    expected: Any = error.validator_value
+    match error.validator:
+        case "type":
+            return f"{expected} is expected"
+        case "enum":
+            choices = ", ".join(expected)
+            return f"one of {choices} is expected"
+        case "pattern":
+            return f"text of the form {expected} is expected"
+        case "minimum":
+            return f"{expected} or more is expected"
+        case "maximum":
+            return f"{expected} or less is expected"
+    return REASONS.get(str(error.validator), "not accepted")
+
+
+def listener_errors(document: dict[Any, Any]) -> Iterator[SettingsError]:
+    """Report an address on which two interfaces would listen."""
+    taken: dict[str, str] = {}
+    for name in LISTENERS:
+        address = document.get(name)
+        if not isinstance(address, str):
+            continue
+        first = taken.setdefault(address, name)
+        if first != name:
+            yield SettingsError(name, f"the address is that of {first}")
+
+
+def dotted(path: Any) -> str:
+    """Return the path of a setting as text, such as ``seeds[1]``."""
+    text = ""
+    for part in path:
+        text = f"{text}[{part}]" if isinstance(part, int) else join(text, str(part))
+    return text
+
+
+def join(place: str, name: str) -> str:
+    """Return the path of `name` below `place`."""
+    return f"{place}.{name}" if place else name
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -1,84 +1,20 @@
 """The tool against the real administration API of fake hosts."""
 
-import io
-from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
-from typing import Any
 
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 from syrupy.assertion import SnapshotAssertion
 
-from reedhook.process.admin import Admin, admin_app
-from reedhook.process.admin_config import config_routes
-from reedhook.process.admin_operator import Operators
-from reedhook.process.command import execute
 from reedhook.process.command_timeline import since_ms
 from reedhook.process.timeline_merge import merge
 
-from .admin_fakes import CREDENTIAL, DIGESTS, FakeNetwork
+from .admin_fakes import CREDENTIAL
+from .command_fakes import FakeCallers, Tool, folder, visit
 from .config_fleet import BASE
-from .fakes_store import FakeStore
-from .support import run
-from .test_admin_config import editor_of
 from .timeline_fakes import a_failover
 
-SITES = ("vittoria", "comiso", "ispica")
-
-
-class Outcome:
-    """Carry what a run of the tool gave."""
-
-    def __init__(self, code: int, out: str, err: str) -> None:
-        self.code = code
-        self.out = out
-        self.err = err
-
-
-class Tool:
-    """Run the tool against one fake deployment.
-
-    :param address: where operators are answered.
-    """
-
-    def __init__(self, address: str, network: FakeNetwork, store: FakeStore) -> None:
-        self.environment: dict[str, str] = {
-            "REEDHOOK_ADMIN": address,
-            "REEDHOOK_CREDENTIAL": CREDENTIAL,
-        }
-        self.network = network
-        self.store = store
-
-    async def __call__(self, *argv: str, **changes: str) -> Outcome:
-        out, err = io.StringIO(), io.StringIO()
-        environment: Mapping[str, str] = self.environment | changes
-        code = await execute(list(argv), environment, out, err)
-        return Outcome(code, out.getvalue(), err.getvalue())
-
-
-def visit(steps: Callable[[Tool], Awaitable[None]]) -> None:
-    """Run `steps` with the tool."""
-
-    async def main() -> None:
-        network, store = FakeNetwork(), FakeStore(0.0)
-        source = network.sources["vittoria-1"]
-        admin = Admin(source, network.fleet(), Operators(DIGESTS), 65536)
-        routes = config_routes(admin, editor_of(network, store))
-        async with TestServer(admin_app(admin, routes), host="127.0.0.1") as server:
-            await steps(Tool(f"127.0.0.1:{server.port}", network, store))
-
-    run(main())
-
-
-def folder(path: Path, queue: int) -> Path:
-    """Fill a folder with documents."""
-    (path / "overlays").mkdir(parents=True, exist_ok=True)
-    (path / "base.yaml").write_text(f"{BASE}limits: {{queue: {queue}}}\n")
-    for site in SITES:
-        (path / "overlays" / f"{site}.yaml").write_text("{}\n")
-    return path
-
 
 def test_what_people_see(snapshot: SnapshotAssertion) -> None:
     async def steps(tool: Tool) -> None:
@@ -280,30 +216,6 @@
     visit(steps)
 
 
-class FakeCallers:
-    """Answer statements and keep their bodies."""
-
-    def __init__(self) -> None:
-        self.bodies: list[tuple[str, Any]] = []
-
-    async def answer(self, request: web.Request) -> web.Response:
-        self.bodies.append((request.path, await request.json()))
-        return web.json_response(
-            {
-                "verdict": "done",
-                "columns": ["id", "tons"],
-                "rows": [[1, 12.5], [2, None]],
-                "rowcount": 0,
-                "token": "abc",
-                "age_ms": 120.5,
-                "target": "feedlog-1-b",
-                "role": "replica",
-                "host": "vittoria-1",
-                "repeated": False,
-            }
-        )
-
-
 def test_a_statement_goes_to_the_callers_interface(snapshot: SnapshotAssertion) -> None:
     async def steps(tool: Tool) -> None:
         callers = FakeCallers()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,12 +6,8 @@
 import trustme
 import yaml
 
-from reedhook.process.settings import (
-    Settings,
-    SettingsError,
-    load_settings,
-    parse_settings,
-)
+from reedhook.process.settings import Settings, load_settings, parse_settings
+from reedhook.process.settings_check import SettingsError
 from reedhook.process.settings_schema import split_address
 
 DIGEST = "ab" * 32
