--- a/src/reedhook/process/admin_status.py
+++ b/src/reedhook/process/admin_status.py
@@ -21,7 +21,7 @@
 class Line(Record):
     """Stand on the wire as an object with all its values."""
 
-    __slots__ = ()
+    __slots__: tuple[str, ...] = ()
 
     def to_json(self) -> Json:
         """Return the values by their names."""
