Ask anew when the state question breaks off

Cause: the watch took a probe answered within the last 100 ms for proof that the target lives. Change: the watch always asks on a new connection; only a repeated statement uses the proof. The new test never ends on the code before, whose loop lets no virtual time pass; the fake now breaks the held question off when it hangs up.

--- a/src/reedhook/connection/control.py
+++ b/src/reedhook/connection/control.py
@@ -178,11 +178,11 @@
 
     async def recover(self) -> None:
         """Return once the target answers on a new connection."""
-        if await self.health.lives():
+        if await self.health.answers():
             self.dropped()
             return
         longest = PAUSE_FIRST
-        while not await self.health.lives():
+        while not await self.health.answers():
             await asyncio.sleep(longest * self.random.uniform(0.5, 1.0))
             longest = min(longest * 2.0, PAUSE_MOST)
 
--- a/src/reedhook/connection/health.py
+++ b/src/reedhook/connection/health.py
@@ -80,9 +80,11 @@
         return self.clock.monotonic() - self.proved < PROOF_KEPT
 
     async def lives(self) -> bool:
-        """Return whether the target answers on a new connection."""
-        if self.proved_lately():
-            return True
+        """Return whether the target answers on a new connection, or just has."""
+        return self.proved_lately() or await self.answers()
+
+    async def answers(self) -> bool:
+        """Return whether the target answers on a new connection now."""
         return await asyncio.shield(self.examine())
 
     async def close(self) -> None:
--- a/tests/fakes_target.py
+++ b/tests/fakes_target.py
@@ -149,6 +149,8 @@
         for connection in self.connections:
             connection.hung_up = True
         self.connections.clear()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def silence_all(self) -> None:
         """Make all open connections half-open; new ones work."""
@@ -236,6 +238,8 @@
         try:
             if target.revision == revision:
                 await self.wait(target.changed.wait(), hold)
+            if self.hung_up:
+                raise TargetSilent("the connection has ended")
             await self.stay_silent_if_unheard(None)
         finally:
             self.busy = False
--- a/tests/test_home_health.py
+++ b/tests/test_home_health.py
@@ -91,6 +91,24 @@
     with_home(target, body)
 
 
+def test_a_target_that_dies_just_after_a_probe_is_known_at_once() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        target.silence_all()
+        await home.run(statement(Kind.READ))
+        await asyncio.sleep(0.02)
+        events = len(home.timeline.events)
+        target.refusing = True
+        target.hang_up_all()
+        await asyncio.sleep(0.02)
+        assert home.unreachable_since is not None
+        assert len(home.timeline.events) - events <= 1
+
+    with_home(target, body)
+
+
 def test_a_target_that_is_dead_for_an_hour_is_found_alive_again() -> None:
     target = FakeTarget()
 
