--- a/bench/failover.py
+++ b/bench/failover.py
@@ -15,6 +15,7 @@
 import json
 import random
 import statistics
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, TypeAlias
 
@@ -42,6 +43,7 @@
 STALL_S: Final = 0.2
 STALLS_EVERY_S: Final = 2.0
 WRITES_EVERY_S: Final = 0.25
+IDLE_S: Final = 60.0
 HOUR_S: Final = 3600.0
 
 Fault: TypeAlias = Callable[[Cluster], Awaitable[None]]
@@ -80,7 +82,8 @@
         "zone_delay_ms": ZONE_DELAY * 1000,
         "faults": {name: gaps(fault, runs) for name, fault in FAULTS.items()},
         "baseline_fixed_5s": baseline_gaps(runs),
-        "living": living(hours),
+        "idle": run_virtual(idle()),
+        "living": run_virtual(live(hours)),
     }
 
 
@@ -177,9 +180,23 @@
     return total
 
 
-def living(hours: float) -> Json:
-    """Return what a living group went through."""
-    return run_virtual(live(hours))
+async def idle() -> Json:
+    """Return what an idle group costs the hosts of its three members together."""
+    cluster = Cluster(0, ZONE_DELAY)
+    await cluster.start()
+    calls = sum(cluster.network.calls.values())
+    sent = sum(cluster.network.sent_bytes.values())
+    processor = time.process_time()
+    await asyncio.sleep(IDLE_S)
+    processor = time.process_time() - processor
+    calls = sum(cluster.network.calls.values()) - calls
+    sent = sum(cluster.network.sent_bytes.values()) - sent
+    await cluster.stop()
+    return {
+        "calls_per_s": round(calls / IDLE_S, 1),
+        "body_bytes_per_s": round(sent / IDLE_S),
+        "processor_ms_per_s": round(processor / IDLE_S * 1000, 2),
+    }
 
 
 async def live(hours: float) -> Json:
--- a/src/reedhook/process/group.py
+++ b/src/reedhook/process/group.py
@@ -30,6 +30,7 @@
 CONFIRM_AGAIN: Final = 0.01
 CONFIRM_SLOW: Final = 0.1
 UNHEARD_AFTER: Final = 0.5
+VIEW_INTERVAL: Final = 1.0
 SAMPLE_SHARE: Final = 3
 SAMPLE_SPACING: Final = 0.05
 SAMPLING_KEPT: Final = 3.0
@@ -116,6 +117,7 @@
         self.learned_at = 0.0
         self.resumed = 0
         self.heard: dict[str, float] = {}
+        self.told: dict[str, float] = {}
 
     @property
     def view(self) -> GroupView:
@@ -277,14 +279,22 @@
         self.heard[report.state.member] = now
         if report.want is not None:
             await self.serve_samples(report.want, report.prompt)
-        return self.report_answer()
+        return self.report_answer(report.state.member)
 
-    def report_answer(self) -> ReportAnswer:
-        """Return what a reporting host should know."""
-        self.refresh_view()
+    def report_answer(self, member: str) -> ReportAnswer:
+        """Return what the home of `member` should know.
+
+        What is known of the other members goes along once a second.
+        """
+        view = GroupView(self.group.name, self.view.term, self.view.primary)
+        now = self.clock.monotonic()
+        if now - self.told.get(member, -VIEW_INTERVAL) >= VIEW_INTERVAL:
+            self.told[member] = now
+            self.refresh_view()
+            view = self.view
         home = self.home(self.knowledge.primary)
         return ReportAnswer(
-            self.view,
+            view,
             self.knowledge.samples.newest,
             home is not None,
             home is None or home.unreachable_since is None,
