Use the safe connector in the tool and in the stand-ins' world

Cause: both still opened connections with aiohttp's own connector, which can abort a uvloop process when a timeout strikes.

--- a/src/reedhook/process/command_client.py
+++ b/src/reedhook/process/command_client.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from ..connector import Connector
 from ..wire import Json, WireError, decode, encode
 from .command_access import Endpoint
 from .command_error import CommandError, Exit, Unreachable
@@ -76,9 +77,7 @@
     async def __aenter__(self) -> "Client":
         tls = self.endpoint.tls
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                ssl=True if tls is None else tls, use_dns_cache=False
-            ),
+            connector=Connector(ssl=True if tls is None else tls),
             headers={"Authorization": f"Bearer {self.endpoint.credential}"},
             timeout=aiohttp.ClientTimeout(TIMEOUT, sock_connect=CONNECT_TIMEOUT),
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/reedhook_standins/world.py
+++ b/src/reedhook_standins/world.py
@@ -13,6 +13,7 @@
 
 from reedhook.clock import Clock, SystemClock
 from reedhook.connection.target_http import HttpTargetFactory
+from reedhook.connector import Connector
 from reedhook.process.assembly import serve
 from reedhook.process.host import Host
 from reedhook.process.lifecycle import HostProcess
@@ -93,7 +94,7 @@
 
         :raises WorldNotReady: if it is not in force everywhere in time.
         """
-        self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self.http = aiohttp.ClientSession(connector=Connector(limit=0))
         await self.platform.start()
         self.settings = self.make_settings()
         for name, one in self.settings.items():
