Leave a home's own view alone when an answer is learned from

Cause: on a home, the view in an answer is the keeper's own, and the router wrote the wait and position of the member that served into it. Change: the router keeps a new record in its own view.

--- a/src/reedhook/request/router.py
+++ b/src/reedhook/request/router.py
@@ -16,7 +16,7 @@
 from .retry import MEMBER_FAULTS, Reaction, final, reaction
 from .statement import Consistency, Kind, Statement
 from .verdict import Verdict
-from .view import GroupView
+from .view import GroupView, MemberView
 from .views import FIRST_BACKOFF, LAST_BACKOFF, Views
 
 PRIMARY: Final = "primary"
@@ -295,14 +295,12 @@
         self.views.merge(served.view)
         track.heads.hear(answer.position, now)
         track.learn(served.view, now)
-        known = self.views.group(served.view.group).view.members.get(answer.target)
-        if known is None:
-            return
-        known.wait = served.wait
         if answer.role != PRIMARY:
             track.sighted(answer.target, answer.position, now)
-        if known.applied < answer.position:
-            known.applied = answer.position
+        members = self.views.group(served.view.group).view.members
+        known = members.get(answer.target)
+        if known is not None:
+            members[answer.target] = updated(known, served)
 
     def check(self, statement: Statement, served: Served, member: str) -> None:
         """Refuse a read whose answer misses what the token covers."""
@@ -340,6 +338,19 @@
     return statement.consistency is not Consistency.FRESH
 
 
+def updated(known: MemberView, served: Served) -> MemberView:
+    """Return what is known of a member after it served; others keep `known`."""
+    return MemberView(
+        known.member,
+        max(known.applied, served.answer.position),
+        known.held,
+        known.seen,
+        served.wait,
+        known.lag,
+        known.leaving,
+    )
+
+
 def leaving(view: GroupView, member: str) -> bool:
     """Say whether `member` takes no new work."""
     one = view.members.get(member)
