Refuse unknown paths and methods like all else

Cause: a path that the interface lacks got aiohttp's plain text, not a typed refusal. Change: a last route refuses it as bad_request, not run.

--- a/src/reedhook/request/api.py
+++ b/src/reedhook/request/api.py
@@ -345,7 +345,7 @@
 
 
 def caller_routes(api: Api) -> list[web.RouteDef]:
-    """Return the routes of the callers' interface."""
+    """Return the routes of the callers' interface; the last one takes the rest."""
     begun = "/v1/transactions/{id}"
     return [
         web.post("/v1/read", typed(api, api.read)),
@@ -355,9 +355,15 @@
         web.post(f"{begun}/commit", typed(api, api.commit)),
         web.post(f"{begun}/rollback", typed(api, api.rollback)),
         web.get("/v1/health", api.health),
+        web.route("*", "/{rest:.*}", typed(api, refuse_path)),
     ]
 
 
+async def refuse_path(request: web.Request) -> web.Response:
+    """Refuse a method and path that the interface does not have."""
+    raise not_run(Reason.BAD_REQUEST, f"there is no {request.method} on this path")
+
+
 def typed(api: Api, handler: Handler) -> Handler:
     """Answer with a typed refusal whatever `handler` raises."""
 
