--- a/tests/test_hostlist_http.py
+++ b/tests/test_hostlist_http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import TypeAlias
 
 import pytest
 
@@ -14,7 +15,9 @@
 from reedhook_standins.hostlist import HostListStandin
 
 from .fakes_clock import LoopClock
-from .support import run
+from .support_group import using
+
+Pair: TypeAlias = tuple[HostListStandin, HttpHostList]
 
 FIRST = ListedHost("h1", "vittoria", "127.0.0.1:1001", ListedState.LIVE)
 SECOND = ListedHost("h2", "comiso", "127.0.0.1:1002", ListedState.LIVE)
@@ -23,7 +26,7 @@
 @asynccontextmanager
 async def listed(
     lag: float = 0.0,
-) -> AsyncIterator[tuple[HostListStandin, HttpHostList]]:
+) -> AsyncIterator[Pair]:
     standin = HostListStandin(LoopClock(), lag)
     standin.put(FIRST.host, FIRST.zone, FIRST.address)
     standin.put(SECOND.host, SECOND.zone, SECOND.address)
@@ -36,47 +39,39 @@
         await standin.close()
 
 
-def test_hosts_are_listed_with_their_state() -> None:
-    async def main() -> None:
-        async with listed() as (standin, hosts):
-            assert await hosts.hosts(1.0) == [FIRST, SECOND]
-            standin.leave("h1")
-            standin.remove("h2")
-            leaving = ListedHost("h1", "vittoria", FIRST.address, ListedState.LEAVING)
-            assert await hosts.hosts(1.0) == [leaving]
-
-    run(main())
-
-
-def test_a_change_shows_only_after_the_lag() -> None:
-    async def main() -> None:
-        async with listed(lag=60.0) as (standin, hosts):
-            assert await hosts.hosts(1.0) == []
-            standin.changes[0].at -= 90.0
-            assert await hosts.hosts(1.0) == [FIRST]
-            standin.lag = 0.0
-            assert await hosts.hosts(1.0) == [FIRST, SECOND]
-
-    run(main())
-
-
-def test_a_list_that_is_down_is_unavailable() -> None:
-    async def main() -> None:
-        async with listed() as (standin, hosts):
-            standin.down = True
-            with pytest.raises(HostListUnavailable):
-                await hosts.hosts(1.0)
-            standin.down = False
-            assert len(await hosts.hosts(1.0)) == 2
-
-    run(main())
-
-
-def test_an_answer_of_another_form_is_no_list() -> None:
-    async def main() -> None:
-        async with listed() as (standin, hosts):
-            hosts.url = hosts.url.with_path("/nothing")
-            with pytest.raises(HostListUnavailable):
-                await hosts.hosts(1.0)
-
-    run(main())
+@using(listed)
+async def test_hosts_are_listed_with_their_state(pair: Pair) -> None:
+    standin, hosts = pair
+    assert await hosts.hosts(1.0) == [FIRST, SECOND]
+    standin.leave("h1")
+    standin.remove("h2")
+    leaving = ListedHost("h1", "vittoria", FIRST.address, ListedState.LEAVING)
+    assert await hosts.hosts(1.0) == [leaving]
+
+
+@using(lambda: listed(lag=60.0))
+async def test_a_change_shows_only_after_the_lag(pair: Pair) -> None:
+    standin, hosts = pair
+    assert await hosts.hosts(1.0) == []
+    standin.changes[0].at -= 90.0
+    assert await hosts.hosts(1.0) == [FIRST]
+    standin.lag = 0.0
+    assert await hosts.hosts(1.0) == [FIRST, SECOND]
+
+
+@using(listed)
+async def test_a_list_that_is_down_is_unavailable(pair: Pair) -> None:
+    standin, hosts = pair
+    standin.down = True
+    with pytest.raises(HostListUnavailable):
+        await hosts.hosts(1.0)
+    standin.down = False
+    assert len(await hosts.hosts(1.0)) == 2
+
+
+@using(listed)
+async def test_an_answer_of_another_form_is_no_list(pair: Pair) -> None:
+    standin, hosts = pair
+    hosts.url = hosts.url.with_path("/nothing")
+    with pytest.raises(HostListUnavailable):
+        await hosts.hosts(1.0)
--- a/tests/test_standin_control.py
+++ b/tests/test_standin_control.py
@@ -13,8 +13,7 @@
 from reedhook_standins.deployment import Deployment
 from reedhook_standins.platform import Platform, base_ports
 
-from .support import run
-from .support_group import connect
+from .support_group import connect, using
 
 
 class Hand:
@@ -45,64 +44,55 @@
         await platform.close()
 
 
-def test_a_member_is_killed_and_revived_at_its_address() -> None:
-    async def main() -> None:
-        async with hand_of() as hand:
-            member = hand.platform.members()["feedlog-1-a"]
-            address = member.address
-            await hand.call("kill", member=member.name)
-            with pytest.raises(TargetUnreachable):
-                await connect(member)
-            await hand.call("revive", member=member.name)
-            await hand.call("revive", 400, member=member.name)
-            assert member.address == address
-            assert (await (await connect(member)).state(1.0)).member == member.name
-
-    run(main())
-
-
-def test_faults_reach_the_stand_ins() -> None:
-    async def main() -> None:
-        async with hand_of() as hand:
-            platform = hand.platform
-            member = platform.members()["feedlog-1-a"]
-            await hand.call("pause", member=member.name)
-            assert not member.runs
-            await hand.call("resume", member=member.name)
-            assert member.runs
-            await hand.call("lag", member=member.name, ship=2, apply=1)
-            assert (member.ship_lag, member.apply_lag) == (2.0, 1.0)
-            await hand.call("partition", members=[member.name])
-            group = platform.groups["feedlog-1"]
-            assert not group.reachable(member.name, "feedlog-1-b")
-            await hand.call("heal")
-            assert group.reachable(member.name, "feedlog-1-b")
-            await hand.call("store", down=True, slow=0.5)
-            assert platform.store.down and platform.store.slow == 0.5
-            await hand.call("leave", member=member.name)
-            assert member.left is not None
-            await hand.call(
-                "list", host="h1", zone="comiso", address="127.0.0.1:1", state="live"
-            )
-            listed = {one.host: one.state for one in platform.hostlist.visible()}
-            assert listed["h1"] is ListedState.LIVE
-            assert listed[member.name] is ListedState.LEAVING
-            await hand.call("list", host="h1", state=None)
-            assert len(platform.hostlist.visible()) == len(platform.members())
-
-    run(main())
-
-
-def test_an_unknown_call_member_or_fault_is_refused() -> None:
-    async def main() -> None:
-        async with hand_of() as hand:
-            await hand.call("explode", 404)
-            await hand.call("kill", 404, member="nobody")
-            await hand.call("store", 400, broken=True)
-            answer = await hand.call("status")
-            assert len(answer["members"]) == 9
-
-    run(main())
+@using(hand_of)
+async def test_a_member_is_killed_and_revived_at_its_address(hand: Hand) -> None:
+    member = hand.platform.members()["feedlog-1-a"]
+    address = member.address
+    await hand.call("kill", member=member.name)
+    with pytest.raises(TargetUnreachable):
+        await connect(member)
+    await hand.call("revive", member=member.name)
+    await hand.call("revive", 400, member=member.name)
+    assert member.address == address
+    assert (await (await connect(member)).state(1.0)).member == member.name
+
+
+@using(hand_of)
+async def test_faults_reach_the_stand_ins(hand: Hand) -> None:
+    platform = hand.platform
+    member = platform.members()["feedlog-1-a"]
+    await hand.call("pause", member=member.name)
+    assert not member.runs
+    await hand.call("resume", member=member.name)
+    assert member.runs
+    await hand.call("lag", member=member.name, ship=2, apply=1)
+    assert (member.ship_lag, member.apply_lag) == (2.0, 1.0)
+    await hand.call("partition", members=[member.name])
+    group = platform.groups["feedlog-1"]
+    assert not group.reachable(member.name, "feedlog-1-b")
+    await hand.call("heal")
+    assert group.reachable(member.name, "feedlog-1-b")
+    await hand.call("store", down=True, slow=0.5)
+    assert platform.store.down and platform.store.slow == 0.5
+    await hand.call("leave", member=member.name)
+    assert member.left is not None
+    await hand.call(
+        "list", host="h1", zone="comiso", address="127.0.0.1:1", state="live"
+    )
+    listed = {one.host: one.state for one in platform.hostlist.visible()}
+    assert listed["h1"] is ListedState.LIVE
+    assert listed[member.name] is ListedState.LEAVING
+    await hand.call("list", host="h1", state=None)
+    assert len(platform.hostlist.visible()) == len(platform.members())
+
+
+@using(hand_of)
+async def test_an_unknown_call_member_or_fault_is_refused(hand: Hand) -> None:
+    await hand.call("explode", 404)
+    await hand.call("kill", 404, member="nobody")
+    await hand.call("store", 400, broken=True)
+    answer = await hand.call("status")
+    assert len(answer["members"]) == 9
 
 
 @pytest.mark.parametrize("name", ["plant", "danube"])
--- a/tests/test_standin_group.py
+++ b/tests/test_standin_group.py
@@ -6,8 +6,8 @@
 
 from reedhook.connection.target import Role, TargetRefused
 from reedhook.request.position import Position
+from reedhook_standins.group import GroupStandin
 
-from .support import run
 from .support_group import (
     INSERT,
     SELECT,
@@ -18,266 +18,246 @@
     held,
     request_id,
     until,
+    using,
 )
 
 
-def test_the_first_member_opens_the_first_term() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            states = [
-                await (await connect(member)).state(1.0)
-                for member in group.members.values()
-            ]
-            roles = [state.role for state in states]
-            assert roles == [Role.PRIMARY, Role.REPLICA, Role.REPLICA]
-            assert {state.leader_term for state in states} == {1}
-            assert group.truth.entries[0].position == Position(1, 1)
-            assert group.truth.entries[0].changes == ()
-
-    run(main())
-
-
-def test_ship_lag_delays_what_is_held_and_apply_lag_what_reads_see() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            one = await connect(group.primary)
-            other = await connect(group.members["m2"])
-            group.members["m2"].ship_lag = 60.0
-            group.members["m2"].apply_lag = 60.0
-            written = await one.write(INSERT, ["pomace"], None, 1.0)
-            near = await connect(group.members["m3"])
-            await applied(near, written.position)
-            assert not (await other.state(1.0)).held.covers(written.position)
-            group.members["m2"].ship_lag = 0.0
-            await held(other, written.position)
-            assert (await other.read(SELECT, [], 1.0)).rows == []
-            group.members["m2"].apply_lag = 0.0
-            await applied(other, written.position)
-            assert (await other.read(SELECT, [], 1.0)).rows == [["pomace"]]
-
-    run(main())
-
-
-def test_the_lags_add_up() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            group.set_lag(0.1, 0.15)
-            one = await connect(group.primary)
-            other = await connect(group.members["m2"])
-            written = await one.write(INSERT, ["pomace"], None, 1.0)
-            await applied(other, written.position)
-            age = group.clock.monotonic() - group.truth.entries[-1].written
-            assert age >= 0.25
-
-    run(main())
-
-
-def test_a_partition_stops_replication_until_it_heals() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            one = await connect(group.primary)
-            near = await connect(group.members["m2"])
-            far = await connect(group.members["m3"])
-            group.partition("m3")
-            written = await one.write(INSERT, ["pomace"], None, 1.0)
-            await applied(near, written.position)
-            assert not (await far.state(1.0)).held.covers(written.position)
-            group.heal()
-            await applied(far, written.position)
-
-    run(main())
-
-
-def test_a_promise_fences_the_primary_and_its_open_transaction() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            writer = await connect(group.primary)
-            other = await connect(group.primary)
-            await other.begin(None, 1.0)
-            await other.step(INSERT, ["pomace"], 1.0)
-            state = await writer.raise_term(2, "h1", 1.0)
-            assert state.role is Role.FENCED
-            for attempt in (writer.write(INSERT, ["x"], None, 1.0), other.commit(1.0)):
-                with pytest.raises(TargetRefused) as caught:
-                    await attempt
-                assert caught.value.code in ("superseded", "unknown_transaction")
-            assert (await writer.read(SELECT, [], 1.0)).rows == []
-            assert (await writer.read(SELECT, [], 1.0)).role is Role.FENCED
-
-    run(main())
-
-
-def test_a_write_that_waits_for_its_slot_when_the_term_rises_does_not_run() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            group.primary.statement_time = 0.2
-            group.primary.received.clear()
-            writer = await connect(group.primary)
-            control = await connect(group.primary)
-            writing = asyncio.create_task(
-                writer.write(INSERT, ["pomace"], request_id(1), 1.0)
-            )
-            await until(lambda: group.primary.received["write"])
-            await control.raise_term(2, "h1", 1.0)
-            with pytest.raises(TargetRefused) as caught:
-                await writing
-            assert caught.value.code == "superseded"
-            assert not group.truth.contains(request_id(1))
-
-    run(main())
-
-
-def test_a_term_is_promised_to_one_owner_and_only_that_one_promotes() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            replica = await connect(group.members["m2"])
-            await replica.raise_term(2, "h1", 1.0)
-            # A repeated call after a lost answer is granted.
-            assert (await replica.raise_term(2, "h1", 1.0)).promised == 2
-            refused = (
-                replica.raise_term(2, "h2", 1.0),
-                replica.raise_term(1, "h1", 1.0),
-                replica.promote(2, "h2", 1.0),
-                replica.promote(3, "h1", 1.0),
-                replica.follow(1, "m1", 1.0),
-            )
-            for attempt in refused:
-                with pytest.raises(TargetRefused) as caught:
-                    await attempt
-                assert caught.value.code == "term_refused"
-            promoted = await replica.promote(2, "h1", 1.0)
-            assert promoted.role is Role.PRIMARY
-            assert promoted.held == Position(2, 3)
-            assert await replica.promote(2, "h1", 1.0) == promoted
-
-    run(main())
-
-
-def test_a_replica_that_promised_more_takes_nothing_from_the_old_primary() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            writer = await connect(group.primary)
-            near = await connect(group.members["m2"])
-            far = await connect(group.members["m3"])
-            await far.raise_term(2, "h1", 1.0)
-            written = await writer.write(INSERT, ["pomace"], None, 1.0)
-            await applied(near, written.position)
-            state = await far.state(1.0)
-            assert state.role is Role.FENCED
-            assert not state.held.covers(written.position)
-
-    run(main())
-
-
-def test_entries_that_the_new_primary_lacks_are_dropped_and_their_ids_freed() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            old = await connect(group.members["m1"])
-            await old.write(INSERT, ["pomace"], request_id(1), 1.0)
-            replica = await connect(group.members["m3"])
-            await applied(replica, group.truth.entries[-1].position)
-            group.partition("m1")
-            lost = await old.write(INSERT, ["manure"], request_id(2), 1.0)
-            await change_primary(group, "m2", 2, ["m2", "m3"])
-            new = await connect(group.members["m2"])
-            kept = await new.write(INSERT, ["citrus"], request_id(3), 1.0)
-            assert not group.truth.holds(lost.position)
-            assert not group.truth.contains(request_id(2))
-            assert group.truth.contains(request_id(1))
-            group.heal()
-            await old.follow(2, "m2", 1.0)
-            await applied(old, kept.position)
-            read = await old.read(SELECT, [], 1.0)
-            assert read.rows == [["pomace"], ["citrus"]]
-            # The dropped request may run now, the kept one may not again.
-            again = await new.write(INSERT, ["manure"], request_id(2), 1.0)
-            assert not again.repeated
-            once = await new.write(INSERT, ["pomace"], request_id(1), 1.0)
-            assert once.repeated
-
-    run(main())
-
-
-def test_an_isolated_primary_still_believes_that_it_leads() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            group.partition("m1")
-            await change_primary(group, "m2", 2, ["m2", "m3"])
-            old = await connect(group.members["m1"])
-            written = await old.write(INSERT, ["pomace"], request_id(1), 1.0)
-            assert written.role is Role.PRIMARY
-            assert written.term == 1
-            assert group.primary.name == "m2"
-            assert not group.truth.contains(request_id(1))
-            assert len(group.truth.written) == len(group.truth.entries) + 1
-
-    run(main())
-
-
-def test_a_repeated_request_is_known_to_the_promoted_replica() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            old = await connect(group.members["m1"])
-            first = await old.write(INSERT, ["pomace"], request_id(1), 1.0)
-            await held(await connect(group.members["m2"]), first.position)
-            await group.members["m1"].kill()
-            await change_primary(group, "m2", 2, ["m2", "m3"])
-            new = await connect(group.members["m2"])
-            again = await new.write(INSERT, ["pomace"], request_id(1), 1.0)
-            assert again.repeated
-            assert again.rowcount == first.rowcount
-            assert again.position == Position(2, first.position.index + 1)
-            assert group.truth.count(request_id(1)) == 1
-
-    run(main())
-
-
-def test_following_raises_the_promise_of_a_member_that_missed_the_vote() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            await change_primary(group, "m2", 2, ["m1", "m2"])
-            missed = await connect(group.members["m3"])
-            state = await missed.follow(2, "m2", 1.0)
-            assert (state.promised, state.leader_term) == (2, 2)
-            for attempt in (
-                missed.raise_term(2, "h9", 1.0),
-                missed.follow(2, "m1", 1.0),
-            ):
-                with pytest.raises(TargetRefused) as caught:
-                    await attempt
-                assert caught.value.code == "term_refused"
-
-    run(main())
-
-
-def test_a_held_open_question_is_answered_on_a_change_or_at_its_end() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            writer = await connect(group.primary)
-            watcher = await connect(group.members["m2"])
-            known = await watcher.state(1.0)
-            same = await watcher.wait_state(known.revision, 0.1)
-            assert same == known
-            waiting = asyncio.create_task(watcher.wait_state(known.revision, 5.0))
-            await writer.write(INSERT, ["pomace"], None, 1.0)
-            assert (await waiting).revision > known.revision
-
-    run(main())
-
-
-def test_the_true_age_begins_with_the_first_entry_that_is_missed() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            writer = await connect(group.primary)
-            truth = group.truth
-            before = truth.entries[-1].position
-            await writer.write(INSERT, ["pomace"], None, 1.0)
-            first = truth.entries[-1]
-            await writer.write(INSERT, ["manure"], None, 1.0)
-            second = truth.entries[-1]
-            now = second.written + 5.0
-            assert truth.truth_age(before, now) == now - first.written
-            assert truth.truth_age(first.position, now) == 5.0
-            assert truth.truth_age(second.position, now) == 0.0
-
-    run(main())
+@using(group_of)
+async def test_the_first_member_opens_the_first_term(group: GroupStandin) -> None:
+    states = [
+        await (await connect(member)).state(1.0) for member in group.members.values()
+    ]
+    roles = [state.role for state in states]
+    assert roles == [Role.PRIMARY, Role.REPLICA, Role.REPLICA]
+    assert {state.leader_term for state in states} == {1}
+    assert group.truth.entries[0].position == Position(1, 1)
+    assert group.truth.entries[0].changes == ()
+
+
+@using(group_of)
+async def test_ship_lag_delays_what_is_held_and_apply_lag_what_reads_see(
+    group: GroupStandin,
+) -> None:
+    one = await connect(group.primary)
+    other = await connect(group.members["m2"])
+    group.members["m2"].ship_lag = 60.0
+    group.members["m2"].apply_lag = 60.0
+    written = await one.write(INSERT, ["pomace"], None, 1.0)
+    near = await connect(group.members["m3"])
+    await applied(near, written.position)
+    assert not (await other.state(1.0)).held.covers(written.position)
+    group.members["m2"].ship_lag = 0.0
+    await held(other, written.position)
+    assert (await other.read(SELECT, [], 1.0)).rows == []
+    group.members["m2"].apply_lag = 0.0
+    await applied(other, written.position)
+    assert (await other.read(SELECT, [], 1.0)).rows == [["pomace"]]
+
+
+@using(group_of)
+async def test_the_lags_add_up(group: GroupStandin) -> None:
+    group.set_lag(0.1, 0.15)
+    one = await connect(group.primary)
+    other = await connect(group.members["m2"])
+    written = await one.write(INSERT, ["pomace"], None, 1.0)
+    await applied(other, written.position)
+    age = group.clock.monotonic() - group.truth.entries[-1].written
+    assert age >= 0.25
+
+
+@using(group_of)
+async def test_a_partition_stops_replication_until_it_heals(
+    group: GroupStandin,
+) -> None:
+    one = await connect(group.primary)
+    near = await connect(group.members["m2"])
+    far = await connect(group.members["m3"])
+    group.partition("m3")
+    written = await one.write(INSERT, ["pomace"], None, 1.0)
+    await applied(near, written.position)
+    assert not (await far.state(1.0)).held.covers(written.position)
+    group.heal()
+    await applied(far, written.position)
+
+
+@using(group_of)
+async def test_a_promise_fences_the_primary_and_its_open_transaction(
+    group: GroupStandin,
+) -> None:
+    writer = await connect(group.primary)
+    other = await connect(group.primary)
+    await other.begin(None, 1.0)
+    await other.step(INSERT, ["pomace"], 1.0)
+    state = await writer.raise_term(2, "h1", 1.0)
+    assert state.role is Role.FENCED
+    for attempt in (writer.write(INSERT, ["x"], None, 1.0), other.commit(1.0)):
+        with pytest.raises(TargetRefused) as caught:
+            await attempt
+        assert caught.value.code in ("superseded", "unknown_transaction")
+    assert (await writer.read(SELECT, [], 1.0)).rows == []
+    assert (await writer.read(SELECT, [], 1.0)).role is Role.FENCED
+
+
+@using(group_of)
+async def test_a_write_that_waits_for_its_slot_when_the_term_rises_does_not_run(
+    group: GroupStandin,
+) -> None:
+    group.primary.statement_time = 0.2
+    group.primary.received.clear()
+    writer = await connect(group.primary)
+    control = await connect(group.primary)
+    writing = asyncio.create_task(writer.write(INSERT, ["pomace"], request_id(1), 1.0))
+    await until(lambda: group.primary.received["write"])
+    await control.raise_term(2, "h1", 1.0)
+    with pytest.raises(TargetRefused) as caught:
+        await writing
+    assert caught.value.code == "superseded"
+    assert not group.truth.contains(request_id(1))
+
+
+@using(group_of)
+async def test_a_term_is_promised_to_one_owner_and_only_that_one_promotes(
+    group: GroupStandin,
+) -> None:
+    replica = await connect(group.members["m2"])
+    await replica.raise_term(2, "h1", 1.0)
+    # A repeated call after a lost answer is granted.
+    assert (await replica.raise_term(2, "h1", 1.0)).promised == 2
+    refused = (
+        replica.raise_term(2, "h2", 1.0),
+        replica.raise_term(1, "h1", 1.0),
+        replica.promote(2, "h2", 1.0),
+        replica.promote(3, "h1", 1.0),
+        replica.follow(1, "m1", 1.0),
+    )
+    for attempt in refused:
+        with pytest.raises(TargetRefused) as caught:
+            await attempt
+        assert caught.value.code == "term_refused"
+    promoted = await replica.promote(2, "h1", 1.0)
+    assert promoted.role is Role.PRIMARY
+    assert promoted.held == Position(2, 3)
+    assert await replica.promote(2, "h1", 1.0) == promoted
+
+
+@using(group_of)
+async def test_a_replica_that_promised_more_takes_nothing_from_the_old_primary(
+    group: GroupStandin,
+) -> None:
+    writer = await connect(group.primary)
+    near = await connect(group.members["m2"])
+    far = await connect(group.members["m3"])
+    await far.raise_term(2, "h1", 1.0)
+    written = await writer.write(INSERT, ["pomace"], None, 1.0)
+    await applied(near, written.position)
+    state = await far.state(1.0)
+    assert state.role is Role.FENCED
+    assert not state.held.covers(written.position)
+
+
+@using(group_of)
+async def test_entries_that_the_new_primary_lacks_are_dropped_and_their_ids_freed(
+    group: GroupStandin,
+) -> None:
+    old = await connect(group.members["m1"])
+    await old.write(INSERT, ["pomace"], request_id(1), 1.0)
+    replica = await connect(group.members["m3"])
+    await applied(replica, group.truth.entries[-1].position)
+    group.partition("m1")
+    lost = await old.write(INSERT, ["manure"], request_id(2), 1.0)
+    await change_primary(group, "m2", 2, ["m2", "m3"])
+    new = await connect(group.members["m2"])
+    kept = await new.write(INSERT, ["citrus"], request_id(3), 1.0)
+    assert not group.truth.holds(lost.position)
+    assert not group.truth.contains(request_id(2))
+    assert group.truth.contains(request_id(1))
+    group.heal()
+    await old.follow(2, "m2", 1.0)
+    await applied(old, kept.position)
+    read = await old.read(SELECT, [], 1.0)
+    assert read.rows == [["pomace"], ["citrus"]]
+    # The dropped request may run now, the kept one may not again.
+    again = await new.write(INSERT, ["manure"], request_id(2), 1.0)
+    assert not again.repeated
+    once = await new.write(INSERT, ["pomace"], request_id(1), 1.0)
+    assert once.repeated
+
+
+@using(group_of)
+async def test_an_isolated_primary_still_believes_that_it_leads(
+    group: GroupStandin,
+) -> None:
+    group.partition("m1")
+    await change_primary(group, "m2", 2, ["m2", "m3"])
+    old = await connect(group.members["m1"])
+    written = await old.write(INSERT, ["pomace"], request_id(1), 1.0)
+    assert written.role is Role.PRIMARY
+    assert written.term == 1
+    assert group.primary.name == "m2"
+    assert not group.truth.contains(request_id(1))
+    assert len(group.truth.written) == len(group.truth.entries) + 1
+
+
+@using(group_of)
+async def test_a_repeated_request_is_known_to_the_promoted_replica(
+    group: GroupStandin,
+) -> None:
+    old = await connect(group.members["m1"])
+    first = await old.write(INSERT, ["pomace"], request_id(1), 1.0)
+    await held(await connect(group.members["m2"]), first.position)
+    await group.members["m1"].kill()
+    await change_primary(group, "m2", 2, ["m2", "m3"])
+    new = await connect(group.members["m2"])
+    again = await new.write(INSERT, ["pomace"], request_id(1), 1.0)
+    assert again.repeated
+    assert again.rowcount == first.rowcount
+    assert again.position == Position(2, first.position.index + 1)
+    assert group.truth.count(request_id(1)) == 1
+
+
+@using(group_of)
+async def test_following_raises_the_promise_of_a_member_that_missed_the_vote(
+    group: GroupStandin,
+) -> None:
+    await change_primary(group, "m2", 2, ["m1", "m2"])
+    missed = await connect(group.members["m3"])
+    state = await missed.follow(2, "m2", 1.0)
+    assert (state.promised, state.leader_term) == (2, 2)
+    for attempt in (
+        missed.raise_term(2, "h9", 1.0),
+        missed.follow(2, "m1", 1.0),
+    ):
+        with pytest.raises(TargetRefused) as caught:
+            await attempt
+        assert caught.value.code == "term_refused"
+
+
+@using(group_of)
+async def test_a_held_open_question_is_answered_on_a_change_or_at_its_end(
+    group: GroupStandin,
+) -> None:
+    writer = await connect(group.primary)
+    watcher = await connect(group.members["m2"])
+    known = await watcher.state(1.0)
+    same = await watcher.wait_state(known.revision, 0.1)
+    assert same == known
+    waiting = asyncio.create_task(watcher.wait_state(known.revision, 5.0))
+    await writer.write(INSERT, ["pomace"], None, 1.0)
+    assert (await waiting).revision > known.revision
+
+
+@using(group_of)
+async def test_the_true_age_begins_with_the_first_entry_that_is_missed(
+    group: GroupStandin,
+) -> None:
+    writer = await connect(group.primary)
+    truth = group.truth
+    before = truth.entries[-1].position
+    await writer.write(INSERT, ["pomace"], None, 1.0)
+    first = truth.entries[-1]
+    await writer.write(INSERT, ["manure"], None, 1.0)
+    second = truth.entries[-1]
+    now = second.written + 5.0
+    assert truth.truth_age(before, now) == now - first.written
+    assert truth.truth_age(first.position, now) == 5.0
+    assert truth.truth_age(second.position, now) == 0.0
--- a/tests/test_standin_member.py
+++ b/tests/test_standin_member.py
@@ -10,9 +10,9 @@
     TargetSilent,
     TargetUnreachable,
 )
+from reedhook_standins.group import GroupStandin
 from reedhook_standins.member import Cut
 
-from .support import run
 from .support_group import (
     DAY,
     INSERT,
@@ -23,6 +23,7 @@
     group_of,
     request_id,
     until,
+    using,
 )
 
 
@@ -40,330 +41,298 @@
         "SELECT 1; DELETE FROM ticket",
     ],
 )
-def test_a_read_that_would_change_something_fails(sql: str) -> None:
-    async def main() -> None:
-        async with group_of(count=1) as group:
-            connection = await connect(group.primary)
-            with pytest.raises(TargetRefused) as caught:
-                await connection.read(sql, [], 10.0)
-            assert caught.value.code == "statement_failed"
-            assert (await connection.read(SELECT, [], 1.0)).rows == []
-
-    run(main())
-
-
-def test_a_failed_write_leaves_nothing_behind() -> None:
-    async def main() -> None:
-        async with group_of(count=1) as group:
-            connection = await connect(group.primary)
-            await connection.write(INSERT, ["pomace"], None, 1.0)
-            before = await connection.state(1.0)
-            with pytest.raises(TargetRefused) as caught:
-                await connection.write(INSERT, ["pomace"], request_id(1), 1.0)
-            assert caught.value.code == "statement_failed"
-            assert (await connection.state(1.0)).held == before.held
-            # The id of a request that failed is free for its retry.
-            again = await connection.write(INSERT, ["manure"], request_id(1), 1.0)
-            assert not again.repeated
-
-    run(main())
-
-
-def test_a_request_id_runs_once_and_gives_the_first_result() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            one = await connect(group.primary)
-            other = await connect(group.primary)
-            results = await asyncio.gather(
-                one.write(INSERT, ["pomace"], request_id(1), 1.0),
-                other.write(INSERT, ["pomace"], request_id(1), 1.0),
-            )
-            assert sorted(result.repeated for result in results) == [False, True]
-            assert [result.rowcount for result in results] == [1, 1]
-            assert group.truth.count(request_id(1)) == 1
-            last = await one.write(INSERT, ["manure"], None, 1.0)
-            third = await one.write(INSERT, ["pomace"], request_id(1), 1.0)
-            assert third.repeated
-            assert third.position == last.position
-
-    run(main())
-
-
-def test_a_request_id_of_another_statement_is_refused() -> None:
-    async def main() -> None:
-        async with group_of(count=1) as group:
-            connection = await connect(group.primary)
-            await connection.write(INSERT, ["pomace"], request_id(1), 1.0)
-            with pytest.raises(TargetRefused) as caught:
-                await connection.write(INSERT, ["manure"], request_id(1), 1.0)
-            assert caught.value.code == "request_reused"
-            with pytest.raises(TargetRefused) as caught:
-                await connection.begin(request_id(1), 1.0)
-            assert caught.value.code == "request_reused"
-            assert (await connection.read(SELECT, [], 1.0)).rows == [["pomace"]]
-
-    run(main())
-
-
-def test_an_id_is_known_for_a_day_and_then_refused() -> None:
-    async def main() -> None:
-        async with group_of(count=1) as group:
-            connection = await connect(group.primary)
-            write = connection.write
-            await write(INSERT, ["pomace"], request_id(1), 1.0)
-            await write(INSERT, ["manure"], request_id(2, ISSUED + DAY - 1), 1.0)
-            kept = await write(INSERT, ["pomace"], request_id(1), 1.0)
-            assert kept.repeated
-            await write(INSERT, ["citrus"], request_id(3, ISSUED + DAY), 1.0)
-            for number, load in ((1, "pomace"), (4, "olives")):
-                with pytest.raises(TargetRefused) as caught:
-                    await write(INSERT, [load], request_id(number), 1.0)
-                assert caught.value.code == "request_expired"
-            rows = (await connection.read(SELECT, [], 1.0)).rows
-            assert rows == [["pomace"], ["manure"], ["citrus"]]
-
-    run(main())
+@using(lambda: group_of(count=1))
+async def test_a_read_that_would_change_something_fails(
+    group: GroupStandin, sql: str
+) -> None:
+    connection = await connect(group.primary)
+    with pytest.raises(TargetRefused) as caught:
+        await connection.read(sql, [], 10.0)
+    assert caught.value.code == "statement_failed"
+    assert (await connection.read(SELECT, [], 1.0)).rows == []
+
+
+@using(lambda: group_of(count=1))
+async def test_a_failed_write_leaves_nothing_behind(group: GroupStandin) -> None:
+    connection = await connect(group.primary)
+    await connection.write(INSERT, ["pomace"], None, 1.0)
+    before = await connection.state(1.0)
+    with pytest.raises(TargetRefused) as caught:
+        await connection.write(INSERT, ["pomace"], request_id(1), 1.0)
+    assert caught.value.code == "statement_failed"
+    assert (await connection.state(1.0)).held == before.held
+    # The id of a request that failed is free for its retry.
+    again = await connection.write(INSERT, ["manure"], request_id(1), 1.0)
+    assert not again.repeated
+
+
+@using(group_of)
+async def test_a_request_id_runs_once_and_gives_the_first_result(
+    group: GroupStandin,
+) -> None:
+    one = await connect(group.primary)
+    other = await connect(group.primary)
+    results = await asyncio.gather(
+        one.write(INSERT, ["pomace"], request_id(1), 1.0),
+        other.write(INSERT, ["pomace"], request_id(1), 1.0),
+    )
+    assert sorted(result.repeated for result in results) == [False, True]
+    assert [result.rowcount for result in results] == [1, 1]
+    assert group.truth.count(request_id(1)) == 1
+    last = await one.write(INSERT, ["manure"], None, 1.0)
+    third = await one.write(INSERT, ["pomace"], request_id(1), 1.0)
+    assert third.repeated
+    assert third.position == last.position
+
+
+@using(lambda: group_of(count=1))
+async def test_a_request_id_of_another_statement_is_refused(
+    group: GroupStandin,
+) -> None:
+    connection = await connect(group.primary)
+    await connection.write(INSERT, ["pomace"], request_id(1), 1.0)
+    with pytest.raises(TargetRefused) as caught:
+        await connection.write(INSERT, ["manure"], request_id(1), 1.0)
+    assert caught.value.code == "request_reused"
+    with pytest.raises(TargetRefused) as caught:
+        await connection.begin(request_id(1), 1.0)
+    assert caught.value.code == "request_reused"
+    assert (await connection.read(SELECT, [], 1.0)).rows == [["pomace"]]
+
+
+@using(lambda: group_of(count=1))
+async def test_an_id_is_known_for_a_day_and_then_refused(group: GroupStandin) -> None:
+    connection = await connect(group.primary)
+    write = connection.write
+    await write(INSERT, ["pomace"], request_id(1), 1.0)
+    await write(INSERT, ["manure"], request_id(2, ISSUED + DAY - 1), 1.0)
+    kept = await write(INSERT, ["pomace"], request_id(1), 1.0)
+    assert kept.repeated
+    await write(INSERT, ["citrus"], request_id(3, ISSUED + DAY), 1.0)
+    for number, load in ((1, "pomace"), (4, "olives")):
+        with pytest.raises(TargetRefused) as caught:
+            await write(INSERT, [load], request_id(number), 1.0)
+        assert caught.value.code == "request_expired"
+    rows = (await connection.read(SELECT, [], 1.0)).rows
+    assert rows == [["pomace"], ["manure"], ["citrus"]]
 
 
 @pytest.mark.parametrize("bad", ["", "1-short", "x" * 30, f"{ISSUED}-no spaces!"])
-def test_a_malformed_request_id_is_refused(bad: str) -> None:
-    async def main() -> None:
-        async with group_of(count=1) as group:
-            connection = await connect(group.primary)
-            with pytest.raises(TargetRefused) as caught:
-                await connection.write(INSERT, ["pomace"], bad, 1.0)
-            assert caught.value.code == "bad_request"
-
-    run(main())
-
-
-def test_a_transaction_is_seen_by_no_one_else_before_its_commit() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            one = await connect(group.primary)
-            other = await connect(group.primary)
-            await one.begin(request_id(1), 1.0)
-            await one.step(INSERT, ["pomace"], 1.0)
-            assert (await one.step(SELECT, [], 1.0)).rows == [["pomace"]]
-            assert (await other.read(SELECT, [], 1.0)).rows == []
-            committed = await one.commit(1.0)
-            assert (await other.read(SELECT, [], 1.0)).rows == [["pomace"]]
-            replica = await connect(group.members["m2"])
-            await applied(replica, committed.position)
-            assert (await replica.read(SELECT, [], 1.0)).rows == [["pomace"]]
-            repeated = await one.begin(request_id(1), 1.0)
-            assert repeated.repeated
-            with pytest.raises(TargetRefused) as caught:
-                await one.step(INSERT, ["manure"], 1.0)
-            assert caught.value.code == "unknown_transaction"
-
-    run(main())
-
-
-def test_closing_the_connection_rolls_back_and_frees_the_way() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            one = await connect(group.primary)
-            other = await connect(group.primary)
-            await one.begin(request_id(1), 1.0)
-            await one.step(INSERT, ["pomace"], 1.0)
-            with pytest.raises(TargetRefused) as caught:
-                await other.write(INSERT, ["manure"], None, 0.1)
-            assert caught.value.code == "busy"
-            await one.close()
-            await other.write(INSERT, ["citrus"], None, 1.0)
-            assert (await other.read(SELECT, [], 1.0)).rows == [["citrus"]]
-            assert not group.truth.contains(request_id(1))
-
-    run(main())
-
-
-def test_an_idle_transaction_on_a_silent_connection_is_rolled_back() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            group.primary.idle_limit = 0.1
-            one = await connect(group.primary)
-            await one.begin(None, 1.0)
-            await one.step(INSERT, ["pomace"], 1.0)
-            group.primary.silence_connections()
-            other = await connect(group.primary)
-            await other.write(INSERT, ["manure"], None, 2.0)
-            assert (await other.read(SELECT, [], 1.0)).rows == [["manure"]]
-
-    run(main())
-
-
-def test_a_failed_step_leaves_the_transaction_open() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            one = await connect(group.primary)
-            await one.begin(None, 1.0)
-            await one.step(INSERT, ["pomace"], 1.0)
-            with pytest.raises(TargetRefused):
-                await one.step(INSERT, ["pomace"], 1.0)
-            committed = await one.commit(1.0)
-            replica = await connect(group.members["m2"])
-            await applied(replica, committed.position)
-            assert (await replica.read(SELECT, [], 1.0)).rows == [["pomace"]]
-
-    run(main())
-
-
-def test_slots_bound_what_runs_at_once_and_the_wait_is_bounded() -> None:
-    async def main() -> None:
-        async with group_of(slots=2) as group:
-            group.primary.statement_time = 60.0
-            connections = [await connect(group.primary) for _ in range(3)]
-            running = [
-                asyncio.create_task(one.read(SELECT, [], 90.0))
-                for one in connections[:2]
-            ]
-            await until(group.primary.slots.locked)
-            with pytest.raises(TargetRefused) as caught:
-                await connections[2].read(SELECT, [], 0.5)
-            assert caught.value.code == "busy"
-            assert not any(one.done() for one in running)
-
-    run(main())
-
-
-def test_silenced_connections_never_answer_while_new_ones_work() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            old = await connect(group.primary)
-            group.primary.silence_connections()
-            with pytest.raises(TargetSilent):
-                await old.write(INSERT, ["pomace"], request_id(1), 0.2)
-            new = await connect(group.primary)
-            assert (await new.read(SELECT, [], 1.0)).rows == []
-            assert not group.truth.contains(request_id(1))
-
-    run(main())
-
-
-def test_a_silent_connection_counts_until_the_target_notices() -> None:
-    async def main() -> None:
-        async with group_of(connections=1) as group:
-            group.primary.linger = 0.3
-            old = await connect(group.primary)
-            group.primary.silence_connections()
-            await old.close()
-            with pytest.raises(TargetUnreachable):
-                await connect(group.primary)
-            await until(lambda: group.primary.open_connections == 0)
-            new = await connect(group.primary)
-            assert (await new.state(1.0)).connections == 1
-
-    run(main())
-
-
-def test_a_statement_in_progress_when_the_connection_goes_silent_runs() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            group.primary.statement_time = 0.1
-            group.primary.received.clear()
-            old = await connect(group.primary)
-            writing = asyncio.create_task(
-                old.write(INSERT, ["pomace"], request_id(1), 1.0)
-            )
-            await until(lambda: group.primary.received["write"])
-            group.primary.silence_connections()
-            with pytest.raises(TargetSilent):
-                await writing
-            assert group.truth.contains(request_id(1))
-
-    run(main())
-
-
-def test_a_paused_member_answers_nothing_and_then_goes_on() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            connection = await connect(group.primary)
-            group.primary.pause()
-            with pytest.raises(TargetUnreachable):
-                await connect(group.primary)
-            writing = asyncio.create_task(
-                connection.write(INSERT, ["pomace"], None, 5.0)
-            )
-            await asyncio.sleep(0.1)
-            assert not writing.done()
-            group.primary.resume()
-            assert (await writing).rowcount == 1
-
-    run(main())
-
-
-def test_a_member_killed_in_a_statement_forgets_it_and_keeps_what_it_held() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            connection = await connect(group.primary)
-            await connection.write(INSERT, ["pomace"], None, 1.0)
-            group.primary.statement_time = 0.2
-            group.primary.received.clear()
-            writing = asyncio.create_task(
-                connection.write(INSERT, ["manure"], request_id(1), 1.0)
-            )
-            await until(lambda: group.primary.received["write"])
-            await group.primary.kill()
-            with pytest.raises(TargetSilent):
-                await writing
-            await group.primary.revive()
-            group.primary.statement_time = 0.0
-            again = await connect(group.primary)
-            written = await again.write(INSERT, ["citrus"], None, 1.0)
-            assert written.role is Role.PRIMARY
-            assert (await again.read(SELECT, [], 1.0)).rows == [["pomace"], ["citrus"]]
-            assert not group.truth.contains(request_id(1))
-
-    run(main())
+@using(lambda: group_of(count=1))
+async def test_a_malformed_request_id_is_refused(group: GroupStandin, bad: str) -> None:
+    connection = await connect(group.primary)
+    with pytest.raises(TargetRefused) as caught:
+        await connection.write(INSERT, ["pomace"], bad, 1.0)
+    assert caught.value.code == "bad_request"
+
+
+@using(group_of)
+async def test_a_transaction_is_seen_by_no_one_else_before_its_commit(
+    group: GroupStandin,
+) -> None:
+    one = await connect(group.primary)
+    other = await connect(group.primary)
+    await one.begin(request_id(1), 1.0)
+    await one.step(INSERT, ["pomace"], 1.0)
+    assert (await one.step(SELECT, [], 1.0)).rows == [["pomace"]]
+    assert (await other.read(SELECT, [], 1.0)).rows == []
+    committed = await one.commit(1.0)
+    assert (await other.read(SELECT, [], 1.0)).rows == [["pomace"]]
+    replica = await connect(group.members["m2"])
+    await applied(replica, committed.position)
+    assert (await replica.read(SELECT, [], 1.0)).rows == [["pomace"]]
+    repeated = await one.begin(request_id(1), 1.0)
+    assert repeated.repeated
+    with pytest.raises(TargetRefused) as caught:
+        await one.step(INSERT, ["manure"], 1.0)
+    assert caught.value.code == "unknown_transaction"
+
+
+@using(group_of)
+async def test_closing_the_connection_rolls_back_and_frees_the_way(
+    group: GroupStandin,
+) -> None:
+    one = await connect(group.primary)
+    other = await connect(group.primary)
+    await one.begin(request_id(1), 1.0)
+    await one.step(INSERT, ["pomace"], 1.0)
+    with pytest.raises(TargetRefused) as caught:
+        await other.write(INSERT, ["manure"], None, 0.1)
+    assert caught.value.code == "busy"
+    await one.close()
+    await other.write(INSERT, ["citrus"], None, 1.0)
+    assert (await other.read(SELECT, [], 1.0)).rows == [["citrus"]]
+    assert not group.truth.contains(request_id(1))
+
+
+@using(group_of)
+async def test_an_idle_transaction_on_a_silent_connection_is_rolled_back(
+    group: GroupStandin,
+) -> None:
+    group.primary.idle_limit = 0.1
+    one = await connect(group.primary)
+    await one.begin(None, 1.0)
+    await one.step(INSERT, ["pomace"], 1.0)
+    group.primary.silence_connections()
+    other = await connect(group.primary)
+    await other.write(INSERT, ["manure"], None, 2.0)
+    assert (await other.read(SELECT, [], 1.0)).rows == [["manure"]]
+
+
+@using(group_of)
+async def test_a_failed_step_leaves_the_transaction_open(group: GroupStandin) -> None:
+    one = await connect(group.primary)
+    await one.begin(None, 1.0)
+    await one.step(INSERT, ["pomace"], 1.0)
+    with pytest.raises(TargetRefused):
+        await one.step(INSERT, ["pomace"], 1.0)
+    committed = await one.commit(1.0)
+    replica = await connect(group.members["m2"])
+    await applied(replica, committed.position)
+    assert (await replica.read(SELECT, [], 1.0)).rows == [["pomace"]]
+
+
+@using(lambda: group_of(slots=2))
+async def test_slots_bound_what_runs_at_once_and_the_wait_is_bounded(
+    group: GroupStandin,
+) -> None:
+    group.primary.statement_time = 60.0
+    connections = [await connect(group.primary) for _ in range(3)]
+    running = [
+        asyncio.create_task(one.read(SELECT, [], 90.0)) for one in connections[:2]
+    ]
+    await until(group.primary.slots.locked)
+    with pytest.raises(TargetRefused) as caught:
+        await connections[2].read(SELECT, [], 0.5)
+    assert caught.value.code == "busy"
+    assert not any(one.done() for one in running)
+
+
+@using(group_of)
+async def test_silenced_connections_never_answer_while_new_ones_work(
+    group: GroupStandin,
+) -> None:
+    old = await connect(group.primary)
+    group.primary.silence_connections()
+    with pytest.raises(TargetSilent):
+        await old.write(INSERT, ["pomace"], request_id(1), 0.2)
+    new = await connect(group.primary)
+    assert (await new.read(SELECT, [], 1.0)).rows == []
+    assert not group.truth.contains(request_id(1))
+
+
+@using(lambda: group_of(connections=1))
+async def test_a_silent_connection_counts_until_the_target_notices(
+    group: GroupStandin,
+) -> None:
+    group.primary.linger = 0.3
+    old = await connect(group.primary)
+    group.primary.silence_connections()
+    await old.close()
+    with pytest.raises(TargetUnreachable):
+        await connect(group.primary)
+    await until(lambda: group.primary.open_connections == 0)
+    new = await connect(group.primary)
+    assert (await new.state(1.0)).connections == 1
+
+
+@using(group_of)
+async def test_a_statement_in_progress_when_the_connection_goes_silent_runs(
+    group: GroupStandin,
+) -> None:
+    group.primary.statement_time = 0.1
+    group.primary.received.clear()
+    old = await connect(group.primary)
+    writing = asyncio.create_task(old.write(INSERT, ["pomace"], request_id(1), 1.0))
+    await until(lambda: group.primary.received["write"])
+    group.primary.silence_connections()
+    with pytest.raises(TargetSilent):
+        await writing
+    assert group.truth.contains(request_id(1))
+
+
+@using(group_of)
+async def test_a_paused_member_answers_nothing_and_then_goes_on(
+    group: GroupStandin,
+) -> None:
+    connection = await connect(group.primary)
+    group.primary.pause()
+    with pytest.raises(TargetUnreachable):
+        await connect(group.primary)
+    writing = asyncio.create_task(connection.write(INSERT, ["pomace"], None, 5.0))
+    await asyncio.sleep(0.1)
+    assert not writing.done()
+    group.primary.resume()
+    assert (await writing).rowcount == 1
+
+
+@using(group_of)
+async def test_a_member_killed_in_a_statement_forgets_it_and_keeps_what_it_held(
+    group: GroupStandin,
+) -> None:
+    connection = await connect(group.primary)
+    await connection.write(INSERT, ["pomace"], None, 1.0)
+    group.primary.statement_time = 0.2
+    group.primary.received.clear()
+    writing = asyncio.create_task(
+        connection.write(INSERT, ["manure"], request_id(1), 1.0)
+    )
+    await until(lambda: group.primary.received["write"])
+    await group.primary.kill()
+    with pytest.raises(TargetSilent):
+        await writing
+    await group.primary.revive()
+    group.primary.statement_time = 0.0
+    again = await connect(group.primary)
+    written = await again.write(INSERT, ["citrus"], None, 1.0)
+    assert written.role is Role.PRIMARY
+    assert (await again.read(SELECT, [], 1.0)).rows == [["pomace"], ["citrus"]]
+    assert not group.truth.contains(request_id(1))
 
 
 @pytest.mark.parametrize("cut", [Cut.REFUSE, Cut.HANG])
-def test_a_cut_client_reaches_nothing_while_others_do(cut: Cut) -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            one = await connect(group.primary, "h1")
-            other = await connect(group.primary, "h2")
-            group.primary.cuts["h1"] = cut
-            with pytest.raises(TargetSilent):
-                await one.write(INSERT, ["pomace"], request_id(1), 0.2)
-            with pytest.raises(TargetUnreachable):
-                await connect(group.primary, "h1")
-            assert (await other.read(SELECT, [], 1.0)).rows == []
-            group.primary.cuts.clear()
-            healed = await connect(group.primary, "h1")
-            assert (await healed.read(SELECT, [], 1.0)).rows == []
-
-    run(main())
-
-
-def test_a_leaving_member_refuses_new_work_after_its_grace() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            connection = await connect(group.primary)
-            group.primary.leave()
-            await connection.begin(None, 1.0)
-            await connection.step(INSERT, ["pomace"], 1.0)
-            assert group.primary.left is not None
-            group.primary.left -= 10.0
-            await connection.commit(1.0)
-            assert group.primary.late_work == 0
-            with pytest.raises(TargetRefused) as caught:
-                await connection.read(SELECT, [], 1.0)
-            assert caught.value.code == "leaving"
-            assert group.primary.late_work == 1
-
-    run(main())
-
-
-def test_opening_a_connection_takes_its_set_up_time_once() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            group.primary.setup_time = 0.3
-            with pytest.raises(TargetUnreachable):
-                await connect(group.primary, timeout=0.1)
-            connection = await connect(group.primary)
-            group.primary.setup_time = 30.0
-            assert (await connection.read(SELECT, [], 1.0)).rows == []
-
-    run(main())
+@using(group_of)
+async def test_a_cut_client_reaches_nothing_while_others_do(
+    group: GroupStandin, cut: Cut
+) -> None:
+    one = await connect(group.primary, "h1")
+    other = await connect(group.primary, "h2")
+    group.primary.cuts["h1"] = cut
+    with pytest.raises(TargetSilent):
+        await one.write(INSERT, ["pomace"], request_id(1), 0.2)
+    with pytest.raises(TargetUnreachable):
+        await connect(group.primary, "h1")
+    assert (await other.read(SELECT, [], 1.0)).rows == []
+    group.primary.cuts.clear()
+    healed = await connect(group.primary, "h1")
+    assert (await healed.read(SELECT, [], 1.0)).rows == []
+
+
+@using(group_of)
+async def test_a_leaving_member_refuses_new_work_after_its_grace(
+    group: GroupStandin,
+) -> None:
+    connection = await connect(group.primary)
+    group.primary.leave()
+    await connection.begin(None, 1.0)
+    await connection.step(INSERT, ["pomace"], 1.0)
+    assert group.primary.left is not None
+    group.primary.left -= 10.0
+    await connection.commit(1.0)
+    assert group.primary.late_work == 0
+    with pytest.raises(TargetRefused) as caught:
+        await connection.read(SELECT, [], 1.0)
+    assert caught.value.code == "leaving"
+    assert group.primary.late_work == 1
+
+
+@using(group_of)
+async def test_opening_a_connection_takes_its_set_up_time_once(
+    group: GroupStandin,
+) -> None:
+    group.primary.setup_time = 0.3
+    with pytest.raises(TargetUnreachable):
+        await connect(group.primary, timeout=0.1)
+    connection = await connect(group.primary)
+    group.primary.setup_time = 30.0
+    assert (await connection.read(SELECT, [], 1.0)).rows == []
--- a/tests/test_store_http.py
+++ b/tests/test_store_http.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from random import Random
+from typing import TypeAlias
 
 import pytest
 
@@ -17,14 +18,15 @@
 from reedhook_standins.store import MAX_VALUE, StoreStandin
 
 from .fakes_clock import LoopClock
-from .support import run
-from .support_group import until
+from .support_group import until, using
+
+Pair: TypeAlias = tuple[StoreStandin, HttpStore]
 
 
 @asynccontextmanager
 async def store_of(
     random: Random | None = None,
-) -> AsyncIterator[tuple[StoreStandin, HttpStore]]:
+) -> AsyncIterator[Pair]:
     standin = StoreStandin(LoopClock(), random)
     await standin.listen()
     store = HttpStore(standin.address)
@@ -35,190 +37,172 @@
         await standin.close()
 
 
-def test_a_value_changes_only_against_its_revision() -> None:
-    async def main() -> None:
-        async with store_of() as (_, store):
-            assert await store.get("config", 1.0) is None
-            first = await store.put("config", b"\x00one", 0, 1.0)
-            with pytest.raises(StoreConflict):
-                await store.put("config", b"two", 0, 1.0)
-            with pytest.raises(StoreConflict):
-                await store.put("config", b"two", first.revision + 1, 1.0)
-            second = await store.put("config", b"two", first.revision, 1.0)
-            assert await store.get("config", 1.0) == second
-            with pytest.raises(StoreConflict):
-                await store.delete("config", first.revision, 1.0)
-            await store.delete("config", second.revision, 1.0)
-            assert await store.get("config", 1.0) is None
-            again = await store.put("config", b"three", 0, 1.0)
-            assert again.revision > second.revision
-
-    run(main())
-
-
-def test_a_value_over_a_megabyte_is_refused() -> None:
-    async def main() -> None:
-        async with store_of() as (_, store):
-            largest = bytes(MAX_VALUE)
-            entry = await store.put("config", largest, 0, 5.0)
-            found = await store.get("config", 5.0)
-            assert found is not None and found.value == largest
-            with pytest.raises(StoreError) as caught:
-                await store.put("config", largest + b"x", entry.revision, 5.0)
-            assert not isinstance(caught.value, (StoreUnavailable, StoreConflict))
-
-    run(main())
-
-
-def test_a_watch_waits_for_a_change_and_counts_as_one_call() -> None:
-    async def main() -> None:
-        async with store_of() as (standin, store):
-            first = await store.put("config", b"one", 0, 1.0)
-            assert await store.watch("config", 0, 5.0) == first
-            assert await store.watch("config", first.revision, 0.05) is None
-            watching = asyncio.create_task(store.watch("config", first.revision, 5.0))
-            await until(lambda: standin.watching)
-            await store.put("other", b"x", 0, 1.0)
-            second = await store.put("config", b"two", first.revision, 1.0)
-            assert await watching == second
-            assert standin.calls == {"put": 3, "watch": 3}
-
-    run(main())
-
-
-def test_a_lost_answer_leaves_the_change_in_effect_and_is_not_repeated() -> None:
-    async def main() -> None:
-        async with store_of() as (standin, store):
-            await store.get("config", 1.0)
-            standin.lose_answers = 1
-            with pytest.raises(StoreUnavailable):
-                await store.put("config", b"one", 0, 1.0)
-            assert standin.calls["put"] == 1
-            found = await store.get("config", 1.0)
-            assert found is not None and found.value == b"one"
-            await store.put("config", b"two", found.revision, 1.0)
-
-    run(main())
-
-
-def test_answers_are_lost_by_the_injected_random_source() -> None:
-    async def main() -> None:
-        async with store_of(Random(7)) as (standin, store):
-            standin.lose_chance = 0.5
-            lost = []
-            for number in range(20):
-                try:
-                    await store.put(f"key{number}", b"x", 0, 1.0)
-                except StoreUnavailable:
-                    lost.append(number)
-            expected = Random(7)
-            assert lost == [n for n in range(20) if expected.random() < 0.5]
-            standin.lose_chance = 0.0
-            for number in range(20):
-                assert await store.get(f"key{number}", 1.0) is not None
-
-    run(main())
-
-
-def test_a_store_that_is_down_changes_nothing_and_breaks_watches() -> None:
-    async def main() -> None:
-        async with store_of() as (standin, store):
-            first = await store.put("config", b"one", 0, 1.0)
-            watching = asyncio.create_task(store.watch("config", first.revision, 5.0))
-            await until(lambda: standin.watching)
-            standin.down = True
-            with pytest.raises(StoreUnavailable):
-                await watching
-            with pytest.raises(StoreUnavailable):
-                await store.put("config", b"two", first.revision, 1.0)
-            standin.down = False
-            assert await store.get("config", 1.0) == first
-
-    run(main())
-
-
-def test_dropped_watches_are_told_apart_from_quiet_ones() -> None:
-    async def main() -> None:
-        async with store_of() as (standin, store):
-            watching = asyncio.create_task(store.watch("config", 0, 5.0))
-            await until(lambda: standin.watching)
-            standin.drop_watches()
-            with pytest.raises(StoreUnavailable):
-                await watching
-
-    run(main())
-
-
-def test_a_slow_store_runs_into_the_timeout_and_may_have_changed() -> None:
-    async def main() -> None:
-        async with store_of() as (standin, store):
-            standin.slow = 0.2
-            with pytest.raises(StoreUnavailable):
-                await store.put("config", b"one", 0, 0.05)
-            found = await store.get("config", 1.0)
-            assert found is not None and found.value == b"one"
-
-    run(main())
-
-
-def test_a_stale_read_gives_an_older_revision() -> None:
-    async def main() -> None:
-        async with store_of() as (standin, store):
-            entry = Entry("config", b"", 0)
-            seen = []
-            for value in (b"one", b"two", b"three"):
-                entry = await store.put("config", value, entry.revision, 1.0)
-                seen.append(entry)
-            standin.stale_reads = 1
-            assert await store.get("config", 1.0) == seen[1]
-            standin.stale_reads = 9
-            assert await store.get("config", 1.0) == seen[0]
-
-    run(main())
-
-
-def test_keys_of_a_lease_vanish_when_it_lapses() -> None:
-    async def main() -> None:
-        async with store_of() as (standin, store):
-            number = (await store.ask("grant", {"ttl": 60.0}, 1.0))["lease"]
-            lease = standin.leases[number]
-            body = {"key": "host", "value": "eA==", "expected": 0, "lease": number}
-            await store.ask("put", body, 1.0)
-            lease.expires -= 50.0
-            await store.ask("keep_alive", {"lease": number}, 1.0)
-            lease.expires -= 50.0
-            assert await store.get("host", 1.0) is not None
-            lease.expires -= 50.0
-            assert await store.get("host", 1.0) is None
-            for path in ("keep_alive", "put"):
-                with pytest.raises(StoreError, match="lapsed"):
-                    await store.ask(path, body, 1.0)
-
-    run(main())
-
-
-def test_a_lease_lapses_by_itself() -> None:
-    async def main() -> None:
-        async with store_of() as (standin, store):
-            number = standin.grant(0.05)["lease"]
-            body = {"key": "host", "value": "eA==", "expected": 0, "lease": number}
-            standin.put(body)
-            await until(lambda: standin.newest("host") is None)
-            assert not standin.leases
-
-    run(main())
-
-
-def test_a_malformed_call_is_refused_without_effect() -> None:
-    async def main() -> None:
-        async with store_of() as (standin, store):
-            for path, body in (
-                ("put", {"key": "config"}),
-                ("put", {"key": "config", "value": "!", "expected": 0}),
-                ("nothing", {}),
-            ):
-                with pytest.raises(StoreError):
-                    await store.ask(path, body, 1.0)
-            assert standin.revision == 0
-
-    run(main())
+@using(store_of)
+async def test_a_value_changes_only_against_its_revision(pair: Pair) -> None:
+    _, store = pair
+    assert await store.get("config", 1.0) is None
+    first = await store.put("config", b"\x00one", 0, 1.0)
+    with pytest.raises(StoreConflict):
+        await store.put("config", b"two", 0, 1.0)
+    with pytest.raises(StoreConflict):
+        await store.put("config", b"two", first.revision + 1, 1.0)
+    second = await store.put("config", b"two", first.revision, 1.0)
+    assert await store.get("config", 1.0) == second
+    with pytest.raises(StoreConflict):
+        await store.delete("config", first.revision, 1.0)
+    await store.delete("config", second.revision, 1.0)
+    assert await store.get("config", 1.0) is None
+    again = await store.put("config", b"three", 0, 1.0)
+    assert again.revision > second.revision
+
+
+@using(store_of)
+async def test_a_value_over_a_megabyte_is_refused(pair: Pair) -> None:
+    _, store = pair
+    largest = bytes(MAX_VALUE)
+    entry = await store.put("config", largest, 0, 5.0)
+    found = await store.get("config", 5.0)
+    assert found is not None and found.value == largest
+    with pytest.raises(StoreError) as caught:
+        await store.put("config", largest + b"x", entry.revision, 5.0)
+    assert not isinstance(caught.value, (StoreUnavailable, StoreConflict))
+
+
+@using(store_of)
+async def test_a_watch_waits_for_a_change_and_counts_as_one_call(pair: Pair) -> None:
+    standin, store = pair
+    first = await store.put("config", b"one", 0, 1.0)
+    assert await store.watch("config", 0, 5.0) == first
+    assert await store.watch("config", first.revision, 0.05) is None
+    watching = asyncio.create_task(store.watch("config", first.revision, 5.0))
+    await until(lambda: standin.watching)
+    await store.put("other", b"x", 0, 1.0)
+    second = await store.put("config", b"two", first.revision, 1.0)
+    assert await watching == second
+    assert standin.calls == {"put": 3, "watch": 3}
+
+
+@using(store_of)
+async def test_a_lost_answer_leaves_the_change_in_effect_and_is_not_repeated(
+    pair: Pair,
+) -> None:
+    standin, store = pair
+    await store.get("config", 1.0)
+    standin.lose_answers = 1
+    with pytest.raises(StoreUnavailable):
+        await store.put("config", b"one", 0, 1.0)
+    assert standin.calls["put"] == 1
+    found = await store.get("config", 1.0)
+    assert found is not None and found.value == b"one"
+    await store.put("config", b"two", found.revision, 1.0)
+
+
+@using(lambda: store_of(Random(7)))
+async def test_answers_are_lost_by_the_injected_random_source(pair: Pair) -> None:
+    standin, store = pair
+    standin.lose_chance = 0.5
+    lost = []
+    for number in range(20):
+        try:
+            await store.put(f"key{number}", b"x", 0, 1.0)
+        except StoreUnavailable:
+            lost.append(number)
+    expected = Random(7)
+    assert lost == [n for n in range(20) if expected.random() < 0.5]
+    standin.lose_chance = 0.0
+    for number in range(20):
+        assert await store.get(f"key{number}", 1.0) is not None
+
+
+@using(store_of)
+async def test_a_store_that_is_down_changes_nothing_and_breaks_watches(
+    pair: Pair,
+) -> None:
+    standin, store = pair
+    first = await store.put("config", b"one", 0, 1.0)
+    watching = asyncio.create_task(store.watch("config", first.revision, 5.0))
+    await until(lambda: standin.watching)
+    standin.down = True
+    with pytest.raises(StoreUnavailable):
+        await watching
+    with pytest.raises(StoreUnavailable):
+        await store.put("config", b"two", first.revision, 1.0)
+    standin.down = False
+    assert await store.get("config", 1.0) == first
+
+
+@using(store_of)
+async def test_dropped_watches_are_told_apart_from_quiet_ones(pair: Pair) -> None:
+    standin, store = pair
+    watching = asyncio.create_task(store.watch("config", 0, 5.0))
+    await until(lambda: standin.watching)
+    standin.drop_watches()
+    with pytest.raises(StoreUnavailable):
+        await watching
+
+
+@using(store_of)
+async def test_a_slow_store_runs_into_the_timeout_and_may_have_changed(
+    pair: Pair,
+) -> None:
+    standin, store = pair
+    standin.slow = 0.2
+    with pytest.raises(StoreUnavailable):
+        await store.put("config", b"one", 0, 0.05)
+    found = await store.get("config", 1.0)
+    assert found is not None and found.value == b"one"
+
+
+@using(store_of)
+async def test_a_stale_read_gives_an_older_revision(pair: Pair) -> None:
+    standin, store = pair
+    entry = Entry("config", b"", 0)
+    seen = []
+    for value in (b"one", b"two", b"three"):
+        entry = await store.put("config", value, entry.revision, 1.0)
+        seen.append(entry)
+    standin.stale_reads = 1
+    assert await store.get("config", 1.0) == seen[1]
+    standin.stale_reads = 9
+    assert await store.get("config", 1.0) == seen[0]
+
+
+@using(store_of)
+async def test_keys_of_a_lease_vanish_when_it_lapses(pair: Pair) -> None:
+    standin, store = pair
+    number = (await store.ask("grant", {"ttl": 60.0}, 1.0))["lease"]
+    lease = standin.leases[number]
+    body = {"key": "host", "value": "eA==", "expected": 0, "lease": number}
+    await store.ask("put", body, 1.0)
+    lease.expires -= 50.0
+    await store.ask("keep_alive", {"lease": number}, 1.0)
+    lease.expires -= 50.0
+    assert await store.get("host", 1.0) is not None
+    lease.expires -= 50.0
+    assert await store.get("host", 1.0) is None
+    for path in ("keep_alive", "put"):
+        with pytest.raises(StoreError, match="lapsed"):
+            await store.ask(path, body, 1.0)
+
+
+@using(store_of)
+async def test_a_lease_lapses_by_itself(pair: Pair) -> None:
+    standin, store = pair
+    number = standin.grant(0.05)["lease"]
+    body = {"key": "host", "value": "eA==", "expected": 0, "lease": number}
+    standin.put(body)
+    await until(lambda: standin.newest("host") is None)
+    assert not standin.leases
+
+
+@using(store_of)
+async def test_a_malformed_call_is_refused_without_effect(pair: Pair) -> None:
+    standin, store = pair
+    for path, body in (
+        ("put", {"key": "config"}),
+        ("put", {"key": "config", "value": "!", "expected": 0}),
+        ("nothing", {}),
+    ):
+        with pytest.raises(StoreError):
+            await store.ask(path, body, 1.0)
+    assert standin.revision == 0
--- a/tests/test_target_http.py
+++ b/tests/test_target_http.py
@@ -15,9 +15,10 @@
 )
 from reedhook.connection.target_http import HttpTargetConnection, HttpTargetFactory
 from reedhook.request.position import Position
+from reedhook_standins.group import GroupStandin
 
 from .support import run
-from .support_group import INSERT, SELECT, applied, connect, group_of
+from .support_group import INSERT, SELECT, applied, connect, group_of, using
 
 GREETING = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 NOTHING = (
@@ -79,80 +80,71 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
 
-def test_a_write_reaches_the_replicas() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            first, second, _ = group.members.values()
-            one = await connect(first)
-            other = await connect(second)
-            written = await one.write(INSERT, ["pomace"], None, 1.0)
-            assert written.position == Position(1, 3)
-            assert written.role is Role.PRIMARY
-            await applied(other, written.position)
-            read = await other.read(SELECT, [], 1.0)
-            assert read.rows == [["pomace"]]
-            assert read.columns == ["load"]
-            assert read.position == written.position
-            assert read.role is Role.REPLICA
-
-    run(main())
-
-
-def test_no_listener_means_that_nothing_was_sent() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            await group.primary.kill()
-            with pytest.raises(TargetUnreachable):
-                await connect(group.primary)
-
-    run(main())
-
-
-def test_a_full_target_says_so_and_has_room_after_a_close() -> None:
-    async def main() -> None:
-        async with group_of(connections=3) as group:
-            open_ones = [await connect(group.primary) for _ in range(3)]
-            with pytest.raises(TargetFull):
-                await connect(group.primary)
-            assert group.primary.open_connections == 3
-            await open_ones[0].close()
-            state = await open_ones[1].state(1.0)
-            while state.connections == 3:
-                state = await open_ones[1].wait_state(state.revision, 1.0)
-            again = await connect(group.primary)
-            assert (await again.state(1.0)).connections == 3
-            assert group.primary.peak_connections == 3
-
-    run(main())
-
-
-def test_a_broken_connection_is_neither_replaced_nor_is_the_request_repeated() -> None:
-    async def main() -> None:
-        async with raw_target(None) as raw:
-            connection = await raw.connect()
-            with pytest.raises(TargetSilent):
-                await connection.read("SELECT 1", [], 1.0)
-            with pytest.raises(TargetUnreachable):
-                await connection.read("SELECT 1", [], 1.0)
-            assert raw.requests == 1
-            assert raw.accepted == 1
-
-    run(main())
-
-
-def test_a_connection_that_ended_while_idle_sends_nothing() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            connection = await connect(group.primary)
-            await group.primary.kill()
-            await group.primary.revive()
-            group.primary.received.clear()
-            with pytest.raises(TargetUnreachable):
-                await connection.write(INSERT, ["pomace"], None, 1.0)
-            assert not group.primary.received
-            assert group.primary.open_connections == 0
-
-    run(main())
+@using(group_of)
+async def test_a_write_reaches_the_replicas(group: GroupStandin) -> None:
+    first, second, _ = group.members.values()
+    one = await connect(first)
+    other = await connect(second)
+    written = await one.write(INSERT, ["pomace"], None, 1.0)
+    assert written.position == Position(1, 3)
+    assert written.role is Role.PRIMARY
+    await applied(other, written.position)
+    read = await other.read(SELECT, [], 1.0)
+    assert read.rows == [["pomace"]]
+    assert read.columns == ["load"]
+    assert read.position == written.position
+    assert read.role is Role.REPLICA
+
+
+@using(group_of)
+async def test_no_listener_means_that_nothing_was_sent(group: GroupStandin) -> None:
+    await group.primary.kill()
+    with pytest.raises(TargetUnreachable):
+        await connect(group.primary)
+
+
+@using(lambda: group_of(connections=3))
+async def test_a_full_target_says_so_and_has_room_after_a_close(
+    group: GroupStandin,
+) -> None:
+    open_ones = [await connect(group.primary) for _ in range(3)]
+    with pytest.raises(TargetFull):
+        await connect(group.primary)
+    assert group.primary.open_connections == 3
+    await open_ones[0].close()
+    state = await open_ones[1].state(1.0)
+    while state.connections == 3:
+        state = await open_ones[1].wait_state(state.revision, 1.0)
+    again = await connect(group.primary)
+    assert (await again.state(1.0)).connections == 3
+    assert group.primary.peak_connections == 3
+
+
+@using(lambda: raw_target(None))
+async def test_a_broken_connection_is_neither_replaced_nor_is_the_request_repeated(
+    raw: RawTarget,
+) -> None:
+    connection = await raw.connect()
+    with pytest.raises(TargetSilent):
+        await connection.read("SELECT 1", [], 1.0)
+    with pytest.raises(TargetUnreachable):
+        await connection.read("SELECT 1", [], 1.0)
+    assert raw.requests == 1
+    assert raw.accepted == 1
+
+
+@using(group_of)
+async def test_a_connection_that_ended_while_idle_sends_nothing(
+    group: GroupStandin,
+) -> None:
+    connection = await connect(group.primary)
+    await group.primary.kill()
+    await group.primary.revive()
+    group.primary.received.clear()
+    with pytest.raises(TargetUnreachable):
+        await connection.write(INSERT, ["pomace"], None, 1.0)
+    assert not group.primary.received
+    assert group.primary.open_connections == 0
 
 
 def test_an_answer_cut_short_is_no_answer() -> None:
@@ -167,14 +159,11 @@
     run(main())
 
 
-def test_a_result_that_lacks_a_field_is_no_answer() -> None:
-    async def main() -> None:
-        async with raw_target(whole(b'{"rows":[]}')) as raw:
-            connection = await raw.connect()
-            with pytest.raises(TargetSilent):
-                await connection.write("DELETE FROM ticket", [], None, 1.0)
-
-    run(main())
+@using(lambda: raw_target(whole(b'{"rows":[]}')))
+async def test_a_result_that_lacks_a_field_is_no_answer(raw: RawTarget) -> None:
+    connection = await raw.connect()
+    with pytest.raises(TargetSilent):
+        await connection.write("DELETE FROM ticket", [], None, 1.0)
 
 
 def test_an_answer_that_nobody_asked_for_is_not_given_to_the_next_request() -> None:
@@ -191,54 +180,48 @@
     run(main())
 
 
-def test_a_request_that_was_cancelled_leaves_no_usable_connection() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            group.primary.statement_time = 0.2
-            connection = await connect(group.primary)
-            reading = asyncio.create_task(connection.read(SELECT, [], 1.0))
-            await asyncio.sleep(0.05)
-            reading.cancel()
-            with pytest.raises(asyncio.CancelledError):
-                await reading
-            with pytest.raises(TargetUnreachable):
-                await connection.read(SELECT, [], 1.0)
-
-    run(main())
-
-
-def test_a_large_answer_is_read_whole() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            connection = await connect(group.primary)
-            load = "citrus" * 500_000
-            await connection.write(INSERT, [load], None, 5.0)
-            read = await connection.read(SELECT, [], 5.0)
-            assert read.rows == [[load]]
-
-    run(main())
-
-
-def test_parameters_that_json_cannot_carry_are_refused_before_sending() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            connection = await connect(group.primary)
-            with pytest.raises(TargetRefused, match="not JSON serializable") as caught:
-                await connection.write(INSERT, [object()], None, 1.0)
-            assert caught.value.code == "bad_request"
-            assert (await connection.read(SELECT, [], 1.0)).rows == []
-
-    run(main())
-
-
-def test_two_exchanges_at_once_on_one_connection_are_a_defect() -> None:
-    async def main() -> None:
-        async with group_of() as group:
-            connection = await connect(group.primary)
-            waiting = asyncio.create_task(connection.wait_state(-1, 0.0))
-            await asyncio.sleep(0)
-            with pytest.raises(RuntimeError):
-                await connection.read(SELECT, [], 1.0)
-            assert (await waiting).member == "m1"
-
-    run(main())
+@using(group_of)
+async def test_a_request_that_was_cancelled_leaves_no_usable_connection(
+    group: GroupStandin,
+) -> None:
+    group.primary.statement_time = 0.2
+    connection = await connect(group.primary)
+    reading = asyncio.create_task(connection.read(SELECT, [], 1.0))
+    await asyncio.sleep(0.05)
+    reading.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await reading
+    with pytest.raises(TargetUnreachable):
+        await connection.read(SELECT, [], 1.0)
+
+
+@using(group_of)
+async def test_a_large_answer_is_read_whole(group: GroupStandin) -> None:
+    connection = await connect(group.primary)
+    load = "citrus" * 500_000
+    await connection.write(INSERT, [load], None, 5.0)
+    read = await connection.read(SELECT, [], 5.0)
+    assert read.rows == [[load]]
+
+
+@using(group_of)
+async def test_parameters_that_json_cannot_carry_are_refused_before_sending(
+    group: GroupStandin,
+) -> None:
+    connection = await connect(group.primary)
+    with pytest.raises(TargetRefused, match="not JSON serializable") as caught:
+        await connection.write(INSERT, [object()], None, 1.0)
+    assert caught.value.code == "bad_request"
+    assert (await connection.read(SELECT, [], 1.0)).rows == []
+
+
+@using(group_of)
+async def test_two_exchanges_at_once_on_one_connection_are_a_defect(
+    group: GroupStandin,
+) -> None:
+    connection = await connect(group.primary)
+    waiting = asyncio.create_task(connection.wait_state(-1, 0.0))
+    await asyncio.sleep(0)
+    with pytest.raises(RuntimeError):
+        await connection.read(SELECT, [], 1.0)
+    assert (await waiting).member == "m1"
