Serve callers on while a host leaves, and count reads by role

Cause: a host refused new work the moment it began to drain, before the balancer could know; and the share of reads at replicas could not be read from the metrics. Change: for one second the health answer says draining and requests are still served; api.KIND.ROLE counts answers. Before: a rolling restart under load by hand showed 42 refusals 'draining' at three hosts. After: the test of a host that leaves gets its read served. Conclusion: refusals while draining are left to callers that stay past it.

--- a/src/reedhook/process/host.py
+++ b/src/reedhook/process/host.py
@@ -46,6 +46,7 @@
 from .timeline import EventKind, Timeline
 
 DRAIN_POLL: Final = 0.02
+ENTRY_LINGER: Final = 1.0
 
 log = logbook.Logger("host")
 
@@ -252,11 +253,15 @@
         await self.draining
 
     async def hand_over(self) -> None:
-        """Leave: first as a home, then as an entry for callers."""
+        """Leave: first as a home, then as an entry for callers.
+
+        Callers are served on while the balancer learns that this host leaves.
+        """
         self.timeline.record(EventKind.HOST_STOPPING, self.me.host)
         self.source.state = HostState.DRAINING
+        self.api.leaving = True
+        await asyncio.gather(self.homes.drain(), self.clock.sleep(ENTRY_LINGER))
         self.api.draining = True
-        await self.homes.drain()
         while self.api.active > 0:
             await self.clock.sleep(DRAIN_POLL)
         self.timeline.record(EventKind.DRAIN, self.me.host, step="done")
--- a/src/reedhook/request/api.py
+++ b/src/reedhook/request/api.py
@@ -86,6 +86,7 @@
     :param secrets: secrets of session tokens and transaction handles, shared
         by all hosts; the first one signs.
     :ivar active: requests in progress.
+    :ivar leaving: whether the balancer should send callers elsewhere.
     :ivar draining: whether only open transactions are still served.
     """
 
@@ -101,6 +102,7 @@
         "metrics",
         "max_body",
         "active",
+        "leaving",
         "draining",
     )
 
@@ -126,6 +128,7 @@
         self.metrics = metrics
         self.max_body = max_body
         self.active = 0
+        self.leaving = False
         self.draining = False
 
     async def read(self, request: web.Request) -> web.Response:
@@ -165,7 +168,9 @@
     async def health(self, request: web.Request) -> web.Response:
         """Answer ``GET /v1/health`` for the platform's balancer."""
         catalog = self.catalog()
-        status = "draining" if self.draining else "ok" if catalog else "starting"
+        status = "ok" if catalog else "starting"
+        if self.leaving or self.draining:
+            status = "draining"
         message = {
             "status": status,
             "host": self.me.host,
@@ -317,6 +322,7 @@
         """Return the response with a token that covers what it shows."""
         answer = served.answer
         age = answer.age
+        self.metrics.increment(f"api.{ask.kind.value}.{answer.role}")
         message: Json = {
             "verdict": Verdict.DONE.value,
             "columns": answer.columns,
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -11,6 +11,7 @@
 from aiohttp.web import Application, AppRunner, Request, TCPSite
 
 from reedhook.clock import SystemClock
+from reedhook.process.metrics import MemoryMetrics
 from reedhook.request.api import Api, caller_routes
 from reedhook.request.position import Position
 from reedhook.request.refusal import Reason, may_have_run, not_run
@@ -333,6 +334,20 @@
     run(main())
 
 
+def test_a_host_that_leaves_serves_on_until_the_balancer_knows() -> None:
+    async def test(bench: Bench, caller: Caller) -> None:
+        bench.api.leaving = True
+        async with caller.get("/v1/health") as response:
+            assert response.status == 503
+            assert (await decoded(response))["status"] == "draining"
+        status, _ = await post(caller, "/v1/read", READ)
+        assert status == 200
+        assert isinstance(bench.api.metrics, MemoryMetrics)
+        assert bench.api.metrics.counters["api.read.replica"] == 1
+
+    serve(test)
+
+
 def test_a_host_that_leaves_takes_no_new_work_and_ends_transactions() -> None:
     async def test(bench: Bench, caller: Caller) -> None:
         begin = {"group": "g1", "request_id": bench.request_id()}
