Suspect on fresh evidence only, and sooner when a home refuses

Change: a silence counts from the last proof that the primary lives and must last 350 ms with a check that covers its end; a check that took long is made again; a broken report is looked into at once; before a term is raised the former primary gets 20 ms more to answer, and a coordinator that finds a promise of another one waits for its outcome.

--- a/src/reedhook/process/coordinator.py
+++ b/src/reedhook/process/coordinator.py
@@ -22,6 +22,7 @@
 STAGGER: Final = 0.1
 RAISE_PATIENCE: Final = 0.3
 PATIENCE_STEP: Final = 0.02
+LAST_CHANCE: Final = 0.02
 BACKOFF: Final = 0.08
 BACKOFF_LIMIT: Final = 1.0
 NONCE_BITS: Final = 48
@@ -105,8 +106,9 @@
         await self.clock.sleep(self.rank(cause, former) * STAGGER)
         if await self.overtaken(term):
             return True
-        survey = await self.survey(avoided(cause, former))
-        if self.settled(term, former, survey, cause):
+        grace = LAST_CHANCE if cause is Cause.SILENT else 0.0
+        survey = await self.survey(avoided(cause, former), grace)
+        if self.settled(term, former, survey, cause) or await self.overtaken(term):
             return True
         if len(survey.states) < self.knowledge.group.majority:
             self.attempts += 1
@@ -148,12 +150,13 @@
             waited += PATIENCE_STEP
         return self.knowledge.term > term
 
-    async def survey(self, absent: frozenset[str]) -> Survey:
+    async def survey(self, absent: frozenset[str], grace: float = 0.0) -> Survey:
         """Ask all members for their states before anybody is fenced.
 
         A host that reaches no majority must not raise the terms of a few.
 
         :param absent: members whose answer is not waited for.
+        :param grace: seconds that they get all the same once the others are in.
         """
         states: dict[str, MemberState] = {}
         members = [one.member for one in self.knowledge.group.members]
@@ -164,6 +167,9 @@
             self.asking.add(task)
             task.add_done_callback(self.asking.discard)
         await asyncio.wait([asking[one] for one in members if one not in absent])
+        late = [asking[one] for one in absent if not asking[one].done()]
+        if late and grace:
+            await asyncio.wait(late, timeout=grace)
         return Survey(dict(states))
 
     async def ask(self, member: str, states: dict[str, MemberState]) -> None:
--- a/src/reedhook/process/guard.py
+++ b/src/reedhook/process/guard.py
@@ -13,10 +13,13 @@
 from .suspicion import Cause, Evidence, Verifier
 from .timeline import EventKind, Timeline
 
-SUSPECT_AFTER: Final = 0.25
+SUSPECT_AFTER: Final = 0.35
+LAST_CHECK: Final = 0.13
 HOMELESS_AFTER: Final = 3.0
 LEADERLESS_AFTER: Final = 0.4
 RECHECK: Final = 0.1
+CHECKS: Final = 6
+SLOW_CHECK: Final = 0.17
 TOLERANCE: Final = 0.9
 
 HostLostCallback = Callable[[HostRef], None]
@@ -51,6 +54,8 @@
         self.doubted = asyncio.Event()
         self.leaderless_since: float | None = None
         self.suspected = False
+        self.alive_at = float("-inf")
+        self.homeless_since: float | None = None
 
     def doubt(self) -> None:
         """Look at the primary soon."""
@@ -63,6 +68,7 @@
             self.doubted.clear()
             cause = self.cause()
             if cause is None:
+                self.homeless_since = None
                 self.clear("answers again")
                 continue
             await self.investigate(cause)
@@ -87,7 +93,8 @@
         if contact.told_lost:
             return Cause.TARGET_LOST
         silence = contact.silence(self.clock.monotonic())
-        return Cause.SILENT if silence >= DOUBT_AFTER * TOLERANCE else None
+        silent = contact.broken or silence >= DOUBT_AFTER * TOLERANCE
+        return Cause.SILENT if silent else None
 
     async def investigate(self, cause: Cause) -> None:
         """Gather evidence and act on it."""
@@ -100,16 +107,15 @@
         if primary is None:
             return
         self.suspect(primary, cause, since)
-        evidence = await self.verifier.check(primary)
-        if evidence is Evidence.HOMELESS and self.waits_for_home(primary, since):
+        evidence = await self.evidence(primary, cause)
+        if evidence is Evidence.HOMELESS and self.waits_for_home(primary):
             await self.pause(RECHECK)
             return
+        self.homeless_since = None
         if evidence is Evidence.ALIVE and cause is Cause.SILENT:
             self.clear("answers others")
             await self.pause(RECHECK)
             return
-        if cause is Cause.SILENT:
-            await self.outlast_silence()
         if self.knowledge.term != term or self.cause() is None:
             self.clear("answers again")
             return
@@ -117,6 +123,32 @@
             cause = Cause.HOMELESS
         await self.act(cause, since)
 
+    async def evidence(self, primary: str, cause: Cause) -> Evidence:
+        """Ask about the primary until the answer can be acted on.
+
+        A silence must have lasted, with a check that covers its end. Timeouts
+        of a host that lags itself prove nothing, so it asks again.
+        """
+        for _ in range(CHECKS):
+            begun = self.clock.monotonic()
+            found = await self.verifier.check(primary)
+            now = self.clock.monotonic()
+            silence = self.silence(now)
+            if found is not Evidence.LOST:
+                self.alive_at = begun
+            if found is not Evidence.LOST or (cause is Cause.SILENT and not silence):
+                return found
+            lasted = cause is not Cause.SILENT or silence >= SUSPECT_AFTER
+            if lasted and now - begun < SLOW_CHECK:
+                return found
+            await self.clock.sleep(max(0.0, SUSPECT_AFTER - LAST_CHECK - silence))
+        return Evidence.LOST
+
+    def silence(self, now: float) -> float:
+        """Return for how many seconds nobody has shown the primary alive."""
+        since = self.reporter.contact.silent_since
+        return 0.0 if since is None else now - max(since, self.alive_at)
+
     def first_sign(self) -> float:
         """Return when the primary first seemed lost, in local monotonic time."""
         now = self.clock.monotonic()
@@ -135,18 +167,15 @@
             return
         self.doubted.set()
 
-    def waits_for_home(self, primary: str, since: float) -> bool:
+    def waits_for_home(self, primary: str) -> bool:
         """Say whether a standby may still take over a primary that lives."""
+        now = self.clock.monotonic()
+        if self.homeless_since is None:
+            self.homeless_since = now
         if self.on_host_lost is not None:
             for host in self.verifier.near(primary)[:1]:
                 self.on_host_lost(host)
-        return self.clock.monotonic() - since < HOMELESS_AFTER
-
-    async def outlast_silence(self) -> None:
-        """Wait until the silence is long enough to act on."""
-        silence = self.reporter.contact.silence(self.clock.monotonic())
-        if 0.0 < silence < SUSPECT_AFTER:
-            await self.clock.sleep(SUSPECT_AFTER - silence)
+        return now - self.homeless_since < HOMELESS_AFTER
 
     async def seek_leader(self, cause: Cause) -> None:
         """Ask the members who leads; without an answer for long, elect."""
--- a/src/reedhook/process/report.py
+++ b/src/reedhook/process/report.py
@@ -113,11 +113,13 @@
 
     :ivar silent_since: local monotonic time in seconds at which the first
         report was sent that no answer followed; None if there is none.
+    :ivar broken: whether a report could not be sent or was not answered in time.
     :ivar told_lost: whether the home says that the primary does not answer.
     """
 
     def __init__(self) -> None:
         self.silent_since: float | None = None
+        self.broken = False
         self.last_sent = 0.0
         self.told_lost = False
 
@@ -133,11 +135,13 @@
         Reports sent later are still open, but none was open for longer.
         """
         self.told_lost = not alive
+        self.broken = False
         self.silent_since = self.last_sent if self.last_sent > asked else None
 
     def reset(self) -> None:
         """Forget everything; the primary has changed."""
         self.silent_since = None
+        self.broken = False
         self.told_lost = False
 
     def silence(self, now: float) -> float:
@@ -299,7 +303,11 @@
         try:
             report = Report(self.knowledge.group.name, state, self.wanted())
             answer = await self.call(report, primary, REPORT_TIMEOUT)
-        except (PeerError, Refusal):
+        except PeerError:
+            self.contact.broken = True
+            self.doubt()
+            return
+        except Refusal:
             self.doubt()
             return
         finally:
--- a/tests/fakes_group.py
+++ b/tests/fakes_group.py
@@ -148,11 +148,7 @@
         """Take over the leader's log at the same term; drop what it lacks."""
         if self.promised != leader.leader_term or self.leader_term != self.promised:
             return
-        same = 0
-        for mine, other in zip(self.log, leader.log):
-            if mine.position != other.position:
-                break
-            same += 1
+        same = self.shared_with(leader)
         if same == len(self.log) == len(leader.log):
             return
         del self.log[same:]
@@ -161,6 +157,20 @@
         self.touch()
         self.apply_later()
 
+    def shared_with(self, leader: "FakeMember") -> int:
+        """Return how many entries both logs begin with.
+
+        Logs that have an entry in common are the same up to it.
+        """
+        last = len(self.log)
+        if 0 < last <= len(leader.log):
+            if leader.log[last - 1].position == self.held:
+                return last
+        for place, (mine, other) in enumerate(zip(self.log, leader.log)):
+            if mine.position != other.position:
+                return place
+        return min(last, len(leader.log))
+
     def apply_later(self) -> None:
         if self.lag == 0.0:
             self.apply(len(self.log))
@@ -329,9 +339,12 @@
                 position, repeated = target.write(statement.sql, statement.request_id)
             except TargetRefused as refused:
                 raise not_run(Reason.NO_PRIMARY, refused.detail) from refused
+        rows: list[list[str]] = []
+        if statement.kind is Kind.READ:
+            rows = [[entry.value] for entry in target.log[: target.applied_count]]
         result = TargetResult(
             ["value"],
-            [[entry.value] for entry in target.log[: target.applied_count]],
+            rows,
             0,
             position,
             target.leader_term,
