--- a/src/reedhook/process/heartbeat.py
+++ b/src/reedhook/process/heartbeat.py
@@ -268,7 +268,7 @@
 
     def expire(self, now: float) -> None:
         """Declare suspected hosts dead and forget those long gone."""
-        for host in list(self.table.unsettled - {self.me.host}):
+        for host in sorted(self.table.unsettled - {self.me.host}):
             record = self.table.records[host]
             age = now - self.table.since[host]
             if record.state is HostState.SUSPECTED and age >= self.bound(record):
--- a/src/reedhook/process/membership_table.py
+++ b/src/reedhook/process/membership_table.py
@@ -43,7 +43,7 @@
         self.since: dict[str, float] = {}
         self.by_address: dict[str, str] = {}
         self.unsettled: set[str] = set()
-        self.zones: dict[str, set[str]] = {}
+        self.zones: dict[str, dict[str, None]] = {}
         self.buckets: list[int] = [0] * BUCKETS
         self.epoch = 0
         self.known_epoch = 0
@@ -107,7 +107,7 @@
 
     def link(self, record: HostRecord) -> None:
         """Index a host by zone and address."""
-        self.zones.setdefault(record.ref.zone, set()).add(record.ref.host)
+        self.zones.setdefault(record.ref.zone, {})[record.ref.host] = None
         self.by_address.setdefault(record.ref.address, record.ref.host)
         self.known_epoch += 1
 
@@ -116,7 +116,7 @@
         if record is None:
             return
         zone = self.zones[record.ref.zone]
-        zone.discard(record.ref.host)
+        zone.pop(record.ref.host, None)
         if not zone:
             del self.zones[record.ref.zone]
         if self.by_address.get(record.ref.address) == record.ref.host:
