Call other hosts over plain channels, not through a client session

A call between hosts went through aiohttp's ClientSession, whose request objects, connector and timers took more processor time than the rest of the forwarding host's work. Channel, which already carries exchanges with targets on the same protocol class, now carries those between hosts too: each call has a channel for itself, up to 16 idle ones are kept for 15 s. After a call without an answer all of the peer's are given up, as before. Nothing is sent twice; a channel that cannot be opened is proved not sent, and the margin between two timers that this needed is gone. Bodies of answers are no longer decompressed on either side, since neither asks for it.

--- a/src/reedhook/connection/channel.py
+++ b/src/reedhook/connection/channel.py
@@ -1,20 +1,25 @@
 """One TCP connection that carries HTTP exchanges, one at a time.
 
 A session of aiohttp's client keeps a pool and opens a connection when it
-needs one. A target counts connections and pins transactions to them, so that
-here the protocol class on which that client rests is used without the pool.
+needs one. A target counts connections and pins transactions to them, and
+between hosts the session took most of the processor time of a call. So here
+the protocol class on which that client rests is used without the session.
 """
 
 import asyncio
 import ssl
+from collections.abc import Mapping
 from typing import Final
 
-from aiohttp import ClientError
+from aiohttp import ClientError, ClientPayloadError, hdrs
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import RawResponseMessage
 
 MAX_BUFFER: Final = 64 * 1024
 FAILURES: Final = (ClientError, HttpProcessingError, OSError, TimeoutError)
+JSON_HEADERS: Final[dict[str, str]] = {hdrs.CONTENT_TYPE: "application/json"}
+LINE_ENDS: Final = frozenset("\r\n\0")
 
 
 class ChannelClosed(Exception):
@@ -38,14 +43,14 @@
 class Channel:
     """Exchange requests and answers; a failed exchange closes the channel.
 
-    :param host: the value of the header of that name.
+    :param headers: lines that stand in the head of each request.
     """
 
-    __slots__ = ("protocol", "host", "busy")
+    __slots__ = ("protocol", "headers", "busy")
 
-    def __init__(self, protocol: ResponseHandler, host: str) -> None:
+    def __init__(self, protocol: ResponseHandler, headers: str) -> None:
         self.protocol = protocol
-        self.host = host
+        self.headers = headers
         self.busy = False
 
     @property
@@ -57,10 +62,13 @@
         """
         return self.protocol.should_close or not self.protocol.is_connected()
 
-    async def exchange(self, path: str, body: bytes, timeout: float) -> ChannelAnswer:
+    async def exchange(
+        self, path: str, body: bytes, timeout: float, limit: int | None = None
+    ) -> ChannelAnswer:
         """Send `body` by POST and return the answer.
 
         :param timeout: in seconds, for the whole answer.
+        :param limit: the most bytes that an answer may state as its length.
         :raises ChannelClosed: if nothing was sent.
         :raises ChannelBroken: if no whole answer came.
         """
@@ -75,6 +83,8 @@
             transport.write(self.head(path, len(body)) + body)
             async with asyncio.timeout(timeout):
                 message, payload = await self.protocol.read()
+                if limit is not None:
+                    check_length(message, limit)
                 answer = ChannelAnswer(message.code, await payload.read())
         except FAILURES as error:
             self.close()
@@ -90,8 +100,7 @@
         """Return the head of a request."""
         return (
             f"POST /{path} HTTP/1.1\r\n"
-            f"Host: {self.host}\r\n"
-            "Content-Type: application/json\r\n"
+            f"{self.headers}"
             f"Content-Length: {length}\r\n\r\n"
         ).encode()
 
@@ -101,14 +110,19 @@
 
 
 async def open_channel(
-    address: str, timeout: float, tls: ssl.SSLContext | None = None
+    address: str,
+    timeout: float,
+    headers: Mapping[str, str] = JSON_HEADERS,
+    tls: ssl.SSLContext | None = None,
 ) -> Channel:
     """Open a channel to `address` (``IP:port``).
 
     :param timeout: in seconds.
+    :param headers: stand in each request besides ``Host``.
     :raises ChannelClosed: if it cannot be opened.
     """
     host, _, port = address.rpartition(":")
+    lines = header_lines({hdrs.HOST: address, **headers})
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
@@ -117,5 +131,28 @@
             )
     except (OSError, TimeoutError) as error:
         raise ChannelClosed(f"{address} cannot be reached: {error!r}") from error
-    protocol.set_response_params(read_bufsize=MAX_BUFFER)
-    return Channel(protocol, address)
+    protocol.set_response_params(read_bufsize=MAX_BUFFER, auto_decompress=False)
+    return Channel(protocol, lines)
+
+
+def header_lines(headers: Mapping[str, str]) -> str:
+    """Return the lines of `headers` for the head of a request.
+
+    :raises ValueError: if a value would end its line.
+    """
+    lines = []
+    for name, value in headers.items():
+        if not LINE_ENDS.isdisjoint(value):
+            raise ValueError(f"the header {name} holds the end of a line")
+        lines.append(f"{name}: {value}\r\n")
+    return "".join(lines)
+
+
+def check_length(message: RawResponseMessage, limit: int) -> None:
+    """Refuse an answer that states more than `limit` bytes.
+
+    :raises ClientPayloadError: if it is too long.
+    """
+    length = message.headers.get(hdrs.CONTENT_LENGTH)
+    if length is not None and int(length) > limit:
+        raise ClientPayloadError("the answer is too long")
--- a/src/reedhook/process/peer_http.py
+++ b/src/reedhook/process/peer_http.py
@@ -1,16 +1,16 @@
 """Calls to other hosts over HTTP; `peer_wire` tells the form."""
 
-import asyncio
 import ssl
 from typing import Final
 
-import aiohttp
-from aiohttp import hdrs
-from multidict import CIMultiDict
-from yarl import URL
-
 from ..clock import Clock
-from ..connector import Connector
+from ..connection.channel import (
+    Channel,
+    ChannelAnswer,
+    ChannelBroken,
+    ChannelClosed,
+    open_channel,
+)
 from ..request.refusal import Refusal
 from ..wire import Json, WireError, decode, encode
 from .peer import HostRef, PeerError, Peers
@@ -19,52 +19,102 @@
 
 LINK_IDLE: Final = 60.0
 SWEEP_INTERVAL: Final = 10.0
-# A call whose connection could not be opened in time is proved not sent only
-# if the connector's timer fires before that of the whole call.
-CONNECT_MARGIN: Final = 0.002
-NO_CEILING: Final = 86_400.0
-# Spare headers are most of the bytes of a heartbeat.
-SPARE_HEADERS: Final = (
-    hdrs.USER_AGENT,
-    hdrs.ACCEPT,
-    hdrs.ACCEPT_ENCODING,
-    hdrs.CONTENT_TYPE,
-)
+MAX_IDLE: Final = 16
+PATH_PREFIX: Final = PREFIX.lstrip("/")
+
+
+class Idle:
+    """Keep a channel that no call uses.
+
+    :ivar since: monotonic time in seconds of its last use.
+    """
+
+    __slots__ = ("channel", "since")
+
+    def __init__(self, channel: Channel, since: float) -> None:
+        self.channel = channel
+        self.since = since
 
 
 class Link:
-    """Hold the connections to one peer.
+    """Hold the channels to one peer; each call has one for itself.
 
     :param address: ``IP:port`` of the peer.
-    :ivar in_flight: calls that wait for an answer.
-    :ivar retired: whether no further call may use these connections.
+    :param headers: stand in each request.
+    :ivar idle: channels that no call uses, the last used at the end.
+    :ivar in_use: channels of the calls that wait for an answer.
+    :ivar retired: whether no further call may use these channels.
     :ivar used: monotonic time in seconds of the last call.
     """
 
-    __slots__ = ("base", "session", "in_flight", "retired", "used")
-
-    def __init__(self, address: str, context: ssl.SSLContext | None) -> None:
-        scheme = "http" if context is None else "https"
-        self.base = URL(f"{scheme}://{address}{PREFIX}")
-        self.session = aiohttp.ClientSession(
-            connector=Connector(
-                limit=0,
-                ssl=context if context is not None else True,
-                keepalive_timeout=CLIENT_KEEPALIVE,
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=SPARE_HEADERS,
-            auto_decompress=False,
-            trust_env=False,
-        )
-        self.in_flight = 0
+    __slots__ = ("address", "headers", "context", "idle", "in_use", "retired", "used")
+
+    def __init__(
+        self, address: str, headers: dict[str, str], context: ssl.SSLContext | None
+    ) -> None:
+        self.address = address
+        self.headers = headers
+        self.context = context
+        self.idle: list[Idle] = []
+        self.in_use: set[Channel] = set()
         self.retired = False
         self.used = 0.0
 
-    async def release(self) -> None:
-        """Close the connections once nobody waits on them."""
-        if self.retired and self.in_flight == 0:
-            await self.session.close()
+    async def exchange(
+        self, path: str, envelope: bytes, timeout: float, clock: Clock
+    ) -> ChannelAnswer:
+        """Send the envelope once and return the answer.
+
+        :raises ChannelClosed: if nothing was sent.
+        :raises ChannelBroken: if no whole answer came.
+        """
+        deadline = clock.monotonic() + timeout
+        channel = self.take() or await self.open(timeout)
+        left = deadline - clock.monotonic()
+        self.in_use.add(channel)
+        try:
+            answer = await channel.exchange(path, envelope, left, BODY_LIMIT)
+        finally:
+            self.in_use.discard(channel)
+        self.used = clock.monotonic()
+        self.keep(channel)
+        return answer
+
+    def take(self) -> Channel | None:
+        """Return the channel last used that is still open, if there is one."""
+        while self.idle:
+            channel = self.idle.pop().channel
+            if not channel.closed:
+                return channel
+            channel.close()
+        return None
+
+    async def open(self, timeout: float) -> Channel:
+        """Open a channel."""
+        return await open_channel(self.address, timeout, self.headers, self.context)
+
+    def keep(self, channel: Channel) -> None:
+        """Keep a channel for the next call, unless there are enough."""
+        if self.retired or channel.closed or len(self.idle) >= MAX_IDLE:
+            channel.close()
+            return
+        self.idle.append(Idle(channel, self.used))
+
+    def close_unused(self, before: float) -> None:
+        """Close the channels that were last used before that time."""
+        while self.idle and self.idle[0].since < before:
+            self.idle.pop(0).channel.close()
+
+    def retire(self) -> None:
+        """Close idle channels now and the others after their calls."""
+        self.retired = True
+        while self.idle:
+            self.idle.pop().channel.close()
+
+    def cut(self) -> None:
+        """Let the calls in progress end without an answer."""
+        for channel in self.in_use:
+            channel.close()
 
 
 class HttpPeers(Peers):
@@ -88,7 +138,7 @@
         context: ssl.SSLContext | None = None,
     ) -> None:
         self.me = me
-        self.headers = CIMultiDict({CREDENTIAL: credential})
+        self.headers = {CREDENTIAL: credential}
         self.timeline = timeline
         self.clock = clock
         self.context = context
@@ -103,41 +153,19 @@
                 "body": body,
             }
         )
-        link = await self.link(peer.address)
-        link.in_flight += 1
+        link = self.link(peer.address)
         try:
-            status, raw = await self.exchange(link, path, envelope, timeout)
-        except aiohttp.ClientConnectorError as error:
-            self.retire(peer.address, link)
+            answer = await link.exchange(
+                PATH_PREFIX + path, envelope, timeout, self.clock
+            )
+        except ChannelClosed as error:
+            self.retire(link)
             raise PeerError(f"{peer.host} unreachable: {error}", sent=False) from None
-        except aiohttp.ConnectionTimeoutError:
-            self.retire(peer.address, link)
-            raise PeerError(f"{peer.host} accepts no connection", sent=False) from None
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            self.retire(peer.address, link)
-            kind = type(error).__name__
-            raise PeerError(f"{peer.host} did not answer: {kind}", sent=True) from None
-        finally:
-            link.in_flight -= 1
-            await link.release()
-        return self.read_answer(peer, status, raw)
-
-    async def exchange(
-        self, link: Link, path: str, envelope: bytes, timeout: float
-    ) -> tuple[int, bytes]:
-        """Send the envelope once; aiohttp does not repeat a POST."""
-        limits = aiohttp.ClientTimeout(connect=timeout, ceil_threshold=NO_CEILING)
-        async with asyncio.timeout(timeout + CONNECT_MARGIN):
-            async with link.session.post(
-                link.base / path,
-                data=envelope,
-                headers=self.headers,
-                timeout=limits,
-                allow_redirects=False,
-            ) as response:
-                if (response.content_length or 0) > BODY_LIMIT:
-                    raise aiohttp.ClientPayloadError("the answer is too long")
-                return response.status, await response.read()
+        except ChannelBroken as error:
+            self.retire(link)
+            detail = f"{peer.host} did not answer: {error}"
+            raise PeerError(detail, sent=True) from None
+        return self.read_answer(peer, answer.status, answer.body)
 
     def read_answer(self, peer: HostRef, status: int, raw: bytes) -> Json:
         """Return the body of an answer or raise the refusal that it carries."""
@@ -152,35 +180,33 @@
             detail = f"{peer.host} gave no usable answer, status {status}"
             raise PeerError(detail, sent=True) from None
 
-    async def link(self, address: str) -> Link:
-        """Return the link to `address`; drop links that nobody used for long."""
+    def link(self, address: str) -> Link:
+        """Return the link to `address`; drop what nobody used for long."""
         now = self.clock.monotonic()
+        if now - self.swept >= SWEEP_INTERVAL:
+            self.sweep(now)
         link = self.links.get(address)
         if link is None:
-            await self.sweep(now)
-            link = self.links[address] = Link(address, self.context)
+            link = Link(address, self.headers, self.context)
+            self.links[address] = link
         link.used = now
         return link
 
-    async def sweep(self, now: float) -> None:
-        """Close links that are idle; the set of peers changes all the time."""
-        if now - self.swept < SWEEP_INTERVAL:
-            return
+    def sweep(self, now: float) -> None:
+        """Close channels and drop links that are idle; peers come and go."""
         self.swept = now
-        for address, link in list(self.links.items()):
-            if link.in_flight == 0 and now - link.used > LINK_IDLE:
-                self.retire(address, link)
-                await link.release()
+        for link in list(self.links.values()):
+            link.close_unused(now - CLIENT_KEEPALIVE)
+            if not link.in_use and now - link.used > LINK_IDLE:
+                self.retire(link)
 
-    def retire(self, address: str, link: Link) -> None:
+    def retire(self, link: Link) -> None:
         """Let no further call use `link`."""
-        link.retired = True
-        if self.links.get(address) is link:
-            del self.links[address]
+        link.retire()
+        if self.links.get(link.address) is link:
+            del self.links[link.address]
 
     async def close(self) -> None:
-        links = list(self.links.values())
-        self.links.clear()
-        for link in links:
-            link.retired = True
-            await link.session.close()
+        for link in list(self.links.values()):
+            self.retire(link)
+            link.cut()
--- a/tests/test_peer_http.py
+++ b/tests/test_peer_http.py
@@ -12,9 +12,9 @@
 
 from reedhook.clock import SystemClock
 from reedhook.process.peer import HostRef, PeerError, PeerRoutes
-from reedhook.process.peer_http import HttpPeers
+from reedhook.process.peer_http import LINK_IDLE, MAX_IDLE, HttpPeers
 from reedhook.process.peer_server import PeerEndpoint, PeerServer
-from reedhook.process.peer_wire import BODY_LIMIT, CREDENTIAL
+from reedhook.process.peer_wire import BODY_LIMIT, CLIENT_KEEPALIVE, CREDENTIAL
 from reedhook.process.timeline import Timeline
 from reedhook.request.refusal import Reason, Refusal, not_run
 from reedhook.request.verdict import Verdict
@@ -246,6 +246,84 @@
     with_both(test)
 
 
+def test_concurrent_calls_have_a_connection_each_and_leave_them_to_later_ones() -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        together = [
+            peers.call(listener.ref, "slow", {"seconds": 0.05}, 2.0) for _ in range(3)
+        ]
+        answers = await asyncio.gather(*together)
+        assert sorted(answer["seen"] for answer in answers) == [1, 2, 3]
+        link = peers.links[listener.ref.address]
+        kept = {one.channel for one in link.idle}
+        assert len(kept) == 3
+        await peers.call(listener.ref, "note", {}, 1.0)
+        assert {one.channel for one in link.idle} == kept
+
+    with_both(test)
+
+
+def test_no_more_than_the_bound_stays_open_and_nothing_for_long() -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        together = [
+            peers.call(listener.ref, "slow", {"seconds": 0.05}, 5.0)
+            for _ in range(MAX_IDLE + 4)
+        ]
+        await asyncio.gather(*together)
+        link = peers.links[listener.ref.address]
+        assert len(link.idle) == MAX_IDLE
+        now = peers.clock.monotonic()
+        peers.sweep(now + CLIENT_KEEPALIVE + 1.0)
+        assert link.idle == []
+        assert peers.links == {listener.ref.address: link}
+        peers.sweep(now + LINK_IDLE + 1.0)
+        assert peers.links == {}
+
+    with_both(test)
+
+
+def test_the_end_of_the_caller_ends_its_calls() -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        call = asyncio.create_task(
+            peers.call(listener.ref, "slow", {"seconds": 30.0}, 60.0)
+        )
+        await asyncio.sleep(0.05)
+        await peers.close()
+        with pytest.raises(PeerError) as failed:
+            await call
+        assert failed.value.sent
+
+    with_both(test)
+
+
+def test_an_answer_that_states_too_great_a_length_is_not_read() -> None:
+    async def boast(
+        number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"}}")
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {BODY_LIMIT + 1}\r\n\r\n"
+        writer.write(head.encode())
+        await writer.drain()
+
+    async def main() -> None:
+        server, ref, _ = await serve_raw(boast)
+        async with server, calling() as peers:
+            with pytest.raises(PeerError, match="too long") as failed:
+                await peers.call(ref, "note", {}, 30.0)
+            assert failed.value.sent
+
+    run(main())
+
+
+def test_a_credential_cannot_add_headers() -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        peers.headers[CREDENTIAL] = f"{SECRET}\r\nContent-Length: 0"
+        with pytest.raises(ValueError):
+            await peers.call(listener.ref, "note", {}, 1.0)
+        assert listener.seen == []
+
+    with_both(test)
+
+
 @pytest.mark.parametrize("given_credential", ["", "wrong", SECRET + "x", SECRET[:-1]])
 def test_a_wrong_credential_has_no_effect(given_credential: str) -> None:
     async def test(peers: HttpPeers, listener: Listener) -> None:
