Keep a hung target suspected while its connections close

Cause: a probe that found no room in this host's share counted as answered. While the connections of a hung target were still closing (seen: 9 of 9 open), the target flapped back to reachable, the primary's home withdrew its suspicion, and the change of primary came late.

Change: without room of its own a probe leaves what was known as it is. A target that itself says it is full has answered and counts as alive, as before.

--- a/src/reedhook/connection/health.py
+++ b/src/reedhook/connection/health.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from ..clock import Clock
-from .pool import Pool
+from .pool import Pool, PoolExhausted
 from .target import MemberState, TargetError, TargetFull
 
 PROBES: Final = 3
@@ -125,12 +125,15 @@
     async def attempt(self) -> bool:
         """Return whether the target answers on one new connection.
 
-        Without room for one nothing is proved, and the target is not
-        suspected: what is silent ends at its deadline.
+        A target that says it is full has answered. Without room in our own
+        share nothing is proved: the target is neither suspected nor cleared,
+        and what is silent ends at its deadline.
         """
         asked = self.clock.monotonic()
         try:
             connection = await self.pool.fresh(PROBE_WINDOW)
+        except PoolExhausted:
+            return self.unreachable_since is None
         except TargetFull:
             return True
         except TargetError:
--- a/tests/fakes_target.py
+++ b/tests/fakes_target.py
@@ -39,6 +39,7 @@
     :ivar slots: statements that run at a time; the others wait inside.
     :ivar dead: nothing answers, connecting hangs, open connections are silent.
     :ivar refusing: connecting is refused at once.
+    :ivar close_delay: time that closing a connection takes.
     :ivar refusal: code with which statements are refused, or None.
     :ivar breaks: outcomes for the next statements; None lets one pass.
     :ivar abrupt: whether a break is seen at once instead of by silence.
@@ -67,6 +68,7 @@
         self.service_of: Callable[[str], float] | None = None
         self.dead = False
         self.refusing = False
+        self.close_delay = 0.0
         self.refusal: str | None = None
         self.breaks: list[Break | None] = []
         self.abrupt = False
@@ -278,6 +280,8 @@
             return
         self.closed = True
         self.pending = None
+        if self.target.close_delay:
+            await asyncio.sleep(self.target.close_delay)
         if not self.hung_up:
             self.target.connections.remove(self)
 
--- a/tests/test_home_health.py
+++ b/tests/test_home_health.py
@@ -109,6 +109,26 @@
     with_home(target, body)
 
 
+def test_a_dead_target_stays_suspected_while_its_connections_close() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        await warm(home)
+        kept = [await home.pool.fresh(1.0) for _ in range(5)]
+        target.dead = True
+        await asyncio.sleep(1.0)
+        since = home.unreachable_since
+        assert since is not None
+        target.close_delay = 0.9
+        home.pool.share = home.pool.open
+        for connection in kept:
+            home.pool.discard(connection)
+        assert not await home.health.answers()
+        assert home.unreachable_since == since
+
+    with_home(target, body)
+
+
 def test_a_target_that_is_dead_for_an_hour_is_found_alive_again() -> None:
     target = FakeTarget()
 
