End transactions where they were begun when a home moves

Cause: a home that moves or drains goes into `closing` and lets its transactions end, but the executor asked for the present home only. Steps and commits of open transactions were refused as wrong_home, or reached a new home of the same host that does not know them. The group's keeper was closed besides, and reports of replicas go to the new home, so that a commit could not have been proved durable.

Change: Home.holds tells where a transaction is; the executor runs steps, commits and rollbacks there. The keeper stays while a former home of its group closes, and is closed only once its proofs have ended. A wait for durability whose primary's home is elsewhere runs confirmation rounds itself; a round asks the members, so that any host may run it.

--- a/src/reedhook/connection/home.py
+++ b/src/reedhook/connection/home.py
@@ -66,6 +66,10 @@
         :raises Refusal: with a verdict that holds.
         """
 
+    @abstractmethod
+    def holds(self, transaction: str) -> bool:
+        """Say whether a transaction is open here, or why it ended is known."""
+
     @abstractmethod
     async def wait_change(self, revision: int, timeout: float) -> None:
         """Return once `state` has another revision, or after `timeout` seconds."""
--- a/src/reedhook/connection/targethome.py
+++ b/src/reedhook/connection/targethome.py
@@ -145,6 +145,10 @@
             if self.closing:
                 self.quiet.set()
 
+    def holds(self, transaction: str) -> bool:
+        registry = self.transactions.registry
+        return transaction in registry.open or transaction in registry.endings
+
     async def wait_change(self, revision: int, timeout: float) -> None:
         try:
             async with asyncio.timeout(timeout):
--- a/src/reedhook/process/durability.py
+++ b/src/reedhook/process/durability.py
@@ -83,6 +83,10 @@
         while self.waiters and self.waiters[0][0].term < term:
             settle(heapq.heappop(self.waiters)[2], False)
 
+    def waited(self) -> bool:
+        """Say whether anybody waits for a position to become durable."""
+        return any(not waiter.done() for _, _, waiter in self.waiters)
+
     async def wait(self, position: Position, timeout: float) -> bool:
         """Return True once `position` is durable, False once superseded.
 
--- a/src/reedhook/process/executor.py
+++ b/src/reedhook/process/executor.py
@@ -19,8 +19,10 @@
 PROOF_SHARE: Final = 0.25
 PROOF_LIMIT: Final = 0.25
 RETRY_SOON_MS: Final = 20
+OF_TRANSACTION: Final = frozenset({Kind.STEP, Kind.COMMIT, Kind.ROLLBACK})
 
 Homes: TypeAlias = Callable[[str], Home | None]
+Holding: TypeAlias = Callable[[str, str], Home | None]
 Keepers: TypeAlias = Callable[[str], GroupKeeper | None]
 
 
@@ -65,20 +67,28 @@
     """Execute statements at members whose home is here.
 
     :param homes: gives the local home of a member, or None.
+    :param holding: gives the home that holds a transaction of a member; it may
+        be a former one, where the transaction may still end.
     :param keepers: gives the keeper of a group, or None.
     :param host: this host.
     """
 
     def __init__(
-        self, homes: Homes, keepers: Keepers, clock: Clock, host: HostRef
+        self,
+        homes: Homes,
+        holding: Holding,
+        keepers: Keepers,
+        clock: Clock,
+        host: HostRef,
     ) -> None:
         self.homes = homes
+        self.holding = holding
         self.keepers = keepers
         self.clock = clock
         self.host = host
 
     async def execute(self, member: str, statement: Statement) -> Served:
-        home = self.homes(member)
+        home = self.home(member, statement)
         keeper = self.keepers(statement.group)
         if home is None or keeper is None:
             raise not_run(
@@ -89,6 +99,20 @@
         keeper.reporter.learn(home)
         return Served(answer, home.load().wait, keeper.view, self.host)
 
+    def home(self, member: str, statement: Statement) -> Home | None:
+        """Return the home here that is to run a statement, or None.
+
+        :raises Refusal: if it belongs to a transaction that is not known here.
+        """
+        if statement.kind not in OF_TRANSACTION:
+            return self.homes(member)
+        home = self.holding(member, statement.transaction or "")
+        if home is None:
+            raise not_run(
+                Reason.UNKNOWN_TRANSACTION, "no such transaction is open here"
+            )
+        return home
+
     async def answer(self, work: Work) -> Answer:
         """Execute by kind."""
         kind = work.statement.kind
--- a/src/reedhook/process/group.py
+++ b/src/reedhook/process/group.py
@@ -21,6 +21,7 @@
 from .knowledge import Knowledge
 from .metrics import Metrics
 from .peer import PeerError, Peers
+from .proofs import Proofs
 from .report import Report, ReportAnswer, Reporter
 from .sample import Sample
 from .suspicion import Verifier
@@ -103,7 +104,7 @@
             [member.member for member in group.members],
             group.majority,
             self.ask,
-            self.local_lead,
+            self.known_lead,
             self.sampled,
             clock,
             CONFIRM_TIMEOUT,
@@ -114,6 +115,8 @@
         self.sampling_until = 0.0
         self.sampling_age = 0.0
         self.proving: asyncio.Task[None] | None = None
+        self.asking: asyncio.Task[None] | None = None
+        self.proofs = Proofs()
         self.learned_at = 0.0
         self.resumed = 0
         self.heard: dict[str, float] = {}
@@ -136,12 +139,22 @@
     def refresh(self) -> None:
         """Take note that the set of local homes may have changed."""
         self.reporter.refresh()
+        if self.knowledge.durability.waited():
+            self.ask_if_unreported()
+
+    async def retire(self) -> None:
+        """Close once the proofs in progress have ended; they have deadlines."""
+        for task in self.tasks:
+            task.cancel()
+        self.refresh()
+        await self.proofs.ended()
+        await self.close()
 
     async def close(self) -> None:
         """Stop; the members are left as they are."""
         self.reporter.close()
         self.confirmation.close()
-        tasks = [*self.tasks, self.sampling, self.proving]
+        tasks = [*self.tasks, self.sampling, self.proving, self.asking]
         for task in tasks:
             if task is not None:
                 task.cancel()
@@ -154,12 +167,16 @@
         """Return the local home of `member`, or None."""
         return self.reporter.home(member)
 
+    def known_lead(self) -> Lead | None:
+        """Return the leader that is known."""
+        primary = self.knowledge.primary
+        return None if primary is None else Lead(self.knowledge.term, primary)
+
     def local_lead(self) -> Lead | None:
         """Return the leader if its home is here."""
-        primary = self.knowledge.primary
-        if primary is None or self.home(primary) is None:
+        if self.home(self.knowledge.primary) is None:
             return None
-        return Lead(self.knowledge.term, primary)
+        return self.known_lead()
 
     # Proofs for statements
 
@@ -183,7 +200,8 @@
         """
         begun = self.clock.monotonic() if since is None else since
         try:
-            async with asyncio.timeout(timeout):
+            async with self.proofs, asyncio.timeout(timeout):
+                self.ask_if_unreported()
                 held = await self.knowledge.durability.wait(position, timeout)
                 if held and self.clock.monotonic() - begun > CONFIRM_SLOW:
                     held = await self.led(self.request_confirmation(), position.term)
@@ -202,6 +220,20 @@
                 RETRY_SOON_MS,
             )
 
+    def ask_if_unreported(self) -> None:
+        """Ask the members while somebody waits and their reports go elsewhere.
+
+        A commit may end here after the primary's home has moved.
+        """
+        if self.local_lead() is None and (self.asking is None or self.asking.done()):
+            self.asking = asyncio.create_task(self.ask_while_waited())
+
+    async def ask_while_waited(self) -> None:
+        """Learn the members' states by rounds until nobody waits here for them."""
+        while self.knowledge.durability.waited() and self.local_lead() is None:
+            await self.confirmation.wait(self.confirmation.request())
+            await self.clock.sleep(CONFIRM_AGAIN)
+
     def request_confirmation(self) -> int:
         """Return the ticket of a confirmation that begins from now on."""
         return self.confirmation.request()
@@ -215,7 +247,7 @@
         :raises Refusal: ``unconfirmed``; a read has no effect.
         """
         try:
-            async with asyncio.timeout(timeout):
+            async with self.proofs, asyncio.timeout(timeout):
                 held = await self.led(ticket, position.term)
                 held = held and await self.knowledge.durability.wait(position, timeout)
         except TimeoutError:
@@ -362,6 +394,8 @@
         if age < self.sampling_age or now > self.sampling_until:
             self.sampling_age = age
         self.sampling_until = now + SAMPLING_KEPT
+        if self.local_lead() is None:
+            return
         if self.sampling is None or self.sampling.done():
             self.sampling = asyncio.create_task(self.sample())
         newest = self.knowledge.samples.newest
@@ -370,7 +404,7 @@
 
     async def sample(self) -> None:
         """Run rounds at the pace that bounded reads need, while there are any."""
-        while self.clock.monotonic() < self.sampling_until:
+        while self.clock.monotonic() < self.sampling_until and self.local_lead():
             pace = max(self.sampling_age / SAMPLE_SHARE, SAMPLE_SPACING)
             newest = self.knowledge.samples.newest
             now = self.clock.monotonic()
--- a/src/reedhook/process/homes.py
+++ b/src/reedhook/process/homes.py
@@ -96,6 +96,7 @@
         self.configured: set[str] = set()
         self.held: dict[str, HeldHome] = {}
         self.closing: dict[str, list[Home]] = {}
+        self.closed: dict[str, Home] = {}
         self.closers: set[asyncio.Task[None]] = set()
         self.former: dict[str, HostRef | None] = {}
         self.promises: dict[str, tuple[str, float]] = {}
@@ -135,6 +136,23 @@
         """Return former homes of `member` in which transactions may still end."""
         return list(self.closing.get(member, ()))
 
+    def in_use(self, group: str) -> list[Home]:
+        """Return the homes of `group` here, with former ones that still close."""
+        closing = [home for homes in self.closing.values() for home in homes]
+        former = [home for home in closing if home.group.name == group]
+        return self.of_group(group) + former
+
+    def holding(self, member: str, transaction: str) -> Home | None:
+        """Return the home of `member` that holds `transaction`, former ones too.
+
+        The last one that closed still tells why it ended a transaction.
+        """
+        homes = [self.get(member), *self.closing_of(member), self.closed.get(member)]
+        for home in homes:
+            if home is not None and home.holds(transaction):
+                return home
+        return None
+
     async def run(self) -> None:
         """Follow hosts and configuration until cancelled.
 
@@ -286,9 +304,11 @@
         except Exception:
             log.exception("The home of {} did not close.", member)
         finally:
+            self.closed[member] = home
             self.closing[member].remove(home)
             if not self.closing[member]:
                 del self.closing[member]
+            self.notify()
 
     def notify(self) -> None:
         """Tell that the set of homes has changed."""
--- a/src/reedhook/process/host.py
+++ b/src/reedhook/process/host.py
@@ -149,12 +149,18 @@
             self.make_home,
             self.heartbeats.joined,
         )
-        self.keepers = Keepers(self.make_keeper, self.homes.of_group)
+        self.keepers = Keepers(self.make_keeper, self.homes.in_use)
         self.leaving_targets = LeavingTargets(
             self.homes.get, self.keepers.get, self.clock, self.timeline
         )
         self.hints = OutcomeHints(self.store, self.clock, self.random)
-        self.executor = Executor(self.homes.get, self.keepers.get, self.clock, self.me)
+        self.executor = Executor(
+            self.homes.get,
+            self.homes.holding,
+            self.keepers.get,
+            self.clock,
+            self.me,
+        )
         self.group_routes = GroupRoutes(
             self.catalog,
             self.homes.get,
--- a/src/reedhook/process/keepers.py
+++ b/src/reedhook/process/keepers.py
@@ -20,16 +20,18 @@
     """Hold one keeper for each group of which a home is here.
 
     :param make_keeper: makes a keeper that is not started yet.
-    :param homes: returns the local homes of a group's members.
+    :param homes: returns the local homes of a group's members, with former
+        ones in which transactions still end; their commits need proof.
     """
 
-    __slots__ = ("make_keeper", "homes", "catalog", "held", "tasks")
+    __slots__ = ("make_keeper", "homes", "catalog", "held", "retiring", "tasks")
 
     def __init__(self, make_keeper: KeeperFactory, homes: HomesOf) -> None:
         self.make_keeper = make_keeper
         self.homes = homes
         self.catalog: Catalog | None = None
         self.held: dict[str, GroupKeeper] = {}
+        self.retiring: set[GroupKeeper] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def get(self, group: str) -> GroupKeeper | None:
@@ -49,7 +51,7 @@
                 keeper.refresh()
                 continue
             del self.held[name]
-            self.spawn(keeper)
+            self.retire(keeper)
         for name, group in wanted.items():
             if name not in self.held:
                 self.open(group)
@@ -72,10 +74,12 @@
         self.tasks.add(task)
         task.add_done_callback(self.ended)
 
-    def spawn(self, keeper: GroupKeeper) -> None:
-        """Close a keeper in the background."""
-        task = asyncio.create_task(keeper.close())
+    def retire(self, keeper: GroupKeeper) -> None:
+        """Close a keeper in the background, once its proofs have ended."""
+        self.retiring.add(keeper)
+        task = asyncio.create_task(keeper.retire())
         self.tasks.add(task)
+        task.add_done_callback(lambda done: self.retiring.discard(keeper))
         task.add_done_callback(self.ended)
 
     def ended(self, task: asyncio.Task[None]) -> None:
@@ -87,7 +91,9 @@
     async def close(self) -> None:
         """Close all keepers."""
         held, self.held = self.held, {}
-        for keeper in held.values():
+        for task in self.tasks:
+            task.cancel()
+        for keeper in [*held.values(), *self.retiring]:
             await keeper.close()
         if self.tasks:
             await asyncio.wait(self.tasks)
--- a/src/reedhook/process/report.py
+++ b/src/reedhook/process/report.py
@@ -182,6 +182,8 @@
     def refresh(self) -> None:
         """Follow exactly the members whose home is here now."""
         local = {home.member.member: home for home in self.homes()}
+        if not local:
+            self.contact.reset()
         for member in self.tasks.keys() - local.keys():
             self.tasks.pop(member).cancel()
         for member, home in local.items():
--- a/tests/cluster_group.py
+++ b/tests/cluster_group.py
@@ -65,6 +65,7 @@
         self.metrics = MemoryMetrics()
         self.factory = FakeFactory(cluster.group, cluster.truth)
         self.local: dict[str, FakeHome] = {}
+        self.former: dict[str, FakeHome] = {}
         self.outcomes: list[Outcome] = []
         self.lost_hosts: list[HostRef] = []
         seed = f"{cluster.seed}-{ref.host}"
@@ -85,7 +86,11 @@
             self.keeper.controller = wrapped
             self.keeper.coordinator.controller = wrapped
         self.executor = Executor(
-            self.local.get, lambda group: self.keeper, self.clock, ref
+            self.local.get,
+            self.holding,
+            lambda group: self.keeper,
+            self.clock,
+            ref,
         )
         GroupRoutes(
             lambda: cluster.catalog,
@@ -97,6 +102,9 @@
             self.clock,
         ).register(self.routes)
 
+    def holding(self, member: str, transaction: str) -> FakeHome | None:
+        return self.local.get(member) or self.former.get(member)
+
     async def take_home(self, member: str) -> None:
         found = next(one for one in self.cluster.group.members if one.member == member)
         home = FakeHome(self.cluster.group, found, self.cluster.truth.members[member])
--- a/tests/fakes_group.py
+++ b/tests/fakes_group.py
@@ -330,6 +330,9 @@
         except TimeoutError:
             raise TargetSilent("no answer") from None
 
+    def holds(self, transaction: str) -> bool:
+        raise NotImplementedError
+
     async def run(self, statement: Statement) -> TargetResult:
         await self.cross(statement)
         target = self.target
--- a/tests/fakes_homes.py
+++ b/tests/fakes_homes.py
@@ -18,7 +18,8 @@
 class FakeHome(Home):
     """Note what is done with a home.
 
-    :ivar busy: set while work is in progress; `close` waits for its end.
+    :ivar idle: unset while work is in progress; `close` waits for its end.
+    :ivar open: the transactions that it holds.
     """
 
     def __init__(self, group: Group, member: Member, share: int) -> None:
@@ -27,6 +28,7 @@
         self.share = share
         self.limits: Limits | None = None
         self.leaving = False
+        self.open: set[str] = set()
         self.started = False
         self.closed_at: float | None = None
         self.idle = asyncio.Event()
@@ -47,6 +49,9 @@
     def limit(self, limits: Limits) -> None:
         self.limits = limits
 
+    def holds(self, transaction: str) -> bool:
+        return transaction in self.open
+
     async def run(self, statement: Statement) -> TargetResult:
         raise NotImplementedError
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -35,6 +35,35 @@
     run_virtual(main())
 
 
+def test_a_commit_is_proved_durable_after_the_home_has_moved() -> None:
+    async def main() -> None:
+        cluster = Cluster()
+        await cluster.start()
+        old = cluster.hosts["m1a"]
+        await old.executor.execute("m1", cluster.statement(Kind.BEGIN, "", 1.0))
+        await cluster.take_over("m1a")
+        old.former["m1"] = old.local.pop("m1")
+        old.keeper.refresh()
+        await asyncio.sleep(1.0)
+        await old.executor.execute("m1", cluster.statement(Kind.STEP, "", 1.0))
+        commit = cluster.statement(Kind.COMMIT, "both", 0.3)
+        position = (await old.executor.execute("m1", commit)).answer.position
+        members = cluster.truth.members.values()
+        assert sum(member.held >= position for member in members) >= 2
+        cluster.truth.cut({"m1"})
+        commit = cluster.statement(Kind.COMMIT, "alone", 0.3)
+        with pytest.raises(Refusal) as caught:
+            await old.executor.execute("m1", commit)
+        assert caught.value.reason is Reason.NOT_DURABLE
+        old.former.clear()
+        with pytest.raises(Refusal) as caught:
+            await old.executor.execute("m1", commit)
+        assert caught.value.reason is Reason.UNKNOWN_TRANSACTION
+        await cluster.stop()
+
+    run_virtual(main())
+
+
 def test_the_commit_of_reads_alone_is_confirmed() -> None:
     async def main() -> None:
         cluster = Cluster()
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -114,6 +114,7 @@
         busy = homes.of[host].get(members[0])
         assert isinstance(busy, FakeHome)
         busy.idle.clear()
+        busy.open.add("t1")
         drain = asyncio.create_task(homes.of[host].drain())
         for _ in range(400):
             await asyncio.sleep(0.001)
@@ -123,8 +124,16 @@
         assert homes.of[host].get(members[0]) is None
         assert homes.of[host].closing_of(members[0]) == [busy]
         assert busy.closed_at is None
+        assert homes.of[host].holding(members[0], "t1") is busy
+        assert homes.of[host].holding(members[0], "t2") is None
+        assert homes.of[host].in_use(busy.group.name) == [busy]
+        told = asyncio.Event()
+        homes.of[host].on_change(told.set)
         busy.idle.set()
         await drain
+        assert told.is_set()
+        assert homes.of[host].in_use(busy.group.name) == []
+        assert homes.of[host].holding(members[0], "t1") is busy
         assert busy.closed_at is not None
         assert homes.of[host].closing_of(members[0]) == []
         assert (members[0], "drain") in events(homes, host, EventKind.HOME_RELEASED)
@@ -196,6 +205,8 @@
 def test_a_configuration_touches_only_the_homes_that_it_changes() -> None:
     async def test(homes: HomesOfHosts) -> None:
         before = {name: at_home(homes, name) for name in members_of(homes.catalog)}
+        (host,) = homes.holders("g1-a")
+        before["g1-a"].open.add("t1")
         homes.catalog = changed(homes.catalog)
         for one in homes.of.values():
             one.apply(homes.catalog)
@@ -211,6 +222,7 @@
                 assert at_home(homes, name) is home
                 assert home.closed_at is None
         assert homes.holders("g9-a")
+        assert homes.of[host].holding("g1-a", "t1") is before["g1-a"]
 
     with_homes(test)
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -64,9 +64,9 @@
         return [one.promise for one in violations(self.history, held)]
 
 
-def play(act: Callable[[Scene], Awaitable[None]]) -> None:
+def play(act: Callable[[Scene], Awaitable[None]], hosts: int = 3) -> None:
     async def main() -> None:
-        async with World(Deployment("danube"), hosts=3) as world:
+        async with World(Deployment("danube"), hosts=hosts) as world:
             scene = Scene(world)
             await scene.day.prepare()
             await act(scene)
