Keep a commit in doubt when it is sent again

Cause: a commit that got no answer, or was cut by the end of a drain, was told as may have run; the same commit sent again was told as not run, since why the transaction had ended was remembered and not whether its commit had been sent. At worst a caller does the work anew.

Change: the ending of a transaction keeps whether a commit was sent that may have run; a repeated commit gets that verdict. Steps and rollbacks of it are not run, as before.

Proof: the new test in tests/test_home_transactions.py fails without the change, for a lost answer and for a home that closed past its grace.

--- a/src/reedhook/connection/transaction.py
+++ b/src/reedhook/connection/transaction.py
@@ -3,10 +3,12 @@
 import asyncio
 from typing import Final
 
+from ..record import Record
 from ..request.deadline import Deadline
 from ..request.queue import Entry, SlotQueue
-from ..request.refusal import Reason, Refusal, not_run
+from ..request.refusal import Reason, Refusal, may_have_run, not_run
 from ..request.statement import Kind, Statement
+from ..request.verdict import Verdict
 from .call import Attempt
 from .sender import Sender
 from .target import (
@@ -44,9 +46,18 @@
 
     :ivar permit: the entry that counts against the bound of transactions.
     :ivar running: whether a statement of it is in progress or queued.
+    :ivar committing: whether a commit was sent that may have run.
     """
 
-    __slots__ = ("name", "caller", "connection", "permit", "running", "timer")
+    __slots__ = (
+        "name",
+        "caller",
+        "connection",
+        "permit",
+        "running",
+        "committing",
+        "timer",
+    )
 
     def __init__(
         self, name: str, caller: str, connection: TargetConnection, permit: Entry
@@ -56,6 +67,7 @@
         self.connection = connection
         self.permit = permit
         self.running = False
+        self.committing = False
         self.timer: asyncio.TimerHandle | None = None
 
     def stop_timer(self) -> None:
@@ -64,6 +76,16 @@
             self.timer.cancel()
 
 
+class Ending(Record):
+    """Say why a transaction was ended, and whether its commit may have run."""
+
+    __slots__ = ("detail", "in_doubt")
+
+    def __init__(self, detail: str, in_doubt: bool) -> None:
+        self.detail = detail
+        self.in_doubt = in_doubt
+
+
 class OpenTransactions:
     """Keep the open transactions, and why others were ended."""
 
@@ -71,7 +93,7 @@
 
     def __init__(self) -> None:
         self.open: dict[str, Transaction] = {}
-        self.endings: dict[str, str] = {}
+        self.endings: dict[str, Ending] = {}
 
     def enter(self, statement: Statement) -> Transaction:
         """Reserve the transaction of `statement` for it.
@@ -81,7 +103,7 @@
         name = statement.transaction or ""
         transaction = self.open.get(name)
         if transaction is None or transaction.caller != statement.caller:
-            raise self.unknown(name)
+            raise self.unknown(name, statement.kind)
         if transaction.running:
             detail = "Another statement of this transaction is in progress."
             raise not_run(Reason.CONFLICT, detail)
@@ -101,15 +123,17 @@
             return
         if len(self.endings) >= KEPT_ENDINGS:
             del self.endings[next(iter(self.endings))]
-        self.endings[transaction.name] = ending
+        self.endings[transaction.name] = Ending(ending, transaction.committing)
 
-    def unknown(self, name: str) -> Refusal:
+    def unknown(self, name: str, kind: Kind) -> Refusal:
         """Return the refusal of a statement whose transaction is not open."""
         ending = self.endings.get(name)
-        if ending is not None:
-            return not_run(Reason.TRANSACTION_LOST, ending)
-        detail = "No such transaction is open here."
-        return not_run(Reason.UNKNOWN_TRANSACTION, detail)
+        if ending is None:
+            detail = "No such transaction is open here."
+            return not_run(Reason.UNKNOWN_TRANSACTION, detail)
+        if ending.in_doubt and kind is Kind.COMMIT:
+            return may_have_run(Reason.TRANSACTION_LOST, ending.detail)
+        return not_run(Reason.TRANSACTION_LOST, ending.detail)
 
 
 class TransactionStatements:
@@ -182,6 +206,7 @@
         try:
             if self.sender.health.unreachable_since is not None:
                 raise unreachable()
+            transaction.committing = statement.kind is Kind.COMMIT
             result = await self.send_in_slot(
                 transaction.connection, statement, deadline
             )
@@ -191,8 +216,10 @@
         except TargetSilent as error:
             raise lost(statement, deadline, error) from error
         except TargetUnreachable as error:
+            transaction.committing = False
             raise not_run(Reason.TRANSACTION_LOST, LOST) from error
         except Refusal as refusal:
+            transaction.committing = refusal.verdict is Verdict.MAY_HAVE_RUN
             goes_on = refusal.reason not in FATAL and not (
                 statement.kind is Kind.COMMIT
                 and refusal.reason is Reason.STATEMENT_FAILED
--- a/tests/test_home_transactions.py
+++ b/tests/test_home_transactions.py
@@ -134,6 +134,34 @@
         assert target.ran["t1:step"] == times
 
 
+def test_a_commit_in_doubt_stays_in_doubt_when_it_is_repeated() -> None:
+    target = FakeTarget()
+
+    async def body(home: TargetHome) -> None:
+        for name in ("lost", "cut"):
+            await begin(home, name)
+            await step(home, name)
+        target.breaks = [Break.AFTER_EFFECT]
+        first = await refusal_of(commit(home, "lost"))
+        target.service = 9.0
+        cut = asyncio.create_task(refusal_of(commit(home, "cut")))
+        await asyncio.sleep(0.1)
+        await home.close(grace=0.2)
+        for refusal in (
+            first,
+            await cut,
+            await refusal_of(commit(home, "lost")),
+            await refusal_of(commit(home, "cut")),
+        ):
+            assert refusal.reason is Reason.TRANSACTION_LOST
+            assert refusal.verdict is Verdict.MAY_HAVE_RUN
+        refusal = await refusal_of(step(home, "lost"))
+        assert refusal.verdict is Verdict.NOT_RUN
+
+    with_home(target, body)
+    assert target.commits == [["lost:step"]]
+
+
 def test_a_commit_on_a_connection_that_the_target_closed_did_not_run() -> None:
     target = FakeTarget()
 
