Acknowledge a repeated begin only once its commit is durable

Fault found by the trace repeated_begin_at_old_primary: a commit reached only a primary that was cut off and was rightly told "may have run". Whoever began again there under the same request id got "done, repeated" from a primary that had been superseded, and the row was dropped when the zones joined. The home now answers a repeated begin like a write, after the position is durable, and a hop keeps the verdict of that refusal.

Second fault, found by answer_lost_after_commit: each repeated begin held a connection and a permit until the idle limit of 10 s although the target had opened nothing; six of them kept a new transaction out. They are given back.

--- a/src/reedhook/connection/transaction.py
+++ b/src/reedhook/connection/transaction.py
@@ -188,6 +188,10 @@
                 raise unreachable() from error
             raise
         assert result is not None
+        if result.repeated:
+            self.permits.leave(permit)
+            self.sender.pool.give_back(connection)
+            return result
         transaction = Transaction(name, statement.caller, connection, permit)
         self.registry.open[name] = transaction
         self.rest(transaction)
--- a/src/reedhook/process/executor.py
+++ b/src/reedhook/process/executor.py
@@ -123,7 +123,7 @@
         if kind is Kind.COMMIT:
             return await commit(work)
         if kind is Kind.BEGIN:
-            await check_lead(work)
+            return await begin(work)
         return reply(work, await work.run(), None)
 
 
@@ -187,6 +187,19 @@
     return reply(work, result, None)
 
 
+async def begin(work: Work) -> Answer:
+    """Open a transaction, or answer for one that committed under the same id.
+
+    The latter acknowledges the commit, which has to be durable like any other.
+    """
+    await check_lead(work)
+    result = await work.run()
+    if result.repeated:
+        work.keeper.wrote(work.member, result.position)
+        await work.keeper.durable(result.position, work.remaining(), work.begun)
+    return reply(work, result, None)
+
+
 async def commit(work: Work) -> Answer:
     """Commit and answer once the transaction's entry is durable.
 
--- a/src/reedhook/request/dispatch.py
+++ b/src/reedhook/request/dispatch.py
@@ -20,6 +20,8 @@
 RETRY_SOON_MS: Final = 50
 ELSEWHERE: Final = frozenset({Reason.WRONG_HOME, Reason.HOST_UNREACHABLE})
 WITHOUT_EFFECT: Final = frozenset({Kind.READ, Kind.BEGIN})
+# What a begin is told whose request id has committed before.
+OF_EARLIER: Final = frozenset({Reason.NOT_DURABLE, Reason.SUPERSEDED})
 
 CatalogSource: TypeAlias = Callable[[], Catalog | None]
 
@@ -101,7 +103,7 @@
             news = self.due(statement.group)
             return Served.from_json(message, asked, host, news)
         except Refusal as refusal:
-            if statement.kind in WITHOUT_EFFECT:
+            if statement.kind in WITHOUT_EFFECT and refusal.reason not in OF_EARLIER:
                 refusal.verdict = Verdict.NOT_RUN
             raise
         except PeerError as error:
