Let calls between hosts end when a host stops listening

Cause: the peer server used the library's plain stop, which resets connections that wait to be accepted or were just accepted, so that a peer call of that moment was in doubt (sent, no answer).

The peers' connections get 0.2 s to become known as idle; while the callers' server stops, each peer connection already ends with its next answer.

Proof: the new test makes 200 calls and stops the listener 5 ms later.

--- a/src/reedhook/process/lifecycle.py
+++ b/src/reedhook/process/lifecycle.py
@@ -119,6 +119,7 @@
         self.callers.start_leaving()
         # Idle clients get a chance to be told before their connections close.
         await asyncio.gather(self.host.drain(), self.clock.sleep(LINGER))
+        self.peers.start_leaving()
         await self.callers.stop()
         await self.peers.stop()
         await self.admin.stop()
--- a/src/reedhook/process/peer_server.py
+++ b/src/reedhook/process/peer_server.py
@@ -10,6 +10,7 @@
 
 from ..request.refusal import Reason, Refusal, may_have_run, not_run
 from ..wire import Json, WireError, decode, encode
+from .listener import Listener
 from .peer import PeerRoutes
 from .peer_wire import BODY_LIMIT, CREDENTIAL, PREFIX, SERVER_KEEPALIVE
 from .timeline import Timeline
@@ -17,6 +18,7 @@
 BODY_TIMEOUT: Final = 5.0
 SHUTDOWN: Final = 10.0
 LINGERING: Final = 1.0
+IDLE_GRACE: Final = 0.2
 HTTP_OK: Final = 200
 JSON_TYPE: Final = "application/json"
 STAMP_FIELDS: Final = 2
@@ -53,18 +55,15 @@
             lingering_time=LINGERING,
         )
         self.runner = web.ServerRunner(server, shutdown_timeout=shutdown)
+        self.listener = Listener(self.runner, address, IDLE_GRACE)
 
     async def start(self) -> None:
         """Listen.
 
         :raises OSError: if the address cannot be had.
         """
-        await self.runner.setup()
-        host, port = self.address.rsplit(":", 1)
-        site = web.TCPSite(self.runner, host, int(port), ssl_context=self.tls)
-        await site.start()
-        bound = self.runner.addresses[0]
-        self.address = f"{bound[0]}:{bound[1]}"
+        await self.listener.start(self.tls)
+        self.address = self.listener.address
 
     def start_leaving(self) -> None:
         """Serve on, and let each connection end with its next answer."""
@@ -73,7 +72,7 @@
     async def stop(self) -> None:
         """Stop listening and let calls in progress end."""
         self.start_leaving()
-        await self.runner.cleanup()
+        await self.listener.stop()
 
 
 class PeerEndpoint:
--- a/tests/test_peer_http.py
+++ b/tests/test_peer_http.py
@@ -93,6 +93,23 @@
     run(main())
 
 
+def test_a_stop_resets_no_call_that_was_just_made() -> None:
+    async def test(peers: HttpPeers, listener: Listener) -> None:
+        assert listener.server is not None
+        calls = [
+            asyncio.create_task(peers.call(listener.ref, "note", {}, 1.0))
+            for _ in range(200)
+        ]
+        await asyncio.sleep(0.005)
+        await listener.server.stop()
+        outcomes = await asyncio.gather(*calls, return_exceptions=True)
+        refused = [one for one in outcomes if isinstance(one, PeerError)]
+        assert [one for one in refused if one.sent] == []
+        assert 0 < len(listener.seen) == len(calls) - len(refused)
+
+    with_both(test)
+
+
 def test_answers_and_refusals_travel_and_stamps_ride_along() -> None:
     async def test(peers: HttpPeers, listener: Listener) -> None:
         ahead = int(listener.timeline.clock.wall() * 1000) + 30_000
