--- a/bench/run.py
+++ b/bench/run.py
@@ -24,6 +24,7 @@
     "failover",
     "membership",
     "configuration",
+    "propagation",
 )
 TIMEOUT_S: Final = 600
 PLOT: Final = Path("build/bench.png")
