Tell an internal fault from a malformed peer message

Cause: the group's peer paths turned any KeyError, TypeError or ValueError of a handler into "malformed peer message", refused as not run. A fault of this host in the middle of a write would have been hidden, with a false verdict.

Change: the readers of messages raise WireError for a message of the wrong form (wire.reader), texts in bodies are read by wire.text, and handlers are no longer wrapped. Other errors reach the endpoint, which logs them and answers may have run.

Proof: the new test in tests/test_executor.py fails without the change for each of the three kinds of error; the tests of malformed questions pass unchanged.

--- a/src/reedhook/connection/target.py
+++ b/src/reedhook/connection/target.py
@@ -7,6 +7,7 @@
 from ..record import Record
 from ..request.position import Position
 from ..request.statement import Row
+from ..wire import reader
 
 
 class Role(str, Enum):
@@ -77,17 +78,18 @@
         }
 
     @classmethod
+    @reader
     def from_json(cls, message: dict[str, Any]) -> "MemberState":
         """Read a state from the wire."""
         return cls(
             member=message["member"],
             role=Role(message["role"]),
-            promised=message["promised"],
-            leader_term=message["leader_term"],
+            promised=int(message["promised"]),
+            leader_term=int(message["leader_term"]),
             held=Position.from_json(message["held"]),
             applied=Position.from_json(message["applied"]),
-            connections=message["connections"],
-            revision=message["revision"],
+            connections=int(message["connections"]),
+            revision=int(message["revision"]),
         )
 
 
--- a/src/reedhook/process/control.py
+++ b/src/reedhook/process/control.py
@@ -17,7 +17,7 @@
 from ..record import Record
 from ..request.refusal import Reason, Refusal, may_have_run, not_run
 from ..version.catalog import Group, Member
-from ..wire import Json
+from ..wire import Json, reader, text
 from .directory import Directory
 from .peer import HostRef, PeerError, Peers
 
@@ -63,10 +63,11 @@
         }
 
     @classmethod
+    @reader
     def from_json(cls, message: Json) -> "Control":
         """Read the body of the peer path ``control``."""
         return cls(
-            message["member"],
+            text(message, "member"),
             Op(message["op"]),
             int(message["term"]),
             str(message["owner"]),
--- a/src/reedhook/process/grouproutes.py
+++ b/src/reedhook/process/grouproutes.py
@@ -10,11 +10,11 @@
 from ..request.refusal import Reason, Refusal, not_run
 from ..request.statement import Statement
 from ..version.catalog import Catalog, Group, Member
-from ..wire import Json, WireError
+from ..wire import Json, text
 from .control import Control, Op, at_home, at_target
 from .directory import Directory
 from .group import GroupKeeper
-from .peer import PeerHandler, PeerRoutes
+from .peer import PeerRoutes
 from .report import Report
 from .suspicion import ASKED_HOSTS, Evidence
 
@@ -51,17 +51,17 @@
 
     def register(self, routes: PeerRoutes) -> None:
         """Add the handlers to `routes`."""
-        routes.add("statement", checked(self.statement))
-        routes.add("report", checked(self.report))
-        routes.add("confirm", checked(self.confirm))
-        routes.add("control", checked(self.control))
-        routes.add("probe", checked(self.probe))
-        routes.add("view", checked(self.view))
+        routes.add("statement", self.statement)
+        routes.add("report", self.report)
+        routes.add("confirm", self.confirm)
+        routes.add("control", self.control)
+        routes.add("probe", self.probe)
+        routes.add("view", self.view)
 
     async def statement(self, body: Json) -> Json:
         """Execute a statement at a member whose home is here."""
-        statement = Statement.from_json(body["statement"])
-        served = await self.execution.execute(body["member"], statement)
+        statement = Statement.from_json(body.get("statement"))
+        served = await self.execution.execute(text(body, "member"), statement)
         return served.to_json(self.clock.monotonic())
 
     async def report(self, body: Json) -> Json:
@@ -72,8 +72,8 @@
 
     async def confirm(self, body: Json) -> Json:
         """Give the state that a local target has from now on."""
-        keeper = self.keeper(body["group"])
-        state = await keeper.on_confirm(body["member"])
+        keeper = self.keeper(text(body, "group"))
+        state = await keeper.on_confirm(text(body, "member"))
         return {
             "state": state.to_json(),
             "view": keeper.view.to_json(self.clock.monotonic()),
@@ -81,7 +81,7 @@
 
     async def view(self, body: Json) -> Json:
         """Give what is known of a group here."""
-        keeper = self.keeper(body["group"])
+        keeper = self.keeper(text(body, "group"))
         keeper.refresh_view()
         return {"view": keeper.view.to_json(self.clock.monotonic())}
 
@@ -106,14 +106,14 @@
 
     async def probe(self, body: Json) -> Json:
         """Say whether a target answers, from as near as this host can look."""
-        group, member = self.find(body["member"])
+        group, member = self.find(text(body, "member"))
         home = self.homes(member.member)
         if home is not None:
             return {"alive": await answers(home), "home": True}
         if self.stands_by(member):
             return {"alive": await self.answers_here(member), "home": False}
         keeper = self.keepers(group.name)
-        if keeper is None or not body["relay"]:
+        if keeper is None or not body.get("relay"):
             raise not_run(Reason.WRONG_HOME, f"{member.member} is not near here")
         evidence = await keeper.verifier.relayed(member.member)
         return {
@@ -174,15 +174,3 @@
     except TargetError:
         return home.unreachable_since is None
     return True
-
-
-def checked(handler: PeerHandler) -> PeerHandler:
-    """Turn a body of the wrong form into a typed refusal."""
-
-    async def handle(body: Json) -> Json:
-        try:
-            return await handler(body)
-        except (KeyError, TypeError, ValueError) as error:
-            raise WireError(f"malformed peer message: {error!r}") from error
-
-    return handle
--- a/src/reedhook/process/report.py
+++ b/src/reedhook/process/report.py
@@ -10,7 +10,7 @@
 from ..record import Record
 from ..request.refusal import Refusal
 from ..request.view import GroupView
-from ..wire import Json
+from ..wire import Json, reader, text
 from .directory import Directory
 from .knowledge import Knowledge
 from .peer import HostRef, PeerError, Peers
@@ -60,12 +60,14 @@
         }
 
     @classmethod
+    @reader
     def from_json(cls, message: Json) -> "Report":
         """Read the body of the peer path ``report``."""
+        want = message["want"]
         return cls(
-            message["group"],
+            text(message, "group"),
             MemberState.from_json(message["state"]),
-            message["want"],
+            None if want is None else float(want),
             message["prompt"],
         )
 
--- a/src/reedhook/request/statement.py
+++ b/src/reedhook/request/statement.py
@@ -4,7 +4,7 @@
 from typing import Any, TypeAlias
 
 from ..record import Record
-from ..wire import Json
+from ..wire import Json, reader
 from .position import Position
 
 Row: TypeAlias = list[Any]
@@ -108,7 +108,8 @@
         }
 
     @classmethod
-    def from_json(cls, message: Json) -> "Statement":
+    @reader
+    def from_json(cls, message: Any) -> "Statement":
         """Read a statement sent by another host."""
         covers = message["covers"]
         return cls(
@@ -123,7 +124,7 @@
             max_age=message["max_age"],
             request_id=message["request_id"],
             transaction=message["transaction"],
-            remaining=message["remaining"],
+            remaining=float(message["remaining"]),
         )
 
 
--- a/src/reedhook/wire.py
+++ b/src/reedhook/wire.py
@@ -1,16 +1,46 @@
 """JSON as it stands on the wire, with typed errors."""
 
-from typing import Any, TypeAlias
+from collections.abc import Callable
+from functools import wraps
+from typing import Any, ParamSpec, TypeAlias, TypeVar
 
 import orjson
 
 Json: TypeAlias = dict[str, Any]
+P = ParamSpec("P")
+T = TypeVar("T")
 
 
 class WireError(ValueError):
     """Say that a message does not have the expected form."""
 
 
+def reader(read: Callable[P, T]) -> Callable[P, T]:
+    """Let what reads a message raise `WireError` for one of the wrong form."""
+
+    @wraps(read)
+    def typed(*args: P.args, **kwargs: P.kwargs) -> T:
+        try:
+            return read(*args, **kwargs)
+        except WireError:
+            raise
+        except (LookupError, TypeError, ValueError) as error:
+            raise WireError(f"malformed message: {error!r}") from error
+
+    return typed
+
+
+def text(message: Json, name: str) -> str:
+    """Return a field that holds a text.
+
+    :raises WireError: if it does not.
+    """
+    value = message.get(name)
+    if not isinstance(value, str):
+        raise WireError(f"{name} is to hold a text")
+    return value
+
+
 def encode(message: Json) -> bytes:
     """Encode `message` as JSON."""
     return orjson.dumps(message)
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from reedhook.request.execution import Served
 from reedhook.request.refusal import Reason, Refusal
-from reedhook.request.statement import Consistency, Kind
+from reedhook.request.statement import Consistency, Kind, Statement
 from reedhook.request.verdict import Verdict
 from reedhook.wire import WireError
 
@@ -168,6 +169,27 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("error", [KeyError("m1"), TypeError(), ValueError()])
+def test_an_internal_fault_is_not_taken_for_a_malformed_question(
+    error: Exception,
+) -> None:
+    async def fail(member: str, statement: Statement) -> Served:
+        raise error
+
+    async def main() -> None:
+        cluster = Cluster()
+        host = cluster.hosts["m1a"]
+        host.executor.execute = fail  # type: ignore[method-assign]
+        statement = cluster.statement(Kind.WRITE, "w", 1.0).to_json()
+        with pytest.raises(type(error)) as caught:
+            await host.routes.handlers["statement"](
+                {"member": "m1", "statement": statement}
+            )
+        assert caught.value is error
+
+    run_virtual(main())
+
+
 def test_an_unknown_step_is_refused() -> None:
     async def main() -> None:
         cluster = Cluster()
