Enter what a test needs by a decorator or a context manager

Cause: most tests wrapped their body in a nested coroutine and handed it to a runner of their file: four lines around each body.

--- a/tests/fakes_clock.py
+++ b/tests/fakes_clock.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
-from typing import Any, Final, TypeVar
+from collections.abc import Callable, Coroutine
+from functools import wraps
+from typing import Any, Final, ParamSpec, TypeVar
 
 from reedhook.clock import Clock
 
 T = TypeVar("T")
+P = ParamSpec("P")
 
 EPOCH: Final = 1_700_000_000.0
 IDLE_LIMIT: Final = 2.0
@@ -58,6 +60,16 @@
         return runner.run(main)
 
 
+def in_virtual_time(test: Callable[P, Coroutine[Any, Any, None]]) -> Callable[P, None]:
+    """Turn a coroutine into a test in virtual time."""
+
+    @wraps(test)
+    def run_test(*args: P.args, **kwargs: P.kwargs) -> None:
+        run_virtual(test(*args, **kwargs))
+
+    return run_test
+
+
 class LoopClock(Clock):
     """Read the time of the running loop; each host has a clock of its own.
 
--- a/tests/test_hostlist_http.py
+++ b/tests/test_hostlist_http.py
@@ -15,7 +15,7 @@
 from reedhook_standins.hostlist import HostListStandin
 
 from .fakes_clock import LoopClock
-from .support_group import using
+from .support import using
 
 Pair: TypeAlias = tuple[HostListStandin, HttpHostList]
 
--- a/tests/test_standin_control.py
+++ b/tests/test_standin_control.py
@@ -13,7 +13,8 @@
 from reedhook_standins.deployment import Deployment
 from reedhook_standins.platform import Platform, base_ports
 
-from .support_group import connect, using
+from .support import using
+from .support_group import connect
 
 
 class Hand:
--- a/tests/test_store_http.py
+++ b/tests/test_store_http.py
@@ -18,7 +18,8 @@
 from reedhook_standins.store import MAX_VALUE, StoreStandin
 
 from .fakes_clock import LoopClock
-from .support_group import until, using
+from .support import using
+from .support_group import until
 
 Pair: TypeAlias = tuple[StoreStandin, HttpStore]
 
