Rank no hosts for targets that would get no connection

Cause: on the loss of a zone or region each other host ranked all known hosts for each target there, although a host that ranks after a large zone's own may open no connection. One look held the event loop up, longer than the 100 ms after which heartbeats count as missed. Change: Homes asks first whether any connection is left after the zone's known hosts; share() ends once nothing is left. The same homes are taken. The new test fails without the change. Conclusion: a lost region no longer stops the hosts that are left.

--- a/src/reedhook/process/directory.py
+++ b/src/reedhook/process/directory.py
@@ -147,6 +147,10 @@
         """Return whether `zone` has a live host."""
         return any(record.live for record in self.table.in_zone(zone))
 
+    def known_in(self, zone: str) -> int:
+        """Return how many hosts of `zone` are known, live or not."""
+        return len(self.table.zones.get(zone, ()))
+
     def relays(self, zone: str) -> list[HostRef]:
         """Return the hosts that ask the platform on behalf of `zone`."""
         return self.live_order(self.orders.order(RELAY_KEY, zone, True))[:RELAYS]
--- a/src/reedhook/process/homes.py
+++ b/src/reedhook/process/homes.py
@@ -207,7 +207,7 @@
                 continue
             if zone not in served:
                 served[zone] = self.directory.served(zone)
-            if zone != self.me.zone and served[zone]:
+            if zone != self.me.zone and (served[zone] or not self.room(group, zone)):
                 continue
             home = self.directory.home(member.member, zone)
             if home == self.me:
@@ -215,6 +215,15 @@
             else:
                 self.former[member.member] = home
 
+    def room(self, group: Group, zone: str) -> bool:
+        """Return whether a host outside `zone` may connect to a target there.
+
+        It ranks after the zone's known hosts, of which a large zone has too
+        many to leave anything. Ranking all hosts for each target of a lost
+        region would hold the loop up for long, and for nothing.
+        """
+        return share(group.connections, self.directory.known_in(zone)) > 0
+
     def promised(self, member: str) -> bool:
         """Return whether a host that is about to leave passed `member` on."""
         promise = self.promises.get(member)
--- a/src/reedhook/process/rendezvous.py
+++ b/src/reedhook/process/rendezvous.py
@@ -32,6 +32,8 @@
     left = connections
     given = 0
     for one in range(rank + 1):
+        if not left:
+            return 0
         wanted = max(1, int(connections * portion(one)))
         given = min(wanted, left)
         left -= given
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -94,6 +94,24 @@
     assert shares and max(shares) == 1
 
 
+def test_a_large_zone_without_hosts_costs_the_others_no_ranking() -> None:
+    async def main() -> None:
+        hosts = FakeHosts({"a": 6, "b": 2})
+        homes = HomesOfHosts(hosts, catalog_of(["a", "b"], 4))
+        await hosts.until_agreed()
+        await asyncio.sleep(3.0)
+        for host in hosts.in_zone("a"):
+            homes.crash(host)
+        await until(lambda: len(hosts["b-0"].live()) == 2, 40.0)
+        await asyncio.sleep(10.0)
+        orders = hosts["b-0"].directory.orders.orders
+        assert all(inside for _, _, inside in orders)
+        assert not [name for name in homes.of["b-0"].held if name.endswith("-a")]
+        await homes.stop()
+
+    run_virtual(main())
+
+
 async def until(condition: Callable[[], bool], limit: float) -> None:
     """Wait for `condition` for up to `limit` seconds."""
     async with asyncio.timeout(limit):
