--- a/bench/capacity_callers.py
+++ b/bench/capacity_callers.py
@@ -36,7 +36,15 @@
 KEPT: Final[list[asyncio.StreamWriter]] = []
 
 
-async def measure(encrypted: bool) -> Json:
+def measure() -> Json:
+    """Measure the connections of callers, plain and with TLS."""
+    return {
+        "plain": asyncio.run(measure_connections(False)),
+        "tls": asyncio.run(measure_connections(True)),
+    }
+
+
+async def measure_connections(encrypted: bool) -> Json:
     """Open connections step by step to one host."""
     with ExitStack() as stack:
         tls = None
--- a/bench/capacity_idle.py
+++ b/bench/capacity_idle.py
@@ -44,6 +44,9 @@
 
 ZONES: Final = ("vittoria", "comiso", "ispica")
 HOSTS: Final = 9
+GROUPS: Final = 12
+MEMBERS: Final = 3
+SINGLES: Final = 36
 LISTENERS: Final = 3
 SEEDS: Final = 3
 SETTLE_S: Final = 12.0
@@ -96,7 +99,15 @@
         self.received = int(counters["rchar"])
 
 
-async def measure(groups: int, size: int, count: bool = False) -> Json:
+def measure() -> Json:
+    """Measure control at rest, in groups of three and of one."""
+    return {
+        "groups_of_three": asyncio.run(measure_groups(GROUPS, MEMBERS, True)),
+        "groups_of_one": asyncio.run(measure_groups(SINGLES, 1)),
+    }
+
+
+async def measure_groups(groups: int, size: int, count: bool = False) -> Json:
     """Measure all hosts before so many groups of so many members.
 
     :param count: whether calls are counted by path, which costs time.
--- a/bench/capacity_moves.py
+++ b/bench/capacity_moves.py
@@ -6,14 +6,16 @@
 
 import asyncio
 import random
+import statistics
 import time
+from collections import Counter
 from collections.abc import Iterable
 from typing import Final
 
 from reedhook.clock import SystemClock
 from reedhook.connection.home import Home
 from reedhook.process.directory import MembershipDirectory
-from reedhook.process.homes import Homes
+from reedhook.process.homes import Homes, targets
 from reedhook.process.membership import Membership
 from reedhook.process.membership_record import HostRecord, HostState
 from reedhook.process.peer import HostRef, PeerError, Peers
@@ -52,6 +54,7 @@
     region = range(REGION, SITES)
     return {
         "members": members,
+        "homes_of_a_host": spread(homes),
         "homes_here": len(list(homes.wanted())),
         "first_ms": cost_ms(make_homes(members)),
         "again_ms": cost_ms(homes),
@@ -60,6 +63,21 @@
     }
 
 
+def spread(homes: Homes) -> Json:
+    """Return how many homes the hosts hold."""
+    found = [
+        homes.directory.home(member.member, member.zone)
+        for _, member in targets(homes.catalog)
+    ]
+    held = Counter(one.host for one in found if one is not None)
+    counts = sorted(held[host] for host in homes.membership.table.records)
+    return {
+        "mean": round(statistics.fmean(counts), 2),
+        "p99": counts[int(len(counts) * 0.99)],
+        "max": counts[-1],
+    }
+
+
 def make_homes(members: int) -> Homes:
     """Return the homes of a host that knows all others."""
     clock = SystemClock()
