Count and time changes of primary

Cause: changes of primary stood in the time line only, whose ring is bounded; operators could not chart how often primaries are suspected, in vain or not, and which part of a change takes how long.

Change: counters for suspicions, cleared suspicions, promotions and failed attempts; timings of suspicion, agreement, promotion and first write, in the terms of the time line.

Proof: the figures are asserted in three tests of tests/test_promotion.py, which failed before the change.

--- a/src/reedhook/process/coordinator.py
+++ b/src/reedhook/process/coordinator.py
@@ -15,6 +15,7 @@
 from .control import Control, Controller, Op
 from .directory import Directory
 from .knowledge import Knowledge
+from .metrics import Metrics
 from .promotion import STEP_TIMEOUT, Promoted, Promotion, PromotionFailed
 from .suspicion import Cause
 from .timeline import EventKind, Timeline
@@ -79,6 +80,7 @@
         clock: Clock,
         random: Random,
         timeline: Timeline,
+        metrics: Metrics,
         on_outcome: OutcomeCallback,
     ) -> None:
         self.knowledge = knowledge
@@ -88,6 +90,7 @@
         self.clock = clock
         self.random = random
         self.timeline = timeline
+        self.metrics = metrics
         self.on_outcome = on_outcome
         self.attempts = 0
         self.own_term = 0
@@ -254,6 +257,10 @@
             agreement_ms=milliseconds(promoted.agreement),
             promotion_ms=milliseconds(promoted.promotion),
         )
+        self.metrics.increment("primary.promoted")
+        self.metrics.timing("primary.suspicion", suspicion)
+        self.metrics.timing("primary.agreement", promoted.agreement)
+        self.metrics.timing("primary.promotion", promoted.promotion)
         log.notice(f"{group}: {promoted.primary} leads in term {promoted.term}")
         self.knowledge.lead(promoted.term, promoted.primary)
         self.on_outcome(Outcome(group, promoted.term, promoted.primary))
@@ -261,7 +268,8 @@
     def failed(
         self, cause: Cause, step: str, detail: str, term: int | None = None
     ) -> None:
-        """Record an attempt that came to nothing, once while it repeats."""
+        """Count an attempt that came to nothing; record it once while it repeats."""
+        self.metrics.increment("primary.attempt_failed")
         failure = (cause, step, detail)
         if failure == self.last_failure:
             return
--- a/src/reedhook/process/group.py
+++ b/src/reedhook/process/group.py
@@ -88,6 +88,7 @@
             clock,
             random,
             timeline,
+            metrics,
             on_outcome,
         )
         self.guard = Guard(
@@ -98,6 +99,7 @@
             directory,
             clock,
             timeline,
+            metrics,
             on_host_lost,
         )
         self.confirmation = Confirmation(
@@ -456,10 +458,12 @@
         """Record when the first entry of a term is durable."""
         if mark.term <= self.resumed:
             return
-        self.resumed = mark.term
+        former, self.resumed = self.resumed, mark.term
         if self.local_lead() is None:
             return
         since = self.clock.monotonic() - self.learned_at
+        if former:
+            self.metrics.timing("primary.first_write", since)
         self.timeline.record(
             EventKind.WRITES_RESUMED,
             self.group.name,
--- a/src/reedhook/process/guard.py
+++ b/src/reedhook/process/guard.py
@@ -8,6 +8,7 @@
 from .coordinator import Coordinator, milliseconds
 from .directory import Directory
 from .knowledge import Knowledge
+from .metrics import Metrics
 from .peer import HostRef
 from .report import DOUBT_AFTER, Reporter
 from .suspicion import Cause, Evidence, Verifier
@@ -41,6 +42,7 @@
         directory: Directory,
         clock: Clock,
         timeline: Timeline,
+        metrics: Metrics,
         on_host_lost: HostLostCallback | None,
     ) -> None:
         self.knowledge = knowledge
@@ -50,6 +52,7 @@
         self.directory = directory
         self.clock = clock
         self.timeline = timeline
+        self.metrics = metrics
         self.on_host_lost = on_host_lost
         self.doubted = asyncio.Event()
         self.leaderless_since: float | None = None
@@ -200,6 +203,7 @@
         if self.suspected:
             return
         self.suspected = True
+        self.metrics.increment("primary.suspected")
         self.timeline.record(
             EventKind.PRIMARY_SUSPECTED,
             self.knowledge.group.name,
@@ -214,6 +218,7 @@
         if not self.suspected:
             return
         self.suspected = False
+        self.metrics.increment("primary.cleared")
         self.timeline.record(
             EventKind.PRIMARY_CLEARED,
             self.knowledge.group.name,
--- a/tests/cluster_group.py
+++ b/tests/cluster_group.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections import Counter
 from collections.abc import Callable
 from itertools import count
 
@@ -255,6 +256,11 @@
         ]
         return sorted(found, key=lambda one: (one.stamp.wall_ms, one.stamp.count))
 
+    def counted(self) -> Counter[str]:
+        """Return the counters of all hosts together."""
+        counters = (host.metrics.counters for host in self.hosts.values())
+        return sum(counters, Counter())
+
     async def until_writable(self, limit: float = 5.0) -> float:
         """Try a write every few milliseconds until one is acknowledged.
 
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -303,6 +303,10 @@
             await cluster.write("m1", f"w{serial}")
             await asyncio.sleep(0.1)
         assert list(cluster.truth.leaders) == [1]
+        counted = cluster.counted()
+        assert counted["primary.suspected"] > 0
+        assert counted["primary.cleared"] > 0
+        assert counted["primary.promoted"] == 0
         await cluster.stop()
 
     run_virtual(main())
@@ -320,6 +324,7 @@
         assert list(cluster.truth.leaders) == [1]
         assert cluster.truth.members["m2"].promised == 1
         assert cluster.events(EventKind.PROMOTION_FAILED) != []
+        assert cluster.counted()["primary.attempt_failed"] > 0
         cluster.revive_target("m1")
         gap = await cluster.until_writable()
         assert gap < 2.0
@@ -450,6 +455,10 @@
             assert detail[step] > 0.0
         assert resumed[-1].detail["term"] == detail["term"]
         assert resumed[-1].detail["after_learned_ms"] > 0.0
+        counted = cluster.counted()
+        assert counted["primary.promoted"] == 1
+        for step in ("suspicion", "agreement", "promotion", "first_write"):
+            assert counted[f"primary.{step}.count"] == 1
         await cluster.stop()
 
     run_virtual(main())
