Give the tests of the API, the tool and promises what they need

The tests of the callers' interface, of the administration of the configuration, of the tool and of groups still wrapped their bodies. Change: test_promises enters home_at; the others use using() and in_virtual_time. No assertion changed; cases are the same.

--- a/tests/command_fakes.py
+++ b/tests/command_fakes.py
@@ -1,7 +1,8 @@
 """The tool in one process with what answers it."""
 
 import io
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +17,6 @@
 from .admin_fakes import CREDENTIAL, DIGESTS, FakeNetwork
 from .config_fleet import BASE
 from .fakes_store import FakeStore
-from .support import run
 from .test_admin_config import editor_of
 
 SITES = ("vittoria", "comiso", "ispica")
@@ -52,18 +52,15 @@
         return Outcome(code, out.getvalue(), err.getvalue())
 
 
-def visit(steps: Callable[[Tool], Awaitable[None]]) -> None:
-    """Run `steps` with the tool."""
-
-    async def main() -> None:
-        network, store = FakeNetwork(), FakeStore(0.0)
-        source = network.sources["vittoria-1"]
-        admin = Admin(source, network.fleet(), Operators(DIGESTS), 65536)
-        routes = config_routes(admin, editor_of(network, store))
-        async with TestServer(admin_app(admin, routes), host="127.0.0.1") as server:
-            await steps(Tool(f"127.0.0.1:{server.port}", network, store))
-
-    run(main())
+@asynccontextmanager
+async def a_tool() -> AsyncIterator[Tool]:
+    """Serve the API and yield a tool that calls it."""
+    network, store = FakeNetwork(), FakeStore(0.0)
+    source = network.sources["vittoria-1"]
+    admin = Admin(source, network.fleet(), Operators(DIGESTS), 65536)
+    routes = config_routes(admin, editor_of(network, store))
+    async with TestServer(admin_app(admin, routes), host="127.0.0.1") as server:
+        yield Tool(f"127.0.0.1:{server.port}", network, store)
 
 
 def folder(path: Path, queue: int) -> Path:
--- a/tests/test_admin_config.py
+++ b/tests/test_admin_config.py
@@ -2,7 +2,8 @@
 
 import json
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 from aiohttp.test_utils import TestClient, TestServer
@@ -21,7 +22,7 @@
 from .admin_fakes import DIGESTS, HEADERS, FakeNetwork
 from .config_fleet import BASE, documents
 from .fakes_store import FakeStore
-from .support import run
+from .support import on_loop, using
 
 LIMIT = 65536
 
@@ -41,24 +42,17 @@
     return ConfigurationEditor(keeper, Archive(store), clock)
 
 
-def visit(
-    steps: Callable[[Any], Awaitable[Any]],
-    store: FakeStore | None = None,
-    network: FakeNetwork | None = None,
-) -> Any:
-    """Run `steps` with a client of the first host."""
-
-    async def main() -> Any:
-        hosts = network or FakeNetwork()
-        source = hosts.sources["vittoria-1"]
-        admin = Admin(source, hosts.fleet(), Operators(DIGESTS), LIMIT)
-        editor = editor_of(hosts, store or FakeStore(0.0))
-        app = admin_app(admin, config_routes(admin, editor))
-        server = TestServer(app, host="127.0.0.1")
-        async with TestClient(server, headers=HEADERS) as client:
-            return await steps(client)
-
-    return run(main())
+@asynccontextmanager
+async def visiting(network: FakeNetwork | None = None) -> AsyncIterator[Any]:
+    """Serve the API at the first host and yield a client."""
+    hosts = network or FakeNetwork()
+    source = hosts.sources["vittoria-1"]
+    admin = Admin(source, hosts.fleet(), Operators(DIGESTS), LIMIT)
+    editor = editor_of(hosts, FakeStore(0.0))
+    app = admin_app(admin, config_routes(admin, editor))
+    server = TestServer(app, host="127.0.0.1")
+    async with TestClient(server, headers=HEADERS) as client:
+        yield client
 
 
 def edit(queue: int, parent: int, edit_id: str, **changes: Any) -> Json:
@@ -79,103 +73,91 @@
         return response.status, await response.json()
 
 
-def test_an_edit_is_accepted_under_the_operators_name_and_shown() -> None:
-    async def steps(client: Any) -> None:
-        status, body = await apply(client, edit(11, 0, "e1", comment="why"))
-        assert (status, body["verdict"], body["head"]["version"]) == (200, "done", 1)
-        status, shown = await get(client, "")
-        assert shown["base"] == documents(11).base
-        assert shown["head"]["author"] == "anna"
-        assert shown["head"]["comment"] == "why"
-
-    visit(steps)
-
-
-def test_a_repeated_edit_is_accepted_once() -> None:
-    async def steps(client: Any) -> None:
-        first = await apply(client, edit(11, 0, "e1"))
-        assert await apply(client, edit(11, 0, "e1")) == first
-        _, history = await get(client, "/history")
-        assert [one["version"] for one in history["versions"]] == [1]
-
-    visit(steps)
-
-
-def test_of_two_operators_who_race_one_is_told_of_the_other() -> None:
-    async def steps(client: Any) -> None:
-        await apply(client, edit(11, 0, "e1"))
-        assert (await apply(client, edit(12, 1, "e2")))[0] == 200
-        status, body = await apply(client, edit(13, 1, "e3"))
-        assert (status, body["reason"], body["verdict"]) == (409, "conflict", "not run")
-        assert body["version"] == 2
-        assert body["since"][0]["author"] == "anna"
-        assert body["since"][0]["changes"] == [
-            {"file": "base.yaml", "path": "limits.queue"}
-        ]
-        _, shown = await get(client, "")
-        assert shown["base"] == documents(12).base
-
-    visit(steps)
-
-
-def test_every_fault_is_named_and_nothing_changes() -> None:
-    async def steps(client: Any) -> None:
-        wrong = {"base": "limits: {queue: -1, qeueu: 2}\n", "overlays": {"x": "- 1"}}
-        async with client.post("/admin/config/check", json=wrong) as response:
-            checked = await response.json()
-            assert response.status == 422
-        status, applied = await apply(client, edit(1, 0, "e1", **wrong))
-        assert status == 422
-        assert checked["faults"] == applied["faults"]
-        assert all(
-            set(one) == {"file", "line", "path", "reason"} for one in applied["faults"]
-        )
-        assert (await get(client, "/history"))[1] == {"versions": []}
-
-    visit(steps)
-
-
-def test_a_check_accepts_and_changes_nothing() -> None:
-    async def steps(client: Any) -> None:
-        body = documents(11).to_json()
-        async with client.post("/admin/config/check", json=body) as response:
-            assert (await response.json())["valid"] is True
-        assert (await get(client, ""))[1]["reason"] == "no_configuration"
-
-    visit(steps)
-
-
-def test_malformed_edits_are_refused() -> None:
-    async def steps(client: Any) -> None:
-        wrong: list[Json] = [
-            {"parent": "1"},
-            {"parent": True},
-            {"parent": -1},
-            {"comment": None},
-            {"edit_id": 4},
-            {"base": 4},
-            {"overlays": []},
-            {"odd": 1},
-        ]
-        for changes in wrong:
-            status, body = await apply(client, edit(1, 0, "e1") | changes)
-            assert (status, body["verdict"]) == (400, "not run"), changes
-        for path in ("/diff", "/diff?from=a&to=b", "?version=x", "/history?odd=1"):
-            assert (await get(client, path))[0] == 400
-        assert (await get(client, "/history"))[1] == {"versions": []}
-
-    visit(steps)
-
-
-def test_a_diff_names_the_paths_that_changed() -> None:
-    async def steps(client: Any) -> None:
-        await apply(client, edit(11, 0, "e1"))
-        await apply(client, edit(12, 1, "e2"))
-        _, body = await get(client, "/diff?from=1&to=2")
-        assert body["changes"] == [{"file": "base.yaml", "path": "limits.queue"}]
-        assert (await get(client, "/diff?from=1&to=9"))[0] == 400
-
-    visit(steps)
+@using(visiting)
+async def test_an_edit_is_accepted_under_the_operators_name_and_shown(
+    client: Any,
+) -> None:
+    status, body = await apply(client, edit(11, 0, "e1", comment="why"))
+    assert (status, body["verdict"], body["head"]["version"]) == (200, "done", 1)
+    status, shown = await get(client, "")
+    assert shown["base"] == documents(11).base
+    assert shown["head"]["author"] == "anna"
+    assert shown["head"]["comment"] == "why"
+
+
+@using(visiting)
+async def test_a_repeated_edit_is_accepted_once(client: Any) -> None:
+    first = await apply(client, edit(11, 0, "e1"))
+    assert await apply(client, edit(11, 0, "e1")) == first
+    _, history = await get(client, "/history")
+    assert [one["version"] for one in history["versions"]] == [1]
+
+
+@using(visiting)
+async def test_of_two_operators_who_race_one_is_told_of_the_other(client: Any) -> None:
+    await apply(client, edit(11, 0, "e1"))
+    assert (await apply(client, edit(12, 1, "e2")))[0] == 200
+    status, body = await apply(client, edit(13, 1, "e3"))
+    assert (status, body["reason"], body["verdict"]) == (409, "conflict", "not run")
+    assert body["version"] == 2
+    assert body["since"][0]["author"] == "anna"
+    assert body["since"][0]["changes"] == [
+        {"file": "base.yaml", "path": "limits.queue"}
+    ]
+    _, shown = await get(client, "")
+    assert shown["base"] == documents(12).base
+
+
+@using(visiting)
+async def test_every_fault_is_named_and_nothing_changes(client: Any) -> None:
+    wrong = {"base": "limits: {queue: -1, qeueu: 2}\n", "overlays": {"x": "- 1"}}
+    async with client.post("/admin/config/check", json=wrong) as response:
+        checked = await response.json()
+        assert response.status == 422
+    status, applied = await apply(client, edit(1, 0, "e1", **wrong))
+    assert status == 422
+    assert checked["faults"] == applied["faults"]
+    assert all(
+        set(one) == {"file", "line", "path", "reason"} for one in applied["faults"]
+    )
+    assert (await get(client, "/history"))[1] == {"versions": []}
+
+
+@using(visiting)
+async def test_a_check_accepts_and_changes_nothing(client: Any) -> None:
+    body = documents(11).to_json()
+    async with client.post("/admin/config/check", json=body) as response:
+        assert (await response.json())["valid"] is True
+    assert (await get(client, ""))[1]["reason"] == "no_configuration"
+
+
+@using(visiting)
+async def test_malformed_edits_are_refused(client: Any) -> None:
+    wrong: list[Json] = [
+        {"parent": "1"},
+        {"parent": True},
+        {"parent": -1},
+        {"comment": None},
+        {"edit_id": 4},
+        {"base": 4},
+        {"overlays": []},
+        {"odd": 1},
+    ]
+    for changes in wrong:
+        status, body = await apply(client, edit(1, 0, "e1") | changes)
+        assert (status, body["verdict"]) == (400, "not run"), changes
+    for path in ("/diff", "/diff?from=a&to=b", "?version=x", "/history?odd=1"):
+        assert (await get(client, path))[0] == 400
+    assert (await get(client, "/history"))[1] == {"versions": []}
+
+
+@using(visiting)
+async def test_a_diff_names_the_paths_that_changed(client: Any) -> None:
+    await apply(client, edit(11, 0, "e1"))
+    await apply(client, edit(12, 1, "e2"))
+    _, body = await get(client, "/diff?from=1&to=2")
+    assert body["changes"] == [{"file": "base.yaml", "path": "limits.queue"}]
+    assert (await get(client, "/diff?from=1&to=9"))[0] == 400
 
 
 values = st.recursive(
@@ -199,30 +181,28 @@
 
 @settings(max_examples=60)
 @given(path=st.sampled_from(["check", "apply"]), body=edits | values)
-def test_no_edit_fails_within_or_takes_effect_by_mistake(path: str, body: Any) -> None:
-    async def steps(client: Any) -> None:
-        url = f"/admin/config/{path}"
-        data = json.dumps(body).encode()
-        async with client.post(url, data=data) as response:
-            answer = await response.json()
-        assert response.status in (200, 400, 409, 422), answer
-        accepted = path == "apply" and response.status == 200
-        assert accepted or answer["verdict"] == "not run" or answer["valid"]
-        assert len((await get(client, "/history"))[1]["versions"]) == int(accepted)
-
-    visit(steps)
-
-
-def test_the_status_names_each_hosts_version() -> None:
+@using(visiting)
+async def test_no_edit_fails_within_or_takes_effect_by_mistake(
+    client: Any, path: str, body: Any
+) -> None:
+    url = f"/admin/config/{path}"
+    data = json.dumps(body).encode()
+    async with client.post(url, data=data) as response:
+        answer = await response.json()
+    assert response.status in (200, 400, 409, 422), answer
+    accepted = path == "apply" and response.status == 200
+    assert accepted or answer["verdict"] == "not run" or answer["valid"]
+    assert len((await get(client, "/history"))[1]["versions"]) == int(accepted)
+
+
+@on_loop
+async def test_the_status_names_each_hosts_version() -> None:
     network = FakeNetwork(3)
     network.sources["vittoria-3"].version = 9
     network.cut.add("vittoria-2")
-
-    async def steps(client: Any) -> None:
+    async with visiting(network=network) as client:
         _, body = await get(client, "/status")
         assert body["newest"] == 9
         versions = {one["host"]: one["version"] for one in body["hosts"]}
         assert versions == {"vittoria-1": 7, "vittoria-3": 9}
         assert body["missing"] == {"vittoria-2": "no answer in time"}
-
-    visit(steps, network=network)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -1,7 +1,8 @@
 """The callers' interface over HTTP: answers, refusals, effects."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from hashlib import sha256
 from typing import Any, Final
 
@@ -29,17 +30,21 @@
     make_group,
     make_team,
 )
-from .support import on_loop, run
+from .support import on_loop, using
 
 Caller = TestClient[Request, Application]
-Test = Callable[["Bench", Caller], Awaitable[None]]
 
 OTHER_CREDENTIAL: Final = "desk-credential"
 READ: Final = {"group": "g1", "sql": "select 1"}
 
 
 class Bench:
-    """Hold an API whose three homes share one model of a group."""
+    """Hold an API whose three homes share one model of a group.
+
+    :ivar caller: sends requests to the API while it is served.
+    """
+
+    caller: Caller
 
     def __init__(self, seed: int = 1) -> None:
         digest = sha256(CREDENTIAL.encode()).hexdigest()
@@ -89,17 +94,14 @@
         return f"{int((self.clock.wall() + ahead) * 1000)}-ticket-0001"
 
 
-def serve(test: Test, bench: Bench | None = None) -> None:
-    """Run `test` against an API on a loopback port."""
-
-    async def main() -> None:
-        served = bench or Bench()
-        server = TestServer(served.application(), host="127.0.0.1", port=0)
-        async with TestClient(server) as caller:
-            await test(served, caller)
-        await served.router.views.close()
-
-    run(main())
+@asynccontextmanager
+async def serving() -> AsyncIterator[Bench]:
+    """Serve an API on a loopback port."""
+    bench = Bench()
+    server = TestServer(bench.application(), host="127.0.0.1", port=0)
+    async with TestClient(server) as bench.caller:
+        yield bench
+    await bench.router.views.close()
 
 
 async def post(
@@ -117,45 +119,39 @@
     return message
 
 
-def test_a_session_reads_what_it_wrote() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        write = {
-            "group": "g1",
-            "sql": "insert into t values (?)",
-            "params": [1],
-            "request_id": bench.request_id(),
-        }
-        status, wrote = await post(caller, "/v1/write", write)
-        assert (status, wrote["verdict"]) == (200, "done")
-        assert wrote["role"] == "primary" and wrote["host"] == "h1"
-        read = {**READ, "token": wrote["token"]}
-        status, answer = await post(caller, "/v1/read", read)
-        assert status == 200
-        assert answer["position"] >= wrote["position"]
-
-    serve(test)
-
-
-def test_a_repeated_request_id_is_answered_as_the_first() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
-        _, first = await post(caller, "/v1/write", write)
-        _, second = await post(caller, "/v1/write", write)
-        assert second["position"] == first["position"]
-        assert second["repeated"] and not first["repeated"]
-        assert len(bench.model.log) == 1
-
-    serve(test)
-
+@using(serving)
+async def test_a_session_reads_what_it_wrote(bench: Bench) -> None:
+    write = {
+        "group": "g1",
+        "sql": "insert into t values (?)",
+        "params": [1],
+        "request_id": bench.request_id(),
+    }
+    status, wrote = await post(bench.caller, "/v1/write", write)
+    assert (status, wrote["verdict"]) == (200, "done")
+    assert wrote["role"] == "primary" and wrote["host"] == "h1"
+    read = {**READ, "token": wrote["token"]}
+    status, answer = await post(bench.caller, "/v1/read", read)
+    assert status == 200
+    assert answer["position"] >= wrote["position"]
+
+
+@using(serving)
+async def test_a_repeated_request_id_is_answered_as_the_first(bench: Bench) -> None:
+    write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
+    _, first = await post(bench.caller, "/v1/write", write)
+    _, second = await post(bench.caller, "/v1/write", write)
+    assert second["position"] == first["position"]
+    assert second["repeated"] and not first["repeated"]
+    assert len(bench.model.log) == 1
 
-def test_request_ids_of_two_teams_never_meet() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
-        await post(caller, "/v1/write", write)
-        await post(caller, "/v1/write", write, OTHER_CREDENTIAL)
-        assert len(bench.model.log) == 2
 
-    serve(test)
+@using(serving)
+async def test_request_ids_of_two_teams_never_meet(bench: Bench) -> None:
+    write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
+    await post(bench.caller, "/v1/write", write)
+    await post(bench.caller, "/v1/write", write, OTHER_CREDENTIAL)
+    assert len(bench.model.log) == 2
 
 
 REFUSED: Final[list[tuple[str, Any, int, str, str]]] = [
@@ -194,118 +190,105 @@
 
 
 @pytest.mark.parametrize(("path", "body", "status", "reason", "words"), REFUSED)
-def test_wrong_input_gets_a_clear_refusal_and_no_effect(
-    path: str, body: Any, status: int, reason: str, words: str
+@using(serving)
+async def test_wrong_input_gets_a_clear_refusal_and_no_effect(
+    bench: Bench, path: str, body: Any, status: int, reason: str, words: str
 ) -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        got, refusal = await post(caller, path, body)
-        assert (got, refusal["reason"]) == (status, reason)
-        assert refusal["verdict"] == "not run"
-        assert words in refusal["detail"]
-        assert not bench.model.executed
-
-    serve(test)
+    got, refusal = await post(bench.caller, path, body)
+    assert (got, refusal["reason"]) == (status, reason)
+    assert refusal["verdict"] == "not run"
+    assert words in refusal["detail"]
+    assert not bench.model.executed
 
 
 @pytest.mark.parametrize("credential", [None, "unknown", "x" * 2000])
-def test_a_caller_without_a_known_credential_is_refused(
-    credential: str | None,
+@using(serving)
+async def test_a_caller_without_a_known_credential_is_refused(
+    bench: Bench, credential: str | None
 ) -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        status, refusal = await post(caller, "/v1/read", READ, credential)
-        assert (status, refusal["reason"]) == (401, "unauthenticated")
-        assert not bench.model.executed
-
-    serve(test)
+    status, refusal = await post(bench.caller, "/v1/read", READ, credential)
+    assert (status, refusal["reason"]) == (401, "unauthenticated")
+    assert not bench.model.executed
 
 
-def test_a_body_beyond_the_bound_is_refused() -> None:
+@using(serving)
+async def test_a_body_beyond_the_bound_is_refused(bench: Bench) -> None:
     async def chunks() -> Any:
         for _ in range(40):
             yield b"x" * 65536
 
-    async def test(bench: Bench, caller: Caller) -> None:
-        headers = {"Authorization": f"Bearer {CREDENTIAL}"}
-        for body in (b"x" * 2_000_000, chunks()):
-            async with caller.post("/v1/read", data=body, headers=headers) as response:
-                assert response.status == 413
-                assert (await decoded(response))["reason"] == "too_large"
-
-    serve(test)
-
-
-def test_a_team_beyond_its_rate_is_told_when_to_come_back() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        for _ in range(2):
-            status, _ = await post(caller, "/v1/read", READ, OTHER_CREDENTIAL)
-            assert status == 200
-        headers = {"Authorization": f"Bearer {OTHER_CREDENTIAL}"}
-        async with caller.post("/v1/read", json=READ, headers=headers) as response:
-            refusal = await decoded(response)
-            assert response.status == 429
-            assert response.headers["Retry-After"] == "1"
-        assert 0 < refusal["retry_after_ms"] <= 501
-
-    serve(test)
-
-
-def test_a_transaction_belongs_to_the_team_that_began_it() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        begin = {"group": "g1", "request_id": bench.request_id()}
-        status, begun = await post(caller, "/v1/transactions", begin)
+    headers = {"Authorization": f"Bearer {CREDENTIAL}"}
+    for body in (b"x" * 2_000_000, chunks()):
+        async with bench.caller.post(
+            "/v1/read", data=body, headers=headers
+        ) as response:
+            assert response.status == 413
+            assert (await decoded(response))["reason"] == "too_large"
+
+
+@using(serving)
+async def test_a_team_beyond_its_rate_is_told_when_to_come_back(bench: Bench) -> None:
+    for _ in range(2):
+        status, _ = await post(bench.caller, "/v1/read", READ, OTHER_CREDENTIAL)
         assert status == 200
-        path = f"/v1/transactions/{begun['transaction']}"
-        step = {"sql": "insert into t values (1)"}
-        status, answer = await post(caller, f"{path}/statements", step)
-        assert (status, answer["transaction"]) == (200, begun["transaction"])
-        executed = bench.model.executed.total()
-        status, refusal = await post(caller, f"{path}/commit", {}, OTHER_CREDENTIAL)
-        assert (status, refusal["reason"]) == (404, "unknown_transaction")
-        altered = f"/v1/transactions/{begun['transaction'][:-2]}AA/commit"
-        status, refusal = await post(caller, altered, {})
-        assert (status, refusal["reason"]) == (404, "unknown_transaction")
-        assert bench.model.executed.total() == executed
-        status, _ = await post(caller, f"{path}/commit", [])
-        assert status == 400
-        status, answer = await post(caller, f"{path}/commit", {})
-        assert status == 200 and "transaction" not in answer
-
-    serve(test)
-
-
-def test_a_commit_that_is_no_longer_known_may_have_run() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        begin = {"group": "g1", "request_id": bench.request_id()}
-        _, begun = await post(caller, "/v1/transactions", begin)
-        bench.model.refuse(
-            Kind.COMMIT, not_run(Reason.UNKNOWN_TRANSACTION, "not known here")
-        )
-        path = f"/v1/transactions/{begun['transaction']}/commit"
-        status, refusal = await post(caller, path, {})
-        assert (status, refusal["verdict"]) == (404, "may have run")
-
-    serve(test)
+    headers = {"Authorization": f"Bearer {OTHER_CREDENTIAL}"}
+    async with bench.caller.post("/v1/read", json=READ, headers=headers) as response:
+        refusal = await decoded(response)
+        assert response.status == 429
+        assert response.headers["Retry-After"] == "1"
+    assert 0 < refusal["retry_after_ms"] <= 501
+
+
+@using(serving)
+async def test_a_transaction_belongs_to_the_team_that_began_it(bench: Bench) -> None:
+    begin = {"group": "g1", "request_id": bench.request_id()}
+    status, begun = await post(bench.caller, "/v1/transactions", begin)
+    assert status == 200
+    path = f"/v1/transactions/{begun['transaction']}"
+    step = {"sql": "insert into t values (1)"}
+    status, answer = await post(bench.caller, f"{path}/statements", step)
+    assert (status, answer["transaction"]) == (200, begun["transaction"])
+    executed = bench.model.executed.total()
+    status, refusal = await post(bench.caller, f"{path}/commit", {}, OTHER_CREDENTIAL)
+    assert (status, refusal["reason"]) == (404, "unknown_transaction")
+    altered = f"/v1/transactions/{begun['transaction'][:-2]}AA/commit"
+    status, refusal = await post(bench.caller, altered, {})
+    assert (status, refusal["reason"]) == (404, "unknown_transaction")
+    assert bench.model.executed.total() == executed
+    status, _ = await post(bench.caller, f"{path}/commit", [])
+    assert status == 400
+    status, answer = await post(bench.caller, f"{path}/commit", {})
+    assert status == 200 and "transaction" not in answer
+
+
+@using(serving)
+async def test_a_commit_that_is_no_longer_known_may_have_run(bench: Bench) -> None:
+    begin = {"group": "g1", "request_id": bench.request_id()}
+    _, begun = await post(bench.caller, "/v1/transactions", begin)
+    bench.model.refuse(
+        Kind.COMMIT, not_run(Reason.UNKNOWN_TRANSACTION, "not known here")
+    )
+    path = f"/v1/transactions/{begun['transaction']}/commit"
+    status, refusal = await post(bench.caller, path, {})
+    assert (status, refusal["verdict"]) == (404, "may have run")
 
 
 @pytest.mark.parametrize(
     ("path", "verdict"), [("/v1/read", "not run"), ("/v1/write", "may have run")]
 )
-def test_an_error_of_the_host_itself_is_a_typed_refusal(
-    path: str, verdict: str
+@using(serving)
+async def test_an_error_of_the_host_itself_is_a_typed_refusal(
+    bench: Bench, path: str, verdict: str
 ) -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        bench.model.refuse(Kind.READ, ZeroDivisionError("a fault"))
-        bench.model.refuse(Kind.WRITE, ZeroDivisionError("a fault"))
-        body = {**READ, "idempotent": True} if path == "/v1/write" else READ
-        status, refusal = await post(caller, path, body)
-        assert (status, refusal["reason"]) == (503, "internal")
-        assert refusal["verdict"] == verdict
-        assert "a fault" not in refusal["detail"]
-
-    bench = Bench()
     for member in bench.group.members:
         bench.directory.fixed[member.member] = [bench.directory.me]
-    serve(test, bench)
+    bench.model.refuse(Kind.READ, ZeroDivisionError("a fault"))
+    bench.model.refuse(Kind.WRITE, ZeroDivisionError("a fault"))
+    body = {**READ, "idempotent": True} if path == "/v1/write" else READ
+    status, refusal = await post(bench.caller, path, body)
+    assert (status, refusal["reason"]) == (503, "internal")
+    assert refusal["verdict"] == verdict
+    assert "a fault" not in refusal["detail"]
 
 
 @on_loop
@@ -332,69 +315,63 @@
     await bench.router.views.close()
 
 
-def test_a_host_that_leaves_serves_on_until_the_balancer_knows() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        bench.api.leaving = True
-        async with caller.get("/v1/health") as response:
-            assert response.status == 503
-            assert (await decoded(response))["status"] == "draining"
-        status, _ = await post(caller, "/v1/read", READ)
-        assert status == 200
-        assert isinstance(bench.api.metrics, MemoryMetrics)
-        assert bench.api.metrics.counters["api.read.replica"] == 1
-
-    serve(test)
-
-
-def test_a_host_that_leaves_takes_no_new_work_and_ends_transactions() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        begin = {"group": "g1", "request_id": bench.request_id()}
-        _, begun = await post(caller, "/v1/transactions", begin)
-        bench.api.draining = True
-        status, refusal = await post(caller, "/v1/read", READ)
-        assert (status, refusal["reason"]) == (503, "draining")
-        path = f"/v1/transactions/{begun['transaction']}/commit"
-        status, _ = await post(caller, path, {})
-        assert status == 200
-        async with caller.get("/v1/health") as response:
-            assert response.status == 503
-            assert (await decoded(response))["status"] == "draining"
-
-    serve(test)
-
-
-def test_a_host_without_a_configuration_says_so() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        bench.catalog = None
-        status, refusal = await post(caller, "/v1/read", READ)
-        assert (status, refusal["reason"]) == (503, "no_configuration")
-
-    serve(test)
-
-
-def test_a_key_always_finds_the_same_group() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        body = {"service": "feedlog-db", "key": "farm 7", "sql": "select 1"}
-        status, answer = await post(caller, "/v1/read", body)
-        assert status == 200 and answer["target"].startswith("g1-")
-        body["service"] = "dispatch-core"
-        status, refusal = await post(caller, "/v1/read", body)
-        assert (status, refusal["reason"]) == (403, "forbidden")
-
-    serve(test)
-
-
-def test_a_refusal_in_doubt_stays_in_doubt() -> None:
-    async def test(bench: Bench, caller: Caller) -> None:
-        lost = may_have_run(Reason.TARGET_LOST, "no answer")
-        refused = not_run(Reason.OVERLOADED, "no slot", 100)
-        bench.model.refuse(Kind.WRITE, lost)
-        bench.model.refuse(Kind.WRITE, refused)
-        write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
-        status, refusal = await post(caller, "/v1/write", write)
-        assert (status, refusal["reason"]) == (503, "overloaded")
-        assert refusal["verdict"] == "may have run"
-        assert refusal["retry_after_ms"] == 100
-        assert bench.model.applied(bench.model.primary) == Position(1, 0)
-
-    serve(test)
+@using(serving)
+async def test_a_host_that_leaves_serves_on_until_the_balancer_knows(
+    bench: Bench,
+) -> None:
+    bench.api.leaving = True
+    async with bench.caller.get("/v1/health") as response:
+        assert response.status == 503
+        assert (await decoded(response))["status"] == "draining"
+    status, _ = await post(bench.caller, "/v1/read", READ)
+    assert status == 200
+    assert isinstance(bench.api.metrics, MemoryMetrics)
+    assert bench.api.metrics.counters["api.read.replica"] == 1
+
+
+@using(serving)
+async def test_a_host_that_leaves_takes_no_new_work_and_ends_transactions(
+    bench: Bench,
+) -> None:
+    begin = {"group": "g1", "request_id": bench.request_id()}
+    _, begun = await post(bench.caller, "/v1/transactions", begin)
+    bench.api.draining = True
+    status, refusal = await post(bench.caller, "/v1/read", READ)
+    assert (status, refusal["reason"]) == (503, "draining")
+    path = f"/v1/transactions/{begun['transaction']}/commit"
+    status, _ = await post(bench.caller, path, {})
+    assert status == 200
+    async with bench.caller.get("/v1/health") as response:
+        assert response.status == 503
+        assert (await decoded(response))["status"] == "draining"
+
+
+@using(serving)
+async def test_a_host_without_a_configuration_says_so(bench: Bench) -> None:
+    bench.catalog = None
+    status, refusal = await post(bench.caller, "/v1/read", READ)
+    assert (status, refusal["reason"]) == (503, "no_configuration")
+
+
+@using(serving)
+async def test_a_key_always_finds_the_same_group(bench: Bench) -> None:
+    body = {"service": "feedlog-db", "key": "farm 7", "sql": "select 1"}
+    status, answer = await post(bench.caller, "/v1/read", body)
+    assert status == 200 and answer["target"].startswith("g1-")
+    body["service"] = "dispatch-core"
+    status, refusal = await post(bench.caller, "/v1/read", body)
+    assert (status, refusal["reason"]) == (403, "forbidden")
+
+
+@using(serving)
+async def test_a_refusal_in_doubt_stays_in_doubt(bench: Bench) -> None:
+    lost = may_have_run(Reason.TARGET_LOST, "no answer")
+    refused = not_run(Reason.OVERLOADED, "no slot", 100)
+    bench.model.refuse(Kind.WRITE, lost)
+    bench.model.refuse(Kind.WRITE, refused)
+    write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
+    status, refusal = await post(bench.caller, "/v1/write", write)
+    assert (status, refusal["reason"]) == (503, "overloaded")
+    assert refusal["verdict"] == "may have run"
+    assert refusal["retry_after_ms"] == 100
+    assert bench.model.applied(bench.model.primary) == Position(1, 0)
--- a/tests/test_group_hint.py
+++ b/tests/test_group_hint.py
@@ -7,7 +7,7 @@
 from reedhook.process.hint import OutcomeHints
 from reedhook.process.store import Entry
 
-from .fakes_clock import LoopClock, run_virtual
+from .fakes_clock import LoopClock, in_virtual_time
 from .fakes_store import FakeStore
 
 
@@ -15,59 +15,51 @@
     return OutcomeHints(store, LoopClock(), random.Random(1))
 
 
-def test_an_outcome_reaches_the_store_after_an_outage() -> None:
-    async def main() -> None:
-        store = FakeStore()
-        store.down = True
-        writer = hints(store)
-        writer.publish(Outcome("g", 2, "m2"))
-        await asyncio.sleep(5.0)
-        writer.publish(Outcome("g", 3, "m3"))
-        assert await writer.read("g") is None
-        store.down = False
-        await asyncio.sleep(60.0)
-        assert await writer.read("g") == Outcome("g", 3, "m3")
-        assert writer.pending == {}
-
-    run_virtual(main())
-
-
-def test_a_former_outcome_never_replaces_a_later_one() -> None:
-    async def main() -> None:
-        store = FakeStore()
-        first, second = hints(store), hints(store)
-        first.publish(Outcome("g", 3, "m3"))
-        await asyncio.sleep(1.0)
-        second.publish(Outcome("g", 2, "m2"))
-        await asyncio.sleep(1.0)
-        assert await first.read("g") == Outcome("g", 3, "m3")
-
-    run_virtual(main())
-
-
-def test_two_writers_and_a_lost_answer_leave_the_later_outcome() -> None:
-    async def main() -> None:
-        store = FakeStore()
-        store.lose_answers = 1
-        first, second = hints(store), hints(store)
-        first.publish(Outcome("g", 2, "m2"))
-        second.publish(Outcome("g", 3, "m3"))
-        await asyncio.sleep(30.0)
-        assert await first.read("g") == Outcome("g", 3, "m3")
-        assert first.pending == second.pending == {}
-
-    run_virtual(main())
-
-
-def test_a_hint_that_cannot_be_read_is_replaced() -> None:
-    async def main() -> None:
-        store = FakeStore()
-        written: Entry = await store.put("primary/g", b"not JSON", 0, 1.0)
-        assert written.revision == 1
-        writer = hints(store)
-        assert await writer.read("g") is None
-        writer.publish(Outcome("g", 2, "m2"))
-        await asyncio.sleep(1.0)
-        assert await writer.read("g") == Outcome("g", 2, "m2")
-
-    run_virtual(main())
+@in_virtual_time
+async def test_an_outcome_reaches_the_store_after_an_outage() -> None:
+    store = FakeStore()
+    store.down = True
+    writer = hints(store)
+    writer.publish(Outcome("g", 2, "m2"))
+    await asyncio.sleep(5.0)
+    writer.publish(Outcome("g", 3, "m3"))
+    assert await writer.read("g") is None
+    store.down = False
+    await asyncio.sleep(60.0)
+    assert await writer.read("g") == Outcome("g", 3, "m3")
+    assert writer.pending == {}
+
+
+@in_virtual_time
+async def test_a_former_outcome_never_replaces_a_later_one() -> None:
+    store = FakeStore()
+    first, second = hints(store), hints(store)
+    first.publish(Outcome("g", 3, "m3"))
+    await asyncio.sleep(1.0)
+    second.publish(Outcome("g", 2, "m2"))
+    await asyncio.sleep(1.0)
+    assert await first.read("g") == Outcome("g", 3, "m3")
+
+
+@in_virtual_time
+async def test_two_writers_and_a_lost_answer_leave_the_later_outcome() -> None:
+    store = FakeStore()
+    store.lose_answers = 1
+    first, second = hints(store), hints(store)
+    first.publish(Outcome("g", 2, "m2"))
+    second.publish(Outcome("g", 3, "m3"))
+    await asyncio.sleep(30.0)
+    assert await first.read("g") == Outcome("g", 3, "m3")
+    assert first.pending == second.pending == {}
+
+
+@in_virtual_time
+async def test_a_hint_that_cannot_be_read_is_replaced() -> None:
+    store = FakeStore()
+    written: Entry = await store.put("primary/g", b"not JSON", 0, 1.0)
+    assert written.revision == 1
+    writer = hints(store)
+    assert await writer.read("g") is None
+    writer.publish(Outcome("g", 2, "m2"))
+    await asyncio.sleep(1.0)
+    assert await writer.read("g") == Outcome("g", 2, "m2")
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -22,10 +22,10 @@
 from reedhook.wire import Json
 
 from .cluster_group import Cluster, values
-from .fakes_clock import run_virtual
+from .fakes_clock import in_virtual_time, run_virtual
 from .fakes_request import World, read, write
 from .fakes_target import Break, FakeTarget
-from .home_support import outcome_of, statement, with_home
+from .home_support import home_at, outcome_of, statement
 from .test_peer_http import Listener, with_both
 from .trace_replay import Replay
 from .trace_world import GROUP, TraceWorld
@@ -164,7 +164,8 @@
     st.booleans(),
 )
 @settings(max_examples=30)
-def test_statements_of_different_transactions_never_share_a_connection(
+@in_virtual_time
+async def test_statements_of_different_transactions_never_share_a_connection(
     plans: list[tuple[float, float]], breaks: list[Break | None], abrupt: bool
 ) -> None:
     target = FakeTarget(service=0.01)
@@ -182,11 +183,9 @@
             await outcome_of(home.run(statement(Kind.READ, f"{name} view", 0.5)))
             await asyncio.sleep(plan[1])
 
-    async def body(home: TargetHome) -> None:
+    async with home_at(target) as home:
         works = [go(home, f"t{n}", plan) for n, plan in enumerate(plans)]
         await asyncio.gather(*works)
-
-    with_home(target, body)
     assert target.faults == []
     for texts in target.commits:
         assert len({text.split(":")[0] for text in texts}) <= 1
@@ -309,15 +308,16 @@
             await asyncio.sleep(0.5)
             target.dead = False
 
-    async def body(home: TargetHome) -> None:
-        rows = [(f"row {n}", left) for n, left in enumerate(plan["remaining"])]
-        await asyncio.gather(die(), *(send(home, *row) for row in rows))
-        if identified and plan["again"]:
-            await asyncio.sleep(1.0)
-            await asyncio.gather(*(send(home, row, 2.0) for row, _ in rows))
-        await asyncio.sleep(3.0)
+    async def main() -> None:
+        async with home_at(target) as home:
+            rows = [(f"row {n}", left) for n, left in enumerate(plan["remaining"])]
+            await asyncio.gather(die(), *(send(home, *row) for row in rows))
+            if identified and plan["again"]:
+                await asyncio.sleep(1.0)
+                await asyncio.gather(*(send(home, row, 2.0) for row, _ in rows))
+            await asyncio.sleep(3.0)
 
-    with_home(target, body)
+    run_virtual(main())
     return target, told
 
 
