Tell when a primary answers, but no write

Cause: a primary whose disk or lock is stuck answers states and terms, and is not suspected; nothing told operators that its writes hang.

Change: a home that lost at least three writes in 2 s without any answered one records writes_stalled, and writes_answered once that has passed; a counter goes with it.

Proof: the new test in tests/test_home_health.py holds the verdicts of six writes against what was sent (may have run) and what waited (not run), the two events, and that each runs once when sent again.

--- a/src/reedhook/connection/call.py
+++ b/src/reedhook/connection/call.py
@@ -10,7 +10,8 @@
 from ..request.statement import Kind, Statement
 from .health import Health
 from .patience import Patience
-from .target import TargetConnection, TargetResult, TargetSilent
+from .stall import Stall
+from .target import TargetConnection, TargetRefused, TargetResult, TargetSilent
 
 SHORTEST_TIMEOUT: Final = 0.001
 """Seconds given to a statement whose deadline passes while it is sent."""
@@ -55,17 +56,19 @@
         lives; the other connections are suspect then.
     """
 
-    __slots__ = ("health", "patience", "clock", "dropped", "running")
+    __slots__ = ("health", "patience", "stall", "clock", "dropped", "running")
 
     def __init__(
         self,
         health: Health,
         patience: Patience,
+        stall: Stall,
         clock: Clock,
         dropped: Callable[[], None],
     ) -> None:
         self.health = health
         self.patience = patience
+        self.stall = stall
         self.clock = clock
         self.dropped = dropped
         self.running: set[Call] = set()
@@ -90,8 +93,16 @@
         try:
             async with call.scope:
                 result = await ask(connection, statement, deadline)
+            self.ended(call, statement.kind, answered=True)
         except TimeoutError:
+            self.ended(call, statement.kind, answered=False)
             raise TargetSilent("the connection went silent") from None
+        except TargetSilent:
+            self.ended(call, statement.kind, answered=False)
+            raise
+        except TargetRefused:
+            self.ended(call, statement.kind, answered=True)
+            raise
         finally:
             call.timer.cancel()
             self.running.discard(call)
@@ -100,6 +111,17 @@
             self.health.heard()
         return result
 
+    def ended(self, call: Call, kind: Kind, answered: bool) -> None:
+        """Take note of how a write or commit ended, for a target that lives."""
+        if kind not in (Kind.WRITE, Kind.COMMIT):
+            return
+        if answered:
+            self.stall.answered()
+        elif self.health.unreachable_since is None:
+            self.stall.lost(call.began)
+        else:
+            self.stall.forget()
+
     def drop_all(self) -> None:
         """End the wait of all statements in progress at once."""
         for call in self.running:
--- a/src/reedhook/connection/targethome.py
+++ b/src/reedhook/connection/targethome.py
@@ -23,6 +23,7 @@
 from .pool import Pool
 from .sender import Sender
 from .single import SingleStatements
+from .stall import Stall
 from .target import (
     MemberState,
     Role,
@@ -94,7 +95,8 @@
         self.pool = Pool(target, share, budget.reserved, clock, random, self.crowded)
         self.health = Health(self.pool, clock, self.touch, self.reachability)
         self.slots = SlotQueue(group.slots, limits.queue, clock, random)
-        self.calls = Calls(self.health, Patience(), clock, self.went_silent)
+        stall = Stall(clock, self.stalled)
+        self.calls = Calls(self.health, Patience(), stall, clock, self.went_silent)
         self.sender = Sender(
             self.pool, self.health, self.calls, self.learn, self.declined
         )
@@ -265,6 +267,19 @@
         self.timeline.record(EventKind.CONNECTION_SILENT, self.member.member)
         self.pool.suspect_idle()
 
+    def stalled(self, since: float | None) -> None:
+        """Take note that writes stay unanswered, or are answered again."""
+        member, group = self.member.member, self.group.name
+        if since is None:
+            self.timeline.record(EventKind.WRITES_ANSWERED, member, group=group)
+            return
+        log.warning("target {} answers, but no write", member)
+        self.metrics.increment("home.writes_stalled")
+        lasted = round((self.clock.monotonic() - since) * MILLISECONDS)
+        self.timeline.record(
+            EventKind.WRITES_STALLED, member, group=group, since_ms=lasted
+        )
+
     def crowded(self) -> bool:
         """Say whether the target reports that it has no connection left."""
         state = self.state
--- a/src/reedhook/process/timeline.py
+++ b/src/reedhook/process/timeline.py
@@ -27,6 +27,8 @@
     HOME_TAKEN = "home_taken"
     HOME_RELEASED = "home_released"
     CONNECTION_SILENT = "connection_silent"
+    WRITES_STALLED = "writes_stalled"
+    WRITES_ANSWERED = "writes_answered"
     TARGET_LEAVING = "target_leaving"
     PRIMARY_SUSPECTED = "primary_suspected"
     PRIMARY_CLEARED = "primary_cleared"
--- a/tests/test_home_health.py
+++ b/tests/test_home_health.py
@@ -7,7 +7,7 @@
 from reedhook.process.timeline import EventKind
 from reedhook.request.position import Position
 from reedhook.request.refusal import Reason
-from reedhook.request.statement import Kind
+from reedhook.request.statement import Kind, Statement
 from reedhook.request.verdict import Verdict
 
 from .fakes_clock import in_virtual_time
@@ -169,6 +169,32 @@
         assert target.ran["slow"] == 1
 
 
+@in_virtual_time
+async def test_stalled_writes_of_a_living_target_are_told_and_run_once() -> None:
+    target = FakeTarget()
+
+    def ticket(number: int) -> Statement:
+        return statement(Kind.WRITE, f"ticket {number}", 2.5, request_id=f"{number}")
+
+    async with home_at(target) as home:
+        await warm(home)
+        target.service_of = lambda sql: 60.0 if sql.startswith("ticket") else 0.002
+        writes = [refusal_of(home.run(ticket(number))) for number in range(6)]
+        refusals = await asyncio.gather(*writes)
+        assert home.unreachable_since is None
+        sent = {text for texts in target.used.values() for text in texts}
+        ran = [refusal.verdict is Verdict.MAY_HAVE_RUN for refusal in refusals]
+        assert ran == [f"ticket {number}" in sent for number in range(6)]
+        assert set(ran) == {True, False}
+        assert kinds(home).count(EventKind.WRITES_STALLED) == 1
+        target.service_of = None
+        await asyncio.sleep(200.0)
+        for number in range(6):
+            await home.run(ticket(number))
+        assert {target.ran[f"ticket {number}"] for number in range(6)} == {1}
+        assert kinds(home).count(EventKind.WRITES_ANSWERED) == 1
+
+
 @in_virtual_time
 async def test_a_text_known_to_be_slow_is_run_once() -> None:
     target = FakeTarget(service=0.6)
