--- /dev/null
+++ b/src/reedhook/process/collector.py
@@ -0,0 +1,13 @@
+"""The garbage collector of a process that serves for long."""
+
+import gc
+
+
+def spare_collector() -> None:
+    """Let the collector leave alone what has been made so far.
+
+    Modules, settings and the like are never garbage. A full collection that
+    looks at them all holds up every statement and heartbeat of the host.
+    """
+    gc.collect()
+    gc.freeze()
--- a/src/reedhook/process/daemon.py
+++ b/src/reedhook/process/daemon.py
@@ -30,6 +30,7 @@
 from docopt import DocoptExit, docopt
 
 from .assembly import assemble_host
+from .collector import spare_collector
 from .io_uring import IoUringInUse, forbid_io_uring, require_no_io_uring
 from .lifecycle import HostProcess, ShutdownOverdue
 from .logs import logs
@@ -82,6 +83,7 @@
         if starting.done():
             told.cancel()
             await starting
+            spare_collector()
             log.info("Host {} serves.", self.settings.host)
             return
         starting.cancel()
