--- a/src/reedhook_standins/caller.py
+++ b/src/reedhook_standins/caller.py
@@ -26,10 +26,12 @@
 NO_ANSWER: Final = "no answer"
 MOVING_REASONS: Final = frozenset(
     {
+        "age_unproved",
         "draining",
         "host_unreachable",
         "no_configuration",
         "no_primary",
+        "not_covered",
         "not_durable",
         "target_lost",
         "target_unreachable",
@@ -175,6 +177,10 @@
         others = [host for host in self.hosts if host != self.host]
         self.host = self.random.choice(others or list(self.hosts))
 
+    def forget(self) -> None:
+        """Go on without the token, which would demand more than the next read."""
+        self.token = None
+
     async def write(self, order: WriteOrder, patience: float) -> Json:
         """Run a write at most once and return the answer.
 
--- a/src/reedhook_standins/workload.py
+++ b/src/reedhook_standins/workload.py
@@ -243,11 +243,13 @@
         await self.repeat(self.dose_every, dose)
 
     async def agronomist(self, group: str, name: str, digester: str) -> None:
-        """View the mix: fresh before dosing, else a moment old."""
+        """View the mix: fresh before dosing, through any host; else a moment old."""
         caller = self.make_caller(name, "mix")
 
         async def view(turn: int) -> None:
             if turn % 3 == 0:
+                caller.forget()
+                caller.roam()
                 await self.read_newest(
                     caller,
                     "mix before dosing",
@@ -350,10 +352,22 @@
         await self.repeat(self.check_every, check)
 
     async def harbour_master(self, group: str, name: str, desks: list[str]) -> None:
-        """Pull the berth and lock schedules."""
+        """Pull the schedules, and now and then ask for the newest assignment."""
         caller = self.make_caller(name, "harbour")
 
         async def pull(turn: int) -> None:
+            if turn % 6 == 0:
+                caller.forget()
+                caller.roam()
+                await self.read_newest(
+                    caller,
+                    "newest assignment",
+                    group,
+                    self.assignments,
+                    desks[turn // 6 % len(desks)],
+                    Consistency.FRESH,
+                )
+                return
             await self.read_overview(
                 caller,
                 "schedule",
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -112,6 +112,7 @@
         (inside,) = (
             one.listen for one in scene.world.settings.values() if one.zone == zone
         )
+        scene.desk.forget()
         assert await scene.look(Consistency.FRESH, through=inside) == 2
         refused, *_, answered = scene.history.reads
         assert refused.host == inside
