Say why a transaction ended also when no keeper of its group is left

Cause: once the last home of a group here had closed, its keeper was gone, and a step or commit of a transaction that the end of the grace had cut was refused as wrong_home, not run, although the home knew that it was lost, and whether its commit is in doubt.

Change: Home.holds means an open transaction only; Home.unknown gives the refusal for others, and Homes.holding raises it before anybody asks for the keeper.

--- a/src/reedhook/connection/home.py
+++ b/src/reedhook/connection/home.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 
 from ..record import Record
+from ..request.refusal import Refusal
 from ..request.statement import Statement
 from ..version.catalog import Group, Limits, Member
 from .target import MemberState, TargetResult
@@ -68,7 +69,14 @@
 
     @abstractmethod
     def holds(self, transaction: str) -> bool:
-        """Say whether a transaction is open here, or why it ended is known."""
+        """Say whether a transaction is open here."""
+
+    @abstractmethod
+    def unknown(self, statement: Statement) -> Refusal:
+        """Return the refusal of a statement whose transaction is not open here.
+
+        It is ``transaction_lost`` if this home ended the transaction.
+        """
 
     @abstractmethod
     async def wait_change(self, revision: int, timeout: float) -> None:
--- a/src/reedhook/connection/targethome.py
+++ b/src/reedhook/connection/targethome.py
@@ -12,6 +12,7 @@
 from ..request.deadline import Deadline
 from ..request.position import ORIGIN
 from ..request.queue import SlotQueue
+from ..request.refusal import Refusal
 from ..request.statement import Kind, Statement
 from ..version.catalog import Group, Limits, Member
 from .budget import Budget
@@ -148,8 +149,10 @@
                 self.quiet.set()
 
     def holds(self, transaction: str) -> bool:
-        registry = self.transactions.registry
-        return transaction in registry.open or transaction in registry.endings
+        return transaction in self.transactions.registry.open
+
+    def unknown(self, statement: Statement) -> Refusal:
+        return self.transactions.registry.unknown(statement)
 
     async def wait_change(self, revision: int, timeout: float) -> None:
         try:
--- a/src/reedhook/connection/transaction.py
+++ b/src/reedhook/connection/transaction.py
@@ -103,7 +103,7 @@
         name = statement.transaction or ""
         transaction = self.open.get(name)
         if transaction is None or transaction.caller != statement.caller:
-            raise self.unknown(name, statement.kind)
+            raise self.unknown(statement)
         if transaction.running:
             detail = "Another statement of this transaction is in progress."
             raise not_run(Reason.CONFLICT, detail)
@@ -125,13 +125,13 @@
             del self.endings[next(iter(self.endings))]
         self.endings[transaction.name] = Ending(ending, transaction.committing)
 
-    def unknown(self, name: str, kind: Kind) -> Refusal:
+    def unknown(self, statement: Statement) -> Refusal:
         """Return the refusal of a statement whose transaction is not open."""
-        ending = self.endings.get(name)
+        ending = self.endings.get(statement.transaction or "")
         if ending is None:
             detail = "No such transaction is open here."
             return not_run(Reason.UNKNOWN_TRANSACTION, detail)
-        if ending.in_doubt and kind is Kind.COMMIT:
+        if ending.in_doubt and statement.kind is Kind.COMMIT:
             return may_have_run(Reason.TRANSACTION_LOST, ending.detail)
         return not_run(Reason.TRANSACTION_LOST, ending.detail)
 
--- a/src/reedhook/process/executor.py
+++ b/src/reedhook/process/executor.py
@@ -22,7 +22,7 @@
 OF_TRANSACTION: Final = frozenset({Kind.STEP, Kind.COMMIT, Kind.ROLLBACK})
 
 Homes: TypeAlias = Callable[[str], Home | None]
-Holding: TypeAlias = Callable[[str, str], Home | None]
+Holding: TypeAlias = Callable[[str, Statement], Home]
 Keepers: TypeAlias = Callable[[str], GroupKeeper | None]
 
 
@@ -67,8 +67,8 @@
     """Execute statements at members whose home is here.
 
     :param homes: gives the local home of a member, or None.
-    :param holding: gives the home that holds a transaction of a member; it may
-        be a former one, where the transaction may still end.
+    :param holding: gives the home that holds the transaction of a statement, or
+        refuses it; it may be a former one, where the transaction may still end.
     :param keepers: gives the keeper of a group, or None.
     :param host: this host.
     """
@@ -102,16 +102,11 @@
     def home(self, member: str, statement: Statement) -> Home | None:
         """Return the home here that is to run a statement, or None.
 
-        :raises Refusal: if it belongs to a transaction that is not known here.
+        :raises Refusal: if it belongs to a transaction that is not open here.
         """
-        if statement.kind not in OF_TRANSACTION:
-            return self.homes(member)
-        home = self.holding(member, statement.transaction or "")
-        if home is None:
-            raise not_run(
-                Reason.UNKNOWN_TRANSACTION, "no such transaction is open here"
-            )
-        return home
+        if statement.kind in OF_TRANSACTION:
+            return self.holding(member, statement)
+        return self.homes(member)
 
     async def answer(self, work: Work) -> Answer:
         """Execute by kind."""
--- a/src/reedhook/process/homes.py
+++ b/src/reedhook/process/homes.py
@@ -8,7 +8,8 @@
 
 from ..clock import Clock
 from ..connection.home import Home
-from ..request.refusal import Refusal
+from ..request.refusal import Reason, Refusal, not_run
+from ..request.statement import Statement
 from ..version.catalog import Catalog, Group, Limits, Member
 from ..wire import Json, WireError
 from .directory import MembershipDirectory
@@ -142,16 +143,22 @@
         former = [home for home in closing if home.group.name == group]
         return self.of_group(group) + former
 
-    def holding(self, member: str, transaction: str) -> Home | None:
-        """Return the home of `member` that holds `transaction`, former ones too.
+    def holding(self, member: str, statement: Statement) -> Home:
+        """Return the home that holds a statement's transaction, former ones too.
 
-        The last one that closed still tells why it ended a transaction.
+        :raises Refusal: if it is not open here; the last home that closed
+            still tells why it ended a transaction.
         """
-        homes = [self.get(member), *self.closing_of(member), self.closed.get(member)]
+        former = [*self.closing_of(member), self.closed.get(member)]
+        homes = [home for home in (self.get(member), *former) if home is not None]
         for home in homes:
-            if home is not None and home.holds(transaction):
+            if home.holds(statement.transaction or ""):
                 return home
-        return None
+        for home in homes:
+            refusal = home.unknown(statement)
+            if refusal.reason is Reason.TRANSACTION_LOST:
+                raise refusal
+        raise not_run(Reason.UNKNOWN_TRANSACTION, "no such transaction is open here")
 
     async def run(self) -> None:
         """Follow hosts and configuration until cancelled.
--- a/tests/cluster_group.py
+++ b/tests/cluster_group.py
@@ -18,7 +18,7 @@
 from reedhook.process.timeline import Event, EventKind, Timeline
 from reedhook.request.execution import Served
 from reedhook.request.position import Position
-from reedhook.request.refusal import Refusal
+from reedhook.request.refusal import Reason, Refusal, not_run
 from reedhook.request.statement import Consistency, Kind, Statement
 from reedhook.version.catalog import Catalog, Group, Limits, Member
 
@@ -103,8 +103,11 @@
             self.clock,
         ).register(self.routes)
 
-    def holding(self, member: str, transaction: str) -> FakeHome | None:
-        return self.local.get(member) or self.former.get(member)
+    def holding(self, member: str, statement: Statement) -> FakeHome:
+        home = self.local.get(member) or self.former.get(member)
+        if home is None:
+            raise not_run(Reason.UNKNOWN_TRANSACTION, "no home is here")
+        return home
 
     async def take_home(self, member: str) -> None:
         found = next(one for one in self.cluster.group.members if one.member == member)
--- a/tests/fakes_group.py
+++ b/tests/fakes_group.py
@@ -19,7 +19,7 @@
     TargetUnreachable,
 )
 from reedhook.request.position import ORIGIN, Position
-from reedhook.request.refusal import Reason, may_have_run, not_run
+from reedhook.request.refusal import Reason, Refusal, may_have_run, not_run
 from reedhook.request.statement import Kind, Statement
 from reedhook.version.catalog import Group, Limits, Member
 
@@ -333,6 +333,9 @@
     def holds(self, transaction: str) -> bool:
         raise NotImplementedError
 
+    def unknown(self, statement: Statement) -> Refusal:
+        raise NotImplementedError
+
     async def run(self, statement: Statement) -> TargetResult:
         await self.cross(statement)
         target = self.target
--- a/tests/fakes_homes.py
+++ b/tests/fakes_homes.py
@@ -5,6 +5,7 @@
 from reedhook.connection.home import Home, HomeLoad
 from reedhook.connection.target import MemberState, TargetResult
 from reedhook.process.homes import Homes
+from reedhook.request.refusal import Reason, Refusal, not_run
 from reedhook.request.statement import Statement
 from reedhook.version.catalog import Catalog, Group, Limits, Member
 
@@ -52,6 +53,9 @@
     def holds(self, transaction: str) -> bool:
         return transaction in self.open
 
+    def unknown(self, statement: Statement) -> Refusal:
+        return not_run(Reason.TRANSACTION_LOST, "ended here")
+
     async def run(self, statement: Statement) -> TargetResult:
         raise NotImplementedError
 
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -4,7 +4,12 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+import pytest
+
+from reedhook.process.executor import Executor
 from reedhook.process.timeline import EventKind
+from reedhook.request.refusal import Reason, Refusal
+from reedhook.request.statement import Kind, Statement
 from reedhook.version.catalog import Catalog, Group, Limits
 
 from .fakes_clock import run_virtual
@@ -135,16 +140,21 @@
     assert homes.of[host].get(members[0]) is None
     assert homes.of[host].closing_of(members[0]) == [busy]
     assert busy.closed_at is None
-    assert homes.of[host].holding(members[0], "t1") is busy
-    assert homes.of[host].holding(members[0], "t2") is None
+    commit = statement_of("t1", busy)
+    assert homes.of[host].holding(members[0], commit) is busy
+    with pytest.raises(Refusal):
+        homes.of[host].holding(members[0], statement_of("t2", busy))
     assert homes.of[host].in_use(busy.group.name) == [busy]
     told = asyncio.Event()
     homes.of[host].on_change(told.set)
+    busy.open.clear()
     busy.idle.set()
     await drain
     assert told.is_set()
     assert homes.of[host].in_use(busy.group.name) == []
-    assert homes.of[host].holding(members[0], "t1") is busy
+    with pytest.raises(Refusal) as caught:
+        await executor_of(homes, host).execute(members[0], commit)
+    assert caught.value.reason is Reason.TRANSACTION_LOST
     assert busy.closed_at is not None
     assert homes.of[host].closing_of(members[0]) == []
     assert (members[0], "drain") in events(homes, host, EventKind.HOME_RELEASED)
@@ -233,7 +243,20 @@
             assert at_home(homes, name) is home
             assert home.closed_at is None
     assert homes.holders("g9-a")
-    assert homes.of[host].holding("g1-a", "t1") is before["g1-a"]
+    old = before["g1-a"]
+    assert homes.of[host].holding("g1-a", statement_of("t1", old)) is old
+
+
+def statement_of(transaction: str, home: FakeHome) -> Statement:
+    """Return the commit of a transaction at a home."""
+    group = home.group.name
+    return Statement(Kind.COMMIT, group, "gate", "", [], 1.0, transaction=transaction)
+
+
+def executor_of(homes: HomesOfHosts, host: str) -> Executor:
+    """Return the executor of a host without keepers."""
+    of, fake = homes.of[host], homes.hosts[host]
+    return Executor(of.get, of.holding, lambda group: None, fake.clock, fake.ref)
 
 
 def at_home(homes: HomesOfHosts, member: str) -> FakeHome:
