--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from reedhook.connection.target import TargetResult
 from reedhook.request.execution import Served
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.statement import Consistency, Kind, Statement
@@ -123,6 +124,28 @@
     run_virtual(main())
 
 
+def test_the_lead_moves_away_from_a_primary_whose_writes_hang() -> None:
+    async def hang(statement: Statement) -> TargetResult:
+        await asyncio.Event().wait()
+        raise AssertionError("never set")
+
+    async def main() -> None:
+        cluster = Cluster()
+        await cluster.start()
+        kept = await cluster.write("m1", "kept")
+        home = cluster.hosts["m1a"].local["m1"]
+        home.run = hang  # type: ignore[method-assign]
+        await asyncio.sleep(20.0)
+        assert list(cluster.truth.leaders) == [1]
+        assert await cluster.hosts["m1a"].keeper.hand_over(1.5)
+        assert await cluster.until_writable() < 1.0
+        leader = cluster.truth.members[cluster.leader()]
+        assert any(entry.position == kept for entry in leader.log)
+        await cluster.stop()
+
+    run_virtual(main())
+
+
 def test_a_session_read_at_the_primary_shows_only_what_is_safe() -> None:
     async def main() -> None:
         cluster = Cluster()
