Tell callers when to come back after a passed deadline

Change: both carry retry_after_ms, the queue's from its measured drain rate. Conclusion: tests hold the hint and that nothing ran.

--- a/src/reedhook/request/queue.py
+++ b/src/reedhook/request/queue.py
@@ -264,7 +264,8 @@
     def refuse_hopeless(self, caller: str, priority: int, remaining: float) -> None:
         """Refuse a statement that would miss its deadline in the queue."""
         if remaining <= 0.0:
-            raise not_run(Reason.DEADLINE, "The deadline has passed.")
+            detail = "The deadline has passed."
+            raise not_run(Reason.DEADLINE, detail, self.retry_after_ms())
         expected = self.expected_wait(caller, priority) + self.share(priority).mean
         if expected > remaining:
             detail = "The expected wait exceeds the time left."
--- a/src/reedhook/request/router.py
+++ b/src/reedhook/request/router.py
@@ -31,6 +31,7 @@
 MAX_SILENT_ROUNDS: Final = 3
 TRANSACTION_BITS: Final = 96
 NO_PRIMARY_RETRY_MS: Final = 500
+DEADLINE_RETRY_MS: Final = 50
 UNREACHABLE_RETRY_MS: Final = 1000
 
 
@@ -269,7 +270,7 @@
         now = self.clock.monotonic()
         statement.remaining = attempts.deadline - now
         if statement.remaining < MIN_REMAINING:
-            raise not_run(Reason.DEADLINE, "the deadline has passed")
+            raise not_run(Reason.DEADLINE, "the deadline has passed", DEADLINE_RETRY_MS)
         if statement.kind is Kind.BEGIN:
             statement.transaction = f"{self.random.getrandbits(TRANSACTION_BITS):x}"
         track = self.track(group.name)
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Awaitable
 
+import pytest
 from hypothesis import given, strategies as st
 
 from reedhook.request.queue import SlotQueue
@@ -143,12 +144,14 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("remaining", [0.25, 0.0])
 @in_virtual_time
-async def test_a_passed_deadline_is_answered_when_it_passes() -> None:
+async def test_a_passed_deadline_is_answered_when_it_passes(remaining: float) -> None:
     queue = queue_of(capacity=1)
     holder = await queue.enter("gate", 0, 10.0)
-    refusal, seconds = await timed(refusal_of(queue.enter("gate", 0, 0.25)))
-    assert seconds == 0.25
+    refusal, seconds = await timed(refusal_of(queue.enter("gate", 0, remaining)))
+    assert seconds == remaining
+    assert refusal.retry_after_ms
     assert refusal.reason is Reason.DEADLINE
     assert refusal.verdict is Verdict.NOT_RUN
     queue.leave(holder)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -10,7 +10,7 @@
 from reedhook.request.position import Position
 from reedhook.request.refusal import Reason, Refusal, not_run
 from reedhook.request.router import HEDGE_BURST, RETRY_BURST
-from reedhook.request.statement import Consistency, Kind
+from reedhook.request.statement import Consistency, Kind, Statement
 from reedhook.request.verdict import Verdict
 from reedhook.request.views import MAX_WAITERS
 
@@ -51,6 +51,20 @@
     await world.close()
 
 
+@pytest.mark.parametrize("statement", [read(), write("1-a")])
+@in_virtual_time
+async def test_a_deadline_that_has_passed_is_answered_with_a_hint(
+    statement: Statement,
+) -> None:
+    world = World()
+    statement.remaining = 0.0
+    refusal = await refused(world, statement)
+    assert (refusal.reason, refusal.verdict) == (Reason.DEADLINE, Verdict.NOT_RUN)
+    assert refusal.retry_after_ms
+    assert not world.model.executed
+    await world.close()
+
+
 @in_virtual_time
 async def test_a_session_read_waits_for_no_replica_seen_far_behind() -> None:
     world = World(lag=5.0)
