--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given, settings, strategies as st
+from hypothesis import example, given, settings, strategies as st
 
 from reedhook.connection.targethome import TargetHome
 from reedhook.process.host import Host
@@ -276,16 +276,28 @@
         "abrupt": st.booleans(),
         "remaining": st.lists(at(0.005, 0.02, 0.3, 2.0), min_size=1, max_size=8),
         "died": st.one_of(st.none(), at(0.0, 0.02, 0.1)),
-        "fenced": st.one_of(st.none(), at(0.02, 0.1, 0.25)),
-        "again": st.booleans(),
+        "fenced": st.one_of(st.none(), at(0.02, 0.025, 0.1, 0.25)),
+        "identified": st.booleans(),
     }
 )
 
 
+# The second attempt is refused after the first took effect without an answer.
+REFUSED_AGAIN = {
+    "breaks": [Break.AFTER_EFFECT],
+    "abrupt": True,
+    "remaining": [2.0],
+    "died": None,
+    "fenced": 0.025,
+    "identified": True,
+}
+
+
 @given(faulty)
+@example(REFUSED_AGAIN)
 @settings(max_examples=40)
 def test_not_run_means_no_effect(plan: dict[str, Any]) -> None:
-    check_truth(*writes_under(plan, identified=False))
+    check_truth(*writes_under(plan, plan["identified"], again=False))
 
 
 @given(faulty)
@@ -293,13 +305,13 @@
 def test_a_request_that_may_not_be_repeated_runs_at_most_once(
     plan: dict[str, Any],
 ) -> None:
-    check_truth(*writes_under({**plan, "again": True}, identified=True))
+    check_truth(*writes_under(plan, identified=True, again=True))
 
 
 def writes_under(
-    plan: dict[str, Any], identified: bool
+    plan: dict[str, Any], identified: bool, again: bool
 ) -> tuple[FakeTarget, dict[str, list[Verdict]]]:
-    """Write rows under faults; those with an id perhaps again."""
+    """Write rows under faults, with an id or without, perhaps again."""
     target = FakeTarget(service=0.01)
     target.breaks, target.abrupt = list(plan["breaks"]), plan["abrupt"]
     told: dict[str, list[Verdict]] = {}
@@ -331,7 +343,7 @@
             await asyncio.gather(
                 die(), be_fenced(), *(send(home, *row) for row in rows)
             )
-            if identified and plan["again"]:
+            if again:
                 await asyncio.sleep(1.0)
                 await asyncio.gather(*(send(home, row, 2.0) for row, _ in rows))
             await asyncio.sleep(3.0)
@@ -452,11 +464,11 @@
         await world.start()
         stopped = world.home("m1" if consistency == "session" else "m2")
         for server in world.servers.values():
-            server.service = 0.1
+            server.service = 0.3
 
         async def ask(number: int) -> Json:
             body = {"group": GROUP, "sql": f"q{number}", "consistency": consistency}
-            return await world.call(stopped, "read", {**body, "deadline_ms": 5000})
+            return await world.call(stopped, "read", {**body, "deadline_ms": 9000})
 
         before = [asyncio.create_task(ask(number)) for number in range(20)]
         await asyncio.sleep(0.01)
