Part what waits for slots from who goes next

Change: entries, flows and shares stand in request/share.py; nothing else. Conclusion: the tests of queue and home pass unchanged.

--- a/src/reedhook/connection/transaction.py
+++ b/src/reedhook/connection/transaction.py
@@ -5,8 +5,9 @@
 
 from ..record import Record
 from ..request.deadline import Deadline
-from ..request.queue import Entry, SlotQueue
+from ..request.queue import SlotQueue
 from ..request.refusal import Reason, Refusal, may_have_run, not_run
+from ..request.share import Entry
 from ..request.statement import Kind, Statement
 from ..request.verdict import Verdict
 from .call import Attempt
