--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -4,7 +4,8 @@
   capacity [--part=PART]...
 
 Options:
-  --part=PART  idle, memory, callers, moves, regions; all of them if none is named.
+  --part=PART  idle, memory, callers, moves, list, restart, regions; all of them
+               if none is named.
 
 Prints JSON with the machine's load before each part. Hosts run in processes
 of their own on loopback; processor time is the kernel's count for a process.
@@ -21,7 +22,7 @@
 
 from reedhook.wire import Json
 
-PARTS: Final = ("idle", "memory", "callers", "moves", "regions")
+PARTS: Final = ("idle", "memory", "callers", "moves", "list", "restart", "regions")
 
 
 def main() -> int:
--- a/bench/capacity_idle.py
+++ b/bench/capacity_idle.py
@@ -40,7 +40,7 @@
 from reedhook_standins.world import OPERATOR, free_addresses, host_settings
 
 from .bare import Handler, Link, listen
-from .rig import RoleProcess, read_text
+from .rig import RoleProcess, processor_time, read_text
 
 ZONES: Final = ("vittoria", "comiso", "ispica")
 HOSTS: Final = 9
@@ -91,10 +91,10 @@
 
     __slots__ = ("cpu", "sent", "received")
 
-    def __init__(self, process: RoleProcess) -> None:
-        lines = read_text(Path("/proc", str(process.pid), "io")).splitlines()
+    def __init__(self, pid: int) -> None:
+        lines = read_text(Path("/proc", str(pid), "io")).splitlines()
         counters = dict(line.split(": ") for line in lines)
-        self.cpu = process.processor_time()
+        self.cpu = processor_time(pid)
         self.sent = int(counters["wchar"])
         self.received = int(counters["rchar"])
 
@@ -162,9 +162,9 @@
 async def compare(hosts: list[RoleProcess], groups: int, size: int) -> Json:
     """Return each host's figures and the slopes over homes."""
     facts = await ask_all(hosts)
-    before = [Reading(host) for host in hosts]
+    before = [Reading(host.pid) for host in hosts]
     await asyncio.sleep(MEASURE_S)
-    after = [Reading(host) for host in hosts]
+    after = [Reading(host.pid) for host in hosts]
     later = await ask_all(hosts)
     rows = [rates(*one) for one in zip(facts, later, before, after, strict=True)]
     return {"groups": groups, "members": size, "hosts": rows, "slopes": slopes(rows)}
