--- a/src/reedhook/process/listing.py
+++ b/src/reedhook/process/listing.py
@@ -23,6 +23,9 @@
 from .peer import PeerError, Peers
 
 POLL_INTERVAL: Final = 1.0
+LONGEST_INTERVAL: Final = 5.0
+# A long list is read more rarely, lest it takes the budget for control.
+LINES_PER_SECOND: Final = 300
 POLL_TIMEOUT: Final = 1.0
 TELL_TIMEOUT: Final = 0.5
 # The list lags: a line may still speak of an earlier life of a host.
@@ -74,7 +77,12 @@
         while True:
             if self.directory.is_relay():
                 await self.poll()
-            await self.clock.sleep(POLL_INTERVAL * self.random.uniform(0.8, 1.2))
+            await self.clock.sleep(self.interval() * self.random.uniform(0.8, 1.2))
+
+    def interval(self) -> float:
+        """Return the seconds between two polls of a list as long as the last."""
+        needed = len(self.seen) / LINES_PER_SECOND
+        return min(max(POLL_INTERVAL, needed), LONGEST_INTERVAL)
 
     async def poll(self) -> None:
         """Read the list once and act on it."""
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import pytest
+
 from reedhook.process.hostlist import (
     HostList,
     HostListUnavailable,
@@ -11,7 +13,7 @@
     ListedKind,
     ListedState,
 )
-from reedhook.process.listing import TRUSTED_AFTER, Listing
+from reedhook.process.listing import LONGEST_INTERVAL, TRUSTED_AFTER, Listing
 from reedhook.process.membership_record import HostState
 from reedhook.process.peer import HostRef
 from reedhook.version.catalog import Catalog, Group, Limits, Member
@@ -165,3 +167,18 @@
     await scene.listing.poll()
     assert scene.host.state("h2") is HostState.LIVE
     assert await scene.listing.addresses() == []
+
+
+@pytest.mark.parametrize(
+    ("lines", "seconds"), [(0, 1.0), (300, 1.0), (900, 3.0), (5000, LONGEST_INTERVAL)]
+)
+@using(a_scene, run_virtual)
+async def test_a_long_list_is_read_more_rarely(
+    scene: Scene, lines: int, seconds: float
+) -> None:
+    scene.lines.lines = [
+        ListedHost(f"h{number}", "ispica", "127.0.0.1:1", ListedState.LIVE)
+        for number in range(lines)
+    ]
+    await scene.listing.poll()
+    assert scene.listing.interval() == seconds
