End an attempt at a lost primary once the next one is known

Cause: when a zone was cut off, a write in flight to its home was held for half of its deadline (750 ms of 1500) before it was tried again, though the next primary led after 440-480 ms. A host that waited asked the homes with a pause that grows to 250-375 ms.

Change: the router ends a repeatable attempt at a primary when it learns that another member leads a later term, and tries again under the same id. After 100 ms without an answer it asks the homes for news; homes hold that question open for up to 0.4 s, so that news travel at once and cost fewer calls.

Ruled out: hints of callers (no refusal had reached them), suspicion and promotion (the same before and after), shorter patience (gives up slow, sound writes). What may not be repeated is left alone.

--- a/src/reedhook/process/group.py
+++ b/src/reedhook/process/group.py
@@ -121,6 +121,7 @@
         self.proofs = Proofs()
         self.learned_at = 0.0
         self.resumed = 0
+        self.leader_news = asyncio.Event()
         self.heard: dict[str, float] = {}
         self.told: dict[str, float] = {}
 
@@ -446,8 +447,30 @@
         """
         return await self.handing.run(timeout)
 
+    async def newer_leader(self, term: int, primary: str | None, hold: float) -> None:
+        """Wait up to `hold` seconds for a leader that an asker does not know.
+
+        :param term: the term that the asker knows, with its primary if known.
+        """
+        try:
+            async with asyncio.timeout(hold):
+                while not self.newer(term, primary):
+                    await self.leader_news.wait()
+        except TimeoutError:
+            return
+
+    def newer(self, term: int, primary: str | None) -> bool:
+        """Say whether a leader is known here that is news to an asker."""
+        if self.knowledge.primary is None:
+            return False
+        return self.knowledge.term > term or (
+            self.knowledge.term == term and primary is None
+        )
+
     def leader_learned(self, term: int, primary: str) -> None:
         """Act on a new leader."""
+        self.leader_news.set()
+        self.leader_news = asyncio.Event()
         self.learned_at = self.clock.monotonic()
         self.reporter.reset()
         self.timeline.record(
--- a/src/reedhook/process/grouproutes.py
+++ b/src/reedhook/process/grouproutes.py
@@ -9,6 +9,7 @@
 from ..request.execution import Execution
 from ..request.refusal import Reason, Refusal, not_run
 from ..request.statement import Statement
+from ..request.view import ViewQuestion
 from ..version.catalog import Catalog, Group, Member
 from ..wire import Json, text
 from .control import Control, Op, at_home, at_target
@@ -20,6 +21,7 @@
 
 CONTROL_TIMEOUT: Final = 0.2
 PROBE_TIMEOUT: Final = 0.06
+MAX_HOLD: Final = 1.0
 
 
 class GroupRoutes:
@@ -80,8 +82,12 @@
         }
 
     async def view(self, body: Json) -> Json:
-        """Give what is known of a group here."""
-        keeper = self.keeper(text(body, "group"))
+        """Give what is known of a group here, held open for a newer leader."""
+        question = ViewQuestion.from_json(body)
+        keeper = self.keeper(question.group)
+        if question.hold > 0.0:
+            hold = min(question.hold, MAX_HOLD)
+            await keeper.newer_leader(question.term, question.primary, hold)
         keeper.refresh_view()
         return {"view": keeper.view.to_json(self.clock.monotonic())}
 
--- a/src/reedhook/request/router.py
+++ b/src/reedhook/request/router.py
@@ -13,6 +13,7 @@
 from .hedge import Hedge, SlowBound
 from .rate import Budget
 from .refusal import Reason, Refusal, not_run
+from .reign import Reign
 from .retry import MEMBER_FAULTS, Reaction, final, reaction
 from .statement import Consistency, Kind, Statement
 from .verdict import Verdict
@@ -29,6 +30,7 @@
 HEDGE_SHARE: Final = 0.05
 HEDGE_BURST: Final = 5.0
 MAX_SILENT_ROUNDS: Final = 3
+REPEATED: Final = frozenset({Kind.READ, Kind.WRITE})
 TRANSACTION_BITS: Final = 96
 NO_PRIMARY_RETRY_MS: Final = 500
 DEADLINE_RETRY_MS: Final = 50
@@ -217,7 +219,7 @@
             term, primary = view.term, view.primary
             if primary is not None and not leaving(view, primary):
                 try:
-                    return await self.attempt(group, primary, statement, attempts)
+                    return await self.while_leading(group, view, statement, attempts)
                 except Refusal as refusal:
                     attempts.note(refusal)
                     if (
@@ -227,6 +229,20 @@
                         raise
             await self.wait_primary(group, term, primary, attempts)
 
+    async def while_leading(
+        self, group: Group, view: GroupView, statement: Statement, attempts: Attempts
+    ) -> Served:
+        """Run an attempt at the primary, ended once another one is known.
+
+        :raises Refusal: ``superseded`` then; a write may have run.
+        """
+        assert view.primary is not None
+        attempt = self.attempt(group, view.primary, statement, attempts)
+        if not attempts.repeatable or statement.kind not in REPEATED:
+            return await attempt
+        reign = Reign(self.views, group, view.primary, view.term)
+        return await reign.run(attempt, statement.kind)
+
     async def wait_primary(
         self, group: Group, term: int, primary: str | None, attempts: Attempts
     ) -> None:
--- a/src/reedhook/request/view.py
+++ b/src/reedhook/request/view.py
@@ -1,7 +1,7 @@
 """What a host knows of a database group, passed along with answers."""
 
 from ..record import Record
-from ..wire import Json
+from ..wire import Json, reader, text
 from .position import ORIGIN, Position
 
 
@@ -120,3 +120,44 @@
                 leaving,
             )
         return view
+
+
+class ViewQuestion(Record):
+    """Ask a home for its view of a group.
+
+    :param hold: for how many seconds to wait for a leader that is news.
+    :param term: the highest leader term that the asker knows.
+    :param primary: who leads it, as far as the asker knows.
+    """
+
+    __slots__ = ("group", "hold", "term", "primary")
+
+    def __init__(
+        self, group: str, hold: float = 0.0, term: int = 0, primary: str | None = None
+    ) -> None:
+        self.group = group
+        self.hold = hold
+        self.term = term
+        self.primary = primary
+
+    def to_json(self) -> Json:
+        """Return the question as it stands on the wire."""
+        if self.hold <= 0.0:
+            return {"group": self.group}
+        return {
+            "group": self.group,
+            "hold": self.hold,
+            "term": self.term,
+            "primary": self.primary,
+        }
+
+    @classmethod
+    @reader
+    def from_json(cls, message: Json) -> "ViewQuestion":
+        """Read a question from the wire."""
+        return cls(
+            text(message, "group"),
+            float(message.get("hold", 0.0)),
+            int(message.get("term", 0)),
+            message.get("primary"),
+        )
--- a/src/reedhook/request/views.py
+++ b/src/reedhook/request/views.py
@@ -2,13 +2,14 @@
 
 Every answer of a home carries its view of the group. A host asks only when it
 knows nothing, when what it knows is old and in use, or while requests wait
-for the news of a new primary.
+for the news of a new primary. Such a question is held open by the homes until
+there is news, so that it travels at once.
 """
 
 import asyncio
 import random
-from collections.abc import Coroutine
-from typing import Any, Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, TypeAlias
 
 from ..clock import Clock
 from ..process.directory import Directory
@@ -16,15 +17,18 @@
 from ..version.catalog import Group
 from ..wire import Json
 from .refusal import Reason, Refusal, not_run
-from .view import GroupView
+from .view import GroupView, ViewQuestion
 
 OLD_AFTER: Final = 0.5
 ASK_TIMEOUT: Final = 0.5
 FIRST_BACKOFF: Final = 0.02
 LAST_BACKOFF: Final = 0.25
 SPREAD: Final = 0.5
+HOLD: Final = 0.4
 MAX_WAITERS: Final = 256
 
+NewsCallback: TypeAlias = Callable[[], None]
+
 
 class KnownGroup:
     """Keep the view of one group and who waits for news of it.
@@ -32,6 +36,8 @@
     :ivar refreshed: local monotonic time when a home's view last came in.
     :ivar rounds_failed: rounds of asking in a row that no home answered.
     :ivar news: done once another leader is learned.
+    :ivar listeners: called when another leader is learned.
+    :ivar lookouts: how many listeners want the homes to be asked.
     """
 
     __slots__ = (
@@ -40,6 +46,8 @@
         "rounds_failed",
         "waiters",
         "news",
+        "listeners",
+        "lookouts",
         "asking",
         "watching",
     )
@@ -50,6 +58,8 @@
         self.rounds_failed = 0
         self.waiters = 0
         self.news = asyncio.Event()
+        self.listeners: set[NewsCallback] = set()
+        self.lookouts = 0
         self.asking: asyncio.Task[bool] | None = None
         self.watching: asyncio.Task[None] | None = None
 
@@ -100,6 +110,8 @@
         if known.view.merge(view):
             known.news.set()
             known.news = asyncio.Event()
+            for listener in list(known.listeners):
+                listener()
 
     async def current(self, group: Group) -> GroupView:
         """Return the view of `group`, asking first if nothing is known.
@@ -124,15 +136,17 @@
     def start_asking(self, group: Group, known: KnownGroup) -> asyncio.Task[bool]:
         """Return the running round of asking, started if there is none."""
         if known.asking is None or known.asking.done():
-            known.asking = asyncio.create_task(self.ask_all(group, known))
+            known.asking = asyncio.create_task(self.ask_all(group, known, 0.0))
         return known.asking
 
-    async def ask_all(self, group: Group, known: KnownGroup) -> bool:
+    async def ask_all(self, group: Group, known: KnownGroup, hold: float) -> bool:
         """Ask the homes of all members; return once the first has answered.
 
         The other answers are merged when they come.
+
+        :param hold: for how many seconds homes wait for news to tell.
         """
-        calls = [self.start(self.ask(home, group)) for home in self.homes(group)]
+        calls = [self.start(self.ask(home, group, hold)) for home in self.homes(group)]
         for call in asyncio.as_completed(calls):
             if await call:
                 known.rounds_failed = 0
@@ -156,21 +170,26 @@
                 found[home.host] = home
         return list(found.values())
 
-    async def ask(self, home: HostRef, group: Group) -> bool:
-        """Ask one home for its view; return whether it answered."""
+    async def ask(self, home: HostRef, group: Group, hold: float) -> bool:
+        """Ask one home for its view; return whether it answered.
+
+        A view that was held open is dated by the question all the same.
+        """
         asked = self.clock.monotonic()
+        view = self.group(group.name).view
+        question = ViewQuestion(group.name, hold, view.term, view.primary)
         try:
-            message = await self.call(home, {"group": group.name})
+            message = await self.call(home, question.to_json(), ASK_TIMEOUT + hold)
             self.merge(GroupView.from_json(message["view"], asked))
         except (PeerError, Refusal, LookupError, TypeError, ValueError):
             return False
         return True
 
-    async def call(self, home: HostRef, body: Json) -> Json:
+    async def call(self, home: HostRef, body: Json, timeout: float) -> Json:
         """Send the question to `home`, which may be this host."""
         if home.host == self.directory.me.host:
             return await self.ask_here(body)
-        return await self.peers.call(home, "view", body, ASK_TIMEOUT)
+        return await self.peers.call(home, "view", body, timeout)
 
     async def wait_news(self, group: Group, timeout: float) -> None:
         """Return once another leader is learned, or after `timeout` seconds.
@@ -199,14 +218,37 @@
         if known.watching is None or known.watching.done():
             known.watching = asyncio.create_task(self.watch(group, known))
 
+    def listen(self, group: Group, listener: NewsCallback) -> None:
+        """Call `listener` whenever another leader is learned, until `unlisten`."""
+        self.group(group.name).listeners.add(listener)
+
+    def unlisten(self, group: Group, listener: NewsCallback) -> None:
+        """Take back a call of `listen`."""
+        self.group(group.name).listeners.discard(listener)
+
+    def look_out(self, group: Group) -> None:
+        """Have the homes asked for news until `look_away`."""
+        known = self.group(group.name)
+        known.lookouts += 1
+        self.start_watching(group, known)
+
+    def look_away(self, group: Group) -> None:
+        """Take back one call of `look_out`."""
+        self.group(group.name).lookouts -= 1
+
     async def watch(self, group: Group, known: KnownGroup) -> None:
-        """Ask the homes again and again while requests wait for news."""
+        """Ask the homes again and again while requests wait for news.
+
+        The pause grows unless homes hold the question open.
+        """
         pause = FIRST_BACKOFF
-        while known.waiters > 0:
-            await self.refresh(group)
+        while known.waiters + known.lookouts > 0:
+            asked = self.clock.monotonic()
+            answered = await self.ask_all(group, known, HOLD)
+            held = self.clock.monotonic() - asked >= SPREAD * HOLD
             jitter = 1.0 + SPREAD * self.random.random()
             await self.clock.sleep(pause * jitter)
-            pause = min(2 * pause, LAST_BACKOFF)
+            pause = FIRST_BACKOFF if answered and held else min(2 * pause, LAST_BACKOFF)
 
     async def close(self) -> None:
         """Stop asking."""
