Give up writes at a primary that reaches no majority

Cause: a write at a host of the cut-off zone was held until its deadline (1.5 s of the callers' default here) and then sent away with a hint, though its home knew after 0.5 s that it heard nobody. Where all callers were at such hosts, the gap was 1.3 to 1.5 s longer than the change of primary.

Change: the home of a primary that has heard of no majority for 0.5 s asks the members (each 0.1 s, was 0.5 s); if that fails, waiting and new writes get not_durable, may have run, with a hint of 100 ms. The verdict is not "not run", because an earlier try of the same id may have run at that target. A router passes not_durable on: before, it came at the deadline only, so that nothing could follow it. Begins, commits' verdicts and fresh reads are as they were.

Ruled out: a reason of its own, answered "not run" (three traces of promises went red: a begin of an id that may have committed must not be told "not run"); waiting for news in other zones only (the trace regions_apart went red: a host of the same region waited in vain and answered with its deadline).

--- a/src/reedhook/process/durability.py
+++ b/src/reedhook/process/durability.py
@@ -87,8 +87,16 @@
         """Say whether anybody waits for a position to become durable."""
         return any(not waiter.done() for _, _, waiter in self.waiters)
 
+    def abandon(self) -> None:
+        """End all waits, as nothing becomes durable for some time."""
+        waiters, self.waiters = self.waiters, []
+        for _, _, waiter in waiters:
+            settle(waiter, False)
+
     async def wait(self, position: Position, timeout: float) -> bool:
-        """Return True once `position` is durable, False once superseded.
+        """Return True once `position` is durable, False if given up before.
+
+        It is given up once superseded, or when all waits are abandoned.
 
         :raises TimeoutError: after `timeout` seconds.
         """
--- a/src/reedhook/process/executor.py
+++ b/src/reedhook/process/executor.py
@@ -176,6 +176,7 @@
 async def write(work: Work) -> Answer:
     """Write at the primary and answer once a majority holds the entry."""
     await check_lead(work)
+    work.keeper.check_reach()
     result = await work.run()
     work.keeper.wrote(work.member, result.position)
     await work.keeper.durable(result.position, work.remaining(), work.begun)
--- a/src/reedhook/process/group.py
+++ b/src/reedhook/process/group.py
@@ -31,6 +31,7 @@
 CONFIRM_AGAIN: Final = 0.01
 CONFIRM_SLOW: Final = 0.1
 UNHEARD_AFTER: Final = 0.5
+LOOK_AFTER_LEAD: Final = 0.1
 VIEW_INTERVAL: Final = 1.0
 SAMPLE_SHARE: Final = 3
 SAMPLE_SPACING: Final = 0.05
@@ -38,6 +39,7 @@
 PROVE_TIMEOUT: Final = 0.25
 RETRY_SOON_MS: Final = 50
 RETRY_UNSAFE_MS: Final = 250
+RETRY_ISOLATED_MS: Final = 100
 
 
 class GroupKeeper:
@@ -122,6 +124,7 @@
         self.learned_at = 0.0
         self.resumed = 0
         self.leader_news = asyncio.Event()
+        self.alone = False
         self.heard: dict[str, float] = {}
         self.told: dict[str, float] = {}
 
@@ -197,9 +200,9 @@
 
         :param since: local monotonic time in seconds at which the write was
             sent to the target; now by default.
-        :raises Refusal: ``not_durable`` after `timeout` seconds, or
-            ``superseded`` once a later term leaves its fate unknown; the
-            write may have run.
+        :raises Refusal: ``not_durable`` after `timeout` seconds or once no
+            majority is reached, or ``superseded`` once a later term leaves
+            its fate unknown; the write may have run.
         """
         begun = self.clock.monotonic() if since is None else since
         try:
@@ -216,6 +219,7 @@
                 RETRY_UNSAFE_MS,
             ) from None
         if not held:
+            self.check_reach()
             self.metrics.increment("group.superseded")
             raise may_have_run(
                 Reason.SUPERSEDED,
@@ -272,7 +276,7 @@
         """
         await self.confirmation.wait(ticket)
         while not self.confirmation.confirms(ticket, term):
-            if self.knowledge.term > term:
+            if self.knowledge.term > term or self.isolated:
                 return False
             await self.clock.sleep(CONFIRM_AGAIN)
             await self.confirmation.wait(self.confirmation.request())
@@ -422,18 +426,50 @@
     async def look_after_lead(self) -> None:
         """Ask the other members when a local primary hears nothing of them.
 
-        A primary that was cut off learns so that it has been superseded.
+        A primary that was cut off learns so that it has been superseded. If
+        none answers, those who wait for a proof get their answer at once.
         """
         while True:
-            await self.clock.sleep(UNHEARD_AFTER)
+            await self.clock.sleep(LOOK_AFTER_LEAD)
             lead = self.local_lead()
             if lead is None or self.hears_majority():
+                self.alone = False
                 continue
             await self.confirmation.wait(self.confirmation.request())
+            self.alone = self.local_lead() == lead
+            if self.isolated:
+                self.knowledge.durability.abandon()
+
+    @property
+    def isolated(self) -> bool:
+        """Say whether a local primary was found to reach no majority."""
+        return self.alone and not self.hears_majority()
+
+    def check_reach(self) -> None:
+        """Refuse a write while no majority can be reached.
+
+        It is not sent to the target, but an earlier one of its request id may
+        have run there.
+
+        :raises Refusal: ``not_durable``; may have run.
+        """
+        if not self.isolated:
+            return
+        self.metrics.increment("group.not_durable")
+        raise may_have_run(
+            Reason.NOT_DURABLE,
+            "the primary's home reaches no majority of the group",
+            RETRY_ISOLATED_MS,
+        )
 
     def hears_majority(self) -> bool:
-        """Say whether enough members reported lately to make a majority."""
+        """Say whether enough members reported lately to make a majority.
+
+        A new primary's home has yet to be found by the others.
+        """
         now = self.clock.monotonic()
+        if now - self.learned_at < UNHEARD_AFTER:
+            return True
         local = {home.member.member for home in self.homes()}
         heard = {
             member for member, at in self.heard.items() if now - at < UNHEARD_AFTER
--- a/src/reedhook/request/retry.py
+++ b/src/reedhook/request/retry.py
@@ -30,7 +30,6 @@
     Reason.NO_PRIMARY,
     Reason.SUPERSEDED,
     Reason.UNCONFIRMED,
-    Reason.NOT_DURABLE,
     Reason.AGE_UNPROVED,
     Reason.NOT_COVERED,
 }
--- a/src/reedhook/request/router.py
+++ b/src/reedhook/request/router.py
@@ -222,10 +222,7 @@
                     return await self.while_leading(group, view, statement, attempts)
                 except Refusal as refusal:
                     attempts.note(refusal)
-                    if (
-                        reaction(refusal, attempts.repeatable, True)
-                        is not Reaction.NEWS
-                    ):
+                    if reaction(refusal, attempts.repeatable, True) is Reaction.FINAL:
                         raise
             await self.wait_primary(group, term, primary, attempts)
 
