Serve callers by one handler, without aiohttp's application

The callers' interface has seven paths, which request/endpoint.py looks up itself. It keeps the typed refusals and the catch-all, HEAD on the health path, and the answer to Expect: 100-continue. An Expect with another value now gets a typed refusal in place of aiohttp's bare 417. Handlers still run on when a caller hangs up. Bodies are not decompressed any more: one with Content-Encoding br got aiohttp's untyped 400 before it reached the typed refusal.

Server is now a base class of ApplicationServer (operators) and HandlerServer (callers); its tests run over both. The API's tests are served by aiohttp's raw test server; the one on a caller that hangs up uses HandlerServer itself, since the test server cancels handlers.

--- a/src/reedhook/process/assembly.py
+++ b/src/reedhook/process/assembly.py
@@ -3,11 +3,9 @@
 from random import Random
 from typing import Final
 
-from aiohttp import web
-
 from ..clock import Clock, SystemClock
 from ..connection.target_http import HttpTargetFactory
-from ..request.api import caller_routes
+from ..request.endpoint import CallerEndpoint
 from .admin import admin_app
 from .admin_config import config_routes
 from .host import Host
@@ -17,7 +15,7 @@
 from .peer import HostRef
 from .peer_http import HttpPeers
 from .peer_server import PeerEndpoint, PeerServer
-from .server import Server
+from .server import ApplicationServer, HandlerServer
 from .settings import Settings
 from .statsd_metrics import StatsdMetrics
 from .store_http import HttpStore
@@ -60,14 +58,17 @@
     """Return the process of `host` with its three servers."""
     settings = host.settings
     endpoint = PeerEndpoint(host.routes, settings.peer_credential, host.timeline)
+    callers = CallerEndpoint(host.api)
     operators_app = admin_app(host.admin, config_routes(host.admin, host.editor))
     limits = settings.limits
     shown = None if tls is None else tls.callers
     return HostProcess(
         host,
-        Server("callers", caller_app(host), settings.listen, limits, shown),
+        HandlerServer("callers", callers.handle, settings.listen, limits, shown),
         PeerServer(endpoint, settings.peer_listen, None if tls is None else tls.peers),
-        Server("operators", operators_app, settings.admin_listen, limits, shown),
+        ApplicationServer(
+            "operators", operators_app, settings.admin_listen, limits, shown
+        ),
         host.clock,
         limits.shutdown_s,
         companions,
@@ -96,10 +97,3 @@
         HttpPeers(me, settings.peer_credential, timeline, clock, context),
         metrics,
     )
-
-
-def caller_app(host: Host) -> web.Application:
-    """Return the callers' interface."""
-    app = web.Application(client_max_size=host.settings.limits.body_bytes)
-    app.add_routes(caller_routes(host.api))
-    return app
--- a/src/reedhook/process/server.py
+++ b/src/reedhook/process/server.py
@@ -1,21 +1,27 @@
-"""One HTTP server of the process, with bounds and a graceful stop."""
+"""An HTTP server of the process, with bounds and a graceful stop."""
 
+import asyncio
 import ssl
-from typing import Final
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any, Final, TypeAlias
 
 import logbook
 from aiohttp import web
 
-from .listener import Listener
+from .listener import Listener, Runner
 from .settings import ServerLimits
 
 IDLE_GRACE: Final = 1.0
 
+Handler: TypeAlias = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
 log = logbook.Logger("server")
 
 
-class Server:
-    """Serve an application on one address.
+class Server(ABC):
+    """Serve HTTP on one address.
 
     :param name: for the logs, such as ``callers``.
     :param address: ``IP:port`` to listen on; port 0 takes a free one.
@@ -24,7 +30,6 @@
 
     __slots__ = (
         "name",
-        "app",
         "address",
         "limits",
         "tls",
@@ -36,17 +41,15 @@
     def __init__(
         self,
         name: str,
-        app: web.Application,
         address: str,
         limits: ServerLimits,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self.name = name
-        self.app = app
         self.address = address
         self.limits = limits
         self.tls = tls
-        self.runner: web.AppRunner | None = None
+        self.runner: Runner | None = None
         self.listener: Listener | None = None
         self.leaving = False
 
@@ -55,11 +58,8 @@
 
         :raises OSError: if the address cannot be had.
         """
-        self.app.on_response_prepare.append(self.ask_to_close)
-        self.runner = web.AppRunner(
-            self.app,
+        self.runner = self.make_runner(
             access_log=None,
-            shutdown_timeout=self.limits.shutdown_s,
             keepalive_timeout=self.limits.keepalive_s,
             max_line_size=self.limits.header_bytes,
             max_field_size=self.limits.header_bytes,
@@ -69,9 +69,14 @@
         self.address = self.listener.address
         log.info("The interface for {} listens on {}.", self.name, self.address)
 
-    async def ask_to_close(
-        self, request: web.BaseRequest, response: web.StreamResponse
-    ) -> None:
+    @abstractmethod
+    def make_runner(self, **options: Any) -> Runner:
+        """Return the runner of what is served.
+
+        :param options: of aiohttp's server.
+        """
+
+    def ask_to_close(self, response: web.StreamResponse) -> None:
         """Let the connection end with this response once the host leaves."""
         if not self.leaving:
             return
@@ -97,3 +102,71 @@
         self.runner = None
         await listener.stop()
         log.info("The interface for {} is closed.", self.name)
+
+
+class ApplicationServer(Server):
+    """Serve an application, with its router and middleware."""
+
+    __slots__ = ("app",)
+
+    def __init__(
+        self,
+        name: str,
+        app: web.Application,
+        address: str,
+        limits: ServerLimits,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        super().__init__(name, address, limits, tls)
+        self.app = app
+
+    def make_runner(self, **options: Any) -> Runner:
+        self.app.on_response_prepare.append(self.prepare)
+        return web.AppRunner(
+            self.app, shutdown_timeout=self.limits.shutdown_s, **options
+        )
+
+    async def prepare(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        """Do what is due before each response."""
+        self.ask_to_close(response)
+
+
+class HandlerServer(Server):
+    """Serve one handler of all requests, which costs less.
+
+    Compressed bodies are left as they are, so that a small one cannot grow.
+    """
+
+    __slots__ = ("handler",)
+
+    def __init__(
+        self,
+        name: str,
+        handler: Handler,
+        address: str,
+        limits: ServerLimits,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        super().__init__(name, address, limits, tls)
+        self.handler = handler
+
+    def make_runner(self, **options: Any) -> Runner:
+        server = web.Server(
+            self.answer,
+            request_factory=partial(
+                web.BaseRequest,
+                loop=asyncio.get_running_loop(),
+                client_max_size=self.limits.body_bytes,
+            ),
+            auto_decompress=False,
+            **options,
+        )
+        return web.ServerRunner(server, shutdown_timeout=self.limits.shutdown_s)
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        response = await self.handler(request)
+        self.ask_to_close(response)
+        return response
--- a/src/reedhook/request/api.py
+++ b/src/reedhook/request/api.py
@@ -39,7 +39,7 @@
 IDENTITY: Final = "identity"
 JSON_TYPE: Final = "application/json"
 
-Handler: TypeAlias = Callable[[web.Request], Awaitable[web.Response]]
+Handler: TypeAlias = Callable[[web.BaseRequest], Awaitable[web.Response]]
 
 log = logbook.Logger("api")
 
@@ -73,6 +73,7 @@
 
 
 ASK: Final = web.RequestKey("ask", Ask)
+TRANSACTION: Final = web.RequestKey("transaction", str)
 
 
 class Api:
@@ -131,21 +132,21 @@
         self.leaving = False
         self.draining = False
 
-    async def read(self, request: web.Request) -> web.Response:
+    async def read(self, request: web.BaseRequest) -> web.Response:
         """Answer ``POST /v1/read``."""
         body, ask = await self.opened(request, READ, Kind.READ)
         statement = self.statement(ask, body)
         set_consistency(statement, body, ask.catalog)
         return self.answer(ask, await self.run(ask, statement, True))
 
-    async def write(self, request: web.Request) -> web.Response:
+    async def write(self, request: web.BaseRequest) -> web.Response:
         """Answer ``POST /v1/write``."""
         body, ask = await self.opened(request, WRITE, Kind.WRITE)
         statement = self.statement(ask, body)
         statement.request_id = self.request_id(ask.team, body)
         return self.answer(ask, await self.run(ask, statement, True))
 
-    async def begin(self, request: web.Request) -> web.Response:
+    async def begin(self, request: web.BaseRequest) -> web.Response:
         """Answer ``POST /v1/transactions``."""
         body, ask = await self.opened(request, BEGIN, Kind.BEGIN)
         statement = self.statement(ask, body)
@@ -153,19 +154,19 @@
         served = await self.run(ask, statement, True)
         return self.answer(ask, served, self.new_handle(ask, statement, served))
 
-    async def step(self, request: web.Request) -> web.Response:
+    async def step(self, request: web.BaseRequest) -> web.Response:
         """Answer ``POST /v1/transactions/{id}/statements``."""
         return await self.continued(request, STEP, Kind.STEP)
 
-    async def commit(self, request: web.Request) -> web.Response:
+    async def commit(self, request: web.BaseRequest) -> web.Response:
         """Answer ``POST /v1/transactions/{id}/commit``."""
         return await self.continued(request, END, Kind.COMMIT)
 
-    async def rollback(self, request: web.Request) -> web.Response:
+    async def rollback(self, request: web.BaseRequest) -> web.Response:
         """Answer ``POST /v1/transactions/{id}/rollback``."""
         return await self.continued(request, END, Kind.ROLLBACK)
 
-    async def health(self, request: web.Request) -> web.Response:
+    async def health(self, request: web.BaseRequest) -> web.Response:
         """Answer ``GET /v1/health`` for the platform's balancer."""
         catalog = self.catalog()
         status = "ok" if catalog else "starting"
@@ -180,7 +181,7 @@
         return respond(200 if status == "ok" else 503, message)
 
     async def opened(
-        self, request: web.Request, form: Form, kind: Kind
+        self, request: web.BaseRequest, form: Form, kind: Kind
     ) -> tuple[Body, Ask]:
         """Check a request that names its group.
 
@@ -194,12 +195,12 @@
         return body, self.ask(request, team, catalog, group, body, kind)
 
     async def continued(
-        self, request: web.Request, form: Form, kind: Kind
+        self, request: web.BaseRequest, form: Form, kind: Kind
     ) -> web.Response:
         """Run a statement of an open transaction at the host that holds it."""
         catalog, team = self.admitted(request)
         body = parse(form, await read_body(request, self.max_body))
-        handle = self.handles.decode(request.match_info["id"], team.name)
+        handle = self.handles.decode(request[TRANSACTION], team.name)
         group = catalog.groups.get(handle.group)
         if group is None:
             raise unknown_transaction()
@@ -209,7 +210,7 @@
         statement.transaction = handle.transaction
         ask.sent = True
         served = await self.at_home(handle, statement)
-        open_still = request.match_info["id"] if kind is Kind.STEP else None
+        open_still = request[TRANSACTION] if kind is Kind.STEP else None
         return self.answer(ask, served, open_still)
 
     async def at_home(self, handle: Handle, statement: Statement) -> Served:
@@ -225,7 +226,7 @@
                 raise may_have_run(refusal.reason, refusal.detail) from refusal
             raise
 
-    def admitted(self, request: web.Request) -> tuple[Catalog, Team]:
+    def admitted(self, request: web.BaseRequest) -> tuple[Catalog, Team]:
         """Return the configuration and the team that sent a request.
 
         :raises Refusal: if it is not to be served; nothing was run.
@@ -243,7 +244,7 @@
 
     def ask(
         self,
-        request: web.Request,
+        request: web.BaseRequest,
         team: Team,
         catalog: Catalog,
         group: Group,
@@ -350,30 +351,10 @@
         return self.tokens.encode(token)
 
 
-def caller_routes(api: Api) -> list[web.RouteDef]:
-    """Return the routes of the callers' interface; the last one takes the rest."""
-    begun = "/v1/transactions/{id}"
-    return [
-        web.post("/v1/read", typed(api, api.read)),
-        web.post("/v1/write", typed(api, api.write)),
-        web.post("/v1/transactions", typed(api, api.begin)),
-        web.post(f"{begun}/statements", typed(api, api.step)),
-        web.post(f"{begun}/commit", typed(api, api.commit)),
-        web.post(f"{begun}/rollback", typed(api, api.rollback)),
-        web.get("/v1/health", api.health),
-        web.route("*", "/{rest:.*}", typed(api, refuse_path)),
-    ]
-
-
-async def refuse_path(request: web.Request) -> web.Response:
-    """Refuse a method and path that the interface does not have."""
-    raise not_run(Reason.BAD_REQUEST, f"there is no {request.method} on this path")
-
-
 def typed(api: Api, handler: Handler) -> Handler:
     """Answer with a typed refusal whatever `handler` raises."""
 
-    async def answer(request: web.Request) -> web.Response:
+    async def answer(request: web.BaseRequest) -> web.Response:
         api.active += 1
         try:
             return await handler(request)
@@ -390,7 +371,7 @@
     return answer
 
 
-def unexpected(request: web.Request) -> Refusal:
+def unexpected(request: web.BaseRequest) -> Refusal:
     """Return the refusal for an error of this host itself."""
     ask = request.get(ASK)
     detail = "this host failed; its log says more"
@@ -415,7 +396,7 @@
     return response
 
 
-async def read_body(request: web.Request, limit: int) -> bytes:
+async def read_body(request: web.BaseRequest, limit: int) -> bytes:
     """Read the body of a request, within bounds of size and time.
 
     :raises Refusal: if a bound is passed or the body is cut short.
--- a/tests/daemon_fakes.py
+++ b/tests/daemon_fakes.py
@@ -6,7 +6,7 @@
 
 from reedhook.clock import SystemClock
 from reedhook.process.lifecycle import HostProcess, Lifecycle
-from reedhook.process.server import Server
+from reedhook.process.server import ApplicationServer
 from reedhook.process.settings import ServerLimits
 
 
@@ -73,9 +73,9 @@
     here = "127.0.0.1:0"
     return HostProcess(
         host,
-        Server("callers", app, here, limits),
-        Server("peers", web.Application(), here, limits),
-        Server("operators", web.Application(), here, limits),
+        ApplicationServer("callers", app, here, limits),
+        ApplicationServer("peers", web.Application(), here, limits),
+        ApplicationServer("operators", web.Application(), here, limits),
         QuickClock(),
         bound,
     )
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -8,12 +8,15 @@
 
 import pytest
 from aiohttp import ClientResponse, ClientSession
-from aiohttp.test_utils import TestClient, TestServer
-from aiohttp.web import Application, AppRunner, Request, TCPSite
+from aiohttp.test_utils import RawTestServer, TestClient
+from aiohttp.web import BaseRequest
 
 from reedhook.clock import SystemClock
 from reedhook.process.metrics import MemoryMetrics
-from reedhook.request.api import Api, caller_routes
+from reedhook.process.server import HandlerServer
+from reedhook.process.settings import ServerLimits
+from reedhook.request.api import Api
+from reedhook.request.endpoint import CallerEndpoint
 from reedhook.request.position import Position
 from reedhook.request.refusal import Reason, may_have_run, not_run
 from reedhook.request.statement import Kind
@@ -30,9 +33,9 @@
     make_group,
     make_team,
 )
-from .support import on_loop, using
+from .support import on_loop, run, using
 
-Caller = TestClient[Request, Application]
+Caller = TestClient[BaseRequest, None]
 
 OTHER_CREDENTIAL: Final = "desk-credential"
 READ: Final = {"group": "g1", "sql": "select 1"}
@@ -83,11 +86,10 @@
             entry.metrics,
         )
 
-    def application(self) -> Application:
-        """Return an application that serves the API."""
-        app = Application()
-        app.add_routes(caller_routes(self.api))
-        return app
+    def server(self) -> RawTestServer:
+        """Return a server of the API, which is still to be started."""
+        handle = CallerEndpoint(self.api).handle
+        return RawTestServer(handle, host="127.0.0.1", port=0)
 
     def request_id(self, ahead: float = 0.0) -> str:
         """Return a request id issued `ahead` seconds from now."""
@@ -98,7 +100,7 @@
 async def serving() -> AsyncIterator[Bench]:
     """Serve an API on a loopback port."""
     bench = Bench()
-    server = TestServer(bench.application(), host="127.0.0.1", port=0)
+    server = bench.server()
     async with TestClient(server) as bench.caller:
         yield bench
     await bench.router.views.close()
@@ -295,13 +297,12 @@
 async def test_a_write_goes_on_when_its_caller_hangs_up() -> None:
     bench = Bench()
     bench.model.service_time = 0.1
-    runner = AppRunner(bench.application())
-    await runner.setup()
-    await TCPSite(runner, "127.0.0.1", 0).start()
-    port = runner.addresses[0][1]
+    handle = CallerEndpoint(bench.api).handle
+    server = HandlerServer("callers", handle, "127.0.0.1:0", ServerLimits())
+    await server.start()
     write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
     headers = {"Authorization": f"Bearer {CREDENTIAL}"}
-    url = f"http://127.0.0.1:{port}/v1/write"
+    url = f"http://{server.address}/v1/write"
     async with ClientSession() as session:
         call = asyncio.create_task(session.post(url, json=write, headers=headers))
         while not bench.model.executed:
@@ -311,7 +312,7 @@
     while bench.api.active:
         await asyncio.sleep(0.005)
     assert len(bench.model.log) == 1
-    await runner.cleanup()
+    await server.stop()
     await bench.router.views.close()
 
 
@@ -375,3 +376,37 @@
     assert refusal["verdict"] == "may have run"
     assert refusal["retry_after_ms"] == 100
     assert bench.model.applied(bench.model.primary) == Position(1, 0)
+
+
+@using(serving)
+async def test_a_client_that_waits_to_send_its_body_is_told_to(bench: Bench) -> None:
+    headers = {"Authorization": f"Bearer {CREDENTIAL}"}
+    async with bench.caller.post(
+        "/v1/read", json=READ, headers=headers, expect100=True
+    ) as response:
+        assert response.status == 200
+    headers["Expect"] = "a-miracle"
+    async with bench.caller.post("/v1/read", json=READ, headers=headers) as response:
+        assert response.status == 400
+        assert (await response.json())["verdict"] == "not run"
+
+
+@pytest.mark.parametrize(
+    ("method", "path"),
+    [
+        ("GET", "/v1/read"),
+        ("POST", "/v1/health"),
+        ("POST", "/v1/transactions/"),
+        ("POST", "/v1/transactions//commit"),
+        ("POST", "/v1/transactions/x/y/commit"),
+        ("GET", "/v1/transactions/x/commit"),
+        ("POST", "/"),
+    ],
+)
+def test_other_methods_and_paths_are_refused(method: str, path: str) -> None:
+    async def main() -> tuple[int, str]:
+        async with serving() as bench:
+            async with bench.caller.request(method, path) as response:
+                return response.status, (await response.json())["reason"]
+
+    assert run(main()) == (400, "bad_request")
--- a/tests/test_api_fuzz.py
+++ b/tests/test_api_fuzz.py
@@ -5,7 +5,7 @@
 
 import orjson
 from aiohttp import hdrs
-from aiohttp.test_utils import TestClient, TestServer
+from aiohttp.test_utils import TestClient
 from hypothesis import given, settings, strategies as st
 
 from reedhook.request.refusal import Reason
@@ -132,11 +132,11 @@
     async def main() -> None:
         bench = Bench()
         bench.model.service_time = 0.0
-        server = TestServer(bench.application(), host="127.0.0.1", port=0)
+        server = bench.server()
         await server.start_server(auto_decompress=False)
-        async with TestClient(server, auto_decompress=False) as caller:
+        async with TestClient(server, auto_decompress=False) as bench.caller:
             for call in sequence:
-                await asyncio.wait_for(send(bench, caller, call), 10.0)
+                await asyncio.wait_for(send(bench, bench.caller, call), 10.0)
         await bench.router.views.close()
 
     run(main())
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -2,13 +2,16 @@
 
 import asyncio
 
+import pytest
 from aiohttp import ClientSession, web
 
-from reedhook.process.server import Server
+from reedhook.process.server import ApplicationServer, HandlerServer, Server
 from reedhook.process.settings import ServerLimits
 
 from .support import on_loop, run
 
+of_both_kinds = pytest.mark.parametrize("kind", [ApplicationServer, HandlerServer])
+
 
 class SlowApp:
     """Answer ``/`` at once, and ``/slow`` when told to.
@@ -21,29 +24,36 @@
         self.begun = asyncio.Event()
         self.proceed = asyncio.Event()
         self.app = web.Application()
-        self.app.router.add_get("/", self.quick)
-        self.app.router.add_get("/slow", self.slow)
-
-    async def quick(self, request: web.Request) -> web.Response:
-        return web.Response(text="quick")
+        self.app.router.add_get("/", self.answer)
+        self.app.router.add_get("/slow", self.answer)
 
-    async def slow(self, request: web.Request) -> web.Response:
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        if request.path == "/":
+            return web.Response(text="quick")
         self.begun.set()
         await self.proceed.wait()
         return web.Response(text="whole")
 
 
-async def serve(app: web.Application, limits: ServerLimits | None = None) -> Server:
-    """Return a started server on a free port."""
-    server = Server("tests", app, "127.0.0.1:0", limits or ServerLimits())
+async def serve(
+    slow: SlowApp, kind: type[Server], limits: ServerLimits | None = None
+) -> Server:
+    """Return a started server of that kind on a free port."""
+    limits = limits or ServerLimits()
+    server: Server
+    if kind is HandlerServer:
+        server = HandlerServer("tests", slow.answer, "127.0.0.1:0", limits)
+    else:
+        server = ApplicationServer("tests", slow.app, "127.0.0.1:0", limits)
     await server.start()
     return server
 
 
-def test_stop_lets_a_request_in_progress_end() -> None:
+@of_both_kinds
+def test_stop_lets_a_request_in_progress_end(kind: type[Server]) -> None:
     async def main() -> tuple[str, bool]:
         slow = SlowApp()
-        server = await serve(slow.app)
+        server = await serve(slow, kind)
         async with ClientSession() as session:
             asked = asyncio.create_task(get(session, server, "/slow"))
             await slow.begun.wait()
@@ -58,9 +68,10 @@
     assert run(main()) == ("whole", True)
 
 
-def test_stop_closes_idle_connections() -> None:
+@of_both_kinds
+def test_stop_closes_idle_connections(kind: type[Server]) -> None:
     async def main() -> bool:
-        server = await serve(SlowApp().app)
+        server = await serve(SlowApp(), kind)
         host, port = server.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -73,9 +84,10 @@
     assert run(main())
 
 
-def test_a_stopped_server_accepts_no_connection() -> None:
+@of_both_kinds
+def test_a_stopped_server_accepts_no_connection(kind: type[Server]) -> None:
     async def main() -> bool:
-        server = await serve(SlowApp().app)
+        server = await serve(SlowApp(), kind)
         host, port = server.address.split(":")
         await server.stop()
         try:
@@ -87,9 +99,10 @@
     assert run(main())
 
 
-def test_a_leaving_server_serves_and_ends_each_connection() -> None:
+@of_both_kinds
+def test_a_leaving_server_serves_and_ends_each_connection(kind: type[Server]) -> None:
     async def main() -> tuple[str | None, str | None]:
-        server = await serve(SlowApp().app)
+        server = await serve(SlowApp(), kind)
         async with ClientSession() as session:
             async with session.get(f"http://{server.address}/") as before:
                 first = before.headers.get("Connection")
@@ -103,10 +116,11 @@
     assert run(main()) == (None, "close")
 
 
+@of_both_kinds
 @on_loop
-async def test_a_request_past_the_bound_is_cut() -> None:
+async def test_a_request_past_the_bound_is_cut(kind: type[Server]) -> None:
     slow = SlowApp()
-    server = await serve(slow.app, ServerLimits(shutdown_s=1))
+    server = await serve(slow, kind, ServerLimits(shutdown_s=1))
     async with ClientSession() as session:
         asked = asyncio.create_task(get(session, server, "/slow"))
         await slow.begun.wait()
@@ -117,9 +131,10 @@
         )
 
 
-def test_header_lines_are_bounded() -> None:
+@of_both_kinds
+def test_header_lines_are_bounded(kind: type[Server]) -> None:
     async def main() -> int:
-        server = await serve(SlowApp().app, ServerLimits(header_bytes=1024))
+        server = await serve(SlowApp(), kind, ServerLimits(header_bytes=1024))
         headers = {"X-Long": "x" * 2000}
         async with ClientSession() as session:
             async with session.get(f"http://{server.address}/", headers=headers) as got:
@@ -130,6 +145,21 @@
     assert run(main()) == 400
 
 
+@on_loop
+async def test_a_handler_gets_a_compressed_body_as_it_came() -> None:
+    async def echo(request: web.BaseRequest) -> web.Response:
+        return web.Response(body=await request.read())
+
+    server = HandlerServer("tests", echo, "127.0.0.1:0", ServerLimits())
+    await server.start()
+    url = f"http://{server.address}/"
+    headers = {"Content-Encoding": "br"}
+    async with ClientSession() as session:
+        async with session.post(url, data=b"not brotli", headers=headers) as response:
+            assert (response.status, await response.read()) == (200, b"not brotli")
+    await server.stop()
+
+
 async def get(session: ClientSession, server: Server, path: str) -> str:
     """Return the text that `server` answers."""
     async with session.get(f"http://{server.address}{path}") as response:
--- a/tests/trace_world.py
+++ b/tests/trace_world.py
@@ -25,7 +25,7 @@
 from reedhook.process.settings import Settings
 from reedhook.process.timeline import Event, Timeline
 from reedhook.process.worker import Worker
-from reedhook.request.api import Handler, typed
+from reedhook.request.api import TRANSACTION, Handler, typed
 from reedhook.version.document import Documents
 from reedhook.wire import Json, decode, encode
 
@@ -278,7 +278,7 @@
     payload = StreamReader(BaseProtocol(loop), 2**16, loop=loop)
     payload.feed_data(body)
     payload.feed_eof()
-    return make_mocked_request(
+    request = make_mocked_request(
         "POST",
         f"/v1/{path}",
         headers={
@@ -286,8 +286,9 @@
             "Content-Length": str(len(body)),
             "Content-Type": "application/json",
         },
-        match_info={"id": handle},
         payload=payload,
         client_max_size=2**20,
         loop=mock.Mock(),
     )
+    request[TRANSACTION] = handle
+    return request
