Part the taking of samples from the keeper of a group

Change: prove, serve and sample stand in process/sampling.py; nothing else. Conclusion: the tests of group, executor and promotion pass; one names the new place.

--- a/src/reedhook/process/executor.py
+++ b/src/reedhook/process/executor.py
@@ -289,7 +289,7 @@
         return
     try:
         async with asyncio.timeout(left):
-            await work.keeper.prove(bound)
+            await work.keeper.sampling.prove(bound)
     except TimeoutError:
         return
 
--- a/src/reedhook/process/group.py
+++ b/src/reedhook/process/group.py
@@ -23,7 +23,7 @@
 from .peer import PeerError, Peers
 from .proofs import Proofs
 from .report import Report, ReportAnswer, Reporter
-from .sample import Sample
+from .sampling import Sampling
 from .suspicion import Verifier
 from .timeline import EventKind, Timeline
 
@@ -33,10 +33,6 @@
 UNHEARD_AFTER: Final = 0.5
 LOOK_AFTER_LEAD: Final = 0.1
 VIEW_INTERVAL: Final = 1.0
-SAMPLE_SHARE: Final = 3
-SAMPLE_SPACING: Final = 0.05
-SAMPLING_KEPT: Final = 3.0
-PROVE_TIMEOUT: Final = 0.25
 RETRY_SOON_MS: Final = 50
 RETRY_UNSAFE_MS: Final = 250
 RETRY_ISOLATED_MS: Final = 100
@@ -109,16 +105,15 @@
             group.majority,
             self.ask,
             self.known_lead,
-            self.sampled,
+            self.knowledge.samples.add,
             clock,
             CONFIRM_TIMEOUT,
         )
         self.handing = HandOver(self.knowledge, self.coordinator, clock)
         self.tasks: list[asyncio.Task[None]] = []
-        self.sampling: asyncio.Task[None] | None = None
-        self.sampling_until = 0.0
-        self.sampling_age = 0.0
-        self.proving: asyncio.Task[None] | None = None
+        self.sampling = Sampling(
+            self.knowledge, self.reporter, self.confirmation, self.local_lead, clock
+        )
         self.asking: asyncio.Task[None] | None = None
         self.proofs = Proofs()
         self.learned_at = 0.0
@@ -160,8 +155,8 @@
         """Stop; the members are left as they are."""
         self.reporter.close()
         self.confirmation.close()
-        tasks = [*self.tasks, self.sampling, self.proving, self.asking]
-        for task in tasks:
+        self.sampling.close()
+        for task in [*self.tasks, self.asking]:
             if task is not None:
                 task.cancel()
 
@@ -286,31 +281,6 @@
         """Return the proved upper bound of the age of `applied`, in seconds."""
         return self.knowledge.age(applied)
 
-    async def prove(self, age: float) -> None:
-        """Fetch a sample not older than `age` seconds; shared by all that wait."""
-        self.reporter.desire(age)
-        if self.proving is None or self.proving.done():
-            self.proving = asyncio.create_task(self.fetch_sample(age))
-        await asyncio.shield(self.proving)
-
-    async def fetch_sample(self, age: float) -> None:
-        """Run a round if the primary's home is here, else ask that home."""
-        if self.local_lead() is not None:
-            await self.confirmation.wait(self.confirmation.request())
-            return
-        primary = self.knowledge.primary
-        for home in self.homes():
-            if home.state is None or primary is None:
-                continue
-            report = Report(self.group.name, home.state, age, prompt=True)
-            try:
-                await self.reporter.call(report, primary, PROVE_TIMEOUT)
-            except (PeerError, Refusal):
-                await self.clock.sleep(CONFIRM_AGAIN)
-            return
-        # Nobody can be asked yet; who waits for a proof asks again at once.
-        await self.clock.sleep(CONFIRM_AGAIN)
-
     # Questions of other hosts
 
     async def on_report(self, report: Report) -> ReportAnswer:
@@ -319,7 +289,7 @@
         self.knowledge.absorb(report.state, now)
         self.heard[report.state.member] = now
         if report.want is not None:
-            await self.serve_samples(report.want, report.prompt)
+            await self.sampling.serve(report.want, report.prompt)
         return self.report_answer(report.state.member)
 
     def report_answer(self, member: str) -> ReportAnswer:
@@ -368,7 +338,7 @@
             self.knowledge.lead(order.term, order.primary)
         self.knowledge.absorb(state, asked)
 
-    # Confirmation and samples
+    # Confirmation
 
     async def ask(self, member: str, timeout: float) -> MemberState | None:
         """Ask `member` for a state sent from now on, at its home."""
@@ -393,34 +363,6 @@
         self.heard[member] = self.clock.monotonic()
         return state
 
-    def sampled(self, sample: Sample) -> None:
-        """Keep the sample of a confirmation round."""
-        self.knowledge.samples.add(sample)
-
-    async def serve_samples(self, age: float, prompt: bool) -> None:
-        """Keep samples not older than `age` coming while they are asked for."""
-        now = self.clock.monotonic()
-        if age < self.sampling_age or now > self.sampling_until:
-            self.sampling_age = age
-        self.sampling_until = now + SAMPLING_KEPT
-        if self.local_lead() is None:
-            return
-        if self.sampling is None or self.sampling.done():
-            self.sampling = asyncio.create_task(self.sample())
-        newest = self.knowledge.samples.newest
-        if prompt and (newest is None or now - newest.dated > age / SAMPLE_SHARE):
-            await self.confirmation.wait(self.confirmation.request())
-
-    async def sample(self) -> None:
-        """Run rounds at the pace that bounded reads need, while there are any."""
-        while self.clock.monotonic() < self.sampling_until and self.local_lead():
-            pace = max(self.sampling_age / SAMPLE_SHARE, SAMPLE_SPACING)
-            newest = self.knowledge.samples.newest
-            now = self.clock.monotonic()
-            if newest is None or now - newest.dated >= pace:
-                await self.confirmation.wait(self.confirmation.request())
-            await self.clock.sleep(pace)
-
     # Change of primary
 
     async def look_after_lead(self) -> None:
--- a/tests/test_group_proofs.py
+++ b/tests/test_group_proofs.py
@@ -280,7 +280,7 @@
         home.task.cancel()
         home.state = None
         begun = cluster.now()
-        await host.keeper.prove(0.5)
+        await host.keeper.sampling.prove(0.5)
         assert cluster.now() > begun
         await cluster.stop()
 
