Give tests of a group their cluster instead of a nested main

Cause: each test of promotions, the executor, the proofs and a group in good order started and stopped a cluster around a nested coroutine. Change: cluster_of in cluster_group.py starts one and stops it; the tests are coroutines that take it. As before a test that fails stops nothing. All assertions and expected errors stand in the same order as before.

--- a/tests/cluster_group.py
+++ b/tests/cluster_group.py
@@ -4,7 +4,8 @@
 import contextlib
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from itertools import count
 
 from reedhook.process.control import Controller
@@ -290,6 +291,15 @@
         return asyncio.get_running_loop().time()
 
 
+@asynccontextmanager
+async def cluster_of() -> AsyncIterator[Cluster]:
+    """Run a cluster in good order; stop it if its test came to the end."""
+    cluster = Cluster()
+    await cluster.start()
+    yield cluster
+    await cluster.stop()
+
+
 def values(served: Served) -> list[str]:
     """Return the values that a read showed."""
     return [row[0] for row in served.answer.rows]
--- a/tests/test_group_basic.py
+++ b/tests/test_group_basic.py
@@ -10,27 +10,25 @@
 from reedhook.request.statement import Consistency, Kind
 from reedhook.request.verdict import Verdict
 
-from .cluster_group import Cluster, values
-from .fakes_clock import in_virtual_time
+from .cluster_group import Cluster, cluster_of, values
+from .fakes_clock import run_virtual
+from .support import using
 
 
-@in_virtual_time
-async def test_a_write_is_answered_once_a_majority_holds_it() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_a_write_is_answered_once_a_majority_holds_it(cluster: Cluster) -> None:
     begun = cluster.now()
     position = await cluster.write("m1", "ticket 1")
     took = cluster.now() - begun
     holders = [m for m in cluster.truth.members.values() if m.held >= position]
     assert len(holders) >= 2
     assert took < 0.02
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_a_write_that_no_replica_holds_is_applied_but_not_safe() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_a_write_that_no_replica_holds_is_applied_but_not_safe(
+    cluster: Cluster,
+) -> None:
     cluster.truth.cut({"m1"})
     with pytest.raises(Refusal) as caught:
         await cluster.write("m1", "ticket 1", 0.3)
@@ -39,59 +37,46 @@
     assert caught.value.retry_after_ms is not None
     cluster.truth.cuts.clear()
     await cluster.write("m1", "ticket 2", 0.3)
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_many_writes_share_one_wait() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_many_writes_share_one_wait(cluster: Cluster) -> None:
     before = cluster.network.calls["report"]
     await asyncio.gather(*(cluster.write("m1", f"t{i}") for i in range(200)))
     assert cluster.network.calls["report"] - before < 40
     durability = cluster.hosts["m1a"].keeper.knowledge.durability
     assert durability.waiters == []
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_a_fresh_read_sees_the_last_write_and_states_its_age() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_a_fresh_read_sees_the_last_write_and_states_its_age(
+    cluster: Cluster,
+) -> None:
     await cluster.write("m1", "mix 7")
     served = await cluster.read("m1", Consistency.FRESH)
     assert "mix 7" in values(served)
     assert served.answer.age is not None and served.answer.age < 0.02
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_fresh_reads_at_once_share_confirmation_rounds() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_fresh_reads_at_once_share_confirmation_rounds(cluster: Cluster) -> None:
     before = cluster.network.calls["confirm"]
     reads = (cluster.read("m1", Consistency.FRESH) for _ in range(100))
     await asyncio.gather(*reads)
     assert cluster.network.calls["confirm"] - before <= 4
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_a_session_read_waits_for_what_it_must_cover() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_a_session_read_waits_for_what_it_must_cover(cluster: Cluster) -> None:
     cluster.truth.members["m2"].lag = 0.03
     position = await cluster.write("m1", "tug 4")
     served = await cluster.read("m2", Consistency.SESSION, covers=position)
     assert "tug 4" in values(served)
     assert served.answer.role == "replica"
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_a_replica_far_behind_is_refused_quickly() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_a_replica_far_behind_is_refused_quickly(cluster: Cluster) -> None:
     cluster.truth.members["m2"].lag = 5.0
     position = await cluster.write("m1", "tug 4")
     begun = cluster.now()
@@ -100,23 +85,21 @@
     assert caught.value.reason is Reason.NOT_COVERED
     assert caught.value.verdict is Verdict.NOT_RUN
     assert cluster.now() - begun < 0.1
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_a_session_of_a_later_term_is_not_served_by_an_older_one() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_a_session_of_a_later_term_is_not_served_by_an_older_one(
+    cluster: Cluster,
+) -> None:
     with pytest.raises(Refusal) as caught:
         await cluster.read("m1", Consistency.SESSION, covers=Position(2, 1))
     assert caught.value.reason is Reason.NOT_COVERED
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_the_age_of_a_bounded_read_is_an_upper_bound_of_the_truth() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_the_age_of_a_bounded_read_is_an_upper_bound_of_the_truth(
+    cluster: Cluster,
+) -> None:
     cluster.truth.members["m2"].lag = 0.2
     acknowledged: dict[str, float] = {}
     for serial in range(40):
@@ -134,39 +117,32 @@
         assert truth <= served.answer.age <= 1.0
         assert served.answer.role == "replica"
     assert cluster.hosts["m2a"].metrics.counters["executor.age_unproved"] < 10
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_a_bound_that_the_lag_exceeds_is_refused() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_a_bound_that_the_lag_exceeds_is_refused(cluster: Cluster) -> None:
     cluster.truth.members["m2"].lag = 3.0
     await cluster.write("m1", "w")
     with pytest.raises(Refusal) as caught:
         await cluster.read("m2", Consistency.MAX_AGE, max_age=0.5)
     assert caught.value.reason is Reason.AGE_UNPROVED
     assert caught.value.verdict is Verdict.NOT_RUN
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_a_statement_for_a_member_of_another_home_is_not_run() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_a_statement_for_a_member_of_another_home_is_not_run(
+    cluster: Cluster,
+) -> None:
     executor = cluster.hosts["m2a"].executor
     statement = cluster.statement(Kind.WRITE, "w", 1.0)
     with pytest.raises(Refusal) as caught:
         await executor.execute("m1", statement)
     assert caught.value.reason is Reason.WRONG_HOME
     assert caught.value.verdict is Verdict.NOT_RUN
-    await cluster.stop()
 
 
-@in_virtual_time
-async def test_a_lost_primary_is_replaced_within_a_second() -> None:
-    cluster = Cluster()
-    await cluster.start()
+@using(cluster_of, run_virtual)
+async def test_a_lost_primary_is_replaced_within_a_second(cluster: Cluster) -> None:
     position = await cluster.write("m1", "kept")
     cluster.kill_target("m1")
     await asyncio.sleep(0.001)
@@ -177,4 +153,3 @@
     assert any(entry.position == position for entry in leader.log)
     assert len(cluster.events(EventKind.PRIMARY_PROMOTED)) == 1
     assert len(cluster.events(EventKind.WRITES_RESUMED)) >= 1
-    await cluster.stop()
--- a/tests/test_group_proofs.py
+++ b/tests/test_group_proofs.py
@@ -13,8 +13,9 @@
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.statement import Consistency
 
-from .cluster_group import Cluster
-from .fakes_clock import LoopClock, run_virtual
+from .cluster_group import Cluster, cluster_of
+from .fakes_clock import LoopClock, in_virtual_time, run_virtual
+from .support import using
 
 
 def state(
@@ -43,48 +44,44 @@
     assert durable_position([leader, fenced], 3, 2) is None
 
 
-def test_a_later_term_proves_nothing_of_the_last_entries_of_a_former_one() -> None:
-    async def main() -> None:
-        durability = Durability()
-        durability.advance(Position(1, 5))
-        assert durability.holds(Position(1, 5))
-        waiting = asyncio.create_task(durability.wait(Position(1, 7), 1.0))
-        await asyncio.sleep(0.01)
-        durability.advance(Position(2, 6))
-        assert await waiting is False
-        assert not durability.holds(Position(1, 7))
-        assert await durability.wait(Position(2, 6), 1.0) is True
-
-    run_virtual(main())
-
-
-def test_waits_end_at_once_when_a_higher_term_is_seen() -> None:
-    async def main() -> None:
-        durability = Durability()
-        durability.enter(1)
-        waiting = [
-            asyncio.create_task(durability.wait(Position(1, index), 10.0))
-            for index in range(1, 6)
-        ]
-        await asyncio.sleep(0.01)
-        durability.advance(Position(1, 2))
-        durability.enter(2)
-        assert await asyncio.gather(*waiting) == [True, True, False, False, False]
-        assert asyncio.get_running_loop().time() < 0.1
-
-    run_virtual(main())
-
+@in_virtual_time
+async def test_a_later_term_proves_nothing_of_the_last_entries_of_a_former_one() -> (
+    None
+):
+    durability = Durability()
+    durability.advance(Position(1, 5))
+    assert durability.holds(Position(1, 5))
+    waiting = asyncio.create_task(durability.wait(Position(1, 7), 1.0))
+    await asyncio.sleep(0.01)
+    durability.advance(Position(2, 6))
+    assert await waiting is False
+    assert not durability.holds(Position(1, 7))
+    assert await durability.wait(Position(2, 6), 1.0) is True
+
+
+@in_virtual_time
+async def test_waits_end_at_once_when_a_higher_term_is_seen() -> None:
+    durability = Durability()
+    durability.enter(1)
+    waiting = [
+        asyncio.create_task(durability.wait(Position(1, index), 10.0))
+        for index in range(1, 6)
+    ]
+    await asyncio.sleep(0.01)
+    durability.advance(Position(1, 2))
+    durability.enter(2)
+    assert await asyncio.gather(*waiting) == [True, True, False, False, False]
+    assert asyncio.get_running_loop().time() < 0.1
 
-def test_waits_that_gave_up_are_dropped() -> None:
-    async def main() -> None:
-        durability = Durability()
-        durability.enter(1)
-        for serial in range(5000):
-            with pytest.raises(TimeoutError):
-                await durability.wait(Position(1, serial), 0.0)
-        assert len(durability.waiters) <= 1100
 
-    run_virtual(main())
+@in_virtual_time
+async def test_waits_that_gave_up_are_dropped() -> None:
+    durability = Durability()
+    durability.enter(1)
+    for serial in range(5000):
+        with pytest.raises(TimeoutError):
+            await durability.wait(Position(1, serial), 0.0)
+    assert len(durability.waiters) <= 1100
 
 
 class Members:
@@ -131,55 +128,49 @@
         (state("m2", 4, Position(3, 8)), state("m3", 3, Position(3, 8)), True),
     ],
 )
-def test_a_round_needs_a_majority_that_promised_nothing_higher(
+@in_virtual_time
+async def test_a_round_needs_a_majority_that_promised_nothing_higher(
     second: MemberState | None, third: MemberState | None, proved: bool
 ) -> None:
-    async def main() -> None:
-        members = Members({"m1": LEADER, "m2": second, "m3": third})
+    members = Members({"m1": LEADER, "m2": second, "m3": third})
+    confirmation = members.confirmation()
+    ticket = confirmation.request()
+    await confirmation.wait(ticket)
+    assert confirmation.confirms(ticket, 3) is proved
+    assert not confirmation.confirms(ticket, 2)
+    assert len(members.samples) == int(proved)
+
+
+@in_virtual_time
+async def test_a_round_without_its_primary_proves_nothing() -> None:
+    replica = state("m2", 3, Position(3, 8))
+    other = state("m3", 3, Position(3, 8))
+    fenced = state("m1", 3, Position(3, 9), Role.FENCED)
+    for first in (None, fenced):
+        members = Members({"m1": first, "m2": replica, "m3": other})
         confirmation = members.confirmation()
         ticket = confirmation.request()
         await confirmation.wait(ticket)
-        assert confirmation.confirms(ticket, 3) is proved
-        assert not confirmation.confirms(ticket, 2)
-        assert len(members.samples) == int(proved)
-
-    run_virtual(main())
-
-
-def test_a_round_without_its_primary_proves_nothing() -> None:
-    async def main() -> None:
-        replica = state("m2", 3, Position(3, 8))
-        other = state("m3", 3, Position(3, 8))
-        fenced = state("m1", 3, Position(3, 9), Role.FENCED)
-        for first in (None, fenced):
-            members = Members({"m1": first, "m2": replica, "m3": other})
-            confirmation = members.confirmation()
-            ticket = confirmation.request()
-            await confirmation.wait(ticket)
-            assert not confirmation.confirms(ticket, 3)
-
-    run_virtual(main())
-
-
-def test_a_round_begun_before_the_question_does_not_serve_it() -> None:
-    async def main() -> None:
-        replica = state("m2", 3, Position(3, 8))
-        members = Members({"m1": LEADER, "m2": replica, "m3": None})
-        confirmation = members.confirmation()
-        first = confirmation.request()
-        await asyncio.sleep(0.005)
-        members.states["m2"] = state("m2", 4, Position(3, 8))
-        tickets = {confirmation.request() for _ in range(10)}
-        assert len(tickets) == 1
-        second = tickets.pop()
-        await confirmation.wait(first)
-        assert confirmation.confirms(first, 3)
-        assert not confirmation.confirms(second, 3)
-        await confirmation.wait(second)
-        assert not confirmation.confirms(second, 3)
-        assert members.asked == 6
-
-    run_virtual(main())
+        assert not confirmation.confirms(ticket, 3)
+
+
+@in_virtual_time
+async def test_a_round_begun_before_the_question_does_not_serve_it() -> None:
+    replica = state("m2", 3, Position(3, 8))
+    members = Members({"m1": LEADER, "m2": replica, "m3": None})
+    confirmation = members.confirmation()
+    first = confirmation.request()
+    await asyncio.sleep(0.005)
+    members.states["m2"] = state("m2", 4, Position(3, 8))
+    tickets = {confirmation.request() for _ in range(10)}
+    assert len(tickets) == 1
+    second = tickets.pop()
+    await confirmation.wait(first)
+    assert confirmation.confirms(first, 3)
+    assert not confirmation.confirms(second, 3)
+    await confirmation.wait(second)
+    assert not confirmation.confirms(second, 3)
+    assert members.asked == 6
 
 
 times = st.floats(0.0, 100.0)
@@ -221,67 +212,55 @@
     assert samples.age(ORIGIN, 10.0) is None
 
 
-def test_a_superseded_primary_that_wrote_nothing_reads_nothing_fresh() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        await cluster.write("m1", "a")
-        cluster.cut_zone("m1")
-        await asyncio.sleep(1.0)
-        assert cluster.leader() != "m1"
-        await cluster.write(cluster.leader(), "b")
-        with pytest.raises(Refusal) as caught:
-            await cluster.read("m1", Consistency.FRESH, remaining=0.6)
-        assert caught.value.reason is Reason.UNCONFIRMED
-        await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_a_fresh_read_does_not_show_what_may_still_be_lost() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        cluster.truth.cut({"m1"})
-        with pytest.raises(Refusal):
-            await cluster.write("m1", "unsafe", 0.1)
-        with pytest.raises(Refusal) as caught:
-            await cluster.read("m1", Consistency.FRESH, remaining=0.3)
-        assert caught.value.reason is Reason.UNCONFIRMED
-        await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_a_write_whose_proof_took_long_is_confirmed_first() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        position = await cluster.write("m1", "a")
-        keeper = cluster.hosts["m1a"].keeper
+@using(cluster_of, run_virtual)
+async def test_a_superseded_primary_that_wrote_nothing_reads_nothing_fresh(
+    cluster: Cluster,
+) -> None:
+    await cluster.write("m1", "a")
+    cluster.cut_zone("m1")
+    await asyncio.sleep(1.0)
+    assert cluster.leader() != "m1"
+    await cluster.write(cluster.leader(), "b")
+    with pytest.raises(Refusal) as caught:
+        await cluster.read("m1", Consistency.FRESH, remaining=0.6)
+    assert caught.value.reason is Reason.UNCONFIRMED
+
+
+@using(cluster_of, run_virtual)
+async def test_a_fresh_read_does_not_show_what_may_still_be_lost(
+    cluster: Cluster,
+) -> None:
+    cluster.truth.cut({"m1"})
+    with pytest.raises(Refusal):
+        await cluster.write("m1", "unsafe", 0.1)
+    with pytest.raises(Refusal) as caught:
+        await cluster.read("m1", Consistency.FRESH, remaining=0.3)
+    assert caught.value.reason is Reason.UNCONFIRMED
+
+
+@using(cluster_of, run_virtual)
+async def test_a_write_whose_proof_took_long_is_confirmed_first(
+    cluster: Cluster,
+) -> None:
+    position = await cluster.write("m1", "a")
+    keeper = cluster.hosts["m1a"].keeper
+    await keeper.durable(position, 0.3, since=cluster.now() - 1.0)
+    cluster.network.isolate({"m1a"}, {"m2a", "m3a"})
+    await keeper.durable(position, 0.3)
+    with pytest.raises(Refusal) as caught:
         await keeper.durable(position, 0.3, since=cluster.now() - 1.0)
-        cluster.network.isolate({"m1a"}, {"m2a", "m3a"})
-        await keeper.durable(position, 0.3)
-        with pytest.raises(Refusal) as caught:
-            await keeper.durable(position, 0.3, since=cluster.now() - 1.0)
-        assert caught.value.reason is Reason.NOT_DURABLE
-        await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_a_proof_that_nobody_can_give_yet_is_not_asked_for_without_a_pause() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        host = cluster.hosts["m2a"]
-        home = host.local["m2"]
-        assert home.task is not None
-        home.task.cancel()
-        home.state = None
-        begun = cluster.now()
-        await host.keeper.sampling.prove(0.5)
-        assert cluster.now() > begun
-        await cluster.stop()
-
-    run_virtual(main())
+    assert caught.value.reason is Reason.NOT_DURABLE
+
+
+@using(cluster_of, run_virtual)
+async def test_a_proof_that_nobody_can_give_yet_is_not_asked_for_without_a_pause(
+    cluster: Cluster,
+) -> None:
+    host = cluster.hosts["m2a"]
+    home = host.local["m2"]
+    assert home.task is not None
+    home.task.cancel()
+    home.state = None
+    begun = cluster.now()
+    await host.keeper.sampling.prove(0.5)
+    assert cluster.now() > begun
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -14,8 +14,9 @@
 from reedhook.request.statement import Consistency
 from reedhook.request.verdict import Verdict
 
-from .cluster_group import NAMES, Cluster, values
-from .fakes_clock import run_virtual
+from .cluster_group import NAMES, Cluster, cluster_of, values
+from .fakes_clock import in_virtual_time, run_virtual
+from .support import using
 
 Hook = Callable[[str, Control], Awaitable[None]]
 CHOSEN, OTHER = "chosen", "other"
@@ -85,380 +86,324 @@
 @pytest.mark.parametrize("side", ["before", "after"])
 @pytest.mark.parametrize("op, whose", STEPS)
 @pytest.mark.parametrize("chosen, other", [("m2", "m3"), ("m3", "m2")])
-def test_a_coordinator_paused_at_any_step(
+@in_virtual_time
+async def test_a_coordinator_paused_at_any_step(
     op: Op, whose: str, side: str, chosen: str, other: str
 ) -> None:
     member = chosen if whose == CHOSEN else other
-
-    async def main() -> None:
-        paused: list[str] = []
-
-        async def pause(host: str, order: Control) -> None:
-            if not cluster.truth.members["m1"].down:
-                return
-            if not paused and (order.op, order.member) == (op, member):
-                paused.append(host)
-                cluster.network.pause(host)
-            await cluster.network.awake(host)
-
-        cluster = stepped(**{side: pause})
-        await cluster.start()
-        kept = await lead_by_one(cluster, chosen, other)
-        cluster.kill_target("m1")
-        cluster.truth.cuts.clear()
-        await asyncio.sleep(2.0)
-        assert len(paused) == 1
-        cluster.network.resume(paused[0])
-        await cluster.until_writable()
-        kept += await write_some(cluster, cluster.leader(), "b")
-        cluster.revive_target("m1")
-        await check_kept(cluster, kept)
-        await cluster.stop()
-
-    run_virtual(main())
+    paused: list[str] = []
+
+    async def pause(host: str, order: Control) -> None:
+        if not cluster.truth.members["m1"].down:
+            return
+        if not paused and (order.op, order.member) == (op, member):
+            paused.append(host)
+            cluster.network.pause(host)
+        await cluster.network.awake(host)
+
+    cluster = stepped(**{side: pause})
+    await cluster.start()
+    kept = await lead_by_one(cluster, chosen, other)
+    cluster.kill_target("m1")
+    cluster.truth.cuts.clear()
+    await asyncio.sleep(2.0)
+    assert len(paused) == 1
+    cluster.network.resume(paused[0])
+    await cluster.until_writable()
+    kept += await write_some(cluster, cluster.leader(), "b")
+    cluster.revive_target("m1")
+    await check_kept(cluster, kept)
+    await cluster.stop()
 
 
 @pytest.mark.parametrize("op, whose", STEPS)
 @pytest.mark.parametrize("times", [1, 3])
 @pytest.mark.parametrize("chosen, other", [("m2", "m3"), ("m3", "m2")])
-def test_answers_lost_at_any_step(
+@in_virtual_time
+async def test_answers_lost_at_any_step(
     op: Op, whose: str, times: int, chosen: str, other: str
 ) -> None:
     member = chosen if whose == CHOSEN else other
-
-    async def main() -> None:
-        lost: list[str] = []
-
-        async def lose(host: str, order: Control) -> None:
-            if not cluster.truth.members["m1"].down:
-                return
-            if (order.op, order.member) == (op, member) and len(lost) < times:
-                lost.append(host)
-                raise may_have_run(Reason.HOST_UNREACHABLE, "the answer was lost")
-
-        cluster = stepped(after=lose)
-        await cluster.start()
-        kept = await lead_by_one(cluster, chosen, other)
-        cluster.kill_target("m1")
-        cluster.truth.cuts.clear()
-        await cluster.until_writable()
-        assert lost != []
-        kept += await write_some(cluster, cluster.leader(), "b")
-        cluster.revive_target("m1")
-        await check_kept(cluster, kept)
-        await cluster.stop()
-
-    run_virtual(main())
+    lost: list[str] = []
+
+    async def lose(host: str, order: Control) -> None:
+        if not cluster.truth.members["m1"].down:
+            return
+        if (order.op, order.member) == (op, member) and len(lost) < times:
+            lost.append(host)
+            raise may_have_run(Reason.HOST_UNREACHABLE, "the answer was lost")
+
+    cluster = stepped(after=lose)
+    await cluster.start()
+    kept = await lead_by_one(cluster, chosen, other)
+    cluster.kill_target("m1")
+    cluster.truth.cuts.clear()
+    await cluster.until_writable()
+    assert lost != []
+    kept += await write_some(cluster, cluster.leader(), "b")
+    cluster.revive_target("m1")
+    await check_kept(cluster, kept)
+    await cluster.stop()
 
 
 @pytest.mark.parametrize("seed", range(12))
-def test_coordinators_at_once_leave_one_primary(seed: int) -> None:
-    async def main() -> None:
-        cluster = Cluster(seed)
-        cluster.network.delays = {
-            ("m2a", "m3a"): 0.001 + 0.0007 * seed,
-            ("m3a", "m2a"): 0.006 - 0.0004 * seed,
-        }
-        for host in cluster.hosts.values():
-            host.keeper.coordinator.rank = lambda cause, former: 0  # type: ignore
-        await cluster.start()
-        kept = await write_some(cluster, "m1", "a")
-        cluster.cut_zone("m1")
-        await cluster.until_writable()
-        kept += await write_some(cluster, cluster.leader(), "b")
-        cluster.heal()
-        await check_kept(cluster, kept)
-        await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_a_replica_far_behind_is_never_chosen() -> None:
-    async def main() -> None:
-        for behind, ahead in (("m2", "m3"), ("m3", "m2")):
-            cluster = Cluster()
-            await cluster.start()
-            cluster.truth.cut({behind})
-            kept = await write_some(cluster, "m1", "a")
-            cluster.truth.cuts.clear()
-            cluster.truth.cut({"m1"})
-            cluster.kill_target("m1")
-            await cluster.until_writable()
-            assert cluster.leader() == ahead
-            await check_kept(cluster, kept)
-            await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_an_isolated_primary_acknowledges_nothing_and_reads_nothing_fresh() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        kept = await write_some(cluster, "m1", "a")
-        cluster.cut_zone("m1")
-        with pytest.raises(Refusal) as written:
-            await cluster.write("m1", "lost", 0.5)
-        assert written.value.verdict is Verdict.MAY_HAVE_RUN
-        await cluster.until_writable()
-        kept += await write_some(cluster, cluster.leader(), "b")
-        with pytest.raises(Refusal) as fresh:
-            await cluster.read("m1", Consistency.FRESH, remaining=0.5)
-        assert fresh.value.reason is Reason.UNCONFIRMED
-        assert fresh.value.verdict is Verdict.NOT_RUN
-        with pytest.raises(Refusal) as session:
-            await cluster.read("m1", Consistency.SESSION, covers=kept[0])
-        assert session.value.reason is Reason.NOT_COVERED
-        cluster.heal()
-        await check_kept(cluster, kept)
-        assert cluster.truth.members["m1"].role is Role.REPLICA
-        await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_a_replica_in_a_cut_off_zone_serves_sessions_until_it_lacks_them() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        before = await cluster.write("m1", "a")
-        await asyncio.sleep(0.1)
-        cluster.cut_zone("m2")
-        after = await cluster.write("m1", "b")
-        served = await cluster.read("m2", Consistency.SESSION, covers=before)
-        assert "a" in values(served)
-        with pytest.raises(Refusal):
-            await cluster.read("m2", Consistency.SESSION, covers=after)
-        await cluster.stop()
-
-    run_virtual(main())
+@in_virtual_time
+async def test_coordinators_at_once_leave_one_primary(seed: int) -> None:
+    cluster = Cluster(seed)
+    cluster.network.delays = {
+        ("m2a", "m3a"): 0.001 + 0.0007 * seed,
+        ("m3a", "m2a"): 0.006 - 0.0004 * seed,
+    }
+    for host in cluster.hosts.values():
+        host.keeper.coordinator.rank = lambda cause, former: 0  # type: ignore
+    await cluster.start()
+    kept = await write_some(cluster, "m1", "a")
+    cluster.cut_zone("m1")
+    await cluster.until_writable()
+    kept += await write_some(cluster, cluster.leader(), "b")
+    cluster.heal()
+    await check_kept(cluster, kept)
+    await cluster.stop()
 
 
-def test_an_old_primary_that_returns_follows_and_drops_what_was_not_safe() -> None:
-    async def main() -> None:
+@in_virtual_time
+async def test_a_replica_far_behind_is_never_chosen() -> None:
+    for behind, ahead in (("m2", "m3"), ("m3", "m2")):
         cluster = Cluster()
         await cluster.start()
+        cluster.truth.cut({behind})
         kept = await write_some(cluster, "m1", "a")
-        cluster.truth.cut({"m1"})
-        with contextlib.suppress(Refusal):
-            await cluster.write("m1", "lost", 0.05)
-        cluster.kill_target("m1")
-        await cluster.until_writable()
         cluster.truth.cuts.clear()
-        cluster.revive_target("m1")
-        await check_kept(cluster, kept)
-        entries = [entry.value for entry in cluster.truth.members["m1"].log]
-        assert "lost" not in entries
-        served = await cluster.read("m1", Consistency.SESSION, covers=kept[-1])
-        assert "lost" not in values(served)
-        await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_a_dead_home_of_a_living_primary_brings_no_promotion() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        kept = await write_some(cluster, "m1", "a")
-        await cluster.kill_host("m1a", listed=False)
-        await asyncio.sleep(1.5)
-        assert list(cluster.truth.leaders) == [1]
-        lost = [ref.host for host in cluster.hosts.values() for ref in host.lost_hosts]
-        assert set(lost) == {"m1a"}
-        await cluster.take_over("m1a")
-        gap = await cluster.until_writable()
-        assert gap < 0.5
-        await asyncio.sleep(3.0)
-        assert list(cluster.truth.leaders) == [1]
-        await check_kept(cluster, kept)
-        await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_a_primary_that_nobody_takes_home_is_replaced_in_the_end() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        kept = await write_some(cluster, "m1", "a")
-        await cluster.kill_host("m1a", listed=False)
-        gap = await cluster.until_writable()
-        assert 2.9 < gap < 4.0
-        assert cluster.leader() != "m1"
-        await cluster.take_over("m1a")
-        await check_kept(cluster, kept)
-        await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_a_primary_seen_by_another_zone_is_left_alone() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        cluster.network.isolate({"m1a", "m1b"}, {"m2a", "m2b"})
-        cluster.truth.cuts |= {("m2", "m1"), ("m1", "m2")}
-        for serial in range(50):
-            await cluster.write("m1", f"w{serial}")
-            await asyncio.sleep(0.1)
-        assert list(cluster.truth.leaders) == [1]
-        counted = cluster.counted()
-        assert counted["primary.suspected"] > 0
-        assert counted["primary.cleared"] > 0
-        assert counted["primary.promoted"] == 0
-        await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_without_a_majority_no_term_is_raised() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        kept = await write_some(cluster, "m1", "a")
-        cluster.kill_target("m3")
-        kept += await write_some(cluster, "m1", "b")
-        cluster.kill_target("m1")
-        await asyncio.sleep(10.0)
-        assert list(cluster.truth.leaders) == [1]
-        assert cluster.truth.members["m2"].promised == 1
-        assert cluster.events(EventKind.PROMOTION_FAILED) != []
-        assert cluster.counted()["primary.attempt_failed"] > 0
-        cluster.revive_target("m1")
-        gap = await cluster.until_writable()
-        assert gap < 2.0
-        cluster.revive_target("m3")
-        await check_kept(cluster, kept)
-        await cluster.stop()
-
-    run_virtual(main())
-
-
-def test_the_new_primary_lost_right_after_the_change() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        kept = await write_some(cluster, "m1", "a")
+        cluster.truth.cut({"m1"})
         cluster.kill_target("m1")
         await cluster.until_writable()
-        second = cluster.leader()
-        kept += await write_some(cluster, second, "b")
-        cluster.kill_target(second)
-        await asyncio.sleep(0.3)
-        cluster.revive_target("m1")
-        await cluster.until_writable()
-        third = cluster.leader()
-        assert third not in ("m1", second)
-        kept += await write_some(cluster, third, "c")
-        cluster.revive_target(second)
+        assert cluster.leader() == ahead
         await check_kept(cluster, kept)
         await cluster.stop()
 
-    run_virtual(main())
-
-
-def test_a_member_left_fenced_by_an_abandoned_attempt_rejoins() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        kept = await write_some(cluster, "m1", "a")
-        cluster.truth.members["m2"].raise_term(7, "gone")
-        kept += await write_some(cluster, "m1", "b")
-        await asyncio.sleep(3.0)
-        assert cluster.truth.members["m2"].role is not Role.FENCED
-        assert cluster.leader() == "m1"
-        assert max(cluster.truth.leaders) > 7
-        await check_kept(cluster, kept)
-        await cluster.stop()
 
-    run_virtual(main())
+@using(cluster_of, run_virtual)
+async def test_an_isolated_primary_acknowledges_nothing_and_reads_nothing_fresh(
+    cluster: Cluster,
+) -> None:
+    kept = await write_some(cluster, "m1", "a")
+    cluster.cut_zone("m1")
+    with pytest.raises(Refusal) as written:
+        await cluster.write("m1", "lost", 0.5)
+    assert written.value.verdict is Verdict.MAY_HAVE_RUN
+    await cluster.until_writable()
+    kept += await write_some(cluster, cluster.leader(), "b")
+    with pytest.raises(Refusal) as fresh:
+        await cluster.read("m1", Consistency.FRESH, remaining=0.5)
+    assert fresh.value.reason is Reason.UNCONFIRMED
+    assert fresh.value.verdict is Verdict.NOT_RUN
+    with pytest.raises(Refusal) as session:
+        await cluster.read("m1", Consistency.SESSION, covers=kept[0])
+    assert session.value.reason is Reason.NOT_COVERED
+    cluster.heal()
+    await check_kept(cluster, kept)
+    assert cluster.truth.members["m1"].role is Role.REPLICA
+
+
+@using(cluster_of, run_virtual)
+async def test_a_replica_in_a_cut_off_zone_serves_sessions_until_it_lacks_them(
+    cluster: Cluster,
+) -> None:
+    before = await cluster.write("m1", "a")
+    await asyncio.sleep(0.1)
+    cluster.cut_zone("m2")
+    after = await cluster.write("m1", "b")
+    served = await cluster.read("m2", Consistency.SESSION, covers=before)
+    assert "a" in values(served)
+    with pytest.raises(Refusal):
+        await cluster.read("m2", Consistency.SESSION, covers=after)
 
 
-def test_a_group_whose_members_are_all_fenced_finds_a_leader() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        kept = await write_some(cluster, "m1", "a")
-        for name in NAMES:
-            cluster.truth.members[name].raise_term(4, "gone")
-        gap = await cluster.until_writable()
-        assert gap < 1.5
-        await check_kept(cluster, kept)
-        await cluster.stop()
+@using(cluster_of, run_virtual)
+async def test_an_old_primary_that_returns_follows_and_drops_what_was_not_safe(
+    cluster: Cluster,
+) -> None:
+    kept = await write_some(cluster, "m1", "a")
+    cluster.truth.cut({"m1"})
+    with contextlib.suppress(Refusal):
+        await cluster.write("m1", "lost", 0.05)
+    cluster.kill_target("m1")
+    await cluster.until_writable()
+    cluster.truth.cuts.clear()
+    cluster.revive_target("m1")
+    await check_kept(cluster, kept)
+    entries = [entry.value for entry in cluster.truth.members["m1"].log]
+    assert "lost" not in entries
+    served = await cluster.read("m1", Consistency.SESSION, covers=kept[-1])
+    assert "lost" not in values(served)
+
+
+@using(cluster_of, run_virtual)
+async def test_a_dead_home_of_a_living_primary_brings_no_promotion(
+    cluster: Cluster,
+) -> None:
+    kept = await write_some(cluster, "m1", "a")
+    await cluster.kill_host("m1a", listed=False)
+    await asyncio.sleep(1.5)
+    assert list(cluster.truth.leaders) == [1]
+    lost = [ref.host for host in cluster.hosts.values() for ref in host.lost_hosts]
+    assert set(lost) == {"m1a"}
+    await cluster.take_over("m1a")
+    gap = await cluster.until_writable()
+    assert gap < 0.5
+    await asyncio.sleep(3.0)
+    assert list(cluster.truth.leaders) == [1]
+    await check_kept(cluster, kept)
 
-    run_virtual(main())
 
+@using(cluster_of, run_virtual)
+async def test_a_primary_that_nobody_takes_home_is_replaced_in_the_end(
+    cluster: Cluster,
+) -> None:
+    kept = await write_some(cluster, "m1", "a")
+    await cluster.kill_host("m1a", listed=False)
+    gap = await cluster.until_writable()
+    assert 2.9 < gap < 4.0
+    assert cluster.leader() != "m1"
+    await cluster.take_over("m1a")
+    await check_kept(cluster, kept)
+
+
+@using(cluster_of, run_virtual)
+async def test_a_primary_seen_by_another_zone_is_left_alone(cluster: Cluster) -> None:
+    cluster.network.isolate({"m1a", "m1b"}, {"m2a", "m2b"})
+    cluster.truth.cuts |= {("m2", "m1"), ("m1", "m2")}
+    for serial in range(50):
+        await cluster.write("m1", f"w{serial}")
+        await asyncio.sleep(0.1)
+    assert list(cluster.truth.leaders) == [1]
+    counted = cluster.counted()
+    assert counted["primary.suspected"] > 0
+    assert counted["primary.cleared"] > 0
+    assert counted["primary.promoted"] == 0
 
-def test_a_living_primary_is_kept_while_a_twentieth_of_messages_is_lost() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        cluster.network.loss = 0.05
-        await cluster.start()
-        for serial in range(600):
-            with contextlib.suppress(Refusal):
-                await cluster.write("m1", f"w{serial}", 0.5)
-            await asyncio.sleep(0.1)
-        assert list(cluster.truth.leaders) == [1]
-        await cluster.stop()
 
-    run_virtual(main())
+@using(cluster_of, run_virtual)
+async def test_without_a_majority_no_term_is_raised(cluster: Cluster) -> None:
+    kept = await write_some(cluster, "m1", "a")
+    cluster.kill_target("m3")
+    kept += await write_some(cluster, "m1", "b")
+    cluster.kill_target("m1")
+    await asyncio.sleep(10.0)
+    assert list(cluster.truth.leaders) == [1]
+    assert cluster.truth.members["m2"].promised == 1
+    assert cluster.events(EventKind.PROMOTION_FAILED) != []
+    assert cluster.counted()["primary.attempt_failed"] > 0
+    cluster.revive_target("m1")
+    gap = await cluster.until_writable()
+    assert gap < 2.0
+    cluster.revive_target("m3")
+    await check_kept(cluster, kept)
+
+
+@using(cluster_of, run_virtual)
+async def test_the_new_primary_lost_right_after_the_change(cluster: Cluster) -> None:
+    kept = await write_some(cluster, "m1", "a")
+    cluster.kill_target("m1")
+    await cluster.until_writable()
+    second = cluster.leader()
+    kept += await write_some(cluster, second, "b")
+    cluster.kill_target(second)
+    await asyncio.sleep(0.3)
+    cluster.revive_target("m1")
+    await cluster.until_writable()
+    third = cluster.leader()
+    assert third not in ("m1", second)
+    kept += await write_some(cluster, third, "c")
+    cluster.revive_target(second)
+    await check_kept(cluster, kept)
 
 
-def test_a_planned_change_loses_nothing_and_pauses_writes_briefly() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        kept: list[Position] = []
-        refusals: list[Refusal] = []
-        finished = asyncio.Event()
-
-        async def gate(number: int) -> None:
-            serial = 0
-            while not finished.is_set():
-                serial += 1
-                member = cluster.leader()
-                try:
-                    kept.append(await cluster.write(member, f"{number}.{serial}"))
-                except Refusal as refusal:
-                    refusals.append(refusal)
-                    await asyncio.sleep(0.005)
-
-        callers = [asyncio.create_task(gate(number)) for number in range(5)]
-        await asyncio.sleep(0.2)
-        assert await cluster.hosts["m1a"].keeper.hand_over(2.0)
-        assert cluster.leader() != "m1"
-        await asyncio.sleep(0.2)
-        finished.set()
-        await asyncio.gather(*callers)
-        assert all(one.verdict is Verdict.NOT_RUN for one in refusals)
-        await check_kept(cluster, kept)
-        await cluster.stop()
+@using(cluster_of, run_virtual)
+async def test_a_member_left_fenced_by_an_abandoned_attempt_rejoins(
+    cluster: Cluster,
+) -> None:
+    kept = await write_some(cluster, "m1", "a")
+    cluster.truth.members["m2"].raise_term(7, "gone")
+    kept += await write_some(cluster, "m1", "b")
+    await asyncio.sleep(3.0)
+    assert cluster.truth.members["m2"].role is not Role.FENCED
+    assert cluster.leader() == "m1"
+    assert max(cluster.truth.leaders) > 7
+    await check_kept(cluster, kept)
 
-    run_virtual(main())
 
+@using(cluster_of, run_virtual)
+async def test_a_group_whose_members_are_all_fenced_finds_a_leader(
+    cluster: Cluster,
+) -> None:
+    kept = await write_some(cluster, "m1", "a")
+    for name in NAMES:
+        cluster.truth.members[name].raise_term(4, "gone")
+    gap = await cluster.until_writable()
+    assert gap < 1.5
+    await check_kept(cluster, kept)
+
+
+@in_virtual_time
+async def test_a_living_primary_is_kept_while_a_twentieth_of_messages_is_lost() -> None:
+    cluster = Cluster()
+    cluster.network.loss = 0.05
+    await cluster.start()
+    for serial in range(600):
+        with contextlib.suppress(Refusal):
+            await cluster.write("m1", f"w{serial}", 0.5)
+        await asyncio.sleep(0.1)
+    assert list(cluster.truth.leaders) == [1]
+    await cluster.stop()
 
-def test_a_failover_can_be_read_from_the_time_line() -> None:
-    async def main() -> None:
-        cluster = Cluster()
-        await cluster.start()
-        cluster.cut_zone("m1")
-        await cluster.until_writable()
-        suspected = cluster.events(EventKind.PRIMARY_SUSPECTED)
-        raised = cluster.events(EventKind.TERM_RAISED)
-        promoted = cluster.events(EventKind.PRIMARY_PROMOTED)
-        resumed = cluster.events(EventKind.WRITES_RESUMED)
-        assert {event.detail["cause"] for event in suspected} == {"silent"}
-        assert len(raised) == len(promoted) == 1
-        detail = promoted[0].detail
-        for step in ("suspicion_ms", "agreement_ms", "promotion_ms"):
-            assert detail[step] > 0.0
-        assert resumed[-1].detail["term"] == detail["term"]
-        assert resumed[-1].detail["after_learned_ms"] > 0.0
-        counted = cluster.counted()
-        assert counted["primary.promoted"] == 1
-        for step in ("suspicion", "agreement", "promotion", "first_write"):
-            assert counted[f"primary.{step}.count"] == 1
-        await cluster.stop()
 
-    run_virtual(main())
+@using(cluster_of, run_virtual)
+async def test_a_planned_change_loses_nothing_and_pauses_writes_briefly(
+    cluster: Cluster,
+) -> None:
+    kept: list[Position] = []
+    refusals: list[Refusal] = []
+    finished = asyncio.Event()
+
+    async def gate(number: int) -> None:
+        serial = 0
+        while not finished.is_set():
+            serial += 1
+            member = cluster.leader()
+            try:
+                kept.append(await cluster.write(member, f"{number}.{serial}"))
+            except Refusal as refusal:
+                refusals.append(refusal)
+                await asyncio.sleep(0.005)
+
+    callers = [asyncio.create_task(gate(number)) for number in range(5)]
+    await asyncio.sleep(0.2)
+    assert await cluster.hosts["m1a"].keeper.hand_over(2.0)
+    assert cluster.leader() != "m1"
+    await asyncio.sleep(0.2)
+    finished.set()
+    await asyncio.gather(*callers)
+    assert all(one.verdict is Verdict.NOT_RUN for one in refusals)
+    await check_kept(cluster, kept)
+
+
+@using(cluster_of, run_virtual)
+async def test_a_failover_can_be_read_from_the_time_line(cluster: Cluster) -> None:
+    cluster.cut_zone("m1")
+    await cluster.until_writable()
+    suspected = cluster.events(EventKind.PRIMARY_SUSPECTED)
+    raised = cluster.events(EventKind.TERM_RAISED)
+    promoted = cluster.events(EventKind.PRIMARY_PROMOTED)
+    resumed = cluster.events(EventKind.WRITES_RESUMED)
+    assert {event.detail["cause"] for event in suspected} == {"silent"}
+    assert len(raised) == len(promoted) == 1
+    detail = promoted[0].detail
+    for step in ("suspicion_ms", "agreement_ms", "promotion_ms"):
+        assert detail[step] > 0.0
+    assert resumed[-1].detail["term"] == detail["term"]
+    assert resumed[-1].detail["after_learned_ms"] > 0.0
+    counted = cluster.counted()
+    assert counted["primary.promoted"] == 1
+    for step in ("suspicion", "agreement", "promotion", "first_write"):
+        assert counted[f"primary.{step}.count"] == 1
