Give tests of peers, worlds and the life cycle what they run on

Cause: these tests handed a nested coroutine to a runner of their own file (with_both, play), and three other files imported these runners. Change: scene_of and calling_a_listener yield what the runners passed on, and the tests are coroutines under using or on_loop. Values that two tests of the life cycle returned are now asserted where they are read. All other assertions and expected errors stand in the same order as before.

--- a/tests/test_daemon_lifecycle.py
+++ b/tests/test_daemon_lifecycle.py
@@ -8,7 +8,7 @@
 from reedhook.process.lifecycle import HostProcess, ShutdownOverdue
 
 from .daemon_fakes import Counted, FakeHost, a_process
-from .support import run
+from .support import on_loop
 
 CLIENTS = 20
 
@@ -44,63 +44,53 @@
         await asyncio.gather(*map(self.client, range(CLIENTS)))
 
 
-def test_a_stop_under_load_cuts_no_request() -> None:
-    async def main() -> tuple[Load, Counted, FakeHost]:
-        host, counted = FakeHost(), Counted()
-        process = a_process(host, counted.app(), 10)
-        await process.start()
-        load = Load(f"http://{process.callers.address}/")
-        running = asyncio.create_task(load.run())
-        await asyncio.sleep(0.2)
-        await process.stop()
-        await running
-        return load, counted, host
-
-    load, counted, host = run(main())
+@on_loop
+async def test_a_stop_under_load_cuts_no_request() -> None:
+    host, counted = FakeHost(), Counted()
+    process = a_process(host, counted.app(), 10)
+    await process.start()
+    load = Load(f"http://{process.callers.address}/")
+    running = asyncio.create_task(load.run())
+    await asyncio.sleep(0.2)
+    await process.stop()
+    await running
     assert load.cut == []
     assert load.answered > CLIENTS
     assert counted.begun == counted.ended == load.answered
     assert host.steps == ["start", "started", "drain", "drained", "close"]
 
 
-def test_callers_and_peers_are_served_while_the_host_drains() -> None:
-    async def main() -> tuple[int, int]:
-        host, counted = FakeHost(), Counted()
-        host.drained.clear()
-        process = a_process(host, counted.app(), 10)
-        await process.start()
-        stopping = asyncio.create_task(process.stop())
-        await asyncio.sleep(0.3)
-        async with aiohttp.ClientSession() as session:
-            async with session.post(f"http://{process.callers.address}/") as response:
-                served = response.status
-            async with session.get(f"http://{process.peers.address}/") as response:
-                reached = response.status
-        host.drained.set()
-        await stopping
-        return served, reached
-
-    assert run(main()) == (200, 404)
-
-
-def test_a_shutdown_past_its_bound_is_reported_and_closes() -> None:
-    async def main() -> FakeHost:
-        host = FakeHost()
-        host.drained.clear()
-        process = a_process(host, Counted().app(), 0.2)
-        await process.start()
-        with pytest.raises(ShutdownOverdue):
-            await process.stop()
-        return host
-
-    assert run(main()).steps[-1] == "close"
-
-
-def test_a_process_that_has_not_started_can_be_stopped() -> None:
-    async def main() -> FakeHost:
-        host = FakeHost()
-        process: HostProcess = a_process(host, Counted().app(), 10)
+@on_loop
+async def test_callers_and_peers_are_served_while_the_host_drains() -> None:
+    host, counted = FakeHost(), Counted()
+    host.drained.clear()
+    process = a_process(host, counted.app(), 10)
+    await process.start()
+    stopping = asyncio.create_task(process.stop())
+    await asyncio.sleep(0.3)
+    async with aiohttp.ClientSession() as session:
+        async with session.post(f"http://{process.callers.address}/") as response:
+            assert response.status == 200
+        async with session.get(f"http://{process.peers.address}/") as response:
+            assert response.status == 404
+    host.drained.set()
+    await stopping
+
+
+@on_loop
+async def test_a_shutdown_past_its_bound_is_reported_and_closes() -> None:
+    host = FakeHost()
+    host.drained.clear()
+    process = a_process(host, Counted().app(), 0.2)
+    await process.start()
+    with pytest.raises(ShutdownOverdue):
         await process.stop()
-        return host
+    assert host.steps[-1] == "close"
+
 
-    assert run(main()).steps[-1] == "close"
+@on_loop
+async def test_a_process_that_has_not_started_can_be_stopped() -> None:
+    host = FakeHost()
+    process: HostProcess = a_process(host, Counted().app(), 10)
+    await process.stop()
+    assert host.steps[-1] == "close"
--- a/tests/test_drain_transaction.py
+++ b/tests/test_drain_transaction.py
@@ -6,34 +6,33 @@
 from reedhook.request.verdict import Verdict
 from reedhook_standins.workload import DanubeDay
 
-from .test_world import DESK, Scene, play
+from .support import using
+from .test_world import DESK, Scene, scene_of
 
 
-def test_a_transaction_ends_durably_at_a_host_that_drains() -> None:
-    async def act(scene: Scene) -> None:
-        world, desk = scene.world, scene.desk
-        primary = scene.group.primary.name
-        home = world.home_of(primary)
-        (draining,) = (one for one in world.hosts() if one.me.host == home)
-        others = [one.listen for one in world.settings.values() if one.host != home]
-        desk.host = world.random.choice(others)
-        begin = {"group": scene.group.name, "request_id": desk.new_request_id()}
-        begun = (await desk.call("/v1/transactions", begin)).body
-        path = f"/v1/transactions/{begun['transaction']}"
-        stop = asyncio.create_task(world.stop_host(home))
-        while draining.homes.get(primary) is not None or not world.at_home(primary):
-            await asyncio.sleep(0.02)
-        for serial in (1, 2):
-            values = [f"t{serial}", DESK, serial, "tug-1", f"convoy-{serial}"]
-            step = {"sql": DanubeDay.assignments.insert, "params": values}
-            reply = await desk.call(f"{path}/statements", step)
-            assert reply.verdict is Verdict.DONE, reply.body
-            await asyncio.sleep(0.7)
-        assert not stop.done()
-        reply = await desk.call(f"{path}/commit", {})
+@using(lambda: scene_of(hosts=6))
+async def test_a_transaction_ends_durably_at_a_host_that_drains(scene: Scene) -> None:
+    world, desk = scene.world, scene.desk
+    primary = scene.group.primary.name
+    home = world.home_of(primary)
+    (draining,) = (one for one in world.hosts() if one.me.host == home)
+    others = [one.listen for one in world.settings.values() if one.host != home]
+    desk.host = world.random.choice(others)
+    begin = {"group": scene.group.name, "request_id": desk.new_request_id()}
+    begun = (await desk.call("/v1/transactions", begin)).body
+    path = f"/v1/transactions/{begun['transaction']}"
+    stop = asyncio.create_task(world.stop_host(home))
+    while draining.homes.get(primary) is not None or not world.at_home(primary):
+        await asyncio.sleep(0.02)
+    for serial in (1, 2):
+        values = [f"t{serial}", DESK, serial, "tug-1", f"convoy-{serial}"]
+        step = {"sql": DanubeDay.assignments.insert, "params": values}
+        reply = await desk.call(f"{path}/statements", step)
         assert reply.verdict is Verdict.DONE, reply.body
-        assert reply.body["home"] == home
-        await stop
-        assert await scene.look(Consistency.FRESH, through=desk.host) == 2
-
-    play(act, hosts=6)
+        await asyncio.sleep(0.7)
+    assert not stop.done()
+    reply = await desk.call(f"{path}/commit", {})
+    assert reply.verdict is Verdict.DONE, reply.body
+    assert reply.body["home"] == home
+    await stop
+    assert await scene.look(Consistency.FRESH, through=desk.host) == 2
--- a/tests/test_peer_http.py
+++ b/tests/test_peer_http.py
@@ -20,7 +20,7 @@
 from reedhook.request.verdict import Verdict
 from reedhook.wire import Json, WireError
 
-from .support import run
+from .support import on_loop, using
 
 SECRET = "a credential of the hosts"
 
@@ -59,6 +59,9 @@
         return await self.note(body)
 
 
+Both = tuple[HttpPeers, Listener]
+
+
 @asynccontextmanager
 async def listening(credential: str = SECRET) -> AsyncIterator[Listener]:
     listener = Listener()
@@ -85,44 +88,40 @@
         await peers.close()
 
 
-def with_both(test: Callable[[HttpPeers, Listener], Awaitable[None]]) -> None:
-    async def main() -> None:
-        async with listening() as listener, calling() as peers:
-            await test(peers, listener)
-
-    run(main())
-
-
-def test_a_stop_resets_no_call_that_was_just_made() -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        assert listener.server is not None
-        calls = [
-            asyncio.create_task(peers.call(listener.ref, "note", {}, 30.0))
-            for _ in range(200)
-        ]
-        await asyncio.sleep(0.005)
-        await listener.server.stop()
-        outcomes = await asyncio.gather(*calls, return_exceptions=True)
-        refused = [one for one in outcomes if isinstance(one, PeerError)]
-        assert [one for one in refused if one.sent] == []
-        assert 0 < len(listener.seen) == len(calls) - len(refused)
-
-    with_both(test)
-
-
-def test_answers_and_refusals_travel_and_stamps_ride_along() -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        ahead = int(listener.timeline.clock.wall() * 1000) + 30_000
-        listener.timeline.observe(ahead, 3)
-        assert await peers.call(listener.ref, "note", {"n": 1}, 1.0) == {"seen": 1}
-        assert peers.timeline.stamp.wall_ms == ahead
-        with pytest.raises(Refusal) as refused:
-            await peers.call(listener.ref, "refuse", {}, 1.0)
-        assert refused.value.reason is Reason.WRONG_HOME
-        assert refused.value.verdict is Verdict.NOT_RUN
-        assert refused.value.retry_after_ms == 20
-
-    with_both(test)
+@asynccontextmanager
+async def calling_a_listener() -> AsyncIterator[Both]:
+    async with listening() as listener, calling() as peers:
+        yield peers, listener
+
+
+@using(calling_a_listener)
+async def test_a_stop_resets_no_call_that_was_just_made(both: Both) -> None:
+    peers, listener = both
+    assert listener.server is not None
+    calls = [
+        asyncio.create_task(peers.call(listener.ref, "note", {}, 30.0))
+        for _ in range(200)
+    ]
+    await asyncio.sleep(0.005)
+    await listener.server.stop()
+    outcomes = await asyncio.gather(*calls, return_exceptions=True)
+    refused = [one for one in outcomes if isinstance(one, PeerError)]
+    assert [one for one in refused if one.sent] == []
+    assert 0 < len(listener.seen) == len(calls) - len(refused)
+
+
+@using(calling_a_listener)
+async def test_answers_and_refusals_travel_and_stamps_ride_along(both: Both) -> None:
+    peers, listener = both
+    ahead = int(listener.timeline.clock.wall() * 1000) + 30_000
+    listener.timeline.observe(ahead, 3)
+    assert await peers.call(listener.ref, "note", {"n": 1}, 1.0) == {"seen": 1}
+    assert peers.timeline.stamp.wall_ms == ahead
+    with pytest.raises(Refusal) as refused:
+        await peers.call(listener.ref, "refuse", {}, 1.0)
+    assert refused.value.reason is Reason.WRONG_HOME
+    assert refused.value.verdict is Verdict.NOT_RUN
+    assert refused.value.retry_after_ms == 20
 
 
 @pytest.mark.parametrize(
@@ -133,47 +132,43 @@
         ("nowhere", Reason.BAD_REQUEST, Verdict.NOT_RUN),
     ],
 )
-def test_a_failing_handler_becomes_a_refusal(
-    path: str, reason: Reason, verdict: Verdict
+@using(calling_a_listener)
+async def test_a_failing_handler_becomes_a_refusal(
+    both: Both, path: str, reason: Reason, verdict: Verdict
 ) -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        with pytest.raises(Refusal) as refused:
-            await peers.call(listener.ref, path, {}, 1.0)
-        assert refused.value.reason is reason
-        assert refused.value.verdict is verdict
+    peers, listener = both
+    with pytest.raises(Refusal) as refused:
+        await peers.call(listener.ref, path, {}, 1.0)
+    assert refused.value.reason is reason
+    assert refused.value.verdict is verdict
 
-    with_both(test)
 
-
-def test_a_refused_connection_was_not_sent() -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        nobody = HostRef("nobody", "comiso", "127.0.0.1:1")
-        with pytest.raises(PeerError) as failed:
-            await peers.call(nobody, "note", {}, 1.0)
-        assert not failed.value.sent
-
-    with_both(test)
+@using(calling_a_listener)
+async def test_a_refused_connection_was_not_sent(both: Both) -> None:
+    peers, _ = both
+    nobody = HostRef("nobody", "comiso", "127.0.0.1:1")
+    with pytest.raises(PeerError) as failed:
+        await peers.call(nobody, "note", {}, 1.0)
+    assert not failed.value.sent
 
 
-def test_an_unaccepted_connection_was_not_sent() -> None:
+@on_loop
+async def test_an_unaccepted_connection_was_not_sent() -> None:
     """A full backlog drops the connection request, as a dead host does."""
 
-    async def main() -> None:
-        with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
-            port = full.getsockname()[1]
-            waiting = [socket.socket() for _ in range(4)]
-            for one in waiting:
-                one.setblocking(False)
-                one.connect_ex(("127.0.0.1", port))
-            async with calling() as peers:
-                silent = HostRef("silent", "comiso", f"127.0.0.1:{port}")
-                with pytest.raises(PeerError) as failed:
-                    await peers.call(silent, "note", {}, 0.2)
-            for one in waiting:
-                one.close()
-        assert not failed.value.sent
-
-    run(main())
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+        port = full.getsockname()[1]
+        waiting = [socket.socket() for _ in range(4)]
+        for one in waiting:
+            one.setblocking(False)
+            one.connect_ex(("127.0.0.1", port))
+        async with calling() as peers:
+            silent = HostRef("silent", "comiso", f"127.0.0.1:{port}")
+            with pytest.raises(PeerError) as failed:
+                await peers.call(silent, "note", {}, 0.2)
+        for one in waiting:
+            one.close()
+    assert not failed.value.sent
 
 
 async def serve_raw(
@@ -202,7 +197,8 @@
     await writer.drain()
 
 
-def test_a_broken_exchange_was_sent_and_is_not_repeated() -> None:
+@on_loop
+async def test_a_broken_exchange_was_sent_and_is_not_repeated() -> None:
     """The peer reads the call and closes; a second connection must not come."""
     calls: list[bytes] = []
 
@@ -214,20 +210,18 @@
         calls.append(await reader.readuntil(b"}}"))
         writer.close()
 
-    async def main() -> None:
-        server, ref, opened = await serve_raw(cut)
-        async with server, calling() as peers:
-            assert await peers.call(ref, "note", {}, 1.0) == {"ok": 1}
-            with pytest.raises(PeerError) as failed:
-                await peers.call(ref, "note", {}, 1.0)
-            assert failed.value.sent
-            assert opened == [0]
-            assert len(calls) == 1
-
-    run(main())
+    server, ref, opened = await serve_raw(cut)
+    async with server, calling() as peers:
+        assert await peers.call(ref, "note", {}, 1.0) == {"ok": 1}
+        with pytest.raises(PeerError) as failed:
+            await peers.call(ref, "note", {}, 1.0)
+        assert failed.value.sent
+        assert opened == [0]
+        assert len(calls) == 1
 
 
-def test_after_a_silent_connection_the_next_call_opens_a_new_one() -> None:
+@on_loop
+async def test_after_a_silent_connection_the_next_call_opens_a_new_one() -> None:
     async def silent(
         number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -236,83 +230,79 @@
             await asyncio.Event().wait()
         await respond(reader, writer)
 
-    async def main() -> None:
-        server, ref, opened = await serve_raw(silent)
-        async with server, calling() as peers:
-            await peers.call(ref, "note", {}, 1.0)
-            with pytest.raises(PeerError) as failed:
-                await peers.call(ref, "note", {}, 0.05)
-            assert failed.value.sent
-            assert await peers.call(ref, "note", {}, 1.0) == {"ok": 1}
-            assert opened == [0, 1]
-            assert await peers.call(ref, "note", {}, 1.0) == {"ok": 1}
-            assert opened == [0, 1]
-
-    run(main())
-
-
-def test_a_silent_connection_leaves_other_calls_alone() -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        long = asyncio.create_task(
-            peers.call(listener.ref, "slow", {"seconds": 0.3}, 2.0)
-        )
-        with pytest.raises(PeerError):
-            await peers.call(listener.ref, "slow", {"seconds": 1.0}, 0.05)
-        assert await long == {"seen": 1}
-
-    with_both(test)
-
-
-def test_concurrent_calls_have_a_connection_each_and_leave_them_to_later_ones() -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        together = [
-            peers.call(listener.ref, "slow", {"seconds": 0.05}, 2.0) for _ in range(3)
-        ]
-        answers = await asyncio.gather(*together)
-        assert sorted(answer["seen"] for answer in answers) == [1, 2, 3]
-        link = peers.links[listener.ref.address]
-        kept = {one.channel for one in link.idle}
-        assert len(kept) == 3
-        await peers.call(listener.ref, "note", {}, 1.0)
-        assert {one.channel for one in link.idle} == kept
-
-    with_both(test)
-
-
-def test_no_more_than_the_bound_stays_open_and_nothing_for_long() -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        together = [
-            peers.call(listener.ref, "slow", {"seconds": 0.05}, 5.0)
-            for _ in range(MAX_IDLE + 4)
-        ]
-        await asyncio.gather(*together)
-        link = peers.links[listener.ref.address]
-        assert len(link.idle) == MAX_IDLE
-        now = peers.clock.monotonic()
-        peers.sweep(now + CLIENT_KEEPALIVE + 1.0)
-        assert link.idle == []
-        assert peers.links == {listener.ref.address: link}
-        peers.sweep(now + LINK_IDLE + 1.0)
-        assert peers.links == {}
-
-    with_both(test)
-
-
-def test_the_end_of_the_caller_ends_its_calls() -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        call = asyncio.create_task(
-            peers.call(listener.ref, "slow", {"seconds": 30.0}, 60.0)
-        )
-        await asyncio.sleep(0.05)
-        await peers.close()
+    server, ref, opened = await serve_raw(silent)
+    async with server, calling() as peers:
+        await peers.call(ref, "note", {}, 1.0)
         with pytest.raises(PeerError) as failed:
-            await call
+            await peers.call(ref, "note", {}, 0.05)
         assert failed.value.sent
+        assert await peers.call(ref, "note", {}, 1.0) == {"ok": 1}
+        assert opened == [0, 1]
+        assert await peers.call(ref, "note", {}, 1.0) == {"ok": 1}
+        assert opened == [0, 1]
+
 
-    with_both(test)
+@using(calling_a_listener)
+async def test_a_silent_connection_leaves_other_calls_alone(both: Both) -> None:
+    peers, listener = both
+    long = asyncio.create_task(peers.call(listener.ref, "slow", {"seconds": 0.3}, 2.0))
+    with pytest.raises(PeerError):
+        await peers.call(listener.ref, "slow", {"seconds": 1.0}, 0.05)
+    assert await long == {"seen": 1}
 
 
-def test_an_answer_that_states_too_great_a_length_is_not_read() -> None:
+@using(calling_a_listener)
+async def test_concurrent_calls_have_a_connection_each_and_leave_them_to_later_ones(
+    both: Both,
+) -> None:
+    peers, listener = both
+    together = [
+        peers.call(listener.ref, "slow", {"seconds": 0.05}, 2.0) for _ in range(3)
+    ]
+    answers = await asyncio.gather(*together)
+    assert sorted(answer["seen"] for answer in answers) == [1, 2, 3]
+    link = peers.links[listener.ref.address]
+    kept = {one.channel for one in link.idle}
+    assert len(kept) == 3
+    await peers.call(listener.ref, "note", {}, 1.0)
+    assert {one.channel for one in link.idle} == kept
+
+
+@using(calling_a_listener)
+async def test_no_more_than_the_bound_stays_open_and_nothing_for_long(
+    both: Both,
+) -> None:
+    peers, listener = both
+    together = [
+        peers.call(listener.ref, "slow", {"seconds": 0.05}, 5.0)
+        for _ in range(MAX_IDLE + 4)
+    ]
+    await asyncio.gather(*together)
+    link = peers.links[listener.ref.address]
+    assert len(link.idle) == MAX_IDLE
+    now = peers.clock.monotonic()
+    peers.sweep(now + CLIENT_KEEPALIVE + 1.0)
+    assert link.idle == []
+    assert peers.links == {listener.ref.address: link}
+    peers.sweep(now + LINK_IDLE + 1.0)
+    assert peers.links == {}
+
+
+@using(calling_a_listener)
+async def test_the_end_of_the_caller_ends_its_calls(both: Both) -> None:
+    peers, listener = both
+    call = asyncio.create_task(
+        peers.call(listener.ref, "slow", {"seconds": 30.0}, 60.0)
+    )
+    await asyncio.sleep(0.05)
+    await peers.close()
+    with pytest.raises(PeerError) as failed:
+        await call
+    assert failed.value.sent
+
+
+@on_loop
+async def test_an_answer_that_states_too_great_a_length_is_not_read() -> None:
     async def boast(
         number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -321,60 +311,54 @@
         writer.write(head.encode())
         await writer.drain()
 
-    async def main() -> None:
-        server, ref, _ = await serve_raw(boast)
-        async with server, calling() as peers:
-            with pytest.raises(PeerError, match="too long") as failed:
-                await peers.call(ref, "note", {}, 30.0)
-            assert failed.value.sent
-
-    run(main())
-
+    server, ref, _ = await serve_raw(boast)
+    async with server, calling() as peers:
+        with pytest.raises(PeerError, match="too long") as failed:
+            await peers.call(ref, "note", {}, 30.0)
+        assert failed.value.sent
 
-def test_a_credential_cannot_add_headers() -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        peers.headers[CREDENTIAL] = f"{SECRET}\r\nContent-Length: 0"
-        with pytest.raises(ValueError):
-            await peers.call(listener.ref, "note", {}, 1.0)
-        assert listener.seen == []
 
-    with_both(test)
+@using(calling_a_listener)
+async def test_a_credential_cannot_add_headers(both: Both) -> None:
+    peers, listener = both
+    peers.headers[CREDENTIAL] = f"{SECRET}\r\nContent-Length: 0"
+    with pytest.raises(ValueError):
+        await peers.call(listener.ref, "note", {}, 1.0)
+    assert listener.seen == []
 
 
 @pytest.mark.parametrize("given_credential", ["", "wrong", SECRET + "x", SECRET[:-1]])
-def test_a_wrong_credential_has_no_effect(given_credential: str) -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        peers.headers[CREDENTIAL] = given_credential
-        with pytest.raises(Refusal) as refused:
-            await peers.call(listener.ref, "note", {}, 1.0)
-        assert refused.value.reason is Reason.UNAUTHENTICATED
-        assert listener.seen == []
-
-    with_both(test)
+@using(calling_a_listener)
+async def test_a_wrong_credential_has_no_effect(
+    both: Both, given_credential: str
+) -> None:
+    peers, listener = both
+    peers.headers[CREDENTIAL] = given_credential
+    with pytest.raises(Refusal) as refused:
+        await peers.call(listener.ref, "note", {}, 1.0)
+    assert refused.value.reason is Reason.UNAUTHENTICATED
+    assert listener.seen == []
 
 
-def test_a_large_body_is_refused_before_it_is_read() -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        with pytest.raises(Refusal) as refused:
-            await peers.call(listener.ref, "note", {"x": "y" * BODY_LIMIT}, 5.0)
-        assert refused.value.reason is Reason.TOO_LARGE
-        assert listener.seen == []
-
-    with_both(test)
+@using(calling_a_listener)
+async def test_a_large_body_is_refused_before_it_is_read(both: Both) -> None:
+    peers, listener = both
+    with pytest.raises(Refusal) as refused:
+        await peers.call(listener.ref, "note", {"x": "y" * BODY_LIMIT}, 5.0)
+    assert refused.value.reason is Reason.TOO_LARGE
+    assert listener.seen == []
 
 
 @settings(max_examples=10)
 @given(st.integers(0, 2**32))
-def test_no_input_gets_a_server_error_or_an_effect(seed: int) -> None:
-    async def main() -> None:
-        rng = random.Random(seed)
-        async with listening() as listener, ClientSession() as session:
-            for _ in range(20):
-                status = await send_junk(session, listener.url, rng)
-                assert 400 <= status < 500
-            assert listener.seen == []
-
-    run(main())
+@on_loop
+async def test_no_input_gets_a_server_error_or_an_effect(seed: int) -> None:
+    rng = random.Random(seed)
+    async with listening() as listener, ClientSession() as session:
+        for _ in range(20):
+            status = await send_junk(session, listener.url, rng)
+            assert 400 <= status < 500
+        assert listener.seen == []
 
 
 async def send_junk(session: ClientSession, url: str, rng: random.Random) -> int:
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -14,7 +14,6 @@
 from reedhook.process.host import Host
 from reedhook.process.hostlist import ListedKind, ListedState
 from reedhook.process.peer import PeerError
-from reedhook.process.peer_http import HttpPeers
 from reedhook.request.position import Position
 from reedhook.request.refusal import Reason, Refusal, may_have_run
 from reedhook.request.statement import Consistency, Kind, Statement
@@ -27,7 +26,8 @@
 from .fakes_request import World, read, write
 from .fakes_target import Break, FakeTarget
 from .home_support import home_at, outcome_of, statement
-from .test_peer_http import Listener, with_both
+from .support import using
+from .test_peer_http import Both, calling_a_listener
 from .trace_replay import Replay
 from .trace_world import GROUP, TraceWorld
 
@@ -55,31 +55,28 @@
     st.integers(0, 12),
 )
 @settings(max_examples=25)
-def test_a_session_reads_its_writes_after_roaming(
+@in_virtual_time
+async def test_a_session_reads_its_writes_after_roaming(
     steps: list[tuple[bool, int, float]], lags: tuple[float, float], moved: int
 ) -> None:
     codecs = [TokenCodec([b"a secret of the cluster"]) for _ in range(2)]
-
-    async def main() -> None:
-        world = World(lag=0.05)
-        world.model.proves = False
-        world.model.lags.update(zip(("g1-z2", "g1-z3"), lags))
-        token = codecs[0].encode(SessionToken("gate", "feedlog-db"))
-        seen = Position(0, 0)
-        for number, (writes, entry, pause) in enumerate(steps):
-            if number == moved:
-                world.model.promote("g1-z2")
-            known = codecs[entry].decode(token, "gate", "feedlog-db")
-            covers = known.positions.get("g1")
-            asked = write(f"{number}-id") if writes else read(covers=covers)
-            served = await world.run(asked, entry)
-            assert served.answer.position >= seen
-            seen = max(seen, served.answer.position)
-            token = codecs[entry].encode(known.advanced("g1", served.answer.position))
-            await asyncio.sleep(pause)
-        await world.close()
-
-    run_virtual(main())
+    world = World(lag=0.05)
+    world.model.proves = False
+    world.model.lags.update(zip(("g1-z2", "g1-z3"), lags))
+    token = codecs[0].encode(SessionToken("gate", "feedlog-db"))
+    seen = Position(0, 0)
+    for number, (writes, entry, pause) in enumerate(steps):
+        if number == moved:
+            world.model.promote("g1-z2")
+        known = codecs[entry].decode(token, "gate", "feedlog-db")
+        covers = known.positions.get("g1")
+        asked = write(f"{number}-id") if writes else read(covers=covers)
+        served = await world.run(asked, entry)
+        assert served.answer.position >= seen
+        seen = max(seen, served.answer.position)
+        token = codecs[entry].encode(known.advanced("g1", served.answer.position))
+        await asyncio.sleep(pause)
+    await world.close()
 
 
 def test_a_session_reads_its_writes_at_the_home_of_a_replica_that_lags() -> None:
@@ -195,39 +192,40 @@
 # A caller gets the whole answer to its own request
 
 
-def test_a_caller_gets_its_own_whole_answer_late_or_out_of_order() -> None:
-    async def test(peers: HttpPeers, listener: Listener) -> None:
-        arrived: list[int] = []
-        gates = {mark: asyncio.Event() for mark in range(40)}
-
-        async def echo(body: Json) -> Json:
-            mark = body["mark"]
-            arrived.append(mark)
-            await gates[mark].wait()
-            return answer_to(mark)
-
-        def answer_to(mark: int) -> Json:
-            return {"mark": mark, "rows": [mark] * (1 + mark % 3 * 20_000)}
-
-        async def ask(mark: int, timeout: float) -> Json | None:
-            try:
-                return await peers.call(listener.ref, "echo", {"mark": mark}, timeout)
-            except PeerError:
-                return None
-
-        listener.routes.add("echo", echo)
-        given_up = await asyncio.gather(*(ask(mark, 0.1) for mark in range(20)))
-        assert given_up == [None] * 20
-        asking = [asyncio.create_task(ask(mark, 30.0)) for mark in range(20, 40)]
-        while not set(range(20, 40)) <= set(arrived):
-            await asyncio.sleep(0.001)
-        for mark in reversed(range(40)):
-            gates[mark].set()
-            await asyncio.sleep(0)
-        answers = await asyncio.gather(*asking)
-        assert answers == [answer_to(mark) for mark in range(20, 40)]
-
-    with_both(test)
+@using(calling_a_listener)
+async def test_a_caller_gets_its_own_whole_answer_late_or_out_of_order(
+    both: Both,
+) -> None:
+    peers, listener = both
+    arrived: list[int] = []
+    gates = {mark: asyncio.Event() for mark in range(40)}
+
+    async def echo(body: Json) -> Json:
+        mark = body["mark"]
+        arrived.append(mark)
+        await gates[mark].wait()
+        return answer_to(mark)
+
+    def answer_to(mark: int) -> Json:
+        return {"mark": mark, "rows": [mark] * (1 + mark % 3 * 20_000)}
+
+    async def ask(mark: int, timeout: float) -> Json | None:
+        try:
+            return await peers.call(listener.ref, "echo", {"mark": mark}, timeout)
+        except PeerError:
+            return None
+
+    listener.routes.add("echo", echo)
+    given_up = await asyncio.gather(*(ask(mark, 0.1) for mark in range(20)))
+    assert given_up == [None] * 20
+    asking = [asyncio.create_task(ask(mark, 30.0)) for mark in range(20, 40)]
+    while not set(range(20, 40)) <= set(arrived):
+        await asyncio.sleep(0.001)
+    for mark in reversed(range(40)):
+        gates[mark].set()
+        await asyncio.sleep(0)
+    answers = await asyncio.gather(*asking)
+    assert answers == [answer_to(mark) for mark in range(20, 40)]
 
 
 def test_a_caller_gets_its_own_whole_answer_from_a_target_that_answers_late() -> None:
@@ -354,26 +352,24 @@
 
 @given(st.lists(st.tuples(st.integers(0, 1), at(0.0, 0.3)), min_size=2, max_size=5))
 @settings(max_examples=15)
-def test_a_request_that_may_not_be_repeated_runs_at_most_once_through_two_hosts(
+@in_virtual_time
+async def test_a_request_that_may_not_be_repeated_runs_at_most_once_through_two_hosts(
     tries: list[tuple[int, float]],
 ) -> None:
-    async def main() -> None:
-        world = World()
-        await world.warm()
-        world.network.cut("h1", "e1")
-
-        async def send(entry: int, after: float) -> None:
-            await asyncio.sleep(after)
-            try:
-                await world.run(write("0-pay", 0.6), entry)
-            except Refusal as refusal:
-                assert refusal.verdict is Verdict.MAY_HAVE_RUN
+    world = World()
+    await world.warm()
+    world.network.cut("h1", "e1")
 
-        await asyncio.gather(*(send(*one) for one in tries))
-        assert world.model.ran["0-pay"] == 1
-        await world.close()
+    async def send(entry: int, after: float) -> None:
+        await asyncio.sleep(after)
+        try:
+            await world.run(write("0-pay", 0.6), entry)
+        except Refusal as refusal:
+            assert refusal.verdict is Verdict.MAY_HAVE_RUN
 
-    run_virtual(main())
+    await asyncio.gather(*(send(*one) for one in tries))
+    assert world.model.ran["0-pay"] == 1
+    await world.close()
 
 
 def test_a_write_without_an_id_that_may_have_run_is_not_sent_again() -> None:
@@ -486,31 +482,31 @@
 # An accepted configuration is in force everywhere within seconds
 
 
-def test_an_accepted_configuration_is_in_force_everywhere_and_never_reverts() -> None:
+@in_virtual_time
+async def test_an_accepted_configuration_is_in_force_everywhere_and_never_reverts() -> (
+    None
+):
     def note(host: Host) -> list[int]:
         versions: list[int] = []
         host.configuration.on_change(lambda one: versions.append(one.version))
         return versions
 
-    async def main() -> None:
-        world = TraceWorld(ZONES, MEMBERS, 5)
-        await world.start()
-        seen = [note(host) for host in world.hosts.values()]
-        hosts = list(world.hosts.values())
-        await hosts[0].editor.apply(world.documents(), 1, "ana", "b", "edit-2")
-        await asyncio.sleep(2.0)
-        assert {host.configuration.version for host in hosts} == {2}
-        world.cut_zones(["comiso"])
-        await hosts[0].editor.apply(world.documents(), 2, "ana", "c", "edit-3")
-        world.store.down = True
-        await asyncio.sleep(2.0)
-        world.heal()
-        for store in world.stores.values():
-            store.stale = lambda key: 1
-        world.store.down = False
-        await asyncio.sleep(5.0)
-        assert {host.configuration.version for host in hosts} == {3}
-        assert all(versions == [1, 2, 3] for versions in seen)
-        await world.stop()
-
-    run_virtual(main())
+    world = TraceWorld(ZONES, MEMBERS, 5)
+    await world.start()
+    seen = [note(host) for host in world.hosts.values()]
+    hosts = list(world.hosts.values())
+    await hosts[0].editor.apply(world.documents(), 1, "ana", "b", "edit-2")
+    await asyncio.sleep(2.0)
+    assert {host.configuration.version for host in hosts} == {2}
+    world.cut_zones(["comiso"])
+    await hosts[0].editor.apply(world.documents(), 2, "ana", "c", "edit-3")
+    world.store.down = True
+    await asyncio.sleep(2.0)
+    world.heal()
+    for store in world.stores.values():
+        store.stale = lambda key: 1
+    world.store.down = False
+    await asyncio.sleep(5.0)
+    assert {host.configuration.version for host in hosts} == {3}
+    assert all(versions == [1, 2, 3] for versions in seen)
+    await world.stop()
--- a/tests/test_rolling_restart.py
+++ b/tests/test_rolling_restart.py
@@ -6,7 +6,8 @@
 from reedhook.request.statement import Consistency
 from reedhook.request.verdict import Verdict
 
-from .test_world import Scene, play
+from .support import using
+from .test_world import Scene, scene_of
 
 
 async def work(scene: Scene, stop: asyncio.Event) -> None:
@@ -16,19 +17,19 @@
         await scene.look(Consistency.SESSION)
 
 
-def test_a_rolling_restart_cuts_no_request_and_loses_nothing() -> None:
-    async def act(scene: Scene) -> None:
-        world = scene.world
-        stop = asyncio.Event()
-        at_work = asyncio.create_task(work(scene, stop))
-        for name in list(world.settings):
-            await world.stop_host(name)
-            await world.start_host(name)
-        stop.set()
-        await at_work
-        assert scene.broken() == []
-        verdicts = Counter(one.verdict for one in scene.history.attempts)
-        assert verdicts[Verdict.MAY_HAVE_RUN] == 0
-        assert verdicts[Verdict.DONE] >= len(world.settings)
-
-    play(act)
+@using(scene_of)
+async def test_a_rolling_restart_cuts_no_request_and_loses_nothing(
+    scene: Scene,
+) -> None:
+    world = scene.world
+    stop = asyncio.Event()
+    at_work = asyncio.create_task(work(scene, stop))
+    for name in list(world.settings):
+        await world.stop_host(name)
+        await world.start_host(name)
+    stop.set()
+    await at_work
+    assert scene.broken() == []
+    verdicts = Counter(one.verdict for one in scene.history.attempts)
+    assert verdicts[Verdict.MAY_HAVE_RUN] == 0
+    assert verdicts[Verdict.DONE] >= len(world.settings)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -1,6 +1,7 @@
 """A whole deployment on loopback, from a caller's write to a killed host."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from reedhook.request.statement import Consistency
 from reedhook_standins.caller import Caller, ReadOrder, WriteOrder
@@ -11,7 +12,7 @@
 from reedhook_standins.workload import DanubeDay
 from reedhook_standins.world import World
 
-from .support import run
+from .support import using
 
 DESK = "desk-1"
 PATIENCE = 30.0
@@ -64,91 +65,84 @@
         return [one.promise for one in violations(self.history, held)]
 
 
-def play(act: Callable[[Scene], Awaitable[None]], hosts: int = 3) -> None:
-    async def main() -> None:
-        async with World(Deployment("danube"), hosts=hosts) as world:
-            scene = Scene(world)
-            await scene.day.prepare()
-            await act(scene)
-
-    run(main())
-
-
-def test_reads_of_each_consistency_see_a_write_through_other_hosts() -> None:
-    async def act(scene: Scene) -> None:
-        await scene.assign()
-        assert await scene.look(Consistency.SESSION) == 1
-        assert await scene.look(Consistency.FRESH) == 1
-        await scene.look(Consistency.MAX_AGE, 5.0)
-        assert scene.history.reads[-1].age is not None
-        assert scene.history.acknowledged()[0].version == 1
-        assert scene.broken() == []
-
-    play(act)
-
-
-def test_a_cut_off_primary_is_replaced_and_loses_nothing() -> None:
-    async def act(scene: Scene) -> None:
-        await scene.assign()
-        lost = scene.group.primary.name
-        scene.world.cut_target_off(lost)
-        await scene.assign()
-        assert scene.group.primary.name != lost
-        scene.world.heal_target(lost)
-        assert await scene.look(Consistency.FRESH) == 2
-        assert scene.broken() == []
-
-    play(act)
-
-
-def test_a_zone_that_is_cut_off_loses_nothing_and_shows_nothing_stale() -> None:
-    async def act(scene: Scene) -> None:
-        await scene.assign()
-        lost = scene.group.primary.name
-        zone = scene.world.target_zones()[lost]
-        scene.world.cut_zone_off(zone)
-        await scene.assign()
-        assert scene.group.primary.name != lost
-        (inside,) = (
-            one.listen for one in scene.world.settings.values() if one.zone == zone
-        )
-        scene.desk.forget()
-        assert await scene.look(Consistency.FRESH, through=inside) == 2
-        refused, *_, answered = scene.history.reads
-        assert refused.host == inside
-        assert answered.host != inside
-        scene.world.heal_zone(zone)
-        await scene.assign()
-        assert scene.broken() == []
-
-    play(act)
-
-
-def test_a_killed_home_is_taken_over_and_returns() -> None:
-    async def act(scene: Scene) -> None:
-        await scene.assign()
-        home = scene.world.home_of(scene.group.primary.name)
-        await scene.world.kill_host(home)
-        await scene.assign()
-        assert scene.world.home_of(scene.group.primary.name) != home
-        await scene.world.start_host(home)
-        assert await scene.look(Consistency.SESSION) == 2
-        assert scene.broken() == []
-
-    play(act)
-
-
-def test_a_row_that_vanished_or_doubled_is_found() -> None:
-    async def act(scene: Scene) -> None:
-        await scene.assign()
-        assert scene.broken() == []
-        table = DanubeDay.assignments.name
-        tamper(scene.group, f"INSERT INTO {table} SELECT * FROM {table}")
-        assert scene.broken() == [Promise.DOUBLED]
-        tamper(scene.group, f"DELETE FROM {table}")
-        assert scene.broken() == [Promise.LOST]
-
-    play(act)
+@asynccontextmanager
+async def scene_of(hosts: int = 3) -> AsyncIterator[Scene]:
+    """Run a small world with its tables made."""
+    async with World(Deployment("danube"), hosts=hosts) as world:
+        scene = Scene(world)
+        await scene.day.prepare()
+        yield scene
+
+
+@using(scene_of)
+async def test_reads_of_each_consistency_see_a_write_through_other_hosts(
+    scene: Scene,
+) -> None:
+    await scene.assign()
+    assert await scene.look(Consistency.SESSION) == 1
+    assert await scene.look(Consistency.FRESH) == 1
+    await scene.look(Consistency.MAX_AGE, 5.0)
+    assert scene.history.reads[-1].age is not None
+    assert scene.history.acknowledged()[0].version == 1
+    assert scene.broken() == []
+
+
+@using(scene_of)
+async def test_a_cut_off_primary_is_replaced_and_loses_nothing(scene: Scene) -> None:
+    await scene.assign()
+    lost = scene.group.primary.name
+    scene.world.cut_target_off(lost)
+    await scene.assign()
+    assert scene.group.primary.name != lost
+    scene.world.heal_target(lost)
+    assert await scene.look(Consistency.FRESH) == 2
+    assert scene.broken() == []
+
+
+@using(scene_of)
+async def test_a_zone_that_is_cut_off_loses_nothing_and_shows_nothing_stale(
+    scene: Scene,
+) -> None:
+    await scene.assign()
+    lost = scene.group.primary.name
+    zone = scene.world.target_zones()[lost]
+    scene.world.cut_zone_off(zone)
+    await scene.assign()
+    assert scene.group.primary.name != lost
+    (inside,) = (
+        one.listen for one in scene.world.settings.values() if one.zone == zone
+    )
+    scene.desk.forget()
+    assert await scene.look(Consistency.FRESH, through=inside) == 2
+    refused, *_, answered = scene.history.reads
+    assert refused.host == inside
+    assert answered.host != inside
+    scene.world.heal_zone(zone)
+    await scene.assign()
+    assert scene.broken() == []
+
+
+@using(scene_of)
+async def test_a_killed_home_is_taken_over_and_returns(scene: Scene) -> None:
+    await scene.assign()
+    home = scene.world.home_of(scene.group.primary.name)
+    await scene.world.kill_host(home)
+    await scene.assign()
+    assert scene.world.home_of(scene.group.primary.name) != home
+    await scene.world.start_host(home)
+    assert await scene.look(Consistency.SESSION) == 2
+    assert scene.broken() == []
+
+
+@using(scene_of)
+async def test_a_row_that_vanished_or_doubled_is_found(scene: Scene) -> None:
+    await scene.assign()
+    assert scene.broken() == []
+    table = DanubeDay.assignments.name
+    tamper(scene.group, f"INSERT INTO {table} SELECT * FROM {table}")
+    assert scene.broken() == [Promise.DOUBLED]
+    tamper(scene.group, f"DELETE FROM {table}")
+    assert scene.broken() == [Promise.LOST]
 
 
 def tamper(group: GroupStandin, sql: str) -> None:
