State in one place how long a leaving host lets callers be told

Cause: the host and its process each named the same second, which they wait at the same time. Change: the host takes the process's constant; nothing else. Conclusion: lint is clean; 58 tests of drain, life cycle, API and pages pass.

--- a/src/reedhook/process/host.py
+++ b/src/reedhook/process/host.py
@@ -35,7 +35,7 @@
 from .hostsource import HostSource
 from .keepers import Keepers
 from .leaving import LeavingTargets
-from .lifecycle import Lifecycle
+from .lifecycle import LINGER, Lifecycle
 from .listing import Listing
 from .membership import Membership
 from .metrics import Metrics
@@ -46,7 +46,6 @@
 from .timeline import EventKind, Timeline
 
 DRAIN_POLL: Final = 0.02
-ENTRY_LINGER: Final = 1.0
 
 log = logbook.Logger("host")
 
@@ -267,7 +266,7 @@
         self.timeline.record(EventKind.HOST_STOPPING, self.me.host)
         self.source.state = HostState.DRAINING
         self.api.leaving = True
-        await asyncio.gather(self.homes.drain(), self.clock.sleep(ENTRY_LINGER))
+        await asyncio.gather(self.homes.drain(), self.clock.sleep(LINGER))
         self.api.draining = True
         while self.api.active > 0:
             await self.clock.sleep(DRAIN_POLL)
