--- /dev/null
+++ b/deploy/reedhookd.py
@@ -0,0 +1,11 @@
+"""Run the daemon from a checkout, without installing it."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from reedhook.process.daemon import main  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/reedhook/address.py
@@ -0,0 +1,24 @@
+"""Addresses of the form ``IP:port``."""
+
+import ipaddress
+from typing import Final
+
+HIGHEST_PORT: Final = 65535
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:port``; an IPv6 number stands in brackets.
+
+    :raises ValueError: if the host part is no IP number or the port no port.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator:
+        raise ValueError("the port is missing")
+    if host.startswith("[") and host.endswith("]"):
+        ipaddress.IPv6Address(host[1:-1])
+        host = host[1:-1]
+    else:
+        ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdigit()) or int(port) > HIGHEST_PORT:
+        raise ValueError("the port is no number up to 65535")
+    return host, int(port)
--- a/src/reedhook/clock.py
+++ b/src/reedhook/clock.py
@@ -12,6 +12,14 @@
     def monotonic(self) -> float:
         """Return monotonic time in seconds."""
 
+    def elapsed(self) -> float:
+        """Return seconds that also pass while the machine is suspended.
+
+        Permissions and proofs of age run on it: the monotonic clock stands
+        still during a suspension, and what it dates would look too young.
+        """
+        return self.monotonic()
+
     @abstractmethod
     def wall(self) -> float:
         """Return wall-clock time in seconds since the epoch, for people only."""
@@ -27,6 +35,9 @@
     def monotonic(self) -> float:
         return time.monotonic()
 
+    def elapsed(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall(self) -> float:
         return time.time()
 
--- /dev/null
+++ b/src/reedhook/connection/lanes.py
@@ -0,0 +1,281 @@
+"""Connections to one target that many sessions share in turns."""
+
+import asyncio
+from collections import deque
+from typing import Final
+
+from ..clock import Clock
+from ..request.refusal import Reason, not_run
+from ..version.registry import TargetEntry
+from .member import (
+    Fault,
+    MemberConnection,
+    MemberDriver,
+    MemberFull,
+    MemberSilent,
+    Phrases,
+    Query,
+)
+
+CONNECT_TIMEOUT: Final = 0.4
+"""Seconds to open a connection: the target's 12 ms, two slow statements of
+110 ms ahead of it in its slots, and some room."""
+
+VERIFY_AFTER: Final = 1.0
+"""Seconds of rest after which a connection may have gone silent, so that a
+write is not sent on it before it has answered something harmless."""
+
+SYNC_TIMEOUT: Final = 0.25
+"""Seconds in which a target answers statements that hold no slot."""
+
+IDLE_TIME: Final = 20.0
+"""Seconds after which a connection that nobody used is closed; targets accept
+few, and a home that has moved must make room."""
+
+RETRY_MS: Final = 50
+"""When to come back to a target that could not be reached, in milliseconds."""
+
+PREPARED: Final = "prepared"
+VALUE: Final = "value"
+"""Kinds in the keys of a session's state; a name follows after a blank."""
+
+
+class Lane:
+    """Keep one connection with what a session left on it.
+
+    :ivar session: the session that used it last.
+    :ivar applied: what is set and prepared on it, by kind and name.
+    :ivar unsure: whether `applied` may differ from what the target holds.
+    :ivar used: when it last answered, by `Clock.monotonic`.
+    """
+
+    __slots__ = ("connection", "session", "applied", "unsure", "used")
+
+    def __init__(self, connection: MemberConnection, used: float) -> None:
+        self.connection = connection
+        self.session = ""
+        self.applied: dict[str, str] = {}
+        self.unsure = False
+        self.used = used
+
+
+class Lanes:
+    """Open, lend and keep connections to one target.
+
+    :param limit: connections that this host may open at once.
+    :ivar count: connections that are open or being opened.
+    """
+
+    def __init__(
+        self,
+        entry: TargetEntry,
+        driver: MemberDriver,
+        phrases: Phrases,
+        limit: int,
+        clock: Clock,
+    ) -> None:
+        self.entry = entry
+        self.driver = driver
+        self.phrases = phrases
+        self.limit = limit
+        self.clock = clock
+        self.idle: list[Lane] = []
+        self.waiting: deque[asyncio.Future[Lane | None]] = deque()
+        self.count = 0
+        self.closed = False
+
+    async def borrow(self, session: str, timeout: float) -> Lane:
+        """Lend a connection, best one that the session used last.
+
+        :param timeout: seconds.
+        :raises Refusal: not run, if none comes free in time.
+        :raises MemberUnreachable: if the target accepts none; see `MemberDriver`.
+        """
+        deadline = self.clock.monotonic() + timeout
+        while True:
+            lane = self.take(session)
+            if lane is not None:
+                return lane
+            left = deadline - self.clock.monotonic()
+            if left <= 0.0 or self.closed:
+                raise not_run(
+                    Reason.OVERLOADED,
+                    f"no connection to {self.entry.target} came free in time",
+                    RETRY_MS,
+                )
+            if self.count < self.limit:
+                try:
+                    return await self.open(min(left, CONNECT_TIMEOUT))
+                except MemberFull:
+                    if self.count == 0:
+                        raise
+            lane = await self.wait(left)
+            if lane is not None:
+                return lane
+
+    def take(self, session: str) -> Lane | None:
+        """Return an idle connection, or None."""
+        self.idle = [lane for lane in self.idle if not self.dropped(lane)]
+        if not self.idle:
+            return None
+        for lane in reversed(self.idle):
+            if lane.session == session:
+                break
+        else:
+            lane = self.idle[-1]
+        self.idle.remove(lane)
+        return lane
+
+    def dropped(self, lane: Lane) -> bool:
+        """Say whether the target has closed an idle connection; forget it then."""
+        if not lane.connection.lost:
+            return False
+        self.forget(lane)
+        return True
+
+    async def open(self, timeout: float) -> Lane:
+        """Open a connection.
+
+        :raises MemberUnreachable: if that fails.
+        """
+        self.count += 1
+        try:
+            connection = await self.driver.connect(self.entry, timeout)
+        except BaseException:
+            self.count -= 1
+            self.wake(None)
+            raise
+        return Lane(connection, self.clock.monotonic())
+
+    async def wait(self, timeout: float) -> Lane | None:
+        """Wait for a connection, or for the room to open one."""
+        turn: asyncio.Future[Lane | None] = asyncio.get_running_loop().create_future()
+        self.waiting.append(turn)
+        try:
+            async with asyncio.timeout(timeout):
+                return await turn
+        except TimeoutError:
+            return turn.result() if granted(turn) else None
+        except asyncio.CancelledError:
+            if granted(turn):
+                self.pass_on(turn.result())
+            raise
+        finally:
+            if turn in self.waiting:
+                self.waiting.remove(turn)
+
+    def pass_on(self, lane: Lane | None) -> None:
+        """Give away what was granted to somebody who is gone."""
+        if lane is None:
+            self.wake(None)
+        else:
+            self.give_back(lane)
+
+    def give_back(self, lane: Lane) -> None:
+        """Take back a connection that is in good order."""
+        if lane.connection.lost or self.closed:
+            self.discard(lane)
+            return
+        lane.used = self.clock.monotonic()
+        if not self.wake(lane):
+            self.idle.append(lane)
+
+    def discard(self, lane: Lane) -> None:
+        """Close a connection that is in doubt or has an open transaction."""
+        lane.connection.close()
+        self.forget(lane)
+
+    def forget(self, lane: Lane) -> None:
+        """Make room for another connection."""
+        self.count -= 1
+        self.wake(None)
+
+    def wake(self, lane: Lane | None) -> bool:
+        """Hand a connection, or the room for one, to the first that waits."""
+        while self.waiting:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                turn.set_result(lane)
+                return True
+        return False
+
+    def drop_idle(self) -> None:
+        """Close what is idle: what lost track of one may have lost them all."""
+        while self.idle:
+            self.discard(self.idle.pop())
+
+    def drop_unused(self) -> None:
+        """Close connections that nobody used for long."""
+        before = self.clock.monotonic() - IDLE_TIME
+        for lane in [one for one in self.idle if one.used < before]:
+            self.idle.remove(lane)
+            self.discard(lane)
+
+    def close(self) -> None:
+        """Close what is idle now, and what is lent when it comes back."""
+        self.closed = True
+        self.drop_idle()
+        while self.wake(None):
+            pass
+
+    async def prepare(
+        self, lane: Lane, session: str, settings: dict[str, str], inside: bool
+    ) -> None:
+        """Bring the state of a session onto a connection.
+
+        All is answered before anything of the session runs.
+
+        :param inside: whether a transaction is open, in which nothing that is
+            not the session's own can stand on the connection.
+        :raises MemberSilent: if an answer is missing or an error.
+        """
+        queries = self.missing(lane, session, settings, inside)
+        stale = self.clock.monotonic() - lane.used > VERIFY_AFTER
+        if not queries and stale and not inside:
+            queries = [self.own(self.phrases.reset())]
+            queries += [self.own(text) for text in settings.values()]
+        lane.session = session
+        if not queries:
+            return
+        lane.unsure = True
+        replies = await lane.connection.exchange(queries, SYNC_TIMEOUT)
+        for reply in replies:
+            if reply.fault is not Fault.NONE:
+                lane.connection.close()
+                raise MemberSilent(f"a setting was refused: {reply.fault.value}")
+        lane.applied = dict(settings)
+        lane.unsure = False
+        lane.used = self.clock.monotonic()
+
+    def missing(
+        self, lane: Lane, session: str, settings: dict[str, str], inside: bool
+    ) -> list[Query]:
+        """Return the statements that lead to the state of the session."""
+        if lane.session != session or lane.unsure:
+            if not lane.applied and not lane.unsure:
+                return [self.own(text) for text in settings.values()]
+            if not inside:
+                fresh = [self.own(self.phrases.reset())]
+                return fresh + [self.own(text) for text in settings.values()]
+        return self.differences(lane, settings)
+
+    def differences(self, lane: Lane, settings: dict[str, str]) -> list[Query]:
+        """Return the statements that turn one state of a session into another."""
+        queries = []
+        for key, text in lane.applied.items():
+            kind, _, name = key.partition(" ")
+            if kind == PREPARED and settings.get(key) != text:
+                queries.append(self.own(self.phrases.deallocate(name)))
+        for key, text in settings.items():
+            if lane.applied.get(key) != text:
+                queries.append(self.own(text))
+        return queries
+
+    def own(self, text: str) -> Query:
+        """Return a query of our own."""
+        return Query("", text)
+
+
+def granted(turn: "asyncio.Future[Lane | None]") -> bool:
+    """Say whether a turn in the queue has come."""
+    return turn.done() and not turn.cancelled()
--- /dev/null
+++ b/src/reedhook/connection/member.py
@@ -0,0 +1,174 @@
+"""Interface of connections to targets that keep the state of a session."""
+
+from abc import ABC, abstractmethod
+from enum import Enum
+from typing import Final
+
+from ..record import Record
+from ..request.position import Position
+from ..version.registry import TargetEntry
+
+
+class MemberUnreachable(Exception):
+    """Say that no connection could be opened; nothing was sent."""
+
+
+class MemberFull(MemberUnreachable):
+    """Say that the target accepts no further connection."""
+
+
+class MemberMisrouted(MemberUnreachable):
+    """Say that another target answers at the address."""
+
+
+class MemberSilent(Exception):
+    """Say that an exchange was not answered in full; it may have run."""
+
+
+class Query(Record):
+    """Carry one statement for a target.
+
+    :param id: the caller's id of the statement; empty for one of our own.
+    :param text: as the target is to run it.
+    :param after: the position that the target's log must hold.
+    """
+
+    __slots__ = ("id", "text", "after")
+
+    def __init__(self, id: str, text: str, after: Position | None = None) -> None:
+        self.id = id
+        self.text = text
+        self.after = after
+
+
+class Fault(str, Enum):
+    """Name why a target did not do what it was asked for."""
+
+    NONE = ""
+    BUSY = "busy"
+    UNKNOWN_NAME = "unknown_name"
+    LAGGING = "lagging"
+    READ_ONLY = "read_only"
+    ABORTED = "aborted"
+    MALFORMED = "malformed"
+    FAILED = "failed"
+    TIMEOUT = "timeout"
+
+
+WITHOUT_EFFECT: Final = frozenset({Fault.BUSY, Fault.LAGGING, Fault.READ_ONLY})
+"""Faults after which the same statement may be sent anew."""
+
+
+class MemberReply(Record):
+    """Carry the answer of a target to one statement.
+
+    :param signature: the target's proof that it ran the statement.
+    :param fault: why it failed; `Fault.NONE` for a success.
+    :param detail: text that goes with the fault.
+    :param failed: whether the open transaction can only be rolled back.
+    :param position: the last entry in the log that reads see.
+    """
+
+    __slots__ = ("rows", "signature", "fault", "detail", "failed", "position")
+
+    def __init__(
+        self,
+        rows: list[str],
+        signature: str,
+        fault: Fault,
+        detail: str,
+        failed: bool,
+        position: Position | None,
+    ) -> None:
+        self.rows = rows
+        self.signature = signature
+        self.fault = fault
+        self.detail = detail
+        self.failed = failed
+        self.position = position
+
+
+class MemberStatus(Record):
+    """Carry what a target says of itself.
+
+    :param leads: whether it is the primary of `term`.
+    :param received: the last entry that it holds.
+    :param connections: connections open to it from all hosts.
+    """
+
+    __slots__ = ("leads", "term", "received", "connections")
+
+    def __init__(
+        self, leads: bool, term: int, received: Position, connections: int
+    ) -> None:
+        self.leads = leads
+        self.term = term
+        self.received = received
+        self.connections = connections
+
+
+class MemberConnection(ABC):
+    """Hold one open connection; one exchange runs at a time.
+
+    :ivar lost: whether the connection has ended or is in doubt.
+    :ivar on_lost: called once when the other end closes.
+    """
+
+    lost: bool
+
+    @abstractmethod
+    async def exchange(self, queries: list[Query], timeout: float) -> list[MemberReply]:
+        """Send the queries together and return their answers in order.
+
+        The bytes are handed to the operating system before the first pause.
+
+        :param timeout: seconds for all answers.
+        :raises MemberSilent: if an answer is missing; the connection is closed.
+        """
+
+    @abstractmethod
+    async def status(self, timeout: float) -> MemberStatus:
+        """Ask the target for its state.
+
+        :raises MemberSilent: if it gives no usable answer.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close; the target rolls an open transaction back."""
+
+
+class MemberDriver(ABC):
+    """Open connections to targets."""
+
+    @abstractmethod
+    async def connect(self, entry: TargetEntry, timeout: float) -> MemberConnection:
+        """Open a connection to the target and check that it is the one.
+
+        :param timeout: seconds.
+        :raises MemberUnreachable: if it cannot be opened.
+        """
+
+
+class Phrases(ABC):
+    """Word our own statements as the targets expect them."""
+
+    @abstractmethod
+    def begin(self, read_only: bool) -> str:
+        """Return the text that begins a transaction."""
+
+    @abstractmethod
+    def rollback(self) -> str:
+        """Return the text that rolls a transaction back."""
+
+    @abstractmethod
+    def reset(self) -> str:
+        """Return the text that clears values and prepared statements."""
+
+    @abstractmethod
+    def deallocate(self, name: str) -> str:
+        """Return the text that forgets a prepared statement."""
+
+    @abstractmethod
+    def demote(self, term: int) -> str:
+        """Return the text that makes a primary of a lower term a replica."""
--- /dev/null
+++ b/src/reedhook/connection/memberhome.py
@@ -0,0 +1,408 @@
+"""The home of a target for sessions: runs their statements on its connections."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from ..clock import Clock
+from ..process.decisions import Decisions
+from ..request.position import Position
+from ..request.refusal import Reason, Refusal, may_have_run, not_run
+from ..request.work import Begin, Work, WorkKind
+from ..version.registry import TargetEntry
+from .lanes import Lane, Lanes
+from .member import (
+    Fault,
+    MemberDriver,
+    MemberReply,
+    MemberSilent,
+    MemberUnreachable,
+    Phrases,
+    Query,
+)
+
+FIRST_PATIENCE: Final = 0.35
+"""Seconds after which a read is sent again on a new connection; the longest
+statements take 110 ms, the first of the queue of 2 slots included 220."""
+
+REST_MARGIN: Final = 1.0
+"""Seconds beyond the rest that a transaction is allowed, after which the home
+ends it itself: the host of its session has gone then."""
+
+ROLLBACK_TIMEOUT: Final = 0.3
+"""Seconds for a rollback; after them the connection is closed, which rolls back."""
+
+KEPT_SECONDS: Final = 10.0
+"""Seconds for which the outcome of a write is kept for who asks again; longer
+than any deadline of a statement."""
+
+RETRY_MS: Final = 50
+"""When to come back after a connection was lost, in milliseconds."""
+
+
+class Transaction:
+    """Hold the connection of an open transaction."""
+
+    __slots__ = ("name", "lane", "busy", "timer", "settings")
+
+    def __init__(self, name: str, lane: Lane, settings: dict[str, str]) -> None:
+        self.name = name
+        self.lane = lane
+        self.busy = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.settings = settings
+
+
+class MemberHome:
+    """Run statements of sessions at one target.
+
+    :param limit: connections that this host may open to it.
+    :param permit: raises `Refusal` unless the target may be used right now.
+    :param seen: is told each position with the moment before which all that
+        was acknowledged is covered by it, by `Clock.elapsed`.
+    :param rest: seconds for which a transaction may rest.
+    """
+
+    def __init__(
+        self,
+        entry: TargetEntry,
+        driver: MemberDriver,
+        phrases: Phrases,
+        limit: int,
+        clock: Clock,
+        decisions: Decisions,
+        permit: Callable[[], None],
+        seen: Callable[[Position, float], None],
+        rest: float,
+    ) -> None:
+        self.entry = entry
+        self.phrases = phrases
+        self.clock = clock
+        self.decisions = decisions
+        self.permit = permit
+        self.seen = seen
+        self.rest = rest
+        self.lanes = Lanes(entry, driver, phrases, limit, clock)
+        self.transactions: dict[str, Transaction] = {}
+        self.active = 0
+        self.answered_at = float("-inf")
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, work: Work) -> MemberReply:
+        """Run a statement alone or in its transaction.
+
+        :raises Refusal: with a verdict that holds.
+        """
+        deadline = self.clock.monotonic() + work.left
+        self.active += 1
+        try:
+            if not work.transaction:
+                return await self.run_single(work, deadline)
+            transaction = self.transactions.get(work.transaction)
+            if transaction is None:
+                begun = await self.begin(work, deadline)
+                if isinstance(begun, MemberReply):
+                    return begun
+                transaction = begun
+            return await self.step(transaction, work, deadline)
+        finally:
+            self.active -= 1
+
+    async def run_single(self, work: Work, deadline: float) -> MemberReply:
+        """Run a statement outside transactions.
+
+        A read that stays unanswered is sent once more on a new connection.
+        """
+        first = True
+        while True:
+            lane = await self.ready_lane(work, deadline)
+            left = deadline - self.clock.monotonic()
+            is_read = work.kind is WorkKind.READ
+            patience = min(left, FIRST_PATIENCE) if is_read and first else left
+            try:
+                reply = await self.exchange(lane, work, patience)
+            except MemberSilent as error:
+                self.lanes.discard(lane)
+                self.silence(work, error)
+                if not is_read:
+                    raise silent(self.entry.target) from error
+                if not first or deadline - self.clock.monotonic() <= 0.0:
+                    raise unanswered(self.entry.target) from error
+                first = False
+                continue
+            except BaseException:
+                self.lanes.discard(lane)
+                raise
+            self.lanes.give_back(lane)
+            return reply
+
+    async def ready_lane(self, work: Work, deadline: float) -> Lane:
+        """Return a connection in the state of the statement's session.
+
+        :raises Refusal: not run.
+        """
+        for _ in range(2):
+            left = deadline - self.clock.monotonic()
+            try:
+                lane = await self.lanes.borrow(work.session, left)
+            except MemberUnreachable as error:
+                self.decisions.note(
+                    "target_unreachable", target=self.entry.target, error=str(error)
+                )
+                raise not_run(Reason.TARGET_UNREACHABLE, str(error), RETRY_MS) from None
+            try:
+                await self.lanes.prepare(lane, work.session, work.settings, False)
+                return lane
+            except MemberSilent as error:
+                self.lanes.discard(lane)
+                self.silence(work, error)
+            except BaseException:
+                self.lanes.discard(lane)
+                raise
+        raise not_run(
+            Reason.TARGET_UNREACHABLE,
+            f"the target {self.entry.target} gives no answer",
+            RETRY_MS,
+        )
+
+    def silence(self, work: Work, error: MemberSilent) -> None:
+        """Take note that a connection went silent or broke."""
+        self.decisions.note(
+            "connection_lost", id=work.id, target=self.entry.target, error=str(error)
+        )
+        self.lanes.drop_idle()
+
+    async def exchange(self, lane: Lane, work: Work, timeout: float) -> MemberReply:
+        """Send the statement itself.
+
+        :raises Refusal: not run, if the target may not be used any more.
+        :raises MemberSilent: if no answer comes.
+        """
+        self.permit()
+        asked = self.clock.elapsed()
+        after = None if work.transaction else work.after
+        query = Query(work.id, work.text, after)
+        (reply,) = await lane.connection.exchange([query], timeout)
+        # Inside a transaction the position may be that of its snapshot, which
+        # proves nothing about what was acknowledged since.
+        outside = not work.transaction or work.kind is WorkKind.COMMIT
+        self.answered(reply, asked if outside else None)
+        return reply
+
+    def answered(self, reply: MemberReply, asked: float | None) -> None:
+        """Take note of a sign of life and of the position that it carries.
+
+        :param asked: when it was sent; None if its position proves nothing.
+        """
+        self.answered_at = self.clock.monotonic()
+        if reply.position is not None and asked is not None:
+            self.seen(reply.position, asked)
+
+    async def begin(self, work: Work, deadline: float) -> Transaction | MemberReply:
+        """Open a transaction for its first statement.
+
+        :returns: the target's answer if it refuses to begin.
+        :raises Refusal: not run.
+        """
+        if work.begin is Begin.NONE:
+            raise not_run(
+                Reason.TRANSACTION_LOST,
+                "the transaction is not open at its target any more",
+                RETRY_MS,
+            )
+        lane = await self.ready_lane(work, deadline)
+        try:
+            reply = await self.send_begin(lane, work, deadline)
+        except MemberSilent as error:
+            self.lanes.discard(lane)
+            self.silence(work, error)
+            raise not_run(Reason.TARGET_UNREACHABLE, str(error), RETRY_MS) from error
+        except BaseException:
+            self.lanes.discard(lane)
+            raise
+        if reply.fault is not Fault.NONE:
+            self.lanes.give_back(lane)
+            return reply
+        transaction = Transaction(work.transaction, lane, work.settings)
+        self.transactions[work.transaction] = transaction
+        return transaction
+
+    async def send_begin(self, lane: Lane, work: Work, deadline: float) -> MemberReply:
+        """Send what opens the transaction; raises as `exchange`."""
+        self.permit()
+        left = deadline - self.clock.monotonic()
+        text = self.phrases.begin(work.begin is Begin.READ)
+        query = Query("", text, work.after)
+        (reply,) = await lane.connection.exchange([query], min(left, FIRST_PATIENCE))
+        self.answered(reply, None)
+        return reply
+
+    async def step(
+        self, transaction: Transaction, work: Work, deadline: float
+    ) -> MemberReply:
+        """Run a statement of an open transaction, or its commit."""
+        if transaction.busy:
+            raise not_run(
+                Reason.CONFLICT, "another statement of the transaction is in progress"
+            )
+        transaction.busy = True
+        if transaction.timer is not None:
+            transaction.timer.cancel()
+        lane = transaction.lane
+        try:
+            if work.settings != transaction.settings:
+                await self.lanes.prepare(lane, work.session, work.settings, True)
+                transaction.settings = work.settings
+            left = deadline - self.clock.monotonic()
+            reply = await self.exchange(lane, work, left)
+        except MemberSilent as error:
+            self.drop(transaction)
+            self.silence(work, error)
+            if work.kind is WorkKind.COMMIT:
+                raise silent(self.entry.target) from error
+            raise lost_transaction() from error
+        except BaseException:
+            self.drop(transaction)
+            raise
+        self.after_step(transaction, work, reply)
+        return reply
+
+    def after_step(
+        self, transaction: Transaction, work: Work, reply: MemberReply
+    ) -> None:
+        """Let the transaction rest, or end it."""
+        transaction.busy = False
+        if work.kind is WorkKind.COMMIT and not reply.failed:
+            self.transactions.pop(transaction.name, None)
+            self.lanes.give_back(transaction.lane)
+            return
+        if reply.failed:
+            self.roll_back(transaction)
+            return
+        loop = asyncio.get_running_loop()
+        transaction.timer = loop.call_later(
+            self.rest + REST_MARGIN, self.rested, transaction
+        )
+
+    def rested(self, transaction: Transaction) -> None:
+        """End a transaction whose session seems to be gone."""
+        self.decisions.note(
+            "transaction_ended",
+            transaction=transaction.name,
+            target=self.entry.target,
+            cause="rested too long",
+        )
+        self.roll_back(transaction)
+
+    def end(self, name: str) -> None:
+        """Roll a transaction back, if it is open."""
+        transaction = self.transactions.get(name)
+        if transaction is None:
+            return
+        if transaction.busy:
+            self.drop(transaction)
+        else:
+            self.roll_back(transaction)
+
+    def drop(self, transaction: Transaction) -> None:
+        """Close the connection of a transaction, which rolls it back."""
+        self.transactions.pop(transaction.name, None)
+        if transaction.timer is not None:
+            transaction.timer.cancel()
+        self.lanes.discard(transaction.lane)
+
+    def roll_back(self, transaction: Transaction) -> None:
+        """Roll back in the background and keep the connection."""
+        self.transactions.pop(transaction.name, None)
+        if transaction.timer is not None:
+            transaction.timer.cancel()
+        task = asyncio.get_running_loop().create_task(self.rolled_back(transaction))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def rolled_back(self, transaction: Transaction) -> None:
+        """Send the rollback; a connection that does not answer is closed."""
+        lane = transaction.lane
+        # Whether a rollback takes values back that were set in the transaction
+        # is not stated, so that the state is made anew.
+        lane.unsure = True
+        try:
+            query = Query("", self.phrases.rollback())
+            (reply,) = await lane.connection.exchange([query], ROLLBACK_TIMEOUT)
+        except MemberSilent as error:
+            self.decisions.note(
+                "rollback_unanswered", target=self.entry.target, error=str(error)
+            )
+            self.lanes.discard(lane)
+            return
+        if reply.failed:
+            self.lanes.discard(lane)
+        else:
+            self.lanes.give_back(lane)
+
+    def end_all(self, cause: str) -> None:
+        """Roll all open transactions back by closing their connections."""
+        for transaction in list(self.transactions.values()):
+            self.decisions.note(
+                "transaction_ended",
+                transaction=transaction.name,
+                target=self.entry.target,
+                cause=cause,
+            )
+            self.drop(transaction)
+
+    def quiet(self) -> bool:
+        """Say whether nothing is in progress."""
+        return self.active == 0 and not self.transactions
+
+    async def sight(self, timeout: float) -> None:
+        """Ask the target for a sign of life, and for its position.
+
+        :raises MemberUnreachable: if it cannot be reached.
+        :raises MemberSilent: if it gives no answer.
+        """
+        lane = await self.lanes.borrow("", timeout)
+        try:
+            asked = self.clock.elapsed()
+            lane.unsure = True
+            query = Query("", self.phrases.reset())
+            (reply,) = await lane.connection.exchange([query], timeout)
+        except BaseException:
+            self.lanes.discard(lane)
+            raise
+        lane.applied = {}
+        lane.unsure = False
+        lane.session = ""
+        self.answered(reply, asked)
+        self.lanes.give_back(lane)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self.end_all("the home was closed")
+        for task in list(self.tasks):
+            task.cancel()
+        self.lanes.close()
+
+
+def silent(target: str) -> Refusal:
+    """Return the refusal of a write or commit that was sent and not answered."""
+    return may_have_run(
+        Reason.TARGET_UNREACHABLE, f"the target {target} was asked and gave no answer"
+    )
+
+
+def unanswered(target: str) -> Refusal:
+    """Return the refusal of a read that was sent and not answered.
+
+    It has no effect, so that nothing of it is kept.
+    """
+    return not_run(
+        Reason.TARGET_LOST, f"the target {target} gave no answer to a read", RETRY_MS
+    )
+
+
+def lost_transaction() -> Refusal:
+    """Return the refusal of a statement whose transaction lost its connection."""
+    return not_run(
+        Reason.TRANSACTION_LOST, "the connection of the transaction was lost", RETRY_MS
+    )
--- /dev/null
+++ b/src/reedhook/connection/session.py
@@ -0,0 +1,431 @@
+"""One caller's session: its values, prepared statements and transaction."""
+
+import asyncio
+from enum import Enum
+from typing import Final
+
+from ..clock import Clock
+from ..process.announced.announcements import Announcements
+from ..process.decisions import Decisions
+from ..process.metrics import Metrics
+from ..record import Record
+from ..request.command import Command, CommandKind
+from ..request.position import Position
+from ..request.refusal import Reason, Refusal, not_run
+from ..request.steering import Place, Steering
+from ..request.work import Begin, Work, WorkKind
+from ..version.registry import Route
+from .lanes import PREPARED, VALUE
+from .member import Fault, MemberReply
+
+RETRY_MS: Final = 50
+"""When to come back after a transaction was lost, in milliseconds."""
+
+SLOW: Final = 1.0
+"""Objectives that a statement may take before it is logged as slow."""
+
+
+class SessionState(str, Enum):
+    """Name what a session may do next."""
+
+    IDLE = "idle"
+    OPEN = "open"
+    FAILED = "failed"
+
+
+class SessionReply(Record):
+    """Carry the answer to one statement of a session.
+
+    :param signature: the target's proof; empty for what the session answers
+        itself.
+    :param fault: the target's error, or `Fault.NONE`.
+    :param refusal: the system's own error, or None.
+    :param ends: whether the session ends with it.
+    """
+
+    __slots__ = (
+        "rows",
+        "signature",
+        "fault",
+        "detail",
+        "refusal",
+        "state",
+        "position",
+        "ends",
+    )
+
+    def __init__(
+        self,
+        state: SessionState,
+        rows: list[str] | None = None,
+        signature: str = "",
+        fault: Fault = Fault.NONE,
+        detail: str = "",
+        refusal: Refusal | None = None,
+        position: Position | None = None,
+        ends: bool = False,
+    ) -> None:
+        self.state = state
+        self.rows = rows or []
+        self.signature = signature
+        self.fault = fault
+        self.detail = detail
+        self.refusal = refusal
+        self.position = position
+        self.ends = ends
+
+
+class OpenTransaction:
+    """Keep a transaction of the session.
+
+    A target is chosen, and the transaction opened there, with its first
+    statement: that saves a round trip, and one that rests at once holds nothing.
+
+    :ivar place: where it runs; None before its first statement.
+    """
+
+    __slots__ = ("name", "reads_only", "place", "timer")
+
+    def __init__(self, name: str, reads_only: bool) -> None:
+        self.name = name
+        self.reads_only = reads_only
+        self.place: Place | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Session:
+    """Run the statements of one caller in their order.
+
+    :param name: unlike that of any other session in all hosts.
+    :param database: the database that the caller named.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        database: str,
+        steering: Steering,
+        announcements: Announcements,
+        clock: Clock,
+        decisions: Decisions,
+        metrics: Metrics,
+    ) -> None:
+        self.name = name
+        self.database = database
+        self.steering = steering
+        self.announcements = announcements
+        self.clock = clock
+        self.decisions = decisions
+        self.metrics = metrics
+        self.state = SessionState.IDLE
+        self.settings: dict[str, str] = {}
+        self.writes: dict[str, bool] = {}
+        self.committed: Position | None = None
+        self.transaction: OpenTransaction | None = None
+        self.route: Route | None = None
+        self.begun = 0
+        self.busy = False
+        self.committing = False
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, id: str, command: Command) -> SessionReply:
+        """Answer one statement."""
+        self.busy = True
+        self.committing = command.kind is CommandKind.COMMIT
+        started = self.clock.monotonic()
+        try:
+            reply = await self.answer(id, command)
+        except Refusal as refusal:
+            reply = self.refused(refusal)
+        finally:
+            self.busy = False
+        self.rest()
+        self.account(id, command, reply, self.clock.monotonic() - started)
+        return reply
+
+    def account(
+        self, id: str, command: Command, reply: SessionReply, seconds: float
+    ) -> None:
+        """Count the statement, and log it if it failed or was slow."""
+        kind = command.kind.value
+        self.metrics.timing(f"statement.{kind}", seconds)
+        limit = self.route.objective * SLOW if self.route is not None else 1.0
+        failure = reply.fault.value
+        verdict = ""
+        if reply.refusal is not None:
+            failure = reply.refusal.reason.value
+            verdict = reply.refusal.verdict.value
+        if not failure and seconds <= limit:
+            return
+        if failure:
+            self.metrics.increment(f"failed.{failure}")
+        record = None
+        if self.route is not None:
+            record = self.steering.book.get(self.route.service)
+        self.decisions.note(
+            "failed" if failure else "slow",
+            id=id,
+            kind=kind,
+            database=self.database,
+            service=None if self.route is None else self.route.service,
+            cause=failure,
+            verdict=verdict,
+            detail=reply.detail if reply.refusal is None else reply.refusal.detail,
+            ms=round(seconds * 1000.0, 1),
+            configuration=self.announcements.table.version,
+            lead=None if record is None else record.holder.ref.host,
+            lead_revision=None if record is None else record.revision,
+        )
+
+    async def answer(self, id: str, command: Command) -> SessionReply:
+        """Answer a statement by its kind.
+
+        :raises Refusal: if it fails on the way.
+        """
+        kind = command.kind
+        if self.state is SessionState.FAILED:
+            return await self.answer_failed(kind)
+        if kind in LOCAL:
+            return self.answer_local(command)
+        if kind is CommandKind.ROLLBACK:
+            return self.roll_back()
+        if kind is CommandKind.BEGIN or kind is CommandKind.BEGIN_READ:
+            return self.begin(kind)
+        return await self.answer_at_target(id, command)
+
+    async def answer_failed(self, kind: CommandKind) -> SessionReply:
+        """Answer in a transaction that can only be ended."""
+        if kind is CommandKind.ROLLBACK:
+            return self.roll_back()
+        if kind is CommandKind.COMMIT:
+            self.end_transaction()
+            raise not_run(Reason.TRANSACTION_LOST, "the transaction had failed")
+        raise malformed("the transaction has failed; only its end is accepted")
+
+    def answer_local(self, command: Command) -> SessionReply:
+        """Keep a value or a prepared statement until a target needs it."""
+        kind, name = command.kind, command.name
+        if kind is CommandKind.SET:
+            self.settings = {**self.settings, f"{VALUE} {name}": command.text}
+        elif kind is CommandKind.PREPARE:
+            self.settings = {**self.settings, f"{PREPARED} {name}": command.text}
+            self.writes[name] = command.writes
+        elif name in self.writes:
+            self.settings = dict(self.settings)
+            del self.settings[f"{PREPARED} {name}"]
+            del self.writes[name]
+        else:
+            raise not_run(Reason.UNKNOWN_NAME, f"nothing is prepared as {name}")
+        return SessionReply(self.state)
+
+    def begin(self, kind: CommandKind) -> SessionReply:
+        """Note that a transaction begins; see `OpenTransaction`."""
+        if self.state is not SessionState.IDLE:
+            raise malformed("a transaction is open already")
+        self.renew_route()
+        self.begun += 1
+        self.transaction = OpenTransaction(
+            f"{self.name}.{self.begun}", kind is CommandKind.BEGIN_READ
+        )
+        self.state = SessionState.OPEN
+        return SessionReply(self.state)
+
+    def roll_back(self) -> SessionReply:
+        """End the transaction without a trace."""
+        if self.state is SessionState.IDLE:
+            raise malformed("no transaction is open")
+        self.end_transaction()
+        return SessionReply(self.state)
+
+    def renew_route(self) -> Route:
+        """Return the route in force, which holds to the end of a transaction.
+
+        :raises Refusal: if there is none any more.
+        """
+        self.route = self.announcements.table.routes.get(self.database)
+        if self.route is None:
+            raise no_database(self.database)
+        return self.route
+
+    async def answer_at_target(self, id: str, command: Command) -> SessionReply:
+        """Run a read, a write or a commit at a target.
+
+        :raises Refusal: with a verdict that holds.
+        """
+        kind = self.work_kind(command)
+        transaction = self.transaction
+        if transaction is None:
+            if kind is WorkKind.COMMIT:
+                raise malformed("no transaction is open")
+            return await self.run_single(id, command, kind)
+        return await self.run_step(id, command, kind, transaction)
+
+    def work_kind(self, command: Command) -> WorkKind:
+        """Return what the command does at a target.
+
+        :raises Refusal: if that is unknown.
+        """
+        if command.kind is CommandKind.READ:
+            return WorkKind.READ
+        if command.kind is CommandKind.WRITE:
+            return WorkKind.WRITE
+        if command.kind is CommandKind.COMMIT:
+            return WorkKind.COMMIT
+        if command.kind is not CommandKind.EXECUTE:
+            raise malformed("the statement is not known")
+        writes = self.writes.get(command.name)
+        if writes is None:
+            raise not_run(Reason.UNKNOWN_NAME, f"nothing is prepared as {command.name}")
+        return WorkKind.WRITE if writes else WorkKind.READ
+
+    async def run_single(
+        self, id: str, command: Command, kind: WorkKind
+    ) -> SessionReply:
+        """Run a statement outside transactions."""
+        route = self.renew_route()
+        work = self.work(id, command, kind, route)
+        is_read = kind is WorkKind.READ
+        placed = await self.steering.run(route, work, self.committed, is_read)
+        reply = placed.answer.reply
+        if kind is WorkKind.WRITE and reply.fault is Fault.NONE:
+            self.has_committed(reply)
+        return self.replied(reply)
+
+    async def run_step(
+        self,
+        id: str,
+        command: Command,
+        kind: WorkKind,
+        transaction: OpenTransaction,
+    ) -> SessionReply:
+        """Run a statement of the transaction, or its commit."""
+        assert self.route is not None
+        work = self.work(id, command, kind, self.route)
+        work.transaction = transaction.name
+        if transaction.timer is not None:
+            transaction.timer.cancel()
+        if transaction.place is None:
+            work.begin = Begin.READ if transaction.reads_only else Begin.WRITE
+            placed = await self.steering.run(
+                self.route, work, self.committed, transaction.reads_only
+            )
+            transaction.place = placed.place
+            reply = placed.answer.reply
+        else:
+            work.target = transaction.place.target
+            answer = await self.steering.run_at(transaction.place, work)
+            self.steering.learn(self.route.service, answer)
+            reply = answer.reply
+        if reply.fault is not Fault.NONE or kind is WorkKind.COMMIT:
+            return self.ended(kind, transaction, reply)
+        return self.replied(reply)
+
+    def ended(
+        self, kind: WorkKind, transaction: OpenTransaction, reply: MemberReply
+    ) -> SessionReply:
+        """Take note of a commit, or of an error in a transaction."""
+        if kind is WorkKind.COMMIT:
+            if reply.fault is Fault.NONE:
+                self.has_committed(reply)
+            self.end_transaction()
+            return self.replied(reply)
+        self.end_transaction()
+        self.state = SessionState.FAILED
+        return self.replied(reply)
+
+    def work(self, id: str, command: Command, kind: WorkKind, route: Route) -> Work:
+        """Return the statement for its way to a target."""
+        return Work(
+            service=route.service,
+            target="",
+            session=self.name,
+            settings=self.settings,
+            transaction="",
+            begin=Begin.NONE,
+            after=None,
+            kind=kind,
+            id=id,
+            text=command.text,
+            left=route.timeout,
+        )
+
+    def has_committed(self, reply: MemberReply) -> None:
+        """Keep the position that the session's reads must not miss."""
+        if reply.position is not None:
+            self.committed = reply.position
+
+    def replied(self, reply: MemberReply) -> SessionReply:
+        """Return a target's answer as the session's."""
+        return SessionReply(
+            self.state,
+            reply.rows,
+            reply.signature,
+            reply.fault,
+            reply.detail,
+            None,
+            reply.position,
+        )
+
+    def refused(self, refusal: Refusal) -> SessionReply:
+        """Return a refusal as the session's answer."""
+        ends = refusal.reason is Reason.UNKNOWN_GROUP
+        if self.state is SessionState.OPEN and not self.committing:
+            self.end_transaction()
+            self.state = SessionState.FAILED
+        elif self.committing:
+            self.end_transaction()
+        return SessionReply(self.state, refusal=refusal, ends=ends)
+
+    def end_transaction(self) -> None:
+        """Forget the transaction, and have it rolled back where it is open."""
+        transaction, self.transaction = self.transaction, None
+        self.state = SessionState.IDLE
+        if transaction is None:
+            return
+        if transaction.timer is not None:
+            transaction.timer.cancel()
+        if transaction.place is None or self.route is None:
+            return
+        work = self.steering.end(
+            self.route.service, transaction.place, transaction.name
+        )
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def rest(self) -> None:
+        """Bound the time for which an open transaction may rest."""
+        transaction = self.transaction
+        if transaction is None:
+            return
+        loop = asyncio.get_running_loop()
+        rest = self.announcements.table.transaction_idle
+        transaction.timer = loop.call_later(rest, self.abort, "it rested too long")
+
+    def abort(self, cause: str) -> None:
+        """End the open transaction on our own account."""
+        if self.transaction is None:
+            return
+        self.decisions.note(
+            "transaction_aborted", transaction=self.transaction.name, cause=cause
+        )
+        self.end_transaction()
+        self.state = SessionState.FAILED
+
+    def close(self) -> None:
+        """End the session; the caller is gone."""
+        self.end_transaction()
+
+
+LOCAL: Final = frozenset({CommandKind.SET, CommandKind.PREPARE, CommandKind.DEALLOCATE})
+"""Commands that no target needs to see before a statement depends on them."""
+
+
+def malformed(detail: str) -> Refusal:
+    """Return the refusal of a statement that makes no sense here."""
+    return not_run(Reason.BAD_REQUEST, detail)
+
+
+def no_database(database: str) -> Refusal:
+    """Return the refusal of a database that no route names."""
+    return not_run(Reason.UNKNOWN_GROUP, f"there is no database {database}")
--- /dev/null
+++ b/src/reedhook/platform/assembly.py
@@ -0,0 +1,108 @@
+"""Put a host together with its adapters to the platform."""
+
+import os
+from pathlib import Path
+from random import Random
+from typing import Final
+
+from ..clock import Clock, SystemClock
+from ..process.decisions import Decisions
+from ..process.histograms import HistogramMetrics
+from ..process.hosting_settings import HostingSettings
+from ..process.limits import ServerLimits
+from ..process.peer import HostRef
+from ..process.peer_http import HttpPeers
+from ..process.peer_server import PeerEndpoint, PeerServer
+from ..process.server import HandlerServer
+from ..process.session_host import SessionHost
+from ..process.session_process import SessionProcess
+from ..process.timeline import Timeline
+from . import settings as settings_file
+from .documents import PlatformDocuments
+from .driver import WireDriver, WirePhrases
+from .duty import PlatformPromoter
+from .entry import Front
+from .probe import Probe
+from .store import PlatformStore
+
+PEER_CREDENTIAL: Final = "reedhook"
+"""Keeps calls that are none of ours out of the ports of the system; the platform
+hands out no secret."""
+
+
+class PlatformProcess(SessionProcess):
+    """Run a host on the platform, and follow its settings file."""
+
+    def __init__(
+        self,
+        path: Path,
+        settings: HostingSettings,
+        clock: Clock,
+        random: Random,
+        decisions: Decisions,
+    ) -> None:
+        self.path = path
+        self.store = PlatformStore(settings.store)
+        self.promoter = PlatformPromoter(settings.promotions)
+        timeline = Timeline(settings.host, clock)
+        me = HostRef(settings.host, settings.zone, settings.peer_listen)
+        metrics = HistogramMetrics()
+        host = SessionHost(
+            settings,
+            clock,
+            random,
+            self.store,
+            PlatformDocuments(),
+            self.promoter,
+            WireDriver(),
+            WirePhrases(),
+            HttpPeers(me, PEER_CREDENTIAL, timeline, clock),
+            timeline,
+            decisions,
+            metrics,
+        )
+        endpoint = PeerEndpoint(host.routes, PEER_CREDENTIAL, timeline)
+        probe = Probe(lambda: host.ready, metrics.render)
+        limits = ServerLimits()
+        super().__init__(
+            host,
+            Front(host.callers, settings.callers_listen),
+            PeerServer(endpoint, settings.peer_listen),
+            HandlerServer("platform", probe.answer, settings.ready_listen, limits),
+            HandlerServer("metrics", probe.answer, settings.metrics_listen, limits),
+        )
+
+    def reload(self) -> None:
+        """Read the settings file again and go on with what has changed.
+
+        A file that is wrong is reported and changes nothing.
+        """
+        decisions = self.host.decisions
+        try:
+            settings = settings_file.load(self.path)
+        except (OSError, settings_file.SettingsFault) as error:
+            decisions.note("reload_refused", error=str(error))
+            return
+        self.store.move(settings.store)
+        self.promoter.move(settings.promotions)
+        self.host.reloaded(settings)
+
+    def stamp(self) -> float:
+        """Return when the settings file last changed."""
+        try:
+            return os.stat(self.path).st_mtime
+        except OSError:
+            # It may be written anew just now.
+            return 0.0
+
+
+def assemble(path: Path) -> PlatformProcess:
+    """Return the process of a host with the settings of a file.
+
+    :raises OSError: if it cannot be read.
+    :raises SettingsFault: if the settings are wrong.
+    """
+    settings = settings_file.load(path)
+    clock = SystemClock()
+    decisions = Decisions(settings.host, clock)
+    return PlatformProcess(path, settings, clock, Random(), decisions)
--- /dev/null
+++ b/src/reedhook/platform/documents.py
@@ -0,0 +1,108 @@
+"""Values that the operators and the targets keep in the platform's store."""
+
+from typing import Any, Final
+
+from ..process.announced.announcements import Documents
+from ..version.registry import (
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceTerms,
+    TargetEntry,
+)
+from ..wire import WireError, decode, reader
+
+CONFIGURATION_KEY: Final = "op/config"
+TARGET_PREFIX: Final = "servers/"
+
+KINDS: Final = {
+    "primary": RouteKind.PRIMARY,
+    "bounded_staleness": RouteKind.BOUNDED,
+    "own_writes": RouteKind.OWN_WRITES,
+}
+MILLISECONDS: Final = 1000.0
+DEFAULT_CONNECTIONS: Final = 16
+DEFAULT_IDLE_MS: Final = 3000
+DEFAULT_START_MS: Final = 3000
+
+
+@reader
+def read_table(value: bytes) -> RouteTable:
+    """Read the operators' configuration.
+
+    A route's `host` is the name of a database, not of a machine.
+
+    :raises WireError: if it has another form.
+    """
+    message = decode(value)
+    limits = message.get("limits", {})
+    routes = [read_route(one) for one in message["routes"]]
+    services = [read_terms(one) for one in message["services"]]
+    return RouteTable(
+        int(message["version"]),
+        {route.database: route for route in routes if route is not None},
+        {terms.service: terms for terms in services},
+        limits.get("transaction_idle_ms", DEFAULT_IDLE_MS) / MILLISECONDS,
+        limits.get("header_timeout_ms", DEFAULT_START_MS) / MILLISECONDS,
+    )
+
+
+def read_route(message: Any) -> Route | None:
+    """Read a route; one of a kind that is not known here serves nobody."""
+    kind = KINDS.get(message.get("kind", ""))
+    if kind is None:
+        return None
+    max_age = message.get("max_staleness_ms")
+    return Route(
+        database=message["host"],
+        service=message["service"],
+        kind=kind,
+        timeout=message["timeout_ms"] / MILLISECONDS,
+        objective=message["target_latency_ms"] / MILLISECONDS,
+        priority=int(message.get("priority", 1)),
+        max_age=None if max_age is None else max_age / MILLISECONDS,
+    )
+
+
+def read_terms(message: Any) -> ServiceTerms:
+    """Read what the targets of a service bear."""
+    connections = message.get("connection_limit", DEFAULT_CONNECTIONS)
+    return ServiceTerms(message["name"], int(connections))
+
+
+@reader
+def read_target(key: str, value: bytes) -> TargetEntry:
+    """Read what a target announces; its id is in the key only.
+
+    :raises WireError: if it has another form.
+    """
+    if not key.startswith(TARGET_PREFIX):
+        raise WireError(f"{key} names no target")
+    message = decode(value)
+    return TargetEntry(
+        target=key[len(TARGET_PREFIX) :],
+        service=message["service"],
+        address=message["address"],
+        zone=message["zone"],
+        leaving=message.get("state") != "ready",
+        claims_lead=message.get("database_role") == "primary",
+    )
+
+
+class PlatformDocuments(Documents):
+    """Read the values under the platform's keys."""
+
+    def is_table(self, key: str) -> bool:
+        return key == CONFIGURATION_KEY
+
+    def is_target(self, key: str) -> bool:
+        return key.startswith(TARGET_PREFIX)
+
+    def target_of(self, key: str) -> str:
+        return key[len(TARGET_PREFIX) :]
+
+    def read_table(self, value: bytes) -> RouteTable:
+        return read_table(value)
+
+    def read_target(self, key: str, value: bytes) -> TargetEntry:
+        return read_target(key, value)
--- /dev/null
+++ b/src/reedhook/platform/driver.py
@@ -0,0 +1,219 @@
+"""Connections to targets that speak the platform's wire."""
+
+import asyncio
+from typing import Final, cast
+
+from ..connection.member import (
+    Fault,
+    MemberConnection,
+    MemberDriver,
+    MemberFull,
+    MemberMisrouted,
+    MemberReply,
+    MemberSilent,
+    MemberStatus,
+    MemberUnreachable,
+    Phrases,
+    Query,
+)
+from ..request.position import ORIGIN, Position
+from ..version.registry import TargetEntry
+from . import text
+from .line import LineError, LineReader, encoded
+
+CALLER: Final = "reedhook"
+FAILED: Final = "E"
+STATUS_FIELDS: Final = 7
+REFUSALS: Final = {"OVERLOADED": MemberFull, "MISROUTED": MemberMisrouted}
+FAULTS: Final = {
+    "": Fault.NONE,
+    "BUSY": Fault.BUSY,
+    "UNKNOWN": Fault.UNKNOWN_NAME,
+    "LAGGING": Fault.LAGGING,
+    "READONLY": Fault.READ_ONLY,
+    "ABORTED": Fault.ABORTED,
+    "MALFORMED": Fault.MALFORMED,
+    "FAILED": Fault.FAILED,
+    "TIMEOUT": Fault.TIMEOUT,
+}
+
+
+class WireConnection(asyncio.Protocol, MemberConnection):
+    """Speak to one target, several queries in one go."""
+
+    def __init__(self) -> None:
+        self.lost = False
+        self.reader = LineReader()
+        self.transport: asyncio.Transport | None = None
+        self.replies: list[MemberReply] = []
+        self.expected = 0
+        self.waiting: asyncio.Future[None] | None = None
+        self.refusal = ""
+        self.clear()
+
+    def clear(self) -> None:
+        """Forget what was received of the reply in progress."""
+        self.rows: list[str] = []
+        self.signature = ""
+        self.code = ""
+        self.detail = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; called by the loop."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Read replies; called by the loop."""
+        try:
+            for line in self.reader.feed(data):
+                self.read(line)
+        except (LineError, ValueError):
+            # An answer that cannot be read leaves the exchange in doubt; the
+            # waiting exchange reports it.
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Let the exchange in progress fail; called by the loop."""
+        self.lost = True
+        self.wake()
+
+    def read(self, line: str) -> None:
+        """Take one line over into the reply in progress.
+
+        :raises ValueError: if it has no known form.
+        """
+        word, _, rest = line.partition(" ")
+        if word == "ROW":
+            self.rows.append(rest)
+        elif word == "COMPLETE":
+            self.signature = rest
+        elif word == "ERROR":
+            self.code, _, self.detail = rest.partition(" ")
+        elif word == "READY":
+            state, _, position = rest.partition(" ")
+            self.finish(state == FAILED, text.read_position(position))
+        else:
+            raise ValueError(f"unknown word {word!r}")
+
+    def finish(self, failed: bool, position: Position | None) -> None:
+        """Complete the reply in progress."""
+        fault = FAULTS.get(self.code, Fault.FAILED)
+        reply = MemberReply(
+            self.rows, self.signature, fault, self.detail, failed, position
+        )
+        self.refusal = self.code
+        self.clear()
+        self.replies.append(reply)
+        if len(self.replies) >= self.expected:
+            self.wake()
+
+    def wake(self) -> None:
+        """Let who waits for replies look at them."""
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_result(None)
+
+    async def exchange(self, queries: list[Query], timeout: float) -> list[MemberReply]:
+        lines = [encoded("QUERY", one.id or text.NONE, worded(one)) for one in queries]
+        return await self.send(b"".join(lines), len(queries), timeout)
+
+    async def send(self, data: bytes, count: int, timeout: float) -> list[MemberReply]:
+        """Send bytes and return `count` replies; raises as `exchange`."""
+        if self.lost or self.transport is None:
+            raise MemberSilent("the connection has ended")
+        self.replies = []
+        self.expected = count
+        self.waiting = asyncio.get_running_loop().create_future()
+        self.transport.write(data)
+        try:
+            async with asyncio.timeout(timeout):
+                await self.waiting
+        except TimeoutError:
+            self.close()
+            raise MemberSilent("no answer in time") from None
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        if len(self.replies) < count:
+            self.close()
+            raise MemberSilent("the connection broke")
+        return self.replies
+
+    async def status(self, timeout: float) -> MemberStatus:
+        (reply,) = await self.exchange([Query("", text.STATUS)], timeout)
+        if reply.fault is not Fault.NONE or not reply.rows:
+            raise MemberSilent(f"no status: {reply.fault.value}")
+        return read_status(reply.rows[0])
+
+    def close(self) -> None:
+        self.lost = True
+        if self.transport is not None:
+            self.transport.abort()
+        self.wake()
+
+
+class WireDriver(MemberDriver):
+    """Open connections over TCP."""
+
+    async def connect(self, entry: TargetEntry, timeout: float) -> MemberConnection:
+        host, _, port = entry.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        connection = WireConnection()
+        try:
+            async with asyncio.timeout(timeout):
+                await loop.create_connection(lambda: connection, host, int(port))
+                start = encoded("START", entry.service, CALLER, entry.target)
+                await connection.send(start, 1, timeout)
+        except (TimeoutError, OSError, MemberSilent) as error:
+            connection.close()
+            # A refusal of the start is an error without a state, then a close.
+            kind = REFUSALS.get(connection.code, MemberUnreachable)
+            raise kind(f"{entry.target}: {connection.code or error}") from error
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        if connection.refusal:
+            connection.close()
+            kind = REFUSALS.get(connection.refusal, MemberUnreachable)
+            raise kind(f"{entry.target}: {connection.refusal}")
+        return connection
+
+
+class WirePhrases(Phrases):
+    """Word statements for the wire."""
+
+    def begin(self, read_only: bool) -> str:
+        return text.BEGIN_READ if read_only else text.BEGIN
+
+    def rollback(self) -> str:
+        return text.ROLLBACK
+
+    def reset(self) -> str:
+        return text.RESET
+
+    def deallocate(self, name: str) -> str:
+        return text.deallocate(name)
+
+    def demote(self, term: int) -> str:
+        return text.demote(term)
+
+
+def worded(query: Query) -> str:
+    """Return the text of a query with what its position demands."""
+    if query.after is None:
+        return query.text
+    return text.after(query.after, query.text)
+
+
+def read_status(row: str) -> MemberStatus:
+    """Read the row: role, term, received, term held, lag, busy, connections.
+
+    :raises MemberSilent: if it has another form.
+    """
+    fields = row.split(" ")
+    try:
+        role, term, received = fields[:3]
+        connections = int(fields[STATUS_FIELDS - 1])
+        position = text.read_position(received) or ORIGIN
+        return MemberStatus(role == "primary", int(term), position, connections)
+    except (LookupError, ValueError) as error:
+        raise MemberSilent(f"a status of unknown form: {row!r}") from error
--- /dev/null
+++ b/src/reedhook/platform/entry.py
@@ -0,0 +1,243 @@
+"""The callers' end of the platform's wire."""
+
+import asyncio
+from collections import deque
+from typing import Final, cast
+
+from ..address import split_address
+from ..connection.member import Fault
+from ..connection.session import Session, SessionReply, SessionState
+from ..process.callers import CallerConnection, Callers
+from ..request.refusal import Reason, Refusal
+from ..request.verdict import Verdict
+from . import text
+from .line import ENCODING, LineError, LineReader, encoded
+
+MOST_QUEUED: Final = 32
+"""Statements that may wait in a session before its connection is read on; a
+caller waits for its answers, so that more are a mistake of its."""
+
+BACKLOG: Final = 512
+"""New connections that may wait to be accepted, such as after a restart."""
+
+IDLE_GRACE: Final = 0.03
+"""Seconds of rest before a session is closed as the host ends: a statement that
+was sent just then is likely to have arrived."""
+
+STATES: Final = {
+    SessionState.IDLE: "I",
+    SessionState.OPEN: "T",
+    SessionState.FAILED: "E",
+}
+FAULTS: Final = {
+    Fault.BUSY: "BUSY",
+    Fault.UNKNOWN_NAME: "UNKNOWN",
+    Fault.LAGGING: "LAGGING",
+    Fault.READ_ONLY: "READONLY",
+    Fault.ABORTED: "ABORTED",
+    Fault.MALFORMED: "MALFORMED",
+    Fault.FAILED: "FAILED",
+    Fault.TIMEOUT: "TIMEOUT",
+}
+IN_DOUBT: Final = "INDOUBT"
+NOT_RUN: Final = "BUSY"
+REASONS: Final = {
+    Reason.BAD_REQUEST: "MALFORMED",
+    Reason.UNKNOWN_NAME: "UNKNOWN",
+    Reason.UNKNOWN_GROUP: "NODATABASE",
+    Reason.TRANSACTION_LOST: "ABORTED",
+    Reason.TARGET_LOST: "ABORTED",
+    Reason.OVERLOADED: "OVERLOADED",
+    Reason.DEADLINE: "OVERLOADED",
+}
+
+
+class FrontConnection(asyncio.Protocol, CallerConnection):
+    """Serve one caller, one statement after the other."""
+
+    def __init__(self, callers: Callers) -> None:
+        self.callers = callers
+        self.reader = LineReader()
+        self.lines: deque[str] = deque()
+        self.arrived = asyncio.Event()
+        self.transport: asyncio.Transport | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.session: Session | None = None
+        self.serving = False
+        self.ended = False
+        self.rested_at = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to serve; called by the loop."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.callers.connections.add(self)
+        self.rested_at = self.callers.clock.monotonic()
+        self.task = asyncio.get_running_loop().create_task(self.serve())
+
+    def data_received(self, data: bytes) -> None:
+        """Cut what arrives into lines; called by the loop."""
+        if self.ended:
+            return
+        try:
+            self.lines.extend(self.reader.feed(data))
+        except LineError as error:
+            self.lines.append("")
+            self.callers.decisions.note("malformed_line", error=str(error))
+        self.arrived.set()
+        if len(self.lines) > MOST_QUEUED and self.transport is not None:
+            self.transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """End the session as the caller does; called by the loop."""
+        self.ended = True
+        self.arrived.set()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the caller; called by the loop."""
+        self.ended = True
+        self.callers.connections.discard(self)
+        self.arrived.set()
+        if self.session is not None and not self.serving:
+            self.session.close()
+
+    async def serve(self) -> None:
+        """Open the session and answer its statements in their order."""
+        try:
+            async with asyncio.timeout(self.callers.announcements.table.start_timeout):
+                line = await self.next_line()
+        except TimeoutError:
+            self.close()
+            return
+        if line is not None and await self.start(line):
+            await self.answer_all()
+        if self.session is not None:
+            self.session.close()
+        self.close()
+
+    async def next_line(self) -> str | None:
+        """Return the next line, or None once the caller has ended."""
+        while not self.lines:
+            if self.ended:
+                return None
+            self.arrived.clear()
+            await self.arrived.wait()
+        if len(self.lines) == MOST_QUEUED and self.transport is not None:
+            self.transport.resume_reading()
+        return self.lines.popleft()
+
+    async def start(self, line: str) -> bool:
+        """Open the session that the first line asks for; say whether it is."""
+        fields = line.split(" ")
+        if fields[0] != "START" or len(fields) < 2 or not fields[1]:
+            self.write(encoded("ERROR", "MALFORMED", "START is expected"))
+            return False
+        self.serving = True
+        try:
+            self.session = await self.callers.open(fields[1])
+        except Refusal as refusal:
+            self.write(encoded("ERROR", *worded(refusal)))
+            return False
+        finally:
+            self.serving = False
+        self.write(encoded("READY", STATES[SessionState.IDLE], text.NONE))
+        self.rest()
+        return True
+
+    async def answer_all(self) -> None:
+        """Answer statements until the session ends."""
+        assert self.session is not None
+        while True:
+            line = await self.next_line()
+            if line is None or line == "TERMINATE":
+                return
+            word, _, rest = line.partition(" ")
+            id, _, statement = rest.partition(" ")
+            if word != "QUERY" or not id or not statement:
+                self.write(encoded("ERROR", "MALFORMED", "QUERY is expected"))
+                return
+            self.serving = True
+            reply = await self.session.run(id, text.read_command(statement))
+            self.serving = False
+            self.write(written(reply))
+            if reply.ends:
+                return
+            self.rest()
+
+    def rest(self) -> None:
+        """Note that nothing is owed now; a host that ends says good-bye."""
+        self.rested_at = self.callers.clock.monotonic()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, unless the caller is gone."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def idle(self) -> bool:
+        if self.serving or self.lines:
+            return False
+        if self.callers.clock.monotonic() - self.rested_at < IDLE_GRACE:
+            return False
+        return self.session is None or self.session.state is SessionState.IDLE
+
+    def close(self) -> None:
+        self.ended = True
+        self.arrived.set()
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort_transaction(self, cause: str) -> None:
+        if self.session is not None and not self.serving:
+            self.session.abort(cause)
+
+
+class Front:
+    """Listen for callers.
+
+    :param address: ``IP:port``; port 0 takes a free one.
+    """
+
+    def __init__(self, callers: Callers, address: str) -> None:
+        self.callers = callers
+        self.address = address
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises OSError: if the address cannot be had.
+        """
+        host, port = split_address(self.address)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: FrontConnection(self.callers), host, port, backlog=BACKLOG
+        )
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Accept nobody any more."""
+        if self.server is not None:
+            self.server.close()
+
+
+def written(reply: SessionReply) -> bytes:
+    """Return the bytes of an answer."""
+    state = encoded("READY", STATES[reply.state], text.write_position(reply.position))
+    if reply.refusal is not None:
+        return encoded("ERROR", *worded(reply.refusal)) + state
+    if reply.fault is not Fault.NONE:
+        return encoded("ERROR", FAULTS[reply.fault], reply.detail) + state
+    rows = b"".join(encoded("ROW", row) for row in reply.rows)
+    return rows + encoded("COMPLETE", reply.signature or text.NONE) + state
+
+
+def worded(refusal: Refusal) -> tuple[str, str]:
+    """Return the code of a refusal, and its text with when to come back."""
+    detail = refusal.detail
+    if refusal.retry_after_ms is not None:
+        detail = f"retry_after_ms={refusal.retry_after_ms} {detail}"
+    detail = detail.encode(ENCODING, "replace").decode(ENCODING)
+    if refusal.verdict is Verdict.MAY_HAVE_RUN:
+        return IN_DOUBT, detail
+    return REASONS.get(refusal.reason, NOT_RUN), detail
--- /dev/null
+++ b/src/reedhook/platform/settings.py
@@ -0,0 +1,133 @@
+"""The platform's settings file: lines ``a.b=value``, lists joined by commas."""
+
+import os
+from pathlib import Path
+from typing import Final
+
+from ..address import split_address
+from ..process.hosting_settings import HostingSettings
+
+VARIABLE: Final = "REEDHOOK_SETTINGS"
+"""Environment variable with the path of the file."""
+
+COMMENT: Final = "#"
+
+
+class SettingsFault(ValueError):
+    """Say what is wrong in which line of a settings file."""
+
+
+def settings_path(named: str | None) -> Path:
+    """Return the path of the settings file.
+
+    :param named: on the command line, or None.
+    :raises SettingsFault: if nobody names one.
+    """
+    path = named or os.environ.get(VARIABLE)
+    if not path:
+        raise SettingsFault(f"the variable {VARIABLE} is not set")
+    return Path(path)
+
+
+class Line:
+    """Keep a value with the number of its line."""
+
+    __slots__ = ("number", "value")
+
+    def __init__(self, number: int, value: str) -> None:
+        self.number = number
+        self.value = value
+
+
+def load(path: Path) -> HostingSettings:
+    """Read and check a settings file.
+
+    :raises OSError: if it cannot be read.
+    :raises SettingsFault: if a field that is needed is missing or wrong.
+    """
+    return read(path.read_text(encoding="utf-8"))
+
+
+def read(text: str) -> HostingSettings:
+    """Read settings; fields that are not known here are ignored.
+
+    :raises SettingsFault: as `load`.
+    """
+    fields = split(text)
+    ip = required(fields, "ip")
+    first, last = ports(fields)
+    return HostingSettings(
+        host=required(fields, "node_name"),
+        zone=required(fields, "zone"),
+        callers_listen=address(fields, "listen.front"),
+        ready_listen=address(fields, "listen.ready"),
+        peer_listen=f"{ip}:{first}",
+        metrics_listen=f"{ip}:{last}",
+        store=address(fields, "platform.address"),
+        promotions=address(fields, "cloud.address"),
+        grace=number(fields, "bounds.grace_s"),
+    )
+
+
+def split(text: str) -> dict[str, Line]:
+    """Return the fields of a file.
+
+    :raises SettingsFault: for a line without a value.
+    """
+    fields = {}
+    for number, line in enumerate(text.splitlines(), 1):
+        if not line.strip() or line.startswith(COMMENT):
+            continue
+        name, separator, value = line.partition("=")
+        if not separator:
+            raise SettingsFault(f"line {number}: expected name=value")
+        fields[name.strip()] = Line(number, value.strip())
+    return fields
+
+
+def required(fields: dict[str, Line], name: str) -> str:
+    """Return a value.
+
+    :raises SettingsFault: if it is missing or empty.
+    """
+    line = fields.get(name)
+    if line is None:
+        raise SettingsFault(f"the field {name} is missing")
+    if not line.value:
+        raise SettingsFault(f"line {line.number}: {name} is empty")
+    return line.value
+
+
+def address(fields: dict[str, Line], name: str) -> str:
+    """Return an ``IP:port``; raises as `required`."""
+    value = required(fields, name)
+    try:
+        split_address(value)
+    except ValueError as error:
+        number = fields[name].number
+        raise SettingsFault(f"line {number}: {name}: {error}") from None
+    return value
+
+
+def number(fields: dict[str, Line], name: str) -> float:
+    """Return a number above 0; raises as `required`."""
+    value = required(fields, name)
+    try:
+        found = float(value)
+    except ValueError:
+        found = 0.0
+    if found <= 0.0:
+        line = fields[name].number
+        raise SettingsFault(f"line {line}: {name} is to be a number above 0")
+    return found
+
+
+def ports(fields: dict[str, Line]) -> tuple[int, int]:
+    """Return the first and the last port for the system's own use."""
+    name = "internal_ports"
+    value = required(fields, name)
+    first, _, last = value.partition(",")
+    if not (first.isdigit() and last.isdigit()) or int(first) >= int(last):
+        line = fields[name].number
+        raise SettingsFault(f"line {line}: {name} is to be two ports in order")
+    return int(first), int(last)
--- /dev/null
+++ b/src/reedhook/platform/text.py
@@ -0,0 +1,84 @@
+"""Texts of statements, read into commands and written for targets."""
+
+from typing import Final
+
+from ..request.command import Command, CommandKind
+from ..request.position import Position
+
+NONE: Final = "-"
+"""Stands where there is no id, no position or no signature."""
+
+BEGIN: Final = "BEGIN"
+BEGIN_READ: Final = "BEGIN READ"
+ROLLBACK: Final = "ROLLBACK"
+RESET: Final = "RESET"
+STATUS: Final = "STATUS"
+
+WHOLE: Final = {
+    BEGIN: CommandKind.BEGIN,
+    BEGIN_READ: CommandKind.BEGIN_READ,
+    "COMMIT": CommandKind.COMMIT,
+    ROLLBACK: CommandKind.ROLLBACK,
+}
+SHAPES: Final = {"READ": False, "WRITE": True}
+
+
+def read_command(text: str) -> Command:
+    """Return what `text` asks for; what is unknown is `MALFORMED`."""
+    whole = WHOLE.get(text)
+    if whole is not None:
+        return Command(whole, text)
+    word, _, rest = text.partition(" ")
+    fields = rest.split(" ")
+    if not all(fields):
+        return Command(CommandKind.MALFORMED, text)
+    return read_fields(text, word, fields)
+
+
+def read_fields(text: str, word: str, fields: list[str]) -> Command:
+    """Return the command of `word` with its fields."""
+    count = len(fields)
+    if word == "READ" and count == 1:
+        return Command(CommandKind.READ, text)
+    if word == "WRITE" and count >= 2:
+        return Command(CommandKind.WRITE, text)
+    if word == "EXECUTE" and count >= 2:
+        return Command(CommandKind.EXECUTE, text, fields[0])
+    if word == "SET" and count >= 2:
+        return Command(CommandKind.SET, text, fields[0])
+    if word == "PREPARE" and count >= 3 and fields[1] in SHAPES:
+        return Command(CommandKind.PREPARE, text, fields[0], SHAPES[fields[1]])
+    if word == "DEALLOCATE" and count == 1:
+        return Command(CommandKind.DEALLOCATE, text, fields[0])
+    return Command(CommandKind.MALFORMED, text)
+
+
+def after(position: Position, text: str) -> str:
+    """Return `text` with the demand that the log holds `position`."""
+    return f"AFTER {write_position(position)} {text}"
+
+
+def deallocate(name: str) -> str:
+    """Return the text that forgets a prepared statement."""
+    return f"DEALLOCATE {name}"
+
+
+def demote(term: int) -> str:
+    """Return the text that makes a primary of a lower term a replica."""
+    return f"DEMOTE {term}"
+
+
+def read_position(field: str) -> Position | None:
+    """Return the position that a field holds, or None.
+
+    :raises ValueError: if it holds something else.
+    """
+    if field == NONE:
+        return None
+    term, _, number = field.partition(".")
+    return Position(int(term), int(number))
+
+
+def write_position(position: Position | None) -> str:
+    """Return the field that holds `position`."""
+    return NONE if position is None else f"{position.term}.{position.index}"
--- /dev/null
+++ b/src/reedhook/process/announced/announcements.py
@@ -0,0 +1,257 @@
+"""What is announced in the store, followed change by change."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from ...clock import Clock
+from ...version.registry import NO_ROUTES, RouteTable, TargetEntry
+from ...wire import WireError
+from ..decisions import Decisions
+from .keyspace import HistoryGone, Item, Items, Keyspace, KeyspaceError
+
+HOLD: Final = 4.0
+"""Seconds for which a question for changes is held; each counts as a call. A
+connection that went silent meanwhile is noticed by what other hosts state."""
+
+GATHER: Final = 0.25
+"""Seconds between an answer and the next question, so that changes that come
+together cost one call a host; a configuration has 3 s to be in force, and hosts
+tell each other of new leads as soon as a statement depends on it."""
+
+ANSWER_TIMEOUT: Final = 1.5
+"""Seconds for an answer of a store that takes 4 ms, or 240 ms when slow."""
+
+RETRY_FIRST: Final = 0.1
+RETRY_MOST: Final = 1.0
+"""Seconds of the first and the longest pause after a failure; the store is
+back about 2 s before what depends on it counts."""
+
+OWN_PREFIX: Final = "reedhook/"
+"""Begins the keys that hosts of the system write."""
+
+EVERYTHING: Final = ""
+
+
+class Documents(ABC):
+    """Read the values that others keep in the store."""
+
+    @abstractmethod
+    def is_table(self, key: str) -> bool:
+        """Say whether the key holds the operators' configuration."""
+
+    @abstractmethod
+    def is_target(self, key: str) -> bool:
+        """Say whether the key holds what a target announces."""
+
+    @abstractmethod
+    def target_of(self, key: str) -> str:
+        """Return the id of the target that announces itself under the key."""
+
+    @abstractmethod
+    def read_table(self, value: bytes) -> RouteTable:
+        """Read the operators' configuration.
+
+        :raises WireError: if it has another form.
+        """
+
+    @abstractmethod
+    def read_target(self, key: str, value: bytes) -> TargetEntry:
+        """Read what a target announces.
+
+        :raises WireError: if it has another form.
+        """
+
+
+class Announcements:
+    """Keep what is announced, as new as it could be learned.
+
+    :ivar table: the configuration in force; it never gets older.
+    :ivar table_value: its value in the store, for other hosts.
+    :ivar targets: what targets announce, by id.
+    :ivar missing_since: when targets that were known were found to be gone,
+        by `Clock.elapsed`.
+    :ivar own: the newest items that hosts of the system wrote, by key.
+    :ivar reached: whether the last call to the store was answered.
+    :ivar heard_at: when the store last answered, by `Clock.elapsed`.
+    :ivar first: set once everything was read.
+    """
+
+    def __init__(
+        self,
+        keyspace: Keyspace,
+        documents: Documents,
+        clock: Clock,
+        random: Random,
+        decisions: Decisions,
+    ) -> None:
+        self.keyspace = keyspace
+        self.documents = documents
+        self.clock = clock
+        self.random = random
+        self.decisions = decisions
+        self.table = NO_ROUTES
+        self.table_value = b""
+        self.targets: dict[str, TargetEntry] = {}
+        self.missing: dict[str, TargetEntry] = {}
+        self.missing_since: dict[str, float] = {}
+        self.own: dict[str, Item] = {}
+        self.reached = False
+        self.heard_at = float("-inf")
+        self.back_at = float("-inf")
+        self.first = asyncio.Event()
+        self.configured = asyncio.Event()
+        self.at = 0
+        self.on_table: list[Callable[[RouteTable], None]] = []
+        self.on_targets: list[Callable[[], None]] = []
+        self.on_own: list[Callable[[Item], None]] = []
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        pause = RETRY_FIRST
+        known = False
+        while True:
+            try:
+                if known:
+                    await self.follow()
+                    await self.clock.sleep(GATHER)
+                else:
+                    await self.read_all()
+                    known = True
+                pause = RETRY_FIRST
+                continue
+            except HistoryGone:
+                known = False
+            except KeyspaceError as error:
+                self.lost(error)
+            spread = self.random.uniform(0.5, 1.0)
+            await self.clock.sleep(pause * spread)
+            pause = min(2 * pause, RETRY_MOST)
+
+    def lost(self, error: KeyspaceError) -> None:
+        """Take note that the store gives no answer."""
+        if self.reached:
+            self.decisions.note("store_lost", error=str(error))
+        self.reached = False
+
+    def heard(self) -> None:
+        """Take note that the store answers."""
+        now = self.clock.elapsed()
+        if not self.reached:
+            self.back_at = now
+            self.decisions.note("store_reached", revision=self.at)
+        self.reached = True
+        self.heard_at = now
+
+    async def read_all(self) -> None:
+        """Read everything anew."""
+        found = await self.keyspace.list(EVERYTHING, ANSWER_TIMEOUT)
+        self.heard()
+        self.at = found.at
+        keys = {item.key for item in found.items}
+        for target in list(self.targets):
+            if not any(self.names(key, target) for key in keys):
+                self.target_gone(target)
+        for key in [key for key in self.own if key not in keys]:
+            self.take_own(Item(key, None, found.at))
+        self.take(found)
+        self.first.set()
+
+    def names(self, key: str, target: str) -> bool:
+        """Say whether a key is that of a target."""
+        documents = self.documents
+        return documents.is_target(key) and documents.target_of(key) == target
+
+    async def follow(self) -> None:
+        """Wait for the next changes."""
+        found = await self.keyspace.changes(EVERYTHING, self.at, HOLD)
+        self.heard()
+        self.at = max(self.at, found.at)
+        self.take(found)
+
+    def take(self, found: Items) -> None:
+        """Take items over, one by one."""
+        for item in found.items:
+            try:
+                self.take_item(item)
+            except WireError as error:
+                self.decisions.note("item_malformed", key=item.key, error=str(error))
+
+    def take_item(self, item: Item) -> None:
+        """Take one item over by what it is about."""
+        documents = self.documents
+        if item.key.startswith(OWN_PREFIX):
+            self.take_own(item)
+        elif documents.is_table(item.key) and item.value is not None:
+            self.take_table(item.value)
+        elif documents.is_target(item.key):
+            self.take_target(item)
+
+    def take_table(self, value: bytes) -> None:
+        """Put a configuration in force unless a newer one is.
+
+        :raises WireError: if it is malformed.
+        """
+        table = self.documents.read_table(value)
+        if table.version <= self.table.version:
+            return
+        self.decisions.note(
+            "configuration", version=table.version, before=self.table.version
+        )
+        self.table = table
+        self.table_value = value
+        self.configured.set()
+        for callback in self.on_table:
+            callback(table)
+
+    def take_target(self, item: Item) -> None:
+        """Take over what a target announces."""
+        target = self.documents.target_of(item.key)
+        if item.value is None:
+            self.target_gone(target)
+            return
+        entry = self.documents.read_target(item.key, item.value)
+        before = self.targets.get(target)
+        self.targets[target] = entry
+        self.missing.pop(target, None)
+        self.missing_since.pop(target, None)
+        if entry != before:
+            self.decisions.note(
+                "target",
+                target=target,
+                service=entry.service,
+                address=entry.address,
+                leaving=entry.leaving,
+                claims_lead=entry.claims_lead,
+                revision=item.revision,
+            )
+            self.targets_changed()
+
+    def target_gone(self, target: str) -> None:
+        """Take note that a target announces itself no more."""
+        entry = self.targets.pop(target, None)
+        if entry is None:
+            return
+        self.decisions.note("target_gone", target=target, service=entry.service)
+        self.missing[target] = entry
+        self.missing_since[target] = self.clock.elapsed()
+        self.targets_changed()
+
+    def targets_changed(self) -> None:
+        """Tell that a target came, changed or went."""
+        for callback in self.on_targets:
+            callback()
+
+    def take_own(self, item: Item) -> None:
+        """Take over an item that a host of the system wrote."""
+        known = self.own.get(item.key)
+        if known is not None and known.revision >= item.revision:
+            return
+        if item.value is None:
+            self.own.pop(item.key, None)
+        else:
+            self.own[item.key] = item
+        for callback in self.on_own:
+            callback(item)
--- /dev/null
+++ b/src/reedhook/process/announced/keyspace.py
@@ -0,0 +1,109 @@
+"""Interface of a store with conditions, leases and a history of changes."""
+
+from abc import ABC, abstractmethod
+
+from ...record import Record
+
+
+class KeyspaceError(Exception):
+    """Say that the store gave no usable answer; base of the errors below."""
+
+
+class Unanswered(KeyspaceError):
+    """Say that no answer came; a change may take effect, also later."""
+
+
+class Declined(KeyspaceError):
+    """Say that the store was asked and has done nothing."""
+
+
+class Conflict(Declined):
+    """Say that the key's revision was not the expected one."""
+
+
+class LeaseEnded(Declined):
+    """Say that there is no such lease any more."""
+
+
+class HistoryGone(Declined):
+    """Say that the changes asked for are no longer kept."""
+
+
+class Item(Record):
+    """Carry a key with its value; a value of None says that it was deleted.
+
+    :param revision: of its last change.
+    """
+
+    __slots__ = ("key", "value", "revision")
+
+    def __init__(self, key: str, value: bytes | None, revision: int) -> None:
+        self.key = key
+        self.value = value
+        self.revision = revision
+
+
+class Items(Record):
+    """Carry items as they stood at a revision of the whole store."""
+
+    __slots__ = ("items", "at")
+
+    def __init__(self, items: list[Item], at: int) -> None:
+        self.items = items
+        self.at = at
+
+
+class Keyspace(ABC):
+    """Read and change keys; timeouts are in seconds.
+
+    All methods raise `KeyspaceError`.
+    """
+
+    @abstractmethod
+    async def get(self, key: str, timeout: float) -> Item | None:
+        """Return the item as it is now, or None."""
+
+    @abstractmethod
+    async def list(self, prefix: str, timeout: float) -> Items:
+        """Return all items whose keys begin so, oldest state of `at`."""
+
+    @abstractmethod
+    async def changes(self, prefix: str, after: int, hold: float) -> Items:
+        """Return the changes after a revision, at the latest after `hold`.
+
+        :raises HistoryGone: if they are no longer kept.
+        """
+
+    @abstractmethod
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        expected: int | None,
+        timeout: float,
+        lease: int = 0,
+    ) -> int:
+        """Write if the key's revision is `expected`; return the new one.
+
+        :param expected: 0 for a key that must not exist, None for any state.
+        :raises Conflict: if the revision differs; nothing was done.
+        """
+
+    @abstractmethod
+    async def grant(self, seconds: float, timeout: float) -> int:
+        """Return a new lease that ends unless it is kept."""
+
+    @abstractmethod
+    async def keep(self, lease: int, timeout: float) -> None:
+        """Renew a lease.
+
+        :raises LeaseEnded: if it has ended.
+        """
+
+    @abstractmethod
+    async def end(self, lease: int, timeout: float) -> None:
+        """End a lease and delete its keys."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Release connections."""
--- /dev/null
+++ b/src/reedhook/process/announced/registration.py
@@ -0,0 +1,102 @@
+"""This host's entry in the store, and those of the others."""
+
+from random import Random
+from typing import Final
+
+from ...clock import Clock
+from ...wire import WireError, decode, encode
+from ..decisions import Decisions
+from ..peer import HostRef
+from .announcements import OWN_PREFIX, Announcements
+from .keyspace import Item, Keyspace, KeyspaceError, LeaseEnded
+
+HOSTS: Final = f"{OWN_PREFIX}hosts/"
+
+LEASE: Final = 20.0
+"""Seconds after which the entry of a host that is gone vanishes; other hosts
+know long before from heartbeats, so that it only tells newcomers."""
+
+KEEP: Final = 5.0
+"""Seconds between renewals, each a tenth of a call."""
+
+ANSWER_TIMEOUT: Final = 1.5
+"""Seconds for an answer of the store."""
+
+RETRY: Final = 0.5
+"""Seconds until the next try after a failure."""
+
+
+class Registration:
+    """Announce this host and learn where the others are."""
+
+    def __init__(
+        self,
+        me: HostRef,
+        keyspace: Keyspace,
+        announcements: Announcements,
+        clock: Clock,
+        random: Random,
+        decisions: Decisions,
+    ) -> None:
+        self.me = me
+        self.keyspace = keyspace
+        self.announcements = announcements
+        self.clock = clock
+        self.random = random
+        self.decisions = decisions
+        self.key = HOSTS + me.host
+        self.lease: int | None = None
+
+    async def run(self) -> None:
+        """Announce this host until cancelled."""
+        while True:
+            try:
+                await self.renew()
+                pause = KEEP
+            except LeaseEnded:
+                self.lease = None
+                pause = 0.0
+            except KeyspaceError as error:
+                self.decisions.note("registration_unanswered", error=str(error))
+                pause = RETRY
+            await self.clock.sleep(pause * self.random.uniform(0.8, 1.2))
+
+    async def renew(self) -> None:
+        """Keep the entry, or write it again if it was taken away.
+
+        :raises KeyspaceError: if the store does not do so.
+        """
+        if self.lease is not None:
+            await self.keyspace.keep(self.lease, ANSWER_TIMEOUT)
+            if self.key in self.announcements.own:
+                return
+        if self.lease is None:
+            self.lease = await self.keyspace.grant(LEASE, ANSWER_TIMEOUT)
+        value = encode({"host": self.me.to_json()})
+        await self.keyspace.put(self.key, value, None, ANSWER_TIMEOUT, self.lease)
+
+    async def withdraw(self) -> None:
+        """Take the entry away, as this host ends."""
+        if self.lease is None:
+            return
+        try:
+            await self.keyspace.end(self.lease, ANSWER_TIMEOUT)
+        except KeyspaceError as error:
+            # The lease runs out by itself.
+            self.decisions.note("registration_unanswered", error=str(error))
+
+    def addresses(self) -> list[str]:
+        """Return where the hosts are that announce themselves."""
+        found = []
+        for key, item in self.announcements.own.items():
+            if key.startswith(HOSTS) and (ref := read_host(item)) is not None:
+                found.append(ref.address)
+        return found
+
+
+def read_host(item: Item) -> HostRef | None:
+    """Return the host of an entry, or None if it is malformed."""
+    try:
+        return HostRef.from_json(decode(item.value or b"")["host"])
+    except (WireError, LookupError, TypeError):
+        return None
--- /dev/null
+++ b/src/reedhook/process/callers.py
@@ -0,0 +1,135 @@
+"""The sessions that are open at this host, and their gentle end."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import Final
+
+from ..clock import Clock
+from ..connection.session import Session, no_database
+from ..request.refusal import Reason, not_run
+from ..request.steering import Steering
+from .announced.announcements import Announcements
+from .decisions import Decisions
+from .metrics import Metrics
+
+CONFIGURED_TIMEOUT: Final = 1.5
+"""Seconds for which a new session waits for the first configuration; callers
+give up after 2 s."""
+
+IN_ROTATION: Final = 2.2
+"""Seconds for which the platform goes on sending new connections to a host that
+is not ready: it asks each second, twice."""
+
+POLL: Final = 0.05
+"""Seconds between two looks at what is still open."""
+
+RETRY_MS: Final = 500
+"""When to come back to a host without a configuration, in milliseconds."""
+
+
+class CallerConnection(ABC):
+    """Hold the connection of one caller."""
+
+    @abstractmethod
+    def idle(self) -> bool:
+        """Say whether no answer is owed and no transaction is open."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connection once what was written has gone out."""
+
+    @abstractmethod
+    def abort_transaction(self, cause: str) -> None:
+        """End the open transaction on our own account."""
+
+
+class Callers:
+    """Open sessions and keep the connections of callers.
+
+    :ivar leaving: whether sessions are closed when nothing is outstanding.
+    """
+
+    def __init__(
+        self,
+        life: str,
+        steering: Steering,
+        announcements: Announcements,
+        clock: Clock,
+        decisions: Decisions,
+        metrics: Metrics,
+    ) -> None:
+        self.life = life
+        self.steering = steering
+        self.announcements = announcements
+        self.clock = clock
+        self.decisions = decisions
+        self.metrics = metrics
+        self.connections: set[CallerConnection] = set()
+        self.opened = 0
+        self.leaving = False
+
+    async def open(self, database: str) -> Session:
+        """Return a new session.
+
+        :raises Refusal: if there is no such database, or no configuration.
+        """
+        if not self.announcements.configured.is_set():
+            await self.wait_configured()
+        if database not in self.announcements.table.routes:
+            self.decisions.note(
+                "no_database",
+                database=database,
+                configuration=self.announcements.table.version,
+            )
+            raise no_database(database)
+        self.opened += 1
+        self.metrics.increment("sessions")
+        return Session(
+            f"{self.life}.{self.opened}",
+            database,
+            self.steering,
+            self.announcements,
+            self.clock,
+            self.decisions,
+            self.metrics,
+        )
+
+    async def wait_configured(self) -> None:
+        """Wait for the first configuration.
+
+        :raises Refusal: if none comes in time.
+        """
+        try:
+            async with asyncio.timeout(CONFIGURED_TIMEOUT):
+                await self.announcements.configured.wait()
+        except TimeoutError:
+            raise not_run(
+                Reason.NO_CONFIGURATION, "no configuration is known yet", RETRY_MS
+            ) from None
+
+    async def drain(self, transactions: float) -> None:
+        """Close all sessions as they become idle.
+
+        :param transactions: seconds for which open transactions may go on.
+        """
+        self.leaving = True
+        begun = self.clock.monotonic()
+        while self.clock.monotonic() - begun < transactions:
+            self.close_idle()
+            rotated = self.clock.monotonic() - begun >= IN_ROTATION
+            if rotated and not self.connections:
+                return
+            await self.clock.sleep(POLL)
+        for connection in list(self.connections):
+            connection.abort_transaction("the host ends")
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the sessions in which nothing is outstanding."""
+        for connection in list(self.connections):
+            if connection.idle():
+                connection.close()
+
+    def busy(self) -> bool:
+        """Say whether an answer is owed to somebody."""
+        return any(not one.idle() for one in self.connections)
--- a/src/reedhook/process/command_access.py
+++ b/src/reedhook/process/command_access.py
@@ -7,9 +7,9 @@
 
 import yaml
 
+from ..address import split_address
 from ..record import Record
 from .command_error import CommandError, Exit
-from .settings_schema import split_address
 
 FILE_VARIABLE: Final = "REEDHOOK_ACCESS"
 FIELDS: Final = {
--- a/src/reedhook/process/daemon.py
+++ b/src/reedhook/process/daemon.py
@@ -2,10 +2,14 @@
 
 Usage:
   reedhookd --settings FILE [--check]
+  reedhookd --platform [--settings FILE] [--check]
   reedhookd --help
 
 Options:
-  --settings FILE  YAML file with the settings of this host.
+  --settings FILE  YAML file with the settings of this host; with --platform,
+                   the file that the platform writes.
+  --platform       Serve sessions on a platform with a store. Without a file,
+                   the platform says in the environment where it is.
   --check          Only check the settings.
   --help           Show this text.
 
@@ -22,21 +26,36 @@
 from collections.abc import Callable
 from enum import IntEnum
 from pathlib import Path
-from typing import Any, Final, TypeAlias
+from typing import Any, Final, Protocol, TypeAlias
 
 import logbook
 import uvloop
 from aiomisc import Service, entrypoint
 from docopt import DocoptExit, docopt
 
-from .assembly import assemble_host
 from .collector import spare_collector
 from .io_uring import IoUringInUse, forbid_io_uring, require_no_io_uring
-from .lifecycle import HostProcess, ShutdownOverdue
+from .lifecycle import ShutdownOverdue
 from .logs import logs
-from .settings import Settings, load_settings
 
-Assemble: TypeAlias = Callable[[Settings], HostProcess]
+
+class Process(Protocol):
+    """Start and stop what a daemon runs."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+
+    async def stop(self) -> None:
+        """Shut down gracefully."""
+
+
+class HostSettings(Protocol):
+    """Name the host that settings are of."""
+
+    host: str
+
+
+Assemble: TypeAlias = Callable[[Any], Process]
 
 STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 
@@ -62,14 +81,14 @@
 
     __required__ = ("settings", "assemble")
 
-    settings: Settings
+    settings: HostSettings
     assemble: Assemble
 
     def __init__(self, **parameters: Any) -> None:
         super().__init__(**parameters)
         self.code = Exit.DONE
         self.stopping = asyncio.Event()
-        self.process: HostProcess | None = None
+        self.process: Process | None = None
 
     async def start(self) -> None:
         """Start the host, unless a signal to stop comes first."""
@@ -77,6 +96,9 @@
         for number in STOP_SIGNALS:
             self.loop.add_signal_handler(number, self.stopping.set)
         self.process = self.assemble(self.settings)
+        reload = getattr(self.process, "reload", None)
+        if reload is not None:
+            self.loop.add_signal_handler(signal.SIGHUP, reload)
         starting = asyncio.ensure_future(self.process.start())
         told = asyncio.ensure_future(self.stopping.wait())
         await asyncio.wait({starting, told}, return_when=asyncio.FIRST_COMPLETED)
@@ -114,20 +136,50 @@
     except DocoptExit as error:
         print(error, file=sys.stderr)
         return Exit.USAGE
+    if arguments["--platform"]:
+        return run_on_platform(arguments["--settings"], arguments["--check"])
+    return run_by_yaml(Path(arguments["--settings"]), arguments["--check"])
+
+
+def run_by_yaml(path: Path, check: bool) -> int:
+    """Run a host by its YAML settings; return the exit code."""
+    # Each kind of host loads only what it needs: all hosts start together after
+    # a loss of power, and the modules of the other kind take 0.2 s of a core.
+    from .assembly import assemble_host
+    from .settings import load_settings
+
     try:
-        settings = load_settings(Path(arguments["--settings"]))
+        settings = load_settings(path)
     except ExceptionGroup as errors:
         for one in errors.exceptions:
             print(f"reedhookd: {one}", file=sys.stderr)
         return Exit.USAGE
-    if arguments["--check"]:
+    if check:
         print("The settings are fine.")
         return Exit.DONE
     with logs(settings.log_level):
-        return serve(settings)
+        return serve(settings, assemble_host)
+
+
+def run_on_platform(named: str | None, check: bool) -> int:
+    """Run a host by the platform's settings file; return the exit code."""
+    from ..platform.assembly import assemble
+    from ..platform.settings import SettingsFault, load, settings_path
+
+    try:
+        path = settings_path(named)
+        settings = load(path)
+    except (OSError, SettingsFault) as error:
+        print(f"reedhookd: {error}", file=sys.stderr)
+        return Exit.USAGE
+    if check:
+        print("The settings are fine.")
+        return Exit.DONE
+    with logs("warning"):
+        return serve(settings, lambda _: assemble(path))
 
 
-def serve(settings: Settings, assemble: Assemble = assemble_host) -> int:
+def serve(settings: HostSettings, assemble: Assemble) -> int:
     """Run a host until it is told to stop; return the exit code."""
     forbid_io_uring()
     service = HostService(settings=settings, assemble=assemble)
--- /dev/null
+++ b/src/reedhook/process/desk.py
@@ -0,0 +1,226 @@
+"""Where statements of sessions run at this host: at leads and at replicas."""
+
+import asyncio
+from collections import OrderedDict
+from typing import Final
+
+from ..clock import Clock
+from ..connection.member import WITHOUT_EFFECT
+from ..connection.memberhome import KEPT_SECONDS, MemberHome
+from ..request.refusal import Reason, Refusal, may_have_run, not_run
+from ..request.verdict import Verdict
+from ..request.work import Proof, Work, WorkAnswer, WorkKind
+from ..wire import Json, text
+from .announced.announcements import Announcements
+from .decisions import Decisions
+from .lead.lead import HomeMaker
+from .lead.leads import Leads
+from .peer import PeerRoutes
+
+WORK: Final = "work"
+END: Final = "end"
+PROOF: Final = "proof"
+
+TIDY_EVERY: Final = 2.0
+"""Seconds between two looks for homes and outcomes that are needed no more."""
+
+RETRY_MS: Final = 50
+"""When to come back after a statement met a target that leaves, in milliseconds."""
+
+
+class Desk:
+    """Run statements that hosts send here, each write at most once.
+
+    :ivar outcomes: of writes and commits, by id, for those who lost the answer.
+    """
+
+    def __init__(
+        self,
+        announcements: Announcements,
+        leads: Leads,
+        make_home: HomeMaker,
+        clock: Clock,
+        decisions: Decisions,
+    ) -> None:
+        self.announcements = announcements
+        self.leads = leads
+        self.make_home = make_home
+        self.clock = clock
+        self.decisions = decisions
+        self.homes: dict[str, MemberHome] = {}
+        self.outcomes: OrderedDict[str, Outcome] = OrderedDict()
+
+    def register(self, routes: PeerRoutes) -> None:
+        """Add the handlers of this host."""
+        routes.add(WORK, self.answer_work)
+        routes.add(END, self.answer_end)
+        routes.add(PROOF, self.answer_proof)
+
+    async def answer_work(self, body: Json) -> Json:
+        """Run a statement for another host."""
+        answer = await self.execute(Work.from_json(body))
+        return answer.to_json(self.clock.elapsed())
+
+    async def answer_end(self, body: Json) -> Json:
+        """Roll a transaction back for another host."""
+        self.end(text(body, "service"), text(body, "target"), text(body, "name"))
+        return {}
+
+    async def answer_proof(self, body: Json) -> Json:
+        """Return a proof of a primary's position."""
+        now = self.clock.elapsed()
+        proof = await self.prove(text(body, "service"), now - float(body["age"]))
+        return proof.to_json(self.clock.elapsed())
+
+    async def execute(self, work: Work) -> WorkAnswer:
+        """Run a statement, or return the outcome if it has run before.
+
+        :raises Refusal: with a verdict that holds.
+        """
+        if work.kind is WorkKind.READ:
+            return await self.run(work)
+        known = self.outcomes.get(work.id)
+        if known is not None:
+            return await known.answer()
+        if work.again:
+            raise may_have_run(
+                Reason.HOST_UNREACHABLE, "this host does not know what became of it"
+            )
+        outcome = self.outcomes[work.id] = Outcome(self.clock.monotonic())
+        try:
+            answer = await self.run(work)
+        except Refusal as refusal:
+            outcome.fail(refusal)
+            if refusal.verdict is Verdict.NOT_RUN:
+                # It may be sent anew, and then it is to run.
+                del self.outcomes[work.id]
+            raise
+        except BaseException:
+            detail = "the statement ended without an answer"
+            outcome.fail(may_have_run(Reason.INTERNAL, detail))
+            raise
+        outcome.done(answer)
+        if answer.reply.fault in WITHOUT_EFFECT:
+            del self.outcomes[work.id]
+        return answer
+
+    async def run(self, work: Work) -> WorkAnswer:
+        """Run a statement at the primary or at a replica."""
+        if not work.target:
+            lead = self.leads.held.get(work.service)
+            if lead is None:
+                raise not_run(
+                    Reason.WRONG_HOME, f"this host does not lead {work.service}"
+                )
+            return await lead.execute(work)
+        home = self.home(work)
+        reply = await home.run(work)
+        return WorkAnswer(work.target, reply, None)
+
+    def home(self, work: Work) -> MemberHome:
+        """Return the home of a replica, made when it is first needed.
+
+        :raises Refusal: not run, if the target takes no new work.
+        """
+        home = self.homes.get(work.target)
+        if home is not None and work.transaction in home.transactions:
+            return home
+        entry = self.announcements.targets.get(work.target)
+        if entry is None or entry.leaving or entry.service != work.service:
+            raise not_run(
+                Reason.TARGET_LEAVING, f"{work.target} takes no new work", RETRY_MS
+            )
+        if home is None or home.entry.address != entry.address:
+            home = self.homes[work.target] = self.make_home(
+                entry, always, lambda position, asked: None
+            )
+        return home
+
+    def end(self, service: str, target: str, name: str) -> None:
+        """Roll a transaction back, if it is open here."""
+        lead = self.leads.held.get(service)
+        home = self.homes.get(target)
+        if not target and lead is not None:
+            home = lead.home
+        if home is not None:
+            home.end(name)
+
+    async def prove(self, service: str, younger_than: float) -> Proof:
+        """Return a proof of a primary's position that is young enough.
+
+        :raises Refusal: if this host cannot give one.
+        """
+        lead = self.leads.held.get(service)
+        if lead is None:
+            raise not_run(Reason.WRONG_HOME, f"this host does not lead {service}")
+        return await lead.prove(younger_than)
+
+    async def tidy(self) -> None:
+        """Close what is needed no more, until cancelled."""
+        while True:
+            await self.clock.sleep(TIDY_EVERY)
+            before = self.clock.monotonic() - KEPT_SECONDS
+            while self.outcomes:
+                oldest = next(iter(self.outcomes))
+                if self.outcomes[oldest].begun > before:
+                    break
+                del self.outcomes[oldest]
+            await self.tidy_homes()
+
+    async def tidy_homes(self) -> None:
+        """Close homes of targets that lead, leave or have left."""
+        primaries = {one.primary for one in self.leads.book.records.values()}
+        for target, home in list(self.homes.items()):
+            home.lanes.drop_unused()
+            entry = self.announcements.targets.get(target)
+            gone = entry is None or entry.leaving or target in primaries
+            if gone and home.quiet():
+                del self.homes[target]
+                await home.close()
+        for lead in self.leads.held.values():
+            if lead.home is not None:
+                lead.home.lanes.drop_unused()
+
+    def quiet(self) -> bool:
+        """Say whether no statement and no transaction is in progress here."""
+        return all(home.quiet() for home in self.homes.values())
+
+    async def close(self) -> None:
+        """Close all homes of replicas."""
+        for home in self.homes.values():
+            await home.close()
+        self.homes.clear()
+
+
+class Outcome:
+    """Hold what became of a write, for all who ask.
+
+    :ivar begun: monotonic time at which it began.
+    """
+
+    __slots__ = ("begun", "result")
+
+    def __init__(self, begun: float) -> None:
+        self.begun = begun
+        self.result: asyncio.Future[WorkAnswer | Refusal] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def done(self, answer: WorkAnswer) -> None:
+        """Keep an answer."""
+        self.result.set_result(answer)
+
+    def fail(self, refusal: Refusal) -> None:
+        """Keep a refusal."""
+        self.result.set_result(refusal)
+
+    async def answer(self) -> WorkAnswer:
+        """Return the answer or raise the refusal, once it is there."""
+        result = await asyncio.shield(self.result)
+        if isinstance(result, Refusal):
+            raise result
+        return result
+
+
+def always() -> None:
+    """Permit the use of a replica: what it may answer is in each statement."""
--- /dev/null
+++ b/src/reedhook/process/lead/book.py
@@ -0,0 +1,73 @@
+"""The newest lead records that this host has heard of."""
+
+from collections.abc import Callable
+
+from ...wire import Json, WireError
+from ..announced.announcements import Announcements
+from ..announced.keyspace import Item
+from ..decisions import Decisions
+from .record import LEADS, LeadRecord
+
+
+class LeadBook:
+    """Keep the newest record of each service, from the store or other hosts.
+
+    :ivar on_change: called with each record that is news.
+    """
+
+    def __init__(self, announcements: Announcements, decisions: Decisions) -> None:
+        self.records: dict[str, LeadRecord] = {}
+        self.decisions = decisions
+        self.on_change: list[Callable[[LeadRecord], None]] = []
+        announcements.on_own.append(self.announced)
+
+    def announced(self, item: Item) -> None:
+        """Take over what the store tells."""
+        if not item.key.startswith(LEADS) or item.value is None:
+            return
+        try:
+            self.learn(LeadRecord.from_item(item), "store")
+        except WireError as error:
+            self.decisions.note("item_malformed", key=item.key, error=str(error))
+
+    def learn(self, record: LeadRecord, source: str) -> bool:
+        """Keep a record if it is newer; return whether it is."""
+        known = self.records.get(record.service)
+        if known is not None and known.revision >= record.revision:
+            return False
+        self.records[record.service] = record
+        self.decisions.note(
+            "lead",
+            service=record.service,
+            holder=record.holder.ref.host,
+            life=record.holder.life,
+            primary=record.primary,
+            term=record.term,
+            successor=record.successor,
+            revision=record.revision,
+            source=source,
+        )
+        for callback in self.on_change:
+            callback(record)
+        return True
+
+    def get(self, service: str) -> LeadRecord | None:
+        """Return the newest record that is known."""
+        return self.records.get(service)
+
+    def to_json(self) -> Json:
+        """Return all records for another host."""
+        return {
+            service: [record.revision, record.to_json()]
+            for service, record in self.records.items()
+        }
+
+    def merge(self, message: Json, source: str) -> None:
+        """Take over what another host knows.
+
+        :raises WireError: if it is malformed.
+        """
+        for service, pair in message.items():
+            if not isinstance(pair, list) or len(pair) != 2:
+                raise WireError("a revision and a record are expected")
+            self.learn(LeadRecord.from_json(service, pair[1], int(pair[0])), source)
--- /dev/null
+++ b/src/reedhook/process/lead/duty.py
@@ -0,0 +1,193 @@
+"""The duty to order promotions, which one host has at a time."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from enum import Enum
+from typing import Final
+
+from ...clock import Clock
+from ...request.refusal import Reason, Refusal, not_run
+from ...wire import Json, WireError, decode, encode, text
+from ..announced.announcements import Announcements
+from ..announced.keyspace import Item, Keyspace, KeyspaceError
+from ..decisions import Decisions
+from ..membership_record import HostState
+from ..membership_table import MembershipTable
+from ..peer import HostRef, PeerError, PeerRoutes, Peers
+from .record import DUTY_KEY, Holder
+
+PATH: Final = "promote"
+
+ANSWER_TIMEOUT: Final = 1.0
+"""Seconds for an answer of the store or of the platform's promotion call."""
+
+ORDER_TIMEOUT: Final = 2.5
+"""Seconds for the holder of the duty to look at the store and to order."""
+
+FRESH: Final = 0.5
+"""Seconds for which the look that finds this host named permits an order."""
+
+HOLD_BACK: Final = 1.5
+"""Seconds for which a new holder orders nothing unless its predecessor is
+known to be gone: an order of its may be on the way since its last look."""
+
+
+class OrderOutcome(str, Enum):
+    """Name what became of an order to promote."""
+
+    DONE = "done"
+    NOT_RUNNING = "not_running"
+    UNANSWERED = "unanswered"
+
+
+class Promoter(ABC):
+    """Order promotions at the platform."""
+
+    @abstractmethod
+    async def promote(
+        self, service: str, target: str, holder: str, token: int, timeout: float
+    ) -> OrderOutcome:
+        """Order that `target` leads `service`.
+
+        :param holder: the host that has the duty.
+        :param token: the fencing token, which rises with each holder.
+        :param timeout: seconds.
+        """
+
+
+class Duty:
+    """Order promotions for all hosts, or have the holder of the duty do it."""
+
+    def __init__(
+        self,
+        me: Holder,
+        keyspace: Keyspace,
+        announcements: Announcements,
+        promoter: Promoter,
+        peers: Peers,
+        table: MembershipTable,
+        clock: Clock,
+        decisions: Decisions,
+    ) -> None:
+        self.me = me
+        self.keyspace = keyspace
+        self.announcements = announcements
+        self.promoter = promoter
+        self.peers = peers
+        self.table = table
+        self.clock = clock
+        self.decisions = decisions
+        self.lock = asyncio.Lock()
+        self.not_before = float("-inf")
+
+    def register(self, routes: PeerRoutes) -> None:
+        """Add the handler of this host."""
+        routes.add(PATH, self.answer)
+
+    async def answer(self, body: Json) -> Json:
+        """Order a promotion for another host.
+
+        :raises Refusal: if this host does not have the duty.
+        """
+        outcome = await self.order_here(text(body, "service"), text(body, "target"))
+        if outcome is None:
+            raise not_run(Reason.WRONG_HOME, "this host does not have the duty")
+        return {"outcome": outcome.value}
+
+    async def order(self, service: str, target: str) -> OrderOutcome:
+        """Order that `target` leads `service`."""
+        item = self.announcements.own.get(DUTY_KEY)
+        holder = None if item is None else read_holder(item)
+        if holder is not None and holder != self.me and not self.gone(holder):
+            outcome = await self.order_at(holder.ref, service, target)
+            if outcome is not None:
+                return outcome
+        outcome = await self.order_here(service, target)
+        if outcome is not None:
+            return outcome
+        if not await self.take():
+            return OrderOutcome.UNANSWERED
+        return await self.order_here(service, target) or OrderOutcome.UNANSWERED
+
+    def gone(self, holder: Holder) -> bool:
+        """Say whether that life of a host is known to be over."""
+        record = self.table.get(holder.ref.host)
+        if holder.ref.host == self.me.ref.host:
+            return True
+        return record is not None and record.state >= HostState.DEAD
+
+    async def order_at(
+        self, host: HostRef, service: str, target: str
+    ) -> OrderOutcome | None:
+        """Have the holder order; None if it is not the holder, or is lost."""
+        body: Json = {"service": service, "target": target}
+        try:
+            answer = await self.peers.call(host, PATH, body, ORDER_TIMEOUT)
+            return OrderOutcome(answer["outcome"])
+        except (PeerError, Refusal, LookupError, ValueError) as error:
+            self.decisions.note("duty_unreachable", holder=host.host, error=str(error))
+            return None
+
+    async def order_here(self, service: str, target: str) -> OrderOutcome | None:
+        """Order as the holder; None if this host is not the holder."""
+        async with self.lock:
+            asked = self.clock.elapsed()
+            try:
+                item = await self.keyspace.get(DUTY_KEY, ANSWER_TIMEOUT)
+            except KeyspaceError as error:
+                self.decisions.note("duty_unknown", error=str(error))
+                return OrderOutcome.UNANSWERED
+            if item is None or read_holder(item) != self.me:
+                return None
+            wait = self.not_before - self.clock.elapsed()
+            if wait > 0.0 or self.clock.elapsed() - asked > FRESH:
+                await self.clock.sleep(max(wait, 0.0))
+                return OrderOutcome.UNANSWERED
+            return await self.send(service, target, item.revision)
+
+    async def send(self, service: str, target: str, token: int) -> OrderOutcome:
+        """Send an order to the platform."""
+        holder = self.me.ref.host
+        outcome = await self.promoter.promote(
+            service, target, holder, token, ANSWER_TIMEOUT
+        )
+        self.decisions.note(
+            "promotion_ordered",
+            service=service,
+            target=target,
+            token=token,
+            outcome=outcome.value,
+        )
+        return outcome
+
+    async def take(self) -> bool:
+        """Take the duty; return whether this host has it now.
+
+        Each try has a value of its own, so that a lost answer is resolved by
+        the next look.
+        """
+        try:
+            item = await self.keyspace.get(DUTY_KEY, ANSWER_TIMEOUT)
+            before = None if item is None else read_holder(item)
+            if before == self.me:
+                return True
+            revision = 0 if item is None else item.revision
+            value = encode(self.me.to_json())
+            await self.keyspace.put(DUTY_KEY, value, revision, ANSWER_TIMEOUT)
+        except KeyspaceError as error:
+            self.decisions.note("duty_not_taken", error=str(error))
+            return False
+        if before is not None and not self.gone(before):
+            self.not_before = self.clock.elapsed() + HOLD_BACK
+        self.decisions.note(
+            "duty_taken", before=None if before is None else before.ref.host
+        )
+        return True
+
+
+def read_holder(item: Item) -> Holder | None:
+    """Return the holder that an item names, or None if it is malformed."""
+    try:
+        return Holder.from_json(decode(item.value or b""))
+    except WireError:
+        return None
--- /dev/null
+++ b/src/reedhook/process/lead/lead.py
@@ -0,0 +1,687 @@
+"""The lead of one service as this host holds it: the only user of its primary."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+from ...clock import Clock
+from ...connection.member import (
+    MemberDriver,
+    MemberSilent,
+    MemberStatus,
+    MemberUnreachable,
+    Phrases,
+    Query,
+)
+from ...connection.memberhome import MemberHome
+from ...request.position import ORIGIN, Position
+from ...request.refusal import Reason, Refusal, not_run
+from ...request.work import Proof, Work, WorkAnswer
+from ...version.registry import TargetEntry
+from ..announced.announcements import Announcements
+from ..announced.keyspace import Conflict, Keyspace, KeyspaceError
+from ..decisions import Decisions
+from ..peer import PeerError, Peers
+from .book import LeadBook
+from .duty import Duty, OrderOutcome
+from .record import Holder, LeadRecord, lead_key
+from .tenure import MARGIN, RENEW, TENURE, Tenure
+from .witness import Witnesses
+
+HomeMaker: TypeAlias = Callable[
+    [TargetEntry, Callable[[], None], Callable[[Position, float], None]], MemberHome
+]
+
+TICK: Final = 0.1
+"""Seconds between two looks at the primary."""
+
+QUIET: Final = 0.4
+"""Seconds without an answer after which the primary is asked for one; the
+longest usual statements take 110 ms."""
+
+SIGHT_TIMEOUT: Final = 0.3
+"""Seconds in which a target answers what needs no slot."""
+
+FRESH_TIMEOUT: Final = 0.5
+"""Seconds for a new connection, which waits for a slot behind statements."""
+
+GONE_AFTER: Final = 3.0
+"""Seconds after which a target that announces itself no more counts as gone,
+while the store answers; entries that lapsed with the store are back in 2 s."""
+
+STATUS_TIMEOUT: Final = 0.6
+"""Seconds to connect to a target and to learn its state."""
+
+WAIT_FOR_PRIMARY: Final = 0.45
+"""Seconds for which a statement waits for a primary that is being promoted;
+half of the shortest timeout of a statement, so that it can run afterwards."""
+
+CATCH_UP: Final = 2.0
+"""Seconds for which a planned change waits for a replica to hold everything."""
+
+LET_END: Final = 1.5
+"""Seconds for which a planned change lets open transactions end."""
+
+POLL: Final = 0.05
+"""Seconds between two questions during a change of primary."""
+
+LEADING_TIMEOUT: Final = 3.0
+"""Seconds in which an ordered promotion takes effect; it needs 0.3 to 0.6."""
+
+STORE_TIMEOUT: Final = 1.0
+"""Seconds for an answer of the store."""
+
+WORD_TIMEOUT: Final = 0.5
+"""Seconds in which a former holder says that it has stopped."""
+
+WORD_EVERY: Final = 1.0
+"""Seconds between two questions to former holders that have not stopped yet."""
+
+DEMOTE_EVERY: Final = 1.0
+"""Seconds between two orders to a target that wrongly believes to lead."""
+
+RETRY_MS: Final = 150
+"""When to come back while another primary is promoted, in milliseconds."""
+
+PATH: Final = "lead"
+
+
+class Lead:
+    """Use the primary of one service, watch over it and have it replaced.
+
+    :param record: names this host as the holder.
+    :param asked: when the question that found so was sent, `Clock.elapsed`.
+    :ivar ready: set while the primary may be used as far as is known.
+    :ivar home: of the primary; None before it is known.
+    :ivar top: the highest position that the primary has answered with.
+    :ivar exclusive: whether no former holder can use the primary any more.
+    """
+
+    def __init__(
+        self,
+        record: LeadRecord,
+        asked: float,
+        me: Holder,
+        keyspace: Keyspace,
+        announcements: Announcements,
+        book: LeadBook,
+        duty: Duty,
+        witnesses: Witnesses,
+        peers: Peers,
+        driver: MemberDriver,
+        phrases: Phrases,
+        make_home: HomeMaker,
+        clock: Clock,
+        decisions: Decisions,
+    ) -> None:
+        self.service = record.service
+        self.record = record
+        self.me = me
+        self.keyspace = keyspace
+        self.announcements = announcements
+        self.book = book
+        self.duty = duty
+        self.witnesses = witnesses
+        self.peers = peers
+        self.driver = driver
+        self.phrases = phrases
+        self.make_home = make_home
+        self.clock = clock
+        self.decisions = decisions
+        self.tenure = Tenure(clock)
+        self.tenure.confirmed(asked)
+        self.taken_at = clock.elapsed()
+        self.spoken: set[str] = set()
+        self.ready = asyncio.Event()
+        self.home: MemberHome | None = None
+        self.proof: Proof | None = None
+        self.top: Position | None = None
+        self.exclusive = False
+        self.saved = True
+        self.yielding = False
+        self.demoted_at = float("-inf")
+        self.ask_word_at = float("-inf")
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Begin to renew the permission and to look after the primary."""
+        loop = asyncio.get_running_loop()
+        self.tasks = [
+            loop.create_task(self.renew()),
+            loop.create_task(self.look_after()),
+        ]
+
+    # Statements
+
+    async def execute(self, work: Work) -> WorkAnswer:
+        """Run a statement at the primary.
+
+        :raises Refusal: with a verdict that holds.
+        """
+        home = self.home
+        if home is not None and work.transaction in home.transactions:
+            return await self.run_at(home, work)
+        home = await self.usable(work)
+        return await self.run_at(home, work)
+
+    async def run_at(self, home: MemberHome, work: Work) -> WorkAnswer:
+        """Run a statement at a home and add what is known of the position."""
+        reply = await home.run(work)
+        return WorkAnswer(home.entry.target, reply, self.newest_proof())
+
+    async def usable(self, work: Work) -> MemberHome:
+        """Return the home of the primary, waiting a little for one.
+
+        :raises Refusal: not run.
+        """
+        if not self.ready.is_set() and not self.yielding:
+            wait = min(WAIT_FOR_PRIMARY, work.left / 2)
+            begun = self.clock.monotonic()
+            try:
+                async with asyncio.timeout(wait):
+                    await self.ready.wait()
+            except TimeoutError:
+                # Refused below, since nothing has become usable.
+                pass
+            work.left -= self.clock.monotonic() - begun
+        if self.yielding:
+            raise not_run(Reason.WRONG_HOME, "another host takes the lead", RETRY_MS)
+        if self.home is None or not self.ready.is_set():
+            raise not_run(
+                Reason.NO_PRIMARY,
+                f"the service {self.service} has no primary now",
+                RETRY_MS,
+            )
+        return self.home
+
+    def permit(self) -> None:
+        """Raise unless the primary may be used right now."""
+        self.tenure.check()
+
+    def seen(self, position: Position, asked: float) -> None:
+        """Take note of the primary's position."""
+        if self.top is None or self.top < position:
+            self.top = position
+        known = self.proof
+        if known is None or asked > known.at:
+            self.proof = Proof(position, asked)
+
+    def newest_proof(self) -> Proof | None:
+        """Return the newest proof of the primary's position.
+
+        While nobody else can use the primary, each commit is acknowledged by
+        way of this host, so that the highest position it has seen covers all
+        that is acknowledged now, and nobody needs to be asked.
+        """
+        if self.exclusive and self.top is not None and self.tenure.valid:
+            return Proof(self.top, self.clock.elapsed())
+        return self.proof
+
+    async def prove(self, younger_than: float) -> Proof:
+        """Return a proof of the primary's position that is young enough.
+
+        :param younger_than: a moment by `Clock.elapsed`.
+        :raises Refusal: if there is none; nothing ran.
+        """
+        proof = self.newest_proof()
+        if proof is not None and proof.at >= younger_than:
+            return proof
+        home = self.home
+        if home is not None and self.ready.is_set() and self.tenure.valid:
+            try:
+                await home.sight(SIGHT_TIMEOUT)
+            except (MemberSilent, MemberUnreachable, Refusal) as error:
+                self.decisions.note(
+                    "primary_unanswered", service=self.service, error=str(error)
+                )
+        proof = self.newest_proof()
+        if proof is None or proof.at < younger_than:
+            raise not_run(
+                Reason.AGE_UNPROVED, "the primary gives no position", RETRY_MS
+            )
+        return proof
+
+    # Permission
+
+    async def renew(self) -> None:
+        """Look into the store again and again whether this host is named."""
+        while True:
+            await self.clock.sleep(RENEW)
+            await self.look()
+
+    async def look(self) -> None:
+        """Look once; the permission lasts from when the question was sent."""
+        asked = self.clock.elapsed()
+        try:
+            item = await self.keyspace.get(lead_key(self.service), STORE_TIMEOUT)
+        except KeyspaceError as error:
+            left = round(self.tenure.until - asked, 2)
+            self.decisions.note(
+                "tenure_unconfirmed", service=self.service, left=left, error=str(error)
+            )
+            return
+        if item is None:
+            # The store forgets nothing that it has acknowledged.
+            self.decisions.note("lead_record_missing", service=self.service)
+            return
+        found = LeadRecord.from_item(item)
+        if found.holder == self.me:
+            self.tenure.confirmed(asked)
+            self.adopt(found)
+        self.book.learn(found, "look")
+
+    def adopt(self, found: LeadRecord) -> None:
+        """Take over a record of the store that names this host."""
+        if found.revision > self.record.revision:
+            self.record = found
+
+    # The primary
+
+    async def look_after(self) -> None:
+        """Keep a primary in use until cancelled."""
+        while True:
+            if not self.yielding and self.tenure.valid:
+                await self.look_once()
+            await self.clock.sleep(TICK)
+
+    async def look_once(self) -> None:
+        """Do what the state of the primary demands now."""
+        if not self.saved:
+            await self.write(self.record)
+        if self.record.successor:
+            await self.finish()
+        elif self.home is None:
+            await self.establish()
+        else:
+            await self.judge(self.home)
+        await self.demote_others()
+        if not self.exclusive and self.clock.monotonic() >= self.ask_word_at:
+            self.ask_word_at = self.clock.monotonic() + WORD_EVERY
+            self.exclusive = await self.alone()
+
+    async def judge(self, home: MemberHome) -> None:
+        """Decide whether the primary is to be replaced."""
+        target = home.entry.target
+        entry = self.announcements.targets.get(target)
+        if entry is not None and entry.leaving:
+            await self.change("leaving", home, planned=True)
+            return
+        if entry is None and self.is_gone(target):
+            await self.change("gone", home, planned=True)
+            return
+        if self.clock.monotonic() - home.answered_at < QUIET:
+            self.usable_again()
+            return
+        if await self.answers(home):
+            self.usable_again()
+            return
+        await self.doubt(home)
+
+    def usable_again(self) -> None:
+        """Let statements through to the primary."""
+        if not self.ready.is_set():
+            self.decisions.note(
+                "primary_usable", service=self.service, primary=self.record.primary
+            )
+            self.ready.set()
+
+    def is_gone(self, target: str) -> bool:
+        """Say whether a target that announces itself no more has left."""
+        now = self.clock.elapsed()
+        announced = self.announcements
+        if not announced.reached or now - announced.back_at < GONE_AFTER:
+            return False
+        return now - announced.missing_since.get(target, now) >= GONE_AFTER
+
+    async def answers(self, home: MemberHome) -> bool:
+        """Ask the primary on a connection in use, then on a new one."""
+        try:
+            await home.sight(SIGHT_TIMEOUT)
+            return True
+        except (MemberSilent, MemberUnreachable):
+            home.lanes.drop_idle()
+        except Refusal as refusal:
+            # All connections are in use; a new one tells as well.
+            self.decisions.note(
+                "primary_busy", service=self.service, reason=refusal.reason.value
+            )
+        return await self.reached(home.entry)
+
+    async def reached(self, entry: TargetEntry) -> bool:
+        """Say whether a target accepts a new connection from here."""
+        try:
+            connection = await self.driver.connect(entry, FRESH_TIMEOUT)
+        except MemberUnreachable:
+            return False
+        connection.close()
+        return True
+
+    async def doubt(self, home: MemberHome) -> None:
+        """Ask others for the primary, and act on what they say."""
+        self.ready.clear()
+        target = home.entry.target
+        witness = await self.witnesses.reaching(self.service, home.entry)
+        if witness is not None:
+            self.decisions.note(
+                "primary_reached_by_other",
+                service=self.service,
+                primary=target,
+                host=witness.host,
+            )
+            if await self.witnesses.pass_on(self.service, witness):
+                return
+        if witness is None and not await self.answers(home):
+            await self.change("unreachable", home, planned=False)
+
+    async def establish(self) -> None:
+        """Find out who leads, and use it."""
+        claimed = await self.claimed()
+        if claimed is None:
+            return
+        entry, status = claimed
+        if self.record.primary != entry.target or self.record.term != status.term:
+            await self.write(self.record.with_primary(entry.target, status.term))
+        self.use(entry, status)
+
+    def use(self, entry: TargetEntry, status: MemberStatus) -> None:
+        """Make the home of a primary."""
+        self.home = self.make_home(entry, self.permit, self.seen)
+        self.proof = None
+        self.top = status.received
+        self.decisions.note(
+            "primary_in_use",
+            service=self.service,
+            primary=entry.target,
+            term=self.record.term,
+        )
+        self.ready.set()
+
+    async def claimed(self) -> tuple[TargetEntry, MemberStatus] | None:
+        """Return the target that leads by its own word, of the highest term."""
+        entries = self.members()
+        known = self.record.primary
+        likely = [one for one in entries if one.target == known or one.claims_lead]
+        for group in (likely, entries):
+            found = await self.statuses(group)
+            leading = [pair for pair in found if pair[1].leads]
+            if leading:
+                return max(leading, key=lambda pair: pair[1].term)
+        return None
+
+    def members(self) -> list[TargetEntry]:
+        """Return the targets of the service that are announced, or were."""
+        found = self.announcements.targets
+        return [one for one in found.values() if one.service == self.service]
+
+    async def statuses(
+        self, entries: list[TargetEntry]
+    ) -> list[tuple[TargetEntry, MemberStatus]]:
+        """Return the targets that answer, with their state."""
+        answers = await asyncio.gather(*(self.status(entry) for entry in entries))
+        return [
+            (entry, answer)
+            for entry, answer in zip(entries, answers, strict=True)
+            if answer is not None
+        ]
+
+    async def status(self, entry: TargetEntry) -> MemberStatus | None:
+        """Ask one target for its state on a connection of its own."""
+        try:
+            connection = await self.driver.connect(entry, STATUS_TIMEOUT)
+        except MemberUnreachable:
+            return None
+        try:
+            return await connection.status(STATUS_TIMEOUT)
+        except MemberSilent:
+            return None
+        finally:
+            connection.close()
+
+    # Change of primary
+
+    async def change(self, cause: str, home: MemberHome, planned: bool) -> None:
+        """Have another target promoted.
+
+        Nothing is lost by a planned change: a replica holds everything first.
+        """
+        self.ready.clear()
+        if planned:
+            await self.until_quiet(home, LET_END)
+        if not await self.alone():
+            return
+        successor = await self.successor(home, planned)
+        if successor is None:
+            self.decisions.note("no_successor", service=self.service, cause=cause)
+            return
+        if not planned and await self.answers(home):
+            return
+        self.decisions.note(
+            "primary_change",
+            service=self.service,
+            cause=cause,
+            primary=home.entry.target,
+            successor=successor.target,
+            answered_ago=round(self.clock.monotonic() - home.answered_at, 3),
+        )
+        decided = self.record.with_primary(
+            self.record.primary, self.record.term, successor.target
+        )
+        if await self.write(decided):
+            await self.finish()
+
+    async def until_quiet(self, home: MemberHome, timeout: float) -> None:
+        """Let open transactions end for a while, then end the rest."""
+        deadline = self.clock.monotonic() + timeout
+        while not home.quiet() and self.clock.monotonic() < deadline:
+            await self.clock.sleep(POLL)
+        home.end_all("the primary changes")
+
+    async def alone(self) -> bool:
+        """Say whether no former holder can still use the primary."""
+        if self.clock.elapsed() - self.taken_at >= TENURE + MARGIN:
+            return True
+        if not self.record.complete:
+            return False
+        open_questions = [
+            one for one in self.record.former if one.life not in self.spoken
+        ]
+        words = await asyncio.gather(*(self.word(one) for one in open_questions))
+        return all(words)
+
+    async def word(self, former: Holder) -> bool:
+        """Ask a former holder whether it has stopped, or is another life."""
+        body = {"service": self.service, "records": self.book.to_json()}
+        try:
+            answer = await self.peers.call(former.ref, PATH, body, WORD_TIMEOUT)
+        except PeerError as error:
+            self.decisions.note(
+                "former_holder_silent",
+                service=self.service,
+                host=former.ref.host,
+                wait=round(self.taken_at + TENURE + MARGIN - self.clock.elapsed(), 2),
+                error=str(error),
+            )
+            return False
+        stopped = answer.get("life") != former.life or answer.get("holds") is False
+        if stopped:
+            self.spoken.add(former.life)
+        return stopped
+
+    async def successor(self, home: MemberHome, planned: bool) -> TargetEntry | None:
+        """Return the target that holds the most of those that answer."""
+        old = home.entry
+        deadline = self.clock.monotonic() + (CATCH_UP if planned else 0.0)
+        goal = await self.goal(old) if planned else ORIGIN
+        while True:
+            others = [
+                one
+                for one in self.members()
+                if one.target != old.target and not one.leaving
+            ]
+            found = await self.statuses(others)
+            if not found:
+                return None
+            entry, status = max(found, key=self.fitness)
+            if status.received >= goal or self.clock.monotonic() >= deadline:
+                return entry
+            await self.clock.sleep(POLL)
+
+    def fitness(self, pair: tuple[TargetEntry, MemberStatus]) -> tuple[Position, bool]:
+        """Return the order in which targets are preferred as primary.
+
+        A primary in another availability zone than its user can be told from
+        a cut-off zone, and replaced, by whichever side lives on.
+        """
+        entry, status = pair
+        return status.received, entry.zone != self.me.ref.zone
+
+    async def goal(self, old: TargetEntry) -> Position:
+        """Return what a successor must hold, as far as it can be known."""
+        status = await self.status(old)
+        if status is not None:
+            return status.received
+        return ORIGIN if self.top is None else self.top
+
+    async def finish(self) -> None:
+        """Have the promotion that was decided ordered, and use the new primary."""
+        self.ready.clear()
+        if self.home is not None:
+            self.home.end_all("the primary changes")
+        target = self.record.successor
+        entry = self.announcements.targets.get(target)
+        outcome = await self.duty.order(self.service, target)
+        if outcome is OrderOutcome.NOT_RUNNING or entry is None:
+            await self.choose_again()
+            return
+        deadline = self.clock.monotonic() + LEADING_TIMEOUT
+        while self.clock.monotonic() < deadline and not self.yielding:
+            status = await self.status(entry)
+            if status is not None and status.leads:
+                await self.promoted(entry, status)
+                return
+            if outcome is OrderOutcome.UNANSWERED:
+                return
+            await self.clock.sleep(POLL)
+
+    async def choose_again(self) -> None:
+        """Decide on another target after one that was found not to run."""
+        found = await self.statuses(self.members())
+        usable = [pair for pair in found if pair[0].target != self.record.successor]
+        if not usable:
+            return
+        entry, _ = max(usable, key=self.fitness)
+        await self.write(
+            self.record.with_primary(
+                self.record.primary, self.record.term, entry.target
+            )
+        )
+
+    async def promoted(self, entry: TargetEntry, status: MemberStatus) -> None:
+        """Use the new primary; the store learns of it as soon as it answers."""
+        old = self.home
+        self.decisions.note(
+            "primary_promoted",
+            service=self.service,
+            primary=entry.target,
+            term=status.term,
+            received=status.received.to_json(),
+        )
+        self.record = self.record.with_primary(entry.target, status.term)
+        self.saved = False
+        self.use(entry, status)
+        if old is not None:
+            await old.close()
+        await self.write(self.record)
+
+    async def demote_others(self) -> None:
+        """Tell targets that wrongly believe to lead that they do not."""
+        now = self.clock.monotonic()
+        if now - self.demoted_at < DEMOTE_EVERY or not self.ready.is_set():
+            return
+        self.demoted_at = now
+        for entry in self.members():
+            if entry.claims_lead and entry.target != self.record.primary:
+                await self.demote(entry)
+
+    async def demote(self, entry: TargetEntry) -> None:
+        """Make a former primary a replica."""
+        try:
+            connection = await self.driver.connect(entry, STATUS_TIMEOUT)
+        except MemberUnreachable:
+            return
+        query = Query("", self.phrases.demote(self.record.term))
+        try:
+            (reply,) = await connection.exchange([query], STATUS_TIMEOUT)
+            self.decisions.note("demoted", target=entry.target, fault=reply.fault.value)
+        except MemberSilent as error:
+            self.decisions.note(
+                "demote_unanswered", target=entry.target, error=str(error)
+            )
+        finally:
+            connection.close()
+
+    async def write(self, record: LeadRecord) -> bool:
+        """Put a record into the store; return whether it stands there.
+
+        A lost answer is resolved by a look: no two of our records are equal.
+        """
+        key, value = lead_key(self.service), record.encoded()
+        asked = self.clock.elapsed()
+        try:
+            revision = await self.keyspace.put(
+                key, value, record.revision, STORE_TIMEOUT
+            )
+        except Conflict:
+            return await self.resolve(value)
+        except KeyspaceError as error:
+            self.decisions.note(
+                "lead_not_written", service=self.service, error=str(error)
+            )
+            return await self.resolve(value)
+        self.tenure.confirmed(asked)
+        self.written(record.at(revision))
+        return True
+
+    async def resolve(self, value: bytes) -> bool:
+        """Find out whether a record was written after all."""
+        try:
+            item = await self.keyspace.get(lead_key(self.service), STORE_TIMEOUT)
+        except KeyspaceError:
+            return False
+        if item is None:
+            return False
+        found = LeadRecord.from_item(item)
+        if found.holder != self.me:
+            self.book.learn(found, "look")
+            return False
+        if item.value == value:
+            self.written(found)
+            return True
+        # Another record of this host: the next try builds on its revision.
+        self.record = self.record.at(found.revision)
+        return False
+
+    def written(self, record: LeadRecord) -> None:
+        """Go on from a record that stands in the store."""
+        self.record = record
+        self.saved = True
+        self.book.learn(record, "own")
+
+    # The end
+
+    async def give_up(self, timeout: float) -> None:
+        """Take no new work, let transactions end, and use the primary no more."""
+        self.yielding = True
+        self.ready.set()
+        home = self.home
+        if home is not None:
+            await self.until_quiet(home, timeout)
+            await home.close()
+        self.tenure.end()
+        self.stop()
+        self.decisions.note("lead_given_up", service=self.service)
+
+    def stop(self) -> None:
+        """End the tasks."""
+        for task in self.tasks:
+            task.cancel()
--- /dev/null
+++ b/src/reedhook/process/lead/leads.py
@@ -0,0 +1,278 @@
+"""The leads of services: which this host holds, and which it takes over."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+from ...clock import Clock
+from ...request.refusal import Reason, not_run
+from ...wire import Json, text
+from ..announced.announcements import Announcements
+from ..announced.keyspace import Keyspace, KeyspaceError
+from ..decisions import Decisions
+from ..membership_record import HostState
+from ..membership_table import MembershipTable
+from ..peer import HostRef, PeerRoutes
+from ..rendezvous import ranked_hosts
+from .book import LeadBook
+from .lead import PATH, Lead
+from .record import Holder, LeadRecord, lead_key
+from .witness import TAKE_PATH, Witnesses
+
+LeadMaker: TypeAlias = Callable[[LeadRecord, float], Lead]
+
+RECORDS_PATH: Final = "records"
+
+TICK: Final = 0.2
+"""Seconds between two looks at who holds the leads."""
+
+STORE_TIMEOUT: Final = 1.0
+"""Seconds for an answer of the store."""
+
+ISOLATED_FOR: Final = 4.0
+"""Seconds for which a host that finds most others dead takes no lead: more
+likely it is cut off itself, while they are well."""
+
+SETTLED: Final = 0.3
+"""Seconds for which the known hosts must stay the same, so that those that
+start together agree on who takes a lead."""
+
+RETRY: Final = 0.5
+"""Seconds until a lead that could not be taken is tried for again."""
+
+LET_END: Final = 2.0
+"""Seconds for which transactions may end on a lead that has moved."""
+
+
+class Leads:
+    """Hold leads, take over those that nobody holds, pass them on."""
+
+    def __init__(
+        self,
+        me: Holder,
+        keyspace: Keyspace,
+        announcements: Announcements,
+        book: LeadBook,
+        table: MembershipTable,
+        witnesses: Witnesses,
+        make_lead: LeadMaker,
+        clock: Clock,
+        decisions: Decisions,
+    ) -> None:
+        self.me = me
+        self.keyspace = keyspace
+        self.announcements = announcements
+        self.book = book
+        self.table = table
+        self.witnesses = witnesses
+        self.make_lead = make_lead
+        self.clock = clock
+        self.decisions = decisions
+        self.held: dict[str, Lead] = {}
+        self.taking: set[str] = set()
+        self.vacant_since: dict[str, float] = {}
+        self.tried_at: dict[str, float] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.leaving = False
+        book.on_change.append(self.changed)
+
+    def register(self, routes: PeerRoutes) -> None:
+        """Add the handlers of this host."""
+        routes.add(PATH, self.answer_lead)
+        routes.add(TAKE_PATH, self.answer_take)
+        routes.add(RECORDS_PATH, self.answer_records)
+
+    async def answer_lead(self, body: Json) -> Json:
+        """Say whether this host may still use the primary of a service."""
+        records = body.get("records")
+        if isinstance(records, dict):
+            self.book.merge(records, "peer")
+        holds = text(body, "service") in self.held
+        return {"life": self.me.life, "holds": holds}
+
+    async def answer_take(self, body: Json) -> Json:
+        """Take a lead over at the wish of its holder.
+
+        :raises Refusal: if this host ends itself.
+        """
+        if self.leaving:
+            raise not_run(Reason.DRAINING, "this host ends itself")
+        service = text(body, "service")
+        return {"taken": await self.take(service)}
+
+    async def answer_records(self, body: Json) -> Json:
+        """Return what is known of the leads."""
+        return {"records": self.book.to_json()}
+
+    async def run(self) -> None:
+        """Take over what nobody holds, until cancelled."""
+        while True:
+            await self.clock.sleep(TICK)
+            if self.leaving:
+                continue
+            for service in list(self.announcements.table.services):
+                if self.is_mine(service):
+                    await self.take(service)
+
+    def is_mine(self, service: str) -> bool:
+        """Say whether this host is to take a lead now."""
+        now = self.clock.monotonic()
+        if service in self.held or not self.is_vacant(service):
+            self.vacant_since.pop(service, None)
+            return False
+        since = self.vacant_since.setdefault(service, now)
+        if now - self.tried_at.get(service, float("-inf")) < RETRY:
+            return False
+        record = self.book.get(service)
+        # A holder that is not known at all may not have been heard of yet.
+        unheard = (
+            record is not None and record.holder.ref.host not in self.table.records
+        )
+        if (unheard or self.is_isolated()) and now - since < ISOLATED_FOR:
+            return False
+        if record is not None and record.holder.ref.host == self.me.ref.host:
+            # Others see this host live and leave the lead to it.
+            return True
+        if now - self.table.changed_at < SETTLED or not self.is_announced(service):
+            return False
+        ranked = self.ranked(service)
+        return bool(ranked) and ranked[0].host == self.me.ref.host
+
+    def is_vacant(self, service: str) -> bool:
+        """Say whether nobody who lives holds the lead of a service."""
+        record = self.book.get(service)
+        if record is None:
+            return True
+        holder = record.holder
+        if holder.ref.host == self.me.ref.host:
+            return holder.life != self.me.life
+        known = self.table.get(holder.ref.host)
+        return known is None or known.state >= HostState.DEAD
+
+    def is_announced(self, service: str) -> bool:
+        """Say whether there are targets to lead."""
+        targets = self.announcements.targets.values()
+        return any(entry.service == service for entry in targets)
+
+    def is_isolated(self) -> bool:
+        """Say whether this host finds most others dead."""
+        others = [
+            one
+            for one in self.table.records.values()
+            if one.state is not HostState.GONE and one.ref.host != self.me.ref.host
+        ]
+        live = sum(one.live for one in others)
+        return 2 * live < len(others)
+
+    def ranked(self, service: str) -> list[HostRef]:
+        """Return the hosts that may take a lead, best first.
+
+        Those in another availability zone than the primary come first: then a
+        zone that is cut off takes away the primary or its user, never both.
+        """
+        record = self.book.get(service)
+        entry = None
+        if record is not None:
+            entry = self.announcements.targets.get(record.primary)
+        zone = "" if entry is None else entry.zone
+        refs = {ref.host: ref for ref in self.table.refs()}
+        order = [refs[host] for host in ranked_hosts(lead_key(service), refs)]
+        order.sort(key=lambda ref: ref.zone == zone)
+        return order
+
+    async def take(self, service: str) -> bool:
+        """Take the lead of a service; return whether this host holds it."""
+        if service in self.held:
+            return True
+        if service in self.taking:
+            return False
+        self.taking.add(service)
+        self.tried_at[service] = self.clock.monotonic()
+        try:
+            return await self.take_at_store(service)
+        except KeyspaceError as error:
+            self.decisions.note("lead_not_taken", service=service, error=str(error))
+            return False
+        finally:
+            self.taking.discard(service)
+
+    async def take_at_store(self, service: str) -> bool:
+        """Write this host into the record, whatever is known of its revision.
+
+        :raises KeyspaceError: if the store gives no answer.
+        """
+        key = lead_key(service)
+        item = await self.keyspace.get(key, STORE_TIMEOUT)
+        if item is not None:
+            record = LeadRecord.from_item(item)
+            self.book.learn(record, "look")
+            if record.holder != self.me:
+                record = record.taken_by(self.me)
+        else:
+            record = LeadRecord(service, self.me, [], True, "", 0, "", 0)
+        asked = self.clock.elapsed()
+        revision = await self.keyspace.put(
+            key, record.encoded(), record.revision, STORE_TIMEOUT
+        )
+        self.begin(record.at(revision), asked)
+        return True
+
+    def begin(self, record: LeadRecord, asked: float) -> None:
+        """Hold a lead from now on."""
+        self.decisions.note(
+            "lead_taken",
+            service=record.service,
+            revision=record.revision,
+            former=[one.ref.host for one in record.former],
+        )
+        lead = self.make_lead(record, asked)
+        self.held[record.service] = lead
+        self.book.learn(record, "own")
+        lead.start()
+
+    def changed(self, record: LeadRecord) -> None:
+        """Act on news of who holds a lead."""
+        lead = self.held.get(record.service)
+        if lead is None or record.holder == self.me or lead.yielding:
+            return
+        if record.revision > lead.record.revision:
+            self.spawn_give_up(lead)
+
+    def spawn_give_up(self, lead: Lead) -> None:
+        """Let go of a lead in the background."""
+        lead.yielding = True
+        task = asyncio.get_running_loop().create_task(self.give_up(lead))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def give_up(self, lead: Lead) -> None:
+        """Let go of a lead once its transactions have ended."""
+        await lead.give_up(LET_END)
+        if self.held.get(lead.service) is lead:
+            del self.held[lead.service]
+
+    async def pass_all_on(self) -> None:
+        """Have others take all leads over, as this host ends."""
+        self.leaving = True
+        await asyncio.gather(*(self.pass_on(one) for one in list(self.held)))
+
+    async def pass_on(self, service: str) -> None:
+        """Have the next in rank take one lead over."""
+        for host in self.ranked(service):
+            if host.host == self.me.ref.host:
+                continue
+            if await self.witnesses.pass_on(service, host):
+                self.decisions.note("lead_passed_on", service=service, to=host.host)
+                break
+        lead = self.held.get(service)
+        if lead is not None and not lead.yielding:
+            self.spawn_give_up(lead)
+
+    async def close(self) -> None:
+        """Use no primary any more."""
+        for lead in list(self.held.values()):
+            lead.stop()
+            lead.tenure.end()
+            if lead.home is not None:
+                await lead.home.close()
+        self.held.clear()
--- /dev/null
+++ b/src/reedhook/process/lead/witness.py
@@ -0,0 +1,103 @@
+"""Other hosts that are asked whether they reach a target."""
+
+import asyncio
+from random import Random
+from typing import Final
+
+from ...connection.member import MemberDriver, MemberUnreachable
+from ...request.refusal import Refusal
+from ...version.registry import TargetEntry
+from ...wire import Json, text
+from ..announced.announcements import Announcements
+from ..membership_table import MembershipTable
+from ..peer import HostRef, PeerError, PeerRoutes, Peers
+
+PATH: Final = "sight"
+TAKE_PATH: Final = "take"
+
+COUNT: Final = 3
+"""Hosts that are asked, each of another availability zone if there are enough."""
+
+CONNECT_TIMEOUT: Final = 0.5
+"""Seconds for a new connection, which waits for a slot behind statements."""
+
+ANSWER_TIMEOUT: Final = 0.7
+"""Seconds for the host's answer."""
+
+TAKE_TIMEOUT: Final = 2.0
+"""Seconds in which a host takes a lead over at the store."""
+
+
+class Witnesses:
+    """Ask other hosts for targets, and answer such questions."""
+
+    def __init__(
+        self,
+        me: HostRef,
+        table: MembershipTable,
+        peers: Peers,
+        announcements: Announcements,
+        driver: MemberDriver,
+        random: Random,
+    ) -> None:
+        self.me = me
+        self.table = table
+        self.peers = peers
+        self.announcements = announcements
+        self.driver = driver
+        self.random = random
+
+    def register(self, routes: PeerRoutes) -> None:
+        """Add the handler of this host."""
+        routes.add(PATH, self.answer)
+
+    async def answer(self, body: Json) -> Json:
+        """Say whether this host reaches a target."""
+        entry = self.announcements.targets.get(text(body, "target"))
+        if entry is None:
+            return {"reached": False}
+        try:
+            connection = await self.driver.connect(entry, CONNECT_TIMEOUT)
+        except MemberUnreachable:
+            return {"reached": False}
+        connection.close()
+        return {"reached": True}
+
+    async def reaching(self, service: str, entry: TargetEntry) -> HostRef | None:
+        """Return a host that reaches a target, or None."""
+        asked = self.chosen(entry.zone)
+        answers = await asyncio.gather(*(self.ask(one, entry) for one in asked))
+        for host, reached in zip(asked, answers, strict=True):
+            if reached:
+                return host
+        return None
+
+    def chosen(self, zone: str) -> list[HostRef]:
+        """Choose whom to ask: one of each zone, the target's own last."""
+        others = [ref for ref in self.table.refs() if ref.host != self.me.host]
+        self.random.shuffle(others)
+        others.sort(key=lambda ref: ref.zone == zone)
+        chosen: list[HostRef] = []
+        for ref in others:
+            if all(ref.zone != one.zone for one in chosen):
+                chosen.append(ref)
+        return chosen[:COUNT]
+
+    async def ask(self, host: HostRef, entry: TargetEntry) -> bool:
+        """Ask one host."""
+        body: Json = {"target": entry.target}
+        try:
+            answer = await self.peers.call(host, PATH, body, ANSWER_TIMEOUT)
+        except (PeerError, Refusal):
+            return False
+        return answer.get("reached") is True
+
+    async def pass_on(self, service: str, host: HostRef) -> bool:
+        """Have a host take the lead of a service over."""
+        try:
+            answer = await self.peers.call(
+                host, TAKE_PATH, {"service": service}, TAKE_TIMEOUT
+            )
+        except (PeerError, Refusal):
+            return False
+        return answer.get("taken") is True
--- a/src/reedhook/process/server.py
+++ b/src/reedhook/process/server.py
@@ -10,8 +10,8 @@
 import logbook
 from aiohttp import web
 
+from .limits import ServerLimits
 from .listener import Listener, Runner
-from .settings import ServerLimits
 
 IDLE_GRACE: Final = 1.0
 
--- /dev/null
+++ b/src/reedhook/process/session_host.py
@@ -0,0 +1,347 @@
+"""A host that serves sessions on a platform with a store."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any, Final
+
+import logbook
+
+from ..clock import Clock
+from ..connection.member import MemberDriver, Phrases
+from ..connection.memberhome import MemberHome
+from ..request.position import Position
+from ..request.steering import Steering
+from ..version.registry import RouteTable, TargetEntry
+from ..wire import Json, WireError
+from .announced.announcements import Announcements, Documents
+from .announced.keyspace import Item, Keyspace
+from .announced.registration import HOSTS, Registration
+from .callers import Callers
+from .decisions import Decisions
+from .desk import Desk
+from .directory import MembershipDirectory
+from .heartbeat import Heartbeats
+from .histograms import HistogramMetrics
+from .hosting_settings import HostingSettings
+from .lead.book import LeadBook
+from .lead.duty import Duty, Promoter
+from .lead.lead import Lead
+from .lead.leads import Leads
+from .lead.record import Holder, LeadRecord
+from .lead.witness import Witnesses
+from .membership import Membership
+from .peer import HostRef, PeerError, PeerRoutes, Peers
+from .rendezvous import share
+from .timeline import Timeline
+
+TABLE_PATH: Final = "table"
+TABLE_TIMEOUT: Final = 0.5
+"""Seconds for another host to send the configuration."""
+
+LIFE_BITS: Final = 48
+"""Random bits that tell one life of a process from another."""
+
+TRANSACTIONS_SHARE: Final = 0.5
+"""Share of the time to stop for which open transactions may go on."""
+
+HANDOVER_TIMEOUT: Final = 1.5
+"""Seconds in which other hosts take the leads of one that ends."""
+
+END_MARGIN: Final = 1.2
+"""Seconds before the process is killed at which it ends by itself."""
+
+DEFAULT_CONNECTIONS: Final = 16
+"""Connections of a target whose service is not described."""
+
+POLL: Final = 0.05
+"""Seconds between two looks at what is still in progress."""
+
+log = logbook.Logger("host")
+
+
+class SessionHost:
+    """Hold the parts of one host.
+
+    :ivar ready: whether callers may be sent here.
+    """
+
+    def __init__(
+        self,
+        settings: HostingSettings,
+        clock: Clock,
+        random: Random,
+        keyspace: Keyspace,
+        documents: Documents,
+        promoter: Promoter,
+        driver: MemberDriver,
+        phrases: Phrases,
+        peers: Peers,
+        timeline: Timeline,
+        decisions: Decisions,
+        metrics: HistogramMetrics,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.random = random
+        self.keyspace = keyspace
+        self.promoter = promoter
+        self.driver = driver
+        self.phrases = phrases
+        self.peers = peers
+        self.decisions = decisions
+        self.metrics = metrics
+        self.me = HostRef(settings.host, settings.zone, settings.peer_listen)
+        self.holder = Holder(self.me, f"{random.getrandbits(LIFE_BITS):x}")
+        self.routes = PeerRoutes()
+        self.leaving = False
+        self.tasks: list[asyncio.Task[None]] = []
+        self.fetching: asyncio.Task[None] | None = None
+        self.make_membership(timeline)
+        self.announcements = Announcements(
+            keyspace, documents, clock, random, decisions
+        )
+        self.registration = Registration(
+            self.me, keyspace, self.announcements, clock, random, decisions
+        )
+        self.make_leads()
+        self.make_requests()
+        self.connect()
+
+    def make_membership(self, timeline: Timeline) -> None:
+        """Make what knows the other hosts."""
+        self.membership = Membership(self.me, self.clock, self.random, timeline)
+        self.directory = MembershipDirectory(self.me, self.membership.table)
+        self.heartbeats = Heartbeats(
+            self.membership, self.peers, self.clock, self.random, listed=self.addresses
+        )
+
+    def make_leads(self) -> None:
+        """Make what holds and passes on the leads of services."""
+        table = self.membership.table
+        self.book = LeadBook(self.announcements, self.decisions)
+        self.duty = Duty(
+            self.holder,
+            self.keyspace,
+            self.announcements,
+            self.promoter,
+            self.peers,
+            table,
+            self.clock,
+            self.decisions,
+        )
+        self.witnesses = Witnesses(
+            self.me, table, self.peers, self.announcements, self.driver, self.random
+        )
+        self.leads = Leads(
+            self.holder,
+            self.keyspace,
+            self.announcements,
+            self.book,
+            table,
+            self.witnesses,
+            self.make_lead,
+            self.clock,
+            self.decisions,
+        )
+
+    def make_requests(self) -> None:
+        """Make what serves callers."""
+        self.desk = Desk(
+            self.announcements, self.leads, self.make_home, self.clock, self.decisions
+        )
+        self.steering = Steering(
+            self.desk,
+            self.book,
+            self.directory,
+            self.peers,
+            self.announcements,
+            self.clock,
+            self.decisions,
+        )
+        self.callers = Callers(
+            self.holder.life,
+            self.steering,
+            self.announcements,
+            self.clock,
+            self.decisions,
+            self.metrics,
+        )
+
+    def connect(self) -> None:
+        """Register the handlers of peer calls and tell the parts of each other."""
+        self.heartbeats.register(self.routes)
+        self.duty.register(self.routes)
+        self.witnesses.register(self.routes)
+        self.leads.register(self.routes)
+        self.desk.register(self.routes)
+        self.routes.add(TABLE_PATH, self.answer_table)
+        self.steering.on_host_lost = self.host_lost
+        self.membership.on_version = self.heard_version
+        self.announcements.on_table.append(self.configured)
+        self.announcements.on_own.append(self.announced)
+
+    def make_home(
+        self,
+        entry: TargetEntry,
+        permit: Callable[[], None],
+        seen: Callable[[Position, float], None],
+    ) -> MemberHome:
+        """Return a home of a target within this host's share of connections."""
+        terms = self.announcements.table.services.get(entry.service)
+        connections = DEFAULT_CONNECTIONS if terms is None else terms.connections
+        return MemberHome(
+            entry,
+            self.driver,
+            self.phrases,
+            share(connections, 0),
+            self.clock,
+            self.decisions,
+            permit,
+            seen,
+            self.announcements.table.transaction_idle,
+        )
+
+    def make_lead(self, record: LeadRecord, asked: float) -> Lead:
+        """Return a lead that this host has taken."""
+        return Lead(
+            record,
+            asked,
+            self.holder,
+            self.keyspace,
+            self.announcements,
+            self.book,
+            self.duty,
+            self.witnesses,
+            self.peers,
+            self.driver,
+            self.phrases,
+            self.make_home,
+            self.clock,
+            self.decisions,
+        )
+
+    # Life
+
+    async def start(self) -> None:
+        """Begin to learn, to announce this host and to take leads."""
+        self.decisions.note(
+            "start", zone=self.me.zone, life=self.holder.life, peers=self.me.address
+        )
+        for work in (
+            self.announcements.run(),
+            self.registration.run(),
+            self.heartbeats.run(),
+            self.desk.tidy(),
+            self.leads.run(),
+        ):
+            self.spawn(work)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run `work` beside the host; its failure is logged."""
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(self.task_ended)
+        self.tasks.append(task)
+
+    def task_ended(self, task: "asyncio.Task[None]") -> None:
+        """Log a task that failed, which none is meant to."""
+        if task.cancelled() or (error := task.exception()) is None:
+            return
+        log.error("A task of the host failed.", exc_info=error)
+        self.decisions.note("task_failed", error=repr(error))
+
+    @property
+    def ready(self) -> bool:
+        """Say whether callers may be sent here."""
+        return not self.leaving and self.announcements.configured.is_set()
+
+    async def drain(self) -> None:
+        """Pass the leads on and end all sessions, within the time to stop."""
+        self.decisions.note("stop", sessions=len(self.callers.connections))
+        self.leaving = True
+        # The process is killed at the end of `grace`.
+        deadline = self.clock.monotonic() + self.settings.grace - END_MARGIN
+        await asyncio.gather(
+            self.pass_leads_on(),
+            self.callers.drain(self.settings.grace * TRANSACTIONS_SHARE),
+        )
+        self.membership.leave()
+        while self.in_progress() and self.clock.monotonic() < deadline:
+            self.callers.close_idle()
+            await self.clock.sleep(POLL)
+        await self.registration.withdraw()
+        self.decisions.note("stopped", cut=len(self.callers.connections))
+
+    async def pass_leads_on(self) -> None:
+        """Have other hosts take the leads over."""
+        try:
+            async with asyncio.timeout(HANDOVER_TIMEOUT):
+                await self.leads.pass_all_on()
+        except TimeoutError:
+            self.decisions.note("leads_not_passed_on", left=list(self.leads.held))
+
+    def in_progress(self) -> bool:
+        """Say whether this host still works for somebody."""
+        if self.callers.busy() or not self.desk.quiet():
+            return True
+        return bool(self.leads.held)
+
+    async def close(self) -> None:
+        """Release everything at once."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.leads.close()
+        await self.desk.close()
+        await self.peers.close()
+        await self.keyspace.close()
+
+    def reloaded(self, settings: HostingSettings) -> None:
+        """Take over settings that may change while the host runs."""
+        self.decisions.note(
+            "reload", store=settings.store, promotions=settings.promotions
+        )
+        self.settings = settings
+
+    # News
+
+    async def addresses(self) -> list[str]:
+        """Return the addresses of hosts that announce themselves."""
+        return self.registration.addresses()
+
+    def announced(self, item: Item) -> None:
+        """Have heartbeats look for hosts that announce themselves."""
+        if item.key.startswith(HOSTS):
+            self.heartbeats.offer(self.registration.addresses())
+
+    def configured(self, table: RouteTable) -> None:
+        """State the version in force with the heartbeats."""
+        self.membership.set_version(table.version)
+
+    def host_lost(self, host: HostRef) -> None:
+        """Have heartbeats look at a host that gave no answer."""
+        self.heartbeats.doubt(host.host)
+
+    def heard_version(self, peer: HostRef, version: int) -> None:
+        """Fetch a configuration that another host has and this one lacks."""
+        if self.fetching is None or self.fetching.done():
+            self.fetching = asyncio.get_running_loop().create_task(
+                self.fetch_table(peer, version)
+            )
+
+    async def fetch_table(self, peer: HostRef, version: int) -> None:
+        """Ask a host for its configuration."""
+        try:
+            answer = await self.peers.call(peer, TABLE_PATH, {}, TABLE_TIMEOUT)
+            self.announcements.take_table(answer["value"].encode())
+        except (PeerError, WireError, LookupError, AttributeError) as error:
+            self.decisions.note(
+                "configuration_unanswered",
+                peer=peer.host,
+                version=version,
+                error=str(error),
+            )
+
+    async def answer_table(self, body: Json) -> Json:
+        """Return the configuration in force."""
+        return {"value": self.announcements.table_value.decode()}
--- a/src/reedhook/process/statsd_metrics.py
+++ b/src/reedhook/process/statsd_metrics.py
@@ -5,9 +5,9 @@
 
 from statsd import StatsClient
 
+from ..address import split_address
 from ..clock import Clock
 from .metrics import MemoryMetrics
-from .settings_schema import split_address
 
 FLUSH_INTERVAL: Final = 1.0
 TIMINGS_PER_FLUSH: Final = 50
--- a/src/reedhook/request/refusal.py
+++ b/src/reedhook/request/refusal.py
@@ -15,6 +15,7 @@
     FORBIDDEN = "forbidden"
     UNKNOWN_GROUP = "unknown_group"
     UNKNOWN_TRANSACTION = "unknown_transaction"
+    UNKNOWN_NAME = "unknown_name"
     TOO_LARGE = "too_large"
     RATE_LIMITED = "rate_limited"
     OVERLOADED = "overloaded"
--- /dev/null
+++ b/src/reedhook/request/work.py
@@ -0,0 +1,205 @@
+"""A statement on its way from the host of a session to the home of a target."""
+
+from enum import Enum
+
+from ..connection.member import Fault, MemberReply
+from ..record import Record
+from ..wire import Json, reader
+from .position import Position
+
+
+class WorkKind(str, Enum):
+    """Name what a statement does at the target."""
+
+    READ = "read"
+    WRITE = "write"
+    COMMIT = "commit"
+
+
+class Begin(str, Enum):
+    """Name the transaction that a statement opens, if it is the first of one."""
+
+    NONE = ""
+    READ = "read"
+    WRITE = "write"
+
+
+class Work(Record):
+    """Carry one statement of a session.
+
+    :param target: where it runs; empty for the primary, whichever that is.
+    :param session: names the session in all hosts.
+    :param settings: what is set or prepared in the session: its own statement
+        by kind and name.
+    :param transaction: names the transaction it belongs to; empty for none.
+    :param begin: the transaction that is opened first.
+    :param after: the position that the target's log must hold.
+    :param id: the caller's id of the statement.
+    :param left: seconds to the deadline; a duration, since clocks differ.
+    :param again: whether it was sent before; it must not run a second time.
+    """
+
+    __slots__ = (
+        "service",
+        "target",
+        "session",
+        "settings",
+        "transaction",
+        "begin",
+        "after",
+        "kind",
+        "id",
+        "text",
+        "left",
+        "again",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        target: str,
+        session: str,
+        settings: dict[str, str],
+        transaction: str,
+        begin: Begin,
+        after: Position | None,
+        kind: WorkKind,
+        id: str,
+        text: str,
+        left: float,
+        again: bool = False,
+    ) -> None:
+        self.service = service
+        self.target = target
+        self.session = session
+        self.settings = settings
+        self.transaction = transaction
+        self.begin = begin
+        self.after = after
+        self.kind = kind
+        self.id = id
+        self.text = text
+        self.left = left
+        self.again = again
+
+    def to_json(self) -> Json:
+        """Return the statement as it stands on the wire between hosts."""
+        message: Json = {
+            "service": self.service,
+            "target": self.target,
+            "session": self.session,
+            "kind": self.kind.value,
+            "id": self.id,
+            "text": self.text,
+            "left": round(self.left, 4),
+        }
+        if self.settings:
+            message["settings"] = self.settings
+        if self.transaction:
+            message["transaction"] = self.transaction
+        if self.begin is not Begin.NONE:
+            message["begin"] = self.begin.value
+        if self.after is not None:
+            message["after"] = self.after.to_json()
+        if self.again:
+            message["again"] = True
+        return message
+
+    @classmethod
+    @reader
+    def from_json(cls, message: Json) -> "Work":
+        """Read a statement that another host sent."""
+        after = message.get("after")
+        return cls(
+            service=message["service"],
+            target=message["target"],
+            session=message["session"],
+            settings=dict(message.get("settings", {})),
+            transaction=message.get("transaction", ""),
+            begin=Begin(message.get("begin", "")),
+            after=None if after is None else Position.from_json(after),
+            kind=WorkKind(message["kind"]),
+            id=message["id"],
+            text=message["text"],
+            left=float(message["left"]),
+            again=bool(message.get("again", False)),
+        )
+
+
+class Proof(Record):
+    """State that a position covers all that was acknowledged before a moment.
+
+    :param at: that moment, on this host's clock `Clock.elapsed`.
+    """
+
+    __slots__ = ("position", "at")
+
+    def __init__(self, position: Position, at: float) -> None:
+        self.position = position
+        self.at = at
+
+    def to_json(self, now: float) -> Json:
+        """Return the proof for the wire; the moment becomes an age."""
+        return {"position": self.position.to_json(), "age": round(now - self.at, 4)}
+
+    @classmethod
+    @reader
+    def from_json(cls, message: Json, asked: float) -> "Proof":
+        """Read a proof that another host sent.
+
+        :param asked: when it was asked for, which makes it older, not younger.
+        """
+        return cls(Position.from_json(message["position"]), asked - message["age"])
+
+
+class WorkAnswer(Record):
+    """Carry what a target answered, with what its home knows.
+
+    :param target: the target that answered.
+    :param proof: of the primary's position, if the home leads the service.
+    """
+
+    __slots__ = ("target", "reply", "proof")
+
+    def __init__(self, target: str, reply: MemberReply, proof: Proof | None) -> None:
+        self.target = target
+        self.reply = reply
+        self.proof = proof
+
+    def to_json(self, now: float) -> Json:
+        """Return the answer as it stands on the wire between hosts."""
+        reply = self.reply
+        position = reply.position
+        message: Json = {
+            "target": self.target,
+            "rows": reply.rows,
+            "signature": reply.signature,
+            "position": None if position is None else position.to_json(),
+        }
+        if reply.fault is not Fault.NONE:
+            message["fault"] = reply.fault.value
+            message["detail"] = reply.detail
+        if reply.failed:
+            message["failed"] = True
+        if self.proof is not None:
+            message["proof"] = self.proof.to_json(now)
+        return message
+
+    @classmethod
+    @reader
+    def from_json(cls, message: Json, asked: float) -> "WorkAnswer":
+        """Read an answer; `asked` is when the question was sent."""
+        position, proof = message["position"], message.get("proof")
+        reply = MemberReply(
+            message["rows"],
+            message["signature"],
+            Fault(message.get("fault", "")),
+            message.get("detail", ""),
+            bool(message.get("failed", False)),
+            None if position is None else Position.from_json(position),
+        )
+        return cls(
+            message["target"],
+            reply,
+            None if proof is None else Proof.from_json(proof, asked),
+        )
--- /dev/null
+++ b/src/reedhook/version/registry.py
@@ -0,0 +1,124 @@
+"""Routes of callers and targets of services, as the operators announce them."""
+
+from enum import Enum
+from typing import Final
+
+from ..record import Record
+
+
+class RouteKind(str, Enum):
+    """Name how fresh the reads of a route must be."""
+
+    PRIMARY = "primary"
+    BOUNDED = "bounded"
+    OWN_WRITES = "own_writes"
+
+
+class Route(Record):
+    """Say how the sessions of one database are served.
+
+    :param database: the name that callers ask for.
+    :param service: the group of targets that holds it.
+    :param timeout: seconds for one statement.
+    :param objective: seconds in which callers expect an operation to end.
+    :param priority: 0 runs first.
+    :param max_age: seconds by which a read may lag, or None.
+    """
+
+    __slots__ = (
+        "database",
+        "service",
+        "kind",
+        "timeout",
+        "objective",
+        "priority",
+        "max_age",
+    )
+
+    def __init__(
+        self,
+        database: str,
+        service: str,
+        kind: RouteKind,
+        timeout: float,
+        objective: float,
+        priority: int,
+        max_age: float | None,
+    ) -> None:
+        self.database = database
+        self.service = service
+        self.kind = kind
+        self.timeout = timeout
+        self.objective = objective
+        self.priority = priority
+        self.max_age = max_age
+
+
+class ServiceTerms(Record):
+    """Say what the targets of a service bear.
+
+    :param connections: that one target accepts from all hosts together.
+    """
+
+    __slots__ = ("service", "connections")
+
+    def __init__(self, service: str, connections: int) -> None:
+        self.service = service
+        self.connections = connections
+
+
+class RouteTable(Record):
+    """Hold one version of what the operators decided.
+
+    :param routes: by database.
+    :param services: by service.
+    :param transaction_idle: seconds after which a transaction at rest may end.
+    :param start_timeout: seconds in which a connection must name its database.
+    """
+
+    __slots__ = ("version", "routes", "services", "transaction_idle", "start_timeout")
+
+    def __init__(
+        self,
+        version: int,
+        routes: dict[str, Route],
+        services: dict[str, ServiceTerms],
+        transaction_idle: float,
+        start_timeout: float,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = services
+        self.transaction_idle = transaction_idle
+        self.start_timeout = start_timeout
+
+
+class TargetEntry(Record):
+    """Carry what a target announces of itself.
+
+    :param address: ``IP:port``.
+    :param leaving: whether it takes no new work.
+    :param claims_lead: whether it believes to be the primary.
+    """
+
+    __slots__ = ("target", "service", "address", "zone", "leaving", "claims_lead")
+
+    def __init__(
+        self,
+        target: str,
+        service: str,
+        address: str,
+        zone: str,
+        leaving: bool,
+        claims_lead: bool,
+    ) -> None:
+        self.target = target
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.leaving = leaving
+        self.claims_lead = claims_lead
+
+
+NO_ROUTES: Final = RouteTable(0, {}, {}, 3.0, 3.0)
+"""Stands for the time before the first version is known; serves nobody."""
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -5,8 +5,8 @@
 import pytest
 from aiohttp import ClientSession, web
 
+from reedhook.process.limits import ServerLimits
 from reedhook.process.server import ApplicationServer, HandlerServer, Server
-from reedhook.process.settings import ServerLimits
 
 from .support import on_loop, run
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,9 +6,9 @@
 import trustme
 import yaml
 
+from reedhook.address import split_address
 from reedhook.process.settings import Settings, load_settings, parse_settings
 from reedhook.process.settings_check import SettingsError
-from reedhook.process.settings_schema import split_address
 
 DIGEST = "ab" * 32
 
