Count a proof from the moment its question was sent, and settle leads at the start

Ruled out: a late replica answer (the demand itself was too low). Proofs come from answers of the primary only.

--- a/src/reedhook/process/heartbeat.py
+++ b/src/reedhook/process/heartbeat.py
@@ -29,6 +29,7 @@
 JOIN_PULLS: Final = 32
 JOIN_PATIENCE: Final = 2.0
 JOIN_RETRY: Final = 0.2
+OFFERED_AT_ONCE: Final = 3
 UNKNOWN: Final = "?"
 
 log = logbook.Logger("heartbeat")
@@ -352,8 +353,25 @@
             await self.ask(ref)
 
     def offer(self, addresses: Iterable[str]) -> None:
-        """Take note of addresses that the platform lists."""
+        """Take note of addresses that the platform lists.
+
+        A few that are new are asked at once, so that hosts that start together
+        know each other within a second instead of five.
+        """
         self.offered = [one for one in addresses if one != self.me.address]
+        if self.group is None:
+            return
+        missing = sorted(set(self.offered) - self.table.by_address.keys())
+        for address in self.rng.sample(missing, min(OFFERED_AT_ONCE, len(missing))):
+            self.group.create_task(self.greet_offered(address))
+
+    async def greet_offered(self, address: str) -> None:
+        """Ask at an address and take over what whoever answers knows."""
+        if not await self.greet(address):
+            return
+        host = self.table.by_address.get(address)
+        if host is not None:
+            await self.pull(self.table.records[host].ref)
 
     async def ask_seed(self) -> None:
         """Ask at an address that no known host stands for."""
--- a/src/reedhook/process/lead/lead.py
+++ b/src/reedhook/process/lead/lead.py
@@ -74,9 +74,6 @@
 WORD_TIMEOUT: Final = 0.5
 """Seconds in which a former holder says that it has stopped."""
 
-WORD_EVERY: Final = 1.0
-"""Seconds between two questions to former holders that have not stopped yet."""
-
 DEMOTE_EVERY: Final = 1.0
 """Seconds between two orders to a target that wrongly believes to lead."""
 
@@ -94,7 +91,6 @@
     :ivar ready: set while the primary may be used as far as is known.
     :ivar home: of the primary; None before it is known.
     :ivar top: the highest position that the primary has answered with.
-    :ivar exclusive: whether no former holder can use the primary any more.
     """
 
     def __init__(
@@ -136,11 +132,9 @@
         self.home: MemberHome | None = None
         self.proof: Proof | None = None
         self.top: Position | None = None
-        self.exclusive = False
         self.saved = True
         self.yielding = False
         self.demoted_at = float("-inf")
-        self.ask_word_at = float("-inf")
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -167,7 +161,7 @@
     async def run_at(self, home: MemberHome, work: Work) -> WorkAnswer:
         """Run a statement at a home and add what is known of the position."""
         reply = await home.run(work)
-        return WorkAnswer(home.entry.target, reply, self.newest_proof())
+        return WorkAnswer(home.entry.target, reply, self.proof)
 
     async def usable(self, work: Work) -> MemberHome:
         """Return the home of the primary, waiting a little for one.
@@ -199,31 +193,25 @@
         self.tenure.check()
 
     def seen(self, position: Position, asked: float) -> None:
-        """Take note of the primary's position."""
+        """Take note of the primary's position.
+
+        It covers what was acknowledged before the question was sent, and no
+        more: a host that has taken the lead over may use the primary, too,
+        before this one has heard of it.
+        """
         if self.top is None or self.top < position:
             self.top = position
         known = self.proof
         if known is None or asked > known.at:
             self.proof = Proof(position, asked)
 
-    def newest_proof(self) -> Proof | None:
-        """Return the newest proof of the primary's position.
-
-        While nobody else can use the primary, each commit is acknowledged by
-        way of this host, so that the highest position it has seen covers all
-        that is acknowledged now, and nobody needs to be asked.
-        """
-        if self.exclusive and self.top is not None and self.tenure.valid:
-            return Proof(self.top, self.clock.elapsed())
-        return self.proof
-
     async def prove(self, younger_than: float) -> Proof:
         """Return a proof of the primary's position that is young enough.
 
         :param younger_than: a moment by `Clock.elapsed`.
         :raises Refusal: if there is none; nothing ran.
         """
-        proof = self.newest_proof()
+        proof = self.proof
         if proof is not None and proof.at >= younger_than:
             return proof
         home = self.home
@@ -234,7 +222,7 @@
                 self.decisions.note(
                     "primary_unanswered", service=self.service, error=str(error)
                 )
-        proof = self.newest_proof()
+        proof = self.proof
         if proof is None or proof.at < younger_than:
             raise not_run(
                 Reason.AGE_UNPROVED, "the primary gives no position", RETRY_MS
@@ -295,9 +283,6 @@
         else:
             await self.judge(self.home)
         await self.demote_others()
-        if not self.exclusive and self.clock.monotonic() >= self.ask_word_at:
-            self.ask_word_at = self.clock.monotonic() + WORD_EVERY
-            self.exclusive = await self.alone()
 
     async def judge(self, home: MemberHome) -> None:
         """Decide whether the primary is to be replaced."""
--- a/src/reedhook/process/lead/leads.py
+++ b/src/reedhook/process/lead/leads.py
@@ -98,7 +98,7 @@
         if self.leaving:
             raise not_run(Reason.DRAINING, "this host ends itself")
         service = text(body, "service")
-        return {"taken": await self.take(service)}
+        return {"taken": await self.take(service, asked_to=True)}
 
     async def answer_records(self, body: Json) -> Json:
         """Return what is known of the leads."""
@@ -112,32 +112,38 @@
                 continue
             for service in list(self.announcements.table.services):
                 if self.is_mine(service):
-                    await self.take(service)
+                    await self.take(service, asked_to=False)
 
     def is_mine(self, service: str) -> bool:
         """Say whether this host is to take a lead now."""
         now = self.clock.monotonic()
-        if service in self.held or not self.is_vacant(service):
-            self.vacant_since.pop(service, None)
+        if service in self.held or now - self.table.changed_at < SETTLED:
             return False
-        since = self.vacant_since.setdefault(service, now)
         if now - self.tried_at.get(service, float("-inf")) < RETRY:
             return False
-        record = self.book.get(service)
-        # A holder that is not known at all may not have been heard of yet.
-        unheard = (
-            record is not None and record.holder.ref.host not in self.table.records
-        )
-        if (unheard or self.is_isolated()) and now - since < ISOLATED_FOR:
+        if not self.is_takeable(service) or not self.is_announced(service):
             return False
+        record = self.book.get(service)
         if record is not None and record.holder.ref.host == self.me.ref.host:
             # Others see this host live and leave the lead to it.
             return True
-        if now - self.table.changed_at < SETTLED or not self.is_announced(service):
-            return False
         ranked = self.ranked(service)
         return bool(ranked) and ranked[0].host == self.me.ref.host
 
+    def is_takeable(self, service: str) -> bool:
+        """Say whether the lead is vacant, as far as this host can tell."""
+        now = self.clock.monotonic()
+        if not self.is_vacant(service):
+            self.vacant_since.pop(service, None)
+            return False
+        since = self.vacant_since.setdefault(service, now)
+        record = self.book.get(service)
+        # A holder that is not known at all may not have been heard of yet.
+        unheard = record is not None and (
+            record.holder.ref.host not in self.table.records
+        )
+        return not (unheard or self.is_isolated()) or now - since >= ISOLATED_FOR
+
     def is_vacant(self, service: str) -> bool:
         """Say whether nobody who lives holds the lead of a service."""
         record = self.book.get(service)
@@ -180,8 +186,12 @@
         order.sort(key=lambda ref: ref.zone == zone)
         return order
 
-    async def take(self, service: str) -> bool:
-        """Take the lead of a service; return whether this host holds it."""
+    async def take(self, service: str, asked_to: bool) -> bool:
+        """Take the lead of a service; return whether this host holds it.
+
+        :param asked_to: whether its holder wants that, so that it need not be
+            vacant.
+        """
         if service in self.held:
             return True
         if service in self.taking:
@@ -189,15 +199,15 @@
         self.taking.add(service)
         self.tried_at[service] = self.clock.monotonic()
         try:
-            return await self.take_at_store(service)
+            return await self.take_at_store(service, asked_to)
         except KeyspaceError as error:
             self.decisions.note("lead_not_taken", service=service, error=str(error))
             return False
         finally:
             self.taking.discard(service)
 
-    async def take_at_store(self, service: str) -> bool:
-        """Write this host into the record, whatever is known of its revision.
+    async def take_at_store(self, service: str, asked_to: bool) -> bool:
+        """Write this host into the record as it stands in the store.
 
         :raises KeyspaceError: if the store gives no answer.
         """
@@ -206,6 +216,8 @@
         if item is not None:
             record = LeadRecord.from_item(item)
             self.book.learn(record, "look")
+            if not asked_to and not self.is_takeable(service):
+                return False
             if record.holder != self.me:
                 record = record.taken_by(self.me)
         else:
