--- a/src/reedhook/connection/lanes.py
+++ b/src/reedhook/connection/lanes.py
@@ -12,6 +12,7 @@
     MemberConnection,
     MemberDriver,
     MemberFull,
+    MemberReply,
     MemberSilent,
     Phrases,
     Query,
@@ -125,14 +126,14 @@
         self.idle = [lane for lane in self.idle if not self.dropped(lane)]
         if not self.idle:
             return None
-        for lane in reversed(self.idle):
-            if lane.session == session:
-                break
-        else:
-            lane = self.idle[-1]
+        lane = min(self.idle, key=lambda one: (distance(one, session), one.used))
         self.idle.remove(lane)
         return lane
 
+    def exhausted(self) -> bool:
+        """Say whether all connections that this host may open are in use."""
+        return not self.idle and self.count >= self.limit
+
     def dropped(self, lane: Lane) -> bool:
         """Say whether the target has closed an idle connection; forget it then."""
         if not lane.connection.lost:
@@ -228,33 +229,43 @@
             pass
 
     async def prepare(
-        self, lane: Lane, session: str, settings: dict[str, str], inside: bool
-    ) -> None:
+        self,
+        lane: Lane,
+        session: str,
+        settings: dict[str, str],
+        inside: bool,
+        last: Query | None = None,
+    ) -> MemberReply | None:
         """Bring the state of a session onto a connection.
 
         All is answered before anything of the session runs.
 
         :param inside: whether a transaction is open, in which nothing that is
             not the session's own can stand on the connection.
-        :raises MemberSilent: if an answer is missing or an error.
+        :param last: goes along in the same round trip; it must have no effect
+            if the connection is closed.
+        :returns: the answer to `last`.
+        :raises MemberSilent: if an answer is missing, or is an error.
         """
         queries = self.missing(lane, session, settings, inside)
         stale = self.clock.monotonic() - lane.used > VERIFY_AFTER
-        if not queries and stale and not inside:
+        if not queries and last is None and stale and not inside:
             queries = [self.own(self.phrases.reset())]
             queries += [self.own(text) for text in settings.values()]
         lane.session = session
-        if not queries:
-            return
+        sent = queries if last is None else [*queries, last]
+        if not sent:
+            return None
         lane.unsure = True
-        replies = await lane.connection.exchange(queries, SYNC_TIMEOUT)
-        for reply in replies:
+        replies = await lane.connection.exchange(sent, SYNC_TIMEOUT)
+        for reply in replies[: len(queries)]:
             if reply.fault is not Fault.NONE:
                 lane.connection.close()
                 raise MemberSilent(f"a setting was refused: {reply.fault.value}")
         lane.applied = dict(settings)
         lane.unsure = False
         lane.used = self.clock.monotonic()
+        return None if last is None else replies[-1]
 
     def missing(
         self, lane: Lane, session: str, settings: dict[str, str], inside: bool
@@ -288,3 +299,10 @@
 def granted(turn: "asyncio.Future[Lane | None]") -> bool:
     """Say whether a turn in the queue has come."""
     return turn.done() and not turn.cancelled()
+
+
+def distance(lane: Lane, session: str) -> int:
+    """Return how far a connection is from the state of a session."""
+    if lane.session == session:
+        return 0
+    return 2 if lane.applied or lane.unsure else 1
--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -143,6 +143,16 @@
     async def ready_lane(self, work: Work, deadline: float) -> Lane:
         """Return a connection in the state of the statement's session.
 
+        :raises Refusal: not run.
+        """
+        lane, _ = await self.prepared(work, deadline, None)
+        return lane
+
+    async def prepared(
+        self, work: Work, deadline: float, last: Query | None
+    ) -> tuple[Lane, MemberReply | None]:
+        """Return a connection in the session's state, and the answer to `last`.
+
         :raises Refusal: not run.
         """
         for _ in range(2):
@@ -155,8 +165,11 @@
                 )
                 raise not_run(Reason.TARGET_UNREACHABLE, str(error), RETRY_MS) from None
             try:
-                await self.lanes.prepare(lane, work.session, work.settings, False)
-                return lane
+                self.permit()
+                reply = await self.lanes.prepare(
+                    lane, work.session, work.settings, False, last
+                )
+                return lane, reply
             except MemberSilent as error:
                 self.lanes.discard(lane)
                 self.silence(work, error)
@@ -214,16 +227,10 @@
                 "the transaction is not open at its target any more",
                 RETRY_MS,
             )
-        lane = await self.ready_lane(work, deadline)
-        try:
-            reply = await self.send_begin(lane, work, deadline)
-        except MemberSilent as error:
-            self.lanes.discard(lane)
-            self.silence(work, error)
-            raise not_run(Reason.TARGET_UNREACHABLE, str(error), RETRY_MS) from error
-        except BaseException:
-            self.lanes.discard(lane)
-            raise
+        text = self.phrases.begin(work.begin is Begin.READ)
+        lane, reply = await self.prepared(work, deadline, Query("", text, work.after))
+        assert reply is not None
+        self.answered(reply, None)
         if reply.fault is not Fault.NONE:
             self.lanes.give_back(lane)
             return reply
@@ -231,16 +238,6 @@
         self.transactions[work.transaction] = transaction
         return transaction
 
-    async def send_begin(self, lane: Lane, work: Work, deadline: float) -> MemberReply:
-        """Send what opens the transaction; raises as `exchange`."""
-        self.permit()
-        left = deadline - self.clock.monotonic()
-        text = self.phrases.begin(work.begin is Begin.READ)
-        query = Query("", text, work.after)
-        (reply,) = await lane.connection.exchange([query], min(left, FIRST_PATIENCE))
-        self.answered(reply, None)
-        return reply
-
     async def step(
         self, transaction: Transaction, work: Work, deadline: float
     ) -> MemberReply:
--- a/src/reedhook/process/lead/lead.py
+++ b/src/reedhook/process/lead/lead.py
@@ -49,8 +49,9 @@
 """Seconds after which a target that announces itself no more counts as gone,
 while the store answers; entries that lapsed with the store are back in 2 s."""
 
-STATUS_TIMEOUT: Final = 0.6
-"""Seconds to connect to a target and to learn its state."""
+STATUS_TIMEOUT: Final = 0.4
+"""Seconds to connect to a target and to learn its state; both wait for a slot
+behind statements of 9 to 110 ms."""
 
 DOUBT_LASTS: Final = 1.5
 """Seconds from the first doubt in which a primary answers again or its successor
@@ -245,7 +246,7 @@
         if home is None or not self.ready.is_set() or not self.tenure.valid:
             return
         try:
-            if not home.lanes.idle and home.lanes.count >= home.lanes.limit:
+            if home.lanes.exhausted():
                 # The next answer to a statement tells as well.
                 self.news.clear()
                 async with asyncio.timeout(SIGHT_TIMEOUT):
@@ -351,8 +352,8 @@
         return now - announced.missing_since.get(target, now) >= GONE_AFTER
 
     async def sighted(self, home: MemberHome) -> bool:
-        """Ask the primary for a sign of life on a connection that is idle."""
-        if not home.lanes.idle:
+        """Ask the primary for a sign of life, unless all connections are in use."""
+        if home.lanes.exhausted():
             return False
         try:
             await home.sight(SIGHT_TIMEOUT)
@@ -451,15 +452,14 @@
     async def status(self, entry: TargetEntry) -> MemberStatus | None:
         """Ask one target for its state on a connection of its own."""
         try:
-            connection = await self.driver.connect(entry, STATUS_TIMEOUT)
-        except MemberUnreachable:
-            return None
-        try:
-            return await connection.status(STATUS_TIMEOUT)
-        except MemberSilent:
+            async with asyncio.timeout(STATUS_TIMEOUT):
+                connection = await self.driver.connect(entry, STATUS_TIMEOUT)
+                try:
+                    return await connection.status(STATUS_TIMEOUT)
+                finally:
+                    connection.close()
+        except (TimeoutError, MemberUnreachable, MemberSilent):
             return None
-        finally:
-            connection.close()
 
     # Change of primary
 
--- a/src/reedhook/process/lead/leads.py
+++ b/src/reedhook/process/lead/leads.py
@@ -10,7 +10,6 @@
 from ..announced.announcements import Announcements
 from ..announced.keyspace import Keyspace, KeyspaceError
 from ..decisions import Decisions
-from ..membership_record import HostState
 from ..membership_table import MembershipTable
 from ..peer import HostRef, PeerRoutes
 from ..rendezvous import ranked_hosts
@@ -30,10 +29,6 @@
 STORE_TIMEOUT: Final = 0.5
 """Seconds for an answer of the store: 4 ms, or 240 ms when it is slow."""
 
-ISOLATED_FOR: Final = 4.0
-"""Seconds for which a host that finds most others dead takes no lead: more
-likely it is cut off itself, while they are well."""
-
 SETTLED: Final = 0.3
 """Seconds for which the known hosts must stay the same, so that those that
 start together agree on who takes a lead."""
@@ -73,7 +68,6 @@
         self.decisions = decisions
         self.held: dict[str, Lead] = {}
         self.taking: set[str] = set()
-        self.vacant_since: dict[str, float] = {}
         self.tried_at: dict[str, float] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.leaving = False
@@ -158,47 +152,23 @@
         return self.me.ref in self.standbys(service, record.holder.ref)
 
     def is_takeable(self, service: str) -> bool:
-        """Say whether the lead is vacant, as far as this host can tell."""
-        now = self.clock.monotonic()
-        record = self.book.get(service)
-        if record is not None and record.holder.ref.host in self.vigil.lost:
-            return True
-        if not self.is_vacant(service):
-            self.vacant_since.pop(service, None)
-            return False
-        since = self.vacant_since.setdefault(service, now)
-        # A holder that is not known at all may not have been heard of yet.
-        unheard = record is not None and (
-            record.holder.ref.host not in self.table.records
-        )
-        return not (unheard or self.is_isolated()) or now - since >= ISOLATED_FOR
+        """Say whether nobody who lives holds the lead of a service.
 
-    def is_vacant(self, service: str) -> bool:
-        """Say whether nobody who lives holds the lead of a service."""
+        A holder counts as lost once it was asked for in vain; what membership
+        says may come from hosts that were cut off themselves.
+        """
         record = self.book.get(service)
         if record is None:
             return True
-        holder = record.holder
-        if holder.ref.host == self.me.ref.host:
-            return holder.life != self.me.life
-        known = self.table.get(holder.ref.host)
-        return known is None or known.state >= HostState.DEAD
+        if record.holder.ref.host == self.me.ref.host:
+            return record.holder.life != self.me.life
+        return self.vigil.is_lost(record.holder.ref)
 
     def is_announced(self, service: str) -> bool:
         """Say whether there are targets to lead."""
         targets = self.announcements.targets.values()
         return any(entry.service == service for entry in targets)
 
-    def is_isolated(self) -> bool:
-        """Say whether this host finds most others dead."""
-        others = [
-            one
-            for one in self.table.records.values()
-            if one.state is not HostState.GONE and one.ref.host != self.me.ref.host
-        ]
-        live = sum(one.live for one in others)
-        return 2 * live < len(others)
-
     def ranked(self, service: str) -> list[HostRef]:
         """Return the hosts that may take a lead, best first.
 
--- a/src/reedhook/process/lead/vigil.py
+++ b/src/reedhook/process/lead/vigil.py
@@ -26,6 +26,10 @@
 """Questions in a row without an answer after which others are asked; the
 second goes out on a new connection."""
 
+BELIEVED: Final = 2.0
+"""Seconds for which a finding is believed; one takes up to 1.3 s, so that it is
+renewed before."""
+
 WITNESSES: Final = 3
 """Hosts that are asked whether they reach the holder."""
 
@@ -36,7 +40,7 @@
     A host that reaches nobody in another availability zone calls nobody lost:
     more likely it is cut off itself.
 
-    :ivar lost: lives of hosts that were found lost and have not answered since.
+    :ivar lost_at: when hosts were last found lost, by monotonic time.
     """
 
     def __init__(
@@ -54,7 +58,7 @@
         self.clock = clock
         self.random = random
         self.decisions = decisions
-        self.lost: set[str] = set()
+        self.lost_at: dict[str, float] = {}
         self.asked_at: dict[str, float] = {}
         self.asking: dict[str, asyncio.Task[None]] = {}
 
@@ -91,18 +95,21 @@
         """Ask a host, then others about it."""
         for _ in range(TRIES):
             if await self.reaches(host):
-                self.lost.discard(host.host)
+                self.lost_at.pop(host.host, None)
                 return
-        if host.host in self.lost:
-            return
         answers = await asyncio.gather(
             *(self.ask(one, host) for one in self.witnesses(host))
         )
         if True in answers or False not in answers:
             return
-        self.lost.add(host.host)
+        self.lost_at[host.host] = self.clock.monotonic()
         self.decisions.note("holder_lost", lost=host.host, witnesses=len(answers))
 
+    def is_lost(self, host: HostRef) -> bool:
+        """Say whether a host was found lost just now."""
+        now = self.clock.monotonic()
+        return now - self.lost_at.get(host.host, float("-inf")) < BELIEVED
+
     async def reaches(self, host: HostRef) -> bool:
         """Say whether a host answers."""
         try:
--- a/src/reedhook/process/lead/witness.py
+++ b/src/reedhook/process/lead/witness.py
@@ -1,6 +1,7 @@
 """Other hosts that are asked whether they reach a target."""
 
 import asyncio
+from collections import Counter
 from random import Random
 from typing import Final
 
@@ -15,8 +16,9 @@
 PATH: Final = "sight"
 TAKE_PATH: Final = "take"
 
-COUNT: Final = 3
-"""Hosts that are asked, each of another availability zone if there are enough."""
+COUNT: Final = 9
+"""Hosts that are asked at most; a primary may be cut off from most hosts and
+still serve the others."""
 
 CONNECT_TIMEOUT: Final = 0.4
 """Seconds for a new connection, which waits for a slot behind statements."""
@@ -74,15 +76,16 @@
         return None
 
     def chosen(self, zone: str) -> list[HostRef]:
-        """Choose whom to ask: one of each zone, the target's own last."""
+        """Choose whom to ask: hosts of each zone in turn, those of one last."""
         others = [ref for ref in self.table.refs() if ref.host != self.me.host]
         self.random.shuffle(others)
-        others.sort(key=lambda ref: ref.zone == zone)
-        chosen: list[HostRef] = []
+        seen: Counter[str] = Counter()
+        turns = {}
         for ref in others:
-            if all(ref.zone != one.zone for one in chosen):
-                chosen.append(ref)
-        return chosen[:COUNT]
+            turns[ref.host] = seen[ref.zone]
+            seen[ref.zone] += 1
+        others.sort(key=lambda ref: (turns[ref.host], ref.zone == zone))
+        return others[:COUNT]
 
     async def ask(self, host: HostRef, entry: TargetEntry) -> bool:
         """Ask one host."""
