--- a/src/reedhook/process/daemon.py
+++ b/src/reedhook/process/daemon.py
@@ -21,6 +21,7 @@
 """
 
 import asyncio
+import os
 import signal
 import sys
 from collections.abc import Callable
@@ -35,8 +36,8 @@
 
 from .collector import spare_collector
 from .io_uring import IoUringInUse, forbid_io_uring, require_no_io_uring
-from .lifecycle import ShutdownOverdue
 from .logs import logs
+from .overdue import ShutdownOverdue
 
 
 class Process(Protocol):
@@ -57,6 +58,9 @@
 
 Assemble: TypeAlias = Callable[[Any], Process]
 
+AUTHORITIES: Final = "SSL_CERT_FILE"
+"""Environment variable with the file of certificates that are trusted."""
+
 STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 
 log = logbook.Logger("daemon")
@@ -163,6 +167,9 @@
 
 def run_on_platform(named: str | None, check: bool) -> int:
     """Run a host by the platform's settings file; return the exit code."""
+    # Nothing on the platform speaks TLS. aiohttp loads the certificates of all
+    # authorities when it is imported, 0.2 s of a core at each start.
+    os.environ.setdefault(AUTHORITIES, os.devnull)
     from ..platform.assembly import assemble
     from ..platform.settings import SettingsFault, load, settings_path
 
--- a/src/reedhook/process/lead/leads.py
+++ b/src/reedhook/process/lead/leads.py
@@ -71,7 +71,9 @@
         self.tried_at: dict[str, float] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.leaving = False
+        self.wake = asyncio.Event()
         book.on_change.append(self.changed)
+        announcements.on_targets.append(self.wake.set)
 
     def register(self, routes: PeerRoutes) -> None:
         """Add the handlers of this host."""
@@ -104,7 +106,7 @@
     async def run(self) -> None:
         """Take over what nobody holds, until cancelled."""
         while True:
-            await self.clock.sleep(TICK)
+            await self.awakened()
             if self.leaving:
                 continue
             for service in list(self.announcements.table.services):
@@ -112,6 +114,17 @@
                 if self.is_mine(service):
                     await self.take(service, asked_to=False)
 
+    async def awakened(self) -> None:
+        """Wait for news of a lead or a target, or for the next look."""
+        try:
+            async with asyncio.timeout(TICK):
+                await self.wake.wait()
+        except TimeoutError:
+            # Nothing was heard; it is time to look all the same.
+            return
+        finally:
+            self.wake.clear()
+
     def watch(self, service: str) -> None:
         """Ask after the holder of a lead, if this host stands by for it.
 
@@ -243,6 +256,7 @@
 
     def changed(self, record: LeadRecord) -> None:
         """Act on news of who holds a lead."""
+        self.wake.set()
         lead = self.held.get(record.service)
         if lead is None or record.holder == self.me or lead.yielding:
             return
--- a/src/reedhook/process/lifecycle.py
+++ b/src/reedhook/process/lifecycle.py
@@ -9,6 +9,7 @@
 
 from ..clock import Clock
 from .peer_server import PeerServer
+from .overdue import ShutdownOverdue
 from .server import Server
 
 Companion: TypeAlias = Callable[[Clock], Coroutine[Any, Any, None]]
@@ -39,10 +40,6 @@
         """Release everything at once."""
 
 
-class ShutdownOverdue(Exception):
-    """Say that work was still in progress when the shutdown's time ran out."""
-
-
 class HostProcess:
     """Run a host behind its servers.
 
--- /dev/null
+++ b/src/reedhook/process/overdue.py
@@ -0,0 +1,5 @@
+"""The error of a shutdown that took too long."""
+
+
+class ShutdownOverdue(Exception):
+    """Say that work was still in progress when the shutdown's time ran out."""
--- a/tests/test_daemon_lifecycle.py
+++ b/tests/test_daemon_lifecycle.py
@@ -5,7 +5,8 @@
 import aiohttp
 import pytest
 
-from reedhook.process.lifecycle import HostProcess, ShutdownOverdue
+from reedhook.process.lifecycle import HostProcess
+from reedhook.process.overdue import ShutdownOverdue
 
 from .daemon_fakes import Counted, FakeHost, a_process
 from .support import on_loop
