Let a deputy use the primary while its holder is lost and the store is silent

The record names a deputy in a third zone, which acts by its own looks at the store; promotions need its word. Former holders are forgotten once their permission is over. A living holder of the duty keeps it; two had taken turns within 50 ms. Ruled out: a shorter permission, which would not outlast the store's silence.

--- a/src/reedhook/process/announced/announcements.py
+++ b/src/reedhook/process/announced/announcements.py
@@ -16,7 +16,7 @@
 """Seconds for which a question for changes is held; each counts as a call. A
 connection that went silent meanwhile is noticed by what other hosts state."""
 
-GATHER: Final = 0.25
+GATHER: Final = 0.6
 """Seconds between an answer and the next question, so that changes that come
 together cost one call a host; a configuration has 3 s to be in force, and hosts
 tell each other of new leads as soon as a statement depends on it."""
--- a/src/reedhook/process/desk.py
+++ b/src/reedhook/process/desk.py
@@ -13,8 +13,8 @@
 from ..wire import Json, text
 from .announced.announcements import Announcements
 from .decisions import Decisions
-from .lead.lead import HomeMaker
 from .lead.leads import Leads
+from .lead.user import HomeMaker
 from .peer import PeerRoutes
 
 WORK: Final = "work"
@@ -107,7 +107,7 @@
     async def run(self, work: Work) -> WorkAnswer:
         """Run a statement at the primary or at a replica."""
         if not work.target:
-            lead = self.leads.held.get(work.service)
+            lead = self.leads.user(work.service)
             if lead is None:
                 raise not_run(
                     Reason.WRONG_HOME, f"this host does not lead {work.service}"
@@ -138,7 +138,7 @@
 
     def end(self, service: str, target: str, name: str) -> None:
         """Roll a transaction back, if it is open here."""
-        lead = self.leads.held.get(service)
+        lead = self.leads.user(service)
         home = self.homes.get(target)
         if not target and lead is not None:
             home = lead.home
@@ -150,7 +150,7 @@
 
         :raises Refusal: if this host cannot give one.
         """
-        lead = self.leads.held.get(service)
+        lead = self.leads.user(service)
         if lead is None:
             raise not_run(Reason.WRONG_HOME, f"this host does not lead {service}")
         return await lead.prove(younger_than)
--- a/src/reedhook/process/lead/duty.py
+++ b/src/reedhook/process/lead/duty.py
@@ -8,7 +8,6 @@
 from ...clock import Clock
 from ...request.refusal import Reason, Refusal, not_run
 from ...wire import Json, WireError, decode, encode, text
-from ..announced.announcements import Announcements
 from ..announced.keyspace import Item, Keyspace, KeyspaceError
 from ..decisions import Decisions
 from ..membership_record import HostState
@@ -27,6 +26,10 @@
 FRESH: Final = 0.5
 """Seconds for which the look that finds this host named permits an order."""
 
+REPLACE_AFTER: Final = 1.5
+"""Seconds for which a holder that is not known to be gone must have been silent
+before another host takes the duty."""
+
 HOLD_BACK: Final = 1.5
 """Seconds for which a new holder orders nothing unless its predecessor is
 known to be gone: an order of its may be on the way since its last look."""
@@ -62,7 +65,6 @@
         self,
         me: Holder,
         keyspace: Keyspace,
-        announcements: Announcements,
         promoter: Promoter,
         peers: Peers,
         table: MembershipTable,
@@ -71,7 +73,6 @@
     ) -> None:
         self.me = me
         self.keyspace = keyspace
-        self.announcements = announcements
         self.promoter = promoter
         self.peers = peers
         self.table = table
@@ -79,6 +80,8 @@
         self.decisions = decisions
         self.lock = asyncio.Lock()
         self.not_before = float("-inf")
+        self.silent: Holder | None = None
+        self.silent_since = 0.0
 
     def register(self, routes: PeerRoutes) -> None:
         """Add the handler of this host."""
@@ -95,20 +98,34 @@
         return {"outcome": outcome.value}
 
     async def order(self, service: str, target: str) -> OrderOutcome:
-        """Order that `target` leads `service`."""
-        item = self.announcements.own.get(DUTY_KEY)
+        """Order that `target` leads `service`.
+
+        The duty stays where it is while its holder lives: holders that take
+        turns would send fencing tokens in the wrong order.
+        """
+        try:
+            item = await self.keyspace.get(DUTY_KEY, ANSWER_TIMEOUT)
+        except KeyspaceError as error:
+            self.decisions.note("duty_unknown", error=str(error))
+            return OrderOutcome.UNANSWERED
         holder = None if item is None else read_holder(item)
-        if holder is not None and holder != self.me and not self.gone(holder):
+        if holder == self.me:
+            return await self.order_here(service, target) or OrderOutcome.UNANSWERED
+        if holder is not None and not self.gone(holder):
             outcome = await self.order_at(holder.ref, service, target)
-            if outcome is not None:
-                return outcome
-        outcome = await self.order_here(service, target)
-        if outcome is not None:
-            return outcome
-        if not await self.take():
+            if outcome is not None or not self.silent_for_long(holder):
+                return outcome or OrderOutcome.UNANSWERED
+        if not await self.take(item):
             return OrderOutcome.UNANSWERED
         return await self.order_here(service, target) or OrderOutcome.UNANSWERED
 
+    def silent_for_long(self, holder: Holder) -> bool:
+        """Say whether a holder has given no answer for long enough to replace it."""
+        now = self.clock.monotonic()
+        if self.silent != holder:
+            self.silent, self.silent_since = holder, now
+        return now - self.silent_since >= REPLACE_AFTER
+
     def gone(self, holder: Holder) -> bool:
         """Say whether that life of a host is known to be over."""
         record = self.table.get(holder.ref.host)
@@ -160,19 +177,16 @@
         )
         return outcome
 
-    async def take(self) -> bool:
-        """Take the duty; return whether this host has it now.
+    async def take(self, item: Item | None) -> bool:
+        """Take the duty from who is named; return whether this host has it now.
 
         Each try has a value of its own, so that a lost answer is resolved by
         the next look.
         """
+        before = None if item is None else read_holder(item)
+        revision = 0 if item is None else item.revision
+        value = encode(self.me.to_json())
         try:
-            item = await self.keyspace.get(DUTY_KEY, ANSWER_TIMEOUT)
-            before = None if item is None else read_holder(item)
-            if before == self.me:
-                return True
-            revision = 0 if item is None else item.revision
-            value = encode(self.me.to_json())
             await self.keyspace.put(DUTY_KEY, value, revision, ANSWER_TIMEOUT)
         except KeyspaceError as error:
             self.decisions.note("duty_not_taken", error=str(error))
--- a/src/reedhook/process/lead/lead.py
+++ b/src/reedhook/process/lead/lead.py
@@ -15,22 +15,21 @@
 )
 from ...connection.memberhome import MemberHome
 from ...request.position import ORIGIN, Position
-from ...request.refusal import Reason, Refusal, not_run
-from ...request.work import Proof, Work, WorkAnswer
+from ...request.refusal import Refusal
 from ...version.registry import TargetEntry
 from ..announced.announcements import Announcements
 from ..announced.keyspace import Conflict, Keyspace, KeyspaceError
 from ..decisions import Decisions
-from ..peer import PeerError, Peers
+from ..peer import HostRef, PeerError, Peers
 from .book import LeadBook
 from .duty import Duty, OrderOutcome
 from .record import Holder, LeadRecord, lead_key
-from .tenure import MARGIN, RENEW, TENURE, Tenure
+from .tenure import MARGIN, RENEW, TENURE
+from .user import POLL, SIGHT_TIMEOUT, STATUS_TIMEOUT, HomeMaker, PrimaryUser
+from .vigil import Vigil
 from .witness import Witnesses
 
-HomeMaker: TypeAlias = Callable[
-    [TargetEntry, Callable[[], None], Callable[[Position, float], None]], MemberHome
-]
+DeputyChooser: TypeAlias = Callable[[str, TargetEntry], HostRef | None]
 
 TICK: Final = 0.1
 """Seconds between two looks at the primary."""
@@ -39,9 +38,6 @@
 """Seconds without an answer after which the primary is asked for one; the
 longest usual statements take 110 ms."""
 
-SIGHT_TIMEOUT: Final = 0.25
-"""Seconds in which a target answers what needs no slot."""
-
 FRESH_TIMEOUT: Final = 0.4
 """Seconds for a new connection, which waits for a slot behind statements."""
 
@@ -49,27 +45,12 @@
 """Seconds after which a target that announces itself no more counts as gone,
 while the store answers; entries that lapsed with the store are back in 2 s."""
 
-STATUS_TIMEOUT: Final = 0.4
-"""Seconds to connect to a target and to learn its state; both wait for a slot
-behind statements of 9 to 110 ms."""
-
-DOUBT_LASTS: Final = 1.5
-"""Seconds from the first doubt in which a primary answers again or its successor
-is decided on; later statements are refused at once."""
-
-WAIT_FOR_PRIMARY: Final = 0.45
-"""Seconds for which a statement waits for a primary that is being promoted;
-half of the shortest timeout of a statement, so that it can run afterwards."""
-
 CATCH_UP: Final = 2.0
 """Seconds for which a planned change waits for a replica to hold everything."""
 
 LET_END: Final = 1.5
 """Seconds for which a planned change lets open transactions end."""
 
-POLL: Final = 0.05
-"""Seconds between two questions during a change of primary."""
-
 LEADING_TIMEOUT: Final = 3.0
 """Seconds in which an ordered promotion takes effect; it needs 0.3 to 0.6."""
 
@@ -82,20 +63,20 @@
 DEMOTE_EVERY: Final = 1.0
 """Seconds between two orders to a target that wrongly believes to lead."""
 
-RETRY_MS: Final = 150
-"""When to come back while another primary is promoted, in milliseconds."""
+DEPUTIZE_EVERY: Final = 2.0
+"""Seconds between two changes of the deputy, each one write."""
 
 PATH: Final = "lead"
+LIFE_PATH: Final = "life"
 
 
-class Lead:
+class Lead(PrimaryUser):
     """Use the primary of one service, watch over it and have it replaced.
 
     :param record: names this host as the holder.
     :param asked: when the question that found so was sent, `Clock.elapsed`.
-    :ivar ready: set while the primary may be used as far as is known.
-    :ivar home: of the primary; None before it is known.
-    :ivar top: the highest position that the primary has answered with.
+    :param choose_deputy: returns the host that is to stand in, or None.
+    :ivar former_at: when somebody last became a former holder.
     """
 
     def __init__(
@@ -108,6 +89,8 @@
         book: LeadBook,
         duty: Duty,
         witnesses: Witnesses,
+        vigil: Vigil,
+        choose_deputy: DeputyChooser,
         peers: Peers,
         driver: MemberDriver,
         phrases: Phrases,
@@ -115,35 +98,22 @@
         clock: Clock,
         decisions: Decisions,
     ) -> None:
-        self.service = record.service
-        self.record = record
+        super().__init__(record, announcements, driver, make_home, clock, decisions)
         self.me = me
         self.keyspace = keyspace
-        self.announcements = announcements
         self.book = book
         self.duty = duty
         self.witnesses = witnesses
+        self.vigil = vigil
         self.peers = peers
-        self.driver = driver
         self.phrases = phrases
-        self.make_home = make_home
-        self.clock = clock
-        self.decisions = decisions
-        self.tenure = Tenure(clock)
+        self.choose_deputy = choose_deputy
         self.tenure.confirmed(asked)
-        self.taken_at = clock.elapsed()
+        self.former_at = clock.elapsed()
         self.spoken: set[str] = set()
-        self.ready = asyncio.Event()
-        self.home: MemberHome | None = None
-        self.proof: Proof | None = None
-        self.top: Position | None = None
         self.saved = True
-        self.yielding = False
-        self.asking: asyncio.Task[None] | None = None
-        self.doubted_at = clock.monotonic()
-        self.news = asyncio.Event()
         self.demoted_at = float("-inf")
-        self.tasks: list[asyncio.Task[None]] = []
+        self.deputized_at = float("-inf")
 
     def start(self) -> None:
         """Begin to renew the permission and to look after the primary."""
@@ -153,111 +123,6 @@
             loop.create_task(self.look_after()),
         ]
 
-    # Statements
-
-    async def execute(self, work: Work) -> WorkAnswer:
-        """Run a statement at the primary.
-
-        :raises Refusal: with a verdict that holds.
-        """
-        home = self.home
-        if home is not None and work.transaction in home.transactions:
-            return await self.run_at(home, work)
-        home = await self.usable(work)
-        return await self.run_at(home, work)
-
-    async def run_at(self, home: MemberHome, work: Work) -> WorkAnswer:
-        """Run a statement at a home and add what is known of the position."""
-        reply = await home.run(work)
-        return WorkAnswer(home.entry.target, reply, self.proof)
-
-    async def usable(self, work: Work) -> MemberHome:
-        """Return the home of the primary, waiting a little for one.
-
-        :raises Refusal: not run.
-        """
-        if not self.ready.is_set() and not self.yielding and self.promising():
-            wait = min(WAIT_FOR_PRIMARY, work.left / 2)
-            begun = self.clock.monotonic()
-            try:
-                async with asyncio.timeout(wait):
-                    await self.ready.wait()
-            except TimeoutError:
-                # Refused below, since nothing has become usable.
-                pass
-            work.left -= self.clock.monotonic() - begun
-        if self.yielding:
-            raise not_run(Reason.WRONG_HOME, "another host takes the lead", RETRY_MS)
-        if self.home is None or not self.ready.is_set():
-            raise not_run(
-                Reason.NO_PRIMARY,
-                f"the service {self.service} has no primary now",
-                RETRY_MS,
-            )
-        return self.home
-
-    def promising(self) -> bool:
-        """Say whether a primary is likely to be there soon."""
-        lasts = self.clock.monotonic() - self.doubted_at
-        return bool(self.record.successor) or lasts < DOUBT_LASTS
-
-    def permit(self) -> None:
-        """Raise unless the primary may be used right now."""
-        self.tenure.check()
-
-    def seen(self, position: Position, asked: float) -> None:
-        """Take note of the primary's position.
-
-        It covers what was acknowledged before the question was sent, and no
-        more: a host that has taken the lead over may use the primary, too,
-        before this one has heard of it.
-        """
-        if self.top is None or self.top < position:
-            self.top = position
-        known = self.proof
-        if known is None or asked > known.at:
-            self.proof = Proof(position, asked)
-            self.news.set()
-
-    async def prove(self, younger_than: float) -> Proof:
-        """Return a proof of the primary's position that is young enough.
-
-        :param younger_than: a moment by `Clock.elapsed`.
-        :raises Refusal: if there is none; nothing ran.
-        """
-        if self.proof is None or self.proof.at < younger_than:
-            await self.ask_position()
-        if self.proof is None or self.proof.at < younger_than:
-            raise not_run(
-                Reason.AGE_UNPROVED, "the primary gives no position", RETRY_MS
-            )
-        return self.proof
-
-    async def ask_position(self) -> None:
-        """Ask the primary for its position, once for all who wait for it."""
-        if self.asking is None or self.asking.done():
-            loop = asyncio.get_running_loop()
-            self.asking = loop.create_task(self.sight())
-        await asyncio.shield(self.asking)
-
-    async def sight(self) -> None:
-        """Ask the primary for its position, if it may be used."""
-        home = self.home
-        if home is None or not self.ready.is_set() or not self.tenure.valid:
-            return
-        try:
-            if home.lanes.exhausted():
-                # The next answer to a statement tells as well.
-                self.news.clear()
-                async with asyncio.timeout(SIGHT_TIMEOUT):
-                    await self.news.wait()
-                return
-            await home.sight(SIGHT_TIMEOUT)
-        except (MemberSilent, MemberUnreachable, Refusal, TimeoutError) as error:
-            self.decisions.note(
-                "primary_unanswered", service=self.service, error=repr(error)
-            )
-
     # Permission
 
     async def renew(self) -> None:
@@ -316,6 +181,9 @@
         else:
             await self.judge(self.home)
         await self.demote_others()
+        if self.home is not None and self.ready.is_set():
+            await self.look_after_deputy(self.home)
+            await self.forget_former()
 
     async def judge(self, home: MemberHome) -> None:
         """Decide whether the primary is to be replaced."""
@@ -420,47 +288,6 @@
             await self.write(self.record.with_primary(entry.target, status.term))
         self.use(entry, status)
 
-    def use(self, entry: TargetEntry, status: MemberStatus) -> None:
-        """Make the home of a primary."""
-        self.home = self.make_home(entry, self.permit, self.seen)
-        self.proof = None
-        self.top = status.received
-        self.decisions.note(
-            "primary_in_use",
-            service=self.service,
-            primary=entry.target,
-            term=self.record.term,
-        )
-        self.ready.set()
-
-    def members(self) -> list[TargetEntry]:
-        """Return the targets of the service that are announced, or were."""
-        found = self.announcements.targets
-        return [one for one in found.values() if one.service == self.service]
-
-    async def statuses(
-        self, entries: list[TargetEntry]
-    ) -> list[tuple[TargetEntry, MemberStatus]]:
-        """Return the targets that answer, with their state."""
-        answers = await asyncio.gather(*(self.status(entry) for entry in entries))
-        return [
-            (entry, answer)
-            for entry, answer in zip(entries, answers, strict=True)
-            if answer is not None
-        ]
-
-    async def status(self, entry: TargetEntry) -> MemberStatus | None:
-        """Ask one target for its state on a connection of its own."""
-        try:
-            async with asyncio.timeout(STATUS_TIMEOUT):
-                connection = await self.driver.connect(entry, STATUS_TIMEOUT)
-                try:
-                    return await connection.status(STATUS_TIMEOUT)
-                finally:
-                    connection.close()
-        except (TimeoutError, MemberUnreachable, MemberSilent):
-            return None
-
     # Change of primary
 
     async def change(self, cause: str, old: TargetEntry, planned: bool) -> None:
@@ -490,28 +317,39 @@
         if await self.write(decided):
             await self.finish()
 
-    async def until_quiet(self, home: MemberHome, timeout: float) -> None:
-        """Let open transactions end for a while, then end the rest."""
-        deadline = self.clock.monotonic() + timeout
-        while not home.quiet() and self.clock.monotonic() < deadline:
-            await self.clock.sleep(POLL)
-        home.end_all("the primary changes")
+    def promising(self) -> bool:
+        return bool(self.record.successor) or super().promising()
 
     async def alone(self) -> bool:
-        """Say whether no former holder can still use the primary."""
-        if self.clock.elapsed() - self.taken_at >= TENURE + MARGIN:
-            return True
-        if not self.record.complete:
+        """Say whether nobody else can still use the primary.
+
+        The deputy may do so at any time and is always asked.
+        """
+        asked = [one for one in self.record.former if one.life not in self.spoken]
+        if self.former_over():
+            asked = []
+        elif not self.record.complete:
             return False
-        open_questions = [
-            one for one in self.record.former if one.life not in self.spoken
-        ]
-        words = await asyncio.gather(*(self.word(one) for one in open_questions))
+        deputy = self.record.deputy
+        if deputy is not None:
+            asked.append(deputy)
+        words = await asyncio.gather(*(self.word(one) for one in asked))
+        if deputy is not None and not words[-1]:
+            # It cannot be told apart from one that acts until its time is over.
+            await self.appoint(None)
         return all(words)
 
+    def former_over(self) -> bool:
+        """Say whether the permission of each former holder has ended by itself."""
+        return self.clock.elapsed() - self.former_at >= TENURE + MARGIN
+
     async def word(self, former: Holder) -> bool:
         """Ask a former holder whether it has stopped, or is another life."""
-        body = {"service": self.service, "records": self.book.to_json()}
+        body = {
+            "service": self.service,
+            "records": self.book.to_json(),
+            "revision": self.record.revision,
+        }
         try:
             answer = await self.peers.call(former.ref, PATH, body, WORD_TIMEOUT)
         except PeerError as error:
@@ -519,15 +357,55 @@
                 "former_holder_silent",
                 service=self.service,
                 host=former.ref.host,
-                wait=round(self.taken_at + TENURE + MARGIN - self.clock.elapsed(), 2),
+                wait=round(self.former_at + TENURE + MARGIN - self.clock.elapsed(), 2),
                 error=str(error),
             )
             return False
         stopped = answer.get("life") != former.life or answer.get("holds") is False
-        if stopped:
+        if stopped and former != self.record.deputy:
             self.spoken.add(former.life)
         return stopped
 
+    async def look_after_deputy(self, home: MemberHome) -> None:
+        """Have a living host in a third zone stand in, should this one be lost."""
+        deputy = self.record.deputy
+        if deputy is not None:
+            self.vigil.watch(deputy.ref)
+        now = self.clock.monotonic()
+        if now - self.deputized_at < DEPUTIZE_EVERY:
+            return
+        self.deputized_at = now
+        chosen = self.choose_deputy(self.service, home.entry)
+        if deputy is not None and not self.vigil.is_lost(deputy.ref):
+            if chosen is None or deputy.ref.zone == chosen.zone:
+                chosen = deputy.ref
+        if chosen is None:
+            return
+        life = await self.life(chosen)
+        if life is not None:
+            await self.appoint(Holder(chosen, life))
+
+    async def life(self, host: HostRef) -> str | None:
+        """Ask a host for the life of its process."""
+        try:
+            answer = await self.peers.call(host, LIFE_PATH, {}, WORD_TIMEOUT)
+        except (PeerError, Refusal):
+            return None
+        life = answer.get("life")
+        return life if isinstance(life, str) else None
+
+    async def appoint(self, deputy: Holder | None) -> None:
+        """Write down who stands in from now on."""
+        if deputy == self.record.deputy:
+            return
+        if await self.write(self.record.with_deputy(deputy)):
+            self.former_at = self.clock.elapsed()
+
+    async def forget_former(self) -> None:
+        """Write down that nobody but the deputy can still use the primary."""
+        if (self.record.former or not self.record.complete) and self.former_over():
+            await self.write(self.record.without_former())
+
     async def successor(self, old: TargetEntry, planned: bool) -> TargetEntry | None:
         """Return the target that holds the most of those that answer."""
         deadline = self.clock.monotonic() + (CATCH_UP if planned else 0.0)
@@ -685,22 +563,3 @@
         self.record = record
         self.saved = True
         self.book.learn(record, "own")
-
-    # The end
-
-    async def give_up(self, timeout: float) -> None:
-        """Take no new work, let transactions end, and use the primary no more."""
-        self.yielding = True
-        self.ready.set()
-        home = self.home
-        if home is not None:
-            await self.until_quiet(home, timeout)
-            await home.close()
-        self.tenure.end()
-        self.stop()
-        self.decisions.note("lead_given_up", service=self.service)
-
-    def stop(self) -> None:
-        """End the tasks."""
-        for task in self.tasks:
-            task.cancel()
--- a/src/reedhook/process/lead/leads.py
+++ b/src/reedhook/process/lead/leads.py
@@ -1,11 +1,12 @@
 """The leads of services: which this host holds, and which it takes over."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final, TypeAlias
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, TypeAlias
 
 from ...clock import Clock
 from ...request.refusal import Reason, not_run
+from ...version.registry import TargetEntry
 from ...wire import Json, text
 from ..announced.announcements import Announcements
 from ..announced.keyspace import Keyspace, KeyspaceError
@@ -14,12 +15,15 @@
 from ..peer import HostRef, PeerRoutes
 from ..rendezvous import ranked_hosts
 from .book import LeadBook
-from .lead import PATH, Lead
+from .deputy import Deputy
+from .lead import LIFE_PATH, PATH, Lead
 from .record import Holder, LeadRecord, lead_key
+from .user import PrimaryUser
 from .vigil import Vigil
 from .witness import TAKE_PATH, Witnesses
 
 LeadMaker: TypeAlias = Callable[[LeadRecord, float], Lead]
+DeputyMaker: TypeAlias = Callable[[LeadRecord, float], Deputy]
 
 RECORDS_PATH: Final = "records"
 
@@ -41,7 +45,11 @@
 
 
 class Leads:
-    """Hold leads, take over those that nobody holds, pass them on."""
+    """Hold leads, take over those that nobody holds, pass them on.
+
+    :ivar promised: revisions of records by which this host will not act as a
+        deputy, since it has given its word to a holder that promotes.
+    """
 
     def __init__(
         self,
@@ -53,6 +61,7 @@
         witnesses: Witnesses,
         vigil: Vigil,
         make_lead: LeadMaker,
+        make_deputy: DeputyMaker,
         clock: Clock,
         decisions: Decisions,
     ) -> None:
@@ -64,9 +73,12 @@
         self.witnesses = witnesses
         self.vigil = vigil
         self.make_lead = make_lead
+        self.make_deputy = make_deputy
         self.clock = clock
         self.decisions = decisions
         self.held: dict[str, Lead] = {}
+        self.deputies: dict[str, Deputy] = {}
+        self.promised: dict[str, int] = {}
         self.taking: set[str] = set()
         self.tried_at: dict[str, float] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -80,14 +92,29 @@
         routes.add(PATH, self.answer_lead)
         routes.add(TAKE_PATH, self.answer_take)
         routes.add(RECORDS_PATH, self.answer_records)
+        routes.add(LIFE_PATH, self.answer_life)
 
     async def answer_lead(self, body: Json) -> Json:
-        """Say whether this host may still use the primary of a service."""
+        """Say whether this host may still use the primary of a service.
+
+        A deputy gives its word not to act by the record that the holder has.
+        """
         records = body.get("records")
         if isinstance(records, dict):
             self.book.merge(records, "peer")
-        holds = text(body, "service") in self.held
-        return {"life": self.me.life, "holds": holds}
+        service = text(body, "service")
+        revision = body.get("revision")
+        if isinstance(revision, int):
+            known = self.promised.get(service, 0)
+            self.promised[service] = max(known, revision)
+        deputy = self.deputies.pop(service, None)
+        if deputy is not None:
+            await self.dismiss(deputy)
+        return {"life": self.me.life, "holds": service in self.held}
+
+    async def answer_life(self, body: Json) -> Json:
+        """Say which life of its process this host is in."""
+        return {"life": self.me.life}
 
     async def answer_take(self, body: Json) -> Json:
         """Take a lead over at the wish of its holder.
@@ -97,7 +124,8 @@
         if self.leaving:
             raise not_run(Reason.DRAINING, "this host ends itself")
         service = text(body, "service")
-        return {"taken": await self.take(service, asked_to=True)}
+        alone = body.get("alone") is True
+        return {"taken": await self.take(service, asked_to=True, alone=alone)}
 
     async def answer_records(self, body: Json) -> Json:
         """Return what is known of the leads."""
@@ -113,6 +141,61 @@
                 self.watch(service)
                 if self.is_mine(service):
                     await self.take(service, asked_to=False)
+                await self.stand_in(service)
+
+    async def stand_in(self, service: str) -> None:
+        """Act as the deputy while the holder is lost, and no longer."""
+        deputy = self.deputies.get(service)
+        if deputy is None:
+            return
+        barred = deputy.record.revision <= self.promised.get(service, 0)
+        if barred or service in self.held:
+            await deputy.rest()
+        elif self.is_takeable(service):
+            await deputy.act()
+        else:
+            await deputy.rest()
+
+    def appointed(self, record: LeadRecord) -> None:
+        """Become the deputy of a service, or cease to be it."""
+        deputy = self.deputies.get(record.service)
+        named = record.deputy == self.me
+        if deputy is not None and not named:
+            del self.deputies[record.service]
+            self.spawn(self.dismiss(deputy))
+        if deputy is None and named and not self.leaving:
+            # Only an own look permits to act; the first is due at once.
+            deputy = self.make_deputy(record, float("-inf"))
+            self.deputies[record.service] = deputy
+            deputy.start()
+
+    async def dismiss(self, deputy: Deputy) -> None:
+        """Use the primary no more as a deputy."""
+        deputy.yielding = True
+        deputy.stop()
+        await deputy.give_up(0.0)
+
+    def user(self, service: str) -> PrimaryUser | None:
+        """Return what uses the primary of a service here, or None."""
+        lead = self.held.get(service)
+        if lead is not None:
+            return lead
+        deputy = self.deputies.get(service)
+        return deputy if deputy is not None and deputy.acting else None
+
+    def choose_deputy(self, service: str, primary: TargetEntry) -> HostRef | None:
+        """Return the host that is to stand in for this one, or None.
+
+        In a third zone it is not cut off along with the holder, nor with the
+        primary when that is to be replaced.
+        """
+        others = [ref for ref in self.ranked(service) if ref.host != self.me.ref.host]
+        zones = (self.me.ref.zone, primary.zone)
+        others.sort(key=lambda ref: (ref.zone in zones, ref.zone == primary.zone))
+        for ref in others:
+            if not self.vigil.is_lost(ref):
+                return ref
+        return None
 
     async def awakened(self) -> None:
         """Wait for news of a lead or a target, or for the next look."""
@@ -142,8 +225,12 @@
     def standbys(self, service: str, holder: HostRef) -> list[HostRef]:
         """Return the hosts that stand by for the holder of a lead."""
         ranked = [ref for ref in self.ranked(service) if ref.host != holder.host]
-        first = ranked[:1]
-        return first + [ref for ref in ranked if ref.zone != first[0].zone][:1]
+        chosen = ranked[:1]
+        chosen += [ref for ref in ranked if ref.zone != ranked[0].zone][:1]
+        record = self.book.get(service)
+        if record is not None and record.deputy is not None:
+            chosen.append(record.deputy.ref)
+        return chosen
 
     def is_mine(self, service: str) -> bool:
         """Say whether this host is to take a lead now."""
@@ -198,11 +285,12 @@
         order.sort(key=lambda ref: ref.zone == zone)
         return order
 
-    async def take(self, service: str, asked_to: bool) -> bool:
+    async def take(self, service: str, asked_to: bool, alone: bool = False) -> bool:
         """Take the lead of a service; return whether this host holds it.
 
         :param asked_to: whether its holder wants that, so that it need not be
             vacant.
+        :param alone: whether the holder says that no earlier one is left.
         """
         if service in self.held:
             return True
@@ -211,14 +299,14 @@
         self.taking.add(service)
         self.tried_at[service] = self.clock.monotonic()
         try:
-            return await self.take_at_store(service, asked_to)
+            return await self.take_at_store(service, asked_to, alone)
         except KeyspaceError as error:
             self.decisions.note("lead_not_taken", service=service, error=str(error))
             return False
         finally:
             self.taking.discard(service)
 
-    async def take_at_store(self, service: str, asked_to: bool) -> bool:
+    async def take_at_store(self, service: str, asked_to: bool, alone: bool) -> bool:
         """Write this host into the record as it stands in the store.
 
         :raises KeyspaceError: if the store gives no answer.
@@ -231,9 +319,9 @@
             if not asked_to and not self.is_takeable(service):
                 return False
             if record.holder != self.me:
-                record = record.taken_by(self.me)
+                record = record.taken_by(self.me, alone)
         else:
-            record = LeadRecord(service, self.me, [], True, "", 0, "", 0)
+            record = LeadRecord(service, self.me, None, [], True, "", 0, "", 0)
         asked = self.clock.elapsed()
         revision = await self.keyspace.put(
             key, record.encoded(), record.revision, STORE_TIMEOUT
@@ -257,6 +345,7 @@
     def changed(self, record: LeadRecord) -> None:
         """Act on news of who holds a lead."""
         self.wake.set()
+        self.appointed(record)
         lead = self.held.get(record.service)
         if lead is None or record.holder == self.me or lead.yielding:
             return
@@ -266,7 +355,11 @@
     def spawn_give_up(self, lead: Lead) -> None:
         """Let go of a lead in the background."""
         lead.yielding = True
-        task = asyncio.get_running_loop().create_task(self.give_up(lead))
+        self.spawn(self.give_up(lead))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run `work` in the background."""
+        task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -279,6 +372,8 @@
     async def pass_all_on(self) -> None:
         """Have others take all leads over, as this host ends."""
         self.leaving = True
+        for service in list(self.deputies):
+            await self.dismiss(self.deputies.pop(service))
         await asyncio.gather(*(self.pass_on(one) for one in list(self.held)))
 
     async def pass_on(self, service: str) -> None:
@@ -286,7 +381,9 @@
         for host in self.ranked(service):
             if host.host == self.me.ref.host:
                 continue
-            if await self.witnesses.pass_on(service, host):
+            lead = self.held.get(service)
+            alone = lead is not None and lead.former_over()
+            if await self.witnesses.pass_on(service, host, alone):
                 self.decisions.note("lead_passed_on", service=service, to=host.host)
                 break
         lead = self.held.get(service)
@@ -295,6 +392,9 @@
 
     async def close(self) -> None:
         """Use no primary any more."""
+        for deputy in list(self.deputies.values()):
+            await self.dismiss(deputy)
+        self.deputies.clear()
         for lead in list(self.held.values()):
             lead.stop()
             lead.tenure.end()
--- a/src/reedhook/process/lead/record.py
+++ b/src/reedhook/process/lead/record.py
@@ -41,6 +41,8 @@
 class LeadRecord(Record):
     """Say who may use the primary of a service.
 
+    :param deputy: stands in for the holder, but for promotions, while the
+        holder is lost and the store gives no answer.
     :param former: earlier holders that may still believe to be allowed.
     :param complete: whether `former` names all of them.
     :param primary: the target that leads; empty if it was never known.
@@ -53,6 +55,7 @@
     __slots__ = (
         "service",
         "holder",
+        "deputy",
         "former",
         "complete",
         "primary",
@@ -65,6 +68,7 @@
         self,
         service: str,
         holder: Holder,
+        deputy: Holder | None,
         former: list[Holder],
         complete: bool,
         primary: str,
@@ -74,6 +78,7 @@
     ) -> None:
         self.service = service
         self.holder = holder
+        self.deputy = deputy
         self.former = former
         self.complete = complete
         self.primary = primary
@@ -81,41 +86,60 @@
         self.successor = successor
         self.revision = revision
 
-    def taken_by(self, holder: Holder) -> "LeadRecord":
-        """Return the record with which `holder` takes the lead over."""
-        former = [one for one in self.former if not replaced(one, holder)]
-        if not replaced(self.holder, holder) and self.holder not in former:
-            former.append(self.holder)
-        complete = self.complete and len(former) <= MOST_FORMER
-        return LeadRecord(
-            self.service,
-            holder,
-            former[-MOST_FORMER:],
-            complete,
-            self.primary,
-            self.term,
-            self.successor,
-            self.revision,
-        )
+    def taken_by(self, holder: Holder, alone: bool = False) -> "LeadRecord":
+        """Return the record with which `holder` takes the lead over.
+
+        :param alone: whether the present holder says that no earlier one can
+            still use the primary.
+        """
+        former = [] if alone else list(self.former)
+        former += [self.holder] if self.deputy is None else [self.holder, self.deputy]
+        found = self.copy()
+        found.holder = holder
+        found.deputy = None
+        found.complete = alone or self.complete
+        found.set_former([one for one in former if not replaced(one, holder)])
+        return found
+
+    def with_deputy(self, deputy: Holder | None) -> "LeadRecord":
+        """Return the record with another deputy, or with none."""
+        found = self.copy()
+        found.deputy = deputy
+        if self.deputy is not None:
+            if deputy is None or not replaced(self.deputy, deputy):
+                found.set_former([*self.former, self.deputy])
+        return found
+
+    def without_former(self) -> "LeadRecord":
+        """Return the record once no earlier holder can use the primary."""
+        found = self.copy()
+        found.former = []
+        found.complete = True
+        return found
 
     def with_primary(
         self, primary: str, term: int, successor: str = ""
     ) -> "LeadRecord":
         """Return the record with another primary, or one that is to be."""
-        return LeadRecord(
-            self.service,
-            self.holder,
-            self.former,
-            self.complete,
-            primary,
-            term,
-            successor,
-            self.revision,
-        )
+        found = self.copy()
+        found.primary = primary
+        found.term = term
+        found.successor = successor
+        return found
+
+    def set_former(self, former: list[Holder]) -> None:
+        """Name earlier holders, each once; too many are not named."""
+        unique = list(dict.fromkeys(former))
+        self.complete = self.complete and len(unique) <= MOST_FORMER
+        self.former = unique[-MOST_FORMER:]
+
+    def copy(self) -> "LeadRecord":
+        """Return a record that may be changed."""
+        return LeadRecord(*self.values())
 
     def at(self, revision: int) -> "LeadRecord":
         """Return the record as it stands in the store at `revision`."""
-        found = self.with_primary(self.primary, self.term, self.successor)
+        found = self.copy()
         found.revision = revision
         return found
 
@@ -123,6 +147,7 @@
         """Return the record as it stands in the store."""
         return {
             "holder": self.holder.to_json(),
+            "deputy": None if self.deputy is None else self.deputy.to_json(),
             "former": [one.to_json() for one in self.former],
             "complete": self.complete,
             "primary": self.primary,
@@ -138,9 +163,11 @@
     @reader
     def from_json(cls, service: str, message: Json, revision: int) -> "LeadRecord":
         """Read a record."""
+        deputy = message["deputy"]
         return cls(
             service,
             Holder.from_json(message["holder"]),
+            None if deputy is None else Holder.from_json(deputy),
             [Holder.from_json(one) for one in message["former"]],
             bool(message["complete"]),
             message["primary"],
--- /dev/null
+++ b/src/reedhook/process/lead/user.py
@@ -0,0 +1,253 @@
+"""A host's use of the primary of one service, while it is permitted."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+from ...clock import Clock
+from ...connection.member import (
+    MemberDriver,
+    MemberSilent,
+    MemberStatus,
+    MemberUnreachable,
+)
+from ...connection.memberhome import MemberHome
+from ...request.position import Position
+from ...request.refusal import Reason, Refusal, not_run
+from ...request.work import Proof, Work, WorkAnswer
+from ...version.registry import TargetEntry
+from ..announced.announcements import Announcements
+from ..decisions import Decisions
+from .record import LeadRecord
+from .tenure import Tenure
+
+HomeMaker: TypeAlias = Callable[
+    [TargetEntry, Callable[[], None], Callable[[Position, float], None]], MemberHome
+]
+
+SIGHT_TIMEOUT: Final = 0.25
+"""Seconds in which a target answers what needs no slot."""
+
+STATUS_TIMEOUT: Final = 0.4
+"""Seconds to connect to a target and to learn its state; both wait for a slot
+behind statements of 9 to 110 ms."""
+
+DOUBT_LASTS: Final = 1.5
+"""Seconds from the first doubt in which a primary answers again or its successor
+is decided on; later statements are refused at once."""
+
+WAIT_FOR_PRIMARY: Final = 0.45
+"""Seconds for which a statement waits for a primary that is being promoted;
+half of the shortest timeout of a statement, so that it can run afterwards."""
+
+POLL: Final = 0.05
+"""Seconds between two questions during a change of primary."""
+
+RETRY_MS: Final = 150
+"""When to come back while another primary is promoted, in milliseconds."""
+
+
+class PrimaryUser:
+    """Run statements at the primary of one service.
+
+    :param record: names this host as the holder or the deputy.
+    :ivar tenure: until when the primary may be used.
+    :ivar ready: set while the primary may be used as far as is known.
+    :ivar home: of the primary; None before it is known.
+    :ivar top: the highest position that the primary has answered with.
+    :ivar yielding: whether no new work is taken any more.
+    """
+
+    def __init__(
+        self,
+        record: LeadRecord,
+        announcements: Announcements,
+        driver: MemberDriver,
+        make_home: HomeMaker,
+        clock: Clock,
+        decisions: Decisions,
+    ) -> None:
+        self.service = record.service
+        self.record = record
+        self.announcements = announcements
+        self.driver = driver
+        self.make_home = make_home
+        self.clock = clock
+        self.decisions = decisions
+        self.tenure = Tenure(clock)
+        self.ready = asyncio.Event()
+        self.home: MemberHome | None = None
+        self.proof: Proof | None = None
+        self.top: Position | None = None
+        self.yielding = False
+        self.asking: asyncio.Task[None] | None = None
+        self.doubted_at = clock.monotonic()
+        self.news = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def execute(self, work: Work) -> WorkAnswer:
+        """Run a statement at the primary.
+
+        :raises Refusal: with a verdict that holds.
+        """
+        home = self.home
+        if home is not None and work.transaction in home.transactions:
+            return await self.run_at(home, work)
+        home = await self.usable(work)
+        return await self.run_at(home, work)
+
+    async def run_at(self, home: MemberHome, work: Work) -> WorkAnswer:
+        """Run a statement at a home and add what is known of the position."""
+        reply = await home.run(work)
+        return WorkAnswer(home.entry.target, reply, self.proof)
+
+    async def usable(self, work: Work) -> MemberHome:
+        """Return the home of the primary, waiting a little for one.
+
+        :raises Refusal: not run.
+        """
+        if not self.ready.is_set() and not self.yielding and self.promising():
+            wait = min(WAIT_FOR_PRIMARY, work.left / 2)
+            begun = self.clock.monotonic()
+            try:
+                async with asyncio.timeout(wait):
+                    await self.ready.wait()
+            except TimeoutError:
+                # Refused below, since nothing has become usable.
+                pass
+            work.left -= self.clock.monotonic() - begun
+        if self.yielding:
+            raise not_run(Reason.WRONG_HOME, "another host takes the lead", RETRY_MS)
+        if self.home is None or not self.ready.is_set():
+            raise not_run(
+                Reason.NO_PRIMARY,
+                f"the service {self.service} has no primary now",
+                RETRY_MS,
+            )
+        return self.home
+
+    def promising(self) -> bool:
+        """Say whether a primary is likely to be there soon."""
+        return self.clock.monotonic() - self.doubted_at < DOUBT_LASTS
+
+    def permit(self) -> None:
+        """Raise unless the primary may be used right now."""
+        self.tenure.check()
+
+    def seen(self, position: Position, asked: float) -> None:
+        """Take note of the primary's position.
+
+        It covers what was acknowledged before the question was sent, and no
+        more: a host that has taken the lead over may use the primary, too,
+        before this one has heard of it.
+        """
+        if self.top is None or self.top < position:
+            self.top = position
+        known = self.proof
+        if known is None or asked > known.at:
+            self.proof = Proof(position, asked)
+            self.news.set()
+
+    async def prove(self, younger_than: float) -> Proof:
+        """Return a proof of the primary's position that is young enough.
+
+        :param younger_than: a moment by `Clock.elapsed`.
+        :raises Refusal: if there is none; nothing ran.
+        """
+        if self.proof is None or self.proof.at < younger_than:
+            await self.ask_position()
+        if self.proof is None or self.proof.at < younger_than:
+            raise not_run(
+                Reason.AGE_UNPROVED, "the primary gives no position", RETRY_MS
+            )
+        return self.proof
+
+    async def ask_position(self) -> None:
+        """Ask the primary for its position, once for all who wait for it."""
+        if self.asking is None or self.asking.done():
+            loop = asyncio.get_running_loop()
+            self.asking = loop.create_task(self.sight())
+        await asyncio.shield(self.asking)
+
+    async def sight(self) -> None:
+        """Ask the primary for its position, if it may be used."""
+        home = self.home
+        if home is None or not self.ready.is_set() or not self.tenure.valid:
+            return
+        try:
+            if home.lanes.exhausted():
+                # The next answer to a statement tells as well.
+                self.news.clear()
+                async with asyncio.timeout(SIGHT_TIMEOUT):
+                    await self.news.wait()
+                return
+            await home.sight(SIGHT_TIMEOUT)
+        except (MemberSilent, MemberUnreachable, Refusal, TimeoutError) as error:
+            self.decisions.note(
+                "primary_unanswered", service=self.service, error=repr(error)
+            )
+
+    def use(self, entry: TargetEntry, status: MemberStatus) -> None:
+        """Make the home of a primary."""
+        self.home = self.make_home(entry, self.permit, self.seen)
+        self.proof = None
+        self.top = status.received
+        self.decisions.note(
+            "primary_in_use",
+            service=self.service,
+            primary=entry.target,
+            term=self.record.term,
+        )
+        self.ready.set()
+
+    def members(self) -> list[TargetEntry]:
+        """Return the targets of the service that are announced, or were."""
+        found = self.announcements.targets
+        return [one for one in found.values() if one.service == self.service]
+
+    async def statuses(
+        self, entries: list[TargetEntry]
+    ) -> list[tuple[TargetEntry, MemberStatus]]:
+        """Return the targets that answer, with their state."""
+        answers = await asyncio.gather(*(self.status(entry) for entry in entries))
+        return [
+            (entry, answer)
+            for entry, answer in zip(entries, answers, strict=True)
+            if answer is not None
+        ]
+
+    async def status(self, entry: TargetEntry) -> MemberStatus | None:
+        """Ask one target for its state on a connection of its own."""
+        try:
+            async with asyncio.timeout(STATUS_TIMEOUT):
+                connection = await self.driver.connect(entry, STATUS_TIMEOUT)
+                try:
+                    return await connection.status(STATUS_TIMEOUT)
+                finally:
+                    connection.close()
+        except (TimeoutError, MemberUnreachable, MemberSilent):
+            return None
+
+    async def until_quiet(self, home: MemberHome, timeout: float) -> None:
+        """Let open transactions end for a while, then end the rest."""
+        deadline = self.clock.monotonic() + timeout
+        while not home.quiet() and self.clock.monotonic() < deadline:
+            await self.clock.sleep(POLL)
+        home.end_all("the primary changes")
+
+    async def give_up(self, timeout: float) -> None:
+        """Take no new work, let transactions end, and use the primary no more."""
+        self.yielding = True
+        self.ready.set()
+        home = self.home
+        if home is not None:
+            await self.until_quiet(home, timeout)
+            await home.close()
+        self.tenure.end()
+        self.stop()
+        self.decisions.note("lead_given_up", service=self.service)
+
+    def stop(self) -> None:
+        """End the tasks."""
+        for task in self.tasks:
+            task.cancel()
--- a/src/reedhook/process/lead/witness.py
+++ b/src/reedhook/process/lead/witness.py
@@ -103,12 +103,14 @@
                 return True
         return False
 
-    async def pass_on(self, service: str, host: HostRef) -> bool:
-        """Have a host take the lead of a service over."""
+    async def pass_on(self, service: str, host: HostRef, alone: bool = False) -> bool:
+        """Have a host take the lead of a service over.
+
+        :param alone: whether no earlier holder can still use the primary.
+        """
+        body: Json = {"service": service, "alone": alone}
         try:
-            answer = await self.peers.call(
-                host, TAKE_PATH, {"service": service}, TAKE_TIMEOUT
-            )
+            answer = await self.peers.call(host, TAKE_PATH, body, TAKE_TIMEOUT)
         except (PeerError, Refusal):
             return False
         return answer.get("taken") is True
--- a/src/reedhook/process/lifecycle.py
+++ b/src/reedhook/process/lifecycle.py
@@ -8,8 +8,8 @@
 import logbook
 
 from ..clock import Clock
-from .peer_server import PeerServer
 from .overdue import ShutdownOverdue
+from .peer_server import PeerServer
 from .server import Server
 
 Companion: TypeAlias = Callable[[Clock], Coroutine[Any, Any, None]]
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -25,6 +25,7 @@
 from .histograms import HistogramMetrics
 from .hosting_settings import HostingSettings
 from .lead.book import LeadBook
+from .lead.deputy import Deputy
 from .lead.duty import Duty, Promoter
 from .lead.lead import Lead
 from .lead.leads import Leads
@@ -124,7 +125,6 @@
         self.duty = Duty(
             self.holder,
             self.keyspace,
-            self.announcements,
             self.promoter,
             self.peers,
             table,
@@ -146,6 +146,7 @@
             self.witnesses,
             self.vigil,
             self.make_lead,
+            self.make_deputy,
             self.clock,
             self.decisions,
         )
@@ -219,6 +220,8 @@
             self.book,
             self.duty,
             self.witnesses,
+            self.vigil,
+            self.leads.choose_deputy,
             self.peers,
             self.driver,
             self.phrases,
@@ -227,6 +230,21 @@
             self.decisions,
         )
 
+    def make_deputy(self, record: LeadRecord, asked: float) -> Deputy:
+        """Return what stands in for the holder of a lead."""
+        return Deputy(
+            record,
+            asked,
+            self.holder,
+            self.keyspace,
+            self.announcements,
+            self.book,
+            self.driver,
+            self.make_home,
+            self.clock,
+            self.decisions,
+        )
+
     # Life
 
     async def start(self) -> None:
--- a/src/reedhook/request/steering.py
+++ b/src/reedhook/request/steering.py
@@ -11,6 +11,7 @@
 from ..process.directory import Directory
 from ..process.lead.book import LeadBook
 from ..process.lead.leads import RECORDS_PATH
+from ..process.lead.record import LeadRecord
 from ..process.peer import HostRef, PeerError, Peers
 from ..record import Record
 from ..version.registry import Route, RouteKind, TargetEntry
@@ -193,7 +194,7 @@
         age = route.max_age / 2
         if record is None:
             return None
-        host = record.holder.ref
+        host = self.leader(record, False)
         asked = self.clock.elapsed()
         try:
             if host.host == self.me.host:
@@ -288,6 +289,7 @@
         work.target = ""
         give_up = self.clock.monotonic() + min(LONGEST_WAIT, work.left / 2)
         busy = 0
+        refused_by_deputy = False
         while True:
             record = self.book.get(work.service)
             revision = 0 if record is None else record.revision
@@ -295,9 +297,14 @@
             try:
                 if record is None:
                     raise no_primary(work.service)
-                place = Place(record.holder.ref, "")
+                host = self.leader(record, refused_by_deputy)
+                place = Place(host, "")
                 answer = await self.run_at(place, work)
             except Refusal as refusal:
+                if record is not None and host != record.holder.ref:
+                    refused_by_deputy = True
+                    if refusal.reason is Reason.WRONG_HOME:
+                        continue
                 await self.settle(work, refusal, revision, give_up)
                 continue
             fault = answer.reply.fault
@@ -316,6 +323,17 @@
             self.learn(work.service, answer)
             return Placed(answer, place)
 
+    def leader(self, record: LeadRecord, refused_by_deputy: bool) -> HostRef:
+        """Return the host that uses the primary: the holder, or its deputy.
+
+        :param refused_by_deputy: whether the deputy was asked for this
+            statement and does not act.
+        """
+        holder, deputy = record.holder.ref, record.deputy
+        if refused_by_deputy or deputy is None or holder.host not in self.lost_since:
+            return holder
+        return holder if deputy.ref.host in self.lost_since else deputy.ref
+
     async def settle(
         self, work: Work, refusal: Refusal, revision: int, give_up: float
     ) -> None:
