--- a/src/reedhook/process/lead/lead.py
+++ b/src/reedhook/process/lead/lead.py
@@ -29,7 +29,7 @@
 from .vigil import Vigil
 from .witness import Witnesses
 
-DeputyChooser: TypeAlias = Callable[[str, TargetEntry], HostRef | None]
+HostChooser: TypeAlias = Callable[[str, TargetEntry], HostRef | None]
 
 TICK: Final = 0.1
 """Seconds between two looks at the primary."""
@@ -76,6 +76,7 @@
     :param record: names this host as the holder.
     :param asked: when the question that found so was sent, `Clock.elapsed`.
     :param choose_deputy: returns the host that is to stand in, or None.
+    :param better_host: returns the host that should hold the lead instead.
     :ivar former_at: when somebody last became a former holder.
     """
 
@@ -90,7 +91,8 @@
         duty: Duty,
         witnesses: Witnesses,
         vigil: Vigil,
-        choose_deputy: DeputyChooser,
+        choose_deputy: HostChooser,
+        better_host: HostChooser,
         peers: Peers,
         driver: MemberDriver,
         phrases: Phrases,
@@ -108,6 +110,7 @@
         self.peers = peers
         self.phrases = phrases
         self.choose_deputy = choose_deputy
+        self.better_host = better_host
         self.tenure.confirmed(asked)
         self.former_at = clock.elapsed()
         self.spoken: set[str] = set()
@@ -269,7 +272,11 @@
 
     async def establish(self) -> None:
         """Find out who leads, and use it; doubt a primary that is not found."""
-        found = await self.statuses(self.members())
+        entries = self.members()
+        missing = self.announcements.missing.get(self.record.primary)
+        if missing is not None:
+            entries.append(missing)
+        found = await self.statuses(entries)
         leading = [pair for pair in found if pair[1].leads]
         if leading:
             entry, status = max(leading, key=lambda pair: pair[1].term)
@@ -304,6 +311,8 @@
         if successor is None:
             self.decisions.note("no_successor", service=self.service, cause=cause)
             return
+        if not planned and await self.reached(old):
+            return
         self.decisions.note(
             "primary_change",
             service=self.service,
@@ -375,6 +384,12 @@
         if now - self.deputized_at < DEPUTIZE_EVERY:
             return
         self.deputized_at = now
+        better = self.better_host(self.service, home.entry)
+        if better is not None and await self.witnesses.pass_on(
+            self.service, better, self.former_over()
+        ):
+            self.decisions.note("lead_passed_on", service=self.service, to=better.host)
+            return
         chosen = self.choose_deputy(self.service, home.entry)
         if deputy is not None and not self.vigil.is_lost(deputy.ref):
             if chosen is None or deputy.ref.zone == chosen.zone:
--- a/src/reedhook/process/lead/leads.py
+++ b/src/reedhook/process/lead/leads.py
@@ -5,14 +5,14 @@
 from typing import Any, Final, TypeAlias
 
 from ...clock import Clock
-from ...request.refusal import Reason, not_run
+from ...request.refusal import Reason, Refusal, not_run
 from ...version.registry import TargetEntry
 from ...wire import Json, text
 from ..announced.announcements import Announcements
-from ..announced.keyspace import Keyspace, KeyspaceError
+from ..announced.keyspace import Keyspace, KeyspaceError, Unanswered
 from ..decisions import Decisions
 from ..membership_table import MembershipTable
-from ..peer import HostRef, PeerRoutes
+from ..peer import HostRef, PeerError, PeerRoutes, Peers
 from ..rendezvous import ranked_hosts
 from .book import LeadBook
 from .deputy import Deputy
@@ -20,12 +20,16 @@
 from .record import Holder, LeadRecord, lead_key
 from .user import PrimaryUser
 from .vigil import Vigil
-from .witness import TAKE_PATH, Witnesses
+from .witness import TAKE_PATH, TAKE_TIMEOUT, Witnesses
 
 LeadMaker: TypeAlias = Callable[[LeadRecord, float], Lead]
 DeputyMaker: TypeAlias = Callable[[LeadRecord, float], Deputy]
 
 RECORDS_PATH: Final = "records"
+TAKE_LOST_PATH: Final = "take_lost"
+
+MOST_ASKED: Final = 4
+"""Hosts that are asked in turn to take a lead that this one cannot take."""
 
 TICK: Final = 0.2
 """Seconds between two looks at who holds the leads."""
@@ -60,6 +64,7 @@
         table: MembershipTable,
         witnesses: Witnesses,
         vigil: Vigil,
+        peers: Peers,
         make_lead: LeadMaker,
         make_deputy: DeputyMaker,
         clock: Clock,
@@ -72,6 +77,7 @@
         self.table = table
         self.witnesses = witnesses
         self.vigil = vigil
+        self.peers = peers
         self.make_lead = make_lead
         self.make_deputy = make_deputy
         self.clock = clock
@@ -91,6 +97,7 @@
         """Add the handlers of this host."""
         routes.add(PATH, self.answer_lead)
         routes.add(TAKE_PATH, self.answer_take)
+        routes.add(TAKE_LOST_PATH, self.answer_take_lost)
         routes.add(RECORDS_PATH, self.answer_records)
         routes.add(LIFE_PATH, self.answer_life)
 
@@ -197,6 +204,18 @@
                 return ref
         return None
 
+    def better_host(self, service: str, primary: TargetEntry) -> HostRef | None:
+        """Return who should hold a lead in place of this host, or None.
+
+        That is a host in another zone than the primary, if this one is not.
+        """
+        if primary.zone != self.me.ref.zone:
+            return None
+        for ref in self.ranked(service):
+            if ref.zone != primary.zone and not self.vigil.is_lost(ref):
+                return ref
+        return None
+
     async def awakened(self) -> None:
         """Wait for news of a lead or a target, or for the next look."""
         try:
@@ -265,9 +284,8 @@
         return self.vigil.is_lost(record.holder.ref)
 
     def is_announced(self, service: str) -> bool:
-        """Say whether there are targets to lead."""
-        targets = self.announcements.targets.values()
-        return any(entry.service == service for entry in targets)
+        """Say whether there is a target that leads, or led."""
+        return bool(self.primary_zone(service))
 
     def ranked(self, service: str) -> list[HostRef]:
         """Return the hosts that may take a lead, best first.
@@ -275,16 +293,25 @@
         Those in another availability zone than the primary come first: then a
         zone that is cut off takes away the primary or its user, never both.
         """
-        record = self.book.get(service)
-        entry = None
-        if record is not None:
-            entry = self.announcements.targets.get(record.primary)
-        zone = "" if entry is None else entry.zone
+        zone = self.primary_zone(service)
         refs = {ref.host: ref for ref in self.table.refs()}
         order = [refs[host] for host in ranked_hosts(lead_key(service), refs)]
         order.sort(key=lambda ref: ref.zone == zone)
         return order
 
+    def primary_zone(self, service: str) -> str:
+        """Return the availability zone of the primary; empty if unknown."""
+        record = self.book.get(service)
+        targets = self.announcements.targets
+        if record is not None and record.primary:
+            known = targets.get(record.primary)
+            known = known or self.announcements.missing.get(record.primary)
+            return "" if known is None else known.zone
+        for entry in targets.values():
+            if entry.service == service and entry.claims_lead:
+                return entry.zone
+        return ""
+
     async def take(self, service: str, asked_to: bool, alone: bool = False) -> bool:
         """Take the lead of a service; return whether this host holds it.
 
@@ -300,12 +327,45 @@
         self.tried_at[service] = self.clock.monotonic()
         try:
             return await self.take_at_store(service, asked_to, alone)
+        except Unanswered as error:
+            self.decisions.note("lead_not_taken", service=service, error=str(error))
+            if not asked_to:
+                self.spawn(self.ask_others(service))
+            return False
         except KeyspaceError as error:
             self.decisions.note("lead_not_taken", service=service, error=str(error))
             return False
         finally:
             self.taking.discard(service)
 
+    async def ask_others(self, service: str) -> None:
+        """Have a host take a lead over that this one cannot take at the store."""
+        record = self.book.get(service)
+        if record is None:
+            return
+        body: Json = {"service": service, "lost": record.holder.ref.to_json()}
+        for host in self.witnesses.chosen(record.holder.ref.zone)[:MOST_ASKED]:
+            try:
+                answer = await self.peers.call(host, TAKE_LOST_PATH, body, TAKE_TIMEOUT)
+            except (PeerError, Refusal) as error:
+                self.decisions.note("take_unanswered", host=host.host, error=str(error))
+                continue
+            if answer.get("taken") is True:
+                return
+
+    async def answer_take_lost(self, body: Json) -> Json:
+        """Take a lead over if its holder is found lost from here, too."""
+        service = text(body, "service")
+        record = self.book.get(service)
+        if self.leaving or record is None or not self.announcements.reached:
+            return {"taken": False}
+        if record.holder.ref.to_json() != body.get("lost"):
+            return {"taken": False}
+        await self.vigil.look(record.holder.ref)
+        if not self.vigil.is_lost(record.holder.ref):
+            return {"taken": False}
+        return {"taken": await self.take(service, asked_to=False)}
+
     async def take_at_store(self, service: str, asked_to: bool, alone: bool) -> bool:
         """Write this host into the record as it stands in the store.
 
