--- /dev/null
+++ b/tests/fakes_keyspace.py
@@ -0,0 +1,198 @@
+"""A store in memory for many hosts of one test, with faults for each of them.
+
+store = FakeStore()
+keyspace = store.client("h1")
+store.silent.add("h1")       # calls of h1 get no answer
+store.declining.add("h2")    # calls of h2 are refused
+store.losing.add("h3")       # writes of h3 take effect without an answer
+store.delay["h4"] = 0.24     # calls of h4 take that long
+store.late["h5"] = 3.0       # writes of h5 take effect later, unanswered
+"""
+
+import asyncio
+
+from reedhook.process.announced.keyspace import (
+    Conflict,
+    Declined,
+    HistoryGone,
+    Item,
+    Items,
+    Keyspace,
+    LeaseEnded,
+    Unanswered,
+)
+
+
+class FakeStore:
+    """Hold the keys; everybody sees them at once.
+
+    :ivar history: all changes; `forget` drops them.
+    :ivar calls: answered and unanswered calls by method.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.items: dict[str, Item] = {}
+        self.leases: dict[int, set[str]] = {}
+        self.history: list[Item] = []
+        self.forgotten = 0
+        self.changed = asyncio.Event()
+        self.silent: set[str] = set()
+        self.declining: set[str] = set()
+        self.losing: set[str] = set()
+        self.delay: dict[str, float] = {}
+        self.late: dict[str, float] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.calls: list[str] = []
+
+    def client(self, host: str) -> "FakeKeyspace":
+        """Return the keyspace of one host."""
+        return FakeKeyspace(self, host)
+
+    def write(self, key: str, value: bytes | None, lease: int = 0) -> int:
+        """Change a key as the platform itself does; None deletes it."""
+        self.revision += 1
+        item = Item(key, value, self.revision)
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = item
+            if lease:
+                self.leases[lease].add(key)
+        self.history.append(item)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.revision
+
+    def put(self, key: str, value: bytes, expected: int | None, lease: int) -> int:
+        """Write under a condition.
+
+        :raises Conflict: if it does not hold.
+        """
+        known = self.items.get(key)
+        revision = 0 if known is None else known.revision
+        if expected is not None and expected != revision:
+            raise Conflict(f"{key} is at {revision}")
+        if lease and lease not in self.leases:
+            raise LeaseEnded(str(lease))
+        return self.write(key, value, lease)
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self.history.clear()
+        self.forgotten = self.revision
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        for key in self.leases.pop(lease, set()):
+            if key in self.items:
+                self.write(key, None)
+
+    def put_later(self, key: str, value: bytes, expected: int | None, s: float) -> None:
+        """Write after `s` seconds if the condition holds then."""
+
+        async def put() -> None:
+            await asyncio.sleep(s)
+            try:
+                self.put(key, value, expected, 0)
+            except Conflict:
+                return
+
+        task = asyncio.get_running_loop().create_task(put())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+class FakeKeyspace(Keyspace):
+    """Reach a `FakeStore` as one host does."""
+
+    def __init__(self, store: FakeStore, host: str) -> None:
+        self.store = store
+        self.host = host
+
+    async def reach(self, method: str, timeout: float) -> None:
+        """Take the way there; raises as the faults of the host say."""
+        self.store.calls.append(method)
+        if self.host in self.store.silent:
+            await asyncio.sleep(timeout)
+            raise Unanswered("silent")
+        delay = self.store.delay.get(self.host, 0.004)
+        if delay > timeout:
+            await asyncio.sleep(timeout)
+            raise Unanswered("slow")
+        await asyncio.sleep(delay)
+        if self.host in self.store.declining:
+            raise Declined("busy")
+
+    async def get(self, key: str, timeout: float) -> Item | None:
+        await self.reach("get", timeout)
+        return self.store.items.get(key)
+
+    async def list(self, prefix: str, timeout: float) -> Items:
+        await self.reach("list", timeout)
+        found = [
+            item for key, item in self.store.items.items() if key.startswith(prefix)
+        ]
+        return Items(found, self.store.revision)
+
+    async def changes(self, prefix: str, after: int, hold: float) -> Items:
+        await self.reach("changes", hold + 1.0)
+        if after < self.store.forgotten:
+            raise HistoryGone("forgotten")
+        deadline = asyncio.get_running_loop().time() + hold
+        while True:
+            found = [
+                item
+                for item in self.store.history
+                if item.revision > after and item.key.startswith(prefix)
+            ]
+            left = deadline - asyncio.get_running_loop().time()
+            if found or left <= 0.0:
+                break
+            try:
+                async with asyncio.timeout(left):
+                    await self.store.changed.wait()
+            except TimeoutError:
+                pass
+        if self.host in self.store.silent:
+            await asyncio.sleep(1.0)
+            raise Unanswered("silent")
+        return Items(found, self.store.revision)
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        expected: int | None,
+        timeout: float,
+        lease: int = 0,
+    ) -> int:
+        await self.reach("put", timeout)
+        later = self.store.late.get(self.host)
+        if later is not None:
+            self.store.put_later(key, value, expected, later)
+            await asyncio.sleep(timeout)
+            raise Unanswered("late")
+        revision = self.store.put(key, value, expected, lease)
+        if self.host in self.store.losing:
+            await asyncio.sleep(timeout)
+            raise Unanswered("the answer is lost")
+        return revision
+
+    async def grant(self, seconds: float, timeout: float) -> int:
+        await self.reach("grant", timeout)
+        lease = len(self.store.leases) + self.store.revision + 1000
+        self.store.leases[lease] = set()
+        return lease
+
+    async def keep(self, lease: int, timeout: float) -> None:
+        await self.reach("keep", timeout)
+        if lease not in self.store.leases:
+            raise LeaseEnded(str(lease))
+
+    async def end(self, lease: int, timeout: float) -> None:
+        await self.reach("end", timeout)
+        self.store.end_lease(lease)
+
+    async def close(self) -> None:
+        return
--- /dev/null
+++ b/tests/session_world.py
@@ -0,0 +1,350 @@
+"""Hosts that serve sessions, with store, targets and callers in one test.
+
+world = SessionWorld()
+await world.start()
+caller = world.caller("h1", "views")
+await caller.read()
+world.check()                # what was promised, against the truth
+"""
+
+import asyncio
+import json
+import random
+
+from reedhook.connection.member import Fault
+from reedhook.connection.session import Session, SessionReply, SessionState
+from reedhook.process.announced.announcements import Documents
+from reedhook.process.decisions import Decisions
+from reedhook.process.histograms import HistogramMetrics
+from reedhook.process.hosting_settings import HostingSettings
+from reedhook.process.peer import HostRef, PeerRoutes
+from reedhook.process.session_host import SessionHost
+from reedhook.process.timeline import Timeline
+from reedhook.request.command import Command, CommandKind
+from reedhook.request.position import Position
+from reedhook.request.verdict import Verdict
+from reedhook.version.registry import (
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceTerms,
+    TargetEntry,
+)
+from reedhook.wire import decode, encode
+
+from .fakes_clock import LoopClock
+from .fakes_keyspace import FakeStore
+from .fakes_members import FakeDriver, FakeGroup, FakePhrases, FakePromoter
+from .fakes_peers import FakeNetwork
+
+SERVICE = "db"
+TABLE_KEY = "op"
+TARGET_PREFIX = "t/"
+KINDS = {
+    CommandKind.READ: "READ a",
+    CommandKind.WRITE: "WRITE a b",
+    CommandKind.BEGIN: "BEGIN",
+    CommandKind.BEGIN_READ: "BEGIN READ",
+    CommandKind.COMMIT: "COMMIT",
+    CommandKind.ROLLBACK: "ROLLBACK",
+}
+MAX_AGE = 1.5
+
+
+class PlainDocuments(Documents):
+    """Read the documents that a world writes."""
+
+    def is_table(self, key: str) -> bool:
+        return key == TABLE_KEY
+
+    def is_target(self, key: str) -> bool:
+        return key.startswith(TARGET_PREFIX)
+
+    def target_of(self, key: str) -> str:
+        return key[len(TARGET_PREFIX) :]
+
+    def read_table(self, value: bytes) -> RouteTable:
+        message = decode(value)
+        return table(message["version"], message["routes"])
+
+    def read_target(self, key: str, value: bytes) -> TargetEntry:
+        return TargetEntry(*decode(value)["entry"])
+
+
+def table(version: int, databases: list[str]) -> RouteTable:
+    """Return a configuration with the databases that are named."""
+    kinds = {
+        "tickets": (RouteKind.PRIMARY, None),
+        "views": (RouteKind.BOUNDED, MAX_AGE),
+        "reports": (RouteKind.OWN_WRITES, 2.5),
+    }
+    routes = {
+        name: Route(name, SERVICE, kinds[name][0], 0.8, 0.1, 1, kinds[name][1])
+        for name in databases
+    }
+    return RouteTable(version, routes, {SERVICE: ServiceTerms(SERVICE, 16)}, 3.0, 3.0)
+
+
+class Acknowledged:
+    """Remember a commit that a caller was told of."""
+
+    def __init__(self, position: Position, at: float, session: str) -> None:
+        self.position = position
+        self.at = at
+        self.session = session
+
+
+class SessionWorld:
+    """Six hosts in three zones before one group of three members."""
+
+    def __init__(self, seed: int = 0, zones: int = 3, hosts_a_zone: int = 2) -> None:
+        self.seed = seed
+        self.network = FakeNetwork(delay=0.0014, seed=seed)
+        self.store = FakeStore()
+        names = [f"z{index}" for index in range(zones)]
+        self.group = FakeGroup(SERVICE, names[:3])
+        self.promoter = FakePromoter([self.group])
+        self.refs = [
+            HostRef(f"h{zone}{index}", f"z{zone}", f"10.1.{zone}.{index}:1")
+            for zone in range(zones)
+            for index in range(hosts_a_zone)
+        ]
+        self.hosts: dict[str, SessionHost] = {}
+        self.lives = 0
+        self.acknowledged: list[Acknowledged] = []
+        self.violations: list[str] = []
+        self.callers = 0
+
+    async def start(self) -> None:
+        """Start all hosts and wait until somebody leads."""
+        self.configure(1, ["tickets", "views", "reports"])
+        for member in self.group.members.values():
+            self.announce(member.entry)
+        for ref in self.refs:
+            await self.start_host(ref)
+        await asyncio.sleep(6.0)
+
+    def configure(self, version: int, databases: list[str]) -> None:
+        """Write a configuration."""
+        value = encode({"version": version, "routes": databases})
+        self.store.write(TABLE_KEY, value)
+
+    def announce(self, entry: TargetEntry) -> None:
+        """Write what a target announces."""
+        value = encode({"entry": list(entry.values())})
+        self.store.write(TARGET_PREFIX + entry.target, value)
+
+    async def start_host(self, ref: HostRef) -> SessionHost:
+        """Start a host, in a new life if it ran before."""
+        self.lives += 1
+        clock = self.network.clock(ref.host)
+        routes = PeerRoutes()
+        settings = HostingSettings(
+            ref.host, ref.zone, "", "", ref.address, "", "", "", 6.0
+        )
+        host = SessionHost(
+            settings,
+            clock,
+            random.Random(f"{self.seed} {self.lives}"),
+            self.store.client(ref.host),
+            PlainDocuments(),
+            self.promoter,
+            FakeDriver(ref.host, [self.group]),
+            FakePhrases(),
+            self.network.join(ref, routes),
+            Timeline(ref.host, clock),
+            Decisions(ref.host, clock, out=None),
+            HistogramMetrics(),
+        )
+        routes.handlers.update(host.routes.handlers)
+        self.hosts[ref.host] = host
+        await host.start()
+        return host
+
+    async def kill(self, name: str) -> None:
+        """End a process without a word; its connections break."""
+        host = self.hosts.pop(name)
+        self.network.crash(name)
+        for task in host.tasks:
+            task.cancel()
+        for lead in [*host.leads.held.values(), *host.leads.deputies.values()]:
+            lead.stop()
+        for member in self.group.members.values():
+            for connection in list(member.connections):
+                if connection.host == name:
+                    connection.close()
+
+    async def restart(self, name: str) -> SessionHost:
+        """Kill a process and start it again."""
+        ref = next(one for one in self.refs if one.host == name)
+        if name in self.hosts:
+            await self.kill(name)
+        return await self.start_host(ref)
+
+    async def stop(self) -> None:
+        """End all hosts."""
+        for name in list(self.hosts):
+            await self.hosts.pop(name).close()
+
+    def leader(self) -> SessionHost:
+        """Return the host that the store names as the holder of the lead."""
+        holder = decode(self.store.items["reedhook/lead/db"].value or b"")["holder"]
+        return self.hosts[holder["ref"][0]]
+
+    def deputy(self) -> SessionHost:
+        """Return the host that stands in for the holder."""
+        record = decode(self.store.items["reedhook/lead/db"].value or b"")
+        return self.hosts[record["deputy"]["ref"][0]]
+
+    async def caller(self, host: str, database: str) -> "Caller":
+        """Open a session."""
+        session = await self.hosts[host].callers.open(database)
+        self.callers += 1
+        return Caller(self, session, f"c{self.callers}")
+
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone off from the others, and from the store."""
+        inside = {one.host for one in self.refs if one.zone == zone}
+        outside = {one.host for one in self.refs} - inside
+        self.network.isolate(inside, outside)
+        self.store.silent |= inside
+        for member in self.group.members.values():
+            far = outside if member.entry.zone == zone else inside
+            for host in far:
+                self.group.cut(host, member.entry.target)
+            for other in self.group.members.values():
+                if (other.entry.zone == zone) != (member.entry.zone == zone):
+                    self.group.cut(member.entry.target, other.entry.target)
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        self.network.heal()
+        self.store.silent.clear()
+        self.group.cuts.clear()
+
+    def check(self) -> None:
+        """Fail with what was promised and not kept."""
+        broken = [*self.network.failures, *self.group.violations, *self.violations]
+        if broken:
+            raise AssertionError("\n".join(map(str, broken)))
+        tokens = [token for _, _, token in self.group.promotions]
+        assert tokens == sorted(tokens)
+
+
+class Caller:
+    """One caller, which checks what it is told."""
+
+    def __init__(self, world: SessionWorld, session: Session, name: str) -> None:
+        self.world = world
+        self.session = session
+        self.name = name
+        self.sent = 0
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, bool] = {}
+        self.begun_at = 0.0
+        self.wrote = False
+
+    async def run(
+        self, kind: CommandKind, text: str = "", name: str = "", writes: bool = False
+    ) -> SessionReply:
+        """Send one statement and check its answer."""
+        self.sent += 1
+        id = f"{self.name}-{self.sent}"
+        asked = asyncio.get_running_loop().time()
+        inside = self.session.state is SessionState.OPEN
+        command = Command(kind, text or KINDS[kind], name, writes)
+        reply = await self.session.run(id, command)
+        done = reply.fault is Fault.NONE and reply.refusal is None
+        if kind is CommandKind.BEGIN or kind is CommandKind.BEGIN_READ:
+            self.begun_at, self.wrote = asked, False
+        if done and reply.rows:
+            self.check_read(reply, self.begun_at if inside else asked)
+        if done and kind is CommandKind.WRITE and inside:
+            self.wrote = True
+        commits = kind is CommandKind.COMMIT and self.wrote
+        if done and (commits or (kind is CommandKind.WRITE and not inside)):
+            self.acknowledge(reply)
+        if not done and reply.refusal is not None:
+            self.check_refusal(id, kind, reply, inside)
+        return reply
+
+    async def read(self) -> SessionReply:
+        """Read outside transactions."""
+        return await self.run(CommandKind.READ)
+
+    async def write(self) -> SessionReply:
+        """Write outside transactions."""
+        return await self.run(CommandKind.WRITE)
+
+    async def set(self, name: str, value: str) -> SessionReply:
+        """Set a value of the session."""
+        reply = await self.run(CommandKind.SET, f"SET {name} {value}", name)
+        if reply.refusal is None:
+            self.values[name] = value
+        return reply
+
+    async def prepare(self, name: str, writes: bool) -> SessionReply:
+        """Prepare a statement, or prepare it anew."""
+        shape = "WRITE" if writes else "READ"
+        text = f"PREPARE {name} {shape} q"
+        reply = await self.run(CommandKind.PREPARE, text, name, writes)
+        if reply.refusal is None:
+            self.prepared[name] = writes
+        return reply
+
+    def acknowledge(self, reply: SessionReply) -> None:
+        """Remember a commit; one at a superseded primary breaks a promise."""
+        now = asyncio.get_running_loop().time()
+        assert reply.position is not None
+        if reply.position.term < self.world.group.primary.term:
+            self.world.violations.append(
+                f"{self.name} was told of a commit at a superseded primary"
+            )
+        self.world.acknowledged.append(
+            Acknowledged(reply.position, now, self.session.name)
+        )
+
+    def check_read(self, reply: SessionReply, asked: float) -> None:
+        """Compare what a read saw with what it must not miss."""
+        seen = json.loads(reply.rows[0])
+        log = {Position.from_json(one) for one in seen["log"]}
+        if seen["values"] != self.values or seen["prepared"] != self.prepared:
+            self.world.violations.append(
+                f"{self.name} ran with {seen['values']} {seen['prepared']}"
+            )
+        for one in self.world.acknowledged:
+            if one.position in log or one.position in self.world.group.lost:
+                continue
+            if one.at <= self.must_see(one, asked):
+                self.world.violations.append(
+                    f"{self.name} on {self.session.database} read at {asked:.3f} a log "
+                    f"without {one.position}, acknowledged at {one.at:.3f}"
+                )
+
+    def must_see(self, one: Acknowledged, asked: float) -> float:
+        """Return until when commits must be in the log of a read."""
+        database = self.session.database
+        if database == "tickets":
+            return asked
+        if database == "reports":
+            return asked if one.session == self.session.name else asked - 2.5
+        return asked - MAX_AGE
+
+    def check_refusal(
+        self, id: str, kind: CommandKind, reply: SessionReply, inside: bool
+    ) -> None:
+        """A write that is said not to have run must not have run."""
+        assert reply.refusal is not None
+        if reply.refusal.verdict is not Verdict.NOT_RUN or inside:
+            return
+        if kind is not CommandKind.WRITE:
+            return
+        if any(id in member.runs for member in self.world.group.members.values()):
+            # A member that refused it did not run it either.
+            if reply.refusal.reason.value not in ("no_primary", "wrong_home"):
+                self.world.violations.append(f"{id} ran and was said not to have run")
+
+
+def clock_of(world: SessionWorld, host: str) -> LoopClock:
+    """Return the clock of a host."""
+    return world.network.clock(host)
--- /dev/null
+++ b/tests/test_session_world.py
@@ -0,0 +1,527 @@
+"""Hosts that serve sessions, under faults, against the truth of the targets."""
+
+import asyncio
+import random
+
+import pytest
+
+from reedhook.connection.member import Fault
+from reedhook.connection.session import SessionState
+from reedhook.request.command import CommandKind
+from reedhook.request.refusal import Reason
+from reedhook.request.verdict import Verdict
+from reedhook.version.registry import TargetEntry
+
+from .fakes_clock import in_virtual_time, run_virtual
+from .session_world import Caller, SessionWorld
+
+
+async def traffic(
+    world: SessionWorld, seconds: float, seed: int, pause: float = 0.15
+) -> list[Caller]:
+    """Run callers at all hosts for a while; return them."""
+    rng = random.Random(seed)
+    until = asyncio.get_running_loop().time() + seconds
+    callers: list[Caller] = []
+
+    async def one(host: str, database: str) -> None:
+        while asyncio.get_running_loop().time() < until:
+            if host not in world.hosts:
+                await asyncio.sleep(0.1)
+                continue
+            caller = await world.caller(host, database)
+            callers.append(caller)
+            await operate(caller, rng)
+            await asyncio.sleep(rng.uniform(0.01, pause))
+
+    hosts = [ref.host for ref in world.refs]
+    databases = ["tickets", "views", "reports"]
+    await asyncio.gather(*(one(host, name) for host in hosts for name in databases))
+    return callers
+
+
+async def operate(caller: Caller, rng: random.Random) -> None:
+    """Run a few operations of one session."""
+    if rng.random() < 0.4:
+        await caller.set("v", str(rng.random()))
+    if rng.random() < 0.4:
+        await caller.prepare("s", rng.random() < 0.5)
+    for _ in range(rng.randint(1, 3)):
+        choice = rng.random()
+        if choice < 0.5:
+            await caller.read()
+        elif choice < 0.75:
+            await caller.write()
+        else:
+            await transact(caller, rng)
+
+
+async def transact(caller: Caller, rng: random.Random) -> None:
+    """Run a transaction of a few statements."""
+    reads_only = rng.random() < 0.3
+    kind = CommandKind.BEGIN_READ if reads_only else CommandKind.BEGIN
+    await caller.run(kind)
+    for _ in range(rng.randint(1, 3)):
+        if rng.random() < 0.2:
+            await caller.set("w", str(rng.random()))
+        if reads_only or rng.random() < 0.5:
+            await caller.read()
+        else:
+            await caller.write()
+        await asyncio.sleep(rng.uniform(0.0, 0.05))
+    ends = CommandKind.ROLLBACK if rng.random() < 0.2 else CommandKind.COMMIT
+    await caller.run(ends)
+
+
+async def first_success(caller: Caller, seconds: float) -> float:
+    """Write again and again; return after how long one succeeds."""
+    begun = asyncio.get_running_loop().time()
+    while asyncio.get_running_loop().time() - begun < seconds:
+        reply = await caller.write()
+        if reply.refusal is None and reply.fault is Fault.NONE:
+            return asyncio.get_running_loop().time() - begun
+        await asyncio.sleep(0.05)
+    raise AssertionError("no write succeeded")
+
+
+def leaving(entry: TargetEntry) -> TargetEntry:
+    """Return what a target announces that is about to end."""
+    return TargetEntry(
+        entry.target, entry.service, entry.address, entry.zone, True, entry.claims_lead
+    )
+
+
+@in_virtual_time
+async def test_a_quiet_day_is_served() -> None:
+    world = SessionWorld()
+    await world.start()
+    callers = await traffic(world, 3.0, 1)
+    assert len(callers) > 100
+    assert len(world.acknowledged) > 50
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_lead_primary_and_deputy_are_in_three_zones() -> None:
+    world = SessionWorld()
+    await world.start()
+    zones = {world.leader().me.zone, world.deputy().me.zone}
+    assert len(zones | {world.group.primary.entry.zone}) == 3
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_dark_primary_is_replaced_in_two_seconds() -> None:
+    world = SessionWorld()
+    await world.start()
+    caller = await world.caller(world.deputy().me.host, "tickets")
+    await caller.write()
+    world.group.primary.down = True
+    gap = await first_success(caller, 6.0)
+    assert gap < 2.0
+    assert len(world.group.promotions) == 1
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_zone_that_is_cut_off_loses_its_primary() -> None:
+    world = SessionWorld()
+    await world.start()
+    old = world.group.primary
+    running = asyncio.create_task(traffic(world, 8.0, 2, pause=0.5))
+    await asyncio.sleep(1.0)
+    world.cut_zone(old.entry.zone)
+    await asyncio.sleep(4.0)
+    assert world.group.primary is not old
+    world.heal()
+    await running
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_lead_in_a_cut_off_zone_is_taken_over_without_a_promotion() -> None:
+    world = SessionWorld()
+    await world.start()
+    lead = world.leader()
+    other = next(ref for ref in world.refs if ref.zone != lead.me.zone)
+    running = asyncio.create_task(traffic(world, 8.0, 3, pause=0.5))
+    await asyncio.sleep(1.0)
+    world.cut_zone(lead.me.zone)
+    await asyncio.sleep(2.0)
+    caller = await world.caller(other.host, "tickets")
+    await first_success(caller, 1.0)
+    assert world.group.promotions == []
+    await asyncio.sleep(2.0)
+    world.heal()
+    await running
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_deputy_acts_while_holder_and_store_are_lost() -> None:
+    world = SessionWorld()
+    await world.start()
+    lead, deputy = world.leader(), world.deputy()
+    await asyncio.sleep(5.0)
+    world.store.silent |= {ref.host for ref in world.refs}
+    await world.kill(lead.me.host)
+    caller = await world.caller(deputy.me.host, "tickets")
+    assert await first_success(caller, 3.0) < 2.5
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_deputy_stops_once_its_permission_is_over() -> None:
+    world = SessionWorld()
+    await world.start()
+    lead, deputy = world.leader(), world.deputy()
+    await asyncio.sleep(5.0)
+    world.store.silent |= {ref.host for ref in world.refs}
+    await world.kill(lead.me.host)
+    await asyncio.sleep(13.0)
+    caller = await world.caller(deputy.me.host, "tickets")
+    reply = await caller.write()
+    assert reply.refusal is not None
+    assert reply.refusal.verdict is Verdict.NOT_RUN
+    await world.stop()
+
+
+@in_virtual_time
+async def test_no_promotion_while_a_former_holder_may_use_the_primary() -> None:
+    """The former holder is cut off from hosts and store, not from the primary."""
+    world = SessionWorld()
+    await world.start()
+    lead = world.leader().me
+    others = {ref.host for ref in world.refs} - {lead.host}
+    world.network.isolate({lead.host}, others)
+    world.store.silent.add(lead.host)
+    await asyncio.sleep(3.0)
+    assert world.leader().me != lead
+    old = world.group.primary
+    for host in others:
+        world.group.cut(host, old.entry.target)
+    inside = await world.caller(lead.host, "tickets")
+    for _ in range(30):
+        await inside.write()
+        await asyncio.sleep(0.1)
+    assert world.group.promotions == []
+    await asyncio.sleep(14.0)
+    assert len(world.group.promotions) >= 1
+    reply = await inside.write()
+    assert reply.refusal is not None
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_holder_that_was_paused_sends_nothing_on_a_lapsed_permission() -> None:
+    world = SessionWorld()
+    await world.start()
+    lead = world.leader()
+    old = world.group.primary
+    world.network.pause(lead.me.host)
+    await asyncio.sleep(3.0)
+    for host in world.hosts:
+        world.group.cut(host, old.entry.target)
+    await asyncio.sleep(16.0)
+    assert world.group.primary is not old
+    world.group.cuts.clear()
+    world.network.resume(lead.me.host)
+    runs = len(old.runs)
+    caller = await world.caller(lead.me.host, "tickets")
+    await caller.write()
+    assert len(old.runs) == runs
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_planned_change_loses_no_commit() -> None:
+    world = SessionWorld()
+    await world.start()
+    old = world.group.primary
+    running = asyncio.create_task(traffic(world, 5.0, 4, pause=0.3))
+    await asyncio.sleep(1.0)
+    old.entry = leaving(old.entry)
+    world.announce(old.entry)
+    await running
+    assert world.group.primary is not old
+    acknowledged = {one.position for one in world.acknowledged}
+    assert not acknowledged & world.group.lost
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_primary_that_others_reach_gets_another_home() -> None:
+    world = SessionWorld()
+    await world.start()
+    lead, old = world.leader().me, world.group.primary
+    world.group.cut(lead.host, old.entry.target)
+    await asyncio.sleep(3.0)
+    assert world.leader().me != lead
+    assert world.group.promotions == []
+    caller = await world.caller(lead.host, "tickets")
+    await first_success(caller, 1.0)
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_silent_store_stops_nothing_for_nine_seconds() -> None:
+    world = SessionWorld()
+    await world.start()
+    world.store.silent |= {ref.host for ref in world.refs}
+    callers = await traffic(world, 9.0, 5, pause=0.5)
+    failed = world.hosts["h00"].metrics.counters
+    assert len(callers) > 100
+    assert not [name for name in failed if name.startswith("failed")]
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_write_whose_answer_is_lost_is_in_doubt() -> None:
+    world = SessionWorld()
+    await world.start()
+    caller = await world.caller("h00", "tickets")
+    await caller.write()
+    world.group.primary.losing = 1.0
+    reply = await caller.write()
+    assert reply.refusal is not None
+    assert reply.refusal.verdict is Verdict.MAY_HAVE_RUN
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_write_is_not_repeated_when_the_answer_of_a_host_is_lost() -> None:
+    world = SessionWorld()
+    await world.start()
+    lead = world.leader().me.host
+    host = next(ref.host for ref in world.refs if ref.host != lead)
+    caller = await world.caller(host, "tickets")
+    before = len(world.group.primary.runs)
+    world.network.cut(lead, host)
+    writing = asyncio.create_task(caller.write())
+    await asyncio.sleep(0.5)
+    world.network.heal()
+    reply = await writing
+    assert len(world.group.primary.runs) == before + 1
+    assert reply.refusal is None
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_replica_that_lags_serves_no_stale_read() -> None:
+    world = SessionWorld()
+    await world.start()
+    for member in world.group.members.values():
+        if not member.leads:
+            member.lag = 4.0
+    await traffic(world, 6.0, 6, pause=0.4)
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_dropped_route_ends_its_sessions_at_the_next_statement() -> None:
+    world = SessionWorld()
+    await world.start()
+    caller = await world.caller("h00", "views")
+    world.configure(5, ["tickets"])
+    await asyncio.sleep(1.0)
+    reply = await caller.read()
+    assert reply.ends
+    assert reply.refusal is not None
+    assert reply.refusal.reason is Reason.UNKNOWN_GROUP
+    await world.stop()
+
+
+@in_virtual_time
+async def test_an_older_configuration_is_never_put_in_force() -> None:
+    world = SessionWorld()
+    await world.start()
+    world.configure(9, ["tickets"])
+    await asyncio.sleep(1.0)
+    world.configure(4, ["tickets", "views"])
+    await asyncio.sleep(1.0)
+    versions = {host.announcements.table.version for host in world.hosts.values()}
+    assert versions == {9}
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_host_cut_off_from_the_store_learns_a_version_from_others() -> None:
+    world = SessionWorld()
+    await world.start()
+    world.store.silent.add("h00")
+    world.configure(7, ["tickets"])
+    await asyncio.sleep(3.0)
+    assert world.hosts["h00"].announcements.table.version == 7
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_host_reads_all_anew_when_the_history_is_gone() -> None:
+    world = SessionWorld()
+    await world.start()
+    world.store.silent.add("h00")
+    world.network.isolate({"h00"}, {ref.host for ref in world.refs} - {"h00"})
+    await asyncio.sleep(6.0)
+    world.configure(8, ["tickets"])
+    world.store.forget()
+    world.heal()
+    await asyncio.sleep(6.0)
+    assert world.hosts["h00"].announcements.table.version == 8
+    await world.stop()
+
+
+@in_virtual_time
+async def test_an_open_transaction_is_ended_once_it_rested_too_long() -> None:
+    world = SessionWorld()
+    await world.start()
+    caller = await world.caller("h00", "tickets")
+    await caller.run(CommandKind.BEGIN)
+    await caller.write()
+    await asyncio.sleep(5.0)
+    states = [caller.session.state]
+    reply = await caller.run(CommandKind.COMMIT)
+    states.append(caller.session.state)
+    assert reply.refusal is not None
+    assert reply.refusal.verdict is Verdict.NOT_RUN
+    assert states == [SessionState.FAILED, SessionState.IDLE]
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_host_that_ends_passes_its_leads_on_first() -> None:
+    world = SessionWorld()
+    await world.start()
+    lead = world.leader()
+    running = asyncio.create_task(traffic(world, 3.0, 7))
+    draining = asyncio.create_task(lead.drain())
+    await asyncio.sleep(1.0)
+    assert world.leader().me != lead.me
+    assert not lead.ready
+    await draining
+    await running
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_the_duty_stays_with_a_holder_that_lives() -> None:
+    world = SessionWorld()
+    await world.start()
+    for _ in range(3):
+        world.group.primary.down = True
+        await asyncio.sleep(4.0)
+        for member in world.group.members.values():
+            member.down = False
+        await asyncio.sleep(3.0)
+    holders = {holder for _, holder, _ in world.group.promotions}
+    assert len(world.group.promotions) >= 2
+    assert len(holders) == 1
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_targets_never_get_more_connections_than_they_accept() -> None:
+    world = SessionWorld()
+    await world.start()
+    most = 0
+
+    async def watch() -> None:
+        nonlocal most
+        while True:
+            for member in world.group.members.values():
+                most = max(most, len(member.connections))
+            await asyncio.sleep(0.01)
+
+    watching = asyncio.create_task(watch())
+    running = asyncio.create_task(traffic(world, 4.0, 8))
+    await asyncio.sleep(1.0)
+    await world.restart(world.leader().me.host)
+    await running
+    watching.cancel()
+    assert most <= 16
+    world.check()
+    await world.stop()
+
+
+async def troubled(seed: int) -> None:
+    """Play a day of faults drawn at random, and check what was promised."""
+    rng = random.Random(seed)
+    world = SessionWorld(seed)
+    await world.start()
+    running = asyncio.create_task(traffic(world, 10.0, seed, pause=1.0))
+    for _ in range(5):
+        await asyncio.sleep(rng.uniform(0.2, 1.6))
+        await trouble(world, rng)
+    await asyncio.sleep(1.0)
+    world.heal()
+    world.store.late.clear()
+    world.store.losing.clear()
+    for member in world.group.members.values():
+        member.down = member.deaf = False
+        member.lag, member.losing = 0.008, 0.0
+    for ref in world.refs:
+        world.network.resume(ref.host)
+        if ref.host not in world.hosts:
+            await world.start_host(ref)
+    await running
+    world.check()
+    await world.stop()
+
+
+async def trouble(world: SessionWorld, rng: random.Random) -> None:
+    """Bring one fault about."""
+    host = rng.choice([ref.host for ref in world.refs])
+    members = list(world.group.members.values())
+    zone = rng.choice([ref.zone for ref in world.refs])
+    kind = rng.choice(
+        "zone store late losing kill pause primary cut lag deaf answers heal".split()
+    )
+    if kind == "zone":
+        world.heal()
+        world.cut_zone(zone)
+    elif kind == "store":
+        world.store.silent |= {ref.host for ref in world.refs if rng.random() < 0.6}
+    elif kind == "late":
+        world.store.late[host] = rng.uniform(1.0, 6.0)
+    elif kind == "losing":
+        world.store.losing.add(host)
+    elif kind == "kill":
+        await world.restart(host)
+    elif kind == "pause":
+        world.network.pause(host)
+        asyncio.get_running_loop().call_later(
+            rng.uniform(0.5, 4.0), world.network.resume, host
+        )
+    elif kind == "primary":
+        world.group.primary.down = True
+    elif kind == "cut":
+        for ref in world.refs:
+            if rng.random() < 0.5:
+                world.group.cut(ref.host, world.group.primary.entry.target)
+    elif kind == "lag":
+        rng.choice(members).lag = rng.uniform(0.1, 3.0)
+    elif kind == "deaf":
+        rng.choice(members).deaf = True
+    elif kind == "answers":
+        rng.choice(members).losing = 0.1
+    else:
+        world.heal()
+        for member in members:
+            member.down = False
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_promises_hold_on_days_of_random_faults(seed: int) -> None:
+    run_virtual(troubled(seed))
