--- a/src/reedhook/process/lead/duty.py
+++ b/src/reedhook/process/lead/duty.py
@@ -12,7 +12,7 @@
 from ..decisions import Decisions
 from ..membership_record import HostState
 from ..membership_table import MembershipTable
-from ..peer import HostRef, PeerError, PeerRoutes, Peers
+from ..peer import PeerError, PeerRoutes, Peers
 from .record import DUTY_KEY, Holder
 
 PATH: Final = "promote"
@@ -59,7 +59,10 @@
 
 
 class Duty:
-    """Order promotions for all hosts, or have the holder of the duty do it."""
+    """Order promotions for all hosts, or have the holder of the duty do it.
+
+    :ivar over: lives of holders whose hosts have said that they are over.
+    """
 
     def __init__(
         self,
@@ -80,6 +83,7 @@
         self.decisions = decisions
         self.lock = asyncio.Lock()
         self.not_before = float("-inf")
+        self.over: set[str] = set()
         self.silent: Holder | None = None
         self.silent_since = 0.0
 
@@ -112,9 +116,11 @@
         if holder == self.me:
             return await self.order_here(service, target) or OrderOutcome.UNANSWERED
         if holder is not None and not self.gone(holder):
-            outcome = await self.order_at(holder.ref, service, target)
-            if outcome is not None or not self.silent_for_long(holder):
-                return outcome or OrderOutcome.UNANSWERED
+            outcome = await self.order_at(holder, service, target)
+            if outcome is not None:
+                return outcome
+            if not self.gone(holder) and not self.silent_for_long(holder):
+                return OrderOutcome.UNANSWERED
         if not await self.take(item):
             return OrderOutcome.UNANSWERED
         return await self.order_here(service, target) or OrderOutcome.UNANSWERED
@@ -128,22 +134,28 @@
 
     def gone(self, holder: Holder) -> bool:
         """Say whether that life of a host is known to be over."""
-        record = self.table.get(holder.ref.host)
-        if holder.ref.host == self.me.ref.host:
+        if holder.ref.host == self.me.ref.host or holder.life in self.over:
             return True
+        record = self.table.get(holder.ref.host)
         return record is not None and record.state >= HostState.DEAD
 
     async def order_at(
-        self, host: HostRef, service: str, target: str
+        self, holder: Holder, service: str, target: str
     ) -> OrderOutcome | None:
         """Have the holder order; None if it is not the holder, or is lost."""
         body: Json = {"service": service, "target": target}
         try:
-            answer = await self.peers.call(host, PATH, body, ORDER_TIMEOUT)
+            answer = await self.peers.call(holder.ref, PATH, body, ORDER_TIMEOUT)
             return OrderOutcome(answer["outcome"])
-        except (PeerError, Refusal, LookupError, ValueError) as error:
-            self.decisions.note("duty_unreachable", holder=host.host, error=str(error))
-            return None
+        except Refusal as refusal:
+            # The store names that life, and the process there is another one.
+            if refusal.reason is Reason.WRONG_HOME:
+                self.over.add(holder.life)
+            cause = refusal.detail
+        except (PeerError, LookupError, ValueError) as error:
+            cause = str(error)
+        self.decisions.note("duty_unreachable", holder=holder.ref.host, error=cause)
+        return None
 
     async def order_here(self, service: str, target: str) -> OrderOutcome | None:
         """Order as the holder; None if this host is not the holder."""
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -431,6 +431,23 @@
     await world.stop()
 
 
+@in_virtual_time
+async def test_the_duty_of_a_host_that_started_anew_is_taken_at_once() -> None:
+    world = SessionWorld()
+    await world.start()
+    lead = world.leader().me.host
+    other = next(ref.host for ref in world.refs if ref.host != lead)
+    assert await world.hosts[other].duty.take(None)
+    await world.restart(other)
+    await asyncio.sleep(4.0)
+    caller = await world.caller(world.leader().me.host, "tickets")
+    await first_success(caller, 1.0)
+    world.group.primary.down = True
+    assert await first_success(caller, 6.0) < 2.5
+    world.check()
+    await world.stop()
+
+
 @in_virtual_time
 async def test_targets_never_get_more_connections_than_they_accept() -> None:
     world = SessionWorld()
