--- a/src/reedhook/process/announced/registration.py
+++ b/src/reedhook/process/announced/registration.py
@@ -20,6 +20,9 @@
 ANSWER_TIMEOUT: Final = 1.5
 """Seconds for an answer of the store."""
 
+WITHDRAW_TIMEOUT: Final = 0.5
+"""Seconds for the last call of a host, which is killed soon."""
+
 RETRY: Final = 0.5
 """Seconds until the next try after a failure."""
 
@@ -78,7 +81,7 @@
         if self.lease is None:
             return
         try:
-            await self.keyspace.end(self.lease, ANSWER_TIMEOUT)
+            await self.keyspace.end(self.lease, WITHDRAW_TIMEOUT)
         except KeyspaceError as error:
             # The lease runs out by itself.
             self.decisions.note("registration_unanswered", error=str(error))
--- a/src/reedhook/process/lead/deputy.py
+++ b/src/reedhook/process/lead/deputy.py
@@ -1,6 +1,5 @@
 """Standing in for the holder of a lead while it is lost and the store is silent."""
 
-import asyncio
 from typing import Final
 
 from ...clock import Clock
@@ -57,7 +56,7 @@
 
     def start(self) -> None:
         """Begin to renew the permission."""
-        self.tasks = [asyncio.get_running_loop().create_task(self.renew())]
+        self.spawn(self.renew())
 
     async def renew(self) -> None:
         """Look into the store again and again whether this host is named."""
--- a/src/reedhook/process/lead/lead.py
+++ b/src/reedhook/process/lead/lead.py
@@ -120,11 +120,8 @@
 
     def start(self) -> None:
         """Begin to renew the permission and to look after the primary."""
-        loop = asyncio.get_running_loop()
-        self.tasks = [
-            loop.create_task(self.renew()),
-            loop.create_task(self.look_after()),
-        ]
+        self.spawn(self.renew())
+        self.spawn(self.look_after())
 
     # Permission
 
@@ -469,11 +466,16 @@
             # Reads in progress are sent anew; writes are in doubt for good.
             await home.close()
         target = self.record.successor
-        entry = self.announcements.targets.get(target)
+        announced = self.announcements
+        entry = announced.targets.get(target) or announced.missing.get(target)
         outcome = await self.duty.order(self.service, target)
-        if outcome is OrderOutcome.NOT_RUNNING or entry is None:
+        if outcome is OrderOutcome.NOT_RUNNING:
             await self.choose_again()
             return
+        if entry is None:
+            # The order may have taken effect; another target would be wrong.
+            self.decisions.note("successor_unknown", target=target)
+            return
         deadline = self.clock.monotonic() + LEADING_TIMEOUT
         while self.clock.monotonic() < deadline and not self.yielding:
             status = await self.status(entry)
--- a/src/reedhook/process/lead/user.py
+++ b/src/reedhook/process/lead/user.py
@@ -1,8 +1,8 @@
 """A host's use of the primary of one service, while it is permitted."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final, TypeAlias
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, TypeAlias
 
 from ...clock import Clock
 from ...connection.member import (
@@ -247,6 +247,17 @@
         self.stop()
         self.decisions.note("lead_given_up", service=self.service)
 
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run `work` until `stop`; that it fails is logged."""
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(self.task_ended)
+        self.tasks.append(task)
+
+    def task_ended(self, task: "asyncio.Task[None]") -> None:
+        """Log a task that failed, which none is meant to."""
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.decisions.note("task_failed", service=self.service, error=repr(error))
+
     def stop(self) -> None:
         """End the tasks."""
         for task in self.tasks:
