Drop what was given up, so that it does not arrive after a partition

Closing a connection leaves the operating system to deliver what it holds; a reset drops it. Ruled out: a lane in a foreign state (the statement carried its own settings, which were old).

--- a/src/reedhook/connection/channel.py
+++ b/src/reedhook/connection/channel.py
@@ -16,6 +16,8 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
 
+from .reset import reset
+
 MAX_BUFFER: Final = 64 * 1024
 FAILURES: Final = (ClientError, HttpProcessingError, OSError, TimeoutError)
 JSON_HEADERS: Final[dict[str, str]] = {hdrs.CONTENT_TYPE: "application/json"}
@@ -87,10 +89,10 @@
                     check_length(message, limit)
                 answer = ChannelAnswer(message.code, await payload.read())
         except FAILURES as error:
-            self.close()
+            self.give_up()
             raise ChannelBroken(repr(error)) from error
         except BaseException:
-            self.close()
+            self.give_up()
             raise
         finally:
             self.busy = False
@@ -104,6 +106,11 @@
             f"Content-Length: {length}\r\n\r\n"
         ).encode()
 
+    def give_up(self) -> None:
+        """Close, and let a request that is still on its way not arrive."""
+        reset(self.protocol.transport)
+        self.close()
+
     def close(self) -> None:
         """Close at once; an answer that is still to come is never read."""
         self.protocol.abort()
--- a/src/reedhook/platform/driver.py
+++ b/src/reedhook/platform/driver.py
@@ -16,6 +16,7 @@
     Phrases,
     Query,
 )
+from ..connection.reset import reset
 from ..request.position import ORIGIN, Position
 from ..version.registry import TargetEntry
 from . import text
@@ -146,7 +147,9 @@
 
     def close(self) -> None:
         self.lost = True
-        if self.transport is not None:
+        if self.waiting is not None and len(self.replies) < self.expected:
+            reset(self.transport)
+        elif self.transport is not None:
             self.transport.abort()
         self.wake()
 
