Split the lead, keep a deputy that was named late, close homes that were left

Cause: a second reading. lead.py (588 lines) and leads.py (463) each did four things, Lead and Deputy read the same record alike, and three faults hid there: - a write of the holder that took effect after it was given up, and named a deputy, was overwritten at the next conflict: that deputy could use the primary for 12 s and was not asked for its word before a promotion; - the home of a replica that was announced at another address was never closed; - a holder in a new life counted as lost for 2 s, so that its lead was taken twice after a loss of power. Change: claim (the record and the permission), others, promotion, ranking, states, deputies; Desk.leader; one look at the duty for its holder; a permission that was given up is not renewed by a look under way. Six tests; those of the three faults failed with the old behaviour put back.

--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -32,10 +32,6 @@
 ROLLBACK_TIMEOUT: Final = 0.3
 """Seconds for a rollback; after them the connection is closed, which rolls back."""
 
-KEPT_SECONDS: Final = 10.0
-"""Seconds for which the outcome of a write is kept for who asks again; longer
-than any deadline of a statement."""
-
 RETRY_MS: Final = 50
 """When to come back after a connection was lost, in milliseconds."""
 
--- a/src/reedhook/connector.py
+++ b/src/reedhook/connector.py
@@ -3,7 +3,13 @@
 import asyncio
 from typing import Any
 
-from aiohttp import ClientConnectorError, ClientTimeout, TCPConnector
+from aiohttp import (
+    ClientConnectorError,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    TCPConnector,
+)
 from aiohttp.client_proto import ResponseHandler
 
 
@@ -43,3 +49,10 @@
             raise
         except OSError as error:
             raise client_error(req.connection_key, error) from error
+
+
+def plain_session(connector: Connector) -> ClientSession:
+    """Return a client without cookies, deaf to proxies that the environment names."""
+    return ClientSession(
+        connector=connector, cookie_jar=DummyCookieJar(), trust_env=False
+    )
--- a/src/reedhook/platform/store.py
+++ b/src/reedhook/platform/store.py
@@ -3,10 +3,10 @@
 from base64 import b64decode, b64encode
 from typing import Any, Final
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, DummyCookieJar
+from aiohttp import ClientError, ClientTimeout
 from yarl import URL
 
-from ..connector import Connector
+from ..connector import Connector, plain_session
 from ..process.announced.keyspace import (
     Conflict,
     Declined,
@@ -44,11 +44,7 @@
 
     def __init__(self, address: str) -> None:
         self.base = URL(f"http://{address}")
-        self.session = ClientSession(
-            connector=Connector(limit=0),
-            cookie_jar=DummyCookieJar(),
-            trust_env=False,
-        )
+        self.session = plain_session(Connector(limit=0))
 
     def move(self, address: str) -> None:
         """Go on at another address."""
--- a/src/reedhook/process/announced/announcements.py
+++ b/src/reedhook/process/announced/announcements.py
@@ -83,7 +83,6 @@
         by `Clock.elapsed`.
     :ivar own: the newest items that hosts of the system wrote, by key.
     :ivar reached: whether the last call to the store was answered.
-    :ivar heard_at: when the store last answered, by `Clock.elapsed`.
     :ivar first: set once everything was read.
     """
 
@@ -107,7 +106,6 @@
         self.missing_since: dict[str, float] = {}
         self.own: dict[str, Item] = {}
         self.reached = False
-        self.heard_at = float("-inf")
         self.back_at = float("-inf")
         self.first = asyncio.Event()
         self.configured = asyncio.Event()
@@ -151,7 +149,6 @@
             self.back_at = now
             self.decisions.note("store_reached", revision=self.at)
         self.reached = True
-        self.heard_at = now
 
     async def read_all(self) -> None:
         """Read everything anew."""
--- a/src/reedhook/process/decisions.py
+++ b/src/reedhook/process/decisions.py
@@ -1,7 +1,7 @@
 """One structured line for each decision that an operator may ask about."""
 
 import os
-from collections import Counter, deque
+from collections import deque
 from typing import Any, Final
 
 from ..clock import Clock
@@ -28,7 +28,6 @@
 
     :param host: the host's id.
     :param out: the descriptor to write to; None writes nowhere.
-    :ivar counts: events by name, including those that were not written.
     :ivar dropped: lines that were not written.
     """
 
@@ -38,7 +37,6 @@
         self.host = host
         self.clock = clock
         self.out = out
-        self.counts: Counter[str] = Counter()
         self.allowed = BURST
         self.filled_at = clock.monotonic()
         self.waiting: deque[bytes] = deque()
@@ -48,7 +46,6 @@
 
     def note(self, event: str, **inputs: Any) -> None:
         """Write one line, unless too many were written of late."""
-        self.counts[event] += 1
         if self.out is None:
             return
         if not self.admits():
--- a/src/reedhook/process/desk.py
+++ b/src/reedhook/process/desk.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..connection.member import WITHOUT_EFFECT
-from ..connection.memberhome import KEPT_SECONDS, MemberHome
+from ..connection.memberhome import MemberHome
 from ..request.refusal import Reason, Refusal, may_have_run, not_run
 from ..request.verdict import Verdict
 from ..request.work import Proof, Work, WorkAnswer, WorkKind
@@ -14,13 +14,17 @@
 from .announced.announcements import Announcements
 from .decisions import Decisions
 from .lead.leads import Leads
-from .lead.user import HomeMaker
+from .lead.user import HomeMaker, PrimaryUser
 from .peer import PeerRoutes
 
 WORK: Final = "work"
 END: Final = "end"
 PROOF: Final = "proof"
 
+KEPT_SECONDS: Final = 10.0
+"""Seconds for which the outcome of a write is kept for who asks again; longer
+than any deadline of a statement."""
+
 TIDY_EVERY: Final = 2.0
 """Seconds between two looks for homes and outcomes that are needed no more."""
 
@@ -31,6 +35,9 @@
 class Desk:
     """Run statements that hosts send here, each write at most once.
 
+    :ivar homes: of replicas, by target.
+    :ivar replaced: homes of targets that are announced at another address now;
+        they are closed once nothing is in progress there.
     :ivar outcomes: of writes and commits, by id, for those who lost the answer.
     """
 
@@ -48,6 +55,7 @@
         self.clock = clock
         self.decisions = decisions
         self.homes: dict[str, MemberHome] = {}
+        self.replaced: list[MemberHome] = []
         self.outcomes: OrderedDict[str, Outcome] = OrderedDict()
 
     def register(self, routes: PeerRoutes) -> None:
@@ -107,12 +115,7 @@
     async def run(self, work: Work) -> WorkAnswer:
         """Run a statement at the primary or at a replica."""
         if not work.target:
-            lead = self.leads.user(work.service)
-            if lead is None:
-                raise not_run(
-                    Reason.WRONG_HOME, f"this host does not lead {work.service}"
-                )
-            return await lead.execute(work)
+            return await self.leader(work.service).execute(work)
         home = self.home(work)
         reply = await home.run(work)
         return WorkAnswer(work.target, reply, None)
@@ -122,24 +125,36 @@
 
         :raises Refusal: not run, if the target takes no new work.
         """
-        home = self.homes.get(work.target)
-        if home is not None and work.transaction in home.transactions:
+        home = self.holding(work.target, work.transaction)
+        if home is not None:
             return home
         entry = self.announcements.targets.get(work.target)
         if entry is None or entry.leaving or entry.service != work.service:
             raise not_run(
                 Reason.TARGET_LEAVING, f"{work.target} takes no new work", RETRY_MS
             )
-        if home is None or home.entry.address != entry.address:
+        home = self.homes.get(work.target)
+        if home is not None and home.entry.address != entry.address:
+            self.replaced.append(home)
+            home = None
+        if home is None:
             home = self.homes[work.target] = self.make_home(
                 entry, always, lambda position, asked: None
             )
         return home
 
+    def holding(self, target: str, transaction: str) -> MemberHome | None:
+        """Return the home of a replica at which a transaction is open, or None."""
+        homes = [self.homes.get(target), *self.replaced]
+        for home in homes:
+            if home is not None and transaction in home.transactions:
+                return home
+        return None
+
     def end(self, service: str, target: str, name: str) -> None:
         """Roll a transaction back, if it is open here."""
         lead = self.leads.user(service)
-        home = self.homes.get(target)
+        home = self.holding(target, name)
         if not target and lead is not None:
             home = lead.home
         if home is not None:
@@ -150,10 +165,17 @@
 
         :raises Refusal: if this host cannot give one.
         """
-        lead = self.leads.user(service)
-        if lead is None:
+        return await self.leader(service).prove(younger_than)
+
+    def leader(self, service: str) -> PrimaryUser:
+        """Return what uses the primary of a service here.
+
+        :raises Refusal: not run, if this host does not.
+        """
+        user = self.leads.user(service)
+        if user is None:
             raise not_run(Reason.WRONG_HOME, f"this host does not lead {service}")
-        return await lead.prove(younger_than)
+        return user
 
     async def tidy(self) -> None:
         """Close what is needed no more, until cancelled."""
@@ -177,19 +199,23 @@
             if gone and home.quiet():
                 del self.homes[target]
                 await home.close()
+        for home in [one for one in self.replaced if one.quiet()]:
+            self.replaced.remove(home)
+            await home.close()
         for lead in self.leads.held.values():
             if lead.home is not None:
                 lead.home.lanes.drop_unused()
 
     def quiet(self) -> bool:
         """Say whether no statement and no transaction is in progress here."""
-        return all(home.quiet() for home in self.homes.values())
+        return all(home.quiet() for home in [*self.homes.values(), *self.replaced])
 
     async def close(self) -> None:
         """Close all homes of replicas."""
-        for home in self.homes.values():
+        for home in [*self.homes.values(), *self.replaced]:
             await home.close()
         self.homes.clear()
+        self.replaced.clear()
 
 
 class Outcome:
--- a/src/reedhook/process/hostlist_http.py
+++ b/src/reedhook/process/hostlist_http.py
@@ -2,13 +2,11 @@
 
 from aiohttp import (
     ClientError,
-    ClientSession,
     ClientTimeout,
-    DummyCookieJar,
 )
 from yarl import URL
 
-from ..connector import Connector
+from ..connector import Connector, plain_session
 from ..wire import WireError, decode
 from .hostlist import HostList, HostListUnavailable, ListedHost, ListedKind, ListedState
 
@@ -18,11 +16,7 @@
 
     def __init__(self, address: str) -> None:
         self.url = URL(f"http://{address}/hosts")
-        self.session = ClientSession(
-            connector=Connector(),
-            cookie_jar=DummyCookieJar(),
-            trust_env=False,
-        )
+        self.session = plain_session(Connector())
 
     async def hosts(self, timeout: float) -> list[ListedHost]:
         limit = ClientTimeout(total=timeout)
--- a/src/reedhook/process/lead/deputy.py
+++ b/src/reedhook/process/lead/deputy.py
@@ -3,12 +3,10 @@
 from typing import Final
 
 from ...clock import Clock
-from ...connection.member import MemberDriver
 from ..announced.announcements import Announcements
-from ..announced.keyspace import Keyspace, KeyspaceError
 from ..decisions import Decisions
-from .book import LeadBook
-from .record import Holder, LeadRecord, lead_key
+from .claim import Claim
+from .states import TargetStates
 from .user import HomeMaker, PrimaryUser
 
 LOOK: Final = 4.0
@@ -18,9 +16,6 @@
 LOOK_AGAIN: Final = 0.5
 """Seconds until the next look while there is no permission."""
 
-STORE_TIMEOUT: Final = 0.5
-"""Seconds for an answer of the store: 4 ms, or 240 ms when it is slow."""
-
 LET_END: Final = 1.0
 """Seconds for which transactions may end once the holder is back."""
 
@@ -31,28 +26,21 @@
     It promotes nobody. The holder, and whoever takes the lead over, asks for
     its word before a promotion, or waits until its permission has ended.
 
-    :param asked: when the question that found this host named was sent.
+    :param claim: names this host as the deputy.
     """
 
     def __init__(
         self,
-        record: LeadRecord,
-        asked: float,
-        me: Holder,
-        keyspace: Keyspace,
+        claim: Claim,
         announcements: Announcements,
-        book: LeadBook,
-        driver: MemberDriver,
+        states: TargetStates,
         make_home: HomeMaker,
         clock: Clock,
         decisions: Decisions,
     ) -> None:
-        super().__init__(record, announcements, driver, make_home, clock, decisions)
-        self.me = me
-        self.keyspace = keyspace
-        self.book = book
+        super().__init__(claim, states, make_home, clock, decisions)
+        self.announcements = announcements
         self.acting = False
-        self.tenure.confirmed(asked)
 
     def start(self) -> None:
         """Begin to renew the permission."""
@@ -62,21 +50,7 @@
         """Look into the store again and again whether this host is named."""
         while True:
             await self.clock.sleep(LOOK if self.tenure.valid else LOOK_AGAIN)
-            asked = self.clock.elapsed()
-            try:
-                item = await self.keyspace.get(lead_key(self.service), STORE_TIMEOUT)
-            except KeyspaceError as error:
-                self.decisions.note(
-                    "deputy_unconfirmed", service=self.service, error=str(error)
-                )
-                continue
-            if item is None:
-                continue
-            found = LeadRecord.from_item(item)
-            if found.deputy == self.me and not self.yielding:
-                self.tenure.confirmed(asked)
-                self.record = found
-            self.book.learn(found, "look")
+            await self.claim.look()
 
     async def act(self) -> None:
         """Use the primary, if it leads as the record says."""
@@ -84,7 +58,7 @@
             return
         self.acting = True
         entry = self.announcements.targets.get(self.record.primary)
-        status = None if entry is None else await self.status(entry)
+        status = None if entry is None else await self.states.status(entry)
         promoting = bool(self.record.successor)
         if entry is None or status is None or not status.leads or promoting:
             self.acting = False
@@ -112,3 +86,6 @@
             await self.until_quiet(home, LET_END)
             await home.close()
         self.acting = False
+
+    def given_up(self) -> None:
+        self.decisions.note("deputy_dismissed", service=self.service)
--- a/src/reedhook/process/lead/duty.py
+++ b/src/reedhook/process/lead/duty.py
@@ -107,14 +107,16 @@
         The duty stays where it is while its holder lives: holders that take
         turns would send fencing tokens in the wrong order.
         """
+        asked = self.clock.elapsed()
         try:
             item = await self.keyspace.get(DUTY_KEY, ANSWER_TIMEOUT)
         except KeyspaceError as error:
             self.decisions.note("duty_unknown", error=str(error))
             return OrderOutcome.UNANSWERED
         holder = None if item is None else read_holder(item)
-        if holder == self.me:
-            return await self.order_here(service, target) or OrderOutcome.UNANSWERED
+        if holder == self.me and item is not None:
+            async with self.lock:
+                return await self.order_by(item, asked, service, target)
         if holder is not None and not self.gone(holder):
             outcome = await self.order_at(holder, service, target)
             if outcome is not None:
@@ -168,11 +170,20 @@
                 return OrderOutcome.UNANSWERED
             if item is None or read_holder(item) != self.me:
                 return None
-            wait = self.not_before - self.clock.elapsed()
-            if wait > 0.0 or self.clock.elapsed() - asked > FRESH:
-                await self.clock.sleep(max(wait, 0.0))
-                return OrderOutcome.UNANSWERED
-            return await self.send(service, target, item.revision)
+            return await self.order_by(item, asked, service, target)
+
+    async def order_by(
+        self, item: Item, asked: float, service: str, target: str
+    ) -> OrderOutcome:
+        """Order by an item that names this host, if it was read just now.
+
+        :param asked: when the question that found it was sent.
+        """
+        wait = self.not_before - self.clock.elapsed()
+        if wait > 0.0 or self.clock.elapsed() - asked > FRESH:
+            await self.clock.sleep(max(wait, 0.0))
+            return OrderOutcome.UNANSWERED
+        return await self.send(service, target, item.revision)
 
     async def send(self, service: str, target: str, token: int) -> OrderOutcome:
         """Send an order to the platform."""
--- a/src/reedhook/process/lead/leads.py
+++ b/src/reedhook/process/lead/leads.py
@@ -6,24 +6,24 @@
 
 from ...clock import Clock
 from ...request.refusal import Reason, Refusal, not_run
-from ...version.registry import TargetEntry
 from ...wire import Json, text
 from ..announced.announcements import Announcements
 from ..announced.keyspace import Keyspace, KeyspaceError, Unanswered
 from ..decisions import Decisions
 from ..membership_table import MembershipTable
-from ..peer import HostRef, PeerError, PeerRoutes, Peers
-from ..rendezvous import ranked_hosts
+from ..peer import PeerError, PeerRoutes, Peers
 from .book import LeadBook
-from .deputy import Deputy
-from .lead import LIFE_PATH, PATH, Lead
+from .claim import STORE_TIMEOUT
+from .deputies import Deputies
+from .lead import Lead
+from .others import LIFE_PATH, PATH
+from .ranking import Ranking
 from .record import Holder, LeadRecord, lead_key
 from .user import PrimaryUser
 from .vigil import Vigil
 from .witness import TAKE_PATH, TAKE_TIMEOUT, Witnesses
 
 LeadMaker: TypeAlias = Callable[[LeadRecord, float], Lead]
-DeputyMaker: TypeAlias = Callable[[LeadRecord, float], Deputy]
 
 RECORDS_PATH: Final = "records"
 TAKE_LOST_PATH: Final = "take_lost"
@@ -34,9 +34,6 @@
 TICK: Final = 0.2
 """Seconds between two looks at who holds the leads."""
 
-STORE_TIMEOUT: Final = 0.5
-"""Seconds for an answer of the store: 4 ms, or 240 ms when it is slow."""
-
 SETTLED: Final = 0.3
 """Seconds for which the known hosts must stay the same, so that those that
 start together agree on who takes a lead."""
@@ -51,8 +48,8 @@
 class Leads:
     """Hold leads, take over those that nobody holds, pass them on.
 
-    :ivar promised: revisions of records by which this host will not act as a
-        deputy, since it has given its word to a holder that promotes.
+    :ivar held: leads of this host, by service.
+    :ivar lives: life of the last known holder, by service.
     """
 
     def __init__(
@@ -62,11 +59,12 @@
         announcements: Announcements,
         book: LeadBook,
         table: MembershipTable,
+        ranking: Ranking,
+        deputies: Deputies,
         witnesses: Witnesses,
         vigil: Vigil,
         peers: Peers,
         make_lead: LeadMaker,
-        make_deputy: DeputyMaker,
         clock: Clock,
         decisions: Decisions,
     ) -> None:
@@ -75,16 +73,16 @@
         self.announcements = announcements
         self.book = book
         self.table = table
+        self.ranking = ranking
+        self.deputies = deputies
         self.witnesses = witnesses
         self.vigil = vigil
         self.peers = peers
         self.make_lead = make_lead
-        self.make_deputy = make_deputy
         self.clock = clock
         self.decisions = decisions
         self.held: dict[str, Lead] = {}
-        self.deputies: dict[str, Deputy] = {}
-        self.promised: dict[str, int] = {}
+        self.lives: dict[str, str] = {}
         self.taking: set[str] = set()
         self.tried_at: dict[str, float] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -111,12 +109,9 @@
             self.book.merge(records, "peer")
         service = text(body, "service")
         revision = body.get("revision")
-        if isinstance(revision, int):
-            known = self.promised.get(service, 0)
-            self.promised[service] = max(known, revision)
-        deputy = self.deputies.pop(service, None)
-        if deputy is not None:
-            await self.dismiss(deputy)
+        await self.deputies.promise(
+            service, revision if isinstance(revision, int) else 0
+        )
         return {"life": self.me.life, "holds": service in self.held}
 
     async def answer_life(self, body: Json) -> Json:
@@ -148,73 +143,13 @@
                 self.watch(service)
                 if self.is_mine(service):
                     await self.take(service, asked_to=False)
-                await self.stand_in(service)
-
-    async def stand_in(self, service: str) -> None:
-        """Act as the deputy while the holder is lost, and no longer."""
-        deputy = self.deputies.get(service)
-        if deputy is None:
-            return
-        barred = deputy.record.revision <= self.promised.get(service, 0)
-        if barred or service in self.held:
-            await deputy.rest()
-        elif self.is_takeable(service):
-            await deputy.act()
-        else:
-            await deputy.rest()
-
-    def appointed(self, record: LeadRecord) -> None:
-        """Become the deputy of a service, or cease to be it."""
-        deputy = self.deputies.get(record.service)
-        named = record.deputy == self.me
-        if deputy is not None and not named:
-            del self.deputies[record.service]
-            self.spawn(self.dismiss(deputy))
-        if deputy is None and named and not self.leaving:
-            # Only an own look permits to act; the first is due at once.
-            deputy = self.make_deputy(record, float("-inf"))
-            self.deputies[record.service] = deputy
-            deputy.start()
-
-    async def dismiss(self, deputy: Deputy) -> None:
-        """Use the primary no more as a deputy."""
-        deputy.yielding = True
-        deputy.stop()
-        await deputy.give_up(0.0)
+                lost = service not in self.held and self.is_takeable(service)
+                await self.deputies.stand_in(service, lost)
 
     def user(self, service: str) -> PrimaryUser | None:
         """Return what uses the primary of a service here, or None."""
         lead = self.held.get(service)
-        if lead is not None:
-            return lead
-        deputy = self.deputies.get(service)
-        return deputy if deputy is not None and deputy.acting else None
-
-    def choose_deputy(self, service: str, primary: TargetEntry) -> HostRef | None:
-        """Return the host that is to stand in for this one, or None.
-
-        In a third zone it is not cut off along with the holder, nor with the
-        primary when that is to be replaced.
-        """
-        others = [ref for ref in self.ranked(service) if ref.host != self.me.ref.host]
-        zones = (self.me.ref.zone, primary.zone)
-        others.sort(key=lambda ref: (ref.zone in zones, ref.zone == primary.zone))
-        for ref in others:
-            if not self.vigil.is_lost(ref):
-                return ref
-        return None
-
-    def better_host(self, service: str, primary: TargetEntry) -> HostRef | None:
-        """Return who should hold a lead in place of this host, or None.
-
-        That is a host in another zone than the primary, if this one is not.
-        """
-        if primary.zone != self.me.ref.zone:
-            return None
-        for ref in self.ranked(service):
-            if ref.zone != primary.zone and not self.vigil.is_lost(ref):
-                return ref
-        return None
+        return self.deputies.acting(service) if lead is None else lead
 
     async def awakened(self) -> None:
         """Wait for news of a lead or a target, or for the next look."""
@@ -228,29 +163,15 @@
             self.wake.clear()
 
     def watch(self, service: str) -> None:
-        """Ask after the holder of a lead, if this host stands by for it.
-
-        The first two in rank that are in different zones do: at least one of
-        them is not cut off together with the holder.
-        """
+        """Ask after the holder of a lead, if this host stands by for it."""
         record = self.book.get(service)
         if record is None or service in self.held:
             return
         if record.holder.ref.host == self.me.ref.host:
             return
-        if self.me.ref in self.standbys(service, record.holder.ref):
+        if self.me.ref in self.ranking.standbys(service, record.holder.ref):
             self.vigil.watch(record.holder.ref)
 
-    def standbys(self, service: str, holder: HostRef) -> list[HostRef]:
-        """Return the hosts that stand by for the holder of a lead."""
-        ranked = [ref for ref in self.ranked(service) if ref.host != holder.host]
-        chosen = ranked[:1]
-        chosen += [ref for ref in ranked if ref.zone != ranked[0].zone][:1]
-        record = self.book.get(service)
-        if record is not None and record.deputy is not None:
-            chosen.append(record.deputy.ref)
-        return chosen
-
     def is_mine(self, service: str) -> bool:
         """Say whether this host is to take a lead now."""
         now = self.clock.monotonic()
@@ -267,8 +188,8 @@
         if record is None:
             if now - self.table.changed_at < SETTLED:
                 return False
-            return self.ranked(service)[0] == self.me.ref
-        return self.me.ref in self.standbys(service, record.holder.ref)
+            return self.ranking.ranked(service)[0] == self.me.ref
+        return self.me.ref in self.ranking.standbys(service, record.holder.ref)
 
     def is_takeable(self, service: str) -> bool:
         """Say whether nobody who lives holds the lead of a service.
@@ -285,32 +206,7 @@
 
     def is_announced(self, service: str) -> bool:
         """Say whether there is a target that leads, or led."""
-        return bool(self.primary_zone(service))
-
-    def ranked(self, service: str) -> list[HostRef]:
-        """Return the hosts that may take a lead, best first.
-
-        Those in another availability zone than the primary come first: then a
-        zone that is cut off takes away the primary or its user, never both.
-        """
-        zone = self.primary_zone(service)
-        refs = {ref.host: ref for ref in self.table.refs()}
-        order = [refs[host] for host in ranked_hosts(lead_key(service), refs)]
-        order.sort(key=lambda ref: ref.zone == zone)
-        return order
-
-    def primary_zone(self, service: str) -> str:
-        """Return the availability zone of the primary; empty if unknown."""
-        record = self.book.get(service)
-        targets = self.announcements.targets
-        if record is not None and record.primary:
-            known = targets.get(record.primary)
-            known = known or self.announcements.missing.get(record.primary)
-            return "" if known is None else known.zone
-        for entry in targets.values():
-            if entry.service == service and entry.claims_lead:
-                return entry.zone
-        return ""
+        return bool(self.ranking.primary_zone(service))
 
     async def take(self, service: str, asked_to: bool, alone: bool = False) -> bool:
         """Take the lead of a service; return whether this host holds it.
@@ -403,9 +299,16 @@
         lead.start()
 
     def changed(self, record: LeadRecord) -> None:
-        """Act on news of who holds a lead."""
+        """Act on news of who holds a lead.
+
+        A holder in a new life was not the one that was found lost: taking the
+        lead from it would cost its callers another change of home.
+        """
         self.wake.set()
-        self.appointed(record)
+        if self.lives.get(record.service) != record.holder.life:
+            self.lives[record.service] = record.holder.life
+            self.vigil.forget(record.holder.ref)
+        self.deputies.appointed(record)
         lead = self.held.get(record.service)
         if lead is None or record.holder == self.me or lead.yielding:
             return
@@ -432,17 +335,16 @@
     async def pass_all_on(self) -> None:
         """Have others take all leads over, as this host ends."""
         self.leaving = True
-        for service in list(self.deputies):
-            await self.dismiss(self.deputies.pop(service))
+        await self.deputies.close()
         await asyncio.gather(*(self.pass_on(one) for one in list(self.held)))
 
     async def pass_on(self, service: str) -> None:
         """Have the next in rank take one lead over."""
-        for host in self.ranked(service):
+        for host in self.ranking.ranked(service):
             if host.host == self.me.ref.host:
                 continue
             lead = self.held.get(service)
-            alone = lead is not None and lead.former_over()
+            alone = lead is not None and lead.others.former_over()
             if await self.witnesses.pass_on(service, host, alone):
                 self.decisions.note("lead_passed_on", service=service, to=host.host)
                 break
@@ -452,9 +354,7 @@
 
     async def close(self) -> None:
         """Use no primary any more."""
-        for deputy in list(self.deputies.values()):
-            await self.dismiss(deputy)
-        self.deputies.clear()
+        await self.deputies.close()
         for lead in list(self.held.values()):
             lead.stop()
             lead.tenure.end()
--- /dev/null
+++ b/src/reedhook/process/lead/promotion.py
@@ -0,0 +1,179 @@
+"""A change of primary: who follows, written down first, ordered and awaited."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from ...clock import Clock
+from ...connection.member import MemberStatus
+from ...record import Record
+from ...request.position import ORIGIN, Position
+from ...version.registry import TargetEntry
+from ..decisions import Decisions
+from .claim import Claim
+from .duty import Duty, OrderOutcome
+from .others import OtherUsers
+from .states import TargetStates
+
+CATCH_UP: Final = 2.0
+"""Seconds for which a planned change waits for a replica to hold everything."""
+
+LEADING_TIMEOUT: Final = 3.0
+"""Seconds in which an ordered promotion takes effect; it needs 0.3 to 0.6."""
+
+POLL: Final = 0.05
+"""Seconds between two questions during a change of primary."""
+
+
+class Promoted(Record):
+    """Name a target that leads now, with its state."""
+
+    __slots__ = ("entry", "status")
+
+    def __init__(self, entry: TargetEntry, status: MemberStatus) -> None:
+        self.entry = entry
+        self.status = status
+
+
+class Promotion:
+    """Replace the primary of one service."""
+
+    def __init__(
+        self,
+        claim: Claim,
+        others: OtherUsers,
+        states: TargetStates,
+        duty: Duty,
+        clock: Clock,
+        decisions: Decisions,
+    ) -> None:
+        self.claim = claim
+        self.service = claim.service
+        self.others = others
+        self.states = states
+        self.duty = duty
+        self.clock = clock
+        self.decisions = decisions
+
+    async def decide(
+        self, cause: str, old: TargetEntry, planned: bool, top: Position | None
+    ) -> bool:
+        """Choose a successor and write it down; return whether that was done.
+
+        Nothing is lost by a planned change: a replica holds everything first.
+
+        :param planned: whether the primary still serves.
+        :param top: the highest position that the primary has answered with.
+        """
+        if not await self.others.stopped():
+            return False
+        successor, back = await asyncio.gather(
+            self.successor(old, planned, top), self.is_back(old, planned)
+        )
+        if successor is None or back:
+            self.decisions.note(
+                "no_change", service=self.service, cause=cause, primary_back=back
+            )
+            return False
+        self.decisions.note(
+            "primary_change",
+            service=self.service,
+            cause=cause,
+            primary=old.target,
+            successor=successor.target,
+        )
+        record = self.claim.record
+        return await self.claim.write(
+            record.with_primary(record.primary, record.term, successor.target)
+        )
+
+    async def is_back(self, old: TargetEntry, planned: bool) -> bool:
+        """Say whether a primary that was lost is reached again."""
+        return not planned and await self.states.reached(old)
+
+    async def successor(
+        self, old: TargetEntry, planned: bool, top: Position | None
+    ) -> TargetEntry | None:
+        """Return the target that holds the most of those that answer."""
+        deadline = self.clock.monotonic() + (CATCH_UP if planned else 0.0)
+        goal = await self.goal(old, top) if planned else ORIGIN
+        while True:
+            others = [
+                one
+                for one in self.states.announced(self.service)
+                if one.target != old.target and not one.leaving
+            ]
+            found = await self.states.all(others)
+            if not found:
+                return None
+            entry, status = max(found, key=self.fitness)
+            if status.received >= goal or self.clock.monotonic() >= deadline:
+                return entry
+            await self.clock.sleep(POLL)
+
+    async def goal(self, old: TargetEntry, top: Position | None) -> Position:
+        """Return what a successor must hold, as far as it can be known."""
+        status = await self.states.status(old)
+        if status is not None:
+            return status.received
+        return ORIGIN if top is None else top
+
+    def fitness(self, pair: tuple[TargetEntry, MemberStatus]) -> tuple[Position, bool]:
+        """Return the order in which targets are preferred as primary.
+
+        A primary in another availability zone than its user can be told from
+        a cut-off zone, and replaced, by whichever side lives on.
+        """
+        entry, status = pair
+        return status.received, entry.zone != self.claim.me.ref.zone
+
+    async def carry_out(self, wanted: Callable[[], bool]) -> Promoted | None:
+        """Have the successor that is written down ordered, and wait for it.
+
+        :param wanted: whether to go on waiting.
+        :returns: None while it does not lead; to be tried again then.
+        """
+        target = self.claim.record.successor
+        entry = self.states.known(target)
+        outcome = await self.duty.order(self.service, target)
+        if outcome is OrderOutcome.NOT_RUNNING:
+            await self.choose_again()
+            return None
+        if entry is None:
+            # The order may have taken effect; another target would be wrong.
+            self.decisions.note("successor_unknown", target=target)
+            return None
+        deadline = self.clock.monotonic() + LEADING_TIMEOUT
+        while self.clock.monotonic() < deadline and wanted():
+            status = await self.states.status(entry)
+            if status is not None and status.leads:
+                return self.promoted(entry, status)
+            if outcome is OrderOutcome.UNANSWERED:
+                return None
+            await self.clock.sleep(POLL)
+        return None
+
+    async def choose_again(self) -> None:
+        """Decide on another target after one that was found not to run."""
+        record = self.claim.record
+        found = await self.states.all(self.states.announced(self.service))
+        usable = [pair for pair in found if pair[0].target != record.successor]
+        if not usable:
+            return
+        entry, _ = max(usable, key=self.fitness)
+        await self.claim.write(
+            record.with_primary(record.primary, record.term, entry.target)
+        )
+
+    def promoted(self, entry: TargetEntry, status: MemberStatus) -> Promoted:
+        """Take note of the new primary; it is yet to be written down."""
+        self.decisions.note(
+            "primary_promoted",
+            service=self.service,
+            primary=entry.target,
+            term=status.term,
+            received=status.received.to_json(),
+        )
+        self.claim.record = self.claim.record.with_primary(entry.target, status.term)
+        self.claim.saved = False
+        return Promoted(entry, status)
--- /dev/null
+++ b/src/reedhook/process/lead/ranking.py
@@ -0,0 +1,93 @@
+"""Which hosts should hold the lead of a service, or stand in for its holder."""
+
+from ...version.registry import TargetEntry
+from ..announced.announcements import Announcements
+from ..membership_table import MembershipTable
+from ..peer import HostRef
+from ..rendezvous import ranked_hosts
+from .book import LeadBook
+from .record import lead_key
+from .vigil import Vigil
+
+
+class Ranking:
+    """Order hosts for each service, by rank and availability zone."""
+
+    def __init__(
+        self,
+        me: HostRef,
+        table: MembershipTable,
+        announcements: Announcements,
+        book: LeadBook,
+        vigil: Vigil,
+    ) -> None:
+        self.me = me
+        self.table = table
+        self.announcements = announcements
+        self.book = book
+        self.vigil = vigil
+
+    def ranked(self, service: str) -> list[HostRef]:
+        """Return the hosts that may take a lead, best first.
+
+        Those in another availability zone than the primary come first: then a
+        zone that is cut off takes away the primary or its user, never both.
+        """
+        zone = self.primary_zone(service)
+        refs = {ref.host: ref for ref in self.table.refs()}
+        order = [refs[host] for host in ranked_hosts(lead_key(service), refs)]
+        order.sort(key=lambda ref: ref.zone == zone)
+        return order
+
+    def primary_zone(self, service: str) -> str:
+        """Return the availability zone of the primary; empty if unknown."""
+        record = self.book.get(service)
+        targets = self.announcements.targets
+        if record is not None and record.primary:
+            known = targets.get(record.primary)
+            known = known or self.announcements.missing.get(record.primary)
+            return "" if known is None else known.zone
+        for entry in targets.values():
+            if entry.service == service and entry.claims_lead:
+                return entry.zone
+        return ""
+
+    def standbys(self, service: str, holder: HostRef) -> list[HostRef]:
+        """Return the hosts that stand by for the holder of a lead.
+
+        The first two in rank that are in different zones do: at least one of
+        them is not cut off together with the holder. The deputy does, too.
+        """
+        ranked = [ref for ref in self.ranked(service) if ref.host != holder.host]
+        chosen = ranked[:1]
+        chosen += [ref for ref in ranked if ref.zone != ranked[0].zone][:1]
+        record = self.book.get(service)
+        if record is not None and record.deputy is not None:
+            chosen.append(record.deputy.ref)
+        return chosen
+
+    def deputy(self, service: str, primary: TargetEntry) -> HostRef | None:
+        """Return the host that is to stand in for this one, or None.
+
+        In a third zone it is not cut off along with the holder, nor with the
+        primary when that is to be replaced.
+        """
+        others = [ref for ref in self.ranked(service) if ref.host != self.me.host]
+        zones = (self.me.zone, primary.zone)
+        others.sort(key=lambda ref: (ref.zone in zones, ref.zone == primary.zone))
+        for ref in others:
+            if not self.vigil.is_lost(ref):
+                return ref
+        return None
+
+    def better(self, service: str, primary: TargetEntry) -> HostRef | None:
+        """Return who should hold a lead in place of this host, or None.
+
+        That is a host in another zone than the primary, if this one is not.
+        """
+        if primary.zone != self.me.zone:
+            return None
+        for ref in self.ranked(service):
+            if ref.zone != primary.zone and not self.vigil.is_lost(ref):
+                return ref
+        return None
--- /dev/null
+++ b/src/reedhook/process/lead/states.py
@@ -0,0 +1,70 @@
+"""The targets of a service, and what they say of themselves when asked."""
+
+import asyncio
+from typing import Final
+
+from ...connection.member import (
+    MemberDriver,
+    MemberSilent,
+    MemberStatus,
+    MemberUnreachable,
+)
+from ...version.registry import TargetEntry
+from ..announced.announcements import Announcements
+
+STATUS_TIMEOUT: Final = 0.4
+"""Seconds to connect to a target and to learn its state; both wait for a slot
+behind statements of 9 to 110 ms."""
+
+CONNECT_TIMEOUT: Final = 0.4
+"""Seconds for a new connection, which waits for a slot behind statements."""
+
+
+class TargetStates:
+    """Ask targets for their states, each on a connection of its own."""
+
+    def __init__(self, announcements: Announcements, driver: MemberDriver) -> None:
+        self.announcements = announcements
+        self.driver = driver
+
+    def known(self, target: str) -> TargetEntry | None:
+        """Return what a target announces, or announced last; None if never."""
+        announced = self.announcements
+        return announced.targets.get(target) or announced.missing.get(target)
+
+    def announced(self, service: str) -> list[TargetEntry]:
+        """Return the targets of a service that announce themselves."""
+        found = self.announcements.targets.values()
+        return [one for one in found if one.service == service]
+
+    async def all(
+        self, entries: list[TargetEntry]
+    ) -> list[tuple[TargetEntry, MemberStatus]]:
+        """Return the targets that answer, with their state."""
+        answers = await asyncio.gather(*(self.status(entry) for entry in entries))
+        return [
+            (entry, answer)
+            for entry, answer in zip(entries, answers, strict=True)
+            if answer is not None
+        ]
+
+    async def status(self, entry: TargetEntry) -> MemberStatus | None:
+        """Ask one target for its state; None if it gives no answer."""
+        try:
+            async with asyncio.timeout(STATUS_TIMEOUT):
+                connection = await self.driver.connect(entry, STATUS_TIMEOUT)
+                try:
+                    return await connection.status(STATUS_TIMEOUT)
+                finally:
+                    connection.close()
+        except (TimeoutError, MemberUnreachable, MemberSilent):
+            return None
+
+    async def reached(self, entry: TargetEntry) -> bool:
+        """Say whether a target accepts a new connection from here."""
+        try:
+            connection = await self.driver.connect(entry, CONNECT_TIMEOUT)
+        except MemberUnreachable:
+            return False
+        connection.close()
+        return True
--- a/src/reedhook/process/lead/tenure.py
+++ b/src/reedhook/process/lead/tenure.py
@@ -28,18 +28,21 @@
     is over, or this host has said that it has stopped.
     """
 
-    __slots__ = ("clock", "until")
+    __slots__ = ("clock", "until", "over")
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.until = float("-inf")
+        self.over = False
 
     def confirmed(self, asked: float) -> None:
         """Take note that a question sent at `asked` found this host named."""
-        self.until = max(self.until, asked + TENURE)
+        if not self.over:
+            self.until = max(self.until, asked + TENURE)
 
     def end(self) -> None:
-        """Give the permission up for good."""
+        """Give the permission up for good, whatever a later look finds."""
+        self.over = True
         self.until = float("-inf")
 
     @property
--- a/src/reedhook/process/lead/user.py
+++ b/src/reedhook/process/lead/user.py
@@ -5,20 +5,16 @@
 from typing import Any, Final, TypeAlias
 
 from ...clock import Clock
-from ...connection.member import (
-    MemberDriver,
-    MemberSilent,
-    MemberStatus,
-    MemberUnreachable,
-)
+from ...connection.member import MemberSilent, MemberStatus, MemberUnreachable
 from ...connection.memberhome import MemberHome
 from ...request.position import Position
 from ...request.refusal import Reason, Refusal, not_run
 from ...request.work import Proof, Work, WorkAnswer
 from ...version.registry import TargetEntry
-from ..announced.announcements import Announcements
 from ..decisions import Decisions
+from .claim import Claim
 from .record import LeadRecord
+from .states import TargetStates
 from .tenure import Tenure
 
 HomeMaker: TypeAlias = Callable[
@@ -28,10 +24,6 @@
 SIGHT_TIMEOUT: Final = 0.25
 """Seconds in which a target answers what needs no slot."""
 
-STATUS_TIMEOUT: Final = 0.4
-"""Seconds to connect to a target and to learn its state; both wait for a slot
-behind statements of 9 to 110 ms."""
-
 DOUBT_LASTS: Final = 1.5
 """Seconds from the first doubt in which a primary answers again or its successor
 is decided on; later statements are refused at once."""
@@ -41,7 +33,7 @@
 half of the shortest timeout of a statement, so that it can run afterwards."""
 
 POLL: Final = 0.05
-"""Seconds between two questions during a change of primary."""
+"""Seconds between two looks at what is still in progress."""
 
 RETRY_MS: Final = 150
 """When to come back while another primary is promoted, in milliseconds."""
@@ -50,8 +42,7 @@
 class PrimaryUser:
     """Run statements at the primary of one service.
 
-    :param record: names this host as the holder or the deputy.
-    :ivar tenure: until when the primary may be used.
+    :param claim: names this host as the holder or the deputy.
     :ivar ready: set while the primary may be used as far as is known.
     :ivar home: of the primary; None before it is known.
     :ivar top: the highest position that the primary has answered with.
@@ -60,21 +51,18 @@
 
     def __init__(
         self,
-        record: LeadRecord,
-        announcements: Announcements,
-        driver: MemberDriver,
+        claim: Claim,
+        states: TargetStates,
         make_home: HomeMaker,
         clock: Clock,
         decisions: Decisions,
     ) -> None:
-        self.service = record.service
-        self.record = record
-        self.announcements = announcements
-        self.driver = driver
+        self.claim = claim
+        self.service = claim.service
+        self.states = states
         self.make_home = make_home
         self.clock = clock
         self.decisions = decisions
-        self.tenure = Tenure(clock)
         self.ready = asyncio.Event()
         self.home: MemberHome | None = None
         self.proof: Proof | None = None
@@ -85,6 +73,16 @@
         self.news = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def record(self) -> LeadRecord:
+        """Return the record that names this host."""
+        return self.claim.record
+
+    @property
+    def tenure(self) -> Tenure:
+        """Return until when the primary may be used."""
+        return self.claim.tenure
+
     async def execute(self, work: Work) -> WorkAnswer:
         """Run a statement at the primary.
 
@@ -200,34 +198,6 @@
         )
         self.ready.set()
 
-    def members(self) -> list[TargetEntry]:
-        """Return the targets of the service that are announced, or were."""
-        found = self.announcements.targets
-        return [one for one in found.values() if one.service == self.service]
-
-    async def statuses(
-        self, entries: list[TargetEntry]
-    ) -> list[tuple[TargetEntry, MemberStatus]]:
-        """Return the targets that answer, with their state."""
-        answers = await asyncio.gather(*(self.status(entry) for entry in entries))
-        return [
-            (entry, answer)
-            for entry, answer in zip(entries, answers, strict=True)
-            if answer is not None
-        ]
-
-    async def status(self, entry: TargetEntry) -> MemberStatus | None:
-        """Ask one target for its state on a connection of its own."""
-        try:
-            async with asyncio.timeout(STATUS_TIMEOUT):
-                connection = await self.driver.connect(entry, STATUS_TIMEOUT)
-                try:
-                    return await connection.status(STATUS_TIMEOUT)
-                finally:
-                    connection.close()
-        except (TimeoutError, MemberUnreachable, MemberSilent):
-            return None
-
     async def until_quiet(self, home: MemberHome, timeout: float) -> None:
         """Let open transactions end for a while, then end the rest."""
         deadline = self.clock.monotonic() + timeout
@@ -245,6 +215,10 @@
             await home.close()
         self.tenure.end()
         self.stop()
+        self.given_up()
+
+    def given_up(self) -> None:
+        """Tell that the primary is used no more."""
         self.decisions.note("lead_given_up", service=self.service)
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/reedhook/process/lead/vigil.py
+++ b/src/reedhook/process/lead/vigil.py
@@ -112,6 +112,10 @@
         now = self.clock.monotonic()
         return now - self.lost_at.get(host.host, float("-inf")) < BELIEVED
 
+    def forget(self, host: HostRef) -> None:
+        """Drop what was found: the host was heard of in another life."""
+        self.lost_at.pop(host.host, None)
+
     async def reaches(self, host: HostRef) -> bool:
         """Say whether a host answers."""
         try:
--- a/src/reedhook/process/lead/witness.py
+++ b/src/reedhook/process/lead/witness.py
@@ -5,13 +5,13 @@
 from random import Random
 from typing import Final
 
-from ...connection.member import MemberDriver, MemberUnreachable
 from ...request.refusal import Refusal
 from ...version.registry import TargetEntry
 from ...wire import Json, text
 from ..announced.announcements import Announcements
 from ..membership_table import MembershipTable
 from ..peer import HostRef, PeerError, PeerRoutes, Peers
+from .states import TargetStates
 
 PATH: Final = "sight"
 TAKE_PATH: Final = "take"
@@ -20,9 +20,6 @@
 """Hosts that are asked at most; a primary may be cut off from most hosts and
 still serve the others."""
 
-CONNECT_TIMEOUT: Final = 0.4
-"""Seconds for a new connection, which waits for a slot behind statements."""
-
 ANSWER_TIMEOUT: Final = 0.45
 """Seconds for the host's answer."""
 
@@ -40,14 +37,14 @@
         table: MembershipTable,
         peers: Peers,
         announcements: Announcements,
-        driver: MemberDriver,
+        states: TargetStates,
         random: Random,
     ) -> None:
         self.me = me
         self.table = table
         self.peers = peers
         self.announcements = announcements
-        self.driver = driver
+        self.states = states
         self.random = random
 
     def register(self, routes: PeerRoutes) -> None:
@@ -59,12 +56,7 @@
         entry = self.announcements.targets.get(text(body, "target"))
         if entry is None:
             return {"reached": False}
-        try:
-            connection = await self.driver.connect(entry, CONNECT_TIMEOUT)
-        except MemberUnreachable:
-            return {"reached": False}
-        connection.close()
-        return {"reached": True}
+        return {"reached": await self.states.reached(entry)}
 
     async def reaching(self, entry: TargetEntry) -> HostRef | None:
         """Return a host that reaches a target, or None."""
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -25,11 +25,17 @@
 from .histograms import HistogramMetrics
 from .hosting_settings import HostingSettings
 from .lead.book import LeadBook
+from .lead.claim import DeputyClaim, HolderClaim
+from .lead.deputies import Deputies
 from .lead.deputy import Deputy
 from .lead.duty import Duty, Promoter
 from .lead.lead import Lead
 from .lead.leads import Leads
+from .lead.others import OtherUsers
+from .lead.promotion import Promotion
+from .lead.ranking import Ranking
 from .lead.record import Holder, LeadRecord
+from .lead.states import TargetStates
 from .lead.vigil import Vigil
 from .lead.witness import Witnesses
 from .membership import Membership
@@ -131,23 +137,28 @@
             self.clock,
             self.decisions,
         )
+        self.states = TargetStates(self.announcements, self.driver)
         self.witnesses = Witnesses(
-            self.me, table, self.peers, self.announcements, self.driver, self.random
+            self.me, table, self.peers, self.announcements, self.states, self.random
         )
         self.vigil = Vigil(
             self.me, table, self.peers, self.clock, self.random, self.decisions
         )
+        self.ranking = Ranking(
+            self.me, table, self.announcements, self.book, self.vigil
+        )
         self.leads = Leads(
             self.holder,
             self.keyspace,
             self.announcements,
             self.book,
             table,
+            self.ranking,
+            Deputies(self.holder, self.make_deputy),
             self.witnesses,
             self.vigil,
             self.peers,
             self.make_lead,
-            self.make_deputy,
             self.clock,
             self.decisions,
         )
@@ -212,19 +223,21 @@
 
     def make_lead(self, record: LeadRecord, asked: float) -> Lead:
         """Return a lead that this host has taken."""
+        claim = HolderClaim(*self.claim_parts(record, asked))
+        others = OtherUsers(
+            claim, self.ranking, self.vigil, self.peers, self.clock, self.decisions
+        )
+        promotion = Promotion(
+            claim, others, self.states, self.duty, self.clock, self.decisions
+        )
         return Lead(
-            record,
-            asked,
-            self.holder,
-            self.keyspace,
-            self.announcements,
-            self.book,
-            self.duty,
+            claim,
+            others,
+            promotion,
+            self.ranking,
             self.witnesses,
-            self.vigil,
-            self.leads.choose_deputy,
-            self.leads.better_host,
-            self.peers,
+            self.announcements,
+            self.states,
             self.driver,
             self.phrases,
             self.make_home,
@@ -235,14 +248,24 @@
     def make_deputy(self, record: LeadRecord, asked: float) -> Deputy:
         """Return what stands in for the holder of a lead."""
         return Deputy(
+            DeputyClaim(*self.claim_parts(record, asked)),
+            self.announcements,
+            self.states,
+            self.make_home,
+            self.clock,
+            self.decisions,
+        )
+
+    def claim_parts(
+        self, record: LeadRecord, asked: float
+    ) -> tuple[LeadRecord, float, Holder, Keyspace, LeadBook, Clock, Decisions]:
+        """Return what a claim is made of."""
+        return (
             record,
             asked,
             self.holder,
             self.keyspace,
-            self.announcements,
             self.book,
-            self.driver,
-            self.make_home,
             self.clock,
             self.decisions,
         )
--- a/src/reedhook/process/store_http.py
+++ b/src/reedhook/process/store_http.py
@@ -5,13 +5,11 @@
 
 from aiohttp import (
     ClientError,
-    ClientSession,
     ClientTimeout,
-    DummyCookieJar,
 )
 from yarl import URL
 
-from ..connector import Connector
+from ..connector import Connector, plain_session
 from ..wire import Json, WireError, decode, encode
 from .store import Entry, Store, StoreConflict, StoreError, StoreUnavailable
 
@@ -26,11 +24,7 @@
 
     def __init__(self, address: str) -> None:
         self.base = URL(f"http://{address}")
-        self.session = ClientSession(
-            connector=Connector(limit=0),
-            cookie_jar=DummyCookieJar(),
-            trust_env=False,
-        )
+        self.session = plain_session(Connector(limit=0))
 
     async def get(self, key: str, timeout: float) -> Entry | None:
         return await self.ask_entry("get", {"key": key}, timeout)
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -167,7 +167,7 @@
         self.network.crash(name)
         for task in host.tasks:
             task.cancel()
-        for lead in [*host.leads.held.values(), *host.leads.deputies.values()]:
+        for lead in [*host.leads.held.values(), *host.leads.deputies.found.values()]:
             lead.stop()
         for member in self.group.members.values():
             for connection in list(member.connections):
--- /dev/null
+++ b/tests/test_lead_claim.py
@@ -0,0 +1,92 @@
+"""What a holder makes of the record of its service, as the store has it."""
+
+import asyncio
+from random import Random
+
+from reedhook.process.announced.announcements import Announcements
+from reedhook.process.decisions import Decisions
+from reedhook.process.lead.book import LeadBook
+from reedhook.process.lead.claim import HolderClaim
+from reedhook.process.lead.record import Holder, LeadRecord, lead_key
+from reedhook.process.peer import HostRef
+
+from .fakes_clock import LoopClock, in_virtual_time
+from .fakes_keyspace import FakeStore
+from .session_world import PlainDocuments
+
+ME = Holder(HostRef("h1", "z1", "10.0.0.1:1"), "a")
+DEPUTY = Holder(HostRef("h2", "z2", "10.0.0.2:1"), "b")
+
+
+def claim_at(store: FakeStore) -> HolderClaim:
+    """Return the claim of `ME` on a service that it has just taken."""
+    clock = LoopClock()
+    decisions = Decisions("h1", clock, out=None)
+    keyspace = store.client("h1")
+    record = LeadRecord("db", ME, None, [], True, "m1", 3, "", 0)
+    revision = store.write(lead_key("db"), record.encoded())
+    announcements = Announcements(
+        keyspace, PlainDocuments(), clock, Random(1), decisions
+    )
+    book = LeadBook(announcements, decisions)
+    return HolderClaim(
+        record.at(revision), clock.elapsed(), ME, keyspace, book, clock, decisions
+    )
+
+
+def stored(store: FakeStore) -> LeadRecord:
+    """Return the record that stands in the store."""
+    return LeadRecord.from_item(store.items[lead_key("db")])
+
+
+@in_virtual_time
+async def test_a_deputy_that_was_named_late_is_not_forgotten() -> None:
+    """It may have seen the record, and use the primary by it."""
+    store = FakeStore()
+    claim = claim_at(store)
+    store.late["h1"] = 2.0
+    assert not await claim.write(claim.record.with_deputy(DEPUTY))
+    store.late.clear()
+    await asyncio.sleep(3.0)
+    assert stored(store).deputy == DEPUTY
+    record = claim.record
+    assert not await claim.write(record.with_primary("m1", 3, "m2"))
+    assert await claim.write(claim.record.with_primary("m1", 3, "m2"))
+    found = stored(store)
+    assert found.deputy == DEPUTY or DEPUTY in found.former
+
+
+@in_virtual_time
+async def test_what_is_known_of_the_primary_outlives_a_late_write() -> None:
+    store = FakeStore()
+    claim = claim_at(store)
+    store.late["h1"] = 2.0
+    assert not await claim.write(claim.record.with_deputy(DEPUTY))
+    store.late.clear()
+    await asyncio.sleep(3.0)
+    claim.record = claim.record.with_primary("m2", 4)
+    claim.saved = False
+    assert not await claim.write(claim.record)
+    assert await claim.write(claim.record)
+    found = stored(store)
+    assert (found.primary, found.term, found.deputy) == ("m2", 4, DEPUTY)
+
+
+@in_virtual_time
+async def test_a_write_without_an_answer_counts_once_a_look_finds_it() -> None:
+    store = FakeStore()
+    claim = claim_at(store)
+    store.losing.add("h1")
+    assert await claim.write(claim.record.with_deputy(DEPUTY))
+    assert claim.record == stored(store)
+
+
+@in_virtual_time
+async def test_a_permission_that_was_given_up_is_not_renewed_by_a_look() -> None:
+    store = FakeStore()
+    claim = claim_at(store)
+    looking = asyncio.create_task(claim.look())
+    await asyncio.sleep(0.001)
+    claim.tenure.end()
+    assert await looking
+    assert not claim.tenure.valid
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -7,6 +7,7 @@
 
 from reedhook.connection.member import Fault
 from reedhook.connection.session import SessionState
+from reedhook.process.lead.record import Holder
 from reedhook.request.command import CommandKind
 from reedhook.request.refusal import Reason
 from reedhook.request.verdict import Verdict
@@ -472,6 +473,48 @@
     await world.stop()
 
 
+@in_virtual_time
+async def test_connections_to_an_address_that_was_left_are_closed() -> None:
+    world = SessionWorld()
+    await world.start()
+    await traffic(world, 1.0, 9)
+    member = next(one for one in world.group.members.values() if not one.leads)
+    entry = member.entry
+    homes = [host.desk.homes.get(entry.target) for host in world.hosts.values()]
+    old = [home for home in homes if home is not None]
+    assert old
+    member.entry = TargetEntry(
+        entry.target,
+        entry.service,
+        "10.0.9.9:1",
+        entry.zone,
+        entry.leaving,
+        entry.claims_lead,
+    )
+    world.announce(member.entry)
+    await asyncio.sleep(0.7)
+    await traffic(world, 4.0, 10)
+    assert all(home.lanes.closed for home in old)
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_holder_in_a_new_life_is_not_the_one_that_was_lost() -> None:
+    world = SessionWorld()
+    await world.start()
+    lead = world.leader().me
+    other = next(one for one in world.hosts.values() if one.me != lead)
+    other.vigil.lost_at[lead.host] = other.clock.monotonic()
+    record = other.book.get("db")
+    assert record is not None
+    news = record.at(record.revision + 1)
+    news.holder = Holder(lead, "another life")
+    other.book.learn(news, "peer")
+    assert not other.vigil.is_lost(lead)
+    await world.stop()
+
+
 async def troubled(seed: int) -> None:
     """Play a day of faults drawn at random, and check what was promised."""
     rng = random.Random(seed)
