Ask for changes more often, so that a configuration is in force in time

Cause: a change answers the held questions of all hosts at once, so that all ask anew together; when those end without a word (the store's history dropped while a configuration is written), all hosts learned of the version after hold and margin, 5 s; the platform gives 3 s. Ruled out: a host that missed a version which others had (they all had the older one until 12.1 s in the log). Change: held 2 s with a spread, margin 0.5 s; the margin is the caller's. A test that failed first: twenty versions, each written as all watches go deaf.

--- a/src/reedhook/platform/store.py
+++ b/src/reedhook/platform/store.py
@@ -33,9 +33,6 @@
 CONFLICT: Final = 412
 JSON_TYPE: Final = {"Content-Type": "application/json"}
 
-WATCH_MARGIN: Final = 1.0
-"""Seconds beyond the hold after which a watch that says nothing is given up."""
-
 MILLISECONDS: Final = 1000
 
 
@@ -71,13 +68,15 @@
                 return Items(items, at)
             query = {"prefix": prefix, "after": page.items[-1].key}
 
-    async def changes(self, prefix: str, after: int, hold: float) -> Items:
+    async def changes(
+        self, prefix: str, after: int, hold: float, margin: float
+    ) -> Items:
         query = {
             "prefix": prefix,
             "after": str(after),
             "wait_ms": str(int(hold * MILLISECONDS)),
         }
-        timeout = hold + WATCH_MARGIN
+        timeout = hold + margin
         status, message = await self.ask("GET", WATCH, query, None, timeout)
         if status == GONE:
             raise HistoryGone(f"changes after {after} are gone")
--- a/src/reedhook/process/announced/announcements.py
+++ b/src/reedhook/process/announced/announcements.py
@@ -12,9 +12,15 @@
 from ..decisions import Decisions
 from .keyspace import HistoryGone, Item, Items, Keyspace, KeyspaceError
 
-HOLD: Final = 4.0
-"""Seconds for which a question for changes is held; each counts as a call. A
-connection that went silent meanwhile is noticed by what other hosts state."""
+HOLD: Final = 2.0
+MARGIN: Final = 0.5
+"""Seconds for which a question for changes is held, and beyond them, after which
+the store's silence is a failure. Questions can end without a word while a
+configuration is written, which has 3 s to be in force; each is a call."""
+
+SPREAD: Final = 0.6
+"""Least share of the hold that a host asks for: one change answers the questions
+of all hosts at once, and the next must not all end together again."""
 
 FEW_HOSTS: Final = 18
 LONGEST: Final = 2.0
@@ -171,7 +177,7 @@
 
     async def follow(self) -> None:
         """Wait for the next changes."""
-        found = await self.keyspace.changes(EVERYTHING, self.at, self.hold())
+        found = await self.keyspace.changes(EVERYTHING, self.at, self.hold(), MARGIN)
         self.heard()
         self.at = max(self.at, found.at)
         self.take(found)
@@ -179,7 +185,8 @@
     def hold(self) -> float:
         """Return for how long to hold a question: longer where many hosts ask."""
         hosts = sum(key.startswith(HOSTS) for key in self.own)
-        return HOLD * min(max(hosts / FEW_HOSTS, 1.0), LONGEST)
+        longest = HOLD * min(max(hosts / FEW_HOSTS, 1.0), LONGEST)
+        return longest * self.random.uniform(SPREAD, 1.0)
 
     def take(self, found: Items) -> None:
         """Take items over, one by one."""
--- a/src/reedhook/process/announced/keyspace.py
+++ b/src/reedhook/process/announced/keyspace.py
@@ -68,9 +68,13 @@
         """Return all items whose keys begin so, oldest state of `at`."""
 
     @abstractmethod
-    async def changes(self, prefix: str, after: int, hold: float) -> Items:
+    async def changes(
+        self, prefix: str, after: int, hold: float, margin: float
+    ) -> Items:
         """Return the changes after a revision, at the latest after `hold`.
 
+        :param hold: seconds for which the store is to wait for a change.
+        :param margin: seconds beyond them after which its silence is a failure.
         :raises HistoryGone: if they are no longer kept.
         """
 
--- a/tests/fakes_keyspace.py
+++ b/tests/fakes_keyspace.py
@@ -37,6 +37,7 @@
         self.history: list[Item] = []
         self.forgotten = 0
         self.changed = asyncio.Event()
+        self.watches = 0
         self.silent: set[str] = set()
         self.declining: set[str] = set()
         self.losing: set[str] = set()
@@ -82,6 +83,10 @@
         self.history.clear()
         self.forgotten = self.revision
 
+    def deafen(self) -> None:
+        """End all questions for changes that are held now without a word."""
+        self.watches += 1
+
     def end_lease(self, lease: int) -> None:
         """End a lease and delete its keys."""
         for key in self.leases.pop(lease, set()):
@@ -135,11 +140,14 @@
         ]
         return Items(found, self.store.revision)
 
-    async def changes(self, prefix: str, after: int, hold: float) -> Items:
-        await self.reach("changes", hold + 1.0)
+    async def changes(
+        self, prefix: str, after: int, hold: float, margin: float
+    ) -> Items:
+        await self.reach("changes", hold + margin)
         if after < self.store.forgotten:
             raise HistoryGone("forgotten")
         deadline = asyncio.get_running_loop().time() + hold
+        watches = self.store.watches
         while True:
             found = [
                 item
@@ -154,8 +162,9 @@
                     await self.store.changed.wait()
             except TimeoutError:
                 pass
-        if self.host in self.store.silent:
-            await asyncio.sleep(1.0)
+        if self.host in self.store.silent or watches != self.store.watches:
+            late = deadline + margin - asyncio.get_running_loop().time()
+            await asyncio.sleep(max(late, 0.0))
             raise Unanswered("silent")
         return Items(found, self.store.revision)
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -64,7 +64,9 @@
 def test_changes_are_told_once_they_come_deletions_included() -> None:
     async def test(stand_in: KeyValueStandIn, store: PlatformStore) -> None:
         stand_in.write("a", b"1")
-        waiting = asyncio.create_task(store.changes("", stand_in.revision, TIMEOUT))
+        waiting = asyncio.create_task(
+            store.changes("", stand_in.revision, TIMEOUT, TIMEOUT)
+        )
         await asyncio.sleep(0)
         stand_in.write("a", None)
         found = await waiting
@@ -78,7 +80,7 @@
         stand_in.write("a", b"1")
         stand_in.forget()
         with pytest.raises(HistoryGone):
-            await store.changes("", 0, TIMEOUT)
+            await store.changes("", 0, TIMEOUT, TIMEOUT)
 
     with_store(test)
 
@@ -105,7 +107,7 @@
         with pytest.raises(Declined):
             await store.put("a", b"1", None, TIMEOUT)
         with pytest.raises(Declined):
-            await store.changes("", 0, TIMEOUT)
+            await store.changes("", 0, TIMEOUT, TIMEOUT)
 
     with_store(test)
 
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -343,6 +343,25 @@
     await world.stop()
 
 
+@in_virtual_time
+async def test_a_configuration_is_in_force_in_time_though_all_watches_went_deaf() -> (
+    None
+):
+    """The platform gives a configuration 3 s; watches may end without a word."""
+    world = SessionWorld()
+    await world.start()
+    for moment in range(20):
+        # A change answers all watches, so that all are held from now on.
+        world.configure(10 + 2 * moment, ["tickets"])
+        await asyncio.sleep(0.7 + 0.1 * moment)
+        world.store.deafen()
+        world.configure(11 + 2 * moment, ["tickets", "views"])
+        await asyncio.sleep(2.9)
+        versions = {one.announcements.table.version for one in world.hosts.values()}
+        assert versions == {11 + 2 * moment}
+    await world.stop()
+
+
 @in_virtual_time
 async def test_an_older_configuration_is_never_put_in_force() -> None:
     world = SessionWorld()
