Refuse what is not HTTP with a typed refusal and one short line

Cause: aiohttp answered a header beyond its bound in plain text and logged a traceback for each, so that anybody could fill the log of a host. Ruled out: another status for long headers; callers know 400. Four cases of a test that failed first (line, field, no colon, not HTTP).

--- a/src/reedhook/process/server.py
+++ b/src/reedhook/process/server.py
@@ -12,6 +12,7 @@
 
 from .limits import ServerLimits
 from .listener import Listener, Runner
+from .parsing import RefusingServer
 
 IDLE_GRACE: Final = 1.0
 
@@ -153,7 +154,7 @@
         self.handler = handler
 
     def make_runner(self, **options: Any) -> Runner:
-        server = web.Server(
+        server = RefusingServer(
             self.answer,
             request_factory=partial(
                 web.BaseRequest,
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+import logbook
 import pytest
 from aiohttp import ClientSession, web
 
 from reedhook.process.limits import ServerLimits
 from reedhook.process.server import ApplicationServer, HandlerServer, Server
+from reedhook.wire import decode
 
 from .support import on_loop, run
 
@@ -164,3 +166,35 @@
     """Return the text that `server` answers."""
     async with session.get(f"http://{server.address}{path}") as response:
         return await response.text()
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        "GET / HTTP/1.1\r\nHost: a\r\nX: " + "y" * 20000 + "\r\n\r\n",
+        "GET /" + "y" * 20000 + " HTTP/1.1\r\nHost: a\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost a b" + "c" * 4000 + "\r\n\r\n",
+        "what is this?\r\n\r\n",
+    ],
+    ids=["field", "line", "field without a colon", "not HTTP"],
+)
+@on_loop
+async def test_what_cannot_be_read_is_refused_with_one_short_line(
+    head: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    server = await serve(SlowApp(), HandlerServer)
+    with logbook.TestHandler().applicationbound() as records:
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head.encode())
+        answer = await reader.read()
+        writer.close()
+    await server.stop()
+    status, _, body = answer.partition(b"\r\n\r\n")
+    assert b"application/json" in status
+    message = decode(body)
+    assert (message["reason"], message["verdict"]) == ("bad_request", "not run")
+    lines = [one.message for one in records.records if one.level >= logbook.WARNING]
+    assert len(lines) == 1
+    assert len(lines[0]) < 300
+    assert not caplog.records
