--- a/src/reedhook/process/command.py
+++ b/src/reedhook/process/command.py
@@ -12,6 +12,7 @@
   reedhook query GROUP SQL [PARAM...] [--write] [--consistency C] [--max-age MS]
       [--token TOKEN] [--deadline MS] [--request-id ID] [options]
   reedhook drain [HOST] [options]
+  reedhook settings check FILE [options]
   reedhook timeline [--group NAME] [--host HOST] [--kind KINDS] [--since TIME]
       [--html FILE] [options]
   reedhook --help
@@ -63,7 +64,7 @@
 
 from docopt import DocoptExit, docopt
 
-from . import command_config as config
+from . import command_config as config, command_settings
 from .command_access import FIELDS, Access, Endpoint
 from .command_client import Client, Refused
 from .command_error import CommandError, Exit
@@ -103,6 +104,8 @@
 
     :raises CommandError: if it cannot be done.
     """
+    if arguments["settings"]:
+        return command_settings.check(Path(arguments["FILE"]))
     access = access_of(arguments, environment)
     try:
         async with Client(endpoint_of(arguments, access)) as client:
