--- a/src/reedhook/connection/session.py
+++ b/src/reedhook/connection/session.py
@@ -10,9 +10,10 @@
 from ..process.metrics import Metrics
 from ..record import Record
 from ..request.command import Command, CommandKind
+from ..request.hop import Place
 from ..request.position import Position
 from ..request.refusal import Reason, Refusal, not_run
-from ..request.steering import Place, Steering
+from ..request.steering import Steering
 from ..request.work import Begin, Work, WorkKind
 from ..version.registry import Route
 from .lanes import PREPARED, VALUE
@@ -313,7 +314,7 @@
             reply = placed.answer.reply
         else:
             work.target = transaction.place.target
-            answer = await self.steering.run_at(transaction.place, work)
+            answer = await self.steering.hops.run_at(transaction.place, work)
             self.steering.learn(self.route.service, answer)
             reply = answer.reply
         if reply.fault is not Fault.NONE or kind is WorkKind.COMMIT:
@@ -386,7 +387,7 @@
             transaction.timer.cancel()
         if transaction.place is None or self.route is None:
             return
-        work = self.steering.end(
+        work = self.steering.hops.end(
             self.route.service, transaction.place, transaction.name
         )
         task = asyncio.get_running_loop().create_task(work)
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -10,7 +10,9 @@
 from ..clock import Clock
 from ..connection.member import MemberDriver, Phrases
 from ..connection.memberhome import MemberHome
+from ..request.hop import Hops
 from ..request.position import Position
+from ..request.replicas import Replicas
 from ..request.steering import Steering
 from ..version.registry import RouteTable, TargetEntry
 from ..wire import Json, WireError
@@ -168,7 +170,9 @@
         self.desk = Desk(
             self.announcements, self.leads, self.make_home, self.clock, self.decisions
         )
-        self.steering = Steering(
+        self.hops = Hops(self.me, self.desk, self.peers, self.clock, self.decisions)
+        replicas = Replicas(
+            self.hops,
             self.desk,
             self.book,
             self.directory,
@@ -177,6 +181,15 @@
             self.clock,
             self.decisions,
         )
+        self.steering = Steering(
+            self.hops,
+            replicas,
+            self.book,
+            self.directory,
+            self.peers,
+            self.clock,
+            self.decisions,
+        )
         self.callers = Callers(
             self.holder.life,
             self.steering,
@@ -195,7 +208,7 @@
         self.leads.register(self.routes)
         self.desk.register(self.routes)
         self.routes.add(TABLE_PATH, self.answer_table)
-        self.steering.on_host_lost = self.host_lost
+        self.hops.on_host_lost = self.host_lost
         self.membership.on_version = self.heard_version
         self.announcements.on_table.append(self.configured)
         self.announcements.on_own.append(self.announced)
--- /dev/null
+++ b/src/reedhook/request/hop.py
@@ -0,0 +1,191 @@
+"""The hop of a statement from the host of its session to the home of a target."""
+
+from collections.abc import Callable
+from typing import Final
+
+from ..clock import Clock
+from ..process.decisions import Decisions
+from ..process.desk import END, WORK, Desk
+from ..process.lead.record import LeadRecord
+from ..process.peer import HostRef, PeerError, Peers
+from ..record import Record
+from ..wire import Json, WireError
+from .position import Position
+from .refusal import Reason, Refusal, may_have_run, not_run
+from .work import Work, WorkAnswer, WorkKind
+
+HOP_GRACE: Final = 0.05
+"""Seconds beyond the deadline for the answer of another host to arrive."""
+
+READ_PATIENCE: Final = 0.45
+"""Seconds after which a read that another host does not answer is sent
+elsewhere; the host itself gives a target 0.35 s."""
+
+AGAIN_TIMEOUT: Final = 0.5
+"""Seconds for another host to say again what became of a write."""
+
+TRY_SILENT_EVERY: Final = 0.2
+"""Seconds between two statements that try a host which gave no answer."""
+
+SILENT_FOR: Final = 1.5
+"""Seconds in which another host takes over from one that is lost; later what
+depends on it is refused at once."""
+
+RETRY_MS: Final = 100
+"""When to come back if no primary is found, in milliseconds."""
+
+
+class Place(Record):
+    """Say where a transaction runs.
+
+    :param target: empty for the primary.
+    """
+
+    __slots__ = ("host", "target")
+
+    def __init__(self, host: HostRef, target: str) -> None:
+        self.host = host
+        self.target = target
+
+
+class Placed(Record):
+    """Carry an answer with the place that gave it."""
+
+    __slots__ = ("answer", "place")
+
+    def __init__(self, answer: WorkAnswer, place: Place) -> None:
+        self.answer = answer
+        self.place = place
+
+
+class Hops:
+    """Have statements run at hosts, and know which of these gave no answer.
+
+    :ivar lost_since: when hosts first gave no answer, by monotonic time.
+    :ivar on_host_lost: is told of a host that gave no answer.
+    """
+
+    def __init__(
+        self,
+        me: HostRef,
+        desk: Desk,
+        peers: Peers,
+        clock: Clock,
+        decisions: Decisions,
+    ) -> None:
+        self.me = me
+        self.desk = desk
+        self.peers = peers
+        self.clock = clock
+        self.decisions = decisions
+        self.lost_since: dict[str, float] = {}
+        self.tried_at: dict[str, float] = {}
+        self.on_host_lost: Callable[[HostRef], None] = lambda host: None
+
+    def leader(self, record: LeadRecord, refused_by_deputy: bool) -> HostRef:
+        """Return the host that uses the primary: the holder, or its deputy.
+
+        :param refused_by_deputy: whether the deputy was asked for this
+            statement and does not act.
+        """
+        holder, deputy = record.holder.ref, record.deputy
+        if refused_by_deputy or deputy is None or holder.host not in self.lost_since:
+            return holder
+        return holder if deputy.ref.host in self.lost_since else deputy.ref
+
+    async def run_at(self, place: Place, work: Work) -> WorkAnswer:
+        """Run a statement at a place.
+
+        :raises Refusal: with a verdict that holds also if the hop breaks.
+        """
+        if place.host.host == self.me.host:
+            return await self.desk.execute(work)
+        self.check_host(place.host)
+        asked = self.clock.elapsed()
+        timeout = work.left + HOP_GRACE
+        if work.kind is WorkKind.READ and not work.transaction:
+            timeout = min(timeout, READ_PATIENCE)
+        try:
+            message = await self.peers.call(place.host, WORK, work.to_json(), timeout)
+            self.lost_since.pop(place.host.host, None)
+            return WorkAnswer.from_json(message, asked)
+        except WireError as error:
+            return await self.broken(place, work, str(error), True)
+        except PeerError as error:
+            return await self.broken(place, work, str(error), error.sent)
+
+    def check_host(self, host: HostRef) -> None:
+        """Refuse at once what would wait for a host that is known to be silent.
+
+        Now and then one statement tries it all the same.
+
+        :raises Refusal: not run.
+        """
+        since = self.lost_since.get(host.host)
+        if since is None:
+            return
+        now = self.clock.monotonic()
+        if now - self.tried_at.get(host.host, since) < TRY_SILENT_EVERY:
+            raise not_run(
+                Reason.HOST_UNREACHABLE, f"the host {host.host} is silent", RETRY_MS
+            )
+        self.tried_at[host.host] = now
+
+    def patient(self, host: HostRef) -> bool:
+        """Say whether a silent host is likely to be replaced soon."""
+        since = self.lost_since.get(host.host)
+        return since is None or self.clock.monotonic() - since < SILENT_FOR
+
+    async def broken(
+        self, place: Place, work: Work, detail: str, sent: bool
+    ) -> WorkAnswer:
+        """Find out what became of a statement whose hop broke.
+
+        A read has no effect, and a transaction is rolled back unless its
+        commit was sent. What is in doubt is asked for once more.
+
+        :raises Refusal: unless the host still tells the outcome.
+        """
+        self.on_host_lost(place.host)
+        self.lost_since.setdefault(place.host.host, self.clock.monotonic())
+        self.decisions.note(
+            "host_silent", id=work.id, host=place.host.host, sent=sent, error=detail
+        )
+        text = f"the host {place.host.host} gave no answer"
+        if not sent or work.kind is WorkKind.READ and not work.transaction:
+            raise not_run(Reason.HOST_UNREACHABLE, text, RETRY_MS)
+        if work.kind is WorkKind.WRITE and work.transaction:
+            raise not_run(Reason.TRANSACTION_LOST, text, RETRY_MS)
+        if work.kind is WorkKind.READ:
+            raise not_run(Reason.TRANSACTION_LOST, text, RETRY_MS)
+        work.again = True
+        asked = self.clock.elapsed()
+        try:
+            message = await self.peers.call(
+                place.host, WORK, work.to_json(), AGAIN_TIMEOUT
+            )
+            return WorkAnswer.from_json(message, asked)
+        except (PeerError, WireError) as error:
+            raise may_have_run(Reason.HOST_UNREACHABLE, text) from error
+
+    async def end(self, service: str, place: Place, name: str) -> None:
+        """Roll a transaction back; without an answer its home does so itself."""
+        if place.host.host == self.me.host:
+            self.desk.end(service, place.target, name)
+            return
+        body: Json = {"service": service, "target": place.target, "name": name}
+        try:
+            await self.peers.call(place.host, END, body, AGAIN_TIMEOUT)
+        except (PeerError, Refusal) as error:
+            self.decisions.note(
+                "rollback_unanswered", host=place.host.host, error=str(error)
+            )
+
+    def rerouted(
+        self, work: Work, target: str, cause: str, floor: Position | None = None
+    ) -> None:
+        """Log that a statement goes elsewhere."""
+        position = None if floor is None else floor.to_json()
+        self.decisions.note(
+            "rerouted", id=work.id, target=target, cause=cause, floor=position
+        )
--- /dev/null
+++ b/src/reedhook/request/replicas.py
@@ -0,0 +1,183 @@
+"""Reads at replicas: which of them is fresh enough, and expected to be quick."""
+
+from typing import Final
+
+from ..clock import Clock
+from ..connection.member import Fault
+from ..process.announced.announcements import Announcements
+from ..process.decisions import Decisions
+from ..process.desk import PROOF, Desk
+from ..process.directory import Directory
+from ..process.lead.book import LeadBook
+from ..process.peer import PeerError, Peers
+from ..version.registry import Route, TargetEntry
+from ..wire import Json, WireError
+from .hop import Hops, Place, Placed
+from .position import Position
+from .refusal import Refusal
+from .sightings import Sightings
+from .verdict import Verdict
+from .work import Proof, Work
+
+AGE_MARGIN: Final = 0.15
+"""Seconds by which a proof must be younger than a read demands: the way of the
+read to the target, with a wait for a connection."""
+
+PROOF_TIMEOUT: Final = 0.25
+"""Seconds for another host to state a position."""
+
+MOST_REPLICAS: Final = 2
+"""Replicas that are tried before the primary."""
+
+ABROAD: Final = 0.012
+"""Seconds by which a target of another availability zone must be faster: a hop
+of 3 ms, and bytes between zones that are paid for."""
+
+
+class Replicas:
+    """Choose a replica for each read, by what its answers have told."""
+
+    def __init__(
+        self,
+        hops: Hops,
+        desk: Desk,
+        book: LeadBook,
+        directory: Directory,
+        peers: Peers,
+        announcements: Announcements,
+        clock: Clock,
+        decisions: Decisions,
+    ) -> None:
+        self.hops = hops
+        self.desk = desk
+        self.book = book
+        self.directory = directory
+        self.me = directory.me
+        self.peers = peers
+        self.announcements = announcements
+        self.clock = clock
+        self.decisions = decisions
+        self.services: dict[str, Sightings] = {}
+
+    async def run(
+        self, route: Route, work: Work, own: Position | None, deadline: float
+    ) -> Placed | None:
+        """Run a read at a replica that is fresh enough, or return None."""
+        floor = await self.floor(route, own)
+        if floor is None:
+            return None
+        tried: set[str] = set()
+        while len(tried) < MOST_REPLICAS:
+            entry = self.best_replica(route.service, floor, tried)
+            if entry is None:
+                return None
+            tried.add(entry.target)
+            placed = await self.at_replica(entry, work, floor, deadline)
+            if placed is not None:
+                return placed
+        return None
+
+    async def floor(self, route: Route, own: Position | None) -> Position | None:
+        """Return the position that a replica must hold; None if unknown."""
+        if route.max_age is None:
+            return own
+        since = self.clock.elapsed() - route.max_age + AGE_MARGIN
+        sightings = self.sightings(route.service)
+        proof = sightings.oldest(since)
+        if proof is None:
+            proof = await self.ask_proof(route, sightings)
+        if proof is None:
+            return None
+        if own is not None and own > proof.position:
+            return own
+        return proof.position
+
+    async def ask_proof(self, route: Route, sightings: Sightings) -> Proof | None:
+        """Ask the host that leads the service for the primary's position."""
+        record = self.book.get(route.service)
+        assert route.max_age is not None
+        age = route.max_age / 2
+        if record is None:
+            return None
+        host = self.hops.leader(record, False)
+        asked = self.clock.elapsed()
+        try:
+            if host.host == self.me.host:
+                proof = await self.desk.prove(route.service, asked - age)
+            else:
+                body: Json = {"service": route.service, "age": age}
+                answer = await self.peers.call(host, PROOF, body, PROOF_TIMEOUT)
+                proof = Proof.from_json(answer, asked)
+        except (PeerError, Refusal, WireError) as error:
+            self.decisions.note(
+                "position_unknown", service=route.service, error=str(error)
+            )
+            return None
+        sightings.prove(proof)
+        return proof
+
+    def best_replica(
+        self, service: str, floor: Position, tried: set[str]
+    ) -> TargetEntry | None:
+        """Return the replica that is expected to answer first, or None."""
+        now = self.clock.monotonic()
+        sightings = self.sightings(service)
+        record = self.book.get(service)
+        primary = "" if record is None else record.primary
+        best: TargetEntry | None = None
+        least = float("inf")
+        for entry in self.announcements.targets.values():
+            if entry.service != service or entry.leaving or entry.target == primary:
+                continue
+            seen = sightings.target(entry.target)
+            covered = seen.position is not None and seen.position >= floor
+            if entry.target in tried or (now < seen.avoid_until and not covered):
+                continue
+            cost = seen.expected(now)
+            cost += 0.0 if entry.zone == self.me.zone else ABROAD
+            if cost < least:
+                best, least = entry, cost
+        return best
+
+    async def at_replica(
+        self, entry: TargetEntry, work: Work, floor: Position, deadline: float
+    ) -> Placed | None:
+        """Run a read at one replica; None if another target is to serve it."""
+        host = self.directory.home(entry.target, entry.zone)
+        if host is None:
+            return None
+        work.target = entry.target
+        work.after = floor
+        work.left = deadline - self.clock.monotonic()
+        seen = self.sightings(work.service).target(entry.target)
+        begun = self.clock.monotonic()
+        seen.inflight += 1
+        place = Place(host, entry.target)
+        try:
+            answer = await self.hops.run_at(place, work)
+        except Refusal as refusal:
+            if refusal.verdict is not Verdict.NOT_RUN or work.left <= 0.0:
+                raise
+            seen.lost(self.clock.monotonic())
+            self.hops.rerouted(work, entry.target, refusal.reason.value)
+            return None
+        finally:
+            seen.inflight -= 1
+        now = self.clock.monotonic()
+        reply = answer.reply
+        if reply.fault is Fault.LAGGING:
+            seen.lagged(reply.position, now)
+            self.hops.rerouted(work, entry.target, reply.fault.value, floor)
+            return None
+        if reply.fault is Fault.BUSY:
+            self.hops.rerouted(work, entry.target, reply.fault.value)
+            return None
+        seen.answered(now - begun, reply.position, now)
+        return Placed(answer, place)
+
+    def sightings(self, service: str) -> Sightings:
+        """Return what this host has learned of a service."""
+        found = self.services.get(service)
+        if found is None:
+            found = self.services[service] = Sightings()
+        return found
