A soak of real hosts, with faults from outside

Hosts run as processes before a store, a database group and a promotion call in the process of the soak; proxies on the loopback delay, swallow one way or both, and reset what hosts, callers and targets send each other; processes are killed, paused, ended and reloaded; the store is silent, busy, forgets, or lets leases lapse; targets are dark, lag, receive nothing or leave. Callers and targets report to one judge (promises), which the scenarios in virtual time use as well; the group in memory moved from the tests to the stand-ins for that. Links between hosts are disturbed by pauses and kills only: hosts announce the address that they listen on. Targets are told which host connects.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 PYTHON := $(VENV)/bin/python
 DEPLOYMENT ?= plant
 
-.PHONY: demo test lint bench format
+SEEDS ?= 50
+
+.PHONY: demo test lint bench format soak
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	python3.11 -m venv $(VENV)
@@ -28,3 +30,6 @@
 
 bench: $(VENV)/ready
 	$(PYTHON) -m bench.run
+
+soak: $(VENV)/ready
+	$(PYTHON) -m reedhook_standins.soak.soak --seeds $(SEEDS)
--- a/src/reedhook/platform/assembly.py
+++ b/src/reedhook/platform/assembly.py
@@ -54,7 +54,7 @@
             self.store,
             PlatformDocuments(),
             self.promoter,
-            WireDriver(),
+            WireDriver(settings.host),
             WirePhrases(),
             HttpPeers(me, PEER_CREDENTIAL, timeline, clock),
             timeline,
--- a/src/reedhook/platform/driver.py
+++ b/src/reedhook/platform/driver.py
@@ -22,7 +22,6 @@
 from . import text
 from .line import LineError, LineReader, encoded
 
-CALLER: Final = "reedhook"
 FAILED: Final = "E"
 STATUS_FIELDS: Final = 7
 REFUSALS: Final = {"OVERLOADED": MemberFull, "MISROUTED": MemberMisrouted}
@@ -155,7 +154,13 @@
 
 
 class WireDriver(MemberDriver):
-    """Open connections over TCP."""
+    """Open connections over TCP.
+
+    :param host: this host, by whose name targets know who is connecting.
+    """
+
+    def __init__(self, host: str) -> None:
+        self.host = host
 
     async def connect(self, entry: TargetEntry, timeout: float) -> MemberConnection:
         host, _, port = entry.address.rpartition(":")
@@ -164,7 +169,7 @@
         try:
             async with asyncio.timeout(timeout):
                 await loop.create_connection(lambda: connection, host, int(port))
-                start = encoded("START", entry.service, CALLER, entry.target)
+                start = encoded("START", entry.service, self.host, entry.target)
                 await connection.send(start, 1, timeout)
         except (TimeoutError, OSError, MemberSilent) as error:
             connection.close()
--- /dev/null
+++ b/src/reedhook_standins/database.py
@@ -0,0 +1,276 @@
+"""Database groups in memory, whose logs and sessions a check can look into.
+
+A read returns one row that tells which commits the log held, and with which
+session state the statement ran. Replication, promotions and rollbacks follow
+the platform's rules.
+"""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+from reedhook.connection.member import Fault, MemberReply, Query
+from reedhook.request.position import Position
+from reedhook.version.registry import TargetEntry
+
+LAG = 0.008
+PROMOTION = 0.3
+
+
+class DatabaseMember:
+    """Hold one member of a group: a log, a role, open connections.
+
+    :ivar log: ids of commits in order, each ``term.index``.
+    :ivar received: the log with what is received and not applied yet.
+    :ivar deaf: whether it receives nothing.
+    :ivar down: whether it answers nothing.
+    """
+
+    def __init__(self, entry: TargetEntry, group: "DatabaseGroup", limit: int) -> None:
+        self.entry = entry
+        self.group = group
+        self.limit = limit
+        self.log: list[Position] = [Position(1, 0)]
+        self.term = 1
+        self.leads = False
+        self.deaf = False
+        self.down = False
+        self.lag = LAG
+        self.connections: set[Any] = set()
+        self.runs: list[str] = []
+        self.losing = 0.0
+
+    @property
+    def position(self) -> Position:
+        """Return the last entry of the log."""
+        return self.log[-1]
+
+
+class DatabaseGroup:
+    """Hold the members of one service, and the truth about their commits.
+
+    :ivar lost: commits that a promotion rolled back, or will.
+    :ivar superseded: commits at a former primary after a promotion.
+    :ivar promotions: target, holder and fencing token of each order, in order.
+    :ivar on_run: is told of the id, the text and the session of each statement.
+    :ivar on_commit: is told of the ids of the statements of each commit.
+    """
+
+    def __init__(self, service: str, zones: list[str], limit: int = 16) -> None:
+        self.service = service
+        self.members: dict[str, DatabaseMember] = {}
+        for index, zone in enumerate(zones):
+            entry = TargetEntry(
+                f"{service}-{index}",
+                service,
+                f"10.0.{index}.1:1",
+                zone,
+                False,
+                index == 0,
+            )
+            self.members[entry.target] = DatabaseMember(entry, self, limit)
+        self.primary.leads = True
+        self.cuts: set[tuple[str, str]] = set()
+        self.lost: set[Position] = set()
+        self.superseded: set[Position] = set()
+        self.promotions: list[tuple[str, str, int]] = []
+        self.promoted: list[str] = [self.primary.entry.target]
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.random = random.Random(service)
+        self.violations: list[str] = []
+        self.on_run: Callable[[str, str, DatabaseSession], None] = ignored
+        self.on_commit: Callable[[list[str]], None] = lambda ids: None
+
+    @property
+    def primary(self) -> DatabaseMember:
+        """Return the member that was promoted last."""
+        leading = [one for one in self.members.values() if one.leads]
+        if not leading:
+            return next(iter(self.members.values()))
+        return max(leading, key=lambda one: one.term)
+
+    def commit(self, member: DatabaseMember) -> Position:
+        """Append a commit and send it to the replicas."""
+        entry = Position(member.term, member.position.index + 1)
+        member.log.append(entry)
+        for other in self.members.values():
+            if other is not member:
+                self.spawn(self.replicate(member, other))
+        return entry
+
+    async def replicate(self, source: DatabaseMember, other: DatabaseMember) -> None:
+        """Bring the log of a primary to a replica after its lag."""
+        await asyncio.sleep(other.lag)
+        key = (source.entry.target, other.entry.target)
+        while other.deaf or other.down or source.down or key in self.cuts:
+            await asyncio.sleep(0.05)
+        if source.leads and source is self.primary and not other.leads:
+            if len(source.log) >= len(other.log) or other.term < source.term:
+                other.log = list(source.log)
+                other.term = source.term
+
+    def spawn(self, work: object) -> None:
+        """Run `work` in the background."""
+        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def promote(self, target: str) -> None:
+        """Let a member lead the next term with what it holds."""
+        await asyncio.sleep(PROMOTION)
+        member = self.members[target]
+        former = self.primary
+        if member is former:
+            return
+        member.term = max(one.term for one in self.members.values()) + 1
+        member.leads = True
+        self.promoted.append(target)
+        self.lost |= set(former.log) - set(member.log)
+        member.log.append(Position(member.term, member.position.index + 1))
+        for other in self.members.values():
+            if other is not member and other is not former:
+                self.spawn(self.replicate(member, other))
+
+    def cut(self, host: str, target: str) -> None:
+        """Lose what a host and a member send each other."""
+        self.cuts.add((host, target))
+
+    def unreachable(self, host: str, member: DatabaseMember) -> bool:
+        """Say whether a host and a member do not hear each other."""
+        return member.down or (host, member.entry.target) in self.cuts
+
+
+class DatabaseSession:
+    """Run the statements of one connection to a member.
+
+    :ivar open: the kind of the open transaction; empty for none.
+    :ivar written: ids of the statements that wrote in it.
+    """
+
+    def __init__(self, member: DatabaseMember) -> None:
+        self.member = member
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, bool] = {}
+        self.id = ""
+        self.open = ""
+        self.written: list[str] = []
+        self.failed = False
+
+    def run(self, query: Query) -> MemberReply:
+        """Run one statement as the member does."""
+        if query.id:
+            self.member.runs.append(query.id)
+            self.member.group.on_run(query.id, query.text, self)
+        if query.after is not None and query.after not in self.member.log:
+            return self.reply(Fault.LAGGING)
+        word, _, rest = query.text.partition(" ")
+        self.id = query.id
+        if self.failed and word not in ("ROLLBACK", "COMMIT"):
+            return self.reply(Fault.MALFORMED)
+        handler = getattr(self, f"do_{word.lower()}", None)
+        if handler is None:
+            return self.reply(Fault.MALFORMED)
+        reply: MemberReply = handler(rest)
+        return reply
+
+    def reply(self, fault: Fault = Fault.NONE, *rows: str) -> MemberReply:
+        """Return an answer with the state of the session."""
+        if fault is not Fault.NONE and self.open:
+            self.failed = True
+        position = self.member.position
+        return MemberReply(list(rows), "mac", fault, "", self.failed, position)
+
+    def do_reset(self, rest: str) -> MemberReply:
+        self.values, self.prepared = {}, {}
+        return self.reply()
+
+    def do_set(self, rest: str) -> MemberReply:
+        name, _, value = rest.partition(" ")
+        self.values[name] = value
+        return self.reply()
+
+    def do_prepare(self, rest: str) -> MemberReply:
+        name, kind = rest.split(" ")[:2]
+        if name in self.prepared:
+            return self.reply(Fault.MALFORMED)
+        self.prepared[name] = kind == "WRITE"
+        return self.reply()
+
+    def do_deallocate(self, rest: str) -> MemberReply:
+        if self.prepared.pop(rest, None) is None:
+            return self.reply(Fault.UNKNOWN_NAME)
+        return self.reply()
+
+    def do_begin(self, rest: str) -> MemberReply:
+        if not rest and not self.member.leads:
+            return self.reply(Fault.READ_ONLY)
+        self.open = "read" if rest else "write"
+        self.written = []
+        return self.reply()
+
+    def do_read(self, rest: str) -> MemberReply:
+        seen = {
+            "log": [one.to_json() for one in self.member.log],
+            "values": self.values,
+            "prepared": self.prepared,
+            "open": self.open,
+        }
+        return self.reply(Fault.NONE, json.dumps(seen))
+
+    def do_write(self, rest: str) -> MemberReply:
+        if not self.member.leads or self.open == "read":
+            return self.reply(Fault.READ_ONLY)
+        if self.open:
+            self.written.append(self.id)
+        else:
+            self.commit([self.id])
+        return self.reply()
+
+    def do_execute(self, rest: str) -> MemberReply:
+        writes = self.prepared.get(rest.split(" ")[0])
+        if writes is None:
+            return self.reply(Fault.UNKNOWN_NAME)
+        return self.do_write(rest) if writes else self.do_read(rest)
+
+    def do_commit(self, rest: str) -> MemberReply:
+        if self.written and not self.member.leads:
+            self.leave()
+            return self.reply(Fault.READ_ONLY)
+        written = self.written
+        self.leave()
+        if written:
+            self.commit(written)
+        return self.reply()
+
+    def do_rollback(self, rest: str) -> MemberReply:
+        self.leave()
+        return self.reply()
+
+    def do_demote(self, rest: str) -> MemberReply:
+        if int(rest) > self.member.term and self.member.leads:
+            self.member.leads = False
+            group = self.member.group
+            group.spawn(group.replicate(group.primary, self.member))
+        return self.reply()
+
+    def leave(self) -> None:
+        """End the open transaction."""
+        self.open, self.failed, self.written = "", False, []
+
+    def commit(self, ids: list[str]) -> None:
+        """Commit on the member's log; one after a promotion is lost.
+
+        :param ids: of the statements that wrote.
+        """
+        group = self.member.group
+        entry = group.commit(self.member)
+        group.on_commit(ids)
+        if self.member is not group.primary:
+            group.lost.add(entry)
+            group.superseded.add(entry)
+
+
+def ignored(id: str, text: str, session: DatabaseSession) -> None:
+    """Take no note of a statement."""
--- a/src/reedhook_standins/keyvalue.py
+++ b/src/reedhook_standins/keyvalue.py
@@ -24,6 +24,7 @@
         self.history: list[dict[str, Any]] = []
         self.first = 0
         self.leases: set[int] = set()
+        self.granted = 100
         self.status = 0
         self.silent = False
         self.changed = asyncio.Event()
@@ -84,6 +85,17 @@
         self.history.clear()
         self.first = self.revision
 
+    def end_leases(self) -> None:
+        """Let all leases lapse; what was written under them goes."""
+        for lease in list(self.leases):
+            self.lapse(lease)
+
+    def lapse(self, lease: int) -> None:
+        """Let one lease end."""
+        self.leases.discard(lease)
+        for key in [k for k, one in self.items.items() if one["lease"] == lease]:
+            self.write(key, None)
+
     async def key(self, request: web.Request) -> web.Response:
         """Return one item."""
         item = self.items.get(request.query["key"])
@@ -139,7 +151,8 @@
     async def lease(self, request: web.Request) -> web.Response:
         """Grant a lease."""
         body = orjson.loads(await request.read())
-        lease = len(self.leases) + 100
+        self.granted += 1
+        lease = self.granted
         self.leases.add(lease)
         return answer({"lease": lease, "ttl_ms": body["ttl_ms"]})
 
@@ -151,10 +164,7 @@
 
     async def end(self, request: web.Request) -> web.Response:
         """End a lease."""
-        lease = int(request.match_info["lease"])
-        self.leases.discard(lease)
-        for key in [k for k, one in self.items.items() if one["lease"] == lease]:
-            self.write(key, None)
+        self.lapse(int(request.match_info["lease"]))
         return answer({})
 
 
--- /dev/null
+++ b/src/reedhook_standins/soak/caller.py
@@ -0,0 +1,250 @@
+"""Callers of a soak, who check what they are told."""
+
+import asyncio
+from random import Random
+from typing import Final
+
+from reedhook.address import split_address
+from reedhook.platform.text import read_position
+from reedhook.record import Record
+from reedhook.request.position import Position
+from reedhook.version.registry import RouteKind
+
+from ..promises import Promises, Sent, Viewer
+
+PATIENCE: Final = 3.0
+"""Seconds for an answer; a host's own bound of a statement is 0.8."""
+
+KEPT_IN_DOUBT: Final = 1 << 16
+"""Bytes of one line of an answer."""
+
+WITHOUT_TRACE: Final = frozenset(
+    {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOADED"}
+)
+"""Errors that promise that nothing is kept."""
+
+ROUTES: Final = {
+    "tickets": (RouteKind.PRIMARY, None),
+    "views": (RouteKind.BOUNDED, 1.5),
+    "reports": (RouteKind.OWN_WRITES, 2.5),
+}
+"""Kind and greatest age in seconds of each database."""
+
+
+class Answer(Record):
+    """Carry the answer to one statement.
+
+    :param error: empty for a success.
+    """
+
+    __slots__ = ("rows", "signature", "error", "state", "position")
+
+    def __init__(
+        self,
+        rows: list[str],
+        signature: str,
+        error: str,
+        state: str,
+        position: Position | None,
+    ) -> None:
+        self.rows = rows
+        self.signature = signature
+        self.error = error
+        self.state = state
+        self.position = position
+
+
+class SessionEnded(Exception):
+    """Say that the session has ended, or gives no answer."""
+
+
+class WireCaller:
+    """Hold one session, and check each answer.
+
+    :ivar done: statements that succeeded.
+    """
+
+    def __init__(
+        self, name: str, database: str, promises: Promises, random: Random
+    ) -> None:
+        self.name = name
+        self.database = database
+        self.promises = promises
+        self.random = random
+        self.sent = 0
+        self.done = 0
+        self.state = "I"
+        self.transaction = ""
+        self.begun_at = 0.0
+        self.writes: list[str] = []
+        self.settings: dict[str, str] = {}
+        self.prepared: dict[str, bool] = {}
+
+    async def open(self, address: str) -> None:
+        """Open the session.
+
+        :raises SessionEnded: if that fails.
+        """
+        host, port = split_address(address)
+        try:
+            async with asyncio.timeout(PATIENCE):
+                self.reader, self.writer = await asyncio.open_connection(
+                    host, port, limit=KEPT_IN_DOUBT * 64
+                )
+                self.writer.write(f"START {self.database} {self.name}\r\n".encode())
+                line = await self.line()
+        except (OSError, TimeoutError) as error:
+            raise SessionEnded(repr(error)) from error
+        if not line.startswith("READY"):
+            raise SessionEnded(line)
+
+    async def line(self) -> str:
+        """Return the next line.
+
+        :raises SessionEnded: if there is none.
+        """
+        data = await self.reader.readline()
+        if not data.endswith(b"\r\n"):
+            raise SessionEnded("the session was closed")
+        return data.decode("latin-1").rstrip("\r\n")
+
+    def close(self) -> None:
+        """End the session; a transaction that is open is rolled back."""
+        writer = getattr(self, "writer", None)
+        if writer is not None:
+            writer.close()
+
+    async def ask(self, text: str) -> Answer:
+        """Send one statement and read its answer.
+
+        :raises SessionEnded: if there is none in time.
+        """
+        self.sent += 1
+        id = f"{self.name}-{self.sent}"
+        self.promises.sent[id] = Sent(
+            text, self.transaction, dict(self.settings), dict(self.prepared)
+        )
+        asked = self.promises.now()
+        self.writer.write(f"QUERY {id} {text}\r\n".encode())
+        try:
+            async with asyncio.timeout(PATIENCE):
+                answer = await self.read_answer()
+        except (OSError, TimeoutError) as error:
+            raise SessionEnded(repr(error)) from error
+        self.state = answer.state
+        self.judge(id, text, answer, asked)
+        return answer
+
+    async def read_answer(self) -> Answer:
+        """Read the lines of one answer."""
+        rows, signature, error = [], "", ""
+        while True:
+            word, _, rest = (await self.line()).partition(" ")
+            if word == "ROW":
+                rows.append(rest)
+            elif word == "COMPLETE":
+                signature = rest
+            elif word == "ERROR":
+                error = rest.partition(" ")[0]
+            else:
+                state, _, position = rest.partition(" ")
+                return Answer(rows, signature, error, state, read_position(position))
+
+    def judge(self, id: str, text: str, answer: Answer, asked: float) -> None:
+        """Compare an answer with what was promised."""
+        word = text.split(" ")[0]
+        writes = self.writes_by(word, text)
+        if answer.error:
+            if answer.error in WITHOUT_TRACE:
+                lost = [id] if writes else []
+                self.promises.promise(self.name, lost + self.writes)
+            return
+        self.done += 1
+        if word == "BEGIN":
+            self.begun_at = asked
+        if writes and self.transaction:
+            self.writes.append(id)
+        elif writes or (word == "COMMIT" and self.writes):
+            assert answer.position is not None
+            self.promises.acknowledge(self.name, answer.position, self.name)
+        if word == "READ" or (word == "EXECUTE" and not writes):
+            self.judge_read(id, answer, self.begun_at if self.transaction else asked)
+
+    def writes_by(self, word: str, text: str) -> bool:
+        """Say whether a statement writes."""
+        if word == "EXECUTE":
+            return self.prepared.get(text.split(" ")[1], False)
+        return word == "WRITE"
+
+    def judge_read(self, id: str, answer: Answer, asked: float) -> None:
+        """Check what a read returned."""
+        if not answer.rows or not answer.signature.startswith("mac"):
+            self.promises.broken(f"{id} succeeded without rows or signature")
+            return
+        kind, max_age = ROUTES[self.database]
+        viewer = Viewer(
+            self.name, self.name, kind, max_age, self.settings, self.prepared
+        )
+        self.promises.read(viewer, answer.rows[0], asked)
+
+    # Operations
+
+    async def operate(self) -> None:
+        """Run a few operations.
+
+        :raises SessionEnded: if the session ends before.
+        """
+        if self.random.random() < 0.4:
+            await self.set("v", str(self.random.random()))
+        if self.random.random() < 0.4:
+            await self.prepare("s", self.random.random() < 0.5)
+        for _ in range(self.random.randint(1, 4)):
+            choice = self.random.random()
+            if choice < 0.4:
+                await self.ask("READ a")
+            elif choice < 0.6:
+                await self.ask("WRITE a b")
+            elif choice < 0.7 and self.prepared:
+                await self.ask("EXECUTE s a b")
+            else:
+                await self.transact()
+            if self.state != "I":
+                raise SessionEnded("an operation ended outside of idle")
+
+    async def set(self, name: str, value: str) -> None:
+        """Set a value of the session."""
+        answer = await self.ask(f"SET {name} {value}")
+        if answer.error:
+            raise SessionEnded(answer.error)
+        self.settings[name] = value
+
+    async def prepare(self, name: str, writes: bool) -> None:
+        """Prepare a statement."""
+        answer = await self.ask(f"PREPARE {name} {'WRITE' if writes else 'READ'} q")
+        if answer.error:
+            raise SessionEnded(answer.error)
+        self.prepared[name] = writes
+
+    async def transact(self) -> None:
+        """Run a transaction of a few statements."""
+        reads_only = self.random.random() < 0.3
+        if (await self.ask("BEGIN READ" if reads_only else "BEGIN")).error:
+            return
+        self.transaction = f"{self.name}.{self.sent}"
+        try:
+            if await self.steps(reads_only):
+                end = "ROLLBACK" if self.random.random() < 0.2 else "COMMIT"
+                await self.ask(end)
+            else:
+                await self.ask("ROLLBACK")
+        finally:
+            self.transaction, self.writes = "", []
+
+    async def steps(self, reads_only: bool) -> bool:
+        """Run the statements of a transaction; return whether all succeeded."""
+        for _ in range(self.random.randint(1, 4)):
+            reads = reads_only or self.random.random() < 0.5
+            if (await self.ask("READ a" if reads else "WRITE a b")).error:
+                return False
+            await asyncio.sleep(self.random.uniform(0.0, 0.05))
+        return True
--- /dev/null
+++ b/src/reedhook_standins/soak/faults.py
@@ -0,0 +1,182 @@
+"""Faults of a soak, drawn at random and brought about from outside."""
+
+import asyncio
+import signal
+from abc import ABC, abstractmethod
+from random import Random
+from typing import Final
+
+from .hosts import HostProcess
+from .proxy import Link
+from .surroundings import Surroundings
+
+LONGEST_PAUSE: Final = 14.0
+"""Seconds; longer than any permission to use a primary lasts."""
+
+
+class Field:
+    """Hold what faults act on."""
+
+    def __init__(
+        self, hosts: list[HostProcess], around: Surroundings, random: Random
+    ) -> None:
+        self.hosts = hosts
+        self.around = around
+        self.random = random
+
+    def some_hosts(self) -> list[HostProcess]:
+        """Return a few of the hosts, mostly one."""
+        count = 1 if self.random.random() < 0.7 else self.random.randint(1, 3)
+        return self.random.sample(self.hosts, min(count, len(self.hosts)))
+
+
+class Fault(ABC):
+    """Bring one kind of trouble about, and end it."""
+
+    @abstractmethod
+    async def strike(self, field: Field) -> str:
+        """Bring it about, let it last and end it; return what it was."""
+
+
+class Killed(Fault):
+    """A process is killed and starts again."""
+
+    async def strike(self, field: Field) -> str:
+        hosts = field.some_hosts()
+        for host in hosts:
+            await host.kill()
+        await asyncio.sleep(field.random.uniform(0.0, 2.0))
+        for host in hosts:
+            await host.start()
+        return f"killed {names(hosts)}"
+
+
+class Restarted(Fault):
+    """A process is told to end, and starts again; others in series."""
+
+    async def strike(self, field: Field) -> str:
+        hosts = field.some_hosts()
+        for host in hosts:
+            await host.end()
+            await host.start()
+            await asyncio.sleep(field.random.uniform(0.0, 1.0))
+        return f"restarted {names(hosts)}"
+
+
+class Paused(Fault):
+    """A process stands still for a while."""
+
+    async def strike(self, field: Field) -> str:
+        hosts = field.some_hosts()
+        seconds = field.random.choice([0.4, 1.5, 4.0, LONGEST_PAUSE])
+        for host in hosts:
+            host.pause()
+        await asyncio.sleep(seconds)
+        for host in hosts:
+            host.resume()
+        return f"paused {names(hosts)} for {seconds} s"
+
+
+class Reloaded(Fault):
+    """A process reads its settings anew; the configuration changes, too."""
+
+    async def strike(self, field: Field) -> str:
+        hosts = field.some_hosts()
+        for host in hosts:
+            host.send(signal.SIGHUP)
+        field.around.configure()
+        return f"reloaded {names(hosts)}"
+
+
+class LinkFault(Fault):
+    """A host is cut off from something, both ways or one, or slow to reach."""
+
+    async def strike(self, field: Field) -> str:
+        host = field.random.choice(field.hosts)
+        kind = field.random.choice(["store", "promotions", "callers", "targets"])
+        links = self.links(field, host, kind)
+        how = field.random.choice(["cut", "up", "down", "delay", "reset"])
+        for link in links:
+            link.up = how not in ("cut", "up")
+            link.down = how not in ("cut", "down")
+            link.delay = field.random.uniform(0.01, 0.3) if how == "delay" else 0.0
+        if how == "reset":
+            field.around.reset_links(host.name)
+            for proxy in host.proxies:
+                proxy.reset()
+        await asyncio.sleep(field.random.uniform(0.5, 9.0))
+        for link in links:
+            link.heal()
+        return f"{how} between {host.name} and {kind}"
+
+    def links(self, field: Field, host: HostProcess, kind: str) -> list[Link]:
+        """Return the links of a host to what is named."""
+        if kind == "store":
+            return [host.store.link]
+        if kind == "promotions":
+            return [host.promotions.link]
+        if kind == "callers":
+            return [host.front.link]
+        found = [one for key, one in field.around.links.items() if key[0] == host.name]
+        return field.random.sample(found, field.random.randint(1, len(found)))
+
+
+class StoreFault(Fault):
+    """The store is silent, busy, or forgets its history."""
+
+    async def strike(self, field: Field) -> str:
+        store = field.around.store
+        how = field.random.choice(["silent", "busy", "forgets", "lapse"])
+        if how == "silent":
+            store.silent = True
+        elif how == "busy":
+            store.status = field.random.choice([429, 503])
+        elif how == "forgets":
+            store.forget()
+        else:
+            store.end_leases()
+        await asyncio.sleep(field.random.uniform(0.5, 9.0))
+        store.silent, store.status = False, 0
+        return f"store {how}"
+
+
+class TargetFault(Fault):
+    """A target is dark, lags, receives nothing, or leaves."""
+
+    async def strike(self, field: Field) -> str:
+        group = field.around.group
+        member = group.primary
+        if field.random.random() < 0.4:
+            member = field.random.choice(list(group.members.values()))
+        how = field.random.choice(["dark", "lag", "deaf", "leaving"])
+        if how == "dark":
+            member.down = True
+        elif how == "lag":
+            member.lag = field.random.uniform(0.1, 3.0)
+        elif how == "deaf":
+            member.deaf = True
+        else:
+            field.around.leaving.add(member.entry.target)
+        await asyncio.sleep(field.random.uniform(1.0, 8.0))
+        member.down = member.deaf = False
+        member.lag = 0.008
+        field.around.leaving.discard(member.entry.target)
+        return f"target {member.entry.target} {how}"
+
+
+FAULTS: Final[list[type[Fault]]] = [
+    Killed,
+    Restarted,
+    Paused,
+    Reloaded,
+    LinkFault,
+    LinkFault,
+    StoreFault,
+    TargetFault,
+    TargetFault,
+]
+
+
+def names(hosts: list[HostProcess]) -> str:
+    """Return the names of hosts."""
+    return ", ".join(host.name for host in hosts)
--- /dev/null
+++ b/src/reedhook_standins/soak/hosts.py
@@ -0,0 +1,163 @@
+"""The hosts of a soak, each a process of the real program."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Final
+
+from .proxy import Link, Proxy
+
+NETWORK: Final = "127.0.0."
+FIRST_NUMBER: Final = 10
+"""Each host has an address of its own, so that no proxy takes one of its ports."""
+
+GRACE: Final = 6.0
+"""Seconds from the signal to stop until a host is killed."""
+
+PORTS: Final = 4
+"""Ports of a host: callers, readiness, other hosts, metrics."""
+
+TAIL: Final = 2000
+"""Bytes of a log that are shown for a host that ended by itself."""
+
+
+class HostProcess:
+    """Start, disturb and end one host.
+
+    :param store: ``IP:port`` of the store.
+    :param promotions: ``IP:port`` of the promotion call.
+    :ivar wanted: whether the process is meant to run.
+    """
+
+    def __init__(
+        self,
+        index: int,
+        name: str,
+        zone: str,
+        folder: Path,
+        store: str,
+        promotions: str,
+    ) -> None:
+        self.ip = f"{NETWORK}{FIRST_NUMBER + index}"
+        self.name = name
+        self.zone = zone
+        self.folder = folder
+        ports = free_ports(self.ip, PORTS)
+        self.callers, self.ready, self.peers, self.metrics = sorted(ports)
+        self.store = Proxy(store, Link())
+        self.promotions = Proxy(promotions, Link())
+        self.front = Proxy(f"{self.ip}:{self.callers}", Link())
+        self.process: asyncio.subprocess.Process | None = None
+        self.wanted = False
+        self.paused = False
+
+    @property
+    def proxies(self) -> list[Proxy]:
+        """Return the proxies of this host."""
+        return [self.store, self.promotions, self.front]
+
+    @property
+    def running(self) -> bool:
+        """Say whether the process runs."""
+        return self.process is not None and self.process.returncode is None
+
+    async def prepare(self) -> None:
+        """Start the proxies and write the settings."""
+        for one in self.proxies:
+            await one.start()
+        self.settings_file.write_text(self.settings())
+
+    @property
+    def settings_file(self) -> Path:
+        """Return the path of the settings."""
+        return self.folder / f"{self.name}.settings"
+
+    @property
+    def log_file(self) -> Path:
+        """Return the path of what the process writes."""
+        return self.folder / f"{self.name}.log"
+
+    def settings(self) -> str:
+        """Return the settings in the platform's format."""
+        fields = {
+            "node_name": self.name,
+            "zone": self.zone,
+            "ip": self.ip,
+            "listen.front": f"{self.ip}:{self.callers}",
+            "listen.ready": f"{self.ip}:{self.ready}",
+            "internal_ports": f"{self.peers},{self.metrics}",
+            "platform.address": self.store.address,
+            "cloud.address": self.promotions.address,
+            "bounds.grace_s": str(GRACE),
+        }
+        return "".join(f"{name}={value}\n" for name, value in fields.items())
+
+    async def start(self) -> None:
+        """Start the process, in a new life if it ran before."""
+        self.wanted = True
+        environment = {**os.environ, "REEDHOOK_SETTINGS": str(self.settings_file)}
+        with self.log_file.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "reedhook.process.daemon",
+                "--platform",
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.running:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.wanted = False
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    async def end(self) -> None:
+        """End the process gracefully, and by force once the time is over."""
+        self.wanted = False
+        self.send(signal.SIGTERM)
+        if self.process is None:
+            return
+        try:
+            async with asyncio.timeout(GRACE):
+                await self.process.wait()
+        except TimeoutError:
+            await self.kill()
+
+    def pause(self) -> None:
+        """Let the process stand still."""
+        self.paused = True
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let the process go on."""
+        self.paused = False
+        self.send(signal.SIGCONT)
+
+    def ended_by_itself(self) -> str:
+        """Return what the process wrote last if it ended unasked, or nothing."""
+        if self.running or not self.wanted or self.process is None:
+            return ""
+        said = self.log_file.read_bytes()[-TAIL:].decode(errors="replace")
+        return f"{self.name} ended by itself with {self.process.returncode}: {said}"
+
+
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return ports that nobody uses now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((ip, 0))
+    ports = [int(one.getsockname()[1]) for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
--- /dev/null
+++ b/src/reedhook_standins/soak/proxy.py
@@ -0,0 +1,125 @@
+"""Proxies on the loopback that delay, swallow and break connections."""
+
+import asyncio
+from typing import Final, cast
+
+from reedhook.address import split_address
+from reedhook.connection.reset import reset
+
+CHUNK: Final = 65536
+"""Bytes that are passed on at a time."""
+
+
+class Link:
+    """Say what becomes of the bytes between two parties.
+
+    :ivar delay: seconds by which each piece is late.
+    :ivar up: whether bytes arrive on the way from who connected.
+    :ivar down: whether bytes arrive on the way back.
+    """
+
+    __slots__ = ("delay", "up", "down")
+
+    def __init__(self) -> None:
+        self.heal()
+
+    def heal(self) -> None:
+        """Pass everything on at once."""
+        self.delay = 0.0
+        self.up = True
+        self.down = True
+
+
+class Proxy:
+    """Pass connections on to one address.
+
+    :param target: ``IP:port``.
+    :param link: used by all connections; see `link_of`.
+    :ivar address: ``IP:port`` to connect to, once started.
+    """
+
+    def __init__(self, target: str, link: Link) -> None:
+        self.target = target
+        self.link = link
+        self.address = ""
+        self.server: asyncio.Server | None = None
+        self.open: dict[asyncio.StreamWriter, Link] = {}
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    def link_of(self, first: bytes) -> Link:
+        """Return the link of a connection that begins with these bytes."""
+        return self.link
+
+    def reset(self, link: Link | None = None) -> None:
+        """Break the connections of a link, or all."""
+        for writer, used in list(self.open.items()):
+            if link is None or used is link:
+                reset(cast(asyncio.Transport, writer.transport))
+
+    async def stop(self) -> None:
+        """Stop listening and break all connections."""
+        if self.server is not None:
+            self.server.close()
+        self.reset()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until either side ends it."""
+        ends = [writer]
+        try:
+            first = await reader.read(CHUNK)
+            link = self.link_of(first)
+            host, port = split_address(self.target)
+            far_reader, far_writer = await asyncio.open_connection(host, port)
+            ends.append(far_writer)
+            for one in ends:
+                self.open[one] = link
+            up = self.pump(reader, far_writer, link, True, first)
+            down = self.pump(far_reader, writer, link, False, b"")
+            await asyncio.gather(up, down)
+        except OSError:
+            # One side is gone; the other is told below.
+            pass
+        finally:
+            for one in ends:
+                self.open.pop(one, None)
+                one.close()
+
+    async def pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        link: Link,
+        up: bool,
+        data: bytes,
+    ) -> None:
+        """Pass the bytes of one direction on."""
+        data = data or await reader.read(CHUNK)
+        while data:
+            if link.delay:
+                await asyncio.sleep(link.delay)
+            if link.up if up else link.down:
+                writer.write(data)
+                await writer.drain()
+            data = await reader.read(CHUNK)
+        writer.close()
+
+
+class MemberProxy(Proxy):
+    """Pass connections on to a target, with a link for each host."""
+
+    def __init__(self, target: str, links: dict[str, Link]) -> None:
+        super().__init__(target, Link())
+        self.links = links
+
+    def link_of(self, first: bytes) -> Link:
+        fields = first.split(b"\r\n", 1)[0].decode("latin-1").split(" ")
+        if len(fields) < 3:
+            return self.link
+        return self.links.get(fields[2], self.link)
--- /dev/null
+++ b/src/reedhook_standins/soak/surroundings.py
@@ -0,0 +1,164 @@
+"""What the hosts of a soak meet: a store, a database group, promotion calls."""
+
+import asyncio
+from typing import Final
+
+import orjson
+from aiohttp import web
+
+from ..database import DatabaseGroup, DatabaseMember
+from ..keyvalue import KeyValueStandIn
+from ..wiredatabase import WireDatabase
+from .caller import ROUTES
+from .proxy import Link, MemberProxy
+
+SERVICE: Final = "db"
+REPORT_EVERY: Final = 0.3
+"""Seconds between two looks at what targets announce of themselves."""
+
+SILENT_FOR: Final = 3.0
+"""Seconds after which a target that is dark is announced no more."""
+
+KINDS: Final = {
+    "PRIMARY": "primary",
+    "BOUNDED": "bounded_staleness",
+    "OWN_WRITES": "own_writes",
+}
+
+
+class Surroundings:
+    """Run the platform and the targets in this process.
+
+    :ivar links: between hosts and targets, by host and target.
+    """
+
+    def __init__(self, zones: list[str], hosts: list[str]) -> None:
+        self.hosts = hosts
+        self.store = KeyValueStandIn()
+        self.group = DatabaseGroup(SERVICE, zones)
+        self.servers: dict[str, WireDatabase] = {}
+        self.proxies: dict[str, MemberProxy] = {}
+        self.links = {
+            (host, target): Link() for host in hosts for target in self.group.members
+        }
+        self.announced: dict[str, bytes | None] = {}
+        self.down_since: dict[str, float] = {}
+        self.leaving: set[str] = set()
+        self.version = 0
+        self.promotions = ""
+        self.runner: web.AppRunner | None = None
+        self.reporting: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start everything."""
+        await self.store.start()
+        for target, member in self.group.members.items():
+            server = self.servers[target] = WireDatabase(member)
+            await server.start()
+            links = {host: self.links[host, target] for host in self.hosts}
+            proxy = self.proxies[target] = MemberProxy(server.address, links)
+            await proxy.start()
+        await self.start_promotions()
+        self.configure()
+        self.reporting = asyncio.get_running_loop().create_task(self.report())
+
+    async def start_promotions(self) -> None:
+        """Listen for orders to promote."""
+        app = web.Application()
+        app.router.add_post("/promotion", self.promote)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        host, port = self.runner.addresses[0][:2]
+        self.promotions = f"{host}:{port}"
+
+    async def promote(self, request: web.Request) -> web.Response:
+        """Promote a target, and remember who ordered it with which token."""
+        body = orjson.loads(await request.read())
+        holder = request.headers["Duty-Holder"]
+        token = int(request.headers["Fencing-Token"])
+        self.group.promotions.append((body["id"], holder, token))
+        member = self.group.members[body["id"]]
+        if member.down:
+            return web.Response(status=409)
+        self.group.spawn(self.group.promote(body["id"]))
+        return web.Response(status=200)
+
+    def configure(self) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        routes = [
+            {
+                "host": name,
+                "service": SERVICE,
+                "kind": KINDS[kind.name],
+                "timeout_ms": 800,
+                "target_latency_ms": 200,
+                **({} if age is None else {"max_staleness_ms": int(age * 1000)}),
+            }
+            for name, (kind, age) in ROUTES.items()
+        ]
+        message = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": SERVICE, "connection_limit": 16}],
+            "limits": {"transaction_idle_ms": 3000},
+        }
+        self.store.write("op/config", orjson.dumps(message))
+
+    async def report(self) -> None:
+        """Announce the targets as they change, until cancelled."""
+        while True:
+            for member in self.group.members.values():
+                self.announce(member)
+            await asyncio.sleep(REPORT_EVERY)
+
+    def announce(self, member: DatabaseMember) -> None:
+        """Write what a target announces, if that is news."""
+        target = member.entry.target
+        now = asyncio.get_running_loop().time()
+        if not member.down:
+            self.down_since.pop(target, None)
+        since = self.down_since.setdefault(target, now) if member.down else now
+        value: bytes | None = None
+        if now - since < SILENT_FOR:
+            message = {
+                "service": SERVICE,
+                "address": self.proxies[target].address,
+                "zone": member.entry.zone,
+                "state": "draining" if target in self.leaving else "ready",
+                "database_role": "primary" if member.leads else "replica",
+            }
+            value = orjson.dumps(message)
+        if not member.down or value is None:
+            if self.announced.get(target) != value:
+                self.announced[target] = value
+                self.store.write(f"servers/{target}", value)
+
+    def reset_links(self, host: str) -> None:
+        """Break the connections of a host to all targets."""
+        for target, proxy in self.proxies.items():
+            proxy.reset(self.links[host, target])
+
+    def heal(self) -> None:
+        """Undo all faults."""
+        for link in self.links.values():
+            link.heal()
+        self.store.silent = False
+        self.store.status = 0
+        self.leaving.clear()
+        for member in self.group.members.values():
+            member.down = member.deaf = False
+            member.lag = 0.008
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        if self.reporting is not None:
+            self.reporting.cancel()
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        for server in self.servers.values():
+            await server.stop()
+        if self.runner is not None:
+            await self.runner.cleanup()
+        await self.store.stop()
--- /dev/null
+++ b/src/reedhook_standins/wiredatabase.py
@@ -0,0 +1,126 @@
+"""Members of a `DatabaseGroup` behind the platform's wire, on real sockets."""
+
+import asyncio
+from typing import Final
+
+from reedhook.connection.member import Fault, MemberReply, Query
+from reedhook.platform.line import LineError, LineReader, encoded
+from reedhook.platform.text import read_position, write_position
+
+from .database import DatabaseMember, DatabaseSession
+
+WORK: Final = 0.003
+"""Seconds that a read, a write or a commit takes."""
+
+POLL: Final = 0.05
+"""Seconds between two looks at whether a target that is dark is back."""
+
+CODES: Final = {
+    Fault.UNKNOWN_NAME: "UNKNOWN",
+    Fault.READ_ONLY: "READONLY",
+    Fault.LAGGING: "LAGGING",
+    Fault.MALFORMED: "MALFORMED",
+}
+AT_WORK: Final = ("READ", "WRITE", "EXECUTE", "COMMIT")
+PLAIN_FIELDS: Final = 3
+AFTER_FIELDS: Final = 5
+
+
+class WireDatabase:
+    """Serve one member on a port of its own."""
+
+    def __init__(self, member: DatabaseMember) -> None:
+        self.member = member
+        self.server: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self.server is not None:
+            self.server.close()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until it ends."""
+        lines = LineReader()
+        session = DatabaseSession(self.member)
+        started = False
+        try:
+            while data := await reader.read(65536):
+                for line in lines.feed(data):
+                    while self.member.down:
+                        await asyncio.sleep(POLL)
+                    if started:
+                        writer.write(await self.query(session, line))
+                    else:
+                        started = self.start_session(line, session, writer)
+        except (OSError, LineError):
+            # The host is gone; its open transaction is, too.
+            pass
+        finally:
+            self.member.connections.discard(session)
+            writer.close()
+
+    def start_session(
+        self, line: str, session: DatabaseSession, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer the first line; return whether the session may go on."""
+        entry = self.member.entry
+        _, service, _, target = line.split(" ")
+        if (service, target) != (entry.service, entry.target):
+            writer.write(encoded("ERROR", "MISROUTED", entry.target))
+            return False
+        if len(self.member.connections) >= self.member.limit:
+            writer.write(encoded("ERROR", "OVERLOADED", entry.target))
+            return False
+        self.member.connections.add(session)
+        writer.write(encoded("READY", "I", write_position(self.member.position)))
+        return True
+
+    async def query(self, session: DatabaseSession, line: str) -> bytes:
+        """Run one statement; return the lines of the answer."""
+        fields = line.split(" ", PLAIN_FIELDS - 1)
+        id, text, after = fields[1], fields[2], None
+        if text.startswith("AFTER "):
+            parts = line.split(" ", AFTER_FIELDS - 1)
+            after, text = read_position(parts[3]), parts[4]
+        if text == "STATUS":
+            return self.status()
+        if text.split(" ")[0] in AT_WORK:
+            await asyncio.sleep(WORK)
+        reply = session.run(Query("" if id == "-" else id, text, after))
+        return self.worded(session, reply)
+
+    def status(self) -> bytes:
+        """Return the answer to the question for the state."""
+        member = self.member
+        position = write_position(member.position)
+        role = "primary" if member.leads else "replica"
+        row = f"{role} {member.term} {position} 0 0 0 {len(member.connections)}"
+        return (
+            encoded("ROW", row)
+            + encoded("COMPLETE", "-")
+            + encoded("READY", "I", position)
+        )
+
+    def worded(self, session: DatabaseSession, reply: MemberReply) -> bytes:
+        """Return the lines of an answer."""
+        if reply.fault is Fault.NONE:
+            lines = b"".join(encoded("ROW", row) for row in reply.rows)
+            lines += encoded("COMPLETE", reply.signature)
+        else:
+            code = CODES.get(reply.fault, "FAILED")
+            lines = encoded("ERROR", code, self.member.entry.target)
+        state = "I"
+        if reply.failed:
+            state = "E"
+        elif session.open:
+            state = "T"
+        return lines + encoded("READY", state, write_position(reply.position))
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import json
 import random
 
 from reedhook.connection.member import Fault
@@ -21,7 +20,6 @@
 from reedhook.process.session_host import SessionHost
 from reedhook.process.timeline import Timeline
 from reedhook.request.command import Command, CommandKind
-from reedhook.request.position import Position
 from reedhook.request.verdict import Verdict
 from reedhook.version.registry import (
     Route,
@@ -31,10 +29,12 @@
     TargetEntry,
 )
 from reedhook.wire import decode, encode
+from reedhook_standins.database import DatabaseGroup
+from reedhook_standins.promises import Acknowledged, Promises, Viewer
 
 from .fakes_clock import LoopClock
 from .fakes_keyspace import FakeStore
-from .fakes_members import FakeDriver, FakeGroup, FakePhrases, FakePromoter
+from .fakes_members import FakeDriver, FakePhrases, FakePromoter
 from .fakes_peers import FakeNetwork
 
 SERVICE = "db"
@@ -49,6 +49,11 @@
     CommandKind.ROLLBACK: "ROLLBACK",
 }
 MAX_AGE = 1.5
+KINDS_OF_ROUTES = {
+    "tickets": (RouteKind.PRIMARY, None),
+    "views": (RouteKind.BOUNDED, MAX_AGE),
+    "reports": (RouteKind.OWN_WRITES, 2.5),
+}
 
 
 class PlainDocuments(Documents):
@@ -73,27 +78,13 @@
 
 def table(version: int, databases: list[str]) -> RouteTable:
     """Return a configuration with the databases that are named."""
-    kinds = {
-        "tickets": (RouteKind.PRIMARY, None),
-        "views": (RouteKind.BOUNDED, MAX_AGE),
-        "reports": (RouteKind.OWN_WRITES, 2.5),
-    }
-    routes = {
-        name: Route(name, SERVICE, kinds[name][0], 0.8, 0.1, 1, kinds[name][1])
-        for name in databases
-    }
+    routes = {}
+    for name in databases:
+        kind, max_age = KINDS_OF_ROUTES[name]
+        routes[name] = Route(name, SERVICE, kind, 0.8, 0.1, 1, max_age)
     return RouteTable(version, routes, {SERVICE: ServiceTerms(SERVICE, 16)}, 3.0, 3.0)
 
 
-class Acknowledged:
-    """Remember a commit that a caller was told of."""
-
-    def __init__(self, position: Position, at: float, session: str) -> None:
-        self.position = position
-        self.at = at
-        self.session = session
-
-
 class SessionWorld:
     """Six hosts in three zones before one group of three members."""
 
@@ -102,7 +93,7 @@
         self.network = FakeNetwork(delay=0.0014, seed=seed)
         self.store = FakeStore()
         names = [f"z{index}" for index in range(zones)]
-        self.group = FakeGroup(SERVICE, names[:3])
+        self.group = DatabaseGroup(SERVICE, names[:3])
         self.promoter = FakePromoter([self.group])
         self.refs = [
             HostRef(f"h{zone}{index}", f"z{zone}", f"10.1.{zone}.{index}:1")
@@ -111,10 +102,14 @@
         ]
         self.hosts: dict[str, SessionHost] = {}
         self.lives = 0
-        self.acknowledged: list[Acknowledged] = []
-        self.violations: list[str] = []
+        self.promises = Promises(self.group, asyncio.get_running_loop().time)
         self.callers = 0
 
+    @property
+    def acknowledged(self) -> list[Acknowledged]:
+        """Return the commits that callers were told of."""
+        return self.promises.acknowledged
+
     async def start(self) -> None:
         """Start all hosts and wait until somebody leads."""
         self.configure(1, ["tickets", "views", "reports"])
@@ -224,7 +219,11 @@
 
     def check(self) -> None:
         """Fail with what was promised and not kept."""
-        broken = [*self.network.failures, *self.group.violations, *self.violations]
+        broken = [
+            *self.network.failures,
+            *self.group.violations,
+            *self.promises.violations,
+        ]
         if broken:
             raise AssertionError("\n".join(map(str, broken)))
         tokens = [token for _, _, token in self.group.promotions]
@@ -294,41 +293,20 @@
 
     def acknowledge(self, reply: SessionReply) -> None:
         """Remember a commit; one at a superseded primary breaks a promise."""
-        now = asyncio.get_running_loop().time()
         assert reply.position is not None
         if reply.position.term < self.world.group.primary.term:
-            self.world.violations.append(
+            self.world.promises.broken(
                 f"{self.name} was told of a commit at a superseded primary"
             )
-        self.world.acknowledged.append(
-            Acknowledged(reply.position, now, self.session.name)
-        )
+        self.world.promises.acknowledge(self.name, reply.position, self.session.name)
 
     def check_read(self, reply: SessionReply, asked: float) -> None:
         """Compare what a read saw with what it must not miss."""
-        seen = json.loads(reply.rows[0])
-        log = {Position.from_json(one) for one in seen["log"]}
-        if seen["values"] != self.values or seen["prepared"] != self.prepared:
-            self.world.violations.append(
-                f"{self.name} ran with {seen['values']} {seen['prepared']}"
-            )
-        for one in self.world.acknowledged:
-            if one.position in log or one.position in self.world.group.lost:
-                continue
-            if one.at <= self.must_see(one, asked):
-                self.world.violations.append(
-                    f"{self.name} on {self.session.database} read at {asked:.3f} a log "
-                    f"without {one.position}, acknowledged at {one.at:.3f}"
-                )
-
-    def must_see(self, one: Acknowledged, asked: float) -> float:
-        """Return until when commits must be in the log of a read."""
-        database = self.session.database
-        if database == "tickets":
-            return asked
-        if database == "reports":
-            return asked if one.session == self.session.name else asked - 2.5
-        return asked - MAX_AGE
+        kind, max_age = KINDS_OF_ROUTES[self.session.database]
+        viewer = Viewer(
+            self.name, self.session.name, kind, max_age, self.values, self.prepared
+        )
+        self.world.promises.read(viewer, reply.rows[0], asked)
 
     def check_refusal(
         self, id: str, kind: CommandKind, reply: SessionReply, inside: bool
@@ -342,7 +320,7 @@
         if any(id in member.runs for member in self.world.group.members.values()):
             # A member that refused it did not run it either.
             if reply.refusal.reason.value not in ("no_primary", "wrong_home"):
-                self.world.violations.append(f"{id} ran and was said not to have run")
+                self.world.promises.broken(f"{id} ran and was said not to have run")
 
 
 def clock_of(world: SessionWorld, host: str) -> LoopClock:
--- a/tests/test_connection_reset.py
+++ b/tests/test_connection_reset.py
@@ -62,7 +62,7 @@
         silent = Silent(b"READY I 1.1\r\n")
         server = await silent.start()
         entry = TargetEntry("i-1", "db", silent.address, "z", False, False)
-        connection = await WireDriver().connect(entry, PATIENCE)
+        connection = await WireDriver("h1").connect(entry, PATIENCE)
         with pytest.raises(MemberSilent):
             await connection.exchange([Query("1", "READ a")], SHORT)
         assert await asyncio.wait_for(silent.ending, PATIENCE) == "reset"
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -48,7 +48,7 @@
 
 def test_queries_that_travel_together_are_answered_in_order() -> None:
     async def test(member: WireMemberStandIn, entry: TargetEntry) -> None:
-        connection = await WireDriver().connect(entry, TIMEOUT)
+        connection = await WireDriver("reedhook").connect(entry, TIMEOUT)
         queries = [
             Query("", "RESET"),
             Query("5c0e", "READ a", Position(3, 9)),
@@ -73,7 +73,7 @@
 
 def test_the_state_of_a_target_is_read() -> None:
     async def test(member: WireMemberStandIn, entry: TargetEntry) -> None:
-        connection = await WireDriver().connect(entry, TIMEOUT)
+        connection = await WireDriver("reedhook").connect(entry, TIMEOUT)
         status = await connection.status(TIMEOUT)
         assert not status.leads
         assert (status.term, status.received) == (3, Position(3, 1209))
@@ -96,7 +96,7 @@
     async def test(member: WireMemberStandIn, entry: TargetEntry) -> None:
         member.start_answer = answer
         with pytest.raises(error):
-            await WireDriver().connect(entry, TIMEOUT)
+            await WireDriver("reedhook").connect(entry, TIMEOUT)
 
     with_member(test)
 
@@ -109,7 +109,7 @@
     answer: bytes,
 ) -> None:
     async def test(member: WireMemberStandIn, entry: TargetEntry) -> None:
-        connection = await WireDriver().connect(entry, TIMEOUT)
+        connection = await WireDriver("reedhook").connect(entry, TIMEOUT)
         with pytest.raises(MemberSilent):
             await connection.exchange([Query("1", "READ a")], 0.1)
         assert connection.lost
@@ -121,7 +121,7 @@
     async def test(member: WireMemberStandIn, entry: TargetEntry) -> None:
         member.silent = True
         with pytest.raises(MemberUnreachable):
-            await WireDriver().connect(entry, 0.05)
+            await WireDriver("reedhook").connect(entry, 0.05)
 
     with_member(test)
 
