--- a/bench/capacity_regions.py
+++ b/bench/capacity_regions.py
@@ -9,7 +9,7 @@
 import time
 from typing import Final
 
-from reedhook.process.membership_record import HostState
+from reedhook.process.fleet.membership_record import HostState
 from reedhook.wire import Json
 from tests.fakes_clock import run_virtual
 from tests.fakes_hosts import FakeHosts
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -21,8 +21,8 @@
 
 import docopt
 
-from reedhook.process.promotion import Promotion
-from reedhook.process.timeline import Event, EventKind
+from reedhook.process.events.timeline import Event, EventKind
+from reedhook.process.groups.promotion import Promotion
 from reedhook.request.refusal import Refusal
 from reedhook.wire import Json
 from tests.cluster_group import NAMES, Cluster
--- a/bench/gap.py
+++ b/bench/gap.py
@@ -28,7 +28,7 @@
 import uvloop
 
 from reedhook.clock import SystemClock
-from reedhook.process.timeline import Event, EventKind
+from reedhook.process.events.timeline import Event, EventKind
 from reedhook.record import Record
 from reedhook.wire import Json
 from reedhook_standins.caller import GaveUp, WriteOrder
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -21,12 +21,12 @@
 import uvloop
 
 from reedhook.clock import SystemClock
-from reedhook.process.heartbeat import Heartbeats
-from reedhook.process.membership import Membership
-from reedhook.process.peer import HostRef, PeerRoutes
-from reedhook.process.peer_http import HttpPeers
-from reedhook.process.peer_server import PeerEndpoint, PeerServer
-from reedhook.process.timeline import Timeline
+from reedhook.process.events.timeline import Timeline
+from reedhook.process.fleet.heartbeat import Heartbeats
+from reedhook.process.fleet.membership import Membership
+from reedhook.process.network.peer import HostRef, PeerRoutes
+from reedhook.process.network.peer_http import HttpPeers
+from reedhook.process.network.peer_server import PeerEndpoint, PeerServer
 
 from .rig import RoleProcess
 
--- a/src/reedhook/platform/assembly.py
+++ b/src/reedhook/platform/assembly.py
@@ -7,16 +7,16 @@
 
 from ..clock import Clock, SystemClock
 from ..process.decisions import Decisions
+from ..process.events.timeline import Timeline
 from ..process.histograms import HistogramMetrics
 from ..process.hosting_settings import HostingSettings
-from ..process.limits import ServerLimits
-from ..process.peer import HostRef
-from ..process.peer_http import HttpPeers
-from ..process.peer_server import PeerEndpoint, PeerServer
-from ..process.server import HandlerServer
+from ..process.network.limits import ServerLimits
+from ..process.network.peer import HostRef
+from ..process.network.peer_http import HttpPeers
+from ..process.network.peer_server import PeerEndpoint, PeerServer
+from ..process.network.server import HandlerServer
 from ..process.session_host import SessionHost
 from ..process.session_process import SessionProcess
-from ..process.timeline import Timeline
 from . import settings as settings_file
 from .documents import PlatformDocuments
 from .driver import WireDriver, WirePhrases
--- /dev/null
+++ b/src/reedhook/process/administration/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API."""
--- a/src/reedhook/process/admin.py
+++ b/src/reedhook/process/administration/admin.py
@@ -7,18 +7,18 @@
 import logbook
 from aiohttp import web
 
-from ..request.api import read_body, respond, respond_refused
-from ..request.refusal import Reason, Refusal, not_run
-from ..request.verdict import Verdict
-from ..request.view import GroupView
-from ..version.catalog import Group
-from ..wire import Json, WireError, decode
+from ...request.api import read_body, respond, respond_refused
+from ...request.refusal import Reason, Refusal, not_run
+from ...request.verdict import Verdict
+from ...request.view import GroupView
+from ...version.catalog import Group
+from ...wire import Json, WireError, decode
+from ..events.timeline_filter import EventFilter
 from .admin_fleet import Fleet
 from .admin_operator import Operators
 from .admin_query import bad, kinds, require_known, whole_number
 from .admin_source import AdminSource
 from .admin_status import group_json
-from .timeline_filter import EventFilter
 
 Handler: TypeAlias = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
--- a/src/reedhook/process/admin_config.py
+++ b/src/reedhook/process/administration/admin_config.py
@@ -5,15 +5,15 @@
 import logbook
 from aiohttp import web
 
-from ..request.api import respond
-from ..request.verdict import Verdict
-from ..version.document import Documents
-from ..version.edition import Head
-from ..version.fault import InvalidConfiguration
-from ..wire import Json, WireError
+from ...request.api import respond
+from ...request.verdict import Verdict
+from ...version.document import Documents
+from ...version.edition import Head
+from ...version.fault import InvalidConfiguration
+from ...wire import Json, WireError
+from ..configuring.editor import ConfigurationEditor
 from .admin import OPERATOR, Admin
 from .admin_query import bad, needed_number, require_known, whole_number
-from .editor import ConfigurationEditor
 
 INVALID_STATUS: Final = 422
 DEFAULT_HISTORY: Final = 20
--- a/src/reedhook/process/admin_operator.py
+++ b/src/reedhook/process/administration/admin_operator.py
@@ -3,8 +3,8 @@
 import hashlib
 import hmac
 
-from ..request.credential import bearer
-from ..request.refusal import Reason, not_run
+from ...request.credential import bearer
+from ...request.refusal import Reason, not_run
 
 
 class Operators:
--- a/src/reedhook/process/admin_query.py
+++ b/src/reedhook/process/administration/admin_query.py
@@ -5,8 +5,8 @@
 
 from aiohttp import web
 
-from ..request.refusal import Reason, Refusal, not_run
-from .timeline import EventKind
+from ...request.refusal import Reason, Refusal, not_run
+from ..events.timeline import EventKind
 
 HIGHEST: Final = 2**53
 
--- a/src/reedhook/process/admin_source.py
+++ b/src/reedhook/process/administration/admin_source.py
@@ -2,12 +2,12 @@
 
 from abc import ABC, abstractmethod
 
-from ..request.view import GroupView
-from ..version.catalog import Catalog, Group
+from ...request.view import GroupView
+from ...version.catalog import Catalog, Group
+from ..events.timeline import Timeline
+from ..metrics import MemoryMetrics
+from ..network.peer import HostRef
 from .admin_status import HostStatus, KnownHost
-from .metrics import MemoryMetrics
-from .peer import HostRef
-from .timeline import Timeline
 
 
 class AdminSource(ABC):
--- a/src/reedhook/process/admin_status.py
+++ b/src/reedhook/process/administration/admin_status.py
@@ -4,10 +4,10 @@
 from enum import Enum
 from typing import Any
 
-from ..record import Record
-from ..request.view import GroupView
-from ..version.catalog import Group
-from ..wire import Json, WireError
+from ...record import Record
+from ...request.view import GroupView
+from ...version.catalog import Group
+from ...wire import Json, WireError
 
 
 class HostState(str, Enum):
--- a/src/reedhook/process/hostsource.py
+++ b/src/reedhook/process/administration/hostsource.py
@@ -3,18 +3,18 @@
 from collections.abc import Callable
 from typing import Final
 
-from ..request.api import Api
-from ..request.view import GroupView
-from ..request.views import Views
-from ..version.catalog import Catalog, Group
+from ...request.api import Api
+from ...request.view import GroupView
+from ...request.views import Views
+from ...version.catalog import Catalog, Group
+from ..configuring.configuration import ConfigurationKeeper
+from ..events.timeline import Timeline
+from ..fleet.membership import Membership
+from ..groups.homes import Homes
+from ..metrics import MemoryMetrics, Metrics
+from ..network.peer import HostRef
 from .admin_source import AdminSource
 from .admin_status import HostState, HostStatus, KnownHost
-from .configuration import ConfigurationKeeper
-from .homes import Homes
-from .membership import Membership
-from .metrics import MemoryMetrics, Metrics
-from .peer import HostRef
-from .timeline import Timeline
 
 MILLISECONDS: Final = 1000
 
--- a/src/reedhook/process/announced/registration.py
+++ b/src/reedhook/process/announced/registration.py
@@ -6,7 +6,7 @@
 from ...clock import Clock
 from ...wire import WireError, decode, encode
 from ..decisions import Decisions
-from ..peer import HostRef
+from ..network.peer import HostRef
 from .announcements import HOSTS, Announcements
 from .keyspace import Item, Keyspace, KeyspaceError, LeaseEnded
 
--- a/src/reedhook/process/assembly.py
+++ b/src/reedhook/process/assembly.py
@@ -6,21 +6,21 @@
 from ..clock import Clock, SystemClock
 from ..connection.target_http import HttpTargetFactory
 from ..request.endpoint import CallerEndpoint
-from .admin import admin_app
-from .admin_config import config_routes
+from .administration.admin import admin_app
+from .administration.admin_config import config_routes
+from .configuring.store_http import HttpStore
+from .events.timeline import Timeline
+from .fleet.hostlist_http import HttpHostList
 from .host import Host
-from .hostlist_http import HttpHostList
 from .lifecycle import Companion, HostProcess
 from .metrics import MemoryMetrics, Metrics
-from .peer import HostRef
-from .peer_http import HttpPeers
-from .peer_server import PeerEndpoint, PeerServer
-from .server import ApplicationServer, HandlerServer
+from .network.peer import HostRef
+from .network.peer_http import HttpPeers
+from .network.peer_server import PeerEndpoint, PeerServer
+from .network.server import ApplicationServer, HandlerServer
+from .network.tls import TlsContexts
 from .settings import Settings
 from .statsd_metrics import StatsdMetrics
-from .store_http import HttpStore
-from .timeline import Timeline
-from .tls import TlsContexts
 
 METRICS_PREFIX: Final = "reedhook"
 
--- /dev/null
+++ b/src/reedhook/process/configuring/__init__.py
@@ -0,0 +1,1 @@
+"""Editions of the configuration: kept, spread and edited."""
--- a/src/reedhook/process/archive.py
+++ b/src/reedhook/process/configuring/archive.py
@@ -3,8 +3,8 @@
 import asyncio
 from typing import Final
 
-from ..record import Record
-from ..version.edition import Edition, EditionError, Head, PartRef, unpack
+from ...record import Record
+from ...version.edition import Edition, EditionError, Head, PartRef, unpack
 from .store import Entry, Store, StoreConflict, StoreError, StoreUnavailable
 
 HEAD_KEY: Final = "config/head"
--- a/src/reedhook/process/configuration.py
+++ b/src/reedhook/process/configuring/configuration.py
@@ -7,19 +7,19 @@
 
 import logbook
 
-from ..clock import Clock
-from ..request.refusal import Reason, Refusal, not_run
-from ..version.catalog import Catalog
-from ..version.check import check
-from ..version.document import Documents
-from ..version.edition import Edition, EditionError
-from ..version.fault import InvalidConfiguration
-from ..wire import Json
+from ...clock import Clock
+from ...request.refusal import Reason, Refusal, not_run
+from ...version.catalog import Catalog
+from ...version.check import check
+from ...version.document import Documents
+from ...version.edition import Edition, EditionError
+from ...version.fault import InvalidConfiguration
+from ...wire import Json
+from ..events.timeline import EventKind, Timeline
+from ..metrics import Metrics
+from ..network.peer import HostRef, PeerError, PeerRoutes, Peers
+from ..worker import ThreadWorker, Worker
 from .exchange import PATH, PEER_TIMEOUT, Pull, head_answer, parts_answer
-from .metrics import Metrics
-from .peer import HostRef, PeerError, PeerRoutes, Peers
-from .timeline import EventKind, Timeline
-from .worker import ThreadWorker, Worker
 
 FANOUT: Final = 3
 ROUNDS: Final = 3
--- a/src/reedhook/process/edit.py
+++ b/src/reedhook/process/configuring/edit.py
@@ -2,13 +2,13 @@
 
 from typing import Final
 
-from ..clock import Clock
-from ..request.refusal import Reason, Refusal, may_have_run, not_run
-from ..request.verdict import Verdict
-from ..version.difference import VersionChanges
-from ..version.document import Documents
-from ..version.edition import Edition, EditionError, Head, holds, make_edition
-from ..wire import Json
+from ...clock import Clock
+from ...request.refusal import Reason, Refusal, may_have_run, not_run
+from ...request.verdict import Verdict
+from ...version.difference import VersionChanges
+from ...version.document import Documents
+from ...version.edition import Edition, EditionError, Head, holds, make_edition
+from ...wire import Json
 from .archive import StoredHead
 from .reader import RETRY_AFTER_MS, EditionReader
 from .store import Entry, StoreConflict, StoreError, StoreUnavailable
--- a/src/reedhook/process/editor.py
+++ b/src/reedhook/process/configuring/editor.py
@@ -4,17 +4,17 @@
 
 import logbook
 
-from ..clock import Clock
-from ..request.refusal import Reason, not_run
-from ..version.check import check
-from ..version.difference import Change
-from ..version.document import Documents
-from ..version.edition import Head
+from ...clock import Clock
+from ...request.refusal import Reason, not_run
+from ...version.check import check
+from ...version.difference import Change
+from ...version.document import Documents
+from ...version.edition import Head
+from ..worker import ThreadWorker, Worker
 from .archive import Archive
 from .configuration import ConfigurationKeeper
 from .edit import Edit
 from .reader import EditionReader
-from .worker import ThreadWorker, Worker
 
 MAX_EDIT_ID: Final = 64
 MAX_AUTHOR: Final = 128
--- a/src/reedhook/process/reader.py
+++ b/src/reedhook/process/configuring/reader.py
@@ -3,14 +3,14 @@
 import asyncio
 from typing import Final
 
-from ..request.refusal import Reason, Refusal, not_run
-from ..version.difference import Change, VersionChanges, changes_between
-from ..version.document import Documents
-from ..version.edition import Edition, EditionError, Head
+from ...request.refusal import Reason, Refusal, not_run
+from ...version.difference import Change, VersionChanges, changes_between
+from ...version.document import Documents
+from ...version.edition import Edition, EditionError, Head
+from ..worker import Worker
 from .archive import Archive, StoredHead
 from .configuration import ConfigurationKeeper
 from .store import StoreError, StoreUnavailable
-from .worker import Worker
 
 NAMED_VERSIONS: Final = 8
 RETRY_AFTER_MS: Final = 1000
--- a/src/reedhook/process/relay.py
+++ b/src/reedhook/process/configuring/relay.py
@@ -7,13 +7,13 @@
 
 import logbook
 
-from ..clock import Clock
-from ..version.edition import EditionError
-from ..wire import Json
+from ...clock import Clock
+from ...version.edition import EditionError
+from ...wire import Json
+from ..events.timeline import EventKind
 from .archive import HEAD_KEY, Archive, StoredHead, stored_head
 from .configuration import ConfigurationKeeper
 from .store import StoreError
-from .timeline import EventKind
 
 WATCH_HOLD: Final = 25.0
 WATCH_GRACE: Final = 5.0
--- a/src/reedhook/process/store.py
+++ b/src/reedhook/process/configuring/store.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from ..record import Record
+from ...record import Record
 
 
 class StoreError(Exception):
--- a/src/reedhook/process/store_http.py
+++ b/src/reedhook/process/configuring/store_http.py
@@ -9,8 +9,8 @@
 )
 from yarl import URL
 
-from ..connector import Connector, plain_session
-from ..wire import Json, WireError, decode, encode
+from ...connector import Connector, plain_session
+from ...wire import Json, WireError, decode, encode
 from .store import Entry, Store, StoreConflict, StoreError, StoreUnavailable
 
 HOLD_MARGIN: Final = 1.0
--- a/src/reedhook/process/desk.py
+++ b/src/reedhook/process/desk.py
@@ -15,7 +15,7 @@
 from .decisions import Decisions
 from .lead.leads import Leads
 from .lead.user import HomeMaker, PrimaryUser
-from .peer import PeerRoutes
+from .network.peer import PeerRoutes
 
 WORK: Final = "work"
 END: Final = "end"
--- /dev/null
+++ b/src/reedhook/process/events/__init__.py
@@ -0,0 +1,1 @@
+"""The time line of events."""
--- a/src/reedhook/process/timeline.py
+++ b/src/reedhook/process/events/timeline.py
@@ -7,9 +7,9 @@
 from enum import Enum
 from typing import Any, Final
 
-from ..clock import Clock
-from ..record import Record
-from ..wire import WireError
+from ...clock import Clock
+from ...record import Record
+from ...wire import WireError
 
 RING_SIZE: Final = 4096
 MAX_AHEAD_MS: Final = 60_000
--- a/src/reedhook/process/timeline_filter.py
+++ b/src/reedhook/process/events/timeline_filter.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from ..record import Record
-from ..wire import Json, WireError
+from ...record import Record
+from ...wire import Json, WireError
 from .timeline import Event, EventKind
 
 
--- a/src/reedhook/process/timeline_merge.py
+++ b/src/reedhook/process/events/timeline_merge.py
@@ -4,8 +4,8 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from ..record import Record
-from ..wire import Json
+from ...record import Record
+from ...wire import Json
 from .timeline import Event, EventKind
 
 
--- a/src/reedhook/process/timeline_page.py
+++ b/src/reedhook/process/events/timeline_page.py
@@ -5,7 +5,7 @@
 from math import log10
 from typing import Final
 
-from ..record import Record
+from ...record import Record
 from .timeline import Event, EventKind
 from .timeline_merge import Failover, History, failovers, order
 from .timeline_text import clock_time, details, failover_lines, gaps
--- /dev/null
+++ b/src/reedhook/process/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts there are, and which of them is home of what."""
--- a/src/reedhook/process/directory.py
+++ b/src/reedhook/process/fleet/directory.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from typing import Final
 
+from ..network.peer import HostRef
 from .membership_record import HostRecord
 from .membership_table import Change, MembershipTable
-from .peer import HostRef
 from .rendezvous import ranked_hosts
 
 RELAYS: Final = 2
--- a/src/reedhook/process/heartbeat.py
+++ b/src/reedhook/process/fleet/heartbeat.py
@@ -12,15 +12,15 @@
 
 import logbook
 
-from ..clock import Clock
-from ..request.refusal import Reason, Refusal
-from ..wire import Json, WireError
+from ...clock import Clock
+from ...request.refusal import Reason, Refusal
+from ...wire import Json, WireError
+from ..network.peer import HostRef, PeerError, PeerRoutes, Peers
 from .heartbeat_timing import Timing
 from .local_health import LocalHealth
 from .membership import Membership
 from .membership_record import HostRecord, HostState
 from .news_spreader import NewsSpreader
-from .peer import HostRef, PeerError, PeerRoutes, Peers
 from .ring import watched
 
 FAR_EVERY: Final = 4
--- a/src/reedhook/process/heartbeat_timing.py
+++ b/src/reedhook/process/fleet/heartbeat_timing.py
@@ -1,6 +1,6 @@
 """Pace of the heartbeats."""
 
-from ..record import Record
+from ...record import Record
 
 
 class Timing(Record):
--- a/src/reedhook/process/hostlist.py
+++ b/src/reedhook/process/fleet/hostlist.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from enum import Enum
 
-from ..record import Record
+from ...record import Record
 
 
 class ListedState(str, Enum):
--- a/src/reedhook/process/hostlist_http.py
+++ b/src/reedhook/process/fleet/hostlist_http.py
@@ -6,8 +6,8 @@
 )
 from yarl import URL
 
-from ..connector import Connector, plain_session
-from ..wire import WireError, decode
+from ...connector import Connector, plain_session
+from ...wire import WireError, decode
 from .hostlist import HostList, HostListUnavailable, ListedHost, ListedKind, ListedState
 
 
--- a/src/reedhook/process/leaving.py
+++ b/src/reedhook/process/fleet/leaving.py
@@ -6,13 +6,13 @@
 
 import logbook
 
-from ..clock import Clock
-from ..connection.home import Home
-from ..request.refusal import Reason, not_run
-from ..wire import Json, WireError
-from .group import GroupKeeper
-from .peer import PeerRoutes
-from .timeline import EventKind, Timeline
+from ...clock import Clock
+from ...connection.home import Home
+from ...request.refusal import Reason, not_run
+from ...wire import Json, WireError
+from ..events.timeline import EventKind, Timeline
+from ..groups.group import GroupKeeper
+from ..network.peer import PeerRoutes
 
 PATH: Final = "leaving"
 HAND_OVER_TIMEOUT: Final = 1.5
--- a/src/reedhook/process/listing.py
+++ b/src/reedhook/process/fleet/listing.py
@@ -6,21 +6,15 @@
 
 import logbook
 
-from ..clock import Clock
-from ..request.refusal import Refusal
-from ..version.catalog import Catalog, Member
+from ...clock import Clock
+from ...request.refusal import Refusal
+from ...version.catalog import Catalog, Member
+from ..network.peer import PeerError, Peers
 from .directory import MembershipDirectory
-from .hostlist import (
-    HostList,
-    HostListUnavailable,
-    ListedHost,
-    ListedKind,
-    ListedState,
-)
+from .hostlist import HostList, HostListUnavailable, ListedHost, ListedKind, ListedState
 from .leaving import PATH
 from .membership import Membership
 from .membership_record import HostState
-from .peer import PeerError, Peers
 
 POLL_INTERVAL: Final = 1.0
 LONGEST_INTERVAL: Final = 5.0
--- a/src/reedhook/process/local_health.py
+++ b/src/reedhook/process/fleet/local_health.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
-from ..clock import Clock
-from ..record import Record
-from .peer import HostRef
+from ...clock import Clock
+from ...record import Record
+from ..network.peer import HostRef
 
 MOST: Final = 5
 WINDOW: Final = 3.0
--- a/src/reedhook/process/membership.py
+++ b/src/reedhook/process/fleet/membership.py
@@ -8,13 +8,13 @@
 
 import logbook
 
-from ..clock import Clock
-from ..wire import Json, WireError
+from ...clock import Clock
+from ...wire import Json, WireError
+from ..events.timeline import EventKind, Timeline
+from ..network.peer import HostRef
 from .membership_news import News
 from .membership_record import HostRecord, HostState
 from .membership_table import BUCKETS, Change, MembershipTable
-from .peer import HostRef
-from .timeline import EventKind, Timeline
 
 MOST_PULLED: Final = 64
 FLAP_WINDOW: Final = 60.0
--- a/src/reedhook/process/membership_table.py
+++ b/src/reedhook/process/fleet/membership_table.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
+from ..network.peer import HostRef
 from .membership_record import HostRecord, HostState
-from .peer import HostRef
 from .rendezvous import score
 
 BUCKETS: Final = 32
--- a/src/reedhook/process/news_spreader.py
+++ b/src/reedhook/process/fleet/news_spreader.py
@@ -5,10 +5,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from ..clock import Clock
+from ...clock import Clock
+from ..network.peer import HostRef
 from .local_health import LocalHealth
 from .membership_table import MembershipTable
-from .peer import HostRef
 
 SPREAD: Final = 4
 BATCH: Final = 0.002
--- a/src/reedhook/process/ring.py
+++ b/src/reedhook/process/fleet/ring.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
+from ..network.peer import HostRef
 from .membership_record import HostState
 from .membership_table import MembershipTable
-from .peer import HostRef
 from .rendezvous import score
 
 WATCHED: Final = 2
--- /dev/null
+++ b/src/reedhook/process/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Database groups: their keepers, proofs and changes of primary."""
--- a/src/reedhook/process/confirmation.py
+++ b/src/reedhook/process/groups/confirmation.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeAlias
 
-from ..clock import Clock
-from ..connection.target import MemberState, Role
-from ..record import Record
+from ...clock import Clock
+from ...connection.target import MemberState, Role
+from ...record import Record
 from .sample import Sample
 
 Ask: TypeAlias = Callable[[str, float], Coroutine[Any, Any, MemberState | None]]
--- a/src/reedhook/process/control.py
+++ b/src/reedhook/process/groups/control.py
@@ -5,8 +5,8 @@
 from enum import Enum
 from typing import Final, TypeAlias
 
-from ..connection.home import Home
-from ..connection.target import (
+from ...connection.home import Home
+from ...connection.target import (
     MemberState,
     TargetConnection,
     TargetError,
@@ -14,12 +14,12 @@
     TargetRefused,
     TargetSilent,
 )
-from ..record import Record
-from ..request.refusal import Reason, Refusal, may_have_run, not_run
-from ..version.catalog import Group, Member
-from ..wire import Json, reader, text
-from .directory import Directory
-from .peer import HostRef, PeerError, Peers
+from ...record import Record
+from ...request.refusal import Reason, Refusal, may_have_run, not_run
+from ...version.catalog import Group, Member
+from ...wire import Json, reader, text
+from ..fleet.directory import Directory
+from ..network.peer import HostRef, PeerError, Peers
 
 STANDBYS: Final = 2
 
--- a/src/reedhook/process/coordinator.py
+++ b/src/reedhook/process/groups/coordinator.py
@@ -7,18 +7,18 @@
 
 from logbook import Logger
 
-from ..clock import Clock
-from ..connection.home import Home
-from ..connection.target import MemberState, Role
-from ..record import Record
-from ..request.refusal import Refusal
+from ...clock import Clock
+from ...connection.home import Home
+from ...connection.target import MemberState, Role
+from ...record import Record
+from ...request.refusal import Refusal
+from ..events.timeline import EventKind, Timeline
+from ..fleet.directory import Directory
+from ..metrics import Metrics
 from .control import Control, Controller, Op
-from .directory import Directory
 from .knowledge import Knowledge
-from .metrics import Metrics
 from .promotion import STEP_TIMEOUT, Promoted, Promotion, PromotionFailed
 from .suspicion import Cause
-from .timeline import EventKind, Timeline
 
 STAGGER: Final = 0.1
 RAISE_PATIENCE: Final = 0.3
--- a/src/reedhook/process/durability.py
+++ b/src/reedhook/process/groups/durability.py
@@ -6,8 +6,8 @@
 from itertools import count
 from typing import Final, TypeAlias
 
-from ..connection.target import MemberState
-from ..request.position import ORIGIN, Position
+from ...connection.target import MemberState
+from ...request.position import ORIGIN, Position
 
 PRUNE_AT: Final = 1024
 
--- a/src/reedhook/process/executor.py
+++ b/src/reedhook/process/groups/executor.py
@@ -4,15 +4,15 @@
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
-from ..clock import Clock
-from ..connection.home import Home
-from ..connection.target import Role, TargetResult
-from ..request.execution import Execution, Served
-from ..request.position import Position
-from ..request.refusal import Reason, not_run
-from ..request.statement import Answer, Consistency, Kind, Statement
+from ...clock import Clock
+from ...connection.home import Home
+from ...connection.target import Role, TargetResult
+from ...request.execution import Execution, Served
+from ...request.position import Position
+from ...request.refusal import Reason, not_run
+from ...request.statement import Answer, Consistency, Kind, Statement
+from ..network.peer import HostRef
 from .group import GroupKeeper
-from .peer import HostRef
 
 COVER_SHARE: Final = 0.2
 COVER_LIMIT: Final = 0.05
--- a/src/reedhook/process/group.py
+++ b/src/reedhook/process/groups/group.py
@@ -5,27 +5,27 @@
 from random import Random
 from typing import Final
 
-from ..clock import Clock
-from ..connection.home import Home
-from ..connection.target import MemberState, TargetError
-from ..request.position import Position
-from ..request.refusal import Reason, Refusal, may_have_run, not_run
-from ..request.view import GroupView
-from ..version.catalog import Group
+from ...clock import Clock
+from ...connection.home import Home
+from ...connection.target import MemberState, TargetError
+from ...request.position import Position
+from ...request.refusal import Reason, Refusal, may_have_run, not_run
+from ...request.view import GroupView
+from ...version.catalog import Group
+from ..events.timeline import EventKind, Timeline
+from ..fleet.directory import Directory
+from ..metrics import Metrics
+from ..network.peer import PeerError, Peers
 from .confirmation import Confirmation, Lead
 from .control import Control, Controller, Op, PeerController
 from .coordinator import Coordinator, OutcomeCallback, milliseconds
-from .directory import Directory
 from .guard import Guard, HostLostCallback
 from .handover import HandOver
 from .knowledge import Knowledge
-from .metrics import Metrics
-from .peer import PeerError, Peers
 from .proofs import Proofs
 from .report import Report, ReportAnswer, Reporter
 from .sampling import Sampling
 from .suspicion import Verifier
-from .timeline import EventKind, Timeline
 
 CONFIRM_TIMEOUT: Final = 0.25
 CONFIRM_AGAIN: Final = 0.01
--- a/src/reedhook/process/grouproutes.py
+++ b/src/reedhook/process/groups/grouproutes.py
@@ -3,19 +3,19 @@
 from collections.abc import Callable
 from typing import Final
 
-from ..clock import Clock
-from ..connection.home import Home
-from ..connection.target import MemberState, TargetError, TargetFactory
-from ..request.execution import Execution
-from ..request.refusal import Reason, Refusal, not_run
-from ..request.statement import Statement
-from ..request.view import ViewQuestion
-from ..version.catalog import Catalog, Group, Member
-from ..wire import Json, text
+from ...clock import Clock
+from ...connection.home import Home
+from ...connection.target import MemberState, TargetError, TargetFactory
+from ...request.execution import Execution
+from ...request.refusal import Reason, Refusal, not_run
+from ...request.statement import Statement
+from ...request.view import ViewQuestion
+from ...version.catalog import Catalog, Group, Member
+from ...wire import Json, text
+from ..fleet.directory import Directory
+from ..network.peer import PeerRoutes
 from .control import Control, Op, at_home, at_target
-from .directory import Directory
 from .group import GroupKeeper
-from .peer import PeerRoutes
 from .report import Report
 from .suspicion import ASKED_HOSTS, Evidence
 
--- a/src/reedhook/process/guard.py
+++ b/src/reedhook/process/groups/guard.py
@@ -4,15 +4,15 @@
 from collections.abc import Callable
 from typing import Final
 
-from ..clock import Clock
+from ...clock import Clock
+from ..events.timeline import EventKind, Timeline
+from ..fleet.directory import Directory
+from ..metrics import Metrics
+from ..network.peer import HostRef
 from .coordinator import Coordinator, milliseconds
-from .directory import Directory
 from .knowledge import Knowledge
-from .metrics import Metrics
-from .peer import HostRef
 from .report import DOUBT_AFTER, Reporter
 from .suspicion import Cause, Evidence, Verifier
-from .timeline import EventKind, Timeline
 
 SUSPECT_AFTER: Final = 0.35
 LAST_CHECK: Final = 0.13
--- a/src/reedhook/process/handover.py
+++ b/src/reedhook/process/groups/handover.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Final
 
-from ..clock import Clock
+from ...clock import Clock
 from .coordinator import Coordinator
 from .knowledge import Knowledge
 from .suspicion import Cause
--- a/src/reedhook/process/hint.py
+++ b/src/reedhook/process/groups/hint.py
@@ -4,10 +4,10 @@
 from random import Random
 from typing import Final
 
-from ..clock import Clock
-from ..wire import WireError, decode, encode
+from ...clock import Clock
+from ...wire import WireError, decode, encode
+from ..configuring.store import Entry, Store, StoreConflict, StoreError
 from .coordinator import Outcome
-from .store import Entry, Store, StoreConflict, StoreError
 
 STORE_TIMEOUT: Final = 1.0
 FIRST_DELAY: Final = 0.5
--- a/src/reedhook/process/homes.py
+++ b/src/reedhook/process/groups/homes.py
@@ -6,18 +6,18 @@
 
 import logbook
 
-from ..clock import Clock
-from ..connection.home import Home
-from ..request.refusal import Reason, Refusal, not_run
-from ..request.statement import Statement
-from ..version.catalog import Catalog, Group, Limits, Member
-from ..wire import Json, WireError
-from .directory import MembershipDirectory
-from .membership import Membership
-from .membership_record import HostState
-from .peer import HostRef, PeerError, PeerRoutes, Peers
-from .rendezvous import share
-from .timeline import EventKind, Timeline
+from ...clock import Clock
+from ...connection.home import Home
+from ...request.refusal import Reason, Refusal, not_run
+from ...request.statement import Statement
+from ...version.catalog import Catalog, Group, Limits, Member
+from ...wire import Json, WireError
+from ..events.timeline import EventKind, Timeline
+from ..fleet.directory import MembershipDirectory
+from ..fleet.membership import Membership
+from ..fleet.membership_record import HostState
+from ..fleet.rendezvous import share
+from ..network.peer import HostRef, PeerError, PeerRoutes, Peers
 
 HomeFactory: TypeAlias = Callable[[Group, Member, int], Home]
 
--- a/src/reedhook/process/keepers.py
+++ b/src/reedhook/process/groups/keepers.py
@@ -6,8 +6,8 @@
 
 import logbook
 
-from ..connection.home import Home
-from ..version.catalog import Catalog, Group
+from ...connection.home import Home
+from ...version.catalog import Catalog, Group
 from .group import GroupKeeper
 
 HomesOf: TypeAlias = Callable[[str], list[Home]]
--- a/src/reedhook/process/knowledge.py
+++ b/src/reedhook/process/groups/knowledge.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
-from ..clock import Clock
-from ..connection.target import MemberState, Role
-from ..request.position import Position
-from ..request.view import GroupView, MemberView
-from ..version.catalog import Group
+from ...clock import Clock
+from ...connection.target import MemberState, Role
+from ...request.position import Position
+from ...request.view import GroupView, MemberView
+from ...version.catalog import Group
 from .durability import Durability, durable_position
 from .sample import Samples
 
--- a/src/reedhook/process/promotion.py
+++ b/src/reedhook/process/groups/promotion.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final, NoReturn, TypeAlias
 
-from ..clock import Clock
-from ..connection.target import MemberState, Role
-from ..record import Record
-from ..request.refusal import Reason, Refusal
-from ..version.catalog import Group
+from ...clock import Clock
+from ...connection.target import MemberState, Role
+from ...record import Record
+from ...request.refusal import Reason, Refusal
+from ...version.catalog import Group
 from .control import Control, Controller, Op
 
 STEP_TIMEOUT: Final = 0.25
--- a/src/reedhook/process/report.py
+++ b/src/reedhook/process/groups/report.py
@@ -4,16 +4,16 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from ..clock import Clock
-from ..connection.home import Home
-from ..connection.target import MemberState, TargetError
-from ..record import Record
-from ..request.refusal import Refusal
-from ..request.view import GroupView
-from ..wire import Json, reader, text
-from .directory import Directory
+from ...clock import Clock
+from ...connection.home import Home
+from ...connection.target import MemberState, TargetError
+from ...record import Record
+from ...request.refusal import Refusal
+from ...request.view import GroupView
+from ...wire import Json, reader, text
+from ..fleet.directory import Directory
+from ..network.peer import HostRef, PeerError, Peers
 from .knowledge import Knowledge
-from .peer import HostRef, PeerError, Peers
 from .sample import Sample
 
 REPORT_INTERVAL: Final = 0.2
--- a/src/reedhook/process/sample.py
+++ b/src/reedhook/process/groups/sample.py
@@ -3,9 +3,9 @@
 from collections import deque
 from typing import Final
 
-from ..record import Record
-from ..request.position import Position
-from ..wire import Json
+from ...record import Record
+from ...request.position import Position
+from ...wire import Json
 
 KEPT: Final = 64
 SPACING: Final = 0.005
--- a/src/reedhook/process/sampling.py
+++ b/src/reedhook/process/groups/sampling.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from ..clock import Clock
-from ..request.refusal import Refusal
+from ...clock import Clock
+from ...request.refusal import Refusal
+from ..network.peer import PeerError
 from .confirmation import Confirmation, Lead
 from .knowledge import Knowledge
-from .peer import PeerError
 from .report import Report, Reporter
 
 SAMPLE_SHARE: Final = 3
--- a/src/reedhook/process/host.py
+++ b/src/reedhook/process/host.py
@@ -17,33 +17,33 @@
 from ..request.router import Router
 from ..request.views import Views
 from ..version.catalog import Catalog, Group, Limits, Member
-from .admin import Admin
-from .admin_fleet import Fleet
-from .admin_operator import Operators
-from .admin_status import HostState
-from .archive import Archive
-from .configuration import ConfigurationKeeper
-from .directory import MembershipDirectory
-from .editor import ConfigurationEditor
-from .executor import Executor
-from .group import GroupKeeper
-from .grouproutes import GroupRoutes
-from .heartbeat import Heartbeats
-from .hint import OutcomeHints
-from .homes import Homes
-from .hostlist import HostList
-from .hostsource import HostSource
-from .keepers import Keepers
-from .leaving import LeavingTargets
+from .administration.admin import Admin
+from .administration.admin_fleet import Fleet
+from .administration.admin_operator import Operators
+from .administration.admin_status import HostState
+from .administration.hostsource import HostSource
+from .configuring.archive import Archive
+from .configuring.configuration import ConfigurationKeeper
+from .configuring.editor import ConfigurationEditor
+from .configuring.relay import ConfigurationRelay
+from .configuring.store import Store
+from .events.timeline import EventKind, Timeline
+from .fleet.directory import MembershipDirectory
+from .fleet.heartbeat import Heartbeats
+from .fleet.hostlist import HostList
+from .fleet.leaving import LeavingTargets
+from .fleet.listing import Listing
+from .fleet.membership import Membership
+from .groups.executor import Executor
+from .groups.group import GroupKeeper
+from .groups.grouproutes import GroupRoutes
+from .groups.hint import OutcomeHints
+from .groups.homes import Homes
+from .groups.keepers import Keepers
 from .lifecycle import LINGER, Lifecycle
-from .listing import Listing
-from .membership import Membership
 from .metrics import Metrics
-from .peer import HostRef, PeerRoutes, Peers
-from .relay import ConfigurationRelay
+from .network.peer import HostRef, PeerRoutes, Peers
 from .settings import Settings
-from .store import Store
-from .timeline import EventKind, Timeline
 
 DRAIN_POLL: Final = 0.02
 
--- a/src/reedhook/process/lead/duty.py
+++ b/src/reedhook/process/lead/duty.py
@@ -10,9 +10,9 @@
 from ...wire import Json, WireError, decode, encode, text
 from ..announced.keyspace import Item, Keyspace, KeyspaceError
 from ..decisions import Decisions
-from ..membership_record import HostState
-from ..membership_table import MembershipTable
-from ..peer import PeerError, PeerRoutes, Peers
+from ..fleet.membership_record import HostState
+from ..fleet.membership_table import MembershipTable
+from ..network.peer import PeerError, PeerRoutes, Peers
 from .record import DUTY_KEY, Holder
 
 PATH: Final = "promote"
--- a/src/reedhook/process/lead/leads.py
+++ b/src/reedhook/process/lead/leads.py
@@ -10,8 +10,8 @@
 from ..announced.announcements import Announcements
 from ..announced.keyspace import Keyspace, KeyspaceError, Unanswered
 from ..decisions import Decisions
-from ..membership_table import MembershipTable
-from ..peer import PeerError, PeerRoutes, Peers
+from ..fleet.membership_table import MembershipTable
+from ..network.peer import PeerError, PeerRoutes, Peers
 from .book import LeadBook
 from .claim import STORE_TIMEOUT
 from .deputies import Deputies
--- a/src/reedhook/process/lead/others.py
+++ b/src/reedhook/process/lead/others.py
@@ -7,7 +7,7 @@
 from ...connection.memberhome import MemberHome
 from ...request.refusal import Refusal
 from ..decisions import Decisions
-from ..peer import HostRef, PeerError, Peers
+from ..network.peer import HostRef, PeerError, Peers
 from .claim import Claim
 from .ranking import Ranking
 from .record import Holder
--- a/src/reedhook/process/lead/ranking.py
+++ b/src/reedhook/process/lead/ranking.py
@@ -2,9 +2,9 @@
 
 from ...version.registry import TargetEntry
 from ..announced.announcements import Announcements
-from ..membership_table import MembershipTable
-from ..peer import HostRef
-from ..rendezvous import ranked_hosts
+from ..fleet.membership_table import MembershipTable
+from ..fleet.rendezvous import ranked_hosts
+from ..network.peer import HostRef
 from .book import LeadBook
 from .record import lead_key
 from .vigil import Vigil
--- a/src/reedhook/process/lead/record.py
+++ b/src/reedhook/process/lead/record.py
@@ -6,7 +6,7 @@
 from ...wire import Json, decode, encode, reader
 from ..announced.announcements import OWN_PREFIX
 from ..announced.keyspace import Item
-from ..peer import HostRef
+from ..network.peer import HostRef
 
 LEADS: Final = f"{OWN_PREFIX}lead/"
 DUTY_KEY: Final = f"{OWN_PREFIX}duty"
--- a/src/reedhook/process/lead/vigil.py
+++ b/src/reedhook/process/lead/vigil.py
@@ -8,8 +8,8 @@
 from ...request.refusal import Refusal
 from ...wire import Json, WireError
 from ..decisions import Decisions
-from ..membership_table import MembershipTable
-from ..peer import HostRef, PeerError, PeerRoutes, Peers
+from ..fleet.membership_table import MembershipTable
+from ..network.peer import HostRef, PeerError, PeerRoutes, Peers
 
 PATH: Final = "alive"
 REACH_PATH: Final = "reaches"
--- a/src/reedhook/process/lead/witness.py
+++ b/src/reedhook/process/lead/witness.py
@@ -9,8 +9,8 @@
 from ...version.registry import TargetEntry
 from ...wire import Json, text
 from ..announced.announcements import Announcements
-from ..membership_table import MembershipTable
-from ..peer import HostRef, PeerError, PeerRoutes, Peers
+from ..fleet.membership_table import MembershipTable
+from ..network.peer import HostRef, PeerError, PeerRoutes, Peers
 from .states import TargetStates
 
 PATH: Final = "sight"
--- a/src/reedhook/process/lifecycle.py
+++ b/src/reedhook/process/lifecycle.py
@@ -8,9 +8,9 @@
 import logbook
 
 from ..clock import Clock
+from .network.peer_server import PeerServer
+from .network.server import Server
 from .overdue import ShutdownOverdue
-from .peer_server import PeerServer
-from .server import Server
 
 Companion: TypeAlias = Callable[[Clock], Coroutine[Any, Any, None]]
 
--- /dev/null
+++ b/src/reedhook/process/network/__init__.py
@@ -0,0 +1,1 @@
+"""Servers, and calls between hosts."""
--- a/src/reedhook/process/limits.py
+++ b/src/reedhook/process/network/limits.py
@@ -1,6 +1,6 @@
 """Bounds on what the servers of a host accept."""
 
-from ..record import Record
+from ...record import Record
 
 
 class ServerLimits(Record):
--- a/src/reedhook/process/listener.py
+++ b/src/reedhook/process/network/listener.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from ..address import split_address
+from ...address import split_address
 
 Runner: TypeAlias = web.AppRunner | web.ServerRunner
 
--- a/src/reedhook/process/parsing.py
+++ b/src/reedhook/process/network/parsing.py
@@ -8,8 +8,8 @@
 from aiohttp.http import HttpProcessingError
 from aiohttp.web_protocol import RequestHandler
 
-from ..request.refusal import Reason, Refusal, not_run
-from ..wire import encode
+from ...request.refusal import Reason, Refusal, not_run
+from ...wire import encode
 
 DETAIL_MOST: Final = 160
 """Characters of the parser's words that are kept: it quotes what was sent, and
--- a/src/reedhook/process/peer_http.py
+++ b/src/reedhook/process/network/peer_http.py
@@ -3,19 +3,19 @@
 import ssl
 from typing import Final
 
-from ..clock import Clock
-from ..connection.channel import (
+from ...clock import Clock
+from ...connection.channel import (
     Channel,
     ChannelAnswer,
     ChannelBroken,
     ChannelClosed,
     open_channel,
 )
-from ..request.refusal import Refusal
-from ..wire import Json, WireError, decode, encode
+from ...request.refusal import Refusal
+from ...wire import Json, WireError, decode, encode
+from ..events.timeline import Timeline
 from .peer import HostRef, PeerError, Peers
 from .peer_wire import BODY_LIMIT, CLIENT_KEEPALIVE, CREDENTIAL, PREFIX
-from .timeline import Timeline
 
 LINK_IDLE: Final = 60.0
 SWEEP_INTERVAL: Final = 10.0
--- a/src/reedhook/process/peer_server.py
+++ b/src/reedhook/process/network/peer_server.py
@@ -8,12 +8,12 @@
 import logbook
 from aiohttp import hdrs, web
 
-from ..request.refusal import Reason, Refusal, may_have_run, not_run
-from ..wire import Json, WireError, decode, encode
+from ...request.refusal import Reason, Refusal, may_have_run, not_run
+from ...wire import Json, WireError, decode, encode
+from ..events.timeline import Timeline
 from .listener import Listener
 from .peer import PeerRoutes
 from .peer_wire import BODY_LIMIT, CREDENTIAL, PREFIX, SERVER_KEEPALIVE
-from .timeline import Timeline
 
 BODY_TIMEOUT: Final = 5.0
 SHUTDOWN: Final = 10.0
--- a/src/reedhook/process/tls.py
+++ b/src/reedhook/process/network/tls.py
@@ -8,8 +8,8 @@
 
 import logbook
 
-from ..clock import Clock
-from .settings import TlsSettings
+from ...clock import Clock
+from ..settings import TlsSettings
 
 RELOAD_INTERVAL: Final = 10.0
 
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -22,8 +22,11 @@
 from .callers import Callers
 from .decisions import Decisions
 from .desk import Desk
-from .directory import MembershipDirectory
-from .heartbeat import Heartbeats
+from .events.timeline import Timeline
+from .fleet.directory import MembershipDirectory
+from .fleet.heartbeat import Heartbeats
+from .fleet.membership import Membership
+from .fleet.rendezvous import share
 from .histograms import HistogramMetrics
 from .hosting_settings import HostingSettings
 from .lead.book import LeadBook
@@ -40,10 +43,7 @@
 from .lead.states import TargetStates
 from .lead.vigil import Vigil
 from .lead.witness import Witnesses
-from .membership import Membership
-from .peer import HostRef, PeerError, PeerRoutes, Peers
-from .rendezvous import share
-from .timeline import Timeline
+from .network.peer import HostRef, PeerError, PeerRoutes, Peers
 
 TABLE_PATH: Final = "table"
 TABLE_TIMEOUT: Final = 0.5
--- a/src/reedhook/process/session_process.py
+++ b/src/reedhook/process/session_process.py
@@ -4,8 +4,8 @@
 from abc import ABC, abstractmethod
 from typing import Final, Protocol
 
-from .peer_server import PeerServer
-from .server import Server
+from .network.peer_server import PeerServer
+from .network.server import Server
 from .session_host import SessionHost
 
 FOLLOW_EVERY: Final = 1.0
--- a/src/reedhook/process/settings.py
+++ b/src/reedhook/process/settings.py
@@ -6,7 +6,7 @@
 import yaml
 
 from ..record import Record
-from .limits import ServerLimits
+from .network.limits import ServerLimits
 from .settings_check import SettingsError, listener_errors, schema_errors
 from .settings_files import FORMER, SECRETS, TLS_FILES, file_errors, read_secret
 
--- /dev/null
+++ b/src/reedhook/process/tool/__init__.py
@@ -0,0 +1,1 @@
+"""The command line tool."""
--- a/src/reedhook/process/command_access.py
+++ b/src/reedhook/process/tool/command_access.py
@@ -7,8 +7,8 @@
 
 import yaml
 
-from ..address import split_address
-from ..record import Record
+from ...address import split_address
+from ...record import Record
 from .command_error import CommandError, Exit
 
 FILE_VARIABLE: Final = "REEDHOOK_ACCESS"
--- a/src/reedhook/process/command_client.py
+++ b/src/reedhook/process/tool/command_client.py
@@ -4,8 +4,8 @@
 
 import aiohttp
 
-from ..connector import Connector
-from ..wire import Json, WireError, decode, encode
+from ...connector import Connector
+from ...wire import Json, WireError, decode, encode
 from .command_access import Endpoint
 from .command_error import CommandError, Exit, Unreachable
 
--- a/src/reedhook/process/command_config.py
+++ b/src/reedhook/process/tool/command_config.py
@@ -5,7 +5,7 @@
 from typing import Final
 from uuid import uuid4
 
-from ..wire import Json
+from ...wire import Json
 from .command_client import Client, Refused
 from .command_error import CommandError, Exit, Unreachable
 from .command_folder import Folder
--- a/src/reedhook/process/command_folder.py
+++ b/src/reedhook/process/tool/command_folder.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Final
 
-from ..wire import Json
+from ...wire import Json
 from .command_error import CommandError, Exit
 
 BASE: Final = "base.yaml"
--- a/src/reedhook/process/command_query.py
+++ b/src/reedhook/process/tool/command_query.py
@@ -6,8 +6,8 @@
 
 import orjson
 
-from ..record import Record
-from ..wire import Json
+from ...record import Record
+from ...wire import Json
 from .command_client import Client
 from .command_error import CommandError, Exit, Unreachable
 from .command_report import Result, query_text
--- a/src/reedhook/process/command_report.py
+++ b/src/reedhook/process/tool/command_report.py
@@ -6,8 +6,8 @@
 
 import orjson
 
-from ..record import Record
-from ..wire import Json
+from ...record import Record
+from ...wire import Json
 from .command_error import CommandError, Exit
 
 
--- a/src/reedhook/process/command_settings.py
+++ b/src/reedhook/process/tool/command_settings.py
@@ -4,10 +4,10 @@
 from pathlib import Path
 from typing import Final
 
-from ..platform.settings import SettingsFault, load as load_hosting
+from ...platform.settings import SettingsFault, load as load_hosting
+from ..settings import load_settings
 from .command_error import CommandError, Exit
 from .command_report import Result
-from .settings import load_settings
 
 COMMENT: Final = "#"
 CHECKS: Final = {True: "the platform's format", False: "YAML"}
--- a/src/reedhook/process/command_timeline.py
+++ b/src/reedhook/process/tool/command_timeline.py
@@ -6,13 +6,13 @@
 from pathlib import Path
 from typing import Final
 
-from ..wire import WireError
+from ...wire import WireError
+from ..events.timeline_merge import History
+from ..events.timeline_page import page_of
+from ..events.timeline_text import text_of
 from .command_client import Client
 from .command_error import CommandError, Exit
 from .command_report import Result
-from .timeline_merge import History
-from .timeline_page import page_of
-from .timeline_text import text_of
 
 AGO: Final = re.compile(r"([0-9]{1,6})([smhd])")
 SECONDS: Final = {"s": 1, "m": 60, "h": 3600, "d": 86400}
--- a/src/reedhook/request/hop.py
+++ b/src/reedhook/request/hop.py
@@ -7,7 +7,7 @@
 from ..process.decisions import Decisions
 from ..process.desk import END, WORK, Desk
 from ..process.lead.record import LeadRecord
-from ..process.peer import HostRef, PeerError, Peers
+from ..process.network.peer import HostRef, PeerError, Peers
 from ..record import Record
 from ..wire import Json, WireError
 from .position import Position
--- a/src/reedhook/request/replicas.py
+++ b/src/reedhook/request/replicas.py
@@ -7,9 +7,9 @@
 from ..process.announced.announcements import Announcements
 from ..process.decisions import Decisions
 from ..process.desk import PROOF, Desk
-from ..process.directory import Directory
+from ..process.fleet.directory import Directory
 from ..process.lead.book import LeadBook
-from ..process.peer import PeerError, Peers
+from ..process.network.peer import PeerError, Peers
 from ..version.registry import Route, TargetEntry
 from ..wire import Json, WireError
 from .hop import Hops, Place, Placed
--- a/src/reedhook/request/steering.py
+++ b/src/reedhook/request/steering.py
@@ -5,10 +5,10 @@
 from ..clock import Clock
 from ..connection.member import Fault
 from ..process.decisions import Decisions
-from ..process.directory import Directory
+from ..process.fleet.directory import Directory
 from ..process.lead.book import LeadBook
 from ..process.lead.leads import RECORDS_PATH
-from ..process.peer import PeerError, Peers
+from ..process.network.peer import PeerError, Peers
 from ..version.registry import Route, RouteKind
 from ..wire import WireError
 from .hop import Hops, Place, Placed
--- a/src/reedhook_standins/control.py
+++ b/src/reedhook_standins/control.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Final, TypeAlias
 
-from reedhook.process.hostlist import ListedState
+from reedhook.process.fleet.hostlist import ListedState
 from reedhook.wire import Json
 
 from .group import GroupStandin
--- a/src/reedhook_standins/hostlist.py
+++ b/src/reedhook_standins/hostlist.py
@@ -1,7 +1,7 @@
 """Stand-in of the platform's lagging list of entry hosts and targets."""
 
 from reedhook.clock import Clock, SystemClock
-from reedhook.process.hostlist import ListedHost, ListedKind, ListedState
+from reedhook.process.fleet.hostlist import ListedHost, ListedKind, ListedState
 from reedhook.record import Record
 from reedhook.wire import Json
 
--- a/src/reedhook_standins/platform.py
+++ b/src/reedhook_standins/platform.py
@@ -21,7 +21,7 @@
 from docopt import docopt
 
 from reedhook.clock import Clock, SystemClock
-from reedhook.process.hostlist import ListedKind
+from reedhook.process.fleet.hostlist import ListedKind
 from reedhook.process.io_uring import forbid_io_uring
 
 from .control import Control, groups_text
--- a/src/reedhook_standins/world.py
+++ b/src/reedhook_standins/world.py
@@ -15,14 +15,14 @@
 from reedhook.connection.target_http import HttpTargetFactory
 from reedhook.connector import Connector
 from reedhook.process.assembly import serve
+from reedhook.process.events.timeline import Timeline
 from reedhook.process.host import Host
 from reedhook.process.lifecycle import HostProcess
 from reedhook.process.metrics import MemoryMetrics
-from reedhook.process.peer import HostRef
-from reedhook.process.peer_http import HttpPeers
+from reedhook.process.network.peer import HostRef
+from reedhook.process.network.peer_http import HttpPeers
+from reedhook.process.network.tls import TlsContexts
 from reedhook.process.settings import Settings
-from reedhook.process.timeline import Timeline
-from reedhook.process.tls import TlsContexts
 from reedhook.version.document import Documents
 
 from .caller import Caller
--- a/tests/admin_fakes.py
+++ b/tests/admin_fakes.py
@@ -4,12 +4,16 @@
 import hashlib
 from typing import Any
 
-from reedhook.process.admin_fleet import Fleet
-from reedhook.process.admin_source import AdminSource
-from reedhook.process.admin_status import HostState, HostStatus, KnownHost
+from reedhook.process.administration.admin_fleet import Fleet
+from reedhook.process.administration.admin_source import AdminSource
+from reedhook.process.administration.admin_status import (
+    HostState,
+    HostStatus,
+    KnownHost,
+)
+from reedhook.process.events.timeline import Timeline
 from reedhook.process.metrics import MemoryMetrics
-from reedhook.process.peer import HostRef, PeerError, PeerRoutes, Peers
-from reedhook.process.timeline import Timeline
+from reedhook.process.network.peer import HostRef, PeerError, PeerRoutes, Peers
 from reedhook.request.position import Position
 from reedhook.request.view import GroupView, MemberView
 from reedhook.version.catalog import Catalog, Group, Limits, Member
--- a/tests/command_fakes.py
+++ b/tests/command_fakes.py
@@ -9,10 +9,10 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from reedhook.process.admin import Admin, admin_app
-from reedhook.process.admin_config import config_routes
-from reedhook.process.admin_operator import Operators
-from reedhook.process.command import execute
+from reedhook.process.administration.admin import Admin, admin_app
+from reedhook.process.administration.admin_config import config_routes
+from reedhook.process.administration.admin_operator import Operators
+from reedhook.process.tool.command import execute
 
 from .admin_fakes import CREDENTIAL, DIGESTS, FakeNetwork
 from .config_fleet import BASE
--- a/tests/daemon_fakes.py
+++ b/tests/daemon_fakes.py
@@ -6,8 +6,8 @@
 
 from reedhook.clock import SystemClock
 from reedhook.process.lifecycle import HostProcess, Lifecycle
-from reedhook.process.limits import ServerLimits
-from reedhook.process.server import ApplicationServer
+from reedhook.process.network.limits import ServerLimits
+from reedhook.process.network.server import ApplicationServer
 
 
 class QuickClock(SystemClock):
--- a/tests/fakes_homes.py
+++ b/tests/fakes_homes.py
@@ -4,7 +4,7 @@
 
 from reedhook.connection.home import Home, HomeLoad
 from reedhook.connection.target import MemberState, TargetResult
-from reedhook.process.homes import Homes
+from reedhook.process.groups.homes import Homes
 from reedhook.request.refusal import Reason, Refusal, not_run
 from reedhook.request.statement import Statement
 from reedhook.version.catalog import Catalog, Group, Limits, Member
--- a/tests/fakes_store.py
+++ b/tests/fakes_store.py
@@ -15,7 +15,12 @@
 from collections.abc import Callable
 from typing import Final
 
-from reedhook.process.store import Entry, Store, StoreConflict, StoreUnavailable
+from reedhook.process.configuring.store import (
+    Entry,
+    Store,
+    StoreConflict,
+    StoreUnavailable,
+)
 
 MAX_VALUE: Final = 1024 * 1024
 DELAY: Final = 0.002
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -14,11 +14,11 @@
 from reedhook.connection.session import Session, SessionReply, SessionState
 from reedhook.process.announced.announcements import Documents
 from reedhook.process.decisions import Decisions
+from reedhook.process.events.timeline import Timeline
 from reedhook.process.histograms import HistogramMetrics
 from reedhook.process.hosting_settings import HostingSettings
-from reedhook.process.peer import HostRef, PeerRoutes
+from reedhook.process.network.peer import HostRef, PeerRoutes
 from reedhook.process.session_host import SessionHost
-from reedhook.process.timeline import Timeline
 from reedhook.request.command import Command, CommandKind
 from reedhook.request.verdict import Verdict
 from reedhook.version.registry import (
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -8,10 +8,10 @@
 from hypothesis import given, settings, strategies as st
 from syrupy.assertion import SnapshotAssertion
 
-from reedhook.process.admin import Admin, admin_app
-from reedhook.process.admin_fleet import MOST_EVENTS
-from reedhook.process.admin_operator import Operators
-from reedhook.process.timeline import EventKind
+from reedhook.process.administration.admin import Admin, admin_app
+from reedhook.process.administration.admin_fleet import MOST_EVENTS
+from reedhook.process.administration.admin_operator import Operators
+from reedhook.process.events.timeline import EventKind
 from reedhook.wire import Json
 
 from .admin_fakes import DIGESTS, HEADERS, FakeNetwork
--- a/tests/test_admin_docs.py
+++ b/tests/test_admin_docs.py
@@ -4,12 +4,13 @@
 from pathlib import Path
 from typing import Any
 
-from reedhook.process import command, daemon
-from reedhook.process.admin import Admin, admin_app
-from reedhook.process.admin_config import config_routes
-from reedhook.process.admin_operator import Operators
-from reedhook.process.command_error import Exit
+from reedhook.process import daemon
+from reedhook.process.administration.admin import Admin, admin_app
+from reedhook.process.administration.admin_config import config_routes
+from reedhook.process.administration.admin_operator import Operators
 from reedhook.process.settings_schema import LIMITS, SETTINGS, TLS
+from reedhook.process.tool import command
+from reedhook.process.tool.command_error import Exit
 
 from .admin_fakes import DIGESTS, FakeNetwork
 from .fakes_store import FakeStore
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -12,9 +12,9 @@
 from aiohttp.web import BaseRequest
 
 from reedhook.clock import SystemClock
-from reedhook.process.limits import ServerLimits
 from reedhook.process.metrics import MemoryMetrics
-from reedhook.process.server import HandlerServer
+from reedhook.process.network.limits import ServerLimits
+from reedhook.process.network.server import HandlerServer
 from reedhook.request.api import Api
 from reedhook.request.endpoint import CallerEndpoint
 from reedhook.request.position import Position
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -7,8 +7,8 @@
 from aiohttp.test_utils import TestServer
 from syrupy.assertion import SnapshotAssertion
 
-from reedhook.process.command_timeline import since_ms
-from reedhook.process.timeline_merge import merge
+from reedhook.process.events.timeline_merge import merge
+from reedhook.process.tool.command_timeline import since_ms
 
 from .admin_fakes import CREDENTIAL
 from .command_fakes import FakeCallers, Tool, a_tool, folder
--- a/tests/test_command_settings.py
+++ b/tests/test_command_settings.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from reedhook.process.command import execute
+from reedhook.process.tool.command import execute
 
 from .support import run
 
--- a/tests/test_config_accept.py
+++ b/tests/test_config_accept.py
@@ -8,10 +8,15 @@
 
 import pytest
 
-from reedhook.process import archive as archive_module
-from reedhook.process.archive import HEAD_KEY, PART_PREFIX, history_key, part_key
-from reedhook.process.edit import EditConflict
-from reedhook.process.exchange import MAX_ANSWER, parts_answer
+from reedhook.process.configuring import archive as archive_module
+from reedhook.process.configuring.archive import (
+    HEAD_KEY,
+    PART_PREFIX,
+    history_key,
+    part_key,
+)
+from reedhook.process.configuring.edit import EditConflict
+from reedhook.process.configuring.exchange import MAX_ANSWER, parts_answer
 from reedhook.process.worker import ThreadWorker
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.verdict import Verdict
--- a/tests/test_daemon_host.py
+++ b/tests/test_daemon_host.py
@@ -9,12 +9,12 @@
 
 from reedhook.clock import SystemClock
 from reedhook.process.assembly import assemble
-from reedhook.process.command_access import Endpoint, trust
-from reedhook.process.command_client import Client
-from reedhook.process.command_error import Unreachable
 from reedhook.process.lifecycle import HostProcess
 from reedhook.process.metrics import MemoryMetrics
 from reedhook.process.settings import Settings, TlsSettings
+from reedhook.process.tool.command_access import Endpoint, trust
+from reedhook.process.tool.command_client import Client
+from reedhook.process.tool.command_error import Unreachable
 
 from .admin_fakes import CREDENTIAL, DIGESTS
 from .support import on_loop
--- a/tests/test_group_basic.py
+++ b/tests/test_group_basic.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from reedhook.process.timeline import EventKind
+from reedhook.process.events.timeline import EventKind
 from reedhook.request.position import Position
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.statement import Consistency, Kind
--- a/tests/test_group_hint.py
+++ b/tests/test_group_hint.py
@@ -3,9 +3,9 @@
 import asyncio
 import random
 
-from reedhook.process.coordinator import Outcome
-from reedhook.process.hint import OutcomeHints
-from reedhook.process.store import Entry
+from reedhook.process.configuring.store import Entry
+from reedhook.process.groups.coordinator import Outcome
+from reedhook.process.groups.hint import OutcomeHints
 
 from .fakes_clock import LoopClock, in_virtual_time
 from .fakes_store import FakeStore
--- a/tests/test_group_proofs.py
+++ b/tests/test_group_proofs.py
@@ -6,9 +6,9 @@
 from hypothesis import given, strategies as st
 
 from reedhook.connection.target import MemberState, Role
-from reedhook.process.confirmation import Confirmation, Lead
-from reedhook.process.durability import Durability, durable_position
-from reedhook.process.sample import Sample, Samples
+from reedhook.process.groups.confirmation import Confirmation, Lead
+from reedhook.process.groups.durability import Durability, durable_position
+from reedhook.process.groups.sample import Sample, Samples
 from reedhook.request.position import ORIGIN, Position
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.statement import Consistency
--- a/tests/test_home_health.py
+++ b/tests/test_home_health.py
@@ -4,7 +4,7 @@
 
 from reedhook.connection.target import Role, TargetError
 from reedhook.connection.targethome import TargetHome
-from reedhook.process.timeline import EventKind
+from reedhook.process.events.timeline import EventKind
 from reedhook.request.position import Position
 from reedhook.request.refusal import Reason
 from reedhook.request.statement import Kind, Statement
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from reedhook.process.executor import Executor
-from reedhook.process.timeline import EventKind
+from reedhook.process.events.timeline import EventKind
+from reedhook.process.groups.executor import Executor
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.statement import Kind, Statement
 from reedhook.version.catalog import Catalog, Group, Limits
--- a/tests/test_hostlist_http.py
+++ b/tests/test_hostlist_http.py
@@ -6,12 +6,8 @@
 
 import pytest
 
-from reedhook.process.hostlist import (
-    HostListUnavailable,
-    ListedHost,
-    ListedState,
-)
-from reedhook.process.hostlist_http import HttpHostList
+from reedhook.process.fleet.hostlist import HostListUnavailable, ListedHost, ListedState
+from reedhook.process.fleet.hostlist_http import HttpHostList
 from reedhook_standins.hostlist import HostListStandin
 
 from .fakes_clock import LoopClock
--- a/tests/test_lead_claim.py
+++ b/tests/test_lead_claim.py
@@ -8,7 +8,7 @@
 from reedhook.process.lead.book import LeadBook
 from reedhook.process.lead.claim import HolderClaim
 from reedhook.process.lead.record import Holder, LeadRecord, lead_key
-from reedhook.process.peer import HostRef
+from reedhook.process.network.peer import HostRef
 
 from .fakes_clock import LoopClock, in_virtual_time
 from .fakes_keyspace import FakeStore
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from reedhook.process.group import GroupKeeper
-from reedhook.process.leaving import LeavingTargets
-from reedhook.process.timeline import EventKind, Timeline
+from reedhook.process.events.timeline import EventKind, Timeline
+from reedhook.process.fleet.leaving import LeavingTargets
+from reedhook.process.groups.group import GroupKeeper
 from reedhook.request.refusal import Refusal
 from reedhook.request.view import GroupView
 from reedhook.version.catalog import Group, Member
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from reedhook.process.hostlist import (
+from reedhook.process.fleet.hostlist import (
     HostList,
     HostListUnavailable,
     ListedHost,
     ListedKind,
     ListedState,
 )
-from reedhook.process.listing import LONGEST_INTERVAL, TRUSTED_AFTER, Listing
-from reedhook.process.membership_record import HostState
-from reedhook.process.peer import HostRef
+from reedhook.process.fleet.listing import LONGEST_INTERVAL, TRUSTED_AFTER, Listing
+from reedhook.process.fleet.membership_record import HostState
+from reedhook.process.network.peer import HostRef
 from reedhook.version.catalog import Catalog, Group, Limits, Member
 from reedhook.wire import Json
 
--- a/tests/test_membership_faults.py
+++ b/tests/test_membership_faults.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from reedhook.process.heartbeat_timing import Timing
-from reedhook.process.membership import Membership
-from reedhook.process.membership_record import HostState
-from reedhook.process.timeline import EventKind
+from reedhook.process.events.timeline import EventKind
+from reedhook.process.fleet.heartbeat_timing import Timing
+from reedhook.process.fleet.membership import Membership
+from reedhook.process.fleet.membership_record import HostState
 
 from .fakes_clock import in_virtual_time, run_virtual
 from .fakes_hosts import FakeHosts
--- a/tests/test_peer_tls.py
+++ b/tests/test_peer_tls.py
@@ -8,12 +8,12 @@
 import trustme
 
 from reedhook.clock import SystemClock
-from reedhook.process.peer import HostRef, PeerError, PeerRoutes
-from reedhook.process.peer_http import HttpPeers
-from reedhook.process.peer_server import PeerEndpoint, PeerServer
+from reedhook.process.events.timeline import Timeline
+from reedhook.process.network.peer import HostRef, PeerError, PeerRoutes
+from reedhook.process.network.peer_http import HttpPeers
+from reedhook.process.network.peer_server import PeerEndpoint, PeerServer
+from reedhook.process.network.tls import TlsContexts
 from reedhook.process.settings import TlsSettings
-from reedhook.process.timeline import Timeline
-from reedhook.process.tls import TlsContexts
 from reedhook.wire import Json
 
 from .support import on_loop
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -7,8 +7,8 @@
 import pytest
 
 from reedhook.connection.target import MemberState, Role
-from reedhook.process.control import Control, Controller, Op
-from reedhook.process.timeline import EventKind
+from reedhook.process.events.timeline import EventKind
+from reedhook.process.groups.control import Control, Controller, Op
 from reedhook.request.position import Position
 from reedhook.request.refusal import Reason, Refusal, may_have_run
 from reedhook.request.statement import Consistency
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,8 +6,8 @@
 import pytest
 from aiohttp import ClientSession, web
 
-from reedhook.process.limits import ServerLimits
-from reedhook.process.server import ApplicationServer, HandlerServer, Server
+from reedhook.process.network.limits import ServerLimits
+from reedhook.process.network.server import ApplicationServer, HandlerServer, Server
 from reedhook.wire import decode
 
 from .support import on_loop, run
--- a/tests/test_settings_examples.py
+++ b/tests/test_settings_examples.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from reedhook.process.command_access import Access
 from reedhook.process.settings import Settings, load_settings
+from reedhook.process.tool.command_access import Access
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 HOSTS = 9
--- a/tests/test_standin_control.py
+++ b/tests/test_standin_control.py
@@ -7,7 +7,7 @@
 
 from reedhook.connection.channel import open_channel
 from reedhook.connection.target import TargetUnreachable
-from reedhook.process.hostlist import ListedState
+from reedhook.process.fleet.hostlist import ListedState
 from reedhook.wire import Json, decode, encode
 from reedhook_standins.control import Control
 from reedhook_standins.deployment import Deployment
--- a/tests/test_store_http.py
+++ b/tests/test_store_http.py
@@ -8,13 +8,13 @@
 
 import pytest
 
-from reedhook.process.store import (
+from reedhook.process.configuring.store import (
     Entry,
     StoreConflict,
     StoreError,
     StoreUnavailable,
 )
-from reedhook.process.store_http import HttpStore
+from reedhook.process.configuring.store_http import HttpStore
 from reedhook_standins.store import MAX_VALUE, StoreStandin
 
 from .fakes_clock import LoopClock
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -6,17 +6,17 @@
 from hypothesis import given, strategies as st
 from syrupy.assertion import SnapshotAssertion
 
-from reedhook.process.timeline import (
+from reedhook.process.events.timeline import (
     MAX_AHEAD_MS,
     Event,
     EventKind,
     Stamp,
     Timeline,
 )
-from reedhook.process.timeline_filter import EventFilter
-from reedhook.process.timeline_merge import History, failovers, merge, order
-from reedhook.process.timeline_page import page_of
-from reedhook.process.timeline_text import text_of
+from reedhook.process.events.timeline_filter import EventFilter
+from reedhook.process.events.timeline_merge import History, failovers, merge, order
+from reedhook.process.events.timeline_page import page_of
+from reedhook.process.events.timeline_text import text_of
 from reedhook.wire import WireError
 
 from .timeline_fakes import HandClock, a_failover, event
--- a/tests/timeline_fakes.py
+++ b/tests/timeline_fakes.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from reedhook.clock import Clock
-from reedhook.process.timeline import Event, EventKind, Stamp
+from reedhook.process.events.timeline import Event, EventKind, Stamp
 
 START_MS = 1_770_000_000_000
 
--- a/tests/trace_replay.py
+++ b/tests/trace_replay.py
@@ -12,8 +12,8 @@
 
 import yaml
 
-from reedhook.process.hostlist import ListedKind, ListedState
-from reedhook.process.timeline import EventKind
+from reedhook.process.events.timeline import EventKind
+from reedhook.process.fleet.hostlist import ListedKind, ListedState
 from reedhook.request.statement import Consistency
 from reedhook.request.verdict import Verdict
 from reedhook.wire import Json
--- a/tests/trace_world.py
+++ b/tests/trace_world.py
@@ -11,19 +11,19 @@
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.test_utils import make_mocked_request
 
-from reedhook.process.editor import ConfigurationEditor
-from reedhook.process.host import Host
-from reedhook.process.hostlist import (
+from reedhook.process.configuring.editor import ConfigurationEditor
+from reedhook.process.events.timeline import Event, Timeline
+from reedhook.process.fleet.hostlist import (
     HostList,
     HostListUnavailable,
     ListedHost,
     ListedKind,
     ListedState,
 )
+from reedhook.process.host import Host
 from reedhook.process.metrics import MemoryMetrics
-from reedhook.process.peer import HostRef, PeerRoutes
+from reedhook.process.network.peer import HostRef, PeerRoutes
 from reedhook.process.settings import Settings
-from reedhook.process.timeline import Event, Timeline
 from reedhook.process.worker import Worker
 from reedhook.request.api import TRANSACTION, Handler, typed
 from reedhook.version.document import Documents
