Judge pinning and double effects in virtual time too, under more faults

One-way cuts between hosts, leaving targets, a dropped history, watches that end without a word, a slow store.

--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -30,7 +30,7 @@
 )
 from reedhook.wire import decode, encode
 from reedhook_standins.database import DatabaseGroup
-from reedhook_standins.promises import Acknowledged, Promises, Viewer
+from reedhook_standins.promises import Acknowledged, Promises, Sent, Viewer
 
 from .fakes_clock import LoopClock
 from .fakes_keyspace import FakeStore
@@ -103,6 +103,7 @@
         self.hosts: dict[str, SessionHost] = {}
         self.lives = 0
         self.promises = Promises(self.group, asyncio.get_running_loop().time)
+        self.promises.watch()
         self.callers = 0
 
     @property
@@ -240,6 +241,7 @@
         self.sent = 0
         self.values: dict[str, str] = {}
         self.prepared: dict[str, bool] = {}
+        self.transaction = ""
         self.begun_at = 0.0
         self.wrote = False
 
@@ -252,6 +254,14 @@
         asked = asyncio.get_running_loop().time()
         inside = self.session.state is SessionState.OPEN
         command = Command(kind, text or KINDS[kind], name, writes)
+        if kind is CommandKind.BEGIN or kind is CommandKind.BEGIN_READ:
+            self.transaction = id
+        self.world.promises.sent[id] = Sent(
+            command.text,
+            self.transaction if inside else "",
+            dict(self.values),
+            dict(self.prepared),
+        )
         reply = await self.session.run(id, command)
         done = reply.fault is Fault.NONE and reply.refusal is None
         if kind is CommandKind.BEGIN or kind is CommandKind.BEGIN_READ:
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -534,7 +534,13 @@
     await world.stop()
 
 
-async def troubled(seed: int) -> None:
+OLDER = "zone store late losing kill pause primary cut lag deaf answers heal"
+"""Kinds of faults; the days drawn from them stay as they are."""
+
+KINDS = f"{OLDER} oneway leaving forget deafen slow"
+
+
+async def troubled(seed: int, kinds: str = OLDER) -> None:
     """Play a day of faults drawn at random, and check what was promised."""
     rng = random.Random(seed)
     world = SessionWorld(seed)
@@ -542,11 +548,12 @@
     running = asyncio.create_task(traffic(world, 10.0, seed, pause=1.0))
     for _ in range(5):
         await asyncio.sleep(rng.uniform(0.2, 1.6))
-        await trouble(world, rng)
+        await trouble(world, rng, kinds.split())
     await asyncio.sleep(1.0)
     world.heal()
     world.store.late.clear()
     world.store.losing.clear()
+    world.store.delay.clear()
     for member in world.group.members.values():
         member.down = member.deaf = False
         member.lag, member.losing = 0.008, 0.0
@@ -559,14 +566,12 @@
     await world.stop()
 
 
-async def trouble(world: SessionWorld, rng: random.Random) -> None:
+async def trouble(world: SessionWorld, rng: random.Random, kinds: list[str]) -> None:
     """Bring one fault about."""
     host = rng.choice([ref.host for ref in world.refs])
     members = list(world.group.members.values())
     zone = rng.choice([ref.zone for ref in world.refs])
-    kind = rng.choice(
-        "zone store late losing kill pause primary cut lag deaf answers heal".split()
-    )
+    kind = rng.choice(kinds)
     if kind == "zone":
         world.heal()
         world.cut_zone(zone)
@@ -595,6 +600,18 @@
         rng.choice(members).deaf = True
     elif kind == "answers":
         rng.choice(members).losing = 0.1
+    elif kind == "oneway":
+        world.network.cut(host, rng.choice([ref.host for ref in world.refs]))
+    elif kind == "leaving":
+        member = rng.choice(members)
+        member.entry = leaving(member.entry)
+        world.announce(member.entry)
+    elif kind == "forget":
+        world.store.forget()
+    elif kind == "deafen":
+        world.store.deafen()
+    elif kind == "slow":
+        world.store.delay[host] = rng.uniform(0.05, 0.45)
     else:
         world.heal()
         for member in members:
@@ -604,3 +621,8 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_promises_hold_on_days_of_random_faults(seed: int) -> None:
     run_virtual(troubled(seed))
+
+
+@pytest.mark.parametrize("seed", range(100, 108))
+def test_promises_hold_on_days_of_more_kinds_of_faults(seed: int) -> None:
+    run_virtual(troubled(seed, KINDS))
