--- a/src/reedhook/process/decisions.py
+++ b/src/reedhook/process/decisions.py
@@ -14,12 +14,39 @@
 BURST: Final = 300.0
 """Lines that may come at once, such as those of a failed target."""
 
+EVENT_SHARE: Final = 0.25
+"""Share of both that one event may use: a target that is cut off makes hundreds
+of lines a second of a few events, among which the change of primary must show."""
+
 MOST_WAITING: Final = 1000
 """Lines that wait for a reader of the output that is slow."""
 
 STANDARD_OUTPUT: Final = 1
 
 
+class Allowance:
+    """Let lines through at a rate, and some more at once.
+
+    :param rate: lines a second.
+    :param burst: lines at once.
+    """
+
+    __slots__ = ("rate", "burst", "left", "filled_at")
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.left = burst
+        self.filled_at = now
+
+    def admits(self, now: float) -> bool:
+        """Say whether another line is within the rate."""
+        earned = (now - self.filled_at) * self.rate
+        self.left = min(self.burst, self.left + earned)
+        self.filled_at = now
+        return self.left >= 1.0
+
+
 class Decisions:
     """Write lines to the standard output and never wait for its reader.
 
@@ -37,8 +64,8 @@
         self.host = host
         self.clock = clock
         self.out = out
-        self.allowed = BURST
-        self.filled_at = clock.monotonic()
+        self.all = Allowance(LINES_PER_SECOND, BURST, clock.monotonic())
+        self.events: dict[str, Allowance] = {}
         self.waiting: deque[bytes] = deque()
         self.dropped = 0
         if out is not None:
@@ -48,7 +75,7 @@
         """Write one line, unless too many were written of late."""
         if self.out is None:
             return
-        if not self.admits():
+        if not self.admits(event):
             self.dropped += 1
             return
         line = {
@@ -62,15 +89,19 @@
         self.waiting.append(encode(line) + b"\n")
         self.flush()
 
-    def admits(self) -> bool:
-        """Say whether another line is within the rate."""
+    def admits(self, event: str) -> bool:
+        """Say whether another line of an event is within the rates."""
         now = self.clock.monotonic()
-        earned = (now - self.filled_at) * LINES_PER_SECOND
-        self.allowed = min(BURST, self.allowed + earned)
-        self.filled_at = now
-        if self.allowed < 1.0 or len(self.waiting) >= MOST_WAITING:
+        own = self.events.get(event)
+        if own is None:
+            rate, burst = LINES_PER_SECOND * EVENT_SHARE, BURST * EVENT_SHARE
+            own = self.events[event] = Allowance(rate, burst, now)
+        if not self.all.admits(now) or not own.admits(now):
+            return False
+        if len(self.waiting) >= MOST_WAITING:
             return False
-        self.allowed -= 1.0
+        self.all.left -= 1.0
+        own.left -= 1.0
         return True
 
     def flush(self) -> None:
