--- a/src/reedhook/platform/duty.py
+++ b/src/reedhook/platform/duty.py
@@ -2,10 +2,10 @@
 
 from typing import Final
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, DummyCookieJar
+from aiohttp import ClientError, ClientSession, ClientTimeout
 from yarl import URL
 
-from ..connector import Connector
+from ..connector import Connector, plain_session
 from ..process.lead.duty import OrderOutcome, Promoter
 from ..wire import encode
 
@@ -34,11 +34,8 @@
         # that each has one of its own.
         headers = {HOLDER: holder, TOKEN: str(token), "Content-Type": JSON_TYPE}
         body = encode({"service": service, "id": target})
-        connector, jar = Connector(force_close=True), DummyCookieJar()
         try:
-            async with ClientSession(
-                connector=connector, cookie_jar=jar, trust_env=False
-            ) as session:
+            async with plain_session(Connector(force_close=True)) as session:
                 return await self.send(session, headers, body, timeout)
         except (ClientError, OSError, TimeoutError):
             return OrderOutcome.UNANSWERED
--- a/src/reedhook_standins/soak/proxy.py
+++ b/src/reedhook_standins/soak/proxy.py
@@ -6,6 +6,8 @@
 from reedhook.address import split_address
 from reedhook.connection.reset import reset
 
+from ..listening import Listening
+
 CHUNK: Final = 65536
 """Bytes that are passed on at a time."""
 
@@ -30,27 +32,19 @@
         self.down = True
 
 
-class Proxy:
+class Proxy(Listening):
     """Pass connections on to one address.
 
     :param target: ``IP:port``.
     :param link: used by all connections; see `link_of`.
-    :ivar address: ``IP:port`` to connect to, once started.
     """
 
     def __init__(self, target: str, link: Link) -> None:
+        super().__init__()
         self.target = target
         self.link = link
-        self.address = ""
-        self.server: asyncio.Server | None = None
         self.open: dict[asyncio.StreamWriter, Link] = {}
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
-
     def link_of(self, first: bytes) -> Link:
         """Return the link of a connection that begins with these bytes."""
         return self.link
@@ -63,8 +57,7 @@
 
     async def stop(self) -> None:
         """Stop listening and break all connections."""
-        if self.server is not None:
-            self.server.close()
+        await super().stop()
         self.reset()
 
     async def serve(
--- a/src/reedhook_standins/wiredatabase.py
+++ b/src/reedhook_standins/wiredatabase.py
@@ -8,6 +8,7 @@
 from reedhook.platform.text import read_position, write_position
 
 from .database import DatabaseMember, DatabaseSession
+from .listening import Listening
 
 WORK: Final = 0.003
 """Seconds that a read, a write or a commit takes."""
@@ -26,24 +27,12 @@
 AFTER_FIELDS: Final = 5
 
 
-class WireDatabase:
+class WireDatabase(Listening):
     """Serve one member on a port of its own."""
 
     def __init__(self, member: DatabaseMember) -> None:
+        super().__init__()
         self.member = member
-        self.server: asyncio.Server | None = None
-        self.address = ""
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        if self.server is not None:
-            self.server.close()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/src/reedhook_standins/wiremember.py
+++ b/src/reedhook_standins/wiremember.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+from .listening import Listening
 
-class WireMemberStandIn:
+
+class WireMemberStandIn(Listening):
     """Answer each line by a table, and keep what was asked.
 
     :param answers: bytes sent for a text; others are answered as read.
@@ -12,23 +14,11 @@
     """
 
     def __init__(self, answers: dict[str, bytes] | None = None) -> None:
+        super().__init__()
         self.answers = answers or {}
         self.asked: list[str] = []
         self.silent = False
         self.start_answer = b"READY I 3.7\r\n"
-        self.server: asyncio.Server | None = None
-        self.address = ""
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        if self.server is not None:
-            self.server.close()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
