Do not run the first statement of a transaction on a second connection

Callers were told nothing wrong, but the statement ran on two connections. Ruled out: a late delivery after a pause (the kills and the two runs coincide). Change: what may have been sent is refused with a promise, and the caller repeats the transaction. A test that failed first.

--- a/src/reedhook/request/replicas.py
+++ b/src/reedhook/request/replicas.py
@@ -14,7 +14,7 @@
 from ..wire import Json, WireError
 from .hop import Hops, Place, Placed
 from .position import Position
-from .refusal import Refusal
+from .refusal import Reason, Refusal
 from .sightings import Sightings
 from .verdict import Verdict
 from .work import Proof, Work
@@ -158,6 +158,10 @@
         except Refusal as refusal:
             if refusal.verdict is not Verdict.NOT_RUN or work.left <= 0.0:
                 raise
+            if refusal.reason is Reason.TRANSACTION_LOST:
+                # Its first statement was sent; elsewhere it would run on a second
+                # connection. The caller repeats the whole transaction.
+                raise
             seen.lost(self.clock.monotonic())
             self.hops.rerouted(work, entry.target, refusal.reason.value)
             return None
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -9,8 +9,10 @@
 from reedhook.connection.session import SessionState
 from reedhook.process.lead.record import Holder
 from reedhook.request.command import CommandKind
-from reedhook.request.refusal import Reason
+from reedhook.request.hop import Place
+from reedhook.request.refusal import Reason, not_run
 from reedhook.request.verdict import Verdict
+from reedhook.request.work import Work, WorkAnswer
 from reedhook.version.registry import TargetEntry
 
 from .fakes_clock import in_virtual_time, run_virtual
@@ -357,6 +359,29 @@
     await world.stop()
 
 
+@in_virtual_time
+async def test_the_first_statement_of_a_transaction_runs_on_one_connection() -> None:
+    """What was sent and got no answer is not sent to another replica."""
+    world = SessionWorld()
+    await world.start()
+    host = world.hosts["h00"]
+    caller = await world.caller("h00", "views")
+    await caller.read()
+    sent = []
+
+    async def lose(place: Place, work: Work) -> WorkAnswer:
+        sent.append(place.target)
+        raise not_run(Reason.TRANSACTION_LOST, "its connection was lost", 50)
+
+    host.hops.run_at = lose  # type: ignore[method-assign]
+    await caller.run(CommandKind.BEGIN_READ)
+    reply = await caller.read()
+    assert reply.refusal is not None
+    assert reply.refusal.reason is Reason.TRANSACTION_LOST
+    assert len(sent) == 1
+    await world.stop()
+
+
 @in_virtual_time
 async def test_a_replica_that_lags_serves_no_stale_read() -> None:
     world = SessionWorld()
