Share no connection on which a transaction is still open

A COMMIT that a full queue turned away (BUSY) leaves the transaction open at the target, in state T; the home looked for a failed state only and gave the connection to the next session. Ruled out: a rollback that was not answered (such connections are closed) and BEGIN (no fault there opens one). Change: replies carry the state of the connection; only an idle one is shared. Steps of a transaction that are turned away are tried again three times, 15 ms apart, since a refusal costs the caller the whole transaction.

--- a/src/reedhook/connection/member.py
+++ b/src/reedhook/connection/member.py
@@ -7,6 +7,7 @@
 from ..record import Record
 from ..request.position import Position
 from ..version.registry import TargetEntry
+from .state import SessionState
 
 
 class MemberUnreachable(Exception):
@@ -65,11 +66,12 @@
     :param signature: the target's proof that it ran the statement.
     :param fault: why it failed; `Fault.NONE` for a success.
     :param detail: text that goes with the fault.
-    :param failed: whether the open transaction can only be rolled back.
+    :param state: of the connection afterwards; a transaction that is open, or
+        failed, keeps others from using it.
     :param position: the last entry in the log that reads see.
     """
 
-    __slots__ = ("rows", "signature", "fault", "detail", "failed", "position")
+    __slots__ = ("rows", "signature", "fault", "detail", "state", "position")
 
     def __init__(
         self,
@@ -77,14 +79,14 @@
         signature: str,
         fault: Fault,
         detail: str,
-        failed: bool,
+        state: SessionState,
         position: Position | None,
     ) -> None:
         self.rows = rows
         self.signature = signature
         self.fault = fault
         self.detail = detail
-        self.failed = failed
+        self.state = state
         self.position = position
 
 
--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -20,6 +20,7 @@
     Phrases,
     Query,
 )
+from .state import SessionState
 
 FIRST_PATIENCE: Final = 0.35
 """Seconds after which a read is sent again on a new connection; the longest
@@ -29,6 +30,12 @@
 """Seconds beyond the rest that a transaction is allowed, after which the home
 ends it itself: the host of its session has gone then."""
 
+BUSY_PAUSE: Final = 0.015
+"""Seconds until a target with a full queue is asked again; one statement."""
+
+MOST_BUSY: Final = 3
+"""Times that a target with a full queue is asked again for one statement."""
+
 ROLLBACK_TIMEOUT: Final = 0.3
 """Seconds for a rollback; after them the connection is closed, which rolls back."""
 
@@ -133,9 +140,16 @@
             except BaseException:
                 self.lanes.discard(lane)
                 raise
-            self.lanes.give_back(lane)
+            self.release(lane, reply)
             return reply
 
+    def release(self, lane: Lane, reply: MemberReply) -> None:
+        """Take a connection back, unless a transaction is still open on it."""
+        if reply.state is SessionState.IDLE:
+            self.lanes.give_back(lane)
+        else:
+            self.lanes.discard(lane)
+
     async def ready_lane(self, work: Work, deadline: float) -> Lane:
         """Return a connection in the state of the statement's session.
 
@@ -228,7 +242,7 @@
         assert reply is not None
         self.answered(reply, None)
         if reply.fault is not Fault.NONE:
-            self.lanes.give_back(lane)
+            self.release(lane, reply)
             return reply
         transaction = Transaction(work.transaction, lane, work.settings)
         self.transactions[work.transaction] = transaction
@@ -250,8 +264,7 @@
             if work.settings != transaction.settings:
                 await self.lanes.prepare(lane, work.session, work.settings, True)
                 transaction.settings = work.settings
-            left = deadline - self.clock.monotonic()
-            reply = await self.exchange(lane, work, left)
+            reply = await self.patient(lane, work, deadline)
         except MemberSilent as error:
             self.drop(transaction)
             self.silence(work, error)
@@ -264,16 +277,36 @@
         self.after_step(transaction, work, reply)
         return reply
 
+    async def patient(self, lane: Lane, work: Work, deadline: float) -> MemberReply:
+        """Send a statement of a transaction, again while the queue is full.
+
+        Refused, it would cost the caller the whole transaction.
+
+        :raises MemberSilent: if no answer comes.
+        """
+        reply = await self.exchange(lane, work, deadline - self.clock.monotonic())
+        for _ in range(MOST_BUSY):
+            left = deadline - self.clock.monotonic() - BUSY_PAUSE
+            turned_away = reply.fault is Fault.BUSY
+            if not turned_away or reply.state is not SessionState.OPEN or left <= 0.0:
+                break
+            await self.clock.sleep(BUSY_PAUSE)
+            reply = await self.exchange(lane, work, left)
+        return reply
+
     def after_step(
         self, transaction: Transaction, work: Work, reply: MemberReply
     ) -> None:
-        """Let the transaction rest, or end it."""
+        """Let the transaction rest, or end it.
+
+        A commit that was turned away leaves it open at the target.
+        """
         transaction.busy = False
-        if work.kind is WorkKind.COMMIT and not reply.failed:
+        if reply.state is SessionState.IDLE:
             self.transactions.pop(transaction.name, None)
             self.lanes.give_back(transaction.lane)
             return
-        if reply.failed:
+        if work.kind is WorkKind.COMMIT or reply.state is SessionState.FAILED:
             self.roll_back(transaction)
             return
         loop = asyncio.get_running_loop()
@@ -332,10 +365,7 @@
             )
             self.lanes.discard(lane)
             return
-        if reply.failed:
-            self.lanes.discard(lane)
-        else:
-            self.lanes.give_back(lane)
+        self.release(lane, reply)
 
     def end_all(self, cause: str) -> None:
         """Roll all open transactions back by closing their connections."""
--- a/src/reedhook/connection/session.py
+++ b/src/reedhook/connection/session.py
@@ -1,7 +1,6 @@
 """One caller's session: its values, prepared statements and transaction."""
 
 import asyncio
-from enum import Enum
 from typing import Final
 
 from ..clock import Clock
@@ -18,6 +17,7 @@
 from ..version.registry import Route
 from .lanes import PREPARED, VALUE
 from .member import Fault, MemberReply
+from .state import SessionState
 
 RETRY_MS: Final = 50
 """When to come back after a transaction was lost, in milliseconds."""
@@ -26,14 +26,6 @@
 """Objectives that a statement may take before it is logged as slow."""
 
 
-class SessionState(str, Enum):
-    """Name what a session may do next."""
-
-    IDLE = "idle"
-    OPEN = "open"
-    FAILED = "failed"
-
-
 class SessionReply(Record):
     """Carry the answer to one statement of a session.
 
--- a/src/reedhook/platform/driver.py
+++ b/src/reedhook/platform/driver.py
@@ -17,12 +17,12 @@
     Query,
 )
 from ..connection.reset import reset
+from ..connection.state import SessionState
 from ..request.position import ORIGIN, Position
 from ..version.registry import TargetEntry
 from . import text
 from .line import LineError, LineReader, encoded
 
-FAILED: Final = "E"
 STATUS_FIELDS: Final = 7
 REFUSALS: Final = {"OVERLOADED": MemberFull, "MISROUTED": MemberMisrouted}
 FAULTS: Final = {
@@ -91,15 +91,17 @@
             self.code, _, self.detail = rest.partition(" ")
         elif word == "READY":
             state, _, position = rest.partition(" ")
-            self.finish(state == FAILED, text.read_position(position))
+            if state not in text.STATES:
+                raise ValueError(f"unknown state {state!r}")
+            self.finish(text.STATES[state], text.read_position(position))
         else:
             raise ValueError(f"unknown word {word!r}")
 
-    def finish(self, failed: bool, position: Position | None) -> None:
+    def finish(self, state: SessionState, position: Position | None) -> None:
         """Complete the reply in progress."""
         fault = FAULTS.get(self.code, Fault.FAILED)
         reply = MemberReply(
-            self.rows, self.signature, fault, self.detail, failed, position
+            self.rows, self.signature, fault, self.detail, state, position
         )
         self.refusal = self.code
         self.clear()
--- a/src/reedhook/platform/entry.py
+++ b/src/reedhook/platform/entry.py
@@ -6,7 +6,8 @@
 
 from ..address import split_address
 from ..connection.member import Fault
-from ..connection.session import Session, SessionReply, SessionState
+from ..connection.session import Session, SessionReply
+from ..connection.state import SessionState
 from ..process.callers import CallerConnection, Callers
 from ..request.refusal import Reason, Refusal
 from ..request.verdict import Verdict
@@ -24,11 +25,6 @@
 """Seconds of rest before a session is closed as the host ends: a statement that
 was sent just then is likely to have arrived."""
 
-STATES: Final = {
-    SessionState.IDLE: "I",
-    SessionState.OPEN: "T",
-    SessionState.FAILED: "E",
-}
 FAULTS: Final = {
     Fault.BUSY: "BUSY",
     Fault.UNKNOWN_NAME: "UNKNOWN",
@@ -140,7 +136,7 @@
             return False
         finally:
             self.serving = False
-        self.write(encoded("READY", STATES[SessionState.IDLE], text.NONE))
+        self.write(encoded("READY", text.LETTERS[SessionState.IDLE], text.NONE))
         self.rest()
         return True
 
@@ -223,7 +219,9 @@
 
 def written(reply: SessionReply) -> bytes:
     """Return the bytes of an answer."""
-    state = encoded("READY", STATES[reply.state], text.write_position(reply.position))
+    state = encoded(
+        "READY", text.LETTERS[reply.state], text.write_position(reply.position)
+    )
     if reply.refusal is not None:
         return encoded("ERROR", *worded(reply.refusal)) + state
     if reply.fault is not Fault.NONE:
--- a/src/reedhook/platform/text.py
+++ b/src/reedhook/platform/text.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from ..connection.state import SessionState
 from ..request.command import Command, CommandKind
 from ..request.position import Position
 
@@ -20,6 +21,13 @@
     "COMMIT": CommandKind.COMMIT,
     ROLLBACK: CommandKind.ROLLBACK,
 }
+LETTERS: Final = {
+    SessionState.IDLE: "I",
+    SessionState.OPEN: "T",
+    SessionState.FAILED: "E",
+}
+STATES: Final = {letter: state for state, letter in LETTERS.items()}
+
 SHAPES: Final = {"READ": False, "WRITE": True}
 
 
--- a/src/reedhook/request/steering.py
+++ b/src/reedhook/request/steering.py
@@ -4,6 +4,7 @@
 
 from ..clock import Clock
 from ..connection.member import Fault
+from ..connection.memberhome import BUSY_PAUSE, MOST_BUSY
 from ..process.decisions import Decisions
 from ..process.fleet.directory import Directory
 from ..process.lead.book import LeadBook
@@ -28,12 +29,6 @@
 PAUSE: Final = 0.06
 """Seconds between two tries to find the primary."""
 
-BUSY_PAUSE: Final = 0.015
-"""Seconds until a target with a full queue is asked again; one statement."""
-
-MOST_BUSY: Final = 3
-"""Times that targets with full queues are asked for one statement."""
-
 RETRY_MS: Final = 100
 """When to come back if no primary is found, in milliseconds."""
 
--- a/src/reedhook/request/work.py
+++ b/src/reedhook/request/work.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 from ..connection.member import Fault, MemberReply
+from ..connection.state import SessionState
 from ..record import Record
 from ..wire import Json, reader
 from .position import Position
@@ -179,8 +180,8 @@
         if reply.fault is not Fault.NONE:
             message["fault"] = reply.fault.value
             message["detail"] = reply.detail
-        if reply.failed:
-            message["failed"] = True
+        if reply.state is not SessionState.IDLE:
+            message["state"] = reply.state.value
         if self.proof is not None:
             message["proof"] = self.proof.to_json(now)
         return message
@@ -195,7 +196,7 @@
             message["signature"],
             Fault(message.get("fault", "")),
             message.get("detail", ""),
-            bool(message.get("failed", False)),
+            SessionState(message.get("state", SessionState.IDLE.value)),
             None if position is None else Position.from_json(position),
         )
         return cls(
--- a/src/reedhook_standins/database.py
+++ b/src/reedhook_standins/database.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from reedhook.connection.member import Fault, MemberReply, Query
+from reedhook.connection.state import SessionState
 from reedhook.request.position import Position
 from reedhook.version.registry import TargetEntry
 
@@ -26,6 +27,7 @@
     :ivar received: the log with what is received and not applied yet.
     :ivar deaf: whether it receives nothing.
     :ivar down: whether it answers nothing.
+    :ivar busy: how many statements it turns away next, its queue being full.
     """
 
     def __init__(self, entry: TargetEntry, group: "DatabaseGroup", limit: int) -> None:
@@ -41,6 +43,7 @@
         self.connections: set[Any] = set()
         self.runs: list[str] = []
         self.losing = 0.0
+        self.busy = 0
 
     @property
     def position(self) -> Position:
@@ -160,6 +163,10 @@
 
     def run(self, query: Query) -> MemberReply:
         """Run one statement as the member does."""
+        if query.id and self.member.busy > 0:
+            # A full queue changes nothing, also not an open transaction.
+            self.member.busy -= 1
+            return self.reply(Fault.BUSY)
         if query.id:
             self.member.runs.append(query.id)
             self.member.group.on_run(query.id, query.text, self)
@@ -177,10 +184,13 @@
 
     def reply(self, fault: Fault = Fault.NONE, *rows: str) -> MemberReply:
         """Return an answer with the state of the session."""
-        if fault is not Fault.NONE and self.open:
+        if fault not in (Fault.NONE, Fault.BUSY) and self.open:
             self.failed = True
         position = self.member.position
-        return MemberReply(list(rows), "mac", fault, "", self.failed, position)
+        state = SessionState.OPEN if self.open else SessionState.IDLE
+        if self.failed:
+            state = SessionState.FAILED
+        return MemberReply(list(rows), "mac", fault, "", state, position)
 
     def do_reset(self, rest: str) -> MemberReply:
         self.values, self.prepared = {}, {}
--- a/src/reedhook_standins/soak/faults.py
+++ b/src/reedhook_standins/soak/faults.py
@@ -141,25 +141,27 @@
 
 
 class TargetFault(Fault):
-    """A target is dark, lags, receives nothing, or leaves."""
+    """A target is dark, lags, receives nothing, leaves, or is full."""
 
     async def strike(self, field: Field) -> str:
         group = field.around.group
         member = group.primary
         if field.random.random() < 0.4:
             member = field.random.choice(list(group.members.values()))
-        how = field.random.choice(["dark", "lag", "deaf", "leaving"])
+        how = field.random.choice(["dark", "lag", "deaf", "leaving", "busy"])
         if how == "dark":
             member.down = True
         elif how == "lag":
             member.lag = field.random.uniform(0.1, 3.0)
         elif how == "deaf":
             member.deaf = True
+        elif how == "busy":
+            member.busy = field.random.randint(5, 200)
         else:
             field.around.leaving.add(member.entry.target)
         await asyncio.sleep(field.random.uniform(1.0, 8.0))
         member.down = member.deaf = False
-        member.lag = 0.008
+        member.lag, member.busy = 0.008, 0
         field.around.leaving.discard(member.entry.target)
         return f"target {member.entry.target} {how}"
 
--- a/src/reedhook_standins/wiredatabase.py
+++ b/src/reedhook_standins/wiredatabase.py
@@ -5,7 +5,7 @@
 
 from reedhook.connection.member import Fault, MemberReply, Query
 from reedhook.platform.line import LineError, LineReader, encoded
-from reedhook.platform.text import read_position, write_position
+from reedhook.platform.text import LETTERS, read_position, write_position
 
 from .database import DatabaseMember, DatabaseSession
 from .listening import Listening
@@ -18,6 +18,7 @@
 
 CODES: Final = {
     Fault.UNKNOWN_NAME: "UNKNOWN",
+    Fault.BUSY: "BUSY",
     Fault.READ_ONLY: "READONLY",
     Fault.LAGGING: "LAGGING",
     Fault.MALFORMED: "MALFORMED",
@@ -85,7 +86,7 @@
         if text.split(" ")[0] in AT_WORK:
             await asyncio.sleep(WORK)
         reply = session.run(Query("" if id == "-" else id, text, after))
-        return self.worded(session, reply)
+        return self.worded(reply)
 
     def status(self) -> bytes:
         """Return the answer to the question for the state."""
@@ -99,7 +100,7 @@
             + encoded("READY", "I", position)
         )
 
-    def worded(self, session: DatabaseSession, reply: MemberReply) -> bytes:
+    def worded(self, reply: MemberReply) -> bytes:
         """Return the lines of an answer."""
         if reply.fault is Fault.NONE:
             lines = b"".join(encoded("ROW", row) for row in reply.rows)
@@ -107,9 +108,5 @@
         else:
             code = CODES.get(reply.fault, "FAILED")
             lines = encoded("ERROR", code, self.member.entry.target)
-        state = "I"
-        if reply.failed:
-            state = "E"
-        elif session.open:
-            state = "T"
-        return lines + encoded("READY", state, write_position(reply.position))
+        letter = LETTERS[reply.state]
+        return lines + encoded("READY", letter, write_position(reply.position))
--- /dev/null
+++ b/tests/test_member_home.py
@@ -0,0 +1,119 @@
+"""The home of a target whose answers leave a transaction open."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from reedhook.connection.member import Fault, MemberReply
+from reedhook.connection.memberhome import MemberHome
+from reedhook.process.decisions import Decisions
+from reedhook.request.work import Begin, Work, WorkKind
+from reedhook_standins.database import DatabaseGroup
+from reedhook_standins.promises import Promises, Sent
+
+from .fakes_clock import LoopClock, in_virtual_time
+from .fakes_members import FakeDriver, FakePhrases
+
+TEXTS = {WorkKind.READ: "READ a", WorkKind.WRITE: "WRITE a b"}
+MANY = 100
+
+
+class OneConnection:
+    """A home with a single connection, so that sessions must share it."""
+
+    def __init__(self) -> None:
+        clock = LoopClock()
+        self.group = DatabaseGroup("db", ["z0"])
+        self.promises = Promises(self.group, asyncio.get_running_loop().time)
+        self.promises.watch()
+        self.sent = 0
+        self.home = MemberHome(
+            self.group.primary.entry,
+            FakeDriver("h1", [self.group]),
+            FakePhrases(),
+            1,
+            clock,
+            Decisions("h1", clock, out=None),
+            lambda: None,
+            lambda position, asked: None,
+            3.0,
+        )
+
+    async def run(
+        self, session: str, kind: WorkKind, transaction: str = "", first: bool = False
+    ) -> MemberReply:
+        """Run one statement."""
+        self.sent += 1
+        id, text = f"w{self.sent}", TEXTS.get(kind, "COMMIT")
+        self.promises.sent[id] = Sent(text, transaction, {}, {})
+        begin = Begin.WRITE if first else Begin.NONE
+        work = Work(
+            "db", "", session, {}, transaction, begin, None, kind, id, text, 0.8
+        )
+        return await self.home.run(work)
+
+
+@asynccontextmanager
+async def one_connection() -> AsyncIterator[OneConnection]:
+    """Yield a home; what its target ran is judged at the end."""
+    one = OneConnection()
+    yield one
+    await one.home.close()
+    assert not one.promises.violations
+
+
+@in_virtual_time
+async def test_a_commit_that_is_turned_away_frees_the_connection() -> None:
+    """The target keeps the transaction open; nobody else may meet it."""
+    async with one_connection() as one:
+        await one.run("s1", WorkKind.WRITE, "t1", first=True)
+        one.group.primary.busy = MANY
+        reply = await one.run("s1", WorkKind.COMMIT, "t1")
+        assert reply.fault is Fault.BUSY
+        one.group.primary.busy = 0
+        reply = await one.run("s2", WorkKind.READ)
+        assert reply.fault is Fault.NONE
+        assert not one.promises.committed
+
+
+@pytest.mark.parametrize("kind", [WorkKind.READ, WorkKind.WRITE, WorkKind.COMMIT])
+@in_virtual_time
+async def test_a_step_that_is_turned_away_is_tried_again(kind: WorkKind) -> None:
+    """Else a full queue would cost the caller its whole transaction."""
+    async with one_connection() as one:
+        await one.run("s1", WorkKind.WRITE, "t1", first=True)
+        one.group.primary.busy = 2
+        reply = await one.run("s1", kind, "t1")
+        assert reply.fault is Fault.NONE
+        if kind is not WorkKind.COMMIT:
+            reply = await one.run("s1", WorkKind.COMMIT, "t1")
+        assert reply.fault is Fault.NONE
+        assert one.promises.committed
+
+
+@in_virtual_time
+async def test_a_single_statement_that_left_a_transaction_open_is_not_shared() -> None:
+    async with one_connection() as one:
+        await one.run("s1", WorkKind.READ)
+        (lane,) = one.home.lanes.idle
+        lane.connection.session.open = "write"  # type: ignore[attr-defined]
+        one.promises.sent["w2"] = Sent("READ a", "t", {}, {})
+        one.sent += 1
+        await one.home.run(
+            Work(
+                "db",
+                "",
+                "s1",
+                {},
+                "",
+                Begin.NONE,
+                None,
+                WorkKind.READ,
+                "w2",
+                "READ a",
+                0.8,
+            )
+        )
+        assert not one.home.lanes.idle
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -6,7 +6,7 @@
 import pytest
 
 from reedhook.connection.member import Fault
-from reedhook.connection.session import SessionState
+from reedhook.connection.state import SessionState
 from reedhook.process.lead.record import Holder
 from reedhook.request.command import CommandKind
 from reedhook.request.hop import Place
@@ -602,7 +602,7 @@
 OLDER = "zone store late losing kill pause primary cut lag deaf answers heal"
 """Kinds of faults; the days drawn from them stay as they are."""
 
-KINDS = f"{OLDER} oneway leaving forget deafen slow"
+KINDS = f"{OLDER} oneway leaving forget deafen slow busy"
 
 
 async def troubled(seed: int, kinds: str = OLDER) -> None:
@@ -621,7 +621,7 @@
     world.store.delay.clear()
     for member in world.group.members.values():
         member.down = member.deaf = False
-        member.lag, member.losing = 0.008, 0.0
+        member.lag, member.losing, member.busy = 0.008, 0.0, 0
     for ref in world.refs:
         world.network.resume(ref.host)
         if ref.host not in world.hosts:
@@ -671,6 +671,8 @@
         member = rng.choice(members)
         member.entry = leaving(member.entry)
         world.announce(member.entry)
+    elif kind == "busy":
+        rng.choice(members).busy = rng.randint(1, 60)
     elif kind == "forget":
         world.store.forget()
     elif kind == "deafen":
