--- a/src/reedhook/platform/settings.py
+++ b/src/reedhook/platform/settings.py
@@ -12,6 +12,11 @@
 
 COMMENT: Final = "#"
 
+DEFAULT_CORES: Final = 1.0
+DEFAULT_LINK: Final = 1000.0
+"""Cores, and Mbit/s, of a machine whose limits the file does not state. A core is
+a share of the machine's time: `cpu_share` says how much of each of `cores`."""
+
 
 class SettingsFault(ValueError):
     """Say what is wrong in which line of a settings file."""
@@ -66,6 +71,9 @@
         store=address(fields, "platform.address"),
         promotions=address(fields, "cloud.address"),
         grace=number(fields, "bounds.grace_s"),
+        cores=optional(fields, "limits.cores", DEFAULT_CORES)
+        * optional(fields, "limits.cpu_share", 1.0),
+        link_mbps=optional(fields, "limits.link_mbps", DEFAULT_LINK),
     )
 
 
@@ -122,6 +130,11 @@
     return found
 
 
+def optional(fields: dict[str, Line], name: str, default: float) -> float:
+    """Return a number above 0, or `default` for a field that is not there."""
+    return number(fields, name) if name in fields else default
+
+
 def ports(fields: dict[str, Line]) -> tuple[int, int]:
     """Return the first and the last port for the system's own use."""
     name = "internal_ports"
--- a/src/reedhook/process/announced/registration.py
+++ b/src/reedhook/process/announced/registration.py
@@ -28,11 +28,15 @@
 
 
 class Registration:
-    """Announce this host and learn where the others are."""
+    """Announce this host and learn where the others are.
+
+    :param capacity: what this host can bear, in cores.
+    """
 
     def __init__(
         self,
         me: HostRef,
+        capacity: float,
         keyspace: Keyspace,
         announcements: Announcements,
         clock: Clock,
@@ -40,6 +44,7 @@
         decisions: Decisions,
     ) -> None:
         self.me = me
+        self.capacity = capacity
         self.keyspace = keyspace
         self.announcements = announcements
         self.clock = clock
@@ -73,7 +78,7 @@
                 return
         if self.lease is None:
             self.lease = await self.keyspace.grant(LEASE, ANSWER_TIMEOUT)
-        value = encode({"host": self.me.to_json()})
+        value = encode({"host": self.me.to_json(), "capacity": self.capacity})
         await self.keyspace.put(self.key, value, None, ANSWER_TIMEOUT, self.lease)
 
     async def withdraw(self) -> None:
--- a/src/reedhook/process/fleet/directory.py
+++ b/src/reedhook/process/fleet/directory.py
@@ -77,12 +77,20 @@
     """Derive homes from the table of known hosts.
 
     Hosts with equal tables give equal answers. Among live hosts, those with a
-    penalty for flapping come last.
+    penalty for flapping come last, before them those that are weak.
+
+    :param is_weak: whether the host named is weaker than others.
     """
 
-    def __init__(self, me: HostRef, table: MembershipTable) -> None:
+    def __init__(
+        self,
+        me: HostRef,
+        table: MembershipTable,
+        is_weak: Callable[[str], bool] = lambda host: False,
+    ) -> None:
         self.ref = me
         self.table = table
+        self.is_weak = is_weak
         self.orders = Orders(table)
         self.callbacks: list[Callable[[], None]] = []
         table.listeners.append(self.notify)
@@ -115,22 +123,27 @@
         return self.first(self.orders.order(member, zone, False))
 
     def first(self, order: list[str]) -> HostRef | None:
-        """Return the first live host without a penalty, else the first live."""
-        fallback = None
+        """Return the first live host, best a strong one without a penalty."""
+        best = None
         for host in order:
             record = self.table.records[host]
             if not record.live:
                 continue
-            if record.penalty == 0:
-                return record.ref
-            fallback = fallback or record.ref
-        return fallback
+            if best is None or self.drawback(record) < self.drawback(best):
+                best = record
+            if not any(self.drawback(best)):
+                break
+        return None if best is None else best.ref
+
+    def drawback(self, record: HostRecord) -> tuple[bool, bool]:
+        """Return what speaks against a host as a home, the worst first."""
+        return record.penalty > 0, self.is_weak(record.ref.host)
 
     def live_order(self, order: list[str]) -> list[HostRef]:
-        """Return the live hosts of `order`, those with a penalty last."""
+        """Return the live hosts of `order`, those with a drawback last."""
         records = [self.table.records[host] for host in order]
         live = [record for record in records if record.live]
-        live.sort(key=lambda record: record.penalty > 0)
+        live.sort(key=self.drawback)
         return [record.ref for record in live]
 
     def successor(self, member: str, zone: str) -> HostRef | None:
--- a/src/reedhook/process/hosting_settings.py
+++ b/src/reedhook/process/hosting_settings.py
@@ -15,6 +15,8 @@
     :param store: the platform's store.
     :param promotions: where promotions are ordered.
     :param grace: seconds from the signal to stop until the process is killed.
+    :param cores: processor cores that the host may use.
+    :param link_mbps: what its link carries, in Mbit/s.
     """
 
     __slots__ = (
@@ -27,6 +29,8 @@
         "store",
         "promotions",
         "grace",
+        "cores",
+        "link_mbps",
     )
 
     def __init__(
@@ -40,6 +44,8 @@
         store: str,
         promotions: str,
         grace: float,
+        cores: float,
+        link_mbps: float,
     ) -> None:
         self.host = host
         self.zone = zone
@@ -50,3 +56,5 @@
         self.store = store
         self.promotions = promotions
         self.grace = grace
+        self.cores = cores
+        self.link_mbps = link_mbps
--- a/src/reedhook/process/lead/ranking.py
+++ b/src/reedhook/process/lead/ranking.py
@@ -1,5 +1,7 @@
 """Which hosts should hold the lead of a service, or stand in for its holder."""
 
+from collections.abc import Callable
+
 from ...version.registry import TargetEntry
 from ..announced.announcements import Announcements
 from ..fleet.membership_table import MembershipTable
@@ -11,7 +13,10 @@
 
 
 class Ranking:
-    """Order hosts for each service, by rank and availability zone."""
+    """Order hosts for each service, by rank and availability zone.
+
+    :param is_weak: whether the host named is weaker than others.
+    """
 
     def __init__(
         self,
@@ -20,25 +25,35 @@
         announcements: Announcements,
         book: LeadBook,
         vigil: Vigil,
+        is_weak: Callable[[str], bool],
     ) -> None:
         self.me = me
         self.table = table
         self.announcements = announcements
         self.book = book
         self.vigil = vigil
+        self.is_weak = is_weak
 
     def ranked(self, service: str) -> list[HostRef]:
         """Return the hosts that may take a lead, best first.
 
         Those in another availability zone than the primary come first: then a
-        zone that is cut off takes away the primary or its user, never both.
+        zone that is cut off takes away the primary or its user, never both. Of
+        these the weak come last.
         """
         zone = self.primary_zone(service)
         refs = {ref.host: ref for ref in self.table.refs()}
         order = [refs[host] for host in ranked_hosts(lead_key(service), refs)]
-        order.sort(key=lambda ref: ref.zone == zone)
+        order.sort(key=lambda ref: self.drawback(ref, zone))
         return order
 
+    def drawback(self, ref: HostRef, zone: str) -> tuple[bool, bool]:
+        """Return what speaks against a host, the worst first.
+
+        :param zone: of the primary.
+        """
+        return ref.zone == zone, self.is_weak(ref.host)
+
     def primary_zone(self, service: str) -> str:
         """Return the availability zone of the primary; empty if unknown."""
         record = self.book.get(service)
@@ -83,11 +98,12 @@
     def better(self, service: str, primary: TargetEntry) -> HostRef | None:
         """Return who should hold a lead in place of this host, or None.
 
-        That is a host in another zone than the primary, if this one is not.
+        That is a host in another zone than the primary, if this one is not, and
+        a strong one, if this one is weak.
         """
-        if primary.zone != self.me.zone:
-            return None
+        mine = self.drawback(self.me, primary.zone)
         for ref in self.ranked(service):
-            if ref.zone != primary.zone and not self.vigil.is_lost(ref):
-                return ref
+            if self.vigil.is_lost(ref):
+                continue
+            return ref if self.drawback(ref, primary.zone) < mine else None
         return None
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -17,6 +17,7 @@
 from ..version.registry import RouteTable, TargetEntry
 from ..wire import Json, WireError
 from .announced.announcements import HOSTS, Announcements, Documents
+from .announced.capacities import Capacities, capacity
 from .announced.keyspace import Item, Keyspace
 from .announced.registration import Registration
 from .callers import Callers
@@ -107,12 +108,19 @@
         self.leaving = False
         self.tasks: list[asyncio.Task[None]] = []
         self.fetching: asyncio.Task[None] | None = None
-        self.make_membership(timeline)
         self.announcements = Announcements(
             keyspace, documents, clock, random, decisions
         )
+        self.capacities = Capacities(self.announcements)
+        self.make_membership(timeline)
         self.registration = Registration(
-            self.me, keyspace, self.announcements, clock, random, decisions
+            self.me,
+            capacity(settings.cores, settings.link_mbps),
+            keyspace,
+            self.announcements,
+            clock,
+            random,
+            decisions,
         )
         self.make_leads()
         self.make_requests()
@@ -121,7 +129,9 @@
     def make_membership(self, timeline: Timeline) -> None:
         """Make what knows the other hosts."""
         self.membership = Membership(self.me, self.clock, self.random, timeline)
-        self.directory = MembershipDirectory(self.me, self.membership.table)
+        self.directory = MembershipDirectory(
+            self.me, self.membership.table, self.capacities.is_weak
+        )
         self.heartbeats = Heartbeats(
             self.membership, self.peers, self.clock, self.random, listed=self.addresses
         )
@@ -147,7 +157,12 @@
             self.me, table, self.peers, self.clock, self.random, self.decisions
         )
         self.ranking = Ranking(
-            self.me, table, self.announcements, self.book, self.vigil
+            self.me,
+            table,
+            self.announcements,
+            self.book,
+            self.vigil,
+            self.capacities.is_weak,
         )
         self.leads = Leads(
             self.holder,
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -89,7 +89,14 @@
 class SessionWorld:
     """Six hosts in three zones before one group of three members."""
 
-    def __init__(self, seed: int = 0, zones: int = 3, hosts_a_zone: int = 2) -> None:
+    def __init__(
+        self,
+        seed: int = 0,
+        zones: int = 3,
+        hosts_a_zone: int = 2,
+        weak: frozenset[str] = frozenset(),
+    ) -> None:
+        self.weak = weak
         self.seed = seed
         self.network = FakeNetwork(delay=0.0014, seed=seed)
         self.store = FakeStore()
@@ -136,8 +143,9 @@
         self.lives += 1
         clock = self.network.clock(ref.host)
         routes = PeerRoutes()
+        cores = 0.5 if ref.host in self.weak else 2.0
         settings = HostingSettings(
-            ref.host, ref.zone, "", "", ref.address, "", "", "", 6.0
+            ref.host, ref.zone, "", "", ref.address, "", "", "", 6.0, cores, 1000.0
         )
         host = SessionHost(
             settings,
--- /dev/null
+++ b/tests/test_capacities.py
@@ -0,0 +1,46 @@
+"""Which hosts are weak, by what they announce."""
+
+from random import Random
+
+import pytest
+
+from reedhook.process.announced.announcements import HOSTS, Announcements
+from reedhook.process.announced.capacities import Capacities, capacity
+from reedhook.process.announced.keyspace import Item
+from reedhook.process.decisions import Decisions
+from reedhook.wire import encode
+
+from .fakes_clock import LoopClock, in_virtual_time
+from .fakes_keyspace import FakeStore
+from .session_world import PlainDocuments
+
+
+@pytest.mark.parametrize(
+    ("cores", "link", "expected"),
+    [(0.5, 1000.0, 0.5), (2.15, 200.0, 2.15), (2.0, 10.0, 0.5), (0.5, 5.0, 0.25)],
+)
+def test_a_slow_link_bounds_what_a_host_bears(
+    cores: float, link: float, expected: float
+) -> None:
+    assert capacity(cores, link) == expected
+
+
+@in_virtual_time
+async def test_a_host_is_weak_if_another_bears_more_than_twice_as_much() -> None:
+    clock = LoopClock()
+    announcements = Announcements(
+        FakeStore().client("h1"),
+        PlainDocuments(),
+        clock,
+        Random(1),
+        Decisions("h1", clock, out=None),
+    )
+    capacities = Capacities(announcements)
+    assert not capacities.is_weak("h1")
+    values = {"h1": 0.5, "h2": 0.6, "h3": 1.1}
+    for revision, (host, value) in enumerate(values.items(), 1):
+        entry = encode({"capacity": value})
+        announcements.take_own(Item(HOSTS + host, entry, revision))
+    announcements.take_own(Item(HOSTS + "h4", b"{}", 9))
+    weak = [host for host in ("h1", "h2", "h3", "h4") if capacities.is_weak(host)]
+    assert weak == ["h1"]
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -8,6 +8,7 @@
 from reedhook.connection.member import Fault
 from reedhook.connection.state import SessionState
 from reedhook.process.lead.record import Holder
+from reedhook.process.network.peer import HostRef
 from reedhook.request.command import CommandKind
 from reedhook.request.hop import Place
 from reedhook.request.refusal import Reason, not_run
@@ -114,6 +115,53 @@
     await world.stop()
 
 
+@pytest.mark.parametrize("weak", [{"h00", "h11", "h21"}, {"h01", "h11", "h20"}])
+@in_virtual_time
+async def test_weak_hosts_are_no_homes_where_there_are_strong_ones(
+    weak: frozenset[str],
+) -> None:
+    weak = frozenset(weak)
+    world = SessionWorld(weak=weak)
+    await world.start()
+    await asyncio.sleep(4.0)
+    assert world.leader().me.host not in weak
+    assert world.deputy().me.host not in weak
+    caller = await world.caller("h10", "views")
+    for _ in range(20):
+        await caller.read()
+        await asyncio.sleep(0.05)
+    homes = {name for name, host in world.hosts.items() if host.desk.homes}
+    assert not homes & weak
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_strong_host_that_joins_takes_a_lead_and_cuts_nothing() -> None:
+    weak = frozenset({"h00", "h01", "h10", "h20"})
+    world = SessionWorld(weak=weak)
+    world.refs = [ref for ref in world.refs if ref.host in weak]
+    await world.start()
+    world.refs += [
+        HostRef("h21", "z2", "10.1.2.1:1"),
+        HostRef("h11", "z1", "10.1.1.1:1"),
+    ]
+    running = asyncio.create_task(traffic(world, 6.0, 12, pause=0.4))
+    for ref in world.refs[-2:]:
+        await world.start_host(ref)
+    await running
+    assert world.leader().me.host not in weak
+    failed = [
+        name
+        for host in world.hosts.values()
+        for name in host.metrics.counters
+        if name.startswith("failed")
+    ]
+    assert not failed
+    world.check()
+    await world.stop()
+
+
 @in_virtual_time
 async def test_a_dark_primary_is_replaced_in_two_seconds() -> None:
     world = SessionWorld()
