--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -10,18 +10,24 @@
 from ..clock import Clock
 from ..connection.member import MemberDriver, Phrases
 from ..connection.memberhome import MemberHome
+from ..request.hop import Hops
 from ..request.position import Position
+from ..request.replicas import Replicas
 from ..request.steering import Steering
 from ..version.registry import RouteTable, TargetEntry
 from ..wire import Json, WireError
 from .announced.announcements import HOSTS, Announcements, Documents
+from .announced.capacities import Capacities, capacity
 from .announced.keyspace import Item, Keyspace
 from .announced.registration import Registration
 from .callers import Callers
 from .decisions import Decisions
 from .desk import Desk
-from .directory import MembershipDirectory
-from .heartbeat import Heartbeats
+from .events.timeline import Timeline
+from .fleet.directory import MembershipDirectory
+from .fleet.heartbeat import Heartbeats
+from .fleet.membership import Membership
+from .fleet.rendezvous import share
 from .histograms import HistogramMetrics
 from .hosting_settings import HostingSettings
 from .lead.book import LeadBook
@@ -38,10 +44,7 @@
 from .lead.states import TargetStates
 from .lead.vigil import Vigil
 from .lead.witness import Witnesses
-from .membership import Membership
-from .peer import HostRef, PeerError, PeerRoutes, Peers
-from .rendezvous import share
-from .timeline import Timeline
+from .network.peer import HostRef, PeerError, PeerRoutes, Peers
 
 TABLE_PATH: Final = "table"
 TABLE_TIMEOUT: Final = 0.5
@@ -105,12 +108,19 @@
         self.leaving = False
         self.tasks: list[asyncio.Task[None]] = []
         self.fetching: asyncio.Task[None] | None = None
-        self.make_membership(timeline)
         self.announcements = Announcements(
             keyspace, documents, clock, random, decisions
         )
+        self.capacities = Capacities(self.announcements)
+        self.make_membership(timeline)
         self.registration = Registration(
-            self.me, keyspace, self.announcements, clock, random, decisions
+            self.me,
+            capacity(settings.cores, settings.link_mbps),
+            keyspace,
+            self.announcements,
+            clock,
+            random,
+            decisions,
         )
         self.make_leads()
         self.make_requests()
@@ -119,7 +129,9 @@
     def make_membership(self, timeline: Timeline) -> None:
         """Make what knows the other hosts."""
         self.membership = Membership(self.me, self.clock, self.random, timeline)
-        self.directory = MembershipDirectory(self.me, self.membership.table)
+        self.directory = MembershipDirectory(
+            self.me, self.membership.table, self.capacities.is_weak
+        )
         self.heartbeats = Heartbeats(
             self.membership, self.peers, self.clock, self.random, listed=self.addresses
         )
@@ -145,7 +157,12 @@
             self.me, table, self.peers, self.clock, self.random, self.decisions
         )
         self.ranking = Ranking(
-            self.me, table, self.announcements, self.book, self.vigil
+            self.me,
+            table,
+            self.announcements,
+            self.book,
+            self.vigil,
+            self.capacities.is_weak,
         )
         self.leads = Leads(
             self.holder,
@@ -168,7 +185,9 @@
         self.desk = Desk(
             self.announcements, self.leads, self.make_home, self.clock, self.decisions
         )
-        self.steering = Steering(
+        self.hops = Hops(self.me, self.desk, self.peers, self.clock, self.decisions)
+        replicas = Replicas(
+            self.hops,
             self.desk,
             self.book,
             self.directory,
@@ -177,6 +196,15 @@
             self.clock,
             self.decisions,
         )
+        self.steering = Steering(
+            self.hops,
+            replicas,
+            self.book,
+            self.directory,
+            self.peers,
+            self.clock,
+            self.decisions,
+        )
         self.callers = Callers(
             self.holder.life,
             self.steering,
@@ -195,7 +223,7 @@
         self.leads.register(self.routes)
         self.desk.register(self.routes)
         self.routes.add(TABLE_PATH, self.answer_table)
-        self.steering.on_host_lost = self.host_lost
+        self.hops.on_host_lost = self.host_lost
         self.membership.on_version = self.heard_version
         self.announcements.on_table.append(self.configured)
         self.announcements.on_own.append(self.announced)
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -6,11 +6,14 @@
 import pytest
 
 from reedhook.connection.member import Fault
-from reedhook.connection.session import SessionState
+from reedhook.connection.state import SessionState
 from reedhook.process.lead.record import Holder
+from reedhook.process.network.peer import HostRef
 from reedhook.request.command import CommandKind
-from reedhook.request.refusal import Reason
+from reedhook.request.hop import Place
+from reedhook.request.refusal import Reason, not_run
 from reedhook.request.verdict import Verdict
+from reedhook.request.work import Work, WorkAnswer
 from reedhook.version.registry import TargetEntry
 
 from .fakes_clock import in_virtual_time, run_virtual
@@ -112,6 +115,53 @@
     await world.stop()
 
 
+@pytest.mark.parametrize("weak", [{"h00", "h11", "h21"}, {"h01", "h11", "h20"}])
+@in_virtual_time
+async def test_weak_hosts_are_no_homes_where_there_are_strong_ones(
+    weak: frozenset[str],
+) -> None:
+    weak = frozenset(weak)
+    world = SessionWorld(weak=weak)
+    await world.start()
+    await asyncio.sleep(4.0)
+    assert world.leader().me.host not in weak
+    assert world.deputy().me.host not in weak
+    caller = await world.caller("h10", "views")
+    for _ in range(20):
+        await caller.read()
+        await asyncio.sleep(0.05)
+    homes = {name for name, host in world.hosts.items() if host.desk.homes}
+    assert not homes & weak
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_strong_host_that_joins_takes_a_lead_and_cuts_nothing() -> None:
+    weak = frozenset({"h00", "h01", "h10", "h20"})
+    world = SessionWorld(weak=weak)
+    world.refs = [ref for ref in world.refs if ref.host in weak]
+    await world.start()
+    world.refs += [
+        HostRef("h21", "z2", "10.1.2.1:1"),
+        HostRef("h11", "z1", "10.1.1.1:1"),
+    ]
+    running = asyncio.create_task(traffic(world, 6.0, 12, pause=0.4))
+    for ref in world.refs[-2:]:
+        await world.start_host(ref)
+    await running
+    assert world.leader().me.host not in weak
+    failed = [
+        name
+        for host in world.hosts.values()
+        for name in host.metrics.counters
+        if name.startswith("failed")
+    ]
+    assert not failed
+    world.check()
+    await world.stop()
+
+
 @in_virtual_time
 async def test_a_dark_primary_is_replaced_in_two_seconds() -> None:
     world = SessionWorld()
@@ -192,6 +242,46 @@
     await world.stop()
 
 
+@in_virtual_time
+async def test_a_primary_lost_while_the_store_is_busy_is_replaced_once_it_is_back() -> (
+    None
+):
+    world = SessionWorld()
+    await world.start()
+    lead, zone = world.leader().me, world.group.primary.entry.zone
+    running = asyncio.create_task(traffic(world, 5.0, 11, pause=0.5))
+    await asyncio.sleep(0.5)
+    world.store.declining |= {ref.host for ref in world.refs}
+    await asyncio.sleep(2.5)
+    world.cut_zone(zone)
+    await asyncio.sleep(2.1)
+    world.store.declining.clear()
+    caller = await world.caller(lead.host, "tickets")
+    assert await first_success(caller, 6.0) < 1.5
+    world.heal()
+    await running
+    world.check()
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_lead_that_moves_while_its_primary_is_lost_waits_for_nothing() -> None:
+    """Transactions open at a primary that gives no answer cannot end any more."""
+    world = SessionWorld()
+    await world.start()
+    lead = world.leader().me
+    open_there = await world.caller(lead.host, "tickets")
+    await open_there.run(CommandKind.BEGIN)
+    await open_there.write()
+    world.group.primary.down = True
+    world.store.silent.add(lead.host)
+    other = next(ref.host for ref in world.refs if ref.zone != lead.zone)
+    caller = await world.caller(other, "tickets")
+    assert await first_success(caller, 8.0) < 3.0
+    world.check()
+    await world.stop()
+
+
 @in_virtual_time
 async def test_no_promotion_while_a_former_holder_may_use_the_primary() -> None:
     """The former holder is cut off from hosts and store, not from the primary."""
@@ -317,6 +407,29 @@
     await world.stop()
 
 
+@in_virtual_time
+async def test_the_first_statement_of_a_transaction_runs_on_one_connection() -> None:
+    """What was sent and got no answer is not sent to another replica."""
+    world = SessionWorld()
+    await world.start()
+    host = world.hosts["h00"]
+    caller = await world.caller("h00", "views")
+    await caller.read()
+    sent = []
+
+    async def lose(place: Place, work: Work) -> WorkAnswer:
+        sent.append(place.target)
+        raise not_run(Reason.TRANSACTION_LOST, "its connection was lost", 50)
+
+    host.hops.run_at = lose  # type: ignore[method-assign]
+    await caller.run(CommandKind.BEGIN_READ)
+    reply = await caller.read()
+    assert reply.refusal is not None
+    assert reply.refusal.reason is Reason.TRANSACTION_LOST
+    assert len(sent) == 1
+    await world.stop()
+
+
 @in_virtual_time
 async def test_a_replica_that_lags_serves_no_stale_read() -> None:
     world = SessionWorld()
@@ -534,7 +647,13 @@
     await world.stop()
 
 
-async def troubled(seed: int) -> None:
+OLDER = "zone store late losing kill pause primary cut lag deaf answers heal"
+"""Kinds of faults; the days drawn from them stay as they are."""
+
+KINDS = f"{OLDER} oneway leaving forget deafen slow busy"
+
+
+async def troubled(seed: int, kinds: str = OLDER) -> None:
     """Play a day of faults drawn at random, and check what was promised."""
     rng = random.Random(seed)
     world = SessionWorld(seed)
@@ -542,14 +661,15 @@
     running = asyncio.create_task(traffic(world, 10.0, seed, pause=1.0))
     for _ in range(5):
         await asyncio.sleep(rng.uniform(0.2, 1.6))
-        await trouble(world, rng)
+        await trouble(world, rng, kinds.split())
     await asyncio.sleep(1.0)
     world.heal()
     world.store.late.clear()
     world.store.losing.clear()
+    world.store.delay.clear()
     for member in world.group.members.values():
         member.down = member.deaf = False
-        member.lag, member.losing = 0.008, 0.0
+        member.lag, member.losing, member.busy = 0.008, 0.0, 0
     for ref in world.refs:
         world.network.resume(ref.host)
         if ref.host not in world.hosts:
@@ -559,14 +679,12 @@
     await world.stop()
 
 
-async def trouble(world: SessionWorld, rng: random.Random) -> None:
+async def trouble(world: SessionWorld, rng: random.Random, kinds: list[str]) -> None:
     """Bring one fault about."""
     host = rng.choice([ref.host for ref in world.refs])
     members = list(world.group.members.values())
     zone = rng.choice([ref.zone for ref in world.refs])
-    kind = rng.choice(
-        "zone store late losing kill pause primary cut lag deaf answers heal".split()
-    )
+    kind = rng.choice(kinds)
     if kind == "zone":
         world.heal()
         world.cut_zone(zone)
@@ -595,6 +713,20 @@
         rng.choice(members).deaf = True
     elif kind == "answers":
         rng.choice(members).losing = 0.1
+    elif kind == "oneway":
+        world.network.cut(host, rng.choice([ref.host for ref in world.refs]))
+    elif kind == "leaving":
+        member = rng.choice(members)
+        member.entry = leaving(member.entry)
+        world.announce(member.entry)
+    elif kind == "busy":
+        rng.choice(members).busy = rng.randint(1, 60)
+    elif kind == "forget":
+        world.store.forget()
+    elif kind == "deafen":
+        world.store.deafen()
+    elif kind == "slow":
+        world.store.delay[host] = rng.uniform(0.05, 0.45)
     else:
         world.heal()
         for member in members:
@@ -604,3 +736,8 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_promises_hold_on_days_of_random_faults(seed: int) -> None:
     run_virtual(troubled(seed))
+
+
+@pytest.mark.parametrize("seed", range(100, 108))
+def test_promises_hold_on_days_of_more_kinds_of_faults(seed: int) -> None:
+    run_virtual(troubled(seed, KINDS))
