--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,18 +7,23 @@
 
 from reedhook_standins.soak.soak import Soak
 
-SECONDS = 8.0
 HOSTS = 6
 
 SEEDS = [
-    # Any seed that ever failed stays here, with a line on its cause.
-    1,
+    (1, 8.0),
+    # The first statement of a transaction ran at a second replica, after the host
+    # of the first one had been killed.
+    (100, 20.0),
+    (102, 20.0),
 ]
+"""Seeds and seconds of faults; any that ever failed stays, with its cause."""
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_promises_hold_among_processes(seed: int, tmp_path: Path) -> None:
-    soak = Soak(seed, HOSTS, SECONDS, tmp_path)
+@pytest.mark.parametrize(("seed", "seconds"), SEEDS)
+def test_promises_hold_among_processes(
+    seed: int, seconds: float, tmp_path: Path
+) -> None:
+    soak = Soak(seed, HOSTS, seconds, tmp_path)
     violations = asyncio.run(soak.run())
     assert not violations
     assert soak.promises.acknowledged
