Soak: tell a process that was killed from one that ended by itself

HostProcess.start marked the host as wanted before the new process existed, so that a look at the processes in between saw the one that a fault had killed. Overlapping faults could also start a host twice, and a graceful end that timed out killed the next process. Ruled out: memory (peak 35 MB a host), a signal from elsewhere (the soak is the only sender), the daemon itself (it never kills itself). Change: a host remembers the process that was told to end; starting is exclusive and waits for that end; ending by force takes the process that it was asked to end.

--- a/src/reedhook_standins/soak/hosts.py
+++ b/src/reedhook_standins/soak/hosts.py
@@ -27,9 +27,13 @@
 class HostProcess:
     """Start, disturb and end one host.
 
+    Faults overlap: several may start and end one host at the same time, so each
+    method takes the process that it found and leaves a later one alone.
+
     :param store: ``IP:port`` of the store.
     :param promotions: ``IP:port`` of the promotion call.
-    :ivar wanted: whether the process is meant to run.
+    :ivar process: the last process that was started.
+    :ivar told: the process that was told to end last; its end is no surprise.
     """
 
     def __init__(
@@ -51,7 +55,8 @@
         self.promotions = Proxy(promotions, Link())
         self.front = Proxy(f"{self.ip}:{self.callers}", Link())
         self.process: asyncio.subprocess.Process | None = None
-        self.wanted = False
+        self.starting = asyncio.Lock()
+        self.told: asyncio.subprocess.Process | None = None
 
     @property
     def proxies(self) -> list[Proxy]:
@@ -96,10 +101,17 @@
 
     async def start(self) -> None:
         """Start the process, in a new life if it ran before."""
-        self.wanted = True
+        if self.told is not None:
+            await self.told.wait()
+        async with self.starting:
+            if not self.running:
+                self.process = await self.launch()
+
+    async def launch(self) -> asyncio.subprocess.Process:
+        """Return a new process of the program."""
         environment = {**os.environ, "REEDHOOK_SETTINGS": str(self.settings_file)}
         with self.log_file.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
+            return await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "reedhook.process.daemon",
@@ -116,22 +128,27 @@
 
     async def kill(self) -> None:
         """End the process at once."""
-        self.wanted = False
-        self.send(signal.SIGKILL)
-        if self.process is not None:
-            await self.process.wait()
+        if process := await self.ending():
+            await killed(process)
 
     async def end(self) -> None:
         """End the process gracefully, and by force once the time is over."""
-        self.wanted = False
-        self.send(signal.SIGTERM)
-        if self.process is None:
+        process = await self.ending()
+        if process is None:
             return
+        self.send(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE):
-                await self.process.wait()
+                await process.wait()
         except TimeoutError:
-            await self.kill()
+            # It did not end in time, as a paused one cannot; force is what is left.
+            await killed(process)
+
+    async def ending(self) -> asyncio.subprocess.Process | None:
+        """Return the process, noted as one that is told to end."""
+        async with self.starting:
+            self.told = self.process
+        return self.process
 
     def pause(self) -> None:
         """Let the process stand still."""
@@ -143,12 +160,19 @@
 
     def ended_by_itself(self) -> str:
         """Return what the process wrote last if it ended unasked, or nothing."""
-        if self.running or not self.wanted or self.process is None:
+        if self.process is None or self.running or self.process is self.told:
             return ""
         said = self.log_file.read_bytes()[-TAIL:].decode(errors="replace")
         return f"{self.name} ended by itself with {self.process.returncode}: {said}"
 
 
+async def killed(process: asyncio.subprocess.Process) -> None:
+    """End a process at once, if it still runs."""
+    if process.returncode is None:
+        process.kill()
+    await process.wait()
+
+
 def free_ports(ip: str, count: int) -> list[int]:
     """Return ports that nobody uses now."""
     sockets = [socket.socket() for _ in range(count)]
--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -125,7 +125,7 @@
         """Report processes that ended by themselves, each once."""
         for host in self.hosts:
             if said := host.ended_by_itself():
-                host.wanted = False
+                host.told = host.process
                 self.promises.broken(said)
 
     def check_tokens(self) -> None:
--- /dev/null
+++ b/tests/test_soak_hosts.py
@@ -0,0 +1,155 @@
+"""The processes of a soak, started and ended by faults that overlap."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+
+from reedhook_standins.soak.hosts import HostProcess
+
+
+class Process:
+    """Stand in for a process."""
+
+    def __init__(self) -> None:
+        self.returncode: int | None = None
+        self.over = asyncio.Event()
+        self.signals: list[int] = []
+
+    def send_signal(self, number: int) -> None:
+        """Note a signal; end by one that kills."""
+        self.signals.append(number)
+        if number == signal.SIGKILL:
+            self.finish(-number)
+
+    def kill(self) -> None:
+        """End at once."""
+        self.send_signal(signal.SIGKILL)
+
+    def finish(self, code: int) -> None:
+        """End with a code."""
+        self.returncode = code
+        self.over.set()
+
+    async def wait(self) -> int | None:
+        """Wait for the end."""
+        await self.over.wait()
+        return self.returncode
+
+
+class Launches:
+    """Hand out processes once ``ready`` is set."""
+
+    def __init__(self) -> None:
+        self.ready = asyncio.Event()
+        self.processes: list[Process] = []
+
+    async def launch(self, *words: str, **options: object) -> Process:
+        """Return a new process, as slowly as the test wishes."""
+        await self.ready.wait()
+        self.processes.append(Process())
+        return self.processes[-1]
+
+
+def host(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> tuple[HostProcess, Launches]:
+    """Return a host whose processes are stand-ins."""
+    launches = Launches()
+    monkeypatch.setattr(asyncio, "create_subprocess_exec", launches.launch)
+    one = HostProcess(0, "h0", "z0", tmp_path, "127.0.0.1:1", "127.0.0.1:2")
+    one.log_file.touch()
+    return one, launches
+
+
+async def settled() -> None:
+    """Let all tasks run until they wait."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+def test_a_killed_process_is_not_said_to_have_ended_by_itself(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        one, launches = host(tmp_path, monkeypatch)
+        launches.ready.set()
+        await one.start()
+        await one.kill()
+        launches.ready.clear()
+        again = asyncio.ensure_future(one.start())
+        await settled()
+        assert one.ended_by_itself() == ""
+        launches.ready.set()
+        await again
+        assert one.ended_by_itself() == ""
+
+    asyncio.run(scenario())
+
+
+def test_a_process_that_ends_unasked_is_told(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        one, launches = host(tmp_path, monkeypatch)
+        launches.ready.set()
+        await one.start()
+        launches.processes[0].finish(1)
+        assert one.ended_by_itself().startswith("h0 ended by itself with 1")
+
+    asyncio.run(scenario())
+
+
+def test_two_faults_that_start_a_host_start_one_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        one, launches = host(tmp_path, monkeypatch)
+        first = asyncio.ensure_future(one.start())
+        second = asyncio.ensure_future(one.start())
+        await settled()
+        launches.ready.set()
+        await asyncio.gather(first, second)
+        assert len(launches.processes) == 1
+
+    asyncio.run(scenario())
+
+
+def test_a_late_end_by_force_spares_the_next_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr("reedhook_standins.soak.hosts.GRACE", 0.0)
+        one, launches = host(tmp_path, monkeypatch)
+        launches.ready.set()
+        await one.start()
+        ending = asyncio.ensure_future(one.end())
+        await asyncio.sleep(0)
+        launches.processes[0].finish(0)
+        await one.start()
+        await ending
+        assert launches.processes[1].returncode is None
+        assert one.running
+
+    asyncio.run(scenario())
+
+
+def test_a_host_that_is_told_to_end_starts_again_once_it_ended(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        one, launches = host(tmp_path, monkeypatch)
+        launches.ready.set()
+        await one.start()
+        ending = asyncio.ensure_future(one.end())
+        await settled()
+        starting = asyncio.ensure_future(one.start())
+        await settled()
+        launches.processes[0].finish(0)
+        await asyncio.gather(ending, starting)
+        assert one.ended_by_itself() == ""
+        assert len(launches.processes) == 2
+        assert one.running
+
+    asyncio.run(scenario())
