Take no stall of the own process for the loss of all others

Two stalls of the process 10 to 90 ms apart fit between: either the round of questions was answered and the home was marked as alone all the same, until its next look 0.1 s later; or the second stall made its questions end unread. Ruled out: one stall of any length, and stalls with more than 0.1 s between. Change: who was heard in the round is not alone; a round that lasted 20 ms longer than its timeout proves nothing.

--- a/src/reedhook/process/groups/confirmation.py
+++ b/src/reedhook/process/groups/confirmation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any, TypeAlias
+from typing import Any, Final, TypeAlias
 
 from ...clock import Clock
 from ...connection.target import MemberState, Role
@@ -11,6 +11,10 @@
 
 Ask: TypeAlias = Callable[[str, float], Coroutine[Any, Any, MemberState | None]]
 
+STALL: Final = 0.02
+"""Seconds beyond the timeout after which a round tells of a stall of this process:
+each question ends at its timeout, a busy loop is late by some milliseconds."""
+
 
 class Lead(Record):
     """Name the leader that a round is to confirm."""
@@ -33,6 +37,8 @@
         no answer came within the timeout, in seconds.
     :param lead: tells the leader to confirm; None if there is none here.
     :param found: is called with the sample of each successful round.
+    :ivar stalled: whether this process stood still during the last round, so that
+        a missing answer proves nothing.
     """
 
     def __init__(
@@ -52,6 +58,7 @@
         self.found = found
         self.clock = clock
         self.timeout = timeout
+        self.stalled = False
         self.begun = 0
         self.ended = 0
         self.wanted = 0
@@ -120,7 +127,8 @@
                 self.proved = self.begun
                 self.proved_term = lead.term
                 self.found(Sample(leader.held, asked))
-                return
+                break
+        self.stalled = self.clock.monotonic() - asked > self.timeout + STALL
 
     def question(self, member: str) -> "asyncio.Task[MemberState | None]":
         """Ask `member` in a task that may outlive the round."""
--- a/src/reedhook/process/groups/group.py
+++ b/src/reedhook/process/groups/group.py
@@ -378,7 +378,12 @@
                 self.alone = False
                 continue
             await self.confirmation.wait(self.confirmation.request())
-            self.alone = self.local_lead() == lead
+            if self.confirmation.stalled:
+                # Answers may lie unread in this process: nothing is known yet.
+                continue
+            # Who was heard just now is not alone, also if a stall of this process
+            # makes the next reports late before the next look.
+            self.alone = self.local_lead() == lead and not self.hears_majority()
             if self.isolated:
                 self.knowledge.durability.abandon()
 
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -44,6 +44,51 @@
     run_virtual(main())
 
 
+def test_a_stall_after_others_were_asked_and_answered_refuses_nothing() -> None:
+    async def main() -> None:
+        cluster = Cluster()
+        await cluster.start()
+        await asyncio.sleep(1.0)
+        keeper = cluster.hosts["m1a"].keeper
+        # Nobody is heard for a while: the others are asked, and answer.
+        keeper.heard.clear()
+        while not keeper.hears_majority():
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
+        # Reports are late again before the next look.
+        keeper.heard.clear()
+        assert not keeper.isolated
+        await cluster.write("m1", "a", 5.0)
+        await cluster.stop()
+
+    run_virtual(main())
+
+
+def test_answers_missed_in_a_stall_of_this_process_refuse_nothing() -> None:
+    async def asked_in_a_stall(member: str, timeout: float) -> None:
+        await asyncio.sleep(timeout + 0.3)
+
+    async def main() -> None:
+        cluster = Cluster()
+        await cluster.start()
+        await asyncio.sleep(1.0)
+        keeper = cluster.hosts["m1a"].keeper
+        answered, keeper.confirmation.ask = keeper.confirmation.ask, asked_in_a_stall
+        rounds = keeper.confirmation.ended
+        keeper.heard.clear()
+        while keeper.confirmation.ended == rounds:
+            keeper.heard.clear()
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.001)
+        keeper.heard.clear()
+        assert not keeper.isolated
+        keeper.confirmation.ask = answered
+        await cluster.write("m1", "a", 5.0)
+        await cluster.stop()
+
+    run_virtual(main())
+
+
 def test_a_short_silence_of_the_others_gives_nothing_up() -> None:
     async def main() -> None:
         cluster = Cluster()
