Send the callers of a zone that is cut off to other zones

Ruled out: slow takeover (the other zones served after 1.4 s), full targets. Change: a host that reaches neither a host nor a target of any other zone is not ready, and closes idle sessions once it is out of rotation.

--- a/src/reedhook/process/callers.py
+++ b/src/reedhook/process/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Final
 
 from ..clock import Clock
@@ -23,6 +24,10 @@
 POLL: Final = 0.05
 """Seconds between two looks at what is still open."""
 
+MOVE_EVERY: Final = 1.0
+"""Seconds between two rounds in which idle sessions are closed at a host that gets
+no new ones; a caller that comes back all the same has some time in between."""
+
 RETRY_MS: Final = 500
 """When to come back to a host without a configuration, in milliseconds."""
 
@@ -124,6 +129,25 @@
             connection.abort_transaction("the host ends")
         self.close_idle()
 
+    async def move(self, unready: Callable[[], float]) -> None:
+        """Close idle sessions while this host is out of rotation, until cancelled.
+
+        Their callers open them again at a host that can serve them.
+
+        :param unready: returns for how many seconds this host has not been ready,
+            though it goes on.
+        """
+        next_round = IN_ROTATION
+        while True:
+            await self.clock.sleep(POLL)
+            lasted = unready()
+            if lasted == 0.0:
+                next_round = IN_ROTATION
+            elif lasted >= next_round:
+                next_round = lasted + MOVE_EVERY
+                self.decisions.note("sessions_moved", sessions=len(self.connections))
+                self.close_idle()
+
     def close_idle(self) -> None:
         """Close the sessions in which nothing is outstanding."""
         for connection in list(self.connections):
--- a/src/reedhook/process/fleet/heartbeat.py
+++ b/src/reedhook/process/fleet/heartbeat.py
@@ -106,11 +106,15 @@
         """Exchange heartbeats until cancelled."""
         async with asyncio.TaskGroup() as group:
             self.group = group
-            group.create_task(self.look_after())
-            group.create_task(self.spreader.run())
-            group.create_task(self.repair())
-            await self.join()
-            group.create_task(self.ask_around())
+            try:
+                group.create_task(self.look_after())
+                group.create_task(self.spreader.run())
+                group.create_task(self.repair())
+                await self.join()
+                await self.ask_around()
+            finally:
+                # Statements that still end may doubt a host; nobody is asked then.
+                self.group = None
 
     async def join(self) -> None:
         """Take over the table of the first host to answer."""
--- /dev/null
+++ b/src/reedhook/process/partition.py
@@ -0,0 +1,133 @@
+"""Whether this host is cut off from all other availability zones."""
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+from typing import Any, Final
+
+from ..clock import Clock
+from .announced.announcements import Announcements
+from .decisions import Decisions
+from .fleet.membership_table import MembershipTable
+from .lead.states import TargetStates
+from .lead.vigil import Vigil
+from .network.heard_peers import HeardPeers
+from .network.peer import HostRef
+
+TICK: Final = 0.1
+"""Seconds between two looks."""
+
+QUIET: Final = 0.3
+"""Seconds without an answer from another zone after which answers are asked for;
+a call takes 3 ms, and a busy host hears from other zones many times a second."""
+
+
+class Partition:
+    """Notice that no other availability zone can be reached any more.
+
+    A host that is cut off serves what the targets of its zone can prove, which
+    ends after the greatest age that its routes allow. The callers of its zone
+    are served by other zones then: one that is not ready gets no new ones.
+
+    Hosts alone do not tell: where all other hosts are down, this one serves
+    everybody. So targets of other zones have to be silent, too.
+
+    :ivar since: when it was noticed, by `Clock.monotonic`; None while another
+        zone is reached.
+    """
+
+    def __init__(
+        self,
+        me: HostRef,
+        table: MembershipTable,
+        announcements: Announcements,
+        states: TargetStates,
+        vigil: Vigil,
+        peers: HeardPeers,
+        clock: Clock,
+        random: Random,
+        decisions: Decisions,
+    ) -> None:
+        self.me = me
+        self.table = table
+        self.announcements = announcements
+        self.states = states
+        self.vigil = vigil
+        self.peers = peers
+        self.clock = clock
+        self.random = random
+        self.decisions = decisions
+        self.since: float | None = None
+        self.others: dict[str, HostRef] = {}
+
+    @property
+    def cut_off(self) -> bool:
+        """Say whether no other zone is reached."""
+        return self.since is not None
+
+    def lasted(self) -> float:
+        """Return for how many seconds no other zone was reached; 0 while one is."""
+        return 0.0 if self.since is None else self.clock.monotonic() - self.since
+
+    async def run(self) -> None:
+        """Look again and again until cancelled."""
+        while True:
+            await self.clock.sleep(TICK)
+            await self.look()
+
+    async def look(self) -> None:
+        """Find out whether another zone is reached, asking where none was heard.
+
+        One host is asked first: a question to all, with a new connection to a
+        target of each zone, would come often where a host has little to do.
+        """
+        if self.heard() or not self.known_zones():
+            self.decide(True)
+            return
+        one = self.random.choice(list(self.others.values()))
+        if not self.cut_off and await self.vigil.reaches(one):
+            return
+        answers = await asyncio.gather(*self.questions())
+        self.decide(any(answers) or self.heard())
+
+    def heard(self) -> bool:
+        """Say whether a host of another zone answered a call lately."""
+        after = self.clock.monotonic() - QUIET
+        return any(
+            at > after
+            for zone, at in self.peers.heard_at.items()
+            if zone != self.me.zone
+        )
+
+    def known_zones(self) -> set[str]:
+        """Return the other zones in which hosts are known, or were before.
+
+        One host of each is kept: membership forgets those that are cut off.
+        """
+        live = [ref for ref in self.table.refs() if ref.zone != self.me.zone]
+        self.random.shuffle(live)
+        self.others.update((ref.zone, ref) for ref in live)
+        return set(self.others)
+
+    def questions(self) -> list[Coroutine[Any, Any, bool]]:
+        """Ask one host and one target of each other zone for an answer."""
+        targets = [
+            entry
+            for entry in self.announcements.targets.values()
+            if entry.zone != self.me.zone
+        ]
+        self.random.shuffle(targets)
+        chosen = {entry.zone: entry for entry in targets}
+        return [
+            *(self.vigil.reaches(host) for host in self.others.values()),
+            *(self.states.reached(target) for target in chosen.values()),
+        ]
+
+    def decide(self, reached: bool) -> None:
+        """Take note of a change."""
+        if reached and self.since is not None:
+            self.decisions.note("zones_reached", after=round(self.lasted(), 2))
+            self.since = None
+        elif not reached and self.since is None:
+            self.since = self.clock.monotonic()
+            self.decisions.note("cut_off", zones=sorted(self.others))
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -44,7 +44,9 @@
 from .lead.states import TargetStates
 from .lead.vigil import Vigil
 from .lead.witness import Witnesses
+from .network.heard_peers import HeardPeers
 from .network.peer import HostRef, PeerError, PeerRoutes, Peers
+from .partition import Partition
 
 TABLE_PATH: Final = "table"
 TABLE_TIMEOUT: Final = 0.5
@@ -99,7 +101,7 @@
         self.promoter = promoter
         self.driver = driver
         self.phrases = phrases
-        self.peers = peers
+        self.peers = HeardPeers(peers, clock)
         self.decisions = decisions
         self.metrics = metrics
         self.me = HostRef(settings.host, settings.zone, settings.peer_listen)
@@ -156,6 +158,17 @@
         self.vigil = Vigil(
             self.me, table, self.peers, self.clock, self.random, self.decisions
         )
+        self.partition = Partition(
+            self.me,
+            table,
+            self.announcements,
+            self.states,
+            self.vigil,
+            self.peers,
+            self.clock,
+            self.random,
+            self.decisions,
+        )
         self.ranking = Ranking(
             self.me,
             table,
@@ -311,6 +324,8 @@
             self.heartbeats.run(),
             self.desk.tidy(),
             self.leads.run(),
+            self.partition.run(),
+            self.callers.move(self.partition.lasted),
         ):
             self.spawn(work)
 
@@ -330,7 +345,9 @@
     @property
     def ready(self) -> bool:
         """Say whether callers may be sent here."""
-        return not self.leaving and self.announcements.configured.is_set()
+        if self.leaving or self.partition.cut_off:
+            return False
+        return self.announcements.configured.is_set()
 
     async def drain(self) -> None:
         """Pass the leads on and end all sessions, within the time to stop."""
--- a/tests/test_membership_faults.py
+++ b/tests/test_membership_faults.py
@@ -60,6 +60,15 @@
     assert (EventKind.MEMBER_LEFT, "a-1") in kinds
 
 
+@using(nine_hosts, run_virtual)
+async def test_a_host_that_ended_doubts_nobody(hosts: FakeHosts) -> None:
+    ended = hosts["a-1"]
+    ended.task.cancel()
+    await asyncio.sleep(0.1)
+    ended.heartbeats.doubt("b-0")
+    ended.heartbeats.offer(["10.9.9.9:1"])
+
+
 @using(nine_hosts, run_virtual)
 async def test_a_hanging_host_is_out_in_time_and_comes_back(hosts: FakeHosts) -> None:
     hosts.network.pause("b-0")
