--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from ..clock import Clock
+from ..process.background import Background
 from ..process.decisions import Decisions
 from ..request.position import Position
 from ..request.refusal import Reason, Refusal, may_have_run, not_run
@@ -89,7 +90,7 @@
         self.transactions: dict[str, Transaction] = {}
         self.active = 0
         self.answered_at = float("-inf")
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.background = Background(decisions, target=entry.target)
 
     async def run(self, work: Work) -> MemberReply:
         """Run a statement alone or in its transaction.
@@ -346,9 +347,7 @@
         self.transactions.pop(transaction.name, None)
         if transaction.timer is not None:
             transaction.timer.cancel()
-        task = asyncio.get_running_loop().create_task(self.rolled_back(transaction))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.background.spawn(self.rolled_back(transaction))
 
     async def rolled_back(self, transaction: Transaction) -> None:
         """Send the rollback; a connection that does not answer is closed."""
@@ -406,8 +405,7 @@
     async def close(self) -> None:
         """Close all connections; what is in progress ends at once."""
         self.end_all("the home was closed")
-        for task in list(self.tasks):
-            task.cancel()
+        self.background.cancel()
         self.lanes.close()
         for lane in list(self.lanes.lent):
             lane.connection.close()
--- a/src/reedhook/connection/session.py
+++ b/src/reedhook/connection/session.py
@@ -5,6 +5,7 @@
 
 from ..clock import Clock
 from ..process.announced.announcements import Announcements
+from ..process.background import Background
 from ..process.decisions import Decisions
 from ..process.metrics import Metrics
 from ..record import Record
@@ -119,7 +120,7 @@
         self.begun = 0
         self.busy = False
         self.committing = False
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.background = Background(decisions, session=name)
 
     async def run(self, id: str, command: Command) -> SessionReply:
         """Answer one statement."""
@@ -382,9 +383,7 @@
         work = self.steering.hops.end(
             self.route.service, transaction.place, transaction.name
         )
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.background.spawn(work)
 
     def rest(self) -> None:
         """Bound the time for which an open transaction may rest."""
--- a/src/reedhook/platform/driver.py
+++ b/src/reedhook/platform/driver.py
@@ -25,17 +25,6 @@
 
 STATUS_FIELDS: Final = 7
 REFUSALS: Final = {"OVERLOADED": MemberFull, "MISROUTED": MemberMisrouted}
-FAULTS: Final = {
-    "": Fault.NONE,
-    "BUSY": Fault.BUSY,
-    "UNKNOWN": Fault.UNKNOWN_NAME,
-    "LAGGING": Fault.LAGGING,
-    "READONLY": Fault.READ_ONLY,
-    "ABORTED": Fault.ABORTED,
-    "MALFORMED": Fault.MALFORMED,
-    "FAILED": Fault.FAILED,
-    "TIMEOUT": Fault.TIMEOUT,
-}
 
 
 class WireConnection(asyncio.Protocol, MemberConnection):
@@ -99,7 +88,9 @@
 
     def finish(self, state: SessionState, position: Position | None) -> None:
         """Complete the reply in progress."""
-        fault = FAULTS.get(self.code, Fault.FAILED)
+        fault = Fault.NONE
+        if self.code:
+            fault = text.FAULTS.get(self.code, Fault.FAILED)
         reply = MemberReply(
             self.rows, self.signature, fault, self.detail, state, position
         )
--- a/src/reedhook/platform/entry.py
+++ b/src/reedhook/platform/entry.py
@@ -25,16 +25,6 @@
 """Seconds of rest before a session is closed as the host ends: a statement that
 was sent just then is likely to have arrived."""
 
-FAULTS: Final = {
-    Fault.BUSY: "BUSY",
-    Fault.UNKNOWN_NAME: "UNKNOWN",
-    Fault.LAGGING: "LAGGING",
-    Fault.READ_ONLY: "READONLY",
-    Fault.ABORTED: "ABORTED",
-    Fault.MALFORMED: "MALFORMED",
-    Fault.FAILED: "FAILED",
-    Fault.TIMEOUT: "TIMEOUT",
-}
 IN_DOUBT: Final = "INDOUBT"
 NOT_RUN: Final = "BUSY"
 REASONS: Final = {
@@ -225,7 +215,7 @@
     if reply.refusal is not None:
         return encoded("ERROR", *worded(reply.refusal)) + state
     if reply.fault is not Fault.NONE:
-        return encoded("ERROR", FAULTS[reply.fault], reply.detail) + state
+        return encoded("ERROR", text.CODES[reply.fault], reply.detail) + state
     rows = b"".join(encoded("ROW", row) for row in reply.rows)
     return rows + encoded("COMPLETE", reply.signature or text.NONE) + state
 
--- a/src/reedhook/platform/text.py
+++ b/src/reedhook/platform/text.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from ..connection.member import Fault
 from ..connection.state import SessionState
 from ..request.command import Command, CommandKind
 from ..request.position import Position
@@ -28,6 +29,20 @@
 }
 STATES: Final = {letter: state for state, letter in LETTERS.items()}
 
+CODES: Final = {
+    Fault.BUSY: "BUSY",
+    Fault.UNKNOWN_NAME: "UNKNOWN",
+    Fault.LAGGING: "LAGGING",
+    Fault.READ_ONLY: "READONLY",
+    Fault.ABORTED: "ABORTED",
+    Fault.MALFORMED: "MALFORMED",
+    Fault.FAILED: "FAILED",
+    Fault.TIMEOUT: "TIMEOUT",
+}
+"""Codes of targets' errors."""
+
+FAULTS: Final = {code: fault for fault, code in CODES.items()}
+
 SHAPES: Final = {"READ": False, "WRITE": True}
 
 
--- a/src/reedhook/process/announced/announcements.py
+++ b/src/reedhook/process/announced/announcements.py
@@ -169,18 +169,21 @@
         self.heard()
         self.at = found.at
         keys = {item.key for item in found.items}
-        for target in list(self.targets):
-            if not any(self.names(key, target) for key in keys):
-                self.target_gone(target)
+        for target in self.targets.keys() - self.named(keys):
+            self.target_gone(target)
         for key in [key for key in self.own if key not in keys]:
             self.take_own(Item(key, None, found.at))
         self.take(found)
         self.first.set()
 
-    def names(self, key: str, target: str) -> bool:
-        """Say whether a key is that of a target."""
+    def named(self, keys: set[str]) -> set[str]:
+        """Return the targets of which keys speak."""
         documents = self.documents
-        return documents.is_target(key) and documents.target_of(key) == target
+        return {documents.target_of(key) for key in keys if documents.is_target(key)}
+
+    def known(self, target: str) -> TargetEntry | None:
+        """Return what a target announces, or announced last; None if never."""
+        return self.targets.get(target) or self.missing.get(target)
 
     async def follow(self) -> None:
         """Wait for the next changes."""
--- a/src/reedhook/process/fleet/directory.py
+++ b/src/reedhook/process/fleet/directory.py
@@ -139,6 +139,12 @@
         """Return what speaks against a host as a home, the worst first."""
         return record.penalty > 0, self.is_weak(record.ref.host)
 
+    def live(self, key: str, zone: str, inside: bool) -> list[HostRef]:
+        """Return the live hosts inside (or outside) `zone` for a key, best first."""
+        order = self.orders.order(key, zone, inside)
+        records = [self.table.records[host] for host in order]
+        return [record.ref for record in records if record.live]
+
     def live_order(self, order: list[str]) -> list[HostRef]:
         """Return the live hosts of `order`, those with a drawback last."""
         records = [self.table.records[host] for host in order]
--- a/src/reedhook/process/lead/claim.py
+++ b/src/reedhook/process/lead/claim.py
@@ -124,6 +124,11 @@
         self.record = found.with_primary(own.primary, own.term, own.successor)
         return False
 
+    def unsaved(self, record: LeadRecord) -> None:
+        """Go on from a record that is yet to be written down."""
+        self.record = record
+        self.saved = False
+
     def written(self, record: LeadRecord) -> None:
         """Go on from a record that stands in the store."""
         self.record = record
--- a/src/reedhook/process/lead/deputies.py
+++ b/src/reedhook/process/lead/deputies.py
@@ -1,9 +1,10 @@
 """The services for whose holders this host stands in."""
 
-import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any, Final, TypeAlias
+from collections.abc import Callable
+from typing import Final, TypeAlias
 
+from ..background import Background
+from ..decisions import Decisions
 from .deputy import Deputy
 from .record import Holder, LeadRecord
 
@@ -19,13 +20,15 @@
         it has given its word to a holder that promotes.
     """
 
-    def __init__(self, me: Holder, make_deputy: DeputyMaker) -> None:
+    def __init__(
+        self, me: Holder, make_deputy: DeputyMaker, decisions: Decisions
+    ) -> None:
         self.me = me
         self.make_deputy = make_deputy
         self.found: dict[str, Deputy] = {}
         self.promised: dict[str, int] = {}
         self.closed = False
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.background = Background(decisions)
 
     def acting(self, service: str) -> Deputy | None:
         """Return what uses a primary in its holder's place, or None."""
@@ -38,7 +41,7 @@
         named = record.deputy == self.me
         if deputy is not None and not named:
             del self.found[record.service]
-            self.spawn(self.dismiss(deputy))
+            self.background.spawn(self.dismiss(deputy))
         if deputy is None and named and not self.closed:
             # Only an own look permits to act; the first is due at once.
             deputy = self.make_deputy(record, NEVER)
@@ -75,9 +78,3 @@
         self.closed = True
         for service in list(self.found):
             await self.dismiss(self.found.pop(service))
-
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run `work` in the background."""
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
--- a/src/reedhook/process/lead/deputy.py
+++ b/src/reedhook/process/lead/deputy.py
@@ -44,7 +44,7 @@
 
     def start(self) -> None:
         """Begin to renew the permission."""
-        self.spawn(self.renew())
+        self.background.spawn(self.renew())
 
     async def renew(self) -> None:
         """Look into the store again and again whether this host is named."""
--- a/src/reedhook/process/lead/lead.py
+++ b/src/reedhook/process/lead/lead.py
@@ -119,8 +119,8 @@
 
     def start(self) -> None:
         """Begin to renew the permission and to look after the primary."""
-        self.spawn(self.renew())
-        self.spawn(self.look_after())
+        self.background.spawn(self.renew())
+        self.background.spawn(self.look_after())
 
     async def renew(self) -> None:
         """Look into the store again and again whether this host is named."""
--- a/src/reedhook/process/lead/leads.py
+++ b/src/reedhook/process/lead/leads.py
@@ -1,14 +1,15 @@
 """The leads of services: which this host holds, and which it takes over."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any, Final, TypeAlias
+from collections.abc import Callable
+from typing import Final, TypeAlias
 
 from ...clock import Clock
 from ...request.refusal import Reason, Refusal, not_run
 from ...wire import Json, text
 from ..announced.announcements import Announcements
 from ..announced.keyspace import Keyspace, KeyspaceError, Unanswered
+from ..background import Background
 from ..decisions import Decisions
 from ..fleet.membership_table import MembershipTable
 from ..network.peer import PeerError, PeerRoutes, Peers
@@ -91,7 +92,7 @@
         self.lives: dict[str, str] = {}
         self.taking: set[str] = set()
         self.tried_at: dict[str, float] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.background = Background(decisions)
         self.leaving = False
         self.wake = asyncio.Event()
         book.on_change.append(self.changed)
@@ -243,7 +244,7 @@
         except Unanswered as error:
             self.decisions.note("lead_not_taken", service=service, error=str(error))
             if not asked_to:
-                self.spawn(self.ask_others(service))
+                self.background.spawn(self.ask_others(service))
             return False
         except KeyspaceError as error:
             self.decisions.note("lead_not_taken", service=service, error=str(error))
@@ -335,14 +336,7 @@
     def spawn_give_up(self, lead: Lead) -> None:
         """Let go of a lead in the background."""
         lead.yielding = True
-        self.giving_up[lead.service] = self.spawn(self.give_up(lead))
-
-    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Run `work` in the background."""
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
+        self.giving_up[lead.service] = self.background.spawn(self.give_up(lead))
 
     async def give_up(self, lead: Lead) -> None:
         """Let go of a lead once its transactions have ended."""
--- a/src/reedhook/process/lead/promotion.py
+++ b/src/reedhook/process/lead/promotion.py
@@ -165,6 +165,5 @@
             term=status.term,
             received=status.received.to_json(),
         )
-        self.claim.record = self.claim.record.with_primary(entry.target, status.term)
-        self.claim.saved = False
+        self.claim.unsaved(self.claim.record.with_primary(entry.target, status.term))
         return Promoted(entry, status)
--- a/src/reedhook/process/lead/ranking.py
+++ b/src/reedhook/process/lead/ranking.py
@@ -4,8 +4,7 @@
 
 from ...version.registry import TargetEntry
 from ..announced.announcements import Announcements
-from ..fleet.membership_table import MembershipTable
-from ..fleet.rendezvous import ranked_hosts
+from ..fleet.directory import MembershipDirectory
 from ..network.peer import HostRef
 from .book import LeadBook
 from .record import lead_key
@@ -21,14 +20,14 @@
     def __init__(
         self,
         me: HostRef,
-        table: MembershipTable,
+        directory: MembershipDirectory,
         announcements: Announcements,
         book: LeadBook,
         vigil: Vigil,
         is_weak: Callable[[str], bool],
     ) -> None:
         self.me = me
-        self.table = table
+        self.directory = directory
         self.announcements = announcements
         self.book = book
         self.vigil = vigil
@@ -42,8 +41,9 @@
         these the weak come last.
         """
         zone = self.primary_zone(service)
-        refs = {ref.host: ref for ref in self.table.refs()}
-        order = [refs[host] for host in ranked_hosts(lead_key(service), refs)]
+        key = lead_key(service)
+        order = self.directory.live(key, zone, False)
+        order += self.directory.live(key, zone, True)
         order.sort(key=lambda ref: self.drawback(ref, zone))
         return order
 
@@ -57,12 +57,10 @@
     def primary_zone(self, service: str) -> str:
         """Return the availability zone of the primary; empty if unknown."""
         record = self.book.get(service)
-        targets = self.announcements.targets
         if record is not None and record.primary:
-            known = targets.get(record.primary)
-            known = known or self.announcements.missing.get(record.primary)
+            known = self.announcements.known(record.primary)
             return "" if known is None else known.zone
-        for entry in targets.values():
+        for entry in self.announcements.targets.values():
             if entry.service == service and entry.claims_lead:
                 return entry.zone
         return ""
--- a/src/reedhook/process/lead/states.py
+++ b/src/reedhook/process/lead/states.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Final
 
+from ...connection.lanes import CONNECT_TIMEOUT
 from ...connection.member import (
     MemberDriver,
     MemberSilent,
@@ -16,9 +17,6 @@
 """Seconds to connect to a target and to learn its state; both wait for a slot
 behind statements of 9 to 110 ms."""
 
-CONNECT_TIMEOUT: Final = 0.4
-"""Seconds for a new connection, which waits for a slot behind statements."""
-
 
 class TargetStates:
     """Ask targets for their states, each on a connection of its own."""
@@ -29,8 +27,7 @@
 
     def known(self, target: str) -> TargetEntry | None:
         """Return what a target announces, or announced last; None if never."""
-        announced = self.announcements
-        return announced.targets.get(target) or announced.missing.get(target)
+        return self.announcements.known(target)
 
     def announced(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service that announce themselves."""
--- a/src/reedhook/process/lead/user.py
+++ b/src/reedhook/process/lead/user.py
@@ -1,8 +1,8 @@
 """A host's use of the primary of one service, while it is permitted."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any, Final, TypeAlias
+from collections.abc import Callable
+from typing import Final, TypeAlias
 
 from ...clock import Clock
 from ...connection.member import MemberSilent, MemberStatus, MemberUnreachable
@@ -11,6 +11,7 @@
 from ...request.refusal import Reason, Refusal, not_run
 from ...request.work import Proof, Work, WorkAnswer
 from ...version.registry import TargetEntry
+from ..background import Background
 from ..decisions import Decisions
 from .claim import Claim
 from .record import LeadRecord
@@ -71,7 +72,7 @@
         self.asking: asyncio.Task[None] | None = None
         self.doubted_at = clock.monotonic()
         self.news = asyncio.Event()
-        self.tasks: list[asyncio.Task[None]] = []
+        self.background = Background(decisions, service=self.service)
 
     @property
     def record(self) -> LeadRecord:
@@ -226,18 +227,6 @@
         """Tell that the primary is used no more."""
         self.decisions.note("lead_given_up", service=self.service)
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run `work` until `stop`; that it fails is logged."""
-        task = asyncio.get_running_loop().create_task(work)
-        task.add_done_callback(self.task_ended)
-        self.tasks.append(task)
-
-    def task_ended(self, task: "asyncio.Task[None]") -> None:
-        """Log a task that failed, which none is meant to."""
-        if not task.cancelled() and (error := task.exception()) is not None:
-            self.decisions.note("task_failed", service=self.service, error=repr(error))
-
     def stop(self) -> None:
         """End the tasks."""
-        for task in self.tasks:
-            task.cancel()
+        self.background.cancel()
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -1,9 +1,9 @@
 """A host that serves sessions on a platform with a store."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from random import Random
-from typing import Any, Final
+from typing import Final
 
 import logbook
 
@@ -20,6 +20,7 @@
 from .announced.capacities import Capacities, capacity
 from .announced.keyspace import Item, Keyspace
 from .announced.registration import Registration
+from .background import Background
 from .callers import Callers
 from .decisions import Decisions
 from .desk import Desk
@@ -31,7 +32,7 @@
 from .histograms import HistogramMetrics
 from .hosting_settings import HostingSettings
 from .lead.book import LeadBook
-from .lead.claim import DeputyClaim, HolderClaim
+from .lead.claim import Claim, DeputyClaim, HolderClaim
 from .lead.deputies import Deputies
 from .lead.deputy import Deputy
 from .lead.duty import Duty, Promoter
@@ -108,7 +109,7 @@
         self.holder = Holder(self.me, f"{random.getrandbits(LIFE_BITS):x}")
         self.routes = PeerRoutes()
         self.leaving = False
-        self.tasks: list[asyncio.Task[None]] = []
+        self.background = Background(decisions)
         self.fetching: asyncio.Task[None] | None = None
         self.announcements = Announcements(
             keyspace, documents, clock, random, decisions
@@ -171,7 +172,7 @@
         )
         self.ranking = Ranking(
             self.me,
-            table,
+            self.directory,
             self.announcements,
             self.book,
             self.vigil,
@@ -184,7 +185,7 @@
             self.book,
             table,
             self.ranking,
-            Deputies(self.holder, self.make_deputy),
+            Deputies(self.holder, self.make_deputy, self.decisions),
             self.witnesses,
             self.vigil,
             self.peers,
@@ -264,7 +265,7 @@
 
     def make_lead(self, record: LeadRecord, asked: float) -> Lead:
         """Return a lead that this host has taken."""
-        claim = HolderClaim(*self.claim_parts(record, asked))
+        claim = self.claim(HolderClaim, record, asked)
         others = OtherUsers(
             claim, self.ranking, self.vigil, self.peers, self.clock, self.decisions
         )
@@ -289,7 +290,7 @@
     def make_deputy(self, record: LeadRecord, asked: float) -> Deputy:
         """Return what stands in for the holder of a lead."""
         return Deputy(
-            DeputyClaim(*self.claim_parts(record, asked)),
+            self.claim(DeputyClaim, record, asked),
             self.announcements,
             self.states,
             self.make_home,
@@ -297,11 +298,9 @@
             self.decisions,
         )
 
-    def claim_parts(
-        self, record: LeadRecord, asked: float
-    ) -> tuple[LeadRecord, float, Holder, Keyspace, LeadBook, Clock, Decisions]:
-        """Return what a claim is made of."""
-        return (
+    def claim(self, kind: type[Claim], record: LeadRecord, asked: float) -> Claim:
+        """Return this host's place in a record."""
+        return kind(
             record,
             asked,
             self.holder,
@@ -327,20 +326,7 @@
             self.partition.run(),
             self.callers.move(self.partition.lasted),
         ):
-            self.spawn(work)
-
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run `work` beside the host; its failure is logged."""
-        task = asyncio.get_running_loop().create_task(work)
-        task.add_done_callback(self.task_ended)
-        self.tasks.append(task)
-
-    def task_ended(self, task: "asyncio.Task[None]") -> None:
-        """Log a task that failed, which none is meant to."""
-        if task.cancelled() or (error := task.exception()) is None:
-            return
-        log.error("A task of the host failed.", exc_info=error)
-        self.decisions.note("task_failed", error=repr(error))
+            self.background.spawn(work)
 
     @property
     def ready(self) -> bool:
@@ -382,9 +368,9 @@
 
     async def close(self) -> None:
         """Release everything at once."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        tasks = list(self.background.tasks)
+        self.background.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.leads.close()
         await self.desk.close()
         await self.peers.close()
--- a/src/reedhook_standins/wiredatabase.py
+++ b/src/reedhook_standins/wiredatabase.py
@@ -5,7 +5,7 @@
 
 from reedhook.connection.member import Fault, MemberReply, Query
 from reedhook.platform.line import LineError, LineReader, encoded
-from reedhook.platform.text import LETTERS, read_position, write_position
+from reedhook.platform.text import CODES, LETTERS, read_position, write_position
 
 from .database import DatabaseMember, DatabaseSession
 from .listening import Listening
@@ -16,13 +16,6 @@
 POLL: Final = 0.05
 """Seconds between two looks at whether a target that is dark is back."""
 
-CODES: Final = {
-    Fault.UNKNOWN_NAME: "UNKNOWN",
-    Fault.BUSY: "BUSY",
-    Fault.READ_ONLY: "READONLY",
-    Fault.LAGGING: "LAGGING",
-    Fault.MALFORMED: "MALFORMED",
-}
 AT_WORK: Final = ("READ", "WRITE", "EXECUTE", "COMMIT")
 PLAIN_FIELDS: Final = 3
 AFTER_FIELDS: Final = 5
@@ -106,7 +99,7 @@
             lines = b"".join(encoded("ROW", row) for row in reply.rows)
             lines += encoded("COMPLETE", reply.signature)
         else:
-            code = CODES.get(reply.fault, "FAILED")
+            code = CODES[reply.fault]
             lines = encoded("ERROR", code, self.member.entry.target)
         letter = LETTERS[reply.state]
         return lines + encoded("READY", letter, write_position(reply.position))
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -170,8 +170,7 @@
         """End a process without a word; its connections break."""
         host = self.hosts.pop(name)
         self.network.crash(name)
-        for task in host.tasks:
-            task.cancel()
+        host.background.cancel()
         for lead in [*host.leads.held.values(), *host.leads.deputies.found.values()]:
             lead.stop()
         for member in self.group.members.values():
