Bound the wait for a connection to a target

Cause: a statement waited for a connection to the end of its 0.8 s, untried. Ruled out: the targets' own queue (its BUSY is answered at once), hops. Change: a statement waits 0.3 s at most, and is refused at once, with when to come back, where the queue by the average time of lending would take longer. Three new tests; two failed before.

--- a/src/reedhook/connection/lanes.py
+++ b/src/reedhook/connection/lanes.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from ..clock import Clock
-from ..request.refusal import Reason, not_run
+from ..request.refusal import Reason, Refusal, not_run
 from ..version.registry import TargetEntry
 from .member import (
     Fault,
@@ -22,6 +22,15 @@
 """Seconds to open a connection: the target's 12 ms, two slow statements of
 110 ms ahead of it in its slots, and some room."""
 
+LONGEST_QUEUE: Final = 0.3
+"""Seconds for which a statement waits for a connection. Statements have 0.8 s and
+callers try three times in 1.5 s: one that waited to its end, untried, would leave
+its caller no time for another try."""
+
+LEARNING: Final = 0.2
+"""Weight of the last connection that came back in the average time of lending;
+some ten of them change it, a second at a busy target."""
+
 VERIFY_AFTER: Final = 1.0
 """Seconds of rest after which a connection may have gone silent, so that a
 write is not sent on it before it has answered something harmless."""
@@ -48,9 +57,10 @@
     :ivar applied: what is set and prepared on it, by kind and name.
     :ivar unsure: whether `applied` may differ from what the target holds.
     :ivar used: when it last answered, by `Clock.monotonic`.
+    :ivar lent_at: when it was last lent, by `Clock.monotonic`.
     """
 
-    __slots__ = ("connection", "session", "applied", "unsure", "used")
+    __slots__ = ("connection", "session", "applied", "unsure", "used", "lent_at")
 
     def __init__(self, connection: MemberConnection, used: float) -> None:
         self.connection = connection
@@ -58,6 +68,7 @@
         self.applied: dict[str, str] = {}
         self.unsure = False
         self.used = used
+        self.lent_at = used
 
 
 class Lanes:
@@ -66,6 +77,7 @@
     :param limit: connections that this host may open at once.
     :ivar count: connections that are open or being opened.
     :ivar lent: connections in use.
+    :ivar lent_for: seconds for which connections were lent of late, on average.
     """
 
     def __init__(
@@ -85,6 +97,7 @@
         self.lent: set[Lane] = set()
         self.waiting: deque[asyncio.Future[Lane | None]] = deque()
         self.count = 0
+        self.lent_for = 0.0
         self.closed = False
 
     async def borrow(self, session: str, timeout: float) -> Lane:
@@ -94,33 +107,62 @@
         :raises Refusal: not run, if none comes free in time.
         :raises MemberUnreachable: if the target accepts none; see `MemberDriver`.
         """
+        self.check_queue()
         deadline = self.clock.monotonic() + timeout
+        patience = self.clock.monotonic() + min(timeout, LONGEST_QUEUE)
         while True:
             lane = self.take(session)
             if lane is not None:
                 return self.lend(lane)
-            left = deadline - self.clock.monotonic()
-            if left <= 0.0 or self.closed:
-                raise not_run(
-                    Reason.OVERLOADED,
-                    f"no connection to {self.entry.target} came free in time",
-                    RETRY_MS,
-                )
+            now = self.clock.monotonic()
+            if now >= patience or self.closed:
+                raise self.overloaded("no connection came free in time")
             if self.count < self.limit:
                 try:
-                    return self.lend(await self.open(min(left, CONNECT_TIMEOUT)))
+                    opening = min(deadline - now, CONNECT_TIMEOUT)
+                    return self.lend(await self.open(opening))
                 except MemberFull:
                     if self.count == 0:
                         raise
-            lane = await self.wait(left)
+            lane = await self.wait(patience - now)
             if lane is not None:
                 return self.lend(lane)
 
+    def check_queue(self) -> None:
+        """Refuse at once what would wait for longer than it may.
+
+        :raises Refusal: not run.
+        """
+        if self.exhausted() and self.expected_wait() > LONGEST_QUEUE:
+            waiting = len(self.waiting)
+            raise self.overloaded(f"{waiting} statements wait for a connection")
+
+    def expected_wait(self) -> float:
+        """Return after how many seconds a statement would get a connection."""
+        return (len(self.waiting) + 1) * self.lent_for / max(self.limit, 1)
+
+    def overloaded(self, detail: str) -> Refusal:
+        """Return the refusal of a statement that gets no connection."""
+        return not_run(
+            Reason.OVERLOADED,
+            f"{detail} at {self.entry.target}",
+            max(RETRY_MS, int(self.expected_wait() * 1000.0)),
+        )
+
     def lend(self, lane: Lane) -> Lane:
         """Note that a connection is in use."""
         self.lent.add(lane)
+        lane.lent_at = self.clock.monotonic()
         return lane
 
+    def returned(self, lane: Lane) -> None:
+        """Note that a connection is in use no more."""
+        if lane not in self.lent:
+            return
+        self.lent.discard(lane)
+        lasted = self.clock.monotonic() - lane.lent_at
+        self.lent_for += LEARNING * (lasted - self.lent_for)
+
     def take(self, session: str) -> Lane | None:
         """Return an idle connection, or None."""
         self.idle = [lane for lane in self.idle if not self.dropped(lane)]
@@ -181,7 +223,7 @@
 
     def give_back(self, lane: Lane) -> None:
         """Take back a connection that is in good order."""
-        self.lent.discard(lane)
+        self.returned(lane)
         if lane.connection.lost or self.closed:
             self.discard(lane)
             return
@@ -196,7 +238,7 @@
 
     def forget(self, lane: Lane) -> None:
         """Make room for another connection."""
-        self.lent.discard(lane)
+        self.returned(lane)
         self.count -= 1
         self.wake(None)
 
--- a/tests/test_member_home.py
+++ b/tests/test_member_home.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from reedhook.connection.lanes import LONGEST_QUEUE
 from reedhook.connection.member import Fault, MemberReply
 from reedhook.connection.memberhome import MemberHome
 from reedhook.process.decisions import Decisions
+from reedhook.request.refusal import Reason, Refusal
+from reedhook.request.verdict import Verdict
 from reedhook.request.work import Begin, Work, WorkKind
 from reedhook_standins.database import DatabaseGroup
 from reedhook_standins.promises import Promises, Sent
@@ -117,3 +120,49 @@
             )
         )
         assert not one.home.lanes.idle
+
+
+@in_virtual_time
+async def test_a_statement_waits_for_a_connection_for_a_bounded_time() -> None:
+    """Waiting to the end of its time would leave the caller none to try again."""
+    async with one_connection() as one:
+        await one.run("s1", WorkKind.WRITE, "t1", first=True)
+        begun = asyncio.get_running_loop().time()
+        with pytest.raises(Refusal) as caught:
+            await one.run("s2", WorkKind.READ)
+        waited = asyncio.get_running_loop().time() - begun
+        assert waited <= LONGEST_QUEUE + 0.01
+        assert caught.value.reason is Reason.OVERLOADED
+        assert caught.value.verdict is Verdict.NOT_RUN
+        assert caught.value.retry_after_ms is not None
+
+
+@in_virtual_time
+async def test_a_statement_behind_too_many_others_is_refused_at_once() -> None:
+    async with one_connection() as one:
+        for number in range(4):
+            # Four transactions of 0.4 s each tell how long connections are lent.
+            await one.run("s1", WorkKind.WRITE, f"t{number}", first=True)
+            await asyncio.sleep(0.4)
+            await one.run("s1", WorkKind.COMMIT, f"t{number}")
+        await one.run("s1", WorkKind.WRITE, "t", first=True)
+        waiting = asyncio.ensure_future(one.run("s2", WorkKind.READ))
+        await asyncio.sleep(0.0)
+        begun = asyncio.get_running_loop().time()
+        with pytest.raises(Refusal) as caught:
+            await one.run("s3", WorkKind.READ)
+        assert asyncio.get_running_loop().time() - begun < 0.01
+        assert caught.value.verdict is Verdict.NOT_RUN
+        assert (caught.value.retry_after_ms or 0) >= 300
+        await one.run("s1", WorkKind.COMMIT, "t")
+        assert (await waiting).fault is Fault.NONE
+
+
+@in_virtual_time
+async def test_a_free_connection_is_lent_whatever_others_waited_for() -> None:
+    async with one_connection() as one:
+        for number in range(4):
+            await one.run("s1", WorkKind.WRITE, f"t{number}", first=True)
+            await asyncio.sleep(1.0)
+            await one.run("s1", WorkKind.COMMIT, f"t{number}")
+        assert (await one.run("s2", WorkKind.READ)).fault is Fault.NONE
