Take no host for lost that answers others

A read waited at its home for a connection to a slow target for longer than the 0.45 s that the asker gives a host; the asker took the host for lost and refused all that it leads and serves. Ruled out: processor (0.1 of a core a host), links, cuts (27 hosts were cut off from the store only). Change: a host that has answered any call since a statement was sent lives; only the statement is refused or sent elsewhere. The line `host_silent` says so (`lives`). Test: two, of which one failed before.

--- a/src/reedhook/process/network/heard_peers.py
+++ b/src/reedhook/process/network/heard_peers.py
@@ -1,4 +1,4 @@
-"""Calls to other hosts, with a note of when each availability zone last answered."""
+"""Calls to other hosts, with a note of when hosts and zones last answered."""
 
 from ...clock import Clock
 from ...request.refusal import Refusal
@@ -7,26 +7,38 @@
 
 
 class HeardPeers(Peers):
-    """Pass calls on, and keep when hosts of each zone last answered.
+    """Pass calls on, and keep when each host and each zone last answered.
 
     :param calls: makes the calls.
     :ivar heard_at: time of the last answer by zone, by `Clock.monotonic`.
+    :ivar host_heard_at: the same by host.
     """
 
     def __init__(self, calls: Peers, clock: Clock) -> None:
         self.calls = calls
         self.clock = clock
         self.heard_at: dict[str, float] = {}
+        self.host_heard_at: dict[str, float] = {}
 
     async def call(self, peer: HostRef, path: str, body: Json, timeout: float) -> Json:
         try:
             answer = await self.calls.call(peer, path, body, timeout)
         except Refusal:
             # A refusal is an answer, too.
-            self.heard_at[peer.zone] = self.clock.monotonic()
+            self.heard(peer)
             raise
-        self.heard_at[peer.zone] = self.clock.monotonic()
+        self.heard(peer)
         return answer
 
+    def heard(self, peer: HostRef) -> None:
+        """Take note of an answer."""
+        now = self.clock.monotonic()
+        self.heard_at[peer.zone] = now
+        self.host_heard_at[peer.host] = now
+
+    def heard_since(self, host: str, moment: float) -> bool:
+        """Say whether a host has answered a call since then."""
+        return self.host_heard_at.get(host, float("-inf")) > moment
+
     async def close(self) -> None:
         await self.calls.close()
--- a/src/reedhook/request/hop.py
+++ b/src/reedhook/request/hop.py
@@ -7,7 +7,8 @@
 from ..process.decisions import Decisions
 from ..process.desk import END, WORK, Desk
 from ..process.lead.record import LeadRecord
-from ..process.network.peer import HostRef, PeerError, Peers
+from ..process.network.heard_peers import HeardPeers
+from ..process.network.peer import HostRef, PeerError
 from ..record import Record
 from ..wire import Json, WireError
 from .position import Position
@@ -69,7 +70,7 @@
         self,
         me: HostRef,
         desk: Desk,
-        peers: Peers,
+        peers: HeardPeers,
         clock: Clock,
         decisions: Decisions,
     ) -> None:
@@ -102,6 +103,7 @@
             return await self.desk.execute(work)
         self.check_host(place.host)
         asked = self.clock.elapsed()
+        sent_at = self.clock.monotonic()
         timeout = work.left + HOP_GRACE
         if work.kind is WorkKind.READ and not work.transaction:
             timeout = min(timeout, READ_PATIENCE)
@@ -110,9 +112,9 @@
             self.lost_since.pop(place.host.host, None)
             return WorkAnswer.from_json(message, asked)
         except WireError as error:
-            return await self.broken(place, work, str(error), True)
+            return await self.broken(place, work, str(error), True, sent_at)
         except PeerError as error:
-            return await self.broken(place, work, str(error), error.sent)
+            return await self.broken(place, work, str(error), error.sent, sent_at)
 
     def check_host(self, host: HostRef) -> None:
         """Refuse at once what would wait for a host that is known to be silent.
@@ -137,19 +139,30 @@
         return since is None or self.clock.monotonic() - since < SILENT_FOR
 
     async def broken(
-        self, place: Place, work: Work, detail: str, sent: bool
+        self, place: Place, work: Work, detail: str, sent: bool, sent_at: float
     ) -> WorkAnswer:
         """Find out what became of a statement whose hop broke.
 
         A read has no effect, and a transaction is rolled back unless its
         commit was sent. What is in doubt is asked for once more.
 
+        A host that has answered others since lives: what was sent waits there for
+        a target. Taken for lost, all that it leads would be refused.
+
+        :param sent_at: when the statement was sent, by `Clock.monotonic`.
         :raises Refusal: unless the host still tells the outcome.
         """
-        self.on_host_lost(place.host)
-        self.lost_since.setdefault(place.host.host, self.clock.monotonic())
+        lives = self.peers.heard_since(place.host.host, sent_at)
+        if not lives:
+            self.on_host_lost(place.host)
+            self.lost_since.setdefault(place.host.host, self.clock.monotonic())
         self.decisions.note(
-            "host_silent", id=work.id, host=place.host.host, sent=sent, error=detail
+            "host_silent",
+            id=work.id,
+            host=place.host.host,
+            sent=sent,
+            lives=lives,
+            error=detail,
         )
         text = f"the host {place.host.host} gave no answer"
         if not sent or work.kind is WorkKind.READ and not work.transaction:
--- /dev/null
+++ b/tests/test_hops.py
@@ -0,0 +1,88 @@
+"""A hop that breaks tells of its host only if that host answers nobody."""
+
+import asyncio
+
+import pytest
+
+from reedhook.process.decisions import Decisions
+from reedhook.process.desk import Desk
+from reedhook.process.network.heard_peers import HeardPeers
+from reedhook.process.network.peer import HostRef, PeerError, Peers
+from reedhook.request.hop import Hops, Place
+from reedhook.request.refusal import Reason, Refusal
+from reedhook.request.verdict import Verdict
+from reedhook.request.work import Begin, Work, WorkKind
+from reedhook.wire import Json
+
+from .fakes_clock import LoopClock, in_virtual_time
+
+ME = HostRef("h1", "z1", "10.0.0.1:1")
+OTHER = HostRef("h2", "z2", "10.0.0.2:1")
+
+
+class SlowWork(Peers):
+    """Answer at once, but for work, which stays without an answer."""
+
+    async def call(self, peer: HostRef, path: str, body: Json, timeout: float) -> Json:
+        await asyncio.sleep(0.003)
+        if path != "work":
+            return {}
+        await asyncio.sleep(timeout)
+        raise PeerError("no answer", sent=True)
+
+    async def close(self) -> None:
+        pass
+
+
+class NoDesk(Desk):
+    """Stand in for a desk at which nothing runs."""
+
+    def __init__(self) -> None:
+        pass
+
+
+def hops_to(peers: HeardPeers, lost: list[str]) -> Hops:
+    """Return hops that note which hosts they held for lost."""
+    clock = LoopClock()
+    hops = Hops(ME, NoDesk(), peers, clock, Decisions("h1", clock, out=None))
+    hops.on_host_lost = lambda host: lost.append(host.host)
+    return hops
+
+
+def a_read() -> Work:
+    """Return a read outside transactions."""
+    return Work(
+        "db", "t1", "s", {}, "", Begin.NONE, None, WorkKind.READ, "i", "READ a", 0.8
+    )
+
+
+async def refused(hops: Hops) -> Refusal:
+    """Return how a read was refused."""
+    with pytest.raises(Refusal) as caught:
+        await hops.run_at(Place(OTHER, "t1"), a_read())
+    return caught.value
+
+
+@in_virtual_time
+async def test_a_host_that_answers_others_is_not_lost() -> None:
+    peers, lost = HeardPeers(SlowWork(), LoopClock()), list[str]()
+    hops = hops_to(peers, lost)
+    waiting = asyncio.ensure_future(refused(hops))
+    await asyncio.sleep(0.2)
+    await peers.call(OTHER, "alive", {}, 1.0)
+    refusal = await waiting
+    assert refusal.verdict is Verdict.NOT_RUN
+    assert refusal.reason is Reason.HOST_UNREACHABLE
+    assert not lost and not hops.lost_since
+    hops.check_host(OTHER)
+
+
+@in_virtual_time
+async def test_a_host_that_answers_nobody_is_lost() -> None:
+    peers, lost = HeardPeers(SlowWork(), LoopClock()), list[str]()
+    hops = hops_to(peers, lost)
+    await peers.call(OTHER, "alive", {}, 1.0)
+    await asyncio.sleep(0.2)
+    await refused(hops)
+    assert lost == ["h2"]
+    assert "h2" in hops.lost_since
