Keep the order in which heartbeats begin

Ruled out: the confirmation rounds (traces pass with them), partitions (not loaded there). Change: it is a task again, awaited by the body. To see it: await self.ask_around() in Heartbeats.run.

--- a/src/reedhook/process/fleet/heartbeat.py
+++ b/src/reedhook/process/fleet/heartbeat.py
@@ -111,7 +111,7 @@
                 group.create_task(self.spreader.run())
                 group.create_task(self.repair())
                 await self.join()
-                await self.ask_around()
+                await group.create_task(self.ask_around())
             finally:
                 # Statements that still end may doubt a host; nobody is asked then.
                 self.group = None
