--- a/tests/test_soak_hosts.py
+++ b/tests/test_soak_hosts.py
@@ -63,6 +63,16 @@
     return one, launches
 
 
+async def started(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> tuple[HostProcess, Launches]:
+    """Return a host that runs its first process."""
+    one, launches = host(tmp_path, monkeypatch)
+    launches.ready.set()
+    await one.start()
+    return one, launches
+
+
 async def settled() -> None:
     """Let all tasks run until they wait."""
     for _ in range(20):
@@ -73,9 +83,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario() -> None:
-        one, launches = host(tmp_path, monkeypatch)
-        launches.ready.set()
-        await one.start()
+        one, launches = await started(tmp_path, monkeypatch)
         await one.kill()
         launches.ready.clear()
         again = asyncio.ensure_future(one.start())
@@ -92,9 +100,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario() -> None:
-        one, launches = host(tmp_path, monkeypatch)
-        launches.ready.set()
-        await one.start()
+        one, launches = await started(tmp_path, monkeypatch)
         launches.processes[0].finish(1)
         assert one.ended_by_itself().startswith("h0 ended by itself with 1")
 
@@ -121,9 +127,7 @@
 ) -> None:
     async def scenario() -> None:
         monkeypatch.setattr("reedhook_standins.soak.hosts.GRACE", 0.0)
-        one, launches = host(tmp_path, monkeypatch)
-        launches.ready.set()
-        await one.start()
+        one, launches = await started(tmp_path, monkeypatch)
         ending = asyncio.ensure_future(one.end())
         await asyncio.sleep(0)
         launches.processes[0].finish(0)
@@ -139,9 +143,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario() -> None:
-        one, launches = host(tmp_path, monkeypatch)
-        launches.ready.set()
-        await one.start()
+        one, launches = await started(tmp_path, monkeypatch)
         ending = asyncio.ensure_future(one.end())
         await settled()
         starting = asyncio.ensure_future(one.start())
