A healed cut brings no promotion that nobody needs

Cause: the home of a replica in a cut-off zone asks for a change again and again. The survey that runs while the cut heals counts a question to the primary that was lost with the cut, or one to a host that is not known again yet, as the primary's silence. Change: the first survey that reaches a majority after one that did not ends the attempt; evidence is gathered anew.

--- a/src/reedhook/process/groups/coordinator.py
+++ b/src/reedhook/process/groups/coordinator.py
@@ -69,7 +69,10 @@
 
 
 class Coordinator:
-    """Carry out changes of primary for one group, one at a time."""
+    """Carry out changes of primary for one group, one at a time.
+
+    :ivar cut_off: whether the last survey reached no majority of the members.
+    """
 
     def __init__(
         self,
@@ -96,6 +99,7 @@
         self.own_term = 0
         self.last_failure: tuple[Cause, str, str] | None = None
         self.followers: list[Promotion] = []
+        self.cut_off = False
         self.asking: set[asyncio.Task[None]] = set()
 
     async def change(self, cause: Cause, suspicion: float) -> bool:
@@ -111,15 +115,25 @@
             return True
         grace = LAST_CHANCE if cause is Cause.SILENT else 0.0
         survey = await self.survey(avoided(cause, former), grace)
+        healed = self.cut_off and self.reaches_majority(survey)
+        self.cut_off = not self.reaches_majority(survey)
         if self.settled(term, former, survey, cause) or await self.overtaken(term):
             return True
-        if len(survey.states) < self.knowledge.group.majority:
+        if healed:
+            # What was found of the primary is from before the cut healed. To ask
+            # anew takes 0.1 s; a promotion that nobody needs stops writes for 0.2.
+            return False
+        if self.cut_off:
             self.attempts += 1
             self.failed(cause, "survey", f"{len(survey.states)} members answered")
             await self.back_off()
             return False
         return await self.attempt(cause, former, suspicion)
 
+    def reaches_majority(self, survey: Survey) -> bool:
+        """Say whether most members have answered."""
+        return len(survey.states) >= self.knowledge.group.majority
+
     def rank(self, cause: Cause, former: str | None) -> int:
         """Return how many other hosts should try before this one.
 
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -16,3 +16,15 @@
     run_virtual(replay.run())
     if name in REVIEWED:
         assert "\n".join(replay.lines()) == snapshot
+
+
+@pytest.mark.parametrize("seed", range(1, 11))
+def test_a_healed_cut_brings_no_change_that_nobody_needs(seed: int) -> None:
+    """Play other orders in which the questions of before and after the heal end.
+
+    With seeds 2 and 4 the question to the primary was lost and the other was not;
+    with seed 8 hosts of the primary's zone were not known again yet.
+    """
+    trace = load("cut_off_zone_heals")
+    trace["scene"]["seed"] = seed
+    run_virtual(Replay(trace).run())
