Tell the lives of a target apart, and take nothing from entries of others

Cause: a target may start again under its id and hold nothing. Connections, positions and the record of the lead spoke for it as if it were the one before; a primary that came back empty was used, and one that came back as a replica was never replaced. A malformed entry under a known id left the one before in use, and fields of another type went on into callbacks. Change: entries carry when the process was born and its count; an older one changes nothing, a new life drops what was learned. The record of a lead names the life of the primary and of the successor. A new connection to a primary that states less than it has answered with is not used, and the primary is asked whether it leads. One that holds nothing is not promoted over others. A malformed entry names no target, a malformed configuration leaves the one in force; each key is logged once.

--- a/src/reedhook/connection/lanes.py
+++ b/src/reedhook/connection/lanes.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections import deque
-from typing import Final
+from collections.abc import Callable
+from typing import Final, TypeAlias
 
 from ..clock import Clock
+from ..request.position import Position
 from ..request.refusal import Reason, Refusal, not_run
 from ..version.registry import TargetEntry
 from .member import (
@@ -12,12 +14,15 @@
     MemberConnection,
     MemberDriver,
     MemberFull,
+    MemberReborn,
     MemberReply,
     MemberSilent,
     Phrases,
     Query,
 )
 
+Opened: TypeAlias = Callable[[Position | None], None]
+
 CONNECT_TIMEOUT: Final = 0.4
 """Seconds to open a connection: the target's 12 ms, two slow statements of
 110 ms ahead of it in its slots, and some room."""
@@ -75,6 +80,8 @@
     """Open, lend and keep connections to one target.
 
     :param limit: connections that this host may open at once.
+    :param opened: is told of the position that the target states on each new
+        connection; raises `MemberReborn` if the target is not to be used.
     :ivar count: connections that are open or being opened.
     :ivar lent: connections in use.
     :ivar lent_for: seconds for which connections were lent of late, on average.
@@ -87,8 +94,10 @@
         phrases: Phrases,
         limit: int,
         clock: Clock,
+        opened: Opened = lambda position: None,
     ) -> None:
         self.entry = entry
+        self.opened = opened
         self.driver = driver
         self.phrases = phrases
         self.limit = limit
@@ -191,6 +200,11 @@
         self.count += 1
         try:
             connection = await self.driver.connect(self.entry, timeout)
+            try:
+                self.opened(connection.first)
+            except MemberReborn:
+                connection.close()
+                raise
         except BaseException:
             self.count -= 1
             self.wake(None)
--- a/src/reedhook/connection/member.py
+++ b/src/reedhook/connection/member.py
@@ -22,6 +22,10 @@
     """Say that another target answers at the address."""
 
 
+class MemberReborn(MemberUnreachable):
+    """Say that the target holds less than it has answered with before."""
+
+
 class MemberSilent(Exception):
     """Say that an exchange was not answered in full; it may have run."""
 
@@ -113,10 +117,11 @@
     """Hold one open connection; one exchange runs at a time.
 
     :ivar lost: whether the connection has ended or is in doubt.
-    :ivar on_lost: called once when the other end closes.
+    :ivar first: the position that the target stated as the connection opened.
     """
 
     lost: bool
+    first: Position | None
 
     @abstractmethod
     async def exchange(self, queries: list[Query], timeout: float) -> list[MemberReply]:
--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -11,7 +11,7 @@
 from ..request.refusal import Reason, Refusal, may_have_run, not_run
 from ..request.work import Begin, Work, WorkKind
 from ..version.registry import TargetEntry
-from .lanes import Lane, Lanes
+from .lanes import Lane, Lanes, Opened
 from .member import (
     Fault,
     MemberDriver,
@@ -65,6 +65,7 @@
     :param seen: is told each position with the moment before which all that
         was acknowledged is covered by it, by `Clock.elapsed`.
     :param rest: seconds for which a transaction may rest.
+    :param opened: see `Lanes`.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         permit: Callable[[], None],
         seen: Callable[[Position, float], None],
         rest: float,
+        opened: Opened = lambda position: None,
     ) -> None:
         self.entry = entry
         self.phrases = phrases
@@ -86,7 +88,7 @@
         self.permit = permit
         self.seen = seen
         self.rest = rest
-        self.lanes = Lanes(entry, driver, phrases, limit, clock)
+        self.lanes = Lanes(entry, driver, phrases, limit, clock, opened)
         self.transactions: dict[str, Transaction] = {}
         self.active = 0
         self.answered_at = float("-inf")
--- a/src/reedhook/platform/documents.py
+++ b/src/reedhook/platform/documents.py
@@ -2,6 +2,7 @@
 
 from typing import Any, Final
 
+from ..address import split_address
 from ..process.announced.announcements import Documents
 from ..version.registry import (
     Route,
@@ -10,7 +11,7 @@
     ServiceTerms,
     TargetEntry,
 )
-from ..wire import WireError, decode, reader
+from ..wire import Json, WireError, decode, reader, text, whole
 
 CONFIGURATION_KEY: Final = "op/config"
 TARGET_PREFIX: Final = "servers/"
@@ -20,6 +21,8 @@
     "bounded_staleness": RouteKind.BOUNDED,
     "own_writes": RouteKind.OWN_WRITES,
 }
+LEAVING: Final = {"ready": False, "draining": True}
+CLAIMS_LEAD: Final = {"primary": True, "replica": False}
 MILLISECONDS: Final = 1000.0
 DEFAULT_CONNECTIONS: Final = 16
 DEFAULT_IDLE_MS: Final = 3000
@@ -74,21 +77,42 @@
 def read_target(key: str, value: bytes) -> TargetEntry:
     """Read what a target announces; its id is in the key only.
 
+    Others may write there, so each field is looked at. `born` is unknown where
+    the platform does not state it.
+
     :raises WireError: if it has another form.
     """
     if not key.startswith(TARGET_PREFIX):
         raise WireError(f"{key} names no target")
     message = decode(value)
+    split_address(text(message, "address"))
     return TargetEntry(
-        target=key[len(TARGET_PREFIX) :],
-        service=message["service"],
+        target=one_word(key[len(TARGET_PREFIX) :]),
+        service=one_word(text(message, "service")),
         address=message["address"],
-        zone=message["zone"],
-        leaving=message.get("state") != "ready",
-        claims_lead=message.get("database_role") == "primary",
+        zone=one_word(text(message, "zone")),
+        leaving=LEAVING[message["state"]],
+        claims_lead=CLAIMS_LEAD[message["database_role"]],
+        born=read_born(message),
+        sequence=whole(message, "sequence"),
     )
 
 
+def read_born(message: Json) -> int:
+    """Return when the process of a target started; 0 if that is not stated."""
+    return whole(message, "born") if "born" in message else 0
+
+
+def one_word(field: str) -> str:
+    """Return a name that can stand on a line of the wire.
+
+    :raises WireError: if it is empty, or would end there as another field.
+    """
+    if not field.isascii() or not field.isprintable() or " " in field or not field:
+        raise WireError("a name of printable characters without blanks is expected")
+    return field
+
+
 class PlatformDocuments(Documents):
     """Read the values under the platform's keys."""
 
--- a/src/reedhook/platform/driver.py
+++ b/src/reedhook/platform/driver.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self.lost = False
+        self.first: Position | None = None
         self.reader = LineReader()
         self.transport: asyncio.Transport | None = None
         self.replies: list[MemberReply] = []
@@ -163,7 +164,8 @@
             async with asyncio.timeout(timeout):
                 await loop.create_connection(lambda: connection, host, int(port))
                 start = encoded("START", entry.service, self.host, entry.target)
-                await connection.send(start, 1, timeout)
+                (opened,) = await connection.send(start, 1, timeout)
+                connection.first = opened.position
         except (TimeoutError, OSError, MemberSilent) as error:
             connection.close()
             # A refusal of the start is an error without a state, then a close.
--- a/src/reedhook/process/announced/announcements.py
+++ b/src/reedhook/process/announced/announcements.py
@@ -55,6 +55,10 @@
 
 EVERYTHING: Final = ""
 
+LONGEST_ERROR: Final = 200
+"""Characters of what is logged of a value that cannot be read; others may have
+written anything there, up to 1 MB."""
+
 
 class Documents(ABC):
     """Read the values that others keep in the store."""
@@ -94,6 +98,7 @@
     :ivar targets: what targets announce, by id.
     :ivar missing_since: when targets that were known were found to be gone,
         by `Clock.elapsed`.
+    :ivar malformed: keys whose values cannot be read now; each is logged once.
     :ivar own: the newest items that hosts of the system wrote, by key.
     :ivar reached: whether the last call to the store was answered.
     :ivar first: set once everything was read.
@@ -117,6 +122,7 @@
         self.targets: dict[str, TargetEntry] = {}
         self.missing: dict[str, TargetEntry] = {}
         self.missing_since: dict[str, float] = {}
+        self.malformed: set[str] = set()
         self.own: dict[str, Item] = {}
         self.reached = False
         self.back_at = float("-inf")
@@ -125,6 +131,7 @@
         self.at = 0
         self.on_table: list[Callable[[RouteTable], None]] = []
         self.on_targets: list[Callable[[], None]] = []
+        self.on_reborn: list[Callable[[TargetEntry], None]] = []
         self.on_own: list[Callable[[Item], None]] = []
 
     async def run(self) -> None:
@@ -208,8 +215,27 @@
         for item in found.items:
             try:
                 self.take_item(item)
+                self.malformed.discard(item.key)
             except WireError as error:
-                self.decisions.note("item_malformed", key=item.key, error=str(error))
+                self.cannot_read(item, error)
+
+    def cannot_read(self, item: Item, error: WireError) -> None:
+        """Take note of a value that another writer may have left.
+
+        The entry of a target names none then, nor does the one that stood there
+        before; a configuration in force stays.
+        """
+        if item.key not in self.malformed:
+            self.malformed.add(item.key)
+            self.decisions.note(
+                "item_malformed",
+                key=item.key,
+                revision=item.revision,
+                kept=self.table.version if self.documents.is_table(item.key) else None,
+                error=str(error)[:LONGEST_ERROR],
+            )
+        if self.documents.is_target(item.key):
+            self.target_gone(self.documents.target_of(item.key))
 
     def take_item(self, item: Item) -> None:
         """Take one item over by what it is about."""
@@ -245,11 +271,20 @@
             self.target_gone(target)
             return
         entry = self.documents.read_target(item.key, item.value)
+        known = self.known(target)
+        if known is not None and entry.is_older_than(known):
+            # A write that was late, of a process that ended or went on since.
+            self.decisions.note(
+                "target_entry_old", target=target, born=entry.born, known=known.born
+            )
+            return
         before = self.targets.get(target)
         self.targets[target] = entry
         self.missing.pop(target, None)
         self.missing_since.pop(target, None)
-        if entry != before:
+        if known is not None and not entry.is_life(known.born):
+            self.reborn(known, entry)
+        if entry.is_news_after(before):
             self.decisions.note(
                 "target",
                 target=target,
@@ -257,10 +292,19 @@
                 address=entry.address,
                 leaving=entry.leaving,
                 claims_lead=entry.claims_lead,
+                born=entry.born,
                 revision=item.revision,
             )
             self.targets_changed()
 
+    def reborn(self, before: TargetEntry, entry: TargetEntry) -> None:
+        """Tell that a target has started again and holds nothing of before."""
+        self.decisions.note(
+            "target_reborn", target=entry.target, born=entry.born, before=before.born
+        )
+        for callback in self.on_reborn:
+            callback(entry)
+
     def target_gone(self, target: str) -> None:
         """Take note that a target announces itself no more."""
         entry = self.targets.pop(target, None)
--- a/src/reedhook/process/desk.py
+++ b/src/reedhook/process/desk.py
@@ -10,6 +10,7 @@
 from ..request.refusal import Reason, Refusal, may_have_run, not_run
 from ..request.verdict import Verdict
 from ..request.work import Proof, Work, WorkAnswer, WorkKind
+from ..version.registry import TargetEntry
 from ..wire import Json, text
 from .announced.announcements import Announcements
 from .decisions import Decisions
@@ -36,8 +37,8 @@
     """Run statements that hosts send here, each write at most once.
 
     :ivar homes: of replicas, by target.
-    :ivar replaced: homes of targets that are announced at another address now;
-        they are closed once nothing is in progress there.
+    :ivar replaced: homes of targets that are announced at another address now, or
+        have started again; they are closed once nothing is in progress there.
     :ivar outcomes: of writes and commits, by id, for those who lost the answer.
     """
 
@@ -134,7 +135,7 @@
                 Reason.TARGET_LEAVING, f"{work.target} takes no new work", RETRY_MS
             )
         home = self.homes.get(work.target)
-        if home is not None and home.entry.address != entry.address:
+        if home is not None and has_moved(home.entry, entry):
             self.replaced.append(home)
             home = None
         if home is None:
@@ -248,5 +249,10 @@
         return result
 
 
+def has_moved(before: TargetEntry, now: TargetEntry) -> bool:
+    """Say whether connections made before lead elsewhere than new ones."""
+    return before.address != now.address or not now.is_life(before.born)
+
+
 def always() -> None:
     """Permit the use of a replica: what it may answer is in each statement."""
--- a/src/reedhook/process/lead/claim.py
+++ b/src/reedhook/process/lead/claim.py
@@ -120,8 +120,7 @@
         # An earlier write of this host took effect late. Whoever it named may
         # have seen it and counts as named; what this host knows of the primary
         # is newer, since no order follows a write that was not answered.
-        own = self.record
-        self.record = found.with_primary(own.primary, own.term, own.successor)
+        self.record = found.leading_as(self.record)
         return False
 
     def unsaved(self, record: LeadRecord) -> None:
--- a/src/reedhook/process/lead/deputy.py
+++ b/src/reedhook/process/lead/deputy.py
@@ -63,7 +63,8 @@
         if entry is None or status is None or not status.leads or promoting:
             self.acting = False
             return
-        if status.term != self.record.term or self.yielding:
+        same = status.term == self.record.term and entry.is_life(self.record.born)
+        if not same or self.yielding:
             self.acting = False
             return
         self.decisions.note(
--- a/src/reedhook/process/lead/lead.py
+++ b/src/reedhook/process/lead/lead.py
@@ -162,6 +162,12 @@
         if entry is None and self.is_gone(target):
             await self.change("gone", home.entry, planned=True)
             return
+        if entry is not None and not entry.is_life(home.entry.born):
+            await self.change("reborn", home.entry, planned=False)
+            return
+        if self.questioned and await self.leads_no_more(home.entry):
+            await self.change("leads no more", home.entry, planned=False)
+            return
         if self.clock.monotonic() - home.answered_at < QUIET:
             self.usable_again()
             return
@@ -170,6 +176,18 @@
         self.doubt()
         await self.act_on(await self.inquire(home.entry))
 
+    async def leads_no_more(self, entry: TargetEntry) -> bool:
+        """Say whether the primary itself says that it does not lead, or holds less.
+
+        Without an answer that is asked again at the next sign.
+        """
+        self.questioned = False
+        status = await self.states.status(entry)
+        if status is None:
+            return False
+        holds = self.answered is None or status.received >= self.answered
+        return not (status.leads and holds)
+
     def usable_again(self) -> None:
         """Let statements through to the primary."""
         if not self.ready.is_set():
@@ -284,13 +302,22 @@
             entry, status = max(leading, key=lambda pair: pair[1].term)
             if await self.leads(entry, status):
                 return
-        if finding is not None:
-            self.doubt()
-            await self.act_on(finding)
+        if finding is None:
+            return
+        self.doubt()
+        if any(entry.target == finding.entry.target for entry, _ in found):
+            # It answers, and says that it does not lead: no other was promoted, so
+            # that it has started again and holds nothing.
+            await self.change("leads no more", finding.entry, planned=False)
+            return
+        await self.act_on(finding)
 
     async def leads(self, entry: TargetEntry, status: MemberStatus) -> bool:
-        """Use a target unless its answer says that another one leads."""
-        if not status.leads or status.term < self.record.term:
+        """Use a target unless another one leads, or it has started again since."""
+        record = self.record
+        if not status.leads or status.term < record.term:
+            return False
+        if entry.target == record.primary and not entry.is_life(record.born):
             return False
         await self.established(entry, status)
         return True
@@ -298,8 +325,9 @@
     async def established(self, entry: TargetEntry, status: MemberStatus) -> None:
         """Use the target that leads by its own word, of the highest term."""
         record = self.record
-        if record.primary != entry.target or record.term != status.term:
-            await self.claim.write(record.with_primary(entry.target, status.term))
+        stands = (record.primary, record.term, record.born)
+        if stands != (entry.target, status.term, entry.born):
+            await self.claim.write(record.with_primary(entry, status.term))
         self.use(entry, status)
 
     # Change of primary
--- a/src/reedhook/process/lead/promotion.py
+++ b/src/reedhook/process/lead/promotion.py
@@ -77,15 +77,16 @@
             primary=old.target,
             successor=successor.target,
         )
-        record = self.claim.record
-        return await self.claim.write(
-            record.with_primary(record.primary, record.term, successor.target)
-        )
+        return await self.claim.write(self.claim.record.with_successor(successor))
 
     async def successor(
         self, old: TargetEntry, planned: bool, top: Position | None
     ) -> TargetEntry | None:
-        """Return the target that holds the most of those that answer."""
+        """Return the target that holds the most of those that answer.
+
+        One that holds nothing has started again; it is left out unless all answer
+        and none holds more, since what was acknowledged may be at the others.
+        """
         deadline = self.clock.monotonic() + (CATCH_UP if planned else 0.0)
         goal = await self.goal(old, top) if planned else ORIGIN
         while True:
@@ -95,7 +96,8 @@
                 if one.target != old.target and not one.leaving
             ]
             found = await self.states.all(others)
-            if not found:
+            complete = len(found) == len(others)
+            if not found or not (complete or any(map(holds_something, found))):
                 return None
             entry, status = max(found, key=self.fitness)
             if status.received >= goal or self.clock.monotonic() >= deadline:
@@ -126,6 +128,11 @@
         """
         target = self.claim.record.successor
         entry = self.states.known(target)
+        if entry is not None and not entry.is_life(self.claim.record.successor_born):
+            # It holds nothing by now, and was chosen since it held the most.
+            self.decisions.note("successor_reborn", target=target, born=entry.born)
+            await self.choose_again()
+            return None
         outcome = await self.duty.order(self.service, target)
         if outcome is OrderOutcome.NOT_RUNNING:
             await self.choose_again()
@@ -152,9 +159,7 @@
         if not usable:
             return
         entry, _ = max(usable, key=self.fitness)
-        await self.claim.write(
-            record.with_primary(record.primary, record.term, entry.target)
-        )
+        await self.claim.write(record.with_successor(entry))
 
     def promoted(self, entry: TargetEntry, status: MemberStatus) -> Promoted:
         """Take note of the new primary; it is yet to be written down."""
@@ -165,5 +170,10 @@
             term=status.term,
             received=status.received.to_json(),
         )
-        self.claim.unsaved(self.claim.record.with_primary(entry.target, status.term))
+        self.claim.unsaved(self.claim.record.with_primary(entry, status.term))
         return Promoted(entry, status)
+
+
+def holds_something(pair: tuple[TargetEntry, MemberStatus]) -> bool:
+    """Say whether anything was ever committed in the log of a target."""
+    return pair[1].received.index > 0
--- a/src/reedhook/process/lead/record.py
+++ b/src/reedhook/process/lead/record.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from ...record import Record
+from ...version.registry import TargetEntry
 from ...wire import Json, decode, encode, reader
 from ..announced.announcements import OWN_PREFIX
 from ..announced.keyspace import Item
@@ -47,8 +48,11 @@
     :param complete: whether `former` names all of them.
     :param primary: the target that leads; empty if it was never known.
     :param term: its term.
+    :param born: when its process started; see `TargetEntry`. Another process
+        under its id holds nothing and is not the primary.
     :param successor: the target whose promotion was decided; it may take
         effect at any time from then on.
+    :param successor_born: when the process that was chosen started.
     :param revision: of the item in the store.
     """
 
@@ -62,6 +66,8 @@
         "term",
         "successor",
         "revision",
+        "born",
+        "successor_born",
     )
 
     def __init__(
@@ -75,6 +81,8 @@
         term: int,
         successor: str,
         revision: int,
+        born: int = 0,
+        successor_born: int = 0,
     ) -> None:
         self.service = service
         self.holder = holder
@@ -85,6 +93,8 @@
         self.term = term
         self.successor = successor
         self.revision = revision
+        self.born = born
+        self.successor_born = successor_born
 
     def taken_by(self, holder: Holder, alone: bool = False) -> "LeadRecord":
         """Return the record with which `holder` takes the lead over.
@@ -117,14 +127,26 @@
         found.complete = True
         return found
 
-    def with_primary(
-        self, primary: str, term: int, successor: str = ""
-    ) -> "LeadRecord":
-        """Return the record with another primary, or one that is to be."""
+    def with_primary(self, primary: TargetEntry, term: int) -> "LeadRecord":
+        """Return the record with the target that leads now."""
         found = self.copy()
-        found.primary = primary
-        found.term = term
-        found.successor = successor
+        found.primary, found.born, found.term = primary.target, primary.born, term
+        found.successor, found.successor_born = "", 0
+        return found
+
+    def with_successor(self, successor: TargetEntry) -> "LeadRecord":
+        """Return the record with the target that is to lead."""
+        found = self.copy()
+        found.successor = successor.target
+        found.successor_born = successor.born
+        return found
+
+    def leading_as(self, other: "LeadRecord") -> "LeadRecord":
+        """Return the record with what another one says of the primary."""
+        found = self.copy()
+        found.primary, found.born, found.term = other.primary, other.born, other.term
+        found.successor = other.successor
+        found.successor_born = other.successor_born
         return found
 
     def set_former(self, former: list[Holder]) -> None:
@@ -153,6 +175,8 @@
             "primary": self.primary,
             "term": self.term,
             "successor": self.successor,
+            "born": self.born,
+            "successor_born": self.successor_born,
         }
 
     def encoded(self) -> bytes:
@@ -174,6 +198,8 @@
             int(message["term"]),
             message["successor"],
             revision,
+            message.get("born", 0),
+            message.get("successor_born", 0),
         )
 
     @classmethod
--- a/src/reedhook/process/lead/user.py
+++ b/src/reedhook/process/lead/user.py
@@ -2,10 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Final, TypeAlias
+from typing import Final, Protocol
 
 from ...clock import Clock
-from ...connection.member import MemberSilent, MemberStatus, MemberUnreachable
+from ...connection.lanes import Opened
+from ...connection.member import (
+    Fault,
+    MemberReborn,
+    MemberSilent,
+    MemberStatus,
+    MemberUnreachable,
+)
 from ...connection.memberhome import MemberHome
 from ...request.position import Position
 from ...request.refusal import Reason, Refusal, not_run
@@ -18,9 +25,18 @@
 from .states import TargetStates
 from .tenure import Tenure
 
-HomeMaker: TypeAlias = Callable[
-    [TargetEntry, Callable[[], None], Callable[[Position, float], None]], MemberHome
-]
+
+class HomeMaker(Protocol):
+    """Make the home of a target; see `MemberHome` for what is given."""
+
+    def __call__(
+        self,
+        entry: TargetEntry,
+        permit: Callable[[], None],
+        seen: Callable[[Position, float], None],
+        opened: Opened = ...,
+    ) -> MemberHome: ...
+
 
 SIGHT_TIMEOUT: Final = 0.25
 """Seconds in which a target answers what needs no slot."""
@@ -46,7 +62,9 @@
     :param claim: names this host as the holder or the deputy.
     :ivar ready: set while the primary may be used as far as is known.
     :ivar home: of the primary; None before it is known.
-    :ivar top: the highest position that the primary has answered with.
+    :ivar top: the highest position that the primary holds, as far as is known.
+    :ivar answered: the highest position that it has answered statements with.
+    :ivar questioned: whether something says that it leads no more; it is asked.
     :ivar yielding: whether no new work is taken any more.
     """
 
@@ -68,6 +86,8 @@
         self.home: MemberHome | None = None
         self.proof: Proof | None = None
         self.top: Position | None = None
+        self.answered: Position | None = None
+        self.questioned = False
         self.yielding = False
         self.asking: asyncio.Task[None] | None = None
         self.doubted_at = clock.monotonic()
@@ -98,6 +118,8 @@
     async def run_at(self, home: MemberHome, work: Work) -> WorkAnswer:
         """Run a statement at a home and add what is known of the position."""
         reply = await home.run(work)
+        if reply.fault is Fault.READ_ONLY and home is self.home:
+            self.questioned = True
         return WorkAnswer(home.entry.target, reply, self.proof)
 
     async def usable(self, work: Work) -> MemberHome:
@@ -142,11 +164,35 @@
         """
         if self.top is None or self.top < position:
             self.top = position
+        if self.answered is None or self.answered < position:
+            self.answered = position
         known = self.proof
         if known is None or asked > known.at:
             self.proof = Proof(position, asked)
             self.news.set()
 
+    def opened(self, position: Position | None) -> None:
+        """Look at the position that the primary states on a new connection.
+
+        A process that has started again under the id of the primary holds less
+        than that had answered with; what it says would pass for fresh.
+
+        :raises MemberReborn: if the target is not to be used.
+        """
+        if self.answered is None or self.yielding:
+            return
+        if position is not None and position >= self.answered:
+            return
+        self.questioned = True
+        self.decisions.note(
+            "primary_holds_less",
+            service=self.service,
+            primary=self.record.primary,
+            position=None if position is None else position.to_json(),
+            answered=self.answered.to_json(),
+        )
+        raise MemberReborn(f"{self.record.primary} has lost what it held")
+
     async def prove(self, younger_than: float) -> Proof:
         """Return a proof of the primary's position that is young enough.
 
@@ -188,8 +234,10 @@
 
     def use(self, entry: TargetEntry, status: MemberStatus) -> None:
         """Make the home of a primary."""
-        self.home = self.make_home(entry, self.permit, self.seen)
+        self.home = self.make_home(entry, self.permit, self.seen, self.opened)
         self.proof = None
+        self.answered = None
+        self.questioned = False
         self.top = status.received
         self.decisions.note(
             "primary_in_use",
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -8,6 +8,7 @@
 import logbook
 
 from ..clock import Clock
+from ..connection.lanes import Opened
 from ..connection.member import MemberDriver, Phrases
 from ..connection.memberhome import MemberHome
 from ..request.hop import Hops
@@ -200,7 +201,7 @@
             self.announcements, self.leads, self.make_home, self.clock, self.decisions
         )
         self.hops = Hops(self.me, self.desk, self.peers, self.clock, self.decisions)
-        replicas = Replicas(
+        self.replicas = Replicas(
             self.hops,
             self.desk,
             self.book,
@@ -212,7 +213,7 @@
         )
         self.steering = Steering(
             self.hops,
-            replicas,
+            self.replicas,
             self.book,
             self.directory,
             self.peers,
@@ -241,12 +242,14 @@
         self.membership.on_version = self.heard_version
         self.announcements.on_table.append(self.configured)
         self.announcements.on_own.append(self.announced)
+        self.announcements.on_reborn.append(self.replicas.reborn)
 
     def make_home(
         self,
         entry: TargetEntry,
         permit: Callable[[], None],
         seen: Callable[[Position, float], None],
+        opened: Opened = lambda position: None,
     ) -> MemberHome:
         """Return a home of a target within this host's share of connections."""
         terms = self.announcements.table.services.get(entry.service)
@@ -261,6 +264,7 @@
             permit,
             seen,
             self.announcements.table.transaction_idle,
+            opened,
         )
 
     def make_lead(self, record: LeadRecord, asked: float) -> Lead:
--- a/src/reedhook/request/replicas.py
+++ b/src/reedhook/request/replicas.py
@@ -179,6 +179,10 @@
         seen.answered(now - begun, reply.position, now)
         return Placed(answer, place)
 
+    def reborn(self, entry: TargetEntry) -> None:
+        """Forget what was learned of a target that holds nothing of it now."""
+        self.sightings(entry.service).targets.pop(entry.target, None)
+
     def sightings(self, service: str) -> Sightings:
         """Return what this host has learned of a service."""
         found = self.services.get(service)
--- a/src/reedhook/version/registry.py
+++ b/src/reedhook/version/registry.py
@@ -99,9 +99,21 @@
     :param address: ``IP:port``.
     :param leaving: whether it takes no new work.
     :param claims_lead: whether it believes to be the primary.
+    :param born: when its process started, in Unix milliseconds; 0 if unknown. A
+        target that starts again under its id holds nothing of before.
+    :param sequence: counts what one process announces.
     """
 
-    __slots__ = ("target", "service", "address", "zone", "leaving", "claims_lead")
+    __slots__ = (
+        "target",
+        "service",
+        "address",
+        "zone",
+        "leaving",
+        "claims_lead",
+        "born",
+        "sequence",
+    )
 
     def __init__(
         self,
@@ -111,6 +123,8 @@
         zone: str,
         leaving: bool,
         claims_lead: bool,
+        born: int = 0,
+        sequence: int = 0,
     ) -> None:
         self.target = target
         self.service = service
@@ -118,6 +132,22 @@
         self.zone = zone
         self.leaving = leaving
         self.claims_lead = claims_lead
+        self.born = born
+        self.sequence = sequence
+
+    def is_life(self, born: int) -> bool:
+        """Say whether it may be the process that started at `born`."""
+        return self.born == born or 0 in (self.born, born)
+
+    def is_older_than(self, other: "TargetEntry") -> bool:
+        """Say whether it was announced before `other`, as far as that is known."""
+        if 0 in (self.born, other.born):
+            return False
+        return (self.born, self.sequence) < (other.born, other.sequence)
+
+    def is_news_after(self, other: "TargetEntry | None") -> bool:
+        """Say whether it tells anything but that the target still announces itself."""
+        return other is None or self.values()[:-1] != other.values()[:-1]
 
 
 NO_ROUTES: Final = RouteTable(0, {}, {}, 3.0, 3.0)
--- a/src/reedhook/wire.py
+++ b/src/reedhook/wire.py
@@ -24,7 +24,7 @@
             return read(*args, **kwargs)
         except WireError:
             raise
-        except (LookupError, TypeError, ValueError) as error:
+        except (AttributeError, LookupError, TypeError, ValueError) as error:
             raise WireError(f"malformed message: {error!r}") from error
 
     return typed
@@ -41,6 +41,17 @@
     return value
 
 
+def whole(message: Json, name: str) -> int:
+    """Return a field that holds a whole number that is not negative.
+
+    :raises WireError: if it does not; true and false are no numbers.
+    """
+    value = message.get(name)
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise WireError(f"{name} is to hold a whole number")
+    return value
+
+
 def encode(message: Json) -> bytes:
     """Encode `message` as JSON."""
     return orjson.dumps(message)
--- a/src/reedhook_standins/database.py
+++ b/src/reedhook_standins/database.py
@@ -18,6 +18,7 @@
 
 LAG = 0.008
 PROMOTION = 0.3
+FIRST_BORN = 1_700_000_000_000
 
 
 class DatabaseMember:
@@ -45,6 +46,20 @@
         self.losing = 0.0
         self.busy = 0
 
+    def start_again(self) -> None:
+        """Start as another process under the same id, which holds nothing."""
+        group = self.group
+        if self.leads:
+            group.forgotten |= set(self.log)
+        self.log, self.term, self.leads = [Position(1, 0)], 1, False
+        for connection in list(self.connections):
+            connection.close()
+        values = [*self.entry.values()]
+        values[-3:] = [False, self.entry.born + 1, 1]
+        self.entry = TargetEntry(*values)
+        if group.primary is not self:
+            group.spawn(group.replicate(group.primary, self))
+
     def heal(self) -> None:
         """Undo all faults."""
         self.down = self.deaf = False
@@ -60,6 +75,7 @@
     """Hold the members of one service, and the truth about their commits.
 
     :ivar lost: commits that a promotion rolled back, or will.
+    :ivar forgotten: what primaries held that started again.
     :ivar superseded: commits at a former primary after a promotion.
     :ivar promotions: target, holder and fencing token of each order, in order.
     :ivar on_run: is told of the id, the text and the session of each statement.
@@ -77,12 +93,15 @@
                 zone,
                 False,
                 index == 0,
+                FIRST_BORN,
+                1,
             )
             self.members[entry.target] = DatabaseMember(entry, self, limit)
         self.primary.leads = True
         self.cuts: set[tuple[str, str]] = set()
         self.lost: set[Position] = set()
         self.superseded: set[Position] = set()
+        self.forgotten: set[Position] = set()
         self.promotions: list[tuple[str, str, int]] = []
         self.promoted: list[str] = [self.primary.entry.target]
         self.tasks: set[asyncio.Task[None]] = set()
@@ -130,12 +149,12 @@
         await asyncio.sleep(PROMOTION)
         member = self.members[target]
         former = self.primary
-        if member is former:
+        if member is former and member.leads:
             return
         member.term = max(one.term for one in self.members.values()) + 1
         member.leads = True
         self.promoted.append(target)
-        self.lost |= set(former.log) - set(member.log)
+        self.lost |= (set(former.log) | self.forgotten) - set(member.log)
         member.log.append(Position(member.term, member.position.index + 1))
         for other in self.members.values():
             if other is not member and other is not former:
@@ -165,6 +184,13 @@
         self.open = ""
         self.written: list[str] = []
         self.failed = False
+        self.closed = False
+        self.on_close: Callable[[], None] = lambda: None
+
+    def close(self) -> None:
+        """End with the process of the member; nothing more runs."""
+        self.closed = True
+        self.on_close()
 
     def run(self, query: Query) -> MemberReply:
         """Run one statement as the member does."""
--- a/src/reedhook_standins/soak/faults.py
+++ b/src/reedhook_standins/soak/faults.py
@@ -165,6 +165,22 @@
         return f"target {member.entry.target} {how}"
 
 
+class StartedAgain(Fault):
+    """A target starts again under its id and holds nothing, or is scribbled over."""
+
+    async def strike(self, field: Field) -> str:
+        group = field.around.group
+        member = field.random.choice(list(group.members.values()))
+        target = member.entry.target
+        if field.random.random() < 0.3:
+            field.around.scribble(target)
+            return f"target {target} scribbled over"
+        member.start_again()
+        # Only one of three may lose everything at a time: what is left holds all.
+        await asyncio.sleep(field.random.uniform(3.0, 8.0))
+        return f"target {target} started again"
+
+
 FAULTS: Final[list[type[Fault]]] = [
     Killed,
     Restarted,
@@ -177,6 +193,9 @@
     TargetFault,
 ]
 
+WITH_LIVES: Final[list[type[Fault]]] = [*FAULTS, StartedAgain]
+"""Drawn by new seeds; those that are kept as cases draw from the list above."""
+
 
 def names(hosts: list[HostProcess]) -> str:
     """Return the names of hosts."""
--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -24,7 +24,7 @@
 
 from ..promises import Promises
 from .caller import ROUTES, SessionEnded, WireCaller
-from .faults import FAULTS, Field
+from .faults import FAULTS, WITH_LIVES, Fault, Field
 from .hosts import HostProcess
 from .surroundings import Surroundings
 
@@ -44,7 +44,15 @@
 class Soak:
     """Run hosts under faults, and judge what callers and targets saw."""
 
-    def __init__(self, seed: int, hosts: int, seconds: float, folder: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        hosts: int,
+        seconds: float,
+        folder: Path,
+        faults: list[type[Fault]] = FAULTS,
+    ) -> None:
+        self.faults = faults
         self.seed = seed
         self.seconds = seconds
         self.folder = folder
@@ -107,7 +115,7 @@
         running: set[asyncio.Task[str]] = set()
         while asyncio.get_running_loop().time() < deadline:
             if len(running) < MOST_AT_ONCE:
-                fault = self.random.choice(FAULTS)()
+                fault = self.random.choice(self.faults)()
                 running.add(asyncio.ensure_future(fault.strike(field)))
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
             running -= self.collect(running)
@@ -207,6 +215,7 @@
             int(arguments["--hosts"]),
             float(arguments["--seconds"]),
             folder,
+            WITH_LIVES,
         )
         violations = asyncio.run(soak.run())
         failed += bool(violations)
--- a/src/reedhook_standins/soak/surroundings.py
+++ b/src/reedhook_standins/soak/surroundings.py
@@ -124,6 +124,8 @@
                 "service": SERVICE,
                 "address": self.proxies[target].address,
                 "zone": member.entry.zone,
+                "born": member.entry.born,
+                "sequence": member.entry.sequence,
                 "state": "draining" if target in self.leaving else "ready",
                 "database_role": "primary" if member.leads else "replica",
             }
@@ -133,6 +135,11 @@
                 self.announced[target] = value
                 self.store.write(f"servers/{target}", value)
 
+    def scribble(self, target: str) -> None:
+        """Write what nobody can read over the entry of a target, for a moment."""
+        self.announced[target] = None
+        self.store.write(f"servers/{target}", b'{"state": 7}')
+
     def reset_links(self, host: str) -> None:
         """Break the connections of a host to all targets."""
         for target, proxy in self.proxies.items():
--- a/src/reedhook_standins/wiredatabase.py
+++ b/src/reedhook_standins/wiredatabase.py
@@ -34,6 +34,7 @@
         """Serve one connection until it ends."""
         lines = LineReader()
         session = DatabaseSession(self.member)
+        session.on_close = writer.close
         started = False
         try:
             while data := await reader.read(65536):
@@ -78,6 +79,8 @@
             return self.status()
         if text.split(" ")[0] in AT_WORK:
             await asyncio.sleep(WORK)
+        if session.closed:
+            return b""
         reply = session.run(Query("" if id == "-" else id, text, after))
         return self.worded(reply)
 
--- a/tests/fakes_members.py
+++ b/tests/fakes_members.py
@@ -31,6 +31,7 @@
         self.host = host
         self.member = member
         self.lost = False
+        self.first = member.position
         self.session = DatabaseSession(member)
         self.busy = False
 
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -29,7 +29,7 @@
     ServiceTerms,
     TargetEntry,
 )
-from reedhook.wire import decode, encode
+from reedhook.wire import decode, encode, reader
 from reedhook_standins.database import DatabaseGroup
 from reedhook_standins.promises import Acknowledged, Promises, Sent, Viewer
 
@@ -69,10 +69,12 @@
     def target_of(self, key: str) -> str:
         return key[len(TARGET_PREFIX) :]
 
+    @reader
     def read_table(self, value: bytes) -> RouteTable:
         message = decode(value)
         return table(message["version"], message["routes"])
 
+    @reader
     def read_target(self, key: str, value: bytes) -> TargetEntry:
         return TargetEntry(*decode(value)["entry"])
 
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -1,12 +1,15 @@
-"""How long hosts hold their questions for changes."""
+"""What hosts learn from the store, and how long they hold their questions."""
 
 from random import Random
+from typing import Any
 
 import pytest
 
 from reedhook.process.announced.announcements import HOSTS, MARGIN, Announcements
-from reedhook.process.announced.keyspace import Item
+from reedhook.process.announced.keyspace import Item, Items
 from reedhook.process.decisions import Decisions
+from reedhook.version.registry import TargetEntry
+from reedhook.wire import encode
 
 from .fakes_clock import LoopClock, in_virtual_time
 from .fakes_keyspace import FakeStore
@@ -38,3 +41,114 @@
     # Some host asks soon enough to tell the others of a version.
     soonest = sorted(holds)[max(ASKED // max(hosts, 2) - 1, 0)]
     assert soonest + MARGIN < IN_FORCE
+
+
+def entry(target: str, born: int = 0, sequence: int = 0) -> TargetEntry:
+    """Return what a target announces."""
+    return TargetEntry(target, "db", "10.0.0.1:1", "z1", False, False, born, sequence)
+
+
+class Noted(Decisions):
+    """Keep the kinds of lines that would be written."""
+
+    def __init__(self, clock: LoopClock) -> None:
+        super().__init__("h1", clock, out=None)
+        self.noted: list[str] = []
+
+    def note(self, event: str, **inputs: Any) -> None:
+        self.noted.append(event)
+
+
+class Listener:
+    """Keep what a host learns from the store."""
+
+    def __init__(self) -> None:
+        clock = LoopClock()
+        self.noted = Noted(clock)
+        self.announcements = Announcements(
+            FakeStore().client("h1"),
+            PlainDocuments(),
+            clock,
+            Random(1),
+            self.noted,
+        )
+        self.reborn: list[str] = []
+        self.announcements.on_reborn.append(lambda one: self.reborn.append(one.target))
+        self.revision = 0
+
+    def hear(self, key: str, value: bytes | None) -> None:
+        """Take over one change."""
+        self.revision += 1
+        item = Item(key, value, self.revision)
+        self.announcements.take(Items([item], self.revision))
+
+    def announce(self, one: TargetEntry) -> None:
+        """Take over what a target announces."""
+        self.hear(f"t/{one.target}", encode({"entry": list(one.values())}))
+
+    def said(self, event: str) -> int:
+        """Count the lines of one kind."""
+        return self.noted.noted.count(event)
+
+
+SCRIBBLES = [b"", b"\xff\xfe", b"[]", b"{}", b'{"entry": 7}', b'{"entry": [1]}']
+
+
+@pytest.mark.parametrize("value", SCRIBBLES)
+@in_virtual_time
+async def test_what_another_writer_left_names_no_target(value: bytes) -> None:
+    listener = Listener()
+    listener.announce(entry("m1"))
+    listener.announce(entry("m2"))
+    for _ in range(5):
+        listener.hear("t/m1", value)
+    listener.hear("t/new", value)
+    assert set(listener.announcements.targets) == {"m2"}
+    assert listener.said("item_malformed") == 2
+    listener.announce(entry("m1"))
+    assert set(listener.announcements.targets) == {"m1", "m2"}
+
+
+@pytest.mark.parametrize("value", [*SCRIBBLES, b'{"version": "x", "routes": 1}'])
+@in_virtual_time
+async def test_a_malformed_configuration_leaves_the_one_in_force(value: bytes) -> None:
+    listener = Listener()
+    listener.hear("op", encode({"version": 3, "routes": ["views"]}))
+    listener.hear("op", value)
+    assert listener.announcements.table.version == 3
+    assert listener.said("item_malformed") == 1
+    listener.hear("op", encode({"version": 4, "routes": ["views"]}))
+    assert listener.announcements.table.version == 4
+
+
+@in_virtual_time
+async def test_an_entry_of_an_earlier_process_or_moment_changes_nothing() -> None:
+    listener = Listener()
+    listener.announce(entry("m1", 100, 9))
+    listener.announce(entry("m1", 200, 1))
+    for late in (entry("m1", 100, 10), entry("m1", 200, 0)):
+        listener.announce(late)
+    found = listener.announcements.targets["m1"]
+    assert (found.born, found.sequence) == (200, 1)
+    assert listener.reborn == ["m1"]
+
+
+@in_virtual_time
+async def test_a_target_that_was_gone_is_told_from_its_next_process() -> None:
+    listener = Listener()
+    listener.announce(entry("m1", 100, 9))
+    listener.hear("t/m1", None)
+    listener.announce(entry("m1", 100, 10))
+    assert listener.reborn == []
+    listener.hear("t/m1", None)
+    listener.announce(entry("m1", 200, 1))
+    assert listener.reborn == ["m1"]
+
+
+@in_virtual_time
+async def test_a_target_that_states_no_start_is_one_process() -> None:
+    listener = Listener()
+    listener.announce(entry("m1", 0, 9))
+    listener.announce(entry("m1", 0, 2))
+    assert listener.announcements.targets["m1"].sequence == 2
+    assert listener.reborn == []
--- a/tests/test_lead_claim.py
+++ b/tests/test_lead_claim.py
@@ -9,6 +9,7 @@
 from reedhook.process.lead.claim import HolderClaim
 from reedhook.process.lead.record import Holder, LeadRecord, lead_key
 from reedhook.process.network.peer import HostRef
+from reedhook.version.registry import TargetEntry
 
 from .fakes_clock import LoopClock, in_virtual_time
 from .fakes_keyspace import FakeStore
@@ -34,6 +35,11 @@
     )
 
 
+def entry_of(target: str) -> TargetEntry:
+    """Return what a target announces."""
+    return TargetEntry(target, "db", "10.0.0.9:1", "z1", False, False, 7, 1)
+
+
 def stored(store: FakeStore) -> LeadRecord:
     """Return the record that stands in the store."""
     return LeadRecord.from_item(store.items[lead_key("db")])
@@ -50,8 +56,8 @@
     await asyncio.sleep(3.0)
     assert stored(store).deputy == DEPUTY
     record = claim.record
-    assert not await claim.write(record.with_primary("m1", 3, "m2"))
-    assert await claim.write(claim.record.with_primary("m1", 3, "m2"))
+    assert not await claim.write(record.with_successor(entry_of("m2")))
+    assert await claim.write(claim.record.with_successor(entry_of("m2")))
     found = stored(store)
     assert found.deputy == DEPUTY or DEPUTY in found.former
 
@@ -64,12 +70,13 @@
     assert not await claim.write(claim.record.with_deputy(DEPUTY))
     store.late.clear()
     await asyncio.sleep(3.0)
-    claim.record = claim.record.with_primary("m2", 4)
+    claim.record = claim.record.with_primary(entry_of("m2"), 4)
     claim.saved = False
     assert not await claim.write(claim.record)
     assert await claim.write(claim.record)
     found = stored(store)
     assert (found.primary, found.term, found.deputy) == ("m2", 4, DEPUTY)
+    assert found.born == entry_of("m2").born
 
 
 @in_virtual_time
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -1,5 +1,8 @@
 """Lines, texts, documents and settings of the platform."""
 
+import contextlib
+
+import orjson
 import pytest
 from hypothesis import given, strategies as st
 
@@ -14,9 +17,40 @@
 )
 from reedhook.request.command import CommandKind
 from reedhook.request.position import Position
-from reedhook.version.registry import RouteKind
+from reedhook.version.registry import RouteKind, TargetEntry
 from reedhook.wire import WireError, encode
 
+ENTRY: dict[str, object] = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "vittoria",
+    "state": "draining",
+    "database_role": "primary",
+    "born": 1_764_720_000_000,
+    "sequence": 4,
+}
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**63)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(st.characters(exclude_categories=["Cs"]), max_size=8),
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(
+        st.sampled_from([*ENTRY, "version", "routes", "services", "limits", "name"]),
+        inner,
+        max_size=6,
+    ),
+    max_leaves=12,
+)
+
+
+def read_entry(**fields: object) -> TargetEntry:
+    """Read what a target announces with these fields."""
+    return PlatformDocuments().read_target("servers/i-7f3a", orjson.dumps(fields))
+
+
 LINES = st.lists(
     st.text(st.characters(max_codepoint=255, exclude_characters="\r\n\0"), max_size=30),
     max_size=8,
@@ -166,18 +200,54 @@
 
 
 def test_a_target_is_read() -> None:
-    value = encode(
-        {
-            "service": "huvo11a",
-            "address": "10.128.0.9:8080",
-            "zone": "vittoria",
-            "state": "draining",
-            "database_role": "primary",
-        }
-    )
-    entry = PlatformDocuments().read_target("servers/i-7f3a", value)
+    entry = read_entry(**ENTRY)
     assert entry.target == "i-7f3a"
     assert entry.leaving and entry.claims_lead
+    assert (entry.born, entry.sequence) == (1_764_720_000_000, 4)
+
+
+def test_a_target_whose_start_is_not_stated_is_read() -> None:
+    entry = read_entry(**{name: ENTRY[name] for name in ENTRY if name != "born"})
+    assert entry.born == 0
+
+
+@pytest.mark.parametrize("name", [name for name in ENTRY if name != "born"])
+def test_an_entry_that_lacks_a_field_names_no_target(name: str) -> None:
+    with pytest.raises(WireError):
+        read_entry(**{one: ENTRY[one] for one in ENTRY if one != name})
+
+
+@pytest.mark.parametrize("name", list(ENTRY))
+@pytest.mark.parametrize(
+    "value", [None, True, False, -1, 1.5, "", "a b", "a\r\nb", [], {}, ["ready"], "é"]
+)
+def test_an_entry_with_a_field_of_another_type_names_no_target(
+    name: str, value: object
+) -> None:
+    with pytest.raises(WireError):
+        read_entry(**{**ENTRY, name: value})
+
+
+@pytest.mark.parametrize("key", ["servers/", "servers/a b", "servers/a\r\nb", "op/x"])
+def test_a_key_that_names_no_target_is_refused(key: str) -> None:
+    with pytest.raises(WireError):
+        PlatformDocuments().read_target(key, encode(ENTRY))
+
+
+@given(st.binary(max_size=300) | JSON.map(orjson.dumps))
+def test_nothing_in_the_store_brings_the_readers_down(value: bytes) -> None:
+    with contextlib.suppress(WireError):
+        PlatformDocuments().read_table(value)
+    with contextlib.suppress(WireError):
+        PlatformDocuments().read_target("servers/a", value)
+
+
+@given(st.sampled_from(list(CONFIGURATION)), JSON)
+def test_no_part_of_a_configuration_brings_the_reader_down(
+    name: str, value: object
+) -> None:
+    with contextlib.suppress(WireError):
+        PlatformDocuments().read_table(orjson.dumps({**CONFIGURATION, name: value}))
 
 
 def test_settings_are_read_and_unknown_fields_ignored() -> None:
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -104,9 +104,9 @@
 
 def leaving(entry: TargetEntry) -> TargetEntry:
     """Return what a target announces that is about to end."""
-    return TargetEntry(
-        entry.target, entry.service, entry.address, entry.zone, True, entry.claims_lead
-    )
+    values = [*entry.values()]
+    values[4] = True
+    return TargetEntry(*values)
 
 
 @using(a_world, run_virtual)
@@ -594,6 +594,8 @@
         entry.zone,
         entry.leaving,
         entry.claims_lead,
+        entry.born,
+        entry.sequence,
     )
     world.announce(member.entry)
     await asyncio.sleep(0.7)
@@ -620,6 +622,7 @@
 """Kinds of faults; the days drawn from them stay as they are."""
 
 KINDS = f"{OLDER} oneway leaving forget deafen slow busy"
+WITH_LIVES = f"{KINDS} again again scribble"
 
 
 async def troubled(seed: int, kinds: str = OLDER) -> None:
@@ -638,6 +641,8 @@
     world.store.delay.clear()
     for member in world.group.members.values():
         member.heal()
+        if kinds is WITH_LIVES:
+            world.announce(member.entry)
     for ref in world.refs:
         world.network.resume(ref.host)
         if ref.host not in world.hosts:
@@ -693,6 +698,11 @@
         world.store.forget()
     elif kind == "deafen":
         world.store.deafen()
+    elif kind == "again":
+        rng.choice(members).start_again()
+    elif kind == "scribble":
+        target = rng.choice(members).entry.target
+        world.store.write(f"t/{target}", rng.choice([b"", b"{}", b"[7]"]))
     elif kind == "slow":
         world.store.delay[host] = rng.uniform(0.05, 0.45)
     else:
@@ -709,3 +719,8 @@
 @pytest.mark.parametrize("seed", range(100, 108))
 def test_promises_hold_on_days_of_more_kinds_of_faults(seed: int) -> None:
     run_virtual(troubled(seed, KINDS))
+
+
+@pytest.mark.parametrize("seed", range(200, 208))
+def test_promises_hold_on_days_on_which_targets_start_again(seed: int) -> None:
+    run_virtual(troubled(seed, WITH_LIVES))
