Let statements go to a target in turn, and reads to the least crowded one

Cause: while replicas are late, or a zone is cut off, one target gets more than its slots bear. While one replica of two was cut off, the other got all reads, and the primary ran 0.8 statements at a time with 3 slots. Ruled out: connections held by transactions (3 to 8 of 15, few at rest). Change: as many statements are under way as a target has slots, and one more. The others wait at the home: open transactions first, what is late last, by priority, then short work first. What cannot be answered any more is refused at once, with when to come back. A read that would wait for more than 20 ms goes to another target of its service, the primary last, and stays where the wait is least.

--- a/src/reedhook/connection/lanes.py
+++ b/src/reedhook/connection/lanes.py
@@ -84,6 +84,7 @@
         connection; raises `MemberReborn` if the target is not to be used.
     :ivar count: connections that are open or being opened.
     :ivar lent: connections in use.
+    :ivar on_free: is called when a connection, or the room for one, is free.
     :ivar lent_for: seconds for which connections were lent of late, on average.
     """
 
@@ -108,6 +109,7 @@
         self.count = 0
         self.lent_for = 0.0
         self.closed = False
+        self.on_free: Callable[[], None] = lambda: None
 
     async def borrow(self, session: str, timeout: float) -> Lane:
         """Lend a connection, best one that the session used last.
@@ -244,6 +246,7 @@
         lane.used = self.clock.monotonic()
         if not self.wake(lane):
             self.idle.append(lane)
+            self.on_free()
 
     def discard(self, lane: Lane) -> None:
         """Close a connection that is in doubt or has an open transaction."""
@@ -254,7 +257,8 @@
         """Make room for another connection."""
         self.returned(lane)
         self.count -= 1
-        self.wake(None)
+        if not self.wake(None):
+            self.on_free()
 
     def wake(self, lane: Lane | None) -> bool:
         """Hand a connection, or the room for one, to the first that waits."""
--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -11,7 +11,7 @@
 from ..request.refusal import Reason, Refusal, may_have_run, not_run
 from ..request.work import Begin, Work, WorkKind
 from ..version.registry import TargetEntry
-from .lanes import Lane, Lanes, Opened
+from .lanes import LONGEST_QUEUE, Lane, Lanes, Opened
 from .member import (
     Fault,
     MemberDriver,
@@ -22,6 +22,7 @@
     Query,
 )
 from .state import SessionState
+from .turns import Demand, Room, Turns
 
 FIRST_PATIENCE: Final = 0.35
 """Seconds after which a read is sent again on a new connection; the longest
@@ -89,6 +90,9 @@
         self.seen = seen
         self.rest = rest
         self.lanes = Lanes(entry, driver, phrases, limit, clock, opened)
+        room = Room(lambda: not self.lanes.exhausted(), self.lanes.expected_wait)
+        self.turns = Turns(entry.target, entry.slots, room, clock)
+        self.lanes.on_free = self.turns.dispatch
         self.transactions: dict[str, Transaction] = {}
         self.active = 0
         self.answered_at = float("-inf")
@@ -99,21 +103,47 @@
 
         :raises Refusal: with a verdict that holds.
         """
-        deadline = self.clock.monotonic() + work.left
+        now = self.clock.monotonic()
+        deadline = now + work.left
         self.active += 1
         try:
-            if not work.transaction:
-                return await self.run_single(work, deadline)
-            transaction = self.transactions.get(work.transaction)
-            if transaction is None:
-                begun = await self.begin(work, deadline)
-                if isinstance(begun, MemberReply):
-                    return begun
-                transaction = begun
-            return await self.step(transaction, work, deadline)
+            turn = await self.turns.enter(self.demand(work, now))
+            try:
+                return await self.run_in_turn(work, deadline)
+            finally:
+                self.turns.leave(turn)
         finally:
             self.active -= 1
 
+    def demand(self, work: Work, now: float) -> Demand:
+        """Return what a statement needs of the target.
+
+        One that is to get a connection is refused while its caller still has the
+        time for another try.
+        """
+        inside = work.transaction in self.transactions
+        longest = work.left if inside else max(work.due, LONGEST_QUEUE)
+        return Demand(
+            (work.database, work.kind.value),
+            work.priority,
+            now + work.due,
+            now + min(work.left, longest),
+            inside,
+            work.patience,
+        )
+
+    async def run_in_turn(self, work: Work, deadline: float) -> MemberReply:
+        """Run a statement whose turn it is; raises as `run`."""
+        if not work.transaction:
+            return await self.run_single(work, deadline)
+        transaction = self.transactions.get(work.transaction)
+        if transaction is None:
+            begun = await self.begin(work, deadline)
+            if isinstance(begun, MemberReply):
+                return begun
+            transaction = begun
+        return await self.step(transaction, work, deadline)
+
     async def run_single(self, work: Work, deadline: float) -> MemberReply:
         """Run a statement outside transactions.
 
@@ -210,9 +240,13 @@
         """
         self.permit()
         asked = self.clock.elapsed()
+        sent = self.clock.monotonic()
         after = None if work.transaction else work.after
         query = Query(work.id, work.text, after)
         (reply,) = await lane.connection.exchange([query], timeout)
+        if reply.fault is Fault.NONE:
+            kind = (work.database, work.kind.value)
+            self.turns.learn(kind, self.clock.monotonic() - sent)
         # Inside a transaction the position may be that of its snapshot, which
         # proves nothing about what was acknowledged since.
         outside = not work.transaction or work.kind is WorkKind.COMMIT
--- a/src/reedhook/connection/session.py
+++ b/src/reedhook/connection/session.py
@@ -76,14 +76,16 @@
     statement: that saves a round trip, and one that rests at once holds nothing.
 
     :ivar place: where it runs; None before its first statement.
+    :ivar spent: seconds that its statements have taken; its rests do not count.
     """
 
-    __slots__ = ("name", "reads_only", "place", "timer")
+    __slots__ = ("name", "reads_only", "place", "timer", "spent")
 
     def __init__(self, name: str, reads_only: bool) -> None:
         self.name = name
         self.reads_only = reads_only
         self.place: Place | None = None
+        self.spent = 0.0
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -298,6 +300,8 @@
         work.transaction = transaction.name
         if transaction.timer is not None:
             transaction.timer.cancel()
+        work.due -= transaction.spent
+        begun = self.clock.monotonic()
         if transaction.place is None:
             work.begin = Begin.READ if transaction.reads_only else Begin.WRITE
             placed = await self.steering.run(
@@ -310,6 +314,7 @@
             answer = await self.steering.hops.run_at(transaction.place, work)
             self.steering.learn(self.route.service, answer)
             reply = answer.reply
+        transaction.spent += self.clock.monotonic() - begun
         if reply.fault is not Fault.NONE or kind is WorkKind.COMMIT:
             return self.ended(kind, transaction, reply)
         return self.replied(reply)
@@ -341,6 +346,9 @@
             id=id,
             text=command.text,
             left=route.timeout,
+            due=route.objective,
+            database=route.database,
+            priority=route.priority,
         )
 
     def has_committed(self, reply: MemberReply) -> None:
--- a/src/reedhook/platform/documents.py
+++ b/src/reedhook/platform/documents.py
@@ -94,6 +94,7 @@
         leaving=LEAVING[message["state"]],
         claims_lead=CLAIMS_LEAD[message["database_role"]],
         born=read_born(message),
+        slots=read_slots(message),
         sequence=whole(message, "sequence"),
     )
 
@@ -103,6 +104,17 @@
     return whole(message, "born") if "born" in message else 0
 
 
+def read_slots(message: Json) -> int:
+    """Return how many statements a target runs at a time.
+
+    :raises WireError: if it runs none.
+    """
+    slots = whole(message, "slots")
+    if not slots:
+        raise WireError("a target has at least one slot")
+    return slots
+
+
 def one_word(field: str) -> str:
     """Return a name that can stand on a line of the wire.
 
--- a/src/reedhook/process/lead/user.py
+++ b/src/reedhook/process/lead/user.py
@@ -136,7 +136,7 @@
             except TimeoutError:
                 # Refused below, since nothing has become usable.
                 pass
-            work.left -= self.clock.monotonic() - begun
+            work.spend(self.clock.monotonic() - begun)
         if self.yielding:
             raise not_run(Reason.WRONG_HOME, "another host takes the lead", RETRY_MS)
         if self.home is None or not self.ready.is_set():
--- a/src/reedhook/request/hop.py
+++ b/src/reedhook/request/hop.py
@@ -22,6 +22,10 @@
 """Seconds after which a read that another host does not answer is sent
 elsewhere; the host itself gives a target 0.35 s."""
 
+QUEUE_GRACE: Final = 0.1
+"""Seconds beyond the time in which its caller expects the answer for which a read
+waits at another host: it may wait there for its turn, and run as it is due."""
+
 AGAIN_TIMEOUT: Final = 0.5
 """Seconds for another host to say again what became of a write."""
 
@@ -104,9 +108,11 @@
         self.check_host(place.host)
         asked = self.clock.elapsed()
         sent_at = self.clock.monotonic()
-        timeout = work.left + HOP_GRACE
         if work.kind is WorkKind.READ and not work.transaction:
-            timeout = min(timeout, READ_PATIENCE)
+            # The home gives it up before this host does: nobody would wait for it.
+            patience = max(READ_PATIENCE, work.due + QUEUE_GRACE)
+            work.left = min(work.left, patience - HOP_GRACE)
+        timeout = work.left + HOP_GRACE
         try:
             message = await self.peers.call(place.host, WORK, work.to_json(), timeout)
             self.lost_since.pop(place.host.host, None)
--- a/src/reedhook/request/replicas.py
+++ b/src/reedhook/request/replicas.py
@@ -10,6 +10,7 @@
 from ..process.fleet.directory import Directory
 from ..process.lead.book import LeadBook
 from ..process.network.peer import PeerError, Peers
+from ..record import Record
 from ..version.registry import Route, TargetEntry
 from ..wire import Json, WireError
 from .hop import Hops, Place, Placed
@@ -26,14 +27,42 @@
 PROOF_TIMEOUT: Final = 0.25
 """Seconds for another host to state a position."""
 
+MILLISECONDS: Final = 1000.0
+
 MOST_REPLICAS: Final = 2
 """Replicas that are tried before the primary."""
 
+PATIENCE: Final = 0.02
+"""Seconds for which a read waits for its turn at a target while another one may
+have a slot free; a hop there takes 2 to 4 ms, a statement 6 to 30."""
+
 ABROAD: Final = 0.012
 """Seconds by which a target of another availability zone must be faster: a hop
 of 3 ms, and bytes between zones that are paid for."""
 
 
+class Tried(Record):
+    """Say what became of a read at the replicas.
+
+    :param placed: its answer; None if no replica has given one.
+    :param crowded: the replica that could serve it after the least wait; None if
+        none could.
+    :param wait: seconds until then.
+    """
+
+    __slots__ = ("placed", "crowded", "wait")
+
+    def __init__(
+        self,
+        placed: Placed | None = None,
+        crowded: TargetEntry | None = None,
+        wait: float = 0.0,
+    ) -> None:
+        self.placed = placed
+        self.crowded = crowded
+        self.wait = wait
+
+
 class Replicas:
     """Choose a replica for each read, by what its answers have told."""
 
@@ -61,21 +90,26 @@
 
     async def run(
         self, route: Route, work: Work, own: Position | None, deadline: float
-    ) -> Placed | None:
-        """Run a read at a replica that is fresh enough, or return None."""
+    ) -> Tried:
+        """Run a read at a replica that is fresh enough and has a slot free soon."""
         floor = await self.floor(route, own)
         if floor is None:
-            return None
+            return Tried()
+        work.after = floor
+        work.patience = PATIENCE
+        crowded, wait = None, float("inf")
         tried: set[str] = set()
         while len(tried) < MOST_REPLICAS:
             entry = self.best_replica(route.service, floor, tried)
             if entry is None:
-                return None
+                break
             tried.add(entry.target)
-            placed = await self.at_replica(entry, work, floor, deadline)
-            if placed is not None:
-                return placed
-        return None
+            found = await self.at_replica(entry, work, deadline)
+            if found.placed is not None:
+                return found
+            if found.crowded is not None and found.wait < wait:
+                crowded, wait = found.crowded, found.wait
+        return Tried(None, crowded, wait)
 
     async def floor(self, route: Route, own: Position | None) -> Position | None:
         """Return the position that a replica must hold; None if unknown."""
@@ -140,15 +174,14 @@
         return best
 
     async def at_replica(
-        self, entry: TargetEntry, work: Work, floor: Position, deadline: float
-    ) -> Placed | None:
-        """Run a read at one replica; None if another target is to serve it."""
+        self, entry: TargetEntry, work: Work, deadline: float
+    ) -> Tried:
+        """Run a read at one replica, unless another target is to serve it."""
         host = self.directory.home(entry.target, entry.zone)
         if host is None:
-            return None
+            return Tried()
         work.target = entry.target
-        work.after = floor
-        work.left = deadline - self.clock.monotonic()
+        work.spend(work.left - (deadline - self.clock.monotonic()))
         seen = self.sightings(work.service).target(entry.target)
         begun = self.clock.monotonic()
         seen.inflight += 1
@@ -162,22 +195,25 @@
                 # Its first statement was sent; elsewhere it would run on a second
                 # connection. The caller repeats the whole transaction.
                 raise
-            seen.lost(self.clock.monotonic())
             self.hops.rerouted(work, entry.target, refusal.reason.value)
-            return None
+            if refusal.reason is Reason.OVERLOADED:
+                seen.crowded(self.clock.monotonic())
+                return Tried(None, entry, wait_of(refusal))
+            seen.lost(self.clock.monotonic())
+            return Tried()
         finally:
             seen.inflight -= 1
         now = self.clock.monotonic()
         reply = answer.reply
         if reply.fault is Fault.LAGGING:
             seen.lagged(reply.position, now)
-            self.hops.rerouted(work, entry.target, reply.fault.value, floor)
-            return None
+            self.hops.rerouted(work, entry.target, reply.fault.value, work.after)
+            return Tried()
         if reply.fault is Fault.BUSY:
             self.hops.rerouted(work, entry.target, reply.fault.value)
-            return None
+            return Tried()
         seen.answered(now - begun, reply.position, now)
-        return Placed(answer, place)
+        return Tried(Placed(answer, place))
 
     def reborn(self, entry: TargetEntry) -> None:
         """Forget what was learned of a target that holds nothing of it now."""
@@ -189,3 +225,8 @@
         if found is None:
             found = self.services[service] = Sightings()
         return found
+
+
+def wait_of(refusal: Refusal) -> float:
+    """Return in how many seconds what is refused may come back."""
+    return (refusal.retry_after_ms or 0) / MILLISECONDS
--- a/src/reedhook/request/sightings.py
+++ b/src/reedhook/request/sightings.py
@@ -30,6 +30,10 @@
 """Seconds for which a replica that lagged too far is not asked, doubled with
 each time in a row."""
 
+CROWDED_FOR: Final = 0.05
+"""Seconds for which a target with a long queue is not asked: some three statements
+at each of its slots."""
+
 LOST_FOR: Final = 1.0
 """Seconds for which a target that could not be reached is not asked."""
 
@@ -76,6 +80,10 @@
         self.avoid_until = now + self.behind
         self.behind = min(2 * self.behind, BEHIND_MOST)
 
+    def crowded(self, now: float) -> None:
+        """Take note that the target had no slot for a statement in time."""
+        self.avoid_until = now + CROWDED_FOR
+
     def lost(self, now: float) -> None:
         """Take note that the target could not be reached."""
         self.avoid_until = now + LOST_FOR
--- a/src/reedhook/request/steering.py
+++ b/src/reedhook/request/steering.py
@@ -15,7 +15,7 @@
 from .hop import Hops, Place, Placed
 from .position import Position
 from .refusal import Reason, Refusal, not_run
-from .replicas import Replicas
+from .replicas import Replicas, Tried, wait_of
 from .verdict import Verdict
 from .work import Work, WorkAnswer, WorkKind
 
@@ -75,11 +75,40 @@
         :raises Refusal: with a verdict that holds.
         """
         deadline = self.clock.monotonic() + work.left
-        if anywhere and route.kind is not RouteKind.PRIMARY:
-            placed = await self.replicas.run(route, work, own, deadline)
-            if placed is not None:
-                return placed
-        work.after = None
+        if not anywhere or route.kind is RouteKind.PRIMARY:
+            return await self.at_primary(work, deadline)
+        tried = await self.replicas.run(route, work, own, deadline)
+        if tried.placed is not None:
+            return tried.placed
+        if tried.crowded is not None:
+            return await self.least_crowded(work, tried, deadline)
+        work.patience = None
+        return await self.at_primary(work, deadline)
+
+    async def least_crowded(self, work: Work, tried: Tried, deadline: float) -> Placed:
+        """Run a read at the primary if it has a slot free, else where it is soonest.
+
+        All slots of a service are used so before any read waits for long. While
+        one replica of two was cut off, the other got 3.8 statements at a time for
+        its 3 slots, and the primary ran 0.8 with its own.
+
+        :raises Refusal: with a verdict that holds.
+        """
+        assert tried.crowded is not None
+        floor = work.after
+        try:
+            return await self.at_primary(work, deadline)
+        except Refusal as refusal:
+            if refusal.verdict is not Verdict.NOT_RUN or work.left <= 0.0:
+                raise
+            soonest = refusal.reason is Reason.OVERLOADED
+            soonest = soonest and wait_of(refusal) < tried.wait
+        work.patience = None
+        if not soonest:
+            work.after = floor
+            again = await self.replicas.at_replica(tried.crowded, work, deadline)
+            if again.placed is not None:
+                return again.placed
         return await self.at_primary(work, deadline)
 
     async def at_primary(self, work: Work, deadline: float) -> Placed:
@@ -88,13 +117,14 @@
         :raises Refusal: with a verdict that holds.
         """
         work.target = ""
+        work.after = None
         give_up = self.clock.monotonic() + min(LONGEST_WAIT, work.left / 2)
         busy = 0
         refused_by_deputy = False
         while True:
             record = self.book.get(work.service)
             revision = 0 if record is None else record.revision
-            work.left = deadline - self.clock.monotonic()
+            work.spend(work.left - (deadline - self.clock.monotonic()))
             try:
                 if record is None:
                     raise no_primary(work.service)
--- a/src/reedhook/request/work.py
+++ b/src/reedhook/request/work.py
@@ -1,6 +1,7 @@
 """A statement on its way from the host of a session to the home of a target."""
 
 from enum import Enum
+from typing import Final
 
 from ..connection.member import Fault, MemberReply
 from ..connection.state import SessionState
@@ -8,6 +9,13 @@
 from ..wire import Json, reader
 from .position import Position
 
+USUAL_PRIORITY: Final = 1
+"""Priority of a statement whose route states none."""
+
+
+USUAL_DUE: Final = 0.25
+"""Seconds in which an answer is expected where nothing is stated."""
+
 
 class WorkKind(str, Enum):
     """Name what a statement does at the target."""
@@ -37,6 +45,12 @@
     :param after: the position that the target's log must hold.
     :param id: the caller's id of the statement.
     :param left: seconds to the deadline; a duration, since clocks differ.
+    :param due: seconds until the caller expects the answer; less than 0 once that
+        is over.
+    :param database: the route that it came by; statements of one take about as long.
+    :param priority: of the route; 0 goes first.
+    :param patience: seconds for which it waits for its turn at this target, since
+        others may serve it, too; None if it waits for as long as it can.
     :param again: whether it was sent before; it must not run a second time.
     """
 
@@ -53,6 +67,10 @@
         "text",
         "left",
         "again",
+        "due",
+        "database",
+        "priority",
+        "patience",
     )
 
     def __init__(
@@ -69,6 +87,10 @@
         text: str,
         left: float,
         again: bool = False,
+        due: float | None = None,
+        database: str = "",
+        priority: int = USUAL_PRIORITY,
+        patience: float | None = None,
     ) -> None:
         self.service = service
         self.target = target
@@ -82,6 +104,15 @@
         self.text = text
         self.left = left
         self.again = again
+        self.due = min(left, USUAL_DUE) if due is None else due
+        self.database = database
+        self.priority = priority
+        self.patience = patience
+
+    def spend(self, seconds: float) -> None:
+        """Take note that time has passed."""
+        self.left -= seconds
+        self.due -= seconds
 
     def to_json(self) -> Json:
         """Return the statement as it stands on the wire between hosts."""
@@ -93,6 +124,9 @@
             "id": self.id,
             "text": self.text,
             "left": round(self.left, 4),
+            "due": round(self.due, 4),
+            "database": self.database,
+            "priority": self.priority,
         }
         if self.settings:
             message["settings"] = self.settings
@@ -104,6 +138,8 @@
             message["after"] = self.after.to_json()
         if self.again:
             message["again"] = True
+        if self.patience is not None:
+            message["patience"] = self.patience
         return message
 
     @classmethod
@@ -124,6 +160,10 @@
             text=message["text"],
             left=float(message["left"]),
             again=bool(message.get("again", False)),
+            due=message.get("due"),
+            database=str(message.get("database", "")),
+            priority=int(message.get("priority", USUAL_PRIORITY)),
+            patience=message.get("patience"),
         )
 
 
--- a/src/reedhook/version/registry.py
+++ b/src/reedhook/version/registry.py
@@ -5,6 +5,9 @@
 
 from ..record import Record
 
+FEW_SLOTS: Final = 2
+"""Slots of a target that states none."""
+
 
 class RouteKind(str, Enum):
     """Name how fresh the reads of a route must be."""
@@ -101,6 +104,7 @@
     :param claims_lead: whether it believes to be the primary.
     :param born: when its process started, in Unix milliseconds; 0 if unknown. A
         target that starts again under its id holds nothing of before.
+    :param slots: statements that it runs at a time.
     :param sequence: counts what one process announces.
     """
 
@@ -112,6 +116,7 @@
         "leaving",
         "claims_lead",
         "born",
+        "slots",
         "sequence",
     )
 
@@ -124,6 +129,7 @@
         leaving: bool,
         claims_lead: bool,
         born: int = 0,
+        slots: int = FEW_SLOTS,
         sequence: int = 0,
     ) -> None:
         self.target = target
@@ -133,6 +139,7 @@
         self.leaving = leaving
         self.claims_lead = claims_lead
         self.born = born
+        self.slots = slots
         self.sequence = sequence
 
     def is_life(self, born: int) -> bool:
--- a/src/reedhook_standins/database.py
+++ b/src/reedhook_standins/database.py
@@ -55,7 +55,7 @@
         for connection in list(self.connections):
             connection.close()
         values = [*self.entry.values()]
-        values[-3:] = [False, self.entry.born + 1, 1]
+        values[5:7], values[-1] = [False, self.entry.born + 1], 1
         self.entry = TargetEntry(*values)
         if group.primary is not self:
             group.spawn(group.replicate(group.primary, self))
@@ -94,7 +94,7 @@
                 False,
                 index == 0,
                 FIRST_BORN,
-                1,
+                sequence=1,
             )
             self.members[entry.target] = DatabaseMember(entry, self, limit)
         self.primary.leads = True
--- a/src/reedhook_standins/soak/surroundings.py
+++ b/src/reedhook_standins/soak/surroundings.py
@@ -125,6 +125,7 @@
                 "address": self.proxies[target].address,
                 "zone": member.entry.zone,
                 "born": member.entry.born,
+                "slots": member.entry.slots,
                 "sequence": member.entry.sequence,
                 "state": "draining" if target in self.leaving else "ready",
                 "database_role": "primary" if member.leads else "replica",
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -45,7 +45,9 @@
 
 def entry(target: str, born: int = 0, sequence: int = 0) -> TargetEntry:
     """Return what a target announces."""
-    return TargetEntry(target, "db", "10.0.0.1:1", "z1", False, False, born, sequence)
+    return TargetEntry(
+        target, "db", "10.0.0.1:1", "z1", False, False, born, 2, sequence
+    )
 
 
 class Noted(Decisions):
--- a/tests/test_lead_claim.py
+++ b/tests/test_lead_claim.py
@@ -37,7 +37,7 @@
 
 def entry_of(target: str) -> TargetEntry:
     """Return what a target announces."""
-    return TargetEntry(target, "db", "10.0.0.9:1", "z1", False, False, 7, 1)
+    return TargetEntry(target, "db", "10.0.0.9:1", "z1", False, False, 7, 2, 1)
 
 
 def stored(store: FakeStore) -> LeadRecord:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -27,6 +27,7 @@
     "state": "draining",
     "database_role": "primary",
     "born": 1_764_720_000_000,
+    "slots": 3,
     "sequence": 4,
 }
 
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -595,6 +595,7 @@
         entry.leaving,
         entry.claims_lead,
         entry.born,
+        entry.slots,
         entry.sequence,
     )
     world.announce(member.entry)
