Start without a general HTTP client and server

Cause: after a loss of power all hosts start at once, and nobody is served until the first does. Ruled out: leaving out its server parts only (0.02 s). Change: calls between hosts, to the store and of promotions go by a parser of answers right on the connection, as before, now that of httptools; peers and probes are served by a small server on the same parser.

--- a/src/reedhook/connection/channel.py
+++ b/src/reedhook/connection/channel.py
@@ -1,27 +1,26 @@
 """One TCP connection that carries HTTP exchanges, one at a time.
 
-A session of aiohttp's client keeps a pool and opens a connection when it
+A client with a session of its own keeps a pool and opens a connection when it
 needs one. A target counts connections and pins transactions to them, and
-between hosts the session took most of the processor time of a call. So here
-the protocol class on which that client rests is used without the session.
+between hosts the session took most of the processor time of a call. So here a
+parser of answers stands right on the connection. A general client would also
+take 0.2 s of each start to load, in which a host that lost power serves nobody.
 """
 
 import asyncio
 import ssl
 from collections.abc import Mapping
-from typing import Final
+from typing import Final, cast
 
-from aiohttp import ClientError, ClientPayloadError, hdrs
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.http_parser import RawResponseMessage
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from .reset import reset
 
-MAX_BUFFER: Final = 64 * 1024
-FAILURES: Final = (ClientError, HttpProcessingError, OSError, TimeoutError)
-JSON_HEADERS: Final[dict[str, str]] = {hdrs.CONTENT_TYPE: "application/json"}
+FAILURES: Final = (OSError, TimeoutError)
+JSON_HEADERS: Final[dict[str, str]] = {"Content-Type": "application/json"}
 LINE_ENDS: Final = frozenset("\r\n\0")
+LENGTH: Final = b"content-length"
+POST: Final = "POST"
 
 
 class ChannelClosed(Exception):
@@ -42,6 +41,90 @@
         self.body = body
 
 
+class Answers(asyncio.Protocol):
+    """Read the answers that arrive on one connection.
+
+    :ivar usable: whether another request may be sent.
+    :ivar limit: the most bytes that the next answer may have; None for any.
+    """
+
+    def __init__(self) -> None:
+        self.parser = HttpResponseParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.usable = True
+        self.limit: int | None = None
+        self.waiting: asyncio.Future[ChannelAnswer] | None = None
+        self.parts: list[bytes] = []
+        self.size = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; called by the loop."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Read bytes of an answer; called by the loop.
+
+        Bytes that nobody asked for end the connection, since the next request
+        would take them for its answer.
+        """
+        if self.waiting is None or self.waiting.done():
+            self.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except (HttpParserError, HttpParserUpgrade) as error:
+            self.fail(f"the answer cannot be read: {error!r}")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Let the exchange in progress fail; called by the loop."""
+        self.usable = False
+        self.fail("the connection has ended")
+
+    def expect(self, limit: int | None) -> "asyncio.Future[ChannelAnswer]":
+        """Return what holds the next answer once it is there."""
+        self.limit = limit
+        self.parts = []
+        self.size = 0
+        self.waiting = asyncio.get_running_loop().create_future()
+        return self.waiting
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Refuse an answer that states too great a length; called by the parser."""
+        if self.limit is None or name.lower() != LENGTH:
+            return
+        if value.isdigit() and int(value) > self.limit:
+            self.fail("the answer is too long")
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the answer; called by the parser."""
+        self.size += len(body)
+        if self.limit is not None and self.size > self.limit:
+            self.fail("the answer is too long")
+            return
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand the answer over; called by the parser."""
+        if self.waiting is None or self.waiting.done():
+            self.usable = False
+            return
+        self.usable = self.usable and self.parser.should_keep_alive()
+        answer = ChannelAnswer(self.parser.get_status_code(), b"".join(self.parts))
+        self.waiting.set_result(answer)
+
+    def fail(self, detail: str) -> None:
+        """End the connection, and the exchange in progress with it."""
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_exception(ConnectionError(detail))
+        self.abort()
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self.usable = False
+        if self.transport is not None:
+            self.transport.abort()
+
+
 class Channel:
     """Exchange requests and answers; a failed exchange closes the channel.
 
@@ -50,27 +133,30 @@
 
     __slots__ = ("protocol", "headers", "busy")
 
-    def __init__(self, protocol: ResponseHandler, headers: str) -> None:
+    def __init__(self, protocol: Answers, headers: str) -> None:
         self.protocol = protocol
         self.headers = headers
         self.busy = False
 
     @property
     def closed(self) -> bool:
-        """Say whether no further exchange is possible.
-
-        Bytes that nobody asked for close the channel too, since the next
-        request would take them for its answer.
-        """
-        return self.protocol.should_close or not self.protocol.is_connected()
+        """Say whether no further exchange is possible."""
+        transport = self.protocol.transport
+        return not self.protocol.usable or transport is None or transport.is_closing()
 
     async def exchange(
-        self, path: str, body: bytes, timeout: float, limit: int | None = None
+        self,
+        path: str,
+        body: bytes,
+        timeout: float,
+        limit: int | None = None,
+        method: str = POST,
     ) -> ChannelAnswer:
-        """Send `body` by POST and return the answer.
+        """Send a request and return the answer.
 
+        :param path: without the leading slash, with its query.
         :param timeout: in seconds, for the whole answer.
-        :param limit: the most bytes that an answer may state as its length.
+        :param limit: the most bytes that an answer may have.
         :raises ChannelClosed: if nothing was sent.
         :raises ChannelBroken: if no whole answer came.
         """
@@ -82,12 +168,10 @@
             raise ChannelClosed("the connection has ended")
         self.busy = True
         try:
-            transport.write(self.head(path, len(body)) + body)
+            waiting = self.protocol.expect(limit)
+            transport.write(self.head(method, path, len(body)) + body)
             async with asyncio.timeout(timeout):
-                message, payload = await self.protocol.read()
-                if limit is not None:
-                    check_length(message, limit)
-                answer = ChannelAnswer(message.code, await payload.read())
+                return await waiting
         except FAILURES as error:
             self.give_up()
             raise ChannelBroken(repr(error)) from error
@@ -96,12 +180,11 @@
             raise
         finally:
             self.busy = False
-        return answer
 
-    def head(self, path: str, length: int) -> bytes:
+    def head(self, method: str, path: str, length: int) -> bytes:
         """Return the head of a request."""
         return (
-            f"POST /{path} HTTP/1.1\r\n"
+            f"{method} /{path} HTTP/1.1\r\n"
             f"{self.headers}"
             f"Content-Length: {length}\r\n\r\n"
         ).encode()
@@ -113,7 +196,7 @@
 
     def close(self) -> None:
         """Close at once; an answer that is still to come is never read."""
-        self.protocol.abort()
+        self.protocol.fail("the channel was closed")
 
 
 async def open_channel(
@@ -129,16 +212,15 @@
     :raises ChannelClosed: if it cannot be opened.
     """
     host, _, port = address.rpartition(":")
-    lines = header_lines({hdrs.HOST: address, **headers})
+    lines = header_lines({"Host": address, **headers})
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
             _, protocol = await loop.create_connection(
-                lambda: ResponseHandler(loop), host.strip("[]"), int(port), ssl=tls
+                Answers, host.strip("[]"), int(port), ssl=tls
             )
     except (OSError, TimeoutError) as error:
         raise ChannelClosed(f"{address} cannot be reached: {error!r}") from error
-    protocol.set_response_params(read_bufsize=MAX_BUFFER, auto_decompress=False)
     return Channel(protocol, lines)
 
 
@@ -153,13 +235,3 @@
             raise ValueError(f"the header {name} holds the end of a line")
         lines.append(f"{name}: {value}\r\n")
     return "".join(lines)
-
-
-def check_length(message: RawResponseMessage, limit: int) -> None:
-    """Refuse an answer that states more than `limit` bytes.
-
-    :raises ClientPayloadError: if it is too long.
-    """
-    length = message.headers.get(hdrs.CONTENT_LENGTH)
-    if length is not None and int(length) > limit:
-        raise ClientPayloadError("the answer is too long")
--- a/src/reedhook/platform/assembly.py
+++ b/src/reedhook/platform/assembly.py
@@ -10,11 +10,10 @@
 from ..process.events.timeline import Timeline
 from ..process.histograms import HistogramMetrics
 from ..process.hosting_settings import HostingSettings
-from ..process.network.limits import ServerLimits
 from ..process.network.peer import HostRef
 from ..process.network.peer_http import HttpPeers
 from ..process.network.peer_server import PeerEndpoint, PeerServer
-from ..process.network.server import HandlerServer
+from ..process.network.plain_server import PlainServer
 from ..process.session_host import SessionHost
 from ..process.session_process import SessionProcess
 from . import settings as settings_file
@@ -30,6 +29,16 @@
 hands out no secret."""
 
 
+PROBE_BODY: Final = 1024
+"""Bytes of a question's body; it has none."""
+
+PROBE_KEEPALIVE: Final = 75.0
+"""Seconds after which an unused connection of the platform is closed."""
+
+PROBE_GRACE: Final = 1.0
+"""Seconds for which its connections are left open at the end."""
+
+
 class PlatformProcess(SessionProcess):
     """Run a host on the platform, and follow its settings file."""
 
@@ -42,7 +51,7 @@
         decisions: Decisions,
     ) -> None:
         self.path = path
-        self.store = PlatformStore(settings.store)
+        self.store = PlatformStore(settings.store, clock)
         self.promoter = PlatformPromoter(settings.promotions)
         timeline = Timeline(settings.host, clock)
         me = HostRef(settings.host, settings.zone, settings.peer_listen)
@@ -63,13 +72,12 @@
         )
         endpoint = PeerEndpoint(host.routes, PEER_CREDENTIAL, timeline)
         probe = Probe(lambda: host.ready, metrics.render)
-        limits = ServerLimits()
         super().__init__(
             host,
             Front(host.callers, settings.callers_listen),
             PeerServer(endpoint, settings.peer_listen),
-            HandlerServer("platform", probe.answer, settings.ready_listen, limits),
-            HandlerServer("metrics", probe.answer, settings.metrics_listen, limits),
+            probe_server("platform", probe, settings.ready_listen),
+            probe_server("metrics", probe, settings.metrics_listen),
         )
 
     def reload(self) -> None:
@@ -96,6 +104,13 @@
             return 0.0
 
 
+def probe_server(name: str, probe: Probe, address: str) -> PlainServer:
+    """Return a server of what the platform asks this process."""
+    return PlainServer(
+        name, probe.answer, address, PROBE_BODY, PROBE_KEEPALIVE, PROBE_GRACE
+    )
+
+
 def assemble(path: Path) -> PlatformProcess:
     """Return the process of a host with the settings of a file.
 
--- a/src/reedhook/platform/duty.py
+++ b/src/reedhook/platform/duty.py
@@ -2,30 +2,26 @@
 
 from typing import Final
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
-from yarl import URL
-
-from ..connector import Connector, plain_session
+from ..connection.channel import ChannelBroken, ChannelClosed, open_channel
 from ..process.lead.duty import OrderOutcome, Promoter
 from ..wire import encode
 
-PATH: Final = "/promotion"
+PATH: Final = "promotion"
 HOLDER: Final = "Duty-Holder"
 TOKEN: Final = "Fencing-Token"
 JSON_TYPE: Final = "application/json"
-OK: Final = 200
-NOT_RUNNING: Final = 409
+OUTCOMES: Final = {200: OrderOutcome.DONE, 409: OrderOutcome.NOT_RUNNING}
 
 
 class PlatformPromoter(Promoter):
     """Order promotions at `address` (``IP:port``)."""
 
     def __init__(self, address: str) -> None:
-        self.base = URL(f"http://{address}")
+        self.address = address
 
     def move(self, address: str) -> None:
         """Go on at another address."""
-        self.base = URL(f"http://{address}")
+        self.address = address
 
     async def promote(
         self, service: str, target: str, holder: str, token: int, timeout: float
@@ -35,28 +31,11 @@
         headers = {HOLDER: holder, TOKEN: str(token), "Content-Type": JSON_TYPE}
         body = encode({"service": service, "id": target})
         try:
-            async with plain_session(Connector(force_close=True)) as session:
-                return await self.send(session, headers, body, timeout)
-        except (ClientError, OSError, TimeoutError):
-            return OrderOutcome.UNANSWERED
-
-    async def send(
-        self,
-        session: ClientSession,
-        headers: dict[str, str],
-        body: bytes,
-        timeout: float,
-    ) -> OrderOutcome:
-        """Send the order and read its outcome."""
-        async with session.post(
-            self.base.with_path(PATH),
-            data=body,
-            headers=headers,
-            timeout=ClientTimeout(total=timeout),
-        ) as response:
-            await response.read()
-            if response.status == OK:
-                return OrderOutcome.DONE
-            if response.status == NOT_RUNNING:
-                return OrderOutcome.NOT_RUNNING
+            channel = await open_channel(self.address, timeout, headers)
+            try:
+                answer = await channel.exchange(PATH, body, timeout)
+            finally:
+                channel.close()
+        except (ChannelClosed, ChannelBroken):
             return OrderOutcome.UNANSWERED
+        return OUTCOMES.get(answer.status, OrderOutcome.UNANSWERED)
--- a/src/reedhook/platform/probe.py
+++ b/src/reedhook/platform/probe.py
@@ -3,13 +3,14 @@
 from collections.abc import Callable
 from typing import Final
 
-from aiohttp import web
+from ..process.network.plain_server import PlainRequest, PlainResponse
 
 READY: Final = "/-/readiness"
 METRICS: Final = "/metrics"
 OK: Final = 200
 ABSENT: Final = 404
 UNREADY: Final = 503
+PLAIN_TEXT: Final = "text/plain; charset=utf-8"
 
 
 class Probe:
@@ -23,10 +24,10 @@
         self.ready = ready
         self.metrics = metrics
 
-    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def answer(self, request: PlainRequest) -> PlainResponse:
         """Answer one request."""
         if request.path == READY:
-            return web.Response(status=OK if self.ready() else UNREADY)
+            return PlainResponse(OK if self.ready() else UNREADY)
         if request.path == METRICS:
-            return web.Response(text=self.metrics())
-        return web.Response(status=ABSENT)
+            return PlainResponse(OK, self.metrics().encode(), PLAIN_TEXT)
+        return PlainResponse(ABSENT)
--- a/src/reedhook/platform/store.py
+++ b/src/reedhook/platform/store.py
@@ -2,11 +2,16 @@
 
 from base64 import b64decode, b64encode
 from typing import Any, Final
-
-from aiohttp import ClientError, ClientTimeout
-from yarl import URL
-
-from ..connector import Connector, plain_session
+from urllib.parse import urlencode
+
+from ..clock import Clock
+from ..connection.channel import (
+    JSON_HEADERS,
+    ChannelAnswer,
+    ChannelBroken,
+    ChannelClosed,
+)
+from ..connection.link import Link
 from ..process.announced.keyspace import (
     Conflict,
     Declined,
@@ -19,19 +24,18 @@
 )
 from ..wire import Json, WireError, decode, encode
 
-KEY: Final = "/-/kv-key"
-RANGE: Final = "/-/kv-range"
-WATCH: Final = "/-/kv-watch"
-CHANGE: Final = "/-/kv-txn"
-LEASE: Final = "/-/kv-lease"
-KEEP: Final = "/-/kv-keep/"
-LEASE_END: Final = "/-/kv-lease-end/"
+KEY: Final = "-/kv-key"
+RANGE: Final = "-/kv-range"
+WATCH: Final = "-/kv-watch"
+CHANGE: Final = "-/kv-txn"
+LEASE: Final = "-/kv-lease"
+KEEP: Final = "-/kv-keep/"
+LEASE_END: Final = "-/kv-lease-end/"
 
 OK: Final = 200
 ABSENT: Final = 404
 GONE: Final = 410
 CONFLICT: Final = 412
-JSON_TYPE: Final = {"Content-Type": "application/json"}
 
 MILLISECONDS: Final = 1000
 
@@ -39,13 +43,15 @@
 class PlatformStore(Keyspace):
     """Reach the store at `address` (``IP:port``)."""
 
-    def __init__(self, address: str) -> None:
-        self.base = URL(f"http://{address}")
-        self.session = plain_session(Connector(limit=0))
+    def __init__(self, address: str, clock: Clock) -> None:
+        self.clock = clock
+        self.link = Link(address, JSON_HEADERS)
 
     def move(self, address: str) -> None:
         """Go on at another address."""
-        self.base = URL(f"http://{address}")
+        if address != self.link.address:
+            self.link.retire()
+            self.link = Link(address, JSON_HEADERS)
 
     async def get(self, key: str, timeout: float) -> Item | None:
         status, message = await self.ask("GET", KEY, {"key": key}, None, timeout)
@@ -120,7 +126,8 @@
             accepted(status, message)
 
     async def close(self) -> None:
-        await self.session.close()
+        self.link.retire()
+        self.link.cut()
 
     async def ask(
         self,
@@ -135,20 +142,28 @@
         :returns: the status and the body of the answer.
         :raises Unanswered: if no whole answer came.
         """
+        raw = b"" if body is None else encode(body)
+        if query:
+            path = f"{path}?{urlencode(query)}"
         try:
-            async with self.session.request(
-                method,
-                self.base.with_path(path).with_query(query),
-                data=None if body is None else encode(body),
-                headers=None if body is None else JSON_TYPE,
-                timeout=ClientTimeout(total=timeout),
-            ) as response:
-                raw = await response.read()
-                return response.status, decode(raw) if raw.strip() else {}
-        except (ClientError, OSError, TimeoutError) as error:
-            raise Unanswered(f"no answer to {path}: {error!r}") from error
-        except WireError as error:
-            return response.status, {"error": str(error)}
+            answer = await self.link.exchange(
+                path, raw, timeout, self.clock, method=method
+            )
+        except (ChannelClosed, ChannelBroken) as error:
+            # What lost track of one connection may have lost them all.
+            self.link.drop_idle()
+            raise Unanswered(f"no answer to {path}: {error}") from error
+        return answer.status, read_body(answer)
+
+
+def read_body(answer: ChannelAnswer) -> Json:
+    """Return the message of an answer; one that cannot be read tells nothing."""
+    if not answer.body.strip():
+        return {}
+    try:
+        return decode(answer.body)
+    except WireError as error:
+        return {"error": str(error)}
 
 
 def accepted(status: int, message: Json) -> Json:
--- a/src/reedhook/process/daemon.py
+++ b/src/reedhook/process/daemon.py
@@ -21,11 +21,9 @@
 """
 
 import asyncio
-import os
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from typing import Final
 
 import logbook
 import uvloop
@@ -35,9 +33,6 @@
 from .logs import logs
 from .run import Assemble, Exit, HostRun, HostSettings
 
-AUTHORITIES: Final = "SSL_CERT_FILE"
-"""Environment variable with the file of certificates that are trusted."""
-
 log = logbook.Logger("daemon")
 
 
@@ -75,9 +70,6 @@
 
 def run_on_platform(named: str | None, check: bool) -> int:
     """Run a host by the platform's settings file; return the exit code."""
-    # Nothing on the platform speaks TLS. aiohttp loads the certificates of all
-    # authorities when it is imported, 0.2 s of a core at each start.
-    os.environ.setdefault(AUTHORITIES, os.devnull)
     from ..platform.assembly import assemble
     from ..platform.settings import SettingsFault, load, settings_path
 
--- a/src/reedhook/process/lifecycle.py
+++ b/src/reedhook/process/lifecycle.py
@@ -8,7 +8,7 @@
 import logbook
 
 from ..clock import Clock
-from .network.peer_server import PeerServer
+from .network.plain_server import PlainServer
 from .network.server import Server
 from .overdue import ShutdownOverdue
 
@@ -65,7 +65,7 @@
         self,
         host: Lifecycle,
         callers: Server,
-        peers: Server | PeerServer,
+        peers: Server | PlainServer,
         admin: Server,
         clock: Clock,
         bound: float,
--- a/src/reedhook/process/network/listener.py
+++ b/src/reedhook/process/network/listener.py
@@ -7,12 +7,10 @@
 
 from aiohttp import web
 
-from ...address import split_address
+from .sockets import BACKLOG, address_of, bound_socket, end_listening
 
 Runner: TypeAlias = web.AppRunner | web.ServerRunner
 
-BACKLOG: Final = 1024
-ACCEPT_TIME: Final = 0.05
 POLL_INTERVAL: Final = 0.02
 
 
@@ -56,15 +54,9 @@
         await self.runner.cleanup()
 
     async def stop_listening(self) -> None:
-        """Close the listening socket once its queue is empty.
-
-        The kernel resets connections that wait to be accepted. With the
-        shortest queue, new clients wait for the socket's end instead, and
-        are then told that nobody listens, which proves that nothing ran.
-        """
+        """Close the listening socket once its queue is empty."""
         if self.socket is not None and self.runner.sites:
-            self.socket.listen(0)
-            await asyncio.sleep(ACCEPT_TIME)
+            await end_listening(self.socket)
         for site in self.runner.sites:
             await site.stop()
 
@@ -82,27 +74,3 @@
                     await asyncio.sleep(POLL_INTERVAL)
         except TimeoutError:
             return
-
-
-def bound_socket(address: str) -> socket.socket:
-    """Return a socket that is bound to ``IP:port``.
-
-    :raises OSError: if the address cannot be had.
-    """
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    found = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        found.setblocking(False)
-        found.bind((host, port))
-    except OSError as error:
-        found.close()
-        raise OSError(error.errno, f"{address}: {error.strerror}") from error
-    return found
-
-
-def address_of(listener: socket.socket) -> str:
-    """Return ``IP:port`` that a socket is bound to."""
-    host, port = listener.getsockname()[:2]
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/src/reedhook/process/network/peer_http.py
+++ b/src/reedhook/process/network/peer_http.py
@@ -4,13 +4,8 @@
 from typing import Final
 
 from ...clock import Clock
-from ...connection.channel import (
-    Channel,
-    ChannelAnswer,
-    ChannelBroken,
-    ChannelClosed,
-    open_channel,
-)
+from ...connection.channel import ChannelBroken, ChannelClosed
+from ...connection.link import Link
 from ...request.refusal import Refusal
 from ...wire import Json, WireError, decode, encode
 from ..events.timeline import Timeline
@@ -19,104 +14,9 @@
 
 LINK_IDLE: Final = 60.0
 SWEEP_INTERVAL: Final = 10.0
-MAX_IDLE: Final = 16
 PATH_PREFIX: Final = PREFIX.lstrip("/")
 
 
-class Idle:
-    """Keep a channel that no call uses.
-
-    :ivar since: monotonic time in seconds of its last use.
-    """
-
-    __slots__ = ("channel", "since")
-
-    def __init__(self, channel: Channel, since: float) -> None:
-        self.channel = channel
-        self.since = since
-
-
-class Link:
-    """Hold the channels to one peer; each call has one for itself.
-
-    :param address: ``IP:port`` of the peer.
-    :param headers: stand in each request.
-    :ivar idle: channels that no call uses, the last used at the end.
-    :ivar in_use: channels of the calls that wait for an answer.
-    :ivar retired: whether no further call may use these channels.
-    :ivar used: monotonic time in seconds of the last call.
-    """
-
-    __slots__ = ("address", "headers", "context", "idle", "in_use", "retired", "used")
-
-    def __init__(
-        self, address: str, headers: dict[str, str], context: ssl.SSLContext | None
-    ) -> None:
-        self.address = address
-        self.headers = headers
-        self.context = context
-        self.idle: list[Idle] = []
-        self.in_use: set[Channel] = set()
-        self.retired = False
-        self.used = 0.0
-
-    async def exchange(
-        self, path: str, envelope: bytes, timeout: float, clock: Clock
-    ) -> ChannelAnswer:
-        """Send the envelope once and return the answer.
-
-        :raises ChannelClosed: if nothing was sent.
-        :raises ChannelBroken: if no whole answer came.
-        """
-        deadline = clock.monotonic() + timeout
-        channel = self.take() or await self.open(timeout)
-        left = deadline - clock.monotonic()
-        self.in_use.add(channel)
-        try:
-            answer = await channel.exchange(path, envelope, left, BODY_LIMIT)
-        finally:
-            self.in_use.discard(channel)
-        self.used = clock.monotonic()
-        self.keep(channel)
-        return answer
-
-    def take(self) -> Channel | None:
-        """Return the channel last used that is still open, if there is one."""
-        while self.idle:
-            channel = self.idle.pop().channel
-            if not channel.closed:
-                return channel
-            channel.close()
-        return None
-
-    async def open(self, timeout: float) -> Channel:
-        """Open a channel."""
-        return await open_channel(self.address, timeout, self.headers, self.context)
-
-    def keep(self, channel: Channel) -> None:
-        """Keep a channel for the next call, unless there are enough."""
-        if self.retired or channel.closed or len(self.idle) >= MAX_IDLE:
-            channel.close()
-            return
-        self.idle.append(Idle(channel, self.used))
-
-    def close_unused(self, before: float) -> None:
-        """Close the channels that were last used before that time."""
-        while self.idle and self.idle[0].since < before:
-            self.idle.pop(0).channel.close()
-
-    def retire(self) -> None:
-        """Close idle channels now and the others after their calls."""
-        self.retired = True
-        while self.idle:
-            self.idle.pop().channel.close()
-
-    def cut(self) -> None:
-        """Let the calls in progress end without an answer."""
-        for channel in self.in_use:
-            channel.close()
-
-
 class HttpPeers(Peers):
     """Call other hosts over kept-alive connections.
 
@@ -156,7 +56,7 @@
         link = self.link(peer.address)
         try:
             answer = await link.exchange(
-                PATH_PREFIX + path, envelope, timeout, self.clock
+                PATH_PREFIX + path, envelope, timeout, self.clock, BODY_LIMIT
             )
         except ChannelClosed as error:
             self.retire(link)
--- a/src/reedhook/process/network/peer_server.py
+++ b/src/reedhook/process/network/peer_server.py
@@ -1,37 +1,31 @@
 """The listener that other hosts reach; `peer_wire` tells the form."""
 
-import asyncio
 import hmac
 import ssl
 from typing import Any, Final, TypeGuard
 
 import logbook
-from aiohttp import hdrs, web
 
 from ...request.refusal import Reason, Refusal, may_have_run, not_run
 from ...wire import Json, WireError, decode, encode
 from ..events.timeline import Timeline
-from .listener import Listener
 from .peer import PeerRoutes
 from .peer_wire import BODY_LIMIT, CREDENTIAL, PREFIX, SERVER_KEEPALIVE
+from .plain_server import LENGTH, PlainRequest, PlainResponse, PlainServer
 
-BODY_TIMEOUT: Final = 5.0
 SHUTDOWN: Final = 10.0
-LINGERING: Final = 1.0
 IDLE_GRACE: Final = 0.2
 HTTP_OK: Final = 200
-JSON_TYPE: Final = "application/json"
+POST: Final = "POST"
+ENCODING: Final = "content-encoding"
 STAMP_FIELDS: Final = 2
 
 log = logbook.Logger("peers")
 
 
-class PeerServer:
+class PeerServer(PlainServer):
     """Listen for calls of other hosts.
 
-    It has no router, since there is one path prefix only. Bodies are not
-    decompressed, so that a small one cannot grow.
-
     :param address: ``IP:port`` to listen on; port 0 takes a free one.
     :param tls: None for plain TCP.
     :param shutdown: how long `stop` waits for calls in progress, in seconds.
@@ -44,35 +38,20 @@
         tls: ssl.SSLContext | None = None,
         shutdown: float = SHUTDOWN,
     ) -> None:
-        self.endpoint = endpoint
-        self.address = address
-        self.tls = tls
-        server = web.Server(
+        super().__init__(
+            "peers",
             endpoint.handle,
-            auto_decompress=False,
-            access_log=None,
-            keepalive_timeout=SERVER_KEEPALIVE,
-            lingering_time=LINGERING,
+            address,
+            BODY_LIMIT,
+            SERVER_KEEPALIVE,
+            IDLE_GRACE,
+            tls,
+            shutdown,
         )
-        self.runner = web.ServerRunner(server, shutdown_timeout=shutdown)
-        self.listener = Listener(self.runner, address, IDLE_GRACE)
-
-    async def start(self) -> None:
-        """Listen.
-
-        :raises OSError: if the address cannot be had.
-        """
-        await self.listener.start(self.tls)
-        self.address = self.listener.address
-
-    def start_leaving(self) -> None:
-        """Serve on, and let each connection end with its next answer."""
-        self.endpoint.leaving = True
+        self.endpoint = endpoint
 
-    async def stop(self) -> None:
-        """Stop listening and let calls in progress end."""
-        self.start_leaving()
-        await self.listener.stop()
+    def refuse(self, refusal: Refusal) -> PlainResponse:
+        return self.endpoint.refuse(refusal)
 
 
 class PeerEndpoint:
@@ -82,21 +61,20 @@
         self.routes = routes
         self.credential = credential.encode()
         self.timeline = timeline
-        self.leaving = False
 
-    async def handle(self, request: web.BaseRequest) -> web.Response:
+    async def handle(self, request: PlainRequest) -> PlainResponse:
         """Answer one call; a failure becomes a refusal, never a bare 500."""
         try:
             self.authenticate(request)
-            body = self.open(await read_envelope(request))
+            body = self.open(read_envelope(request))
             answer = await self.dispatch(path_of(request), body)
         except Refusal as refusal:
-            return self.respond({"refusal": refusal.to_json()}, refusal.status)
+            return self.refuse(refusal)
         return self.respond({"body": answer}, HTTP_OK)
 
-    def authenticate(self, request: web.BaseRequest) -> None:
+    def authenticate(self, request: PlainRequest) -> None:
         """Check the shared credential in constant time."""
-        given = request.headers.get(CREDENTIAL, "").encode(errors="replace")
+        given = request.headers.get(CREDENTIAL.lower(), b"")
         if not hmac.compare_digest(given, self.credential):
             raise not_run(Reason.UNAUTHENTICATED, "the peer credential is wrong")
 
@@ -124,15 +102,14 @@
             detail = "the handler failed at the peer"
             raise may_have_run(Reason.HOST_UNREACHABLE, detail) from None
 
-    def respond(self, message: Json, status: int) -> web.Response:
+    def refuse(self, refusal: Refusal) -> PlainResponse:
+        """Return the answer that carries a refusal."""
+        return self.respond({"refusal": refusal.to_json()}, refusal.status)
+
+    def respond(self, message: Json, status: int) -> PlainResponse:
         """Encode an answer with this host's stamp."""
         message["stamp"] = self.timeline.tick().to_json()
-        response = web.Response(
-            body=encode(message), status=status, content_type=JSON_TYPE
-        )
-        if self.leaving:
-            response.force_close()
-        return response
+        return PlainResponse(status, encode(message))
 
 
 def is_stamp(value: Any) -> TypeGuard[list[int]]:
@@ -142,27 +119,21 @@
     return all(type(one) is int and one >= 0 for one in value)
 
 
-def path_of(request: web.BaseRequest) -> str:
+def path_of(request: PlainRequest) -> str:
     """Return the peer path that a request names; empty if it names none."""
-    if request.method != hdrs.METH_POST or not request.path.startswith(PREFIX):
+    if request.method != POST or not request.path.startswith(PREFIX):
         return ""
     return request.path[len(PREFIX) :]
 
 
-async def read_envelope(request: web.BaseRequest) -> Json:
-    """Read a body of bounded size in bounded time.
+def read_envelope(request: PlainRequest) -> Json:
+    """Read the body of a call.
 
-    :raises Refusal: if it is too large, late, compressed or malformed.
+    :raises Refusal: if it is compressed or malformed.
     """
-    length = request.content_length
-    if length is None or hdrs.CONTENT_ENCODING in request.headers:
+    if ENCODING in request.headers or LENGTH not in request.headers:
         raise not_run(Reason.BAD_REQUEST, "a plain body of stated length is expected")
-    if length > BODY_LIMIT:
-        raise not_run(Reason.TOO_LARGE, "the body is too large")
     try:
-        async with asyncio.timeout(BODY_TIMEOUT):
-            return decode(await request.content.read())
+        return decode(request.body)
     except WireError as error:
         raise not_run(Reason.BAD_REQUEST, str(error)) from None
-    except TimeoutError:
-        raise not_run(Reason.DEADLINE, "the body did not arrive") from None
--- a/src/reedhook/process/session_process.py
+++ b/src/reedhook/process/session_process.py
@@ -5,7 +5,7 @@
 from typing import Final, Protocol
 
 from .network.peer_server import PeerServer
-from .network.server import Server
+from .network.plain_server import PlainServer
 from .session_host import SessionHost
 
 FOLLOW_EVERY: Final = 1.0
@@ -36,8 +36,8 @@
         host: SessionHost,
         front: CallersListener,
         peers: PeerServer,
-        platform: Server,
-        metrics: Server,
+        platform: PlainServer,
+        metrics: PlainServer,
     ) -> None:
         self.host = host
         self.front = front
--- a/src/reedhook_standins/world.py
+++ b/src/reedhook_standins/world.py
@@ -21,6 +21,7 @@
 from reedhook.process.metrics import MemoryMetrics
 from reedhook.process.network.peer import HostRef
 from reedhook.process.network.peer_http import HttpPeers
+from reedhook.process.network.peer_server import PeerServer
 from reedhook.process.network.tls import TlsContexts
 from reedhook.process.settings import Settings
 from reedhook.version.document import Documents
@@ -218,8 +219,10 @@
     async def kill_host(self, name: str) -> None:
         """Let a host die: its connections end at once, nothing is handed over."""
         process = self.running.pop(name)
-        for server in (process.callers, process.peers, process.admin):
+        for server in (process.callers, process.admin):
             await cut(server.runner)
+        assert isinstance(process.peers, PeerServer)
+        process.peers.cut()
         await process.host.close()
 
     def cut_target_off(self, member: str) -> None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from reedhook.clock import SystemClock
 from reedhook.platform.store import PlatformStore
 from reedhook.process.announced.keyspace import (
     Conflict,
@@ -26,7 +27,7 @@
     async def run() -> None:
         stand_in = KeyValueStandIn()
         await stand_in.start()
-        store = PlatformStore(stand_in.address)
+        store = PlatformStore(stand_in.address, SystemClock())
         try:
             await test(stand_in, store)
         finally:
