Notice a zone that is cut off 0.4 s sooner

Cause: until the hosts of a cut-off zone say that they are not ready, a quarter of all callers are refused there; it took 0.9 to 1.0 s to notice, of which 0.3 were silence, 0.25 one question, 0.4 the questions to all.

--- a/src/reedhook/process/lead/states.py
+++ b/src/reedhook/process/lead/states.py
@@ -57,10 +57,12 @@
         except (TimeoutError, MemberUnreachable, MemberSilent):
             return None
 
-    async def reached(self, entry: TargetEntry) -> bool:
-        """Say whether a target accepts a new connection from here."""
+    async def reached(
+        self, entry: TargetEntry, timeout: float = CONNECT_TIMEOUT
+    ) -> bool:
+        """Say whether a target accepts a new connection from here in time."""
         try:
-            connection = await self.driver.connect(entry, CONNECT_TIMEOUT)
+            connection = await self.driver.connect(entry, timeout)
         except MemberUnreachable:
             return False
         connection.close()
--- a/src/reedhook/process/lead/vigil.py
+++ b/src/reedhook/process/lead/vigil.py
@@ -120,10 +120,10 @@
         """Drop what was found: the host was heard of in another life."""
         self.lost_at.pop(host.host, None)
 
-    async def reaches(self, host: HostRef) -> bool:
-        """Say whether a host answers."""
+    async def reaches(self, host: HostRef, timeout: float = ANSWER_TIMEOUT) -> bool:
+        """Say whether a host answers within `timeout` seconds."""
         try:
-            await self.peers.call(host, PATH, {}, ANSWER_TIMEOUT)
+            await self.peers.call(host, PATH, {}, timeout)
         except (PeerError, Refusal):
             return False
         return True
--- a/src/reedhook/process/partition.py
+++ b/src/reedhook/process/partition.py
@@ -17,10 +17,19 @@
 TICK: Final = 0.1
 """Seconds between two looks."""
 
-QUIET: Final = 0.3
+QUIET: Final = 0.2
 """Seconds without an answer from another zone after which answers are asked for;
 a call takes 3 ms, and a busy host hears from other zones many times a second."""
 
+FIRST_PATIENCE: Final = 0.08
+"""Seconds for the first answer, which takes 3 ms; without it all zones are asked.
+To notice a cut 0.4 s sooner sends a quarter of the callers of four zones elsewhere
+as much sooner, until when their writes are refused."""
+
+PATIENCE: Final = 0.25
+"""Seconds for the answers that decide; targets may have statements of 110 ms ahead
+of a new connection."""
+
 
 class Partition:
     """Notice that no other availability zone can be reached any more.
@@ -85,7 +94,7 @@
             self.decide(True)
             return
         one = self.random.choice(list(self.others.values()))
-        if not self.cut_off and await self.vigil.reaches(one):
+        if not self.cut_off and await self.vigil.reaches(one, FIRST_PATIENCE):
             return
         answers = await asyncio.gather(*self.questions())
         self.decide(any(answers) or self.heard())
@@ -119,8 +128,8 @@
         self.random.shuffle(targets)
         chosen = {entry.zone: entry for entry in targets}
         return [
-            *(self.vigil.reaches(host) for host in self.others.values()),
-            *(self.states.reached(target) for target in chosen.values()),
+            *(self.vigil.reaches(host, PATIENCE) for host in self.others.values()),
+            *(self.states.reached(target, PATIENCE) for target in chosen.values()),
         ]
 
     def decide(self, reached: bool) -> None:
--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -12,6 +12,9 @@
 NOTICED = 1.2
 """Seconds in which a host notices that it is cut off."""
 
+NOTICED_SOON = 0.75
+"""Seconds in which it does mostly, so that the next question finds it out."""
+
 ASKED_EVERY = 1.0
 """Seconds between two questions for readiness; two misses take a host out."""
 
@@ -48,6 +51,16 @@
     assert sum(found.values()) == 4
 
 
+@using(a_world, run_virtual)
+async def test_a_cut_is_noticed_before_the_platform_asks_again(
+    world: SessionWorld,
+) -> None:
+    world.cut_zone("z1")
+    await asyncio.sleep(NOTICED_SOON)
+    found = ready(world)
+    assert not found["h10"] and not found["h11"]
+
+
 @using(a_world, run_virtual)
 async def test_hosts_are_ready_again_once_another_zone_is_reached(
     world: SessionWorld,
