Ask others for a quiet primary while its answer is waited for

Cause: in a zone that is cut off writes waited 1.4 s for the next primary: 0.3 s of silence, 0.25 for its answer, 0.45 for others, then the promotion (0.34). Change: 0.2 s of silence; after 0.1 s of waiting others are asked, too. The evidence that decides is the same.

--- a/src/reedhook/process/lead/lead.py
+++ b/src/reedhook/process/lead/lead.py
@@ -31,10 +31,15 @@
 TICK: Final = 0.1
 """Seconds between two looks at the primary."""
 
-QUIET: Final = 0.3
+QUIET: Final = 0.2
 """Seconds without an answer after which the primary is asked for one; the
 longest usual statements take 110 ms."""
 
+SIGHT_PATIENCE: Final = 0.1
+"""Seconds without that answer after which others are asked, too, while it is waited
+for. Both together bring the next primary 0.2 s sooner; in a cut zone writes waited
+1.4 s for it. Nothing is decided on less evidence."""
+
 GONE_AFTER: Final = 3.0
 """Seconds after which a target that announces itself no more counts as gone,
 while the store answers; entries that lapsed with the store are back in 2 s."""
@@ -171,10 +176,28 @@
         if self.clock.monotonic() - home.answered_at < QUIET:
             self.usable_again()
             return
-        if self.ready.is_set() and await self.sighted(home):
+        if not self.ready.is_set():
+            await self.act_on(await self.inquire(home.entry))
             return
-        self.doubt()
-        await self.act_on(await self.inquire(home.entry))
+        await self.look_for(home)
+
+    async def look_for(self, home: MemberHome) -> None:
+        """Ask a quiet primary for an answer, and act if none comes."""
+        sighting = asyncio.ensure_future(self.sighted(home))
+        inquiry: asyncio.Future[Finding] | None = None
+        try:
+            done, _ = await asyncio.wait({sighting}, timeout=SIGHT_PATIENCE)
+            if not done or not sighting.result():
+                inquiry = asyncio.ensure_future(self.inquire(home.entry))
+            if await sighting:
+                return
+            self.doubt()
+            assert inquiry is not None
+            await self.act_on(await inquiry)
+        finally:
+            sighting.cancel()
+            if inquiry is not None:
+                inquiry.cancel()
 
     async def leads_no_more(self, entry: TargetEntry) -> bool:
         """Say whether the primary itself says that it does not lead, or holds less.
