Count what is yet to arrive in the expected wait of a statement

Cause: the expected wait counted what stood before a statement, not what would come and go before it. Change: the share of the slots that statements which go before took of late is taken off.

--- a/src/reedhook/connection/turns.py
+++ b/src/reedhook/connection/turns.py
@@ -32,7 +32,7 @@
 averaged; a surge of 2 s is told from a burst of 0.2 s."""
 
 LEAST_ROOM: Final = 0.02
-"""Share of the slots left below which nothing is left for what is late."""
+"""Share of the slots that is counted as left at the least."""
 
 OVERDUE: Final = 4.0
 LEAST_OVERDUE: Final = 0.1
@@ -107,7 +107,7 @@
 
         What holds a connection goes first, what is late last. Then priority
         counts, and of equal ones short statements go first: at 1.35 times what the
-        slots bear 70 of 100 callers were in time so, by worth, 48 by their dues alone
+        slots bear 71 of 100 callers were in time so, by worth, 48 by their dues alone
         and 14 in the order of arrival (simulated, kinds of 6, 18 and 30 ms).
         """
         if self.demand.inside:
@@ -117,6 +117,37 @@
         return 1, self.demand.priority, self.work, self.demand.due
 
 
+class Load:
+    """Keep which share of the slots one kind of statements took of late.
+
+    :ivar priority: of the newest of them.
+    :ivar work: seconds that it was expected to take.
+    """
+
+    __slots__ = ("priority", "work", "share", "at")
+
+    def __init__(self) -> None:
+        self.priority = 0
+        self.work = 0.0
+        self.share = 0.0
+        self.at = 0.0
+
+    def add(self, turn: Turn, slots: int, now: float) -> None:
+        """Take note that a statement goes to the target."""
+        self.share = self.taken(now) + turn.work / slots / MEMORY
+        self.at = now
+        self.priority = turn.demand.priority
+        self.work = turn.work
+
+    def taken(self, now: float) -> float:
+        """Return the share of the slots."""
+        return self.share * math.exp((self.at - now) / MEMORY)
+
+    def goes_before(self, turn: Turn) -> bool:
+        """Say whether such statements go before a statement in time."""
+        return (self.priority, self.work) < (turn.demand.priority, turn.work)
+
+
 class Room:
     """Tell whether a connection is there for a statement that needs one.
 
@@ -149,8 +180,7 @@
         self.under_way = 0
         self.inside = 0
         self.means: dict[Kind, float] = {}
-        self.load = 0.0
-        self.loaded_at = clock.monotonic()
+        self.loads: dict[Kind, Load] = {}
 
     async def enter(self, demand: Demand) -> Turn:
         """Wait for the turn of a statement; give it back with `leave`.
@@ -215,8 +245,8 @@
         self.under_way += 1
         self.inside += turn.demand.inside
         if not turn.is_late(now):
-            self.load = self.taken(now) + turn.work / self.slots / MEMORY
-            self.loaded_at = now
+            load = self.loads.setdefault(turn.demand.kind, Load())
+            load.add(turn, self.slots, now)
         hangs_after = max(OVERDUE * turn.work, LEAST_OVERDUE)
         loop = asyncio.get_running_loop()
         turn.timer = loop.call_later(hangs_after, self.end, turn)
@@ -230,9 +260,17 @@
         self.inside -= turn.demand.inside
         self.dispatch()
 
-    def taken(self, now: float) -> float:
-        """Return the share of the slots that statements in time took of late."""
-        return self.load * math.exp((self.loaded_at - now) / MEMORY)
+    def left_over(self, now: float, before: Turn | None = None) -> float:
+        """Return the share of the slots that statements in time left free of late.
+
+        :param before: only what goes before it counts, if it is given.
+        """
+        taken = sum(
+            load.taken(now)
+            for load in self.loads.values()
+            if before is None or load.goes_before(before)
+        )
+        return max(1.0 - taken, LEAST_ROOM)
 
     # What waits
 
@@ -255,21 +293,27 @@
             raise self.refusal(turn, now, wait)
         if now + wait + turn.work <= demand.due:
             return
-        left_over = 1.0 - self.taken(now)
-        if left_over <= LEAST_ROOM:
-            raise self.refusal(turn, now, wait)
-        if now + max(wait, self.backlog(turn) / left_over) > demand.deadline:
+        late = self.backlog(turn) / self.left_over(now)
+        if now + max(wait, late) > demand.deadline:
             raise self.refusal(turn, now, wait)
 
     def expected_wait(self, turn: Turn, now: float) -> float:
-        """Return after how many seconds the turn of a statement would come."""
+        """Return after how many seconds the turn of a statement would come.
+
+        What goes before it and is yet to arrive is expected to come as of late. Left
+        out of account, long statements were taken in, overtaken until they were late
+        and refused then: at 1.35 times what the slots bear 12 of 100 callers waited
+        for half of their time in vain, and 71 were in time; with it 1 and 82
+        (simulated, by worth).
+        """
         rank = turn.rank(now)
         before = [
             one.work
             for one in self.waiting
             if one is not turn and one.rank(now) <= rank
         ]
-        wait = (sum(before) + self.under_way * turn.work / 2) / self.slots
+        work = sum(before) + self.under_way * turn.work / 2
+        wait = work / self.slots / self.left_over(now, turn)
         if self.room.free():
             return wait
         return max(wait, (len(before) + 1) * self.room.wait())
--- a/tests/load.py
+++ b/tests/load.py
@@ -107,6 +107,7 @@
     :ivar asked: callers by kind.
     :ivar in_time: those of them who were answered in time.
     :ivar answered: those of them who were answered at all.
+    :ivar held_in_vain: those of the others who waited for half of their time.
     """
 
     def __init__(self, seed: int, ordered: bool = True) -> None:
@@ -118,6 +119,7 @@
         self.asked: Counter[str] = Counter()
         self.in_time: Counter[str] = Counter()
         self.answered: Counter[str] = Counter()
+        self.held_in_vain = 0
         self.calls: list[asyncio.Task[None]] = []
 
     async def arrive(self, load: float, seconds: float) -> None:
@@ -139,14 +141,18 @@
         caller = CALLERS[name]
         self.asked[name] += 1
         begun = now()
+        held = 0.0
         for _ in range(TRIES):
+            tried = now()
             rested = await self.operate(name, caller)
             if rested is not None:
                 self.answered[name] += 1
                 if now() - begun - rested <= caller.objective:
                     self.in_time[name] += 1
                 return
+            held += now() - tried
             await asyncio.sleep(self.random.uniform(*COME_BACK))
+        self.held_in_vain += held > TIMEOUT / 2
 
     async def operate(self, name: str, caller: Caller) -> float | None:
         """Run its statements; return how long it rested, None if it was refused."""
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -31,7 +31,7 @@
 
 @pytest.mark.parametrize(
     "load, least, by_arrival",
-    [(0.8, 0.94, 1.0), (1.1, 0.85, 0.6), (1.35, 0.65, 0.25), (1.75, 0.5, 0.15)],
+    [(0.8, 0.94, 1.0), (1.1, 0.88, 0.6), (1.35, 0.75, 0.25), (1.75, 0.55, 0.15)],
 )
 @in_virtual_time
 async def test_callers_in_time_at_more_than_the_slots_bear(
@@ -42,6 +42,16 @@
     assert (await played(load, ordered=False)).share() <= by_arrival
 
 
+@pytest.mark.parametrize("load, most", [(1.1, 0.02), (1.35, 0.03), (2.5, 0.06)])
+@in_virtual_time
+async def test_few_wait_for_half_of_their_time_in_vain(
+    load: float, most: float
+) -> None:
+    """What is to be overtaken until it is late is refused as it comes."""
+    one = await played(load)
+    assert one.held_in_vain / sum(one.asked.values()) <= most
+
+
 @pytest.mark.parametrize("load", [1.1, 1.35, 1.75])
 @in_virtual_time
 async def test_what_goes_first_is_answered_in_time_whatever_comes(load: float) -> None:
