Order statements by the work of their route, not by what they do

Cause: averages were kept by route and by whether a statement reads, writes or commits. Change: one average a route. Not measured alone.

--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -124,7 +124,7 @@
         inside = work.transaction in self.transactions
         longest = work.left if inside else max(work.due, LONGEST_QUEUE)
         return Demand(
-            (work.database, work.kind.value),
+            work.database,
             work.priority,
             now + work.due,
             now + min(work.left, longest),
@@ -245,8 +245,7 @@
         query = Query(work.id, work.text, after)
         (reply,) = await lane.connection.exchange([query], timeout)
         if reply.fault is Fault.NONE:
-            kind = (work.database, work.kind.value)
-            self.turns.learn(kind, self.clock.monotonic() - sent)
+            self.turns.learn(work.database, self.clock.monotonic() - sent)
         # Inside a transaction the position may be that of its snapshot, which
         # proves nothing about what was acknowledged since.
         outside = not work.transaction or work.kind is WorkKind.COMMIT
--- a/src/reedhook/connection/turns.py
+++ b/src/reedhook/connection/turns.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 from collections.abc import Callable
-from typing import Final, TypeAlias
+from typing import Final
 
 from ..clock import Clock
 from ..record import Record
@@ -24,7 +24,7 @@
 """Seconds that a statement takes of which nothing is known yet."""
 
 LEARNING: Final = 0.1
-"""Weight of the newest statement in the average of its kind; ten statements, a
+"""Weight of the newest statement in the average of its route; ten statements, a
 tenth of a second at a busy target, change it."""
 
 MEMORY: Final = 1.0
@@ -36,7 +36,7 @@
 
 OVERDUE: Final = 4.0
 LEAST_OVERDUE: Final = 0.1
-"""Times the average of its kind, and seconds, after which a statement that got no
+"""Times the average of its route, and seconds, after which a statement that got no
 answer is taken to hang, and another goes to the target in its place. A target that
 hangs on a part of its work would otherwise take no work at all."""
 
@@ -45,14 +45,12 @@
 
 MILLISECONDS: Final = 1000.0
 
-Kind: TypeAlias = tuple[str, str]
-
 
 class Demand(Record):
     """Say what a statement needs of its target.
 
-    :param kind: statements of one kind take about as long: a route, and whether
-        they read, write or commit.
+    :param route: its statements take about as long, whether they read or write.
+        Told apart by that, kinds that differ by a tenth would go before one another.
     :param priority: 0 goes first.
     :param due: when its caller expects the answer, by `Clock.monotonic`.
     :param deadline: when nobody waits for it any more.
@@ -61,18 +59,18 @@
         a slot free; None if there is none.
     """
 
-    __slots__ = ("kind", "priority", "due", "deadline", "inside", "patience")
+    __slots__ = ("route", "priority", "due", "deadline", "inside", "patience")
 
     def __init__(
         self,
-        kind: Kind,
+        route: str,
         priority: int,
         due: float,
         deadline: float,
         inside: bool,
         patience: float | None = None,
     ) -> None:
-        self.kind = kind
+        self.route = route
         self.priority = priority
         self.due = due
         self.deadline = deadline
@@ -118,7 +116,7 @@
 
 
 class Load:
-    """Keep which share of the slots one kind of statements took of late.
+    """Keep which share of the slots the statements of one route took of late.
 
     :ivar priority: of the newest of them.
     :ivar work: seconds that it was expected to take.
@@ -168,7 +166,7 @@
     :param slots: statements that the target runs at a time.
     :ivar under_way: statements at the target, but for those that hang.
     :ivar inside: those of them whose transactions are open.
-    :ivar means: seconds that statements take, by kind.
+    :ivar means: seconds that statements take, by route.
     """
 
     def __init__(self, target: str, slots: int, room: Room, clock: Clock) -> None:
@@ -179,8 +177,8 @@
         self.waiting: list[Turn] = []
         self.under_way = 0
         self.inside = 0
-        self.means: dict[Kind, float] = {}
-        self.loads: dict[Kind, Load] = {}
+        self.means: dict[str, float] = {}
+        self.loads: dict[str, Load] = {}
 
     async def enter(self, demand: Demand) -> Turn:
         """Wait for the turn of a statement; give it back with `leave`.
@@ -189,7 +187,7 @@
             soon as that becomes known.
         """
         now = self.clock.monotonic()
-        turn = Turn(demand, self.means.get(demand.kind, USUAL), now)
+        turn = Turn(demand, self.means.get(demand.route, USUAL), now)
         if not self.waiting and self.admits(turn):
             self.start(turn, now)
             return turn
@@ -210,10 +208,10 @@
             turn.timer.cancel()
         self.end(turn)
 
-    def learn(self, kind: Kind, seconds: float) -> None:
+    def learn(self, route: str, seconds: float) -> None:
         """Take note of how long a statement took at the target."""
-        mean = self.means.get(kind, seconds)
-        self.means[kind] = mean + LEARNING * (seconds - mean)
+        mean = self.means.get(route, seconds)
+        self.means[route] = mean + LEARNING * (seconds - mean)
 
     def dispatch(self) -> None:
         """Let the next ones go, as far as there is room."""
@@ -245,7 +243,7 @@
         self.under_way += 1
         self.inside += turn.demand.inside
         if not turn.is_late(now):
-            load = self.loads.setdefault(turn.demand.kind, Load())
+            load = self.loads.setdefault(turn.demand.route, Load())
             load.add(turn, self.slots, now)
         hangs_after = max(OVERDUE * turn.work, LEAST_OVERDUE)
         loop = asyncio.get_running_loop()
--- a/tests/load.py
+++ b/tests/load.py
@@ -166,9 +166,7 @@
                 rested += rest
                 await asyncio.sleep(rest)
             due = begun + rested + caller.objective
-            demand = Demand(
-                (name, "read"), caller.priority, due, now() + TIMEOUT, index > 0
-            )
+            demand = Demand(name, caller.priority, due, now() + TIMEOUT, index > 0)
             try:
                 await self.run(demand, caller.work)
             except (Refusal, TimeoutError):
@@ -186,7 +184,7 @@
         sent = now()
         try:
             await self.target.run(work)
-            self.turns.learn(demand.kind, now() - sent)
+            self.turns.learn(demand.route, now() - sent)
         finally:
             self.turns.leave(turn)
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -18,7 +18,7 @@
 from .load import SLOTS, Load, now
 
 SECONDS: Final = 6.0
-KIND: Final = ("r", "read")
+ROUTE: Final = "r"
 
 
 async def played(load: float, ordered: bool = True, seed: int = 1) -> Load:
@@ -77,14 +77,14 @@
     one = Load(4)
     assert one.turns is not None
     await one.arrive(0.5, 3.0)
-    usual = one.turns.means["middle", "read"]
+    usual = one.turns.means["middle"]
     one.target.slower = 4.0
     await one.arrive(0.2, 3.0)
-    assert one.turns.means["middle", "read"] > 2.5 * usual
+    assert one.turns.means["middle"] > 2.5 * usual
     one.target.slower = 1.0
     await one.arrive(0.5, 4.0)
     await one.ended()
-    assert one.turns.means["middle", "read"] < 1.5 * usual
+    assert one.turns.means["middle"] < 1.5 * usual
 
 
 @in_virtual_time
@@ -105,7 +105,7 @@
     priority: int = 1,
 ) -> Demand:
     """Return the demand of a statement that arrives now."""
-    return Demand(KIND, priority, now() + due, now() + left, inside, patience)
+    return Demand(ROUTE, priority, now() + due, now() + left, inside, patience)
 
 
 def turns_of(room: Room | None = None) -> Turns:
@@ -118,7 +118,7 @@
     None
 ):
     turns = turns_of()
-    turns.means[KIND] = 0.1
+    turns.means[ROUTE] = 0.1
     for _ in range(SLOTS + AHEAD):
         await turns.enter(demand(0.3))
     waiting = [asyncio.ensure_future(turns.enter(demand(0.3))) for _ in range(3)]
@@ -138,7 +138,7 @@
 @in_virtual_time
 async def test_a_read_that_others_may_serve_does_not_wait() -> None:
     turns = turns_of()
-    turns.means[KIND] = 0.1
+    turns.means[ROUTE] = 0.1
     for _ in range(SLOTS + AHEAD):
         await turns.enter(demand(0.5))
     with pytest.raises(Refusal):
