Refuse at once what would wait for a target that answers nothing

Cause: reads that no other target had a slot for went to a replica that was down, since its home expected the least wait: 170 stood there at a time, each for 0.25 to 0.5 s, behind four that opened connections in vain, and were refused then. Besides, a statement that had waited 2 s for a promotion made the average of its route ten times as long; others went first, so that nothing corrected it. Found by a trial that logged what waits at each home (lanes and turns, 0.5 s). Change: a home whose target has its slots taken and has answered nothing for 0.15 s, longer where statements are long, refuses new ones and those that wait. One statement counts as four times the average at the most.

--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -41,6 +41,11 @@
 ROLLBACK_TIMEOUT: Final = 0.3
 """Seconds for a rollback; after them the connection is closed, which rolls back."""
 
+STALLED: Final = 0.15
+"""Seconds in which a target whose slots are taken answers nothing, after which new
+ones are refused at once, and those that wait for their turn. Each of them would wait
+for as long as its caller allows: at a replica that was down 170 did so at a time."""
+
 RETRY_MS: Final = 50
 """When to come back after a connection was lost, in milliseconds."""
 
@@ -95,6 +100,8 @@
         self.lanes.on_free = self.turns.dispatch
         self.transactions: dict[str, Transaction] = {}
         self.active = 0
+        self.running = 0
+        self.running_since = float("-inf")
         self.answered_at = float("-inf")
         self.background = Background(decisions, target=entry.target)
 
@@ -105,9 +112,12 @@
         """
         now = self.clock.monotonic()
         deadline = now + work.left
+        demand = self.demand(work, now)
+        if not demand.inside and self.stalled():
+            raise stalled(self.entry.target)
         self.active += 1
         try:
-            turn = await self.turns.enter(self.demand(work, now))
+            turn = await self.turns.enter(demand)
             try:
                 return await self.run_in_turn(work, deadline)
             finally:
@@ -115,6 +125,17 @@
         finally:
             self.active -= 1
 
+    def stalled(self) -> bool:
+        """Say whether the target's slots are taken and it has answered nothing.
+
+        A target that has turned slow is given as much longer.
+        """
+        if self.running < min(self.entry.slots, self.lanes.limit):
+            return False
+        since = max(self.running_since, self.answered_at)
+        patience = max(STALLED, self.turns.longest())
+        return self.clock.monotonic() - since > patience
+
     def demand(self, work: Work, now: float) -> Demand:
         """Return what a statement needs of the target.
 
@@ -134,6 +155,20 @@
 
     async def run_in_turn(self, work: Work, deadline: float) -> MemberReply:
         """Run a statement whose turn it is; raises as `run`."""
+        if not self.running:
+            self.running_since = self.clock.monotonic()
+        self.running += 1
+        try:
+            return await self.run_at_target(work, deadline)
+        except Refusal:
+            if self.stalled():
+                self.turns.refuse_waiting(stalled(self.entry.target))
+            raise
+        finally:
+            self.running -= 1
+
+    async def run_at_target(self, work: Work, deadline: float) -> MemberReply:
+        """Run a statement alone or in its transaction; raises as `run`."""
         if not work.transaction:
             return await self.run_single(work, deadline)
         transaction = self.transactions.get(work.transaction)
@@ -446,6 +481,13 @@
             lane.connection.close()
 
 
+def stalled(target: str) -> Refusal:
+    """Return the refusal of a statement that would wait for a silent target."""
+    return not_run(
+        Reason.TARGET_UNREACHABLE, f"the target {target} answers nothing", RETRY_MS
+    )
+
+
 def silent(target: str) -> Refusal:
     """Return the refusal of a write or commit that was sent and not answered."""
     return may_have_run(
--- a/src/reedhook/connection/turns.py
+++ b/src/reedhook/connection/turns.py
@@ -27,6 +27,11 @@
 """Weight of the newest statement in the average of its route; ten statements, a
 tenth of a second at a busy target, change it."""
 
+OUTLIER: Final = 4.0
+"""Times the average that one statement counts as at the most. One that waited for a
+promotion made its route pass for ten times as long, so that others went first, and
+nothing of it ran from which to learn better: for 2 s a route was not served."""
+
 MEMORY: Final = 1.0
 """Seconds over which the share of the slots that statements in time take is
 averaged; a surge of 2 s is told from a burst of 0.2 s."""
@@ -210,8 +215,13 @@
 
     def learn(self, route: str, seconds: float) -> None:
         """Take note of how long a statement took at the target."""
-        mean = self.means.get(route, seconds)
-        self.means[route] = mean + LEARNING * (seconds - mean)
+        mean = self.means.get(route, USUAL)
+        sample = min(seconds, OUTLIER * mean)
+        self.means[route] = mean + LEARNING * (sample - mean)
+
+    def longest(self) -> float:
+        """Return the seconds after which even a long statement is overdue."""
+        return OVERDUE * max(self.means.values(), default=USUAL)
 
     def dispatch(self) -> None:
         """Let the next ones go, as far as there is room."""
@@ -272,6 +282,13 @@
 
     # What waits
 
+    def refuse_waiting(self, refusal: Refusal) -> None:
+        """Refuse all that wait for a connection and a slot."""
+        for turn in [one for one in self.waiting if not one.demand.inside]:
+            self.forget(turn)
+            if not turn.granted.done():
+                turn.granted.set_exception(refusal)
+
     def check(self, turn: Turn, now: float) -> None:
         """Refuse what is known not to be answered, unless a transaction is open.
 
--- a/tests/test_member_home.py
+++ b/tests/test_member_home.py
@@ -8,7 +8,7 @@
 
 from reedhook.connection.lanes import LONGEST_QUEUE
 from reedhook.connection.member import Fault, MemberReply
-from reedhook.connection.memberhome import MemberHome
+from reedhook.connection.memberhome import STALLED, MemberHome
 from reedhook.process.decisions import Decisions
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.verdict import Verdict
@@ -166,3 +166,24 @@
             await asyncio.sleep(1.0)
             await one.run("s1", WorkKind.COMMIT, f"t{number}")
         assert (await one.run("s2", WorkKind.READ)).fault is Fault.NONE
+
+
+@in_virtual_time
+async def test_nobody_waits_for_a_target_that_answers_nothing() -> None:
+    """Its home refuses at once, and whoever waits there by then."""
+    async with one_connection() as one:
+        await one.run("s1", WorkKind.READ)
+        one.group.primary.down = True
+        first = asyncio.ensure_future(one.run("s1", WorkKind.READ))
+        await asyncio.sleep(STALLED + 0.01)
+        begun = asyncio.get_running_loop().time()
+        with pytest.raises(Refusal) as caught:
+            await one.run("s2", WorkKind.READ)
+        assert asyncio.get_running_loop().time() == begun
+        assert caught.value.reason is Reason.TARGET_UNREACHABLE
+        assert caught.value.verdict is Verdict.NOT_RUN
+        with pytest.raises(Refusal):
+            await first
+        one.group.primary.down = False
+        reply = await one.run("s1", WorkKind.READ)
+        assert reply.fault is Fault.NONE
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -183,3 +183,15 @@
     for one in held:
         turns.leave(one)
     assert turns.under_way == 0
+
+
+@in_virtual_time
+async def test_one_long_statement_does_not_keep_its_route_from_being_served() -> None:
+    turns = turns_of()
+    for _ in range(20):
+        turns.learn(ROUTE, 0.018)
+    turns.learn(ROUTE, 2.0)
+    assert turns.means[ROUTE] < 0.03
+    for _ in range(40):
+        turns.learn(ROUTE, 0.09)
+    assert turns.means[ROUTE] > 0.07
