--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -196,9 +196,7 @@
                 self.lanes.discard(lane)
                 self.silence(work, error)
                 if is_read and self.lanes.closed:
-                    raise not_run(
-                        Reason.TARGET_UNREACHABLE, "the home was closed", RETRY_MS
-                    ) from error
+                    raise closed() from error
                 if not is_read:
                     raise silent(self.entry.target) from error
                 if not first or deadline - self.clock.monotonic() <= 0.0:
@@ -475,12 +473,18 @@
     async def close(self) -> None:
         """Close all connections; what is in progress ends at once."""
         self.end_all("the home was closed")
+        self.turns.refuse_waiting(closed())
         self.background.cancel()
         self.lanes.close()
         for lane in list(self.lanes.lent):
             lane.connection.close()
 
 
+def closed() -> Refusal:
+    """Return the refusal of a statement that waited at a home which is closed."""
+    return not_run(Reason.TARGET_UNREACHABLE, "the home was closed", RETRY_MS)
+
+
 def stalled(target: str) -> Refusal:
     """Return the refusal of a statement that would wait for a silent target."""
     return not_run(
