Connections: a home keeps more than it uses, and gives up doubles first

Change: 72% of a target's connections may be open at a home, 47% in use; a workspace with several idle ones gives one up first. A full target gets room from idle ones.

Found by the property test: an idle connection was lent beyond what may be in use.

--- a/src/reedhook/connection/lanes.py
+++ b/src/reedhook/connection/lanes.py
@@ -1,7 +1,7 @@
 """Connections to one target that many sessions share in turns."""
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
@@ -112,10 +112,12 @@
     """Open, lend and keep connections to one target.
 
     The target is told of one workspace on each, and statements of no other may run
-    there. Where this host may open no more, the one that was idle for longest makes
-    room for another workspace.
+    there. Where this host may open no more, an idle one makes room for another
+    workspace.
 
-    :param limit: connections that this host may open at once.
+    :param limit: connections that may be in use at once.
+    :param most: connections that may be open at once, those included that are kept
+        for the workspaces of before; `limit` if it is not given.
     :param opened: is told of the position that the target states on each new
         connection; raises `MemberReborn` if the target is not to be used.
     :ivar count: connections that are open or being opened.
@@ -133,7 +135,9 @@
         limit: int,
         clock: Clock,
         opened: Opened = lambda position: None,
+        most: int | None = None,
     ) -> None:
+        self.most = limit if most is None else most
         self.entry = entry
         self.opened = opened
         self.driver = driver
@@ -163,15 +167,16 @@
         deadline = self.clock.monotonic() + timeout
         patience = self.clock.monotonic() + min(timeout, LONGEST_QUEUE)
         while True:
-            lane = self.take(session, workspace)
-            if lane is not None:
-                return self.lend(lane)
-            if self.count >= self.limit:
-                self.make_room()
+            if not self.exhausted():
+                lane = self.take(session, workspace)
+                if lane is not None:
+                    return self.lend(lane)
+                if self.count >= self.most:
+                    self.make_room()
             now = self.clock.monotonic()
             if now >= patience or self.closed:
                 raise self.overloaded("no connection came free in time")
-            if self.count < self.limit:
+            if self.count < self.most and not self.exhausted():
                 try:
                     opening = min(deadline - now, CONNECT_TIMEOUT)
                     return self.lend(await self.open(opening, workspace))
@@ -232,18 +237,27 @@
         return lane
 
     def make_room(self) -> None:
-        """Close the connection that was idle for longest, if one is idle."""
+        """Close an idle connection, if there is one.
+
+        A workspace that has several idle ones gives one up first; among equals that
+        which was idle for longest goes.
+        """
         if not self.idle:
             return
-        lane = min(self.idle, key=lambda one: one.used)
+        idle = Counter(lane.workspace for lane in self.idle)
+        lane = min(self.idle, key=lambda one: (idle[one.workspace] < 2, one.used))
         self.idle.remove(lane)
         lane.connection.close()
         self.count -= 1
         self.evicted += 1
 
+    def in_use(self) -> int:
+        """Return how many connections are lent or being opened."""
+        return self.count - len(self.idle)
+
     def exhausted(self) -> bool:
-        """Say whether all connections that this host may open are in use."""
-        return not self.idle and self.count >= self.limit
+        """Say whether as many connections are in use as may be."""
+        return self.in_use() >= self.limit
 
     def dropped(self, lane: Lane) -> bool:
         """Say whether the target has closed an idle connection; forget it then."""
@@ -313,12 +327,9 @@
         lane.used = self.clock.monotonic()
         if self.wake(lane):
             return
-        if self.waiting:
-            # All that wait are of other workspaces, to which it is of no use.
-            self.discard(lane)
-            return
         self.idle.append(lane)
-        self.on_free()
+        if not self.wake(None):
+            self.on_free()
 
     def discard(self, lane: Lane) -> None:
         """Close a connection that is in doubt or has an open transaction."""
--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -56,6 +56,7 @@
         was acknowledged is covered by it, by `Clock.elapsed`.
     :param rest: seconds for which a transaction may rest.
     :param opened: see `Lanes`.
+    :param most: see `Lanes`.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         seen: Callable[[Position, float], None],
         rest: float,
         opened: Opened = lambda position: None,
+        most: int | None = None,
     ) -> None:
         self.entry = entry
         self.phrases = phrases
@@ -77,7 +79,7 @@
         self.decisions = decisions
         self.permit = permit
         self.seen = seen
-        self.lanes = Lanes(entry, driver, phrases, limit, clock, opened)
+        self.lanes = Lanes(entry, driver, phrases, limit, clock, opened, most)
         room = Room(lambda: not self.lanes.exhausted(), self.lanes.expected_wait)
         self.turns = Turns(entry.target, entry.slots, room, clock)
         self.lanes.on_free = self.turns.dispatch
--- a/src/reedhook/process/fleet/rendezvous.py
+++ b/src/reedhook/process/fleet/rendezvous.py
@@ -10,6 +10,10 @@
 HOME_SHARE: Final = 0.47
 STANDBY_SHARE: Final = 0.27
 LATER_SHARE: Final = 0.2
+KEPT_SHARE: Final = 0.72
+"""Part of a target's connections that a home may have open, those included that are
+not in use. What is left is for a successor, until the target has found out that the
+connections of one that died are closed."""
 
 
 def score(key: str, host: str) -> int:
@@ -40,6 +44,11 @@
     return given
 
 
+def kept(connections: int) -> int:
+    """Return how many of a target's connections its home may have open."""
+    return max(share(connections, 0), int(connections * KEPT_SHARE))
+
+
 def portion(rank: int) -> float:
     """Return the part of the connections that goes to `rank`."""
     if rank == 0:
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -37,7 +37,7 @@
 from .fleet.directory import MembershipDirectory
 from .fleet.heartbeat import Heartbeats
 from .fleet.membership import Membership
-from .fleet.rendezvous import share
+from .fleet.rendezvous import kept, share
 from .histograms import HistogramMetrics
 from .hosting_settings import HostingSettings
 from .lead.book import LeadBook
@@ -358,6 +358,7 @@
             seen,
             self.announcements.table.transaction_idle,
             opened,
+            kept(connections),
         )
 
     def make_lead(self, record: LeadRecord, asked: float) -> Lead:
