Rates: a host counts alone while it sees most hosts; silent ones are looked at at once

Ruled out: a longer time without the store (two sides of a partition would both grant in full until keys are unproved).

Change: not having heard of the store restricts a host only if it sees no more than half of the hosts; a host that counts and is found silent is doubted at once by who asked it, and by the next in rank.

--- a/src/reedhook/process/fleet/membership_table.py
+++ b/src/reedhook/process/fleet/membership_table.py
@@ -150,6 +150,10 @@
         """Return the live hosts, of one zone if it is given."""
         return [one.ref for one in self.in_zone(zone) if one.live]
 
+    def sees_most(self) -> bool:
+        """Say whether more than half of the known hosts are live."""
+        return 2 * len(self.unsettled) < len(self.records)
+
     def in_zone(self, zone: str | None) -> Iterator[HostRecord]:
         """Iterate over the records of a zone, or over all for None."""
         if zone is None:
--- a/src/reedhook/process/rates/allowances.py
+++ b/src/reedhook/process/rates/allowances.py
@@ -288,6 +288,7 @@
     def avoid(self, host: HostRef, name: str, error: Exception) -> None:
         """Ask a host that gave no answer for nothing for a while."""
         self.avoided[host.host] = self.clock.monotonic() + AVOIDED_FOR
+        self.owner.doubt(host.host)
         self.decisions.note(
             "rate_unanswered", workspace=name, owner=host.host, error=str(error)
         )
--- a/src/reedhook/process/rates/owner.py
+++ b/src/reedhook/process/rates/owner.py
@@ -22,8 +22,8 @@
 that count grant that much more together, which the slack of a window bears."""
 
 SURE_FOR: Final = 2.5
-"""Seconds after which a host that heard nothing of the store may have been replaced
-unnoticed, and grants the restricted share only."""
+"""Seconds after which a host that heard nothing of the store, and sees no more than
+half of the hosts, may have been replaced unnoticed, and grants the restricted share."""
 
 MOST_ASKED: Final = 100_000
 MILLISECONDS: Final = 1000.0
@@ -90,6 +90,8 @@
     with a part of the slack, so that what another granted before it is within bounds.
 
     :param cut_off: says whether no other availability zone is reached.
+    :param sees_most: says whether most hosts are seen to live.
+    :param doubt: has a host looked at that others found silent.
     :ivar buckets: what is left to grant, by workspace.
     :ivar restricted: workspaces of which others may count the rate as well.
     """
@@ -100,6 +102,8 @@
         workspaces: Callable[[], Workspaces],
         freshness: Freshness,
         cut_off: Callable[[], bool],
+        sees_most: Callable[[], bool],
+        doubt: Callable[[str], None],
         terms: RateTerms,
         clock: Clock,
         decisions: Decisions,
@@ -108,6 +112,8 @@
         self.workspaces = workspaces
         self.freshness = freshness
         self.cut_off = cut_off
+        self.sees_most = sees_most
+        self.doubt = doubt
         self.terms = terms
         self.clock = clock
         self.decisions = decisions
@@ -175,6 +181,11 @@
 
     def is_sole(self, name: str) -> bool:
         """Say whether no other host is expected to count the workspace."""
-        if self.cut_off() or self.freshness.age() > SURE_FOR:
+        first = self.first(name)
+        if first is not None and first != self.directory.me:
+            # Who asks here has found the first one silent.
+            self.doubt(first.host)
             return False
-        return self.first(name) == self.directory.me
+        if self.cut_off():
+            return False
+        return self.sees_most() or self.freshness.age() < SURE_FOR
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -253,6 +253,8 @@
             lambda: self.announcements.table.workspaces,
             self.freshness,
             lambda: self.partition.cut_off,
+            self.membership.table.sees_most,
+            self.heartbeats.doubt,
             self.settings.rates,
             self.clock,
             self.decisions,
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -73,6 +73,7 @@
         self.freshness = Freshness(announcements, clock)
         self.directory = FixedDirectory(ref, world.refs)
         self.cut_off = False
+        self.doubted: list[str] = []
         routes = PeerRoutes()
         peers = world.network.join(ref, routes)
         self.owner = RateOwner(
@@ -80,6 +81,8 @@
             lambda: world.workspaces,
             self.freshness,
             lambda: self.cut_off,
+            lambda: 2 * len(self.directory.lost) < len(world.refs),
+            self.doubted.append,
             DEFAULT_TERMS,
             clock,
             decisions,
@@ -372,11 +375,29 @@
     host = next(one for one in world.hosts if one.ref == first)
     granted = host.owner.grant(Ask("w0", 1000)).count
     host.freshness.proved_at = asyncio.get_running_loop().time()
+    # Neither the store is heard of, nor most of the hosts.
+    host.directory.lost = {ref.host for ref in world.refs[:8]} - {first.host}
     await asyncio.sleep(5.0)
     granted = host.owner.grant(Ask("w0", 1000)).count
     assert granted <= DEFAULT_TERMS.spare(world.workspaces.by_name["w0"], 100.0)
 
 
+@in_virtual_time
+async def test_a_silent_store_limits_nobody() -> None:
+    """The pattern: all hosts live, and none has heard of the store for 4 s."""
+    world = RateWorld(unequal(20, 400.0), hosts=24)
+    for host in world.hosts:
+        host.freshness.proved_at = asyncio.get_running_loop().time() - 4.0
+    rng = random.Random(1)
+    loads = [
+        world.load(name, usual(one), 5.0, random.Random(rng.random()))
+        for name, one in world.workspaces.by_name.items()
+    ]
+    await asyncio.gather(*loads)
+    assert not world.spans_over()
+    assert refused_share(world, set()) < REFUSED_MOST
+
+
 @in_virtual_time
 async def test_without_a_rate_nobody_is_asked() -> None:
     world = RateWorld([Workspace("w0", frozenset(), 1, None, 0.0)], hosts=12)
@@ -404,6 +425,8 @@
     world.network.pause(first.host)
     home = next(one for one in world.homes if one.ref != first)
     await home.allowances.admit("w0")
+    # The host that is silent is looked at, so that the next one soon counts alone.
+    assert first.host in home.doubted
     # One time-out, and none for the next ones.
     begun = asyncio.get_running_loop().time()
     await asyncio.sleep(0.3)
