--- a/src/reedhook/connection/memberhome.py
+++ b/src/reedhook/connection/memberhome.py
@@ -17,7 +17,8 @@
     stalled,
     unanswered,
 )
-from .lanes import LONGEST_QUEUE, Lane, Lanes, Opened
+from .lane import Lane
+from .lanes import LONGEST_QUEUE, Lanes, Opened
 from .member import (
     Fault,
     MemberDriver,
--- a/src/reedhook/connection/opentransactions.py
+++ b/src/reedhook/connection/opentransactions.py
@@ -6,7 +6,8 @@
 from ..background import Background
 from ..decisions import Decisions
 from ..request.work import Work, WorkKind
-from .lanes import Lane, Lanes
+from .lane import Lane
+from .lanes import Lanes
 from .member import MemberReply, MemberSilent, Phrases, Query
 from .state import SessionState
 
--- a/src/reedhook/process/rates/allowances.py
+++ b/src/reedhook/process/rates/allowances.py
@@ -12,6 +12,7 @@
 from ...request.refusal import Reason, Refusal, not_run
 from ...version.workspace import Workspace
 from ...wire import WireError
+from .allowance import Allowance
 from .owner import PATH, Ask, Grant, RateOwner
 from .terms import RateTerms
 
@@ -24,10 +25,6 @@
 TRIES: Final = 2
 """Hosts in rank that are asked for one grant."""
 
-MEMORY: Final = 3.0
-"""Seconds over which the demand of a workspace is averaged; longer than most grants
-last, so that one operation is not taken for a stream of them."""
-
 BUSY: Final = 2.0
 """Operations expected in the life of a grant from which on the next one is asked
 for before it is needed."""
@@ -42,76 +39,6 @@
 MILLISECONDS: Final = 1000.0
 
 
-class Allowance:
-    """Keep what may be admitted of one workspace.
-
-    :ivar left: operations.
-    :ivar until: when they are void, by `Clock.elapsed`.
-    :ivar limited_until: until when nothing more is to be had.
-    :ivar unanswered: whether that is so since no host answers that counts.
-    :ivar demand: operations per second of late.
-    :ivar waiting: operations that wait for a grant.
-    :ivar owner: the host that granted last.
-    :ivar untold: operations that others have granted since, by host that has granted
-        some before.
-    :ivar asking: the question in progress.
-    """
-
-    __slots__ = (
-        "left",
-        "until",
-        "limited_until",
-        "unanswered",
-        "demand",
-        "seen_at",
-        "waiting",
-        "owner",
-        "untold",
-        "asking",
-    )
-
-    def __init__(self, now: float) -> None:
-        self.left = 0
-        self.until = now
-        self.limited_until = now
-        self.unanswered = False
-        self.demand = 0.0
-        self.seen_at = now
-        self.waiting = 0
-        self.owner = ""
-        self.untold: dict[str, int] = {}
-        self.asking: asyncio.Task[None] | None = None
-
-    def arrive(self, now: float) -> None:
-        """Take note of an operation."""
-        fading = math.exp((self.seen_at - now) / MEMORY)
-        self.demand = self.demand * fading + 1.0 / MEMORY
-        self.seen_at = now
-
-    def take(self, now: float) -> bool:
-        """Admit an operation; return whether one was left."""
-        if self.left < 1 or now > self.until:
-            return False
-        self.left -= 1
-        return True
-
-    def void(self, now: float) -> int:
-        """Return how many of those left are void now, which are given up."""
-        if now <= self.until:
-            return 0
-        unused, self.left = self.left, 0
-        return unused
-
-    def granted(self, owner: str, count: int, until: float) -> None:
-        """Take a portion over."""
-        self.left += count
-        self.until = until
-        self.owner = owner
-        for other in self.untold:
-            self.untold[other] += count
-        self.untold[owner] = 0
-
-
 class Allowances:
     """Admit operations at the homes of this host, each counted once.
 
@@ -190,21 +117,19 @@
 
     def limited(self, name: str, wait: float) -> Refusal:
         """Return the refusal of an operation beyond the rate."""
-        self.metrics.increment("rate_limited")
-        return not_run(
-            Reason.RATE_LIMITED,
-            f"the workspace {name} exceeds its rate",
-            max(RETRY_MS, math.ceil(wait * MILLISECONDS)),
-        )
+        detail = f"the workspace {name} exceeds its rate"
+        return self.refusal(Reason.RATE_LIMITED, detail, wait)
 
     def unknown(self, name: str, wait: float) -> Refusal:
         """Return the refusal of an operation that nobody counts."""
-        self.metrics.increment("rate_unknown")
-        return not_run(
-            Reason.RATE_UNKNOWN,
-            f"no host answers that counts the operations of {name}",
-            max(RETRY_MS, math.ceil(wait * MILLISECONDS)),
-        )
+        detail = f"no host answers that counts the operations of {name}"
+        return self.refusal(Reason.RATE_UNKNOWN, detail, wait)
+
+    def refusal(self, reason: Reason, detail: str, wait: float) -> Refusal:
+        """Return a refusal, with when to come back."""
+        self.metrics.increment(reason.value)
+        back = max(RETRY_MS, math.ceil(wait * MILLISECONDS))
+        return not_run(reason, detail, back)
 
     def expected(self, workspace: Workspace, allowance: Allowance) -> float:
         """Return the operations that are expected in the life of a grant."""
--- a/tests/test_workspace_connections.py
+++ b/tests/test_workspace_connections.py
@@ -10,7 +10,8 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from reedhook.connection.lanes import Lane, Lanes
+from reedhook.connection.lane import Lane
+from reedhook.connection.lanes import Lanes
 from reedhook.process.fleet.rendezvous import kept, share
 from reedhook.request.refusal import Refusal
 from reedhook_standins.database import DatabaseGroup
