--- a/src/reedhook/process/announced/news.py
+++ b/src/reedhook/process/announced/news.py
@@ -47,11 +47,11 @@
         self,
         announcements: Announcements,
         clock: Clock,
-        freshness: Freshness | None = None,
+        freshness: Freshness,
     ) -> None:
         self.announcements = announcements
         self.clock = clock
-        self.freshness = freshness or Freshness(announcements, clock)
+        self.freshness = freshness
 
     def register(self, routes: PeerRoutes) -> None:
         """Add the handler of this host."""
@@ -122,9 +122,9 @@
         clock: Clock,
         random: Random,
         decisions: Decisions,
-        freshness: Freshness | None = None,
+        freshness: Freshness,
     ) -> None:
-        self.freshness = freshness or Freshness(announcements, clock)
+        self.freshness = freshness
         self.me = me
         self.relays = relays
         self.peers = peers
--- a/src/reedhook/process/announced/watch.py
+++ b/src/reedhook/process/announced/watch.py
@@ -73,11 +73,9 @@
         source: Source,
         clock: Clock,
         random: Random,
-        freshness: Freshness | None = None,
-        hold: float = HOLD,
+        freshness: Freshness,
     ) -> None:
-        self.freshness = freshness or Freshness(announcements, clock)
-        self.longest_hold = hold
+        self.freshness = freshness
         self.keyspace = keyspace
         self.announcements = announcements
         self.source = source
@@ -152,4 +150,4 @@
 
     def hold(self) -> float:
         """Return for how long to hold a question."""
-        return self.longest_hold * self.random.uniform(SPREAD, 1.0)
+        return HOLD * self.random.uniform(SPREAD, 1.0)
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -7,6 +7,7 @@
 
 from reedhook.decisions import Decisions
 from reedhook.process.announced.announcements import Announcements
+from reedhook.process.announced.freshness import Freshness
 from reedhook.process.announced.keyspace import Item, Items
 from reedhook.process.announced.watch import MARGIN, Source, StoreWatch
 from reedhook.version.registry import TargetEntry
@@ -28,12 +29,14 @@
 @in_virtual_time
 async def test_questions_end_in_time_and_apart(seed: int) -> None:
     clock = LoopClock()
+    known = Announcements(PlainDocuments(), clock, Decisions("h1", clock, out=None))
     watch = StoreWatch(
         FakeStore().client("h1"),
-        Announcements(PlainDocuments(), clock, Decisions("h1", clock, out=None)),
+        known,
         Alone(),
         clock,
         Random(seed),
+        Freshness(known, clock),
     )
     holds = [watch.hold() for _ in range(ASKED)]
     # Of a question that ends without a word, a version is in force in time, and a
--- a/tests/thin_links.py
+++ b/tests/thin_links.py
@@ -16,6 +16,7 @@
 from reedhook.decisions import Decisions
 from reedhook.peer import HostRef, PeerError, PeerRoutes
 from reedhook.process.announced.announcements import Announcements
+from reedhook.process.announced.freshness import Freshness
 from reedhook.process.announced.keyspace import Items
 from reedhook.process.announced.news import NewsDesk, NewsSource
 from reedhook.process.announced.tables import TableDesk, TableSource
@@ -143,7 +144,8 @@
         self.in_force: dict[int, float] = {}
         self.announcements = Announcements(LongDocuments(), clock, decisions)
         self.announcements.on_table.append(self.put_in_force)
-        NewsDesk(self.announcements, clock).register(self.routes)
+        freshness = Freshness(self.announcements, clock)
+        NewsDesk(self.announcements, clock, freshness).register(self.routes)
         TableDesk(self.announcements, clock).register(self.routes)
         self.tables = TableSource(
             ref,
@@ -163,11 +165,12 @@
             clock,
             self.random,
             decisions,
+            freshness,
         )
         down = world.network.link(world.network.down, ref.host)
         keyspace = ThinKeyspace(world.store, ref.host, down)
         self.watch = StoreWatch(
-            keyspace, self.announcements, source, clock, self.random
+            keyspace, self.announcements, source, clock, self.random, freshness
         )
         self.routes.add("beat", self.answer_beat)
         self.routes.add("statement", self.answer_statement)
