Keys on the wire are UTF-8, as configurations state them; settings and readers of workspaces tested

Cause: a key with a letter beyond ASCII was denied: lines are read byte by byte as Latin-1, so that its digest differed from that of the text in the configuration.

--- a/src/reedhook/platform/entry.py
+++ b/src/reedhook/platform/entry.py
@@ -125,7 +125,7 @@
             return False
         self.serving = True
         try:
-            key = fields[2] if len(fields) > 2 else ""
+            key = read_key(fields[2]) if len(fields) > 2 else ""
             self.session = await self.callers.open(fields[1], key)
         except Refusal as refusal:
             self.write(encoded("ERROR", *worded(refusal)))
@@ -216,6 +216,11 @@
             self.server.close()
 
 
+def read_key(field: str) -> str:
+    """Return a key as configurations state it; bytes that are no text stay apart."""
+    return field.encode(ENCODING).decode("utf-8", "surrogateescape")
+
+
 def written(reply: SessionReply) -> bytes:
     """Return the bytes of an answer."""
     state = encoded(
--- a/tests/test_keys_on_the_wire.py
+++ b/tests/test_keys_on_the_wire.py
@@ -16,7 +16,7 @@
 
 KEY = "marked-key-4711"
 WRONG = "marked-wrong-4711"
-FARM = {"name": "farm", "keys": [KEY]}
+FARM = {"name": "farm", "keys": [KEY, "clé-4711"]}
 
 
 class Lines:
@@ -96,6 +96,18 @@
     with_host(test)
 
 
+def test_a_key_is_compared_by_its_bytes() -> None:
+    """Configurations hold text, the wire bytes: keys are UTF-8 on it."""
+
+    async def test(world: SessionWorld, host: SessionHost, connect: Connect) -> None:
+        key = "clé-4711".encode().decode("latin-1")
+        assert await (await connect()).ask(f"START tickets {key}") == ["READY I -"]
+        answer = await (await connect()).ask("START tickets clé-4711")
+        assert answer[0].startswith("ERROR DENIED ")
+
+    with_host(test)
+
+
 def test_no_key_is_in_anything_that_a_host_writes_or_serves() -> None:
     said: list[str] = []
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -15,6 +15,7 @@
     read_position,
     write_position,
 )
+from reedhook.process.rates.terms import DEFAULT_TERMS, RateTerms
 from reedhook.request.command import CommandKind
 from reedhook.request.position import Position
 from reedhook.version.registry import RouteKind, TargetEntry
@@ -251,6 +252,30 @@
         PlatformDocuments().read_table(orjson.dumps({**CONFIGURATION, name: value}))
 
 
+@given(JSON, st.sampled_from(["name", "api_keys", "rate_per_s", "burst", "priority"]))
+def test_no_workspace_brings_the_reader_down(value: object, name: str) -> None:
+    good = {"name": "farm", "api_keys": ["key"], "rate_per_s": 5, "burst": 5}
+    documents = PlatformDocuments()
+    for tenants in (value, [value, good], [{**good, name: value}]):
+        whole = orjson.dumps({**CONFIGURATION, "tenants": tenants})
+        with contextlib.suppress(WireError):
+            documents.read_table(documents.without_keys(whole))
+
+
+def test_bounds_of_keys_and_rates_are_read() -> None:
+    settings = read(SETTINGS)
+    assert settings.revoke is None
+    assert settings.rates == DEFAULT_TERMS
+    bounds = (
+        "bounds.strict_revoke=true\nbounds.revoke_ms=4000\n"
+        "bounds.quota_window_s=10\nbounds.quota_overshoot=0.2\nbounds.quota_slack=5\n"
+    )
+    settings = read(SETTINGS + bounds)
+    assert settings.revoke == 4.0
+    assert settings.rates == RateTerms(10.0, 0.2, 5.0)
+    assert read(SETTINGS + bounds.replace("true", "false")).revoke is None
+
+
 def test_settings_are_read_and_unknown_fields_ignored() -> None:
     settings = read(SETTINGS)
     assert settings.host == "front-vittoria-1"
@@ -268,6 +293,11 @@
         ("listen.front=10.1.0.8:8784", "listen.front=x:1", "line 6: listen.front: "),
         ("=7440,7455", "=7455,7440", "line 8: internal_ports is to be two ports"),
         ("grace_s=6", "grace_s=soon", "line 11: bounds.grace_s is to be a number"),
+        (
+            "grace_s=6",
+            "grace_s=6\nbounds.strict_revoke=true",
+            "the field bounds.revoke_ms is missing",
+        ),
     ],
 )
 def test_wrong_settings_are_told_with_their_line(
