One type for workspaces: Team, its credential and its rates become Workspace

Now version/workspace.py holds the one, with digests of keys; authentication looks a digest up in place of comparing with all. The section `teams` of base file and overlays is `workspaces`; the former name is read with a warning, both in one file are refused (tests).

Behaviour as before but for the look-up.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -63,7 +63,7 @@
         for group in range(service, members // 3, SERVICES):
             lines += [f"      group-{group}:", "        members:"]
             lines += [member_line(group, one) for one in range(3)]
-    lines += ["teams: {}", "limits: {queue: 64}", ""]
+    lines += ["workspaces: {}", "limits: {queue: 64}", ""]
     overlays = {f"zone-{n}": f"limits: {{queue: {n + 1}}}\n" for n in range(SITES)}
     return Documents("\n".join(lines), overlays)
 
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -41,7 +41,7 @@
 OTHER_ZONE: Final = "comiso"
 ZONES: Final = (ZONE, OTHER_ZONE)
 THROUGH: Final = ("pass-through", "home", "forwarding")
-TEAM: Final = "mix"
+WORKSPACE: Final = "mix"
 TIMEOUT_S: Final = 2.0
 KEY: Final = "digester"
 
@@ -191,7 +191,7 @@
     peers = free_addresses(2)
     home = start("home", serve_host, platform, ZONE, peers)
     other = start("forwarding", serve_host, platform, OTHER_ZONE, peers)
-    headers = {"Authorization": f"Bearer {credential(TEAM)}"}
+    headers = {"Authorization": f"Bearer {credential(WORKSPACE)}"}
     body = wire.encode(
         {
             "group": platform["group"],
@@ -261,8 +261,8 @@
         service["groups"] = {name: group}
         for member in group["members"].values():
             member["zone"] = ZONE
-    for team in deployment.base["teams"].values():
-        del team["rate"]
+    for workspace in deployment.base["workspaces"].values():
+        del workspace["rate"]
     deployment.overlays = {}
     return deployment
 
--- a/bench/share.py
+++ b/bench/share.py
@@ -136,8 +136,8 @@
         tally = Tally(world)
         make_plain = world.caller_of(History())
 
-        def make(caller: str, team: str) -> Caller:
-            plain = make_plain(caller, team)
+        def make(caller: str, workspace: str) -> Caller:
+            plain = make_plain(caller, workspace)
             observed = ObservedCaller(
                 plain.name,
                 plain.hosts,
--- a/src/reedhook/request/api.py
+++ b/src/reedhook/request/api.py
@@ -14,7 +14,8 @@
 from ..clock import Clock
 from ..metrics import Metrics
 from ..peer import HostRef
-from ..version.catalog import Catalog, Group, Team
+from ..version.catalog import Catalog, Group
+from ..version.workspace import Workspace
 from ..wire import Json, encode
 from .body import BEGIN, END, MAX_BODY, READ, STEP, WRITE, Body, Form, parse
 from .credential import authenticate, permit
@@ -22,7 +23,7 @@
 from .execution import Served
 from .handle import Handle, HandleCodec, unknown_transaction
 from .position import Position
-from .rate import TeamRates
+from .rate import WorkspaceRates
 from .refusal import Reason, Refusal, may_have_run, not_run
 from .router import Router
 from .statement import Consistency, Kind, Statement
@@ -52,18 +53,18 @@
     :ivar kind: what it does.
     """
 
-    __slots__ = ("team", "catalog", "group", "token", "text", "kind", "sent")
+    __slots__ = ("workspace", "catalog", "group", "token", "text", "kind", "sent")
 
     def __init__(
         self,
-        team: Team,
+        workspace: Workspace,
         catalog: Catalog,
         group: Group,
         token: SessionToken,
         text: str | None,
         kind: Kind,
     ) -> None:
-        self.team = team
+        self.workspace = workspace
         self.catalog = catalog
         self.group = group
         self.token = token
@@ -124,7 +125,7 @@
         self.dispatch = dispatch
         self.tokens = TokenCodec(secrets)
         self.handles = HandleCodec(secrets)
-        self.rates = TeamRates()
+        self.rates = WorkspaceRates()
         self.clock = clock
         self.metrics = metrics
         self.max_body = max_body
@@ -143,14 +144,14 @@
         """Answer ``POST /v1/write``."""
         body, ask = await self.opened(request, WRITE, Kind.WRITE)
         statement = self.statement(ask, body)
-        statement.request_id = self.request_id(ask.team, body)
+        statement.request_id = self.request_id(ask.workspace, body)
         return self.answer(ask, await self.run(ask, statement, True))
 
     async def begin(self, request: web.BaseRequest) -> web.Response:
         """Answer ``POST /v1/transactions``."""
         body, ask = await self.opened(request, BEGIN, Kind.BEGIN)
         statement = self.statement(ask, body)
-        statement.request_id = self.request_id(ask.team, body)
+        statement.request_id = self.request_id(ask.workspace, body)
         served = await self.run(ask, statement, True)
         return self.answer(ask, served, self.new_handle(ask, statement, served))
 
@@ -189,23 +190,23 @@
         """
         if self.draining:
             raise not_run(Reason.DRAINING, "this host is leaving", DRAIN_RETRY_MS)
-        catalog, team = self.admitted(request)
+        catalog, workspace = self.admitted(request)
         body = parse(form, await read_body(request, self.max_body))
-        group = group_of(body, catalog, team)
-        return body, self.ask(request, team, catalog, group, body, kind)
+        group = group_of(body, catalog, workspace)
+        return body, self.ask(request, workspace, catalog, group, body, kind)
 
     async def continued(
         self, request: web.BaseRequest, form: Form, kind: Kind
     ) -> web.Response:
         """Run a statement of an open transaction at the host that holds it."""
-        catalog, team = self.admitted(request)
+        catalog, workspace = self.admitted(request)
         body = parse(form, await read_body(request, self.max_body))
-        handle = self.handles.decode(request[TRANSACTION], team.name)
+        handle = self.handles.decode(request[TRANSACTION], workspace.name)
         group = catalog.groups.get(handle.group)
         if group is None:
             raise unknown_transaction()
-        permit(team, group)
-        ask = self.ask(request, team, catalog, group, body, kind)
+        permit(workspace, group)
+        ask = self.ask(request, workspace, catalog, group, body, kind)
         statement = self.statement(ask, body)
         statement.transaction = handle.transaction
         ask.sent = True
@@ -226,8 +227,8 @@
                 raise may_have_run(refusal.reason, refusal.detail) from refusal
             raise
 
-    def admitted(self, request: web.BaseRequest) -> tuple[Catalog, Team]:
-        """Return the configuration and the team that sent a request.
+    def admitted(self, request: web.BaseRequest) -> tuple[Catalog, Workspace]:
+        """Return the configuration and the workspace that sent a request.
 
         :raises Refusal: if it is not to be served; nothing was run.
         """
@@ -238,14 +239,14 @@
                 "no configuration is in force yet",
                 START_RETRY_MS,
             )
-        team = authenticate(request.headers.get("Authorization"), catalog)
-        self.rates.admit(team, self.clock.monotonic())
-        return catalog, team
+        workspace = authenticate(request.headers.get("Authorization"), catalog)
+        self.rates.admit(workspace, self.clock.monotonic())
+        return catalog, workspace
 
     def ask(
         self,
         request: web.BaseRequest,
-        team: Team,
+        workspace: Workspace,
         catalog: Catalog,
         group: Group,
         body: Body,
@@ -253,10 +254,10 @@
     ) -> Ask:
         """Return the request as it is answered, with its session token."""
         if body.token is None:
-            token = SessionToken(team.name, group.service)
+            token = SessionToken(workspace.name, group.service)
         else:
-            token = self.tokens.decode(body.token, team.name, group.service)
-        ask = Ask(team, catalog, group, token, body.token, kind)
+            token = self.tokens.decode(body.token, workspace.name, group.service)
+        ask = Ask(workspace, catalog, group, token, body.token, kind)
         request[ASK] = ask
         return ask
 
@@ -266,11 +267,11 @@
         return Statement(
             kind=ask.kind,
             group=ask.group.name,
-            caller=ask.team.name,
+            caller=ask.workspace.name,
             sql=body.sql,
             params=body.params,
             remaining=deadline_ms / 1000.0,
-            priority=ask.team.priority,
+            priority=ask.workspace.priority,
             covers=ask.token.positions.get(ask.group.name),
         )
 
@@ -279,10 +280,10 @@
         ask.sent = True
         return await self.router.run(ask.group, statement, repeatable)
 
-    def request_id(self, team: Team, body: Body) -> str | None:
+    def request_id(self, workspace: Workspace, body: Body) -> str | None:
         """Return the request id as targets record it.
 
-        It is made of the caller's id and the team, so that no team can reach
+        It is made of the caller's id and the workspace, so that no workspace can reach
         another's effect by a guessed id.
 
         :raises Refusal: if it was issued too far in the future.
@@ -295,7 +296,7 @@
             raise not_run(
                 Reason.BAD_REQUEST, "request_id was issued too far in the future"
             )
-        scoped = blake2b(f"{team.name}\0{given}".encode(), digest_size=ID_SIZE)
+        scoped = blake2b(f"{workspace.name}\0{given}".encode(), digest_size=ID_SIZE)
         return f"{issued}-{scoped.hexdigest()}"
 
     def new_handle(self, ask: Ask, statement: Statement, served: Served) -> str | None:
@@ -309,7 +310,7 @@
         assert served.host is not None
         return self.handles.encode(
             Handle(
-                ask.team.name,
+                ask.workspace.name,
                 ask.group.name,
                 served.answer.target,
                 served.host,
@@ -428,24 +429,24 @@
     return not_run(Reason.TOO_LARGE, f"a body may hold at most {limit} bytes")
 
 
-def group_of(body: Body, catalog: Catalog, team: Team) -> Group:
+def group_of(body: Body, catalog: Catalog, workspace: Workspace) -> Group:
     """Return the group that a request names, by name or by service and key.
 
-    :raises Refusal: if there is none, or the team may not use it.
+    :raises Refusal: if there is none, or the workspace may not use it.
     """
     name = body.group
     if name is None:
         assert body.service is not None and body.key is not None
-        if body.service not in team.services:
+        if not workspace.may_use(body.service):
             raise not_run(
                 Reason.FORBIDDEN,
-                f"the team {team.name} may not use the service {body.service}",
+                f"the workspace {workspace.name} may not use {body.service}",
             )
         name = group_of_key(catalog, body.service, body.key)
     group = catalog.groups.get(name)
     if group is None:
         raise not_run(Reason.UNKNOWN_GROUP, f"the group {name} is not known")
-    permit(team, group)
+    permit(workspace, group)
     return group
 
 
--- a/src/reedhook/request/credential.py
+++ b/src/reedhook/request/credential.py
@@ -1,29 +1,25 @@
-"""Authentication of callers by their team's credential."""
+"""Authentication of callers by their workspace's credential."""
 
 import hashlib
-import hmac
 from typing import Final
 
-from ..version.catalog import Catalog, Group, Team
+from ..version.catalog import Catalog, Group
+from ..version.workspace import Workspace
 from .refusal import Reason, not_run
 
 SCHEME: Final = "bearer"
 MAX_CREDENTIAL: Final = 1024
 
 
-def authenticate(header: str | None, catalog: Catalog) -> Team:
-    """Return the team that the header ``Authorization`` proves.
+def authenticate(header: str | None, catalog: Catalog) -> Workspace:
+    """Return the workspace that the header ``Authorization`` proves.
 
-    All teams are compared, each in constant time, so that the time taken
-    tells nothing about their credentials.
+    Digests are looked up: how alike two are tells nothing about their credentials.
 
     :raises Refusal: ``unauthenticated`` if it proves none.
     """
     digest = hashlib.sha256(bearer(header)).hexdigest()
-    found = None
-    for team in catalog.teams.values():
-        if hmac.compare_digest(team.token_sha256, digest):
-            found = team
+    found = catalog.workspaces.holder(digest)
     if found is None:
         raise not_run(Reason.UNAUTHENTICATED, "the credential is not known")
     return found
@@ -45,13 +41,13 @@
     return credential.encode("utf-8", "surrogateescape")
 
 
-def permit(team: Team, group: Group) -> None:
-    """Let a team reach the groups of its own services only.
+def permit(workspace: Workspace, group: Group) -> None:
+    """Let a workspace reach the groups of its own services only.
 
     :raises Refusal: ``forbidden``.
     """
-    if group.service not in team.services:
+    if not workspace.may_use(group.service):
         raise not_run(
             Reason.FORBIDDEN,
-            f"the team {team.name} may not use the service {group.service}",
+            f"the workspace {workspace.name} may not use the service {group.service}",
         )
--- a/src/reedhook/request/handle.py
+++ b/src/reedhook/request/handle.py
@@ -17,17 +17,17 @@
 class Handle(Record):
     """Name a transaction and the host that holds its connection.
 
-    :param team: the team that began it; only this team can use the handle.
+    :param workspace: the one that began it, and that alone can use the handle.
     :param member: the target on which it runs.
     :param transaction: its id at the home.
     """
 
-    __slots__ = ("team", "group", "member", "host", "transaction")
+    __slots__ = ("workspace", "group", "member", "host", "transaction")
 
     def __init__(
-        self, team: str, group: str, member: str, host: HostRef, transaction: str
+        self, workspace: str, group: str, member: str, host: HostRef, transaction: str
     ) -> None:
-        self.team = team
+        self.workspace = workspace
         self.group = group
         self.member = member
         self.host = host
@@ -50,26 +50,26 @@
         payload = orjson.dumps(
             [handle.group, handle.member, handle.host.to_json(), handle.transaction]
         )
-        body = code(self.secrets[0], handle.team, payload) + payload
+        body = code(self.secrets[0], handle.workspace, payload) + payload
         return urlsafe_b64encode(body).rstrip(b"=").decode()
 
-    def decode(self, text: str, team: str) -> Handle:
-        """Read a handle that `team` presents.
+    def decode(self, text: str, workspace: str) -> Handle:
+        """Read a handle that `workspace` presents.
 
         :raises Refusal: ``unknown_transaction`` if it is not one of its own.
         """
         body = unpacked(text)
         given, payload = body[:MAC_SIZE], body[MAC_SIZE:]
-        codes = [code(secret, team, payload) for secret in self.secrets]
+        codes = [code(secret, workspace, payload) for secret in self.secrets]
         if not any(hmac.compare_digest(one, given) for one in codes):
             raise unknown_transaction()
         group, member, host, transaction = orjson.loads(payload)
-        return Handle(team, group, member, HostRef.from_json(host), transaction)
+        return Handle(workspace, group, member, HostRef.from_json(host), transaction)
 
 
-def code(secret: bytes, team: str, payload: bytes) -> bytes:
-    """Return the authentication code of a handle of `team`."""
-    owner = team.encode()
+def code(secret: bytes, workspace: str, payload: bytes) -> bytes:
+    """Return the authentication code of a handle of `workspace`."""
+    owner = workspace.encode()
     size = len(owner).to_bytes(2, "big")
     signed = b"transaction" + size + owner + payload
     return hmac.digest(secret, signed, "sha256")[:MAC_SIZE]
@@ -87,5 +87,5 @@
 
 
 def unknown_transaction() -> Refusal:
-    """Return the refusal of a handle that names no transaction of the team."""
+    """Return the refusal of a handle that names no transaction of the workspace."""
     return not_run(Reason.UNKNOWN_TRANSACTION, "the transaction is not known")
--- a/src/reedhook/request/rate.py
+++ b/src/reedhook/request/rate.py
@@ -1,12 +1,11 @@
-"""Token buckets: the rate of each team, and budgets of retries and hedges."""
+"""Token buckets: the rate of each workspace, and budgets of retries and hedges."""
 
 import math
 from typing import Final
 
-from ..version.catalog import Team
+from ..version.workspace import Workspace
 from .refusal import Reason, not_run
 
-BURST_SECONDS: Final = 1.0
 MIN_BURST: Final = 1.0
 
 
@@ -87,30 +86,32 @@
         return True
 
 
-class TeamRates:
-    """Hold each team to its rate on this host."""
+class WorkspaceRates:
+    """Hold each workspace to its rate on this host."""
 
     __slots__ = ("buckets",)
 
     def __init__(self) -> None:
         self.buckets: dict[str, TokenBucket] = {}
 
-    def admit(self, team: Team, now: float) -> None:
-        """Admit one request of `team`.
+    def admit(self, workspace: Workspace, now: float) -> None:
+        """Admit one request of `workspace`.
 
         :raises Refusal: ``rate_limited``, with the time to come back.
         """
-        if team.rate is None:
+        if workspace.rate is None:
             return
-        bucket = self.buckets.get(team.name)
-        if bucket is None or bucket.rate != team.rate:
-            burst = max(MIN_BURST, team.rate * BURST_SECONDS)
-            bucket = self.buckets[team.name] = TokenBucket(team.rate, burst, now)
+        bucket = self.buckets.get(workspace.name)
+        if bucket is None or bucket.rate != workspace.rate:
+            burst = max(MIN_BURST, workspace.burst)
+            bucket = TokenBucket(workspace.rate, burst, now)
+            self.buckets[workspace.name] = bucket
         if bucket.take(now):
             return
         retry_after_ms = int(bucket.wait() * 1000) + 1
         raise not_run(
             Reason.RATE_LIMITED,
-            f"the team {team.name} exceeds its rate of {team.rate:g} a second",
+            f"the workspace {workspace.name} exceeds its rate of "
+            f"{workspace.rate:g} a second",
             retry_after_ms,
         )
--- a/src/reedhook/request/token.py
+++ b/src/reedhook/request/token.py
@@ -33,17 +33,17 @@
 class SessionToken(Record):
     """Carry for each group the position that the session must not miss.
 
-    :param team: the team whose session it is.
+    :param workspace: the workspace whose session it is.
     :param service: the service that the groups belong to.
     :param positions: the positions by group.
     """
 
-    __slots__ = ("team", "service", "positions")
+    __slots__ = ("workspace", "service", "positions")
 
     def __init__(
-        self, team: str, service: str, positions: dict[str, Position] | None = None
+        self, workspace: str, service: str, positions: dict[str, Position] | None = None
     ) -> None:
-        self.team = team
+        self.workspace = workspace
         self.service = service
         self.positions = positions or {}
 
@@ -65,14 +65,14 @@
         positions = {**self.positions, group: position}
         if len(positions) > MAX_GROUPS:
             raise token_invalid("the token names too many groups")
-        return SessionToken(self.team, self.service, positions)
+        return SessionToken(self.workspace, self.service, positions)
 
     def merged(self, other: "SessionToken") -> "SessionToken":
         """Return a token that demands what either token demands.
 
         :raises Refusal: if the scopes differ, or for too many groups.
         """
-        if (self.team, self.service) != (other.team, other.service):
+        if (self.workspace, self.service) != (other.workspace, other.service):
             raise token_invalid("tokens of different scopes cannot be merged")
         merged = self
         for group, position in other.positions.items():
@@ -100,14 +100,14 @@
             group: (position.term, position.index)
             for group, position in token.positions.items()
         }
-        payload = orjson.dumps([token.team, token.service, positions])
+        payload = orjson.dumps([token.workspace, token.service, positions])
         head = bytes([FORMAT]) + len(payload).to_bytes(2, "big")
         signed = head + payload
         body = signed + mac(self.keyed[0], signed)
         return packed(body)
 
-    def decode(self, text: str, team: str, service: str) -> SessionToken:
-        """Read a token of `team` for `service`.
+    def decode(self, text: str, workspace: str, service: str) -> SessionToken:
+        """Read a token of `workspace` for `service`.
 
         :raises Refusal: ``token_invalid``, with the cause as its detail.
         """
@@ -115,8 +115,8 @@
         if text[-1] not in LAST[len(text) % 4]:
             raise token_invalid("the token is malformed: not base64url")
         owner, scope, positions = orjson.loads(signed[HEADER_SIZE:])
-        if owner != team:
-            raise token_invalid("the token belongs to another team")
+        if owner != workspace:
+            raise token_invalid("the token belongs to another workspace")
         if scope != service:
             raise token_invalid("the token is for another service")
         return SessionToken(
--- a/src/reedhook/version/catalog.py
+++ b/src/reedhook/version/catalog.py
@@ -1,6 +1,7 @@
 """The configuration in force at one site, as typed objects."""
 
 from ..record import Record
+from .workspace import Workspaces
 
 
 class Member(Record):
@@ -49,32 +50,6 @@
         return len(self.members) // 2 + 1
 
 
-class Team(Record):
-    """Describe a caller's team.
-
-    :param services: names of the services its callers may use.
-    :param token_sha256: hex digest of the team's credential.
-    :param priority: the class of its work; lower runs first.
-    :param rate: statements per second that one host admits; None for no limit.
-    """
-
-    __slots__ = ("name", "services", "token_sha256", "priority", "rate")
-
-    def __init__(
-        self,
-        name: str,
-        services: frozenset[str],
-        token_sha256: str,
-        priority: int,
-        rate: float | None,
-    ) -> None:
-        self.name = name
-        self.services = services
-        self.token_sha256 = token_sha256
-        self.priority = priority
-        self.rate = rate
-
-
 class Limits(Record):
     """Carry the limits that a site sets.
 
@@ -115,20 +90,20 @@
     :param site: the availability zone that it holds for.
     """
 
-    __slots__ = ("version", "site", "groups", "teams", "limits")
+    __slots__ = ("version", "site", "groups", "workspaces", "limits")
 
     def __init__(
         self,
         version: int,
         site: str,
         groups: dict[str, Group],
-        teams: dict[str, Team],
+        workspaces: Workspaces,
         limits: Limits,
     ) -> None:
         self.version = version
         self.site = site
         self.groups = groups
-        self.teams = teams
+        self.workspaces = workspaces
         self.limits = limits
 
     def member(self, member: str) -> tuple[Group, Member] | None:
--- a/src/reedhook/version/check.py
+++ b/src/reedhook/version/check.py
@@ -7,7 +7,7 @@
 
 from ..record import Record
 from ..wire import Json
-from .catalog import Catalog, Group, Limits, Member, Team
+from .catalog import Catalog, Group, Limits, Member
 from .document import BASE_FILE, Documents, Parsed, overlay_file, parse
 from .fault import (
     DisagreementFault,
@@ -20,8 +20,9 @@
 )
 from .merge import Merged, merge_site
 from .schema import NAME_PATTERN, violations
+from .workspace import Workspace, Workspaces
 
-EMPTY_SECTIONS: Final[Json] = {"services": {}, "teams": {}, "limits": {}}
+EMPTY_SECTIONS: Final[Json] = {"services": {}, "workspaces": {}, "limits": {}}
 DEFAULT_PRIORITY: Final = 1
 MAX_PORT: Final = 65535
 
@@ -61,13 +62,13 @@
     broken = check_schema(alone, {}, unread, faults)
     if "services" not in broken:
         faults += service_faults(alone, set(documents.overlays))
-    check_teams(alone, broken, faults)
+    check_workspaces(alone, broken, faults)
     sites: dict[str, Merged] = {}
     for site, overlay in overlays.items():
         merged = sites[site] = merge_site(site, base, overlay)
         faults += disagreements(base, overlay)
         broken_here = check_schema(merged, base.content, unread, faults)
-        check_teams(merged, broken | broken_here, faults)
+        check_workspaces(merged, broken | broken_here, faults)
     refuse(faults)
     return Checked(alone, sites)
 
@@ -90,10 +91,10 @@
     return broken
 
 
-def check_teams(merged: Merged, broken: set[str], faults: list[Fault]) -> None:
-    """Append what is wrong with the teams, if they and the services are sound."""
-    if broken.isdisjoint(("services", "teams")):
-        faults += team_faults(merged)
+def check_workspaces(merged: Merged, broken: set[str], faults: list[Fault]) -> None:
+    """Append what is wrong with the workspaces, if they and the services are sound."""
+    if broken.isdisjoint(("services", "workspaces")):
+        faults += workspace_faults(merged)
 
 
 def parse_overlays(
@@ -191,17 +192,17 @@
             yield ReferenceFault(mark, (), "the site's name is not a name")
 
 
-def team_faults(merged: Merged) -> Iterator[Fault]:
-    """Yield what is wrong with the teams of one site."""
+def workspace_faults(merged: Merged) -> Iterator[Fault]:
+    """Yield what is wrong with the workspaces of one site."""
     owners = Owners(merged)
-    for name, team in merged.content["teams"].items():
-        path: Path = ("teams", name)
-        for index, service in enumerate(team["services"]):
+    for name, workspace in merged.content["workspaces"].items():
+        path: Path = ("workspaces", name)
+        for index, service in enumerate(workspace["services"]):
             if service not in merged.content["services"]:
                 reason = f"there is no service {service!r}"
                 yield fault_at(merged, (*path, "services", str(index)), reason)
         place = (*path, "token_sha256")
-        yield from owners.claim("credential", team["token_sha256"], place)
+        yield from owners.claim("credential", workspace["token_sha256"], place)
 
 
 def fault_at(merged: Merged, path: Path, reason: str) -> Fault:
@@ -249,9 +250,11 @@
         for name, service in values["services"].items()
         for group in service["groups"]
     }
-    teams = {name: build_team(name, team) for name, team in values["teams"].items()}
+    workspaces = Workspaces(
+        build_workspace(name, one) for name, one in values["workspaces"].items()
+    )
     limits = {name: int(value) for name, value in values.get("limits", {}).items()}
-    return Catalog(version, site, groups, teams, Limits(**limits))
+    return Catalog(version, site, groups, workspaces, Limits(**limits))
 
 
 def build_group(group: str, name: str, service: Json) -> Group:
@@ -265,12 +268,14 @@
     )
 
 
-def build_team(name: str, team: Json) -> Team:
-    """Return a team."""
-    return Team(
+def build_workspace(name: str, workspace: Json) -> Workspace:
+    """Return a workspace; it has one key, its credential."""
+    rate = workspace.get("rate")
+    return Workspace(
         name,
-        frozenset(team["services"]),
-        team["token_sha256"],
-        int(team.get("priority", DEFAULT_PRIORITY)),
-        team.get("rate"),
+        frozenset([workspace["token_sha256"]]),
+        int(workspace.get("priority", DEFAULT_PRIORITY)),
+        rate,
+        rate or 0.0,
+        frozenset(workspace["services"]),
     )
--- a/src/reedhook/version/document.py
+++ b/src/reedhook/version/document.py
@@ -3,6 +3,7 @@
 import math
 from typing import Any, Final
 
+import logbook
 import yaml
 
 from ..record import Record
@@ -16,6 +17,9 @@
 TAG: Final = "tag:yaml.org,2002:"
 NUMBER_TAGS: Final = {f"{TAG}{name}" for name in ("int", "float", "bool", "null")}
 UNACCEPTED: Final = object()
+FORMER_KEYS: Final = {"teams": "workspaces"}
+
+log = logbook.Logger("configuration")
 
 
 class Documents(Record):
@@ -155,6 +159,8 @@
             key = self.key(key_node, path)
             if key is None:
                 continue
+            if not path and key in FORMER_KEYS:
+                key = self.present_name(key)
             place = (*path, key)
             line = key_node.start_mark.line + 1
             if key in values:
@@ -166,6 +172,12 @@
             values[key] = self.value(value_node, place)
         return values
 
+    def present_name(self, key: str) -> str:
+        """Return what a section is called now; its former name is still read."""
+        name = FORMER_KEYS[key]
+        log.warning("{} states {}, which is called {} now.", self.parsed.file, key, name)
+        return name
+
     def key(self, node: yaml.Node, path: Path) -> str | None:
         """Return a key, or None if it is not a text."""
         if isinstance(node, yaml.ScalarNode):
--- a/src/reedhook/version/schema.py
+++ b/src/reedhook/version/schema.py
@@ -56,7 +56,7 @@
     },
     ["slots", "connections", "groups"],
 )
-TEAM: Final = closed(
+WORKSPACE: Final = closed(
     {
         "services": {"type": "array", "items": NAME, "uniqueItems": True},
         "token_sha256": {
@@ -80,8 +80,8 @@
     [],
 )
 SCHEMA: Final = closed(
-    {"services": named(SERVICE), "teams": named(TEAM), "limits": LIMITS},
-    ["services", "teams"],
+    {"services": named(SERVICE), "workspaces": named(WORKSPACE), "limits": LIMITS},
+    ["services", "workspaces"],
 )
 VALIDATOR: Final = Draft202012Validator(SCHEMA)
 
--- a/src/reedhook/version/workspace.py
+++ b/src/reedhook/version/workspace.py
@@ -19,12 +19,13 @@
 
     :param digests: of its callers' keys, as `key_digest` makes them.
     :param priority: 0 runs first.
-    :param rate: operations per second that it may run at all hosts together; None
-        for no limit.
+    :param rate: operations per second that it may run, on the platform at all hosts
+        together, elsewhere at each; None for no limit.
     :param burst: operations that it may run at once beyond the rate.
+    :param services: names of those that its callers may use; None for all.
     """
 
-    __slots__ = ("name", "digests", "priority", "rate", "burst")
+    __slots__ = ("name", "digests", "priority", "rate", "burst", "services")
 
     def __init__(
         self,
@@ -33,13 +34,19 @@
         priority: int,
         rate: float | None,
         burst: float,
+        services: frozenset[str] | None = None,
     ) -> None:
+        self.services = services
         self.name = name
         self.digests = digests
         self.priority = priority
         self.rate = rate
         self.burst = burst
 
+    def may_use(self, service: str) -> bool:
+        """Say whether its callers may use a service."""
+        return self.services is None or service in self.services
+
 
 class Workspaces:
     """Find workspaces by name, and by the digest of a caller's key.
@@ -70,6 +77,9 @@
     def __hash__(self) -> int:
         return hash(frozenset(self.by_name))
 
+    def __repr__(self) -> str:
+        return f"Workspaces({list(self.by_name.values())!r})"
+
     def add(self, workspace: Workspace) -> None:
         """Add a workspace; what stands twice under a name is one, the last."""
         self.by_name[workspace.name] = workspace
--- a/src/reedhook_standins/caller.py
+++ b/src/reedhook_standins/caller.py
@@ -131,7 +131,7 @@
 
     :param name: names the session.
     :param hosts: ``IP:port`` of the entry hosts that the caller knows.
-    :param credential: the credential of the caller's team.
+    :param credential: the credential of the caller's workspace.
     :param delay: one-way delay to the entry hosts, in seconds.
     """
 
--- a/src/reedhook_standins/deployment.py
+++ b/src/reedhook_standins/deployment.py
@@ -84,12 +84,12 @@
         places = [zones[number % len(zones)] for number in range(count)]
         return {f"{zone}-{number}": zone for number, zone in enumerate(places, 1)}
 
-    def zones_of(self, team: str) -> list[str]:
-        """Return the zones whose overlay lets `team` use a service."""
+    def zones_of(self, workspace: str) -> list[str]:
+        """Return the zones whose overlay lets `workspace` use a service."""
         closed = {
             zone
             for zone, overlay in self.overlays.items()
-            if overlay.get("teams", {}).get(team, {}).get("services") == []
+            if overlay.get("workspaces", {}).get(workspace, {}).get("services") == []
         }
         return [zone for zone in self.zones if zone not in closed]
 
@@ -99,9 +99,9 @@
             for group in service["groups"].values():
                 for member, one in group["members"].items():
                     one["address"] = addresses[member]
-        for name, team in self.base["teams"].items():
+        for name, workspace in self.base["workspaces"].items():
             digest = sha256(credential(name).encode())
-            team["token_sha256"] = digest.hexdigest()
+            workspace["token_sha256"] = digest.hexdigest()
 
     def base_text(self) -> str:
         """Return the base file's text."""
@@ -121,6 +121,6 @@
     return document
 
 
-def credential(team: str) -> str:
-    """Return the credential of a team in the stand-in world."""
-    return f"credential-of-team-{team}"
+def credential(workspace: str) -> str:
+    """Return the credential of a workspace in the stand-in world."""
+    return f"credential-of-team-{workspace}"
--- a/src/reedhook_standins/workload.py
+++ b/src/reedhook_standins/workload.py
@@ -85,9 +85,9 @@
     """Run the callers of one deployment until told to stop.
 
     :param groups: the names of the database groups.
-    :param make_caller: makes a caller of a name and its team's name.
+    :param make_caller: makes a caller of a name and its workspace's name.
     :cvar tables: the tables of the deployment.
-    :cvar writers: the team that creates them.
+    :cvar writers: the workspace that creates them.
     :ivar gave_up: what callers said when they gave up.
     """
 
--- a/src/reedhook_standins/world.py
+++ b/src/reedhook_standins/world.py
@@ -277,11 +277,11 @@
         assert self.http is not None
         http = self.http
 
-        def make(name: str, team: str) -> Caller:
+        def make(name: str, workspace: str) -> Caller:
             return Caller(
                 name,
-                self.addresses(team),
-                credential(team),
+                self.addresses(workspace),
+                credential(workspace),
                 http,
                 history,
                 self.clock,
@@ -291,9 +291,9 @@
 
         return make
 
-    def addresses(self, team: str) -> list[str]:
-        """Return where the callers of a team reach the hosts that serve it."""
-        zones = self.deployment.zones_of(team)
+    def addresses(self, workspace: str) -> list[str]:
+        """Return where the callers of a workspace reach the hosts that serve it."""
+        zones = self.deployment.zones_of(workspace)
         return [one.listen for one in self.settings.values() if one.zone in zones]
 
 
--- a/tests/admin_fakes.py
+++ b/tests/admin_fakes.py
@@ -17,6 +17,7 @@
 from reedhook.request.position import Position
 from reedhook.request.view import GroupView, MemberView
 from reedhook.version.catalog import Catalog, Group, Limits, Member
+from reedhook.version.workspace import Workspaces
 from reedhook.wire import Json, decode, encode
 
 from .timeline_fakes import START_MS, HandClock
@@ -51,7 +52,7 @@
         self.draining = False
         self.kept = MemoryMetrics()
         self.known: Catalog | None = Catalog(
-            7, me.zone, {"feedlog-1": a_group()}, {}, Limits()
+            7, me.zone, {"feedlog-1": a_group()}, Workspaces(), Limits()
         )
 
     def now(self) -> float:
--- a/tests/cluster_group.py
+++ b/tests/cluster_group.py
@@ -22,6 +22,7 @@
 from reedhook.request.refusal import Reason, Refusal, not_run
 from reedhook.request.statement import Consistency, Kind, Statement
 from reedhook.version.catalog import Catalog, Group, Limits, Member
+from reedhook.version.workspace import Workspaces
 
 from .fakes_group import FakeFactory, FakeGroup, FakeHome, wait_for
 from .fakes_peers import FakeNetwork
@@ -138,7 +139,7 @@
         self.truth = FakeGroup(NAMES, delay)
         members = tuple(Member(name, ZONES[name], "127.0.0.1:1") for name in NAMES)
         self.group = Group("g", "feedlog-db", members, 2, 15)
-        self.catalog = Catalog(1, "comiso", {"g": self.group}, {}, Limits())
+        self.catalog = Catalog(1, "comiso", {"g": self.group}, Workspaces(), Limits())
         self.gone: set[str] = set()
         self.subscribers: list[Callable[[], None]] = []
         self.hosts: dict[str, ClusterHost] = {}
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -37,7 +37,7 @@
       feedlog-1:
         members:
           feedlog-1-a: {zone: vittoria, address: "127.0.0.1:17101"}
-teams: {}
+workspaces: {}
 """
 
 
--- a/tests/fakes_homes.py
+++ b/tests/fakes_homes.py
@@ -8,6 +8,7 @@
 from reedhook.request.refusal import Reason, Refusal, not_run
 from reedhook.request.statement import Statement
 from reedhook.version.catalog import Catalog, Group, Limits, Member
+from reedhook.version.workspace import Workspaces
 
 from .fakes_hosts import FakeHosts
 
@@ -170,4 +171,4 @@
             for index, zone in enumerate(zones)
         )
         made[name] = Group(name, "service", members, 2, CONNECTIONS)
-    return Catalog(version, "a", made, {}, Limits(drain_s=GRACE))
+    return Catalog(version, "a", made, Workspaces(), Limits(drain_s=GRACE))
--- a/tests/fakes_request.py
+++ b/tests/fakes_request.py
@@ -24,7 +24,8 @@
 from reedhook.request.statement import Answer, Consistency, Kind, Statement
 from reedhook.request.view import GroupView, MemberView
 from reedhook.request.views import Views
-from reedhook.version.catalog import Catalog, Group, Limits, Member, Team
+from reedhook.version.catalog import Catalog, Group, Limits, Member
+from reedhook.version.workspace import Workspace, Workspaces
 from reedhook.wire import Json
 
 from .fakes_peers import FakeNetwork
@@ -46,22 +47,22 @@
     return Group(name, service, members, slots=2, connections=15)
 
 
-def make_catalog(groups: list[Group], teams: list[Team]) -> Catalog:
-    """Return a configuration of `groups` and `teams`."""
+def make_catalog(groups: list[Group], workspaces: list[Workspace]) -> Catalog:
+    """Return a configuration of `groups` and `workspaces`."""
     return Catalog(
         1,
         "z1",
         {one.name: one for one in groups},
-        {one.name: one for one in teams},
+        Workspaces(workspaces),
         Limits(),
     )
 
 
-def make_team(
+def make_workspace(
     name: str, digest: str, services: frozenset[str], rate: float | None = None
-) -> Team:
-    """Return a team whose credential has the SHA-256 hex digest `digest`."""
-    return Team(name, services, digest, priority=1, rate=rate)
+) -> Workspace:
+    """Return a workspace whose credential has the SHA-256 hex digest `digest`."""
+    return Workspace(name, frozenset([digest]), 1, rate, rate or 0.0, services)
 
 
 class FakeDirectory(Directory):
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -31,7 +31,7 @@
     join_hosts,
     make_catalog,
     make_group,
-    make_team,
+    make_workspace,
 )
 from .support import on_loop, run, using
 
@@ -57,8 +57,8 @@
         self.catalog: Catalog | None = make_catalog(
             [self.group, make_group("d1", "dispatch-core")],
             [
-                make_team("gate", digest, services),
-                make_team("desk", other, services, rate=2.0),
+                make_workspace("gate", digest, services),
+                make_workspace("desk", other, services, rate=2.0),
             ],
         )
         self.clock = SystemClock()
@@ -149,7 +149,7 @@
 
 
 @using(serving)
-async def test_request_ids_of_two_teams_never_meet(bench: Bench) -> None:
+async def test_request_ids_of_two_workspaces_never_meet(bench: Bench) -> None:
     write = {"group": "g1", "sql": "pay", "request_id": bench.request_id()}
     await post(bench.caller, "/v1/write", write)
     await post(bench.caller, "/v1/write", write, OTHER_CREDENTIAL)
@@ -229,7 +229,9 @@
 
 
 @using(serving)
-async def test_a_team_beyond_its_rate_is_told_when_to_come_back(bench: Bench) -> None:
+async def test_a_workspace_beyond_its_rate_is_told_when_to_come_back(
+    bench: Bench,
+) -> None:
     for _ in range(2):
         status, _ = await post(bench.caller, "/v1/read", READ, OTHER_CREDENTIAL)
         assert status == 200
@@ -242,7 +244,9 @@
 
 
 @using(serving)
-async def test_a_transaction_belongs_to_the_team_that_began_it(bench: Bench) -> None:
+async def test_a_transaction_belongs_to_the_workspace_that_began_it(
+    bench: Bench,
+) -> None:
     begin = {"group": "g1", "request_id": bench.request_id()}
     status, begun = await post(bench.caller, "/v1/transactions", begin)
     assert status == 200
--- a/tests/test_config_accept.py
+++ b/tests/test_config_accept.py
@@ -333,7 +333,7 @@
             address = f"10.{group // 250}.{group % 250}.{member}:17101"
             text = f'{{zone: vittoria, address: "{address}"}}'
             lines.append(f"          target-{group}-{member}: {text}{note}")
-    return Documents("\n".join([*lines, "teams: {}", ""]), {"vittoria": ""})
+    return Documents("\n".join([*lines, "workspaces: {}", ""]), {"vittoria": ""})
 
 
 @using(two_hosts, run_virtual)
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Final
 
+import logbook
 import pytest
 from hypothesis import given, strategies as st
 
@@ -24,7 +25,7 @@
         members:
           feedlog-1-a: {{zone: vittoria, address: "127.0.0.1:17101"}}
           feedlog-1-b: {{zone: comiso, address: "127.0.0.1:17102"}}
-teams:
+workspaces:
   gate: {{services: [feedlog-db], token_sha256: "{DIGEST}", rate: 200}}
 limits: {{queue: 64}}
 """
@@ -59,7 +60,7 @@
         for group in catalog.groups.values():
             budget = (group.service, group.slots, group.connections)
             assert budget == (service, 2, connections)
-    assert len({repr((one.limits, one.teams)) for one in catalogs}) == sites
+    assert len({repr((one.limits, one.workspaces)) for one in catalogs}) == sites
 
 
 def test_the_operators_page_shows_what_holds() -> None:
@@ -69,7 +70,7 @@
     checked = check(Documents(base, overlays))
     assert checked.catalog(1, "comiso").limits == Limits()
     assert checked.catalog(1, "vittoria").limits.deadline_ms == 4000
-    assert checked.catalog(1, "vittoria").teams["gate"].rate == 400
+    assert checked.catalog(1, "vittoria").workspaces.by_name["gate"].rate == 400
 
 
 def test_an_overlay_changes_its_own_site_alone() -> None:
@@ -84,23 +85,23 @@
     base = BASE.replace("slots: 2", "slots: two").replace("queue:", "queues:")
     overlays = {
         "vittoria": "limits:\n  drain_s: -1\n",
-        "comiso": "\nteams:\n  mix: {services: []}\n",
+        "comiso": "\nworkspaces:\n  mix: {services: []}\n",
     }
     assert faults(base, overlays) == [
         "base.yaml:3: services.feedlog-db.slots: expected integer, found string",
         "base.yaml:12: limits.queues: unknown key",
         "overlays/vittoria.yaml:2: limits.drain_s: must be at least 0",
-        "overlays/comiso.yaml:3: teams.mix: missing token_sha256",
+        "overlays/comiso.yaml:3: workspaces.mix: missing token_sha256",
     ]
 
 
 def test_faults_of_all_kinds_are_reported_together() -> None:
     base = BASE.replace("17102", "17101").replace("queue:", "queue: &a 6, queues:")
     overlays = {
-        "vittoria": "teams: {gate: {services: [other]}}\nlimits: {queue: *a}",
+        "vittoria": "workspaces: {gate: {services: [other]}}\nlimits: {queue: *a}",
         "comiso": "services: {feedlog-db: {slots: 3}}\nlimits: {queue: 1, queue: 2}",
         "Ispica": "",
-        "ispica": "teams: {gate: {services: [other]}}",
+        "ispica": "workspaces: {gate: {services: [other]}}",
     }
     assert [line.split(": ")[0] for line in faults(base, overlays)] == [
         "overlays/vittoria.yaml:2",
@@ -163,8 +164,10 @@
 
 
 def test_names_are_unique_over_services() -> None:
-    other = BASE.split("teams:")[0].partition("\n")[2].replace("feedlog-db", "x-db")
-    told = faults(BASE.replace("teams:", f"{other}teams:"))
+    other = (
+        BASE.split("workspaces:")[0].partition("\n")[2].replace("feedlog-db", "x-db")
+    )
+    told = faults(BASE.replace("workspaces:", f"{other}workspaces:"))
     kinds = [line.split(": ")[-1].split(" as ")[0] for line in told]
     assert sorted(kinds) == ["same address"] * 2 + ["same group"] + ["same member"] * 2
 
@@ -175,7 +178,7 @@
 
 
 def test_faults_are_typed() -> None:
-    doubled = BASE.replace("limits:", "teams: {}\nlimits:")
+    doubled = BASE.replace("limits:", "workspaces: {}\nlimits:")
     with pytest.raises(ExceptionGroup) as refused:
         check(Documents(doubled, {"vittoria": "\t", "comiso": ""}))
     doubles, rest = refused.value.split(DuplicateKeyFault)
@@ -201,3 +204,21 @@
             assert refused.exceptions
 
     attempt()
+
+
+def test_the_former_name_of_workspaces_is_still_read_and_told() -> None:
+    former = BASE.replace("workspaces:", "teams:")
+    assert former != BASE
+    with logbook.TestHandler() as said:
+        checked = check(Documents(former, OVERLAYS))
+    now = check(Documents(BASE, OVERLAYS))
+    assert checked.catalog(3, "comiso") == now.catalog(3, "comiso")
+    assert said.has_warning(
+        "base.yaml states teams, which is called workspaces now.",
+        channel="configuration",
+    )
+
+
+def test_both_names_of_workspaces_in_one_file_are_refused() -> None:
+    (fault,) = faults(BASE + "teams: {}\n")
+    assert "stated twice" in fault
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -11,6 +11,7 @@
 from reedhook.request.refusal import Reason, Refusal
 from reedhook.request.statement import Kind, Statement
 from reedhook.version.catalog import Catalog, Group, Limits
+from reedhook.version.workspace import Workspaces
 
 from .fakes_clock import in_virtual_time, run_virtual
 from .fakes_homes import (
@@ -167,7 +168,9 @@
     assert isinstance(kept, FakeHome)
     limits = Limits(queue=7)
     catalog = homes.catalog
-    changed = Catalog(catalog.version + 1, catalog.site, catalog.groups, {}, limits)
+    changed = Catalog(
+        catalog.version + 1, catalog.site, catalog.groups, Workspaces(), limits
+    )
     homes.of[host].apply(changed)
     assert kept.limits == limits
     assert homes.of[host].get(members[0]) is kept
@@ -271,7 +274,7 @@
     old = groups["g1"]
     groups["g1"] = Group("g1", old.service, old.members, 4, old.connections)
     groups["g9"] = catalog_of(list(ZONES), 10).groups["g9"]
-    return Catalog(catalog.version + 1, catalog.site, groups, {}, Limits())
+    return Catalog(catalog.version + 1, catalog.site, groups, Workspaces(), Limits())
 
 
 @using(nine_hosts, run_virtual)
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -17,6 +17,7 @@
 from reedhook.process.fleet.listing import LONGEST_INTERVAL, TRUSTED_AFTER, Listing
 from reedhook.process.fleet.membership_record import HostState
 from reedhook.version.catalog import Catalog, Group, Limits, Member
+from reedhook.version.workspace import Workspaces
 from reedhook.wire import Json
 
 from .fakes_clock import run_virtual
@@ -58,7 +59,7 @@
         self.host.membership.learn(self.other.membership.own, 0.0)
         self.lines = FakeHostList()
         group = Group("db", "feedlog-db", (TARGET, FAR), 2, 15)
-        catalog = Catalog(1, "comiso", {"db": group}, {}, Limits())
+        catalog = Catalog(1, "comiso", {"db": group}, Workspaces(), Limits())
         self.listing = Listing(
             self.lines,
             self.host.membership,
--- a/tests/test_request_sessions.py
+++ b/tests/test_request_sessions.py
@@ -21,7 +21,7 @@
 from .fakes_request import World, read, write
 
 SECRET: Final = b"a secret of the cluster"
-TEAM: Final = "gate"
+WORKSPACE: Final = "gate"
 SERVICE: Final = "feedlog-db"
 MEMBERS: Final = ("g1-z1", "g1-z2", "g1-z3")
 HOSTS: Final = ("h1", "h2", "h3")
@@ -53,7 +53,7 @@
         self.world = World(lag=0.05)
         self.world.model.proves = proves
         self.codecs = [TokenCodec([SECRET]) for _ in self.world.entries]
-        empty = self.codecs[0].encode(SessionToken(TEAM, SERVICE))
+        empty = self.codecs[0].encode(SessionToken(WORKSPACE, SERVICE))
         self.tokens = [empty] * 3
         self.last: list[str | None] = [None] * 3
         self.verdicts: dict[str, list[Verdict]] = {}
@@ -103,7 +103,7 @@
     async def answered(self, session: int, entry: int, statement: Statement) -> None:
         """Run a statement with the token as it is now and check the answer."""
         codec = self.codecs[entry]
-        before = codec.decode(self.tokens[session], TEAM, SERVICE)
+        before = codec.decode(self.tokens[session], WORKSPACE, SERVICE)
         statement.covers = before.positions.get("g1")
         try:
             served = await self.world.run(statement, entry)
@@ -112,7 +112,7 @@
             return
         self.note(statement, Verdict.DONE)
         self.check(statement, served)
-        now = codec.decode(self.tokens[session], TEAM, SERVICE)
+        now = codec.decode(self.tokens[session], WORKSPACE, SERVICE)
         after = now.advanced("g1", served.answer.position)
         assert after.covers(before) and after.covers(now)
         self.tokens[session] = codec.encode(after)
--- a/tests/test_token.py
+++ b/tests/test_token.py
@@ -25,10 +25,10 @@
 )
 
 
-def refused(text: str, team: str = "gate", service: str = "feedlog-db") -> str:
+def refused(text: str, workspace: str = "gate", service: str = "feedlog-db") -> str:
     """Return why `text` is refused; fail if it is not."""
     with pytest.raises(Refusal) as caught:
-        CODEC.decode(text, team, service)
+        CODEC.decode(text, workspace, service)
     assert caught.value.reason is Reason.TOKEN_INVALID
     assert caught.value.verdict is Verdict.NOT_RUN
     return caught.value.detail
@@ -89,7 +89,7 @@
 def test_each_error_says_what_is_wrong() -> None:
     text = CODEC.encode(SessionToken("gate", "feedlog-db", {"g1": Position(1, 2)}))
     assert "cut short" in refused(text[:-4])
-    assert "another team" in refused(text, team="desk")
+    assert "another workspace" in refused(text, workspace="desk")
     assert "another service" in refused(text, service="dispatch-core")
     assert "not base64url" in refused("?" + text[1:])
     assert "too long" in refused(text + text)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -150,7 +150,7 @@
     group.primary.state.engine.database.execute(sql)
 
 
-def test_callers_keep_away_from_zones_that_do_not_serve_their_team() -> None:
+def test_callers_keep_away_from_zones_that_do_not_serve_their_workspace() -> None:
     plant = Deployment("plant")
     assert "ispica" in plant.zones
     assert "ispica" in plant.zones_of("gate")
--- a/tests/trace_world.py
+++ b/tests/trace_world.py
@@ -38,7 +38,7 @@
 T = TypeVar("T")
 
 GROUP: Final = "feedlog-1"
-TEAM: Final = "gate"
+WORKSPACE: Final = "gate"
 CREDENTIAL: Final = "gate-credential"
 SLOTS: Final = 2
 CONNECTIONS: Final = 15
@@ -173,7 +173,7 @@
         )
 
     def documents(self) -> Documents:
-        """Return a configuration of the group and one team."""
+        """Return a configuration of the group and one workspace."""
         lines = ["services:", "  feedlog-db:"]
         lines += [f"    slots: {SLOTS}", f"    connections: {CONNECTIONS}"]
         lines += ["    groups:", f"      {GROUP}:", "        members:"]
@@ -181,7 +181,7 @@
             address = self.address(name)
             lines.append(f'          {name}: {{zone: {zone}, address: "{address}"}}')
         digest = sha256(CREDENTIAL.encode()).hexdigest()
-        lines += ["teams:", f"  {TEAM}:", "    services: [feedlog-db]"]
+        lines += ["workspaces:", f"  {WORKSPACE}:", "    services: [feedlog-db]"]
         lines += [f"    token_sha256: {digest}", ""]
         return Documents("\n".join(lines), dict.fromkeys(self.zones, ""))
 
