--- a/src/reedhook/process/hosting_settings.py
+++ b/src/reedhook/process/hosting_settings.py
@@ -19,7 +19,7 @@
     :param cores: processor cores that the host may use.
     :param link_mbps: what its link carries, in Mbit/s.
     :param revoke: seconds after which a key that was taken away opens nothing at any
-        host, in touch with the store or not; None where that is not bounded.
+        host, whether it reaches the store or not; None where that is not bounded.
     :param rates: how strictly the rates of workspaces are held.
     """
 
--- a/src/reedhook/process/rates/terms.py
+++ b/src/reedhook/process/rates/terms.py
@@ -15,7 +15,6 @@
 """Share of the slack that a host may grant at once as it begins to count: what the
 one before it has granted of late is not known to it."""
 
-
 BURST_SHARE: Final = 0.2
 """Share of the slack by which the host that counts allows more at once, since what
 it grants is not used at once everywhere."""
--- a/src/reedhook/version/document.py
+++ b/src/reedhook/version/document.py
@@ -175,7 +175,8 @@
     def present_name(self, key: str) -> str:
         """Return what a section is called now; its former name is still read."""
         name = FORMER_KEYS[key]
-        log.warning("{} states {}, which is called {} now.", self.parsed.file, key, name)
+        file = self.parsed.file
+        log.warning("{} states {}, which is called {} now.", file, key, name)
         return name
 
     def key(self, node: yaml.Node, path: Path) -> str | None:
