Keep the order of lease holders until hosts or capacities change

Cause: each host sorts all hosts for every service five times a second to find the standbys of its lease; at 99 hosts that and the comparisons of capacities were the largest part of its own processor time while idle. Change: the order is kept with the epoch of the membership table, a version of the capacities and the zone of the primary.

--- a/src/reedhook/process/discovery/host_capacities.py
+++ b/src/reedhook/process/discovery/host_capacities.py
@@ -28,11 +28,13 @@
 
     :ivar known: capacities in cores, by host ID.
     :ivar highest: the highest of them.
+    :ivar version: incremented on each change.
     """
 
     def __init__(self, announcements: Announcements) -> None:
         self.known: dict[str, float] = {}
         self.highest = 0.0
+        self.version = 0
         announcements.on_host_item.append(self.handle_item)
 
     def handle_item(self, item: Item) -> None:
@@ -47,7 +49,11 @@
         except (WireError, LookupError, TypeError, ValueError):
             # Without a valid capacity the host stays unknown.
             return
-        self.known[item.key[len(HOSTS_KEY_PREFIX) :]] = announced
+        host = item.key[len(HOSTS_KEY_PREFIX) :]
+        if self.known.get(host) == announced:
+            return
+        self.version += 1
+        self.known[host] = announced
         self.highest = max(self.known.values())
 
     def is_weak(self, host: str) -> bool:
--- a/src/reedhook/process/primary_lease/holder_ranking.py
+++ b/src/reedhook/process/primary_lease/holder_ranking.py
@@ -14,7 +14,13 @@
 class LeaseHolderRanking:
     """Order hosts for each service, by rank and availability zone.
 
+    The order of a service is kept until a host, a capacity or the zone of the primary
+    changes: every host checks the holder of every service several times a second, and
+    sorting all hosts each time took most of the processor time of idle hosts.
+
     :param is_weak: returns whether a host ID names a host of low capacity.
+    :param capacity_version: returns a number that changes with the capacities.
+    :ivar orders: order of the hosts by service, with what it was computed from.
     """
 
     def __init__(
@@ -25,6 +31,7 @@
         registry: PrimaryLeaseRegistry,
         failure_detector: HolderFailureDetector,
         is_weak: Callable[[str], bool],
+        capacity_version: Callable[[], int] = lambda: 0,
     ) -> None:
         self.me = me
         self.directory = directory
@@ -32,19 +39,26 @@
         self.registry = registry
         self.failure_detector = failure_detector
         self.is_weak = is_weak
+        self.capacity_version = capacity_version
+        self.orders: dict[str, tuple[tuple[int, int, str], list[HostRef]]] = {}
 
     def ranked(self, service: str) -> list[HostRef]:
         """Return the hosts that may claim a lease, best first.
 
         Hosts outside the primary's availability zone come first, so that the loss of
         one zone takes the primary or its holder, not both. Weak hosts come last
-        within each group.
+        within each group. Callers must not change the list.
         """
         zone = self.primary_zone(service)
+        basis = (self.directory.table.epoch, self.capacity_version(), zone)
+        kept = self.orders.get(service)
+        if kept is not None and kept[0] == basis:
+            return kept[1]
         key = lease_key(service)
         order = self.directory.live(key, zone, False)
         order += self.directory.live(key, zone, True)
         order.sort(key=lambda ref: self.placement_penalty(ref, zone))
+        self.orders[service] = (basis, order)
         return order
 
     def placement_penalty(self, ref: HostRef, zone: str) -> tuple[bool, bool]:
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -232,6 +232,7 @@
             self.lease_registry,
             self.failure_detector,
             self.capacities.is_weak,
+            lambda: self.capacities.version,
         )
         self.primary_leases = PrimaryLeaseManager(
             self.holder,
