Wait for a former promotion coordinator unless its process has ended

Cause: a new coordinator skipped its wait where membership held the former one for dead. Four more gaps, found while writing the tests: a claim whose answer was lost was followed by no wait at all; a refusal WRONG_HOME made a host count as ended that had only lost the role; an ended successor hid that the coordinator before it may still have an order in flight; and an order was sent after its permission had ended if the process was paused while it connected.

Change: CoordinatorRole reads and claims the role and says from when this host may order. The wait is 1 s (0.3 s for which a read permits an order, 0.7 s for the order with its connection), above 4 times the slowest store answer of 0.24 s. It is skipped only if the predecessor's host answers with another incarnation.

--- a/src/reedhook/platform/assembly.py
+++ b/src/reedhook/platform/assembly.py
@@ -56,7 +56,7 @@
     ) -> None:
         self.path = path
         self.store = PlatformStore(settings.store, clock)
-        self.promoter = PlatformPromoter(settings.promotions)
+        self.promoter = PlatformPromoter(settings.promotions, clock)
         timeline = Timeline(settings.host, clock)
         me = HostRef(settings.host, settings.zone, settings.peer_listen)
         metrics = HistogramMetrics()
--- a/src/reedhook/platform/promoter.py
+++ b/src/reedhook/platform/promoter.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from ..clock import Clock
 from ..connection.channel import (
     ChannelClosedError,
     ResponseIncompleteError,
@@ -20,8 +21,9 @@
 class PlatformPromoter(Promoter):
     """Order promotions at `address` (``IP:port``)."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, clock: Clock) -> None:
         self.address = address
+        self.clock = clock
 
     def change_address(self, address: str) -> None:
         """Send further orders to another address."""
@@ -38,10 +40,16 @@
             "Content-Type": JSON_TYPE,
         }
         body = encode({"service": service, "id": target})
+        deadline = self.clock.boottime() + timeout
         try:
             channel = await open_channel(self.address, timeout, headers)
             try:
-                answer = await channel.exchange(PROMOTION_PATH, body, timeout)
+                # A process that was paused while it connected must not send an order
+                # for which its permission has ended.
+                remaining = deadline - self.clock.boottime()
+                if remaining <= 0.0:
+                    return OrderOutcome.UNANSWERED
+                answer = await channel.exchange(PROMOTION_PATH, body, remaining)
             finally:
                 channel.close()
         except (ChannelClosedError, ResponseIncompleteError):
--- /dev/null
+++ b/src/reedhook/process/primary_lease/coordinator_role.py
@@ -0,0 +1,251 @@
+"""Role of the promotion coordinator: which host holds it, and when that host may order.
+
+The role is an item in the store that names one host. The platform accepts tokens in
+rising order only, so an order of a former coordinator must not arrive after one of its
+successor. A coordinator orders within ORDER_PERMIT_SECONDS of having sent the read that
+names it, and an order ends within ORDER_TIMEOUT_SECONDS; a successor orders nothing for
+the sum of both, counted from when its claim is known to have taken effect.
+"""
+
+import asyncio
+from typing import Final
+
+from ...clock import Clock
+from ...decision_log import DecisionLog
+from ...peer import PeerClient, PeerError
+from ...record import Record
+from ...request.refusal import RefusalError
+from ...wire import WireError, decode, encode
+from ..discovery.key_value_store import Item, KeyValueStore, KeyValueStoreError
+from .lease_claim import STORE_TIMEOUT_SECONDS
+from .lease_record import PROMOTION_COORDINATOR_KEY, HostIncarnation
+from .other_holders import INCARNATION_PATH
+
+SLOWEST_STORE_ANSWER_SECONDS: Final = 0.24
+"""The slowest answer of a slow store: 60 times 4 ms."""
+
+MIN_WAIT_STORE_ANSWER_RATIO: Final = 4
+"""COORDINATOR_WAIT_SECONDS must exceed this multiple of the slowest store answer."""
+
+ORDER_PERMIT_SECONDS: Final = 0.3
+"""Time for which a read of the store permits an order, counted from when the read was
+sent; exceeds the slowest store answer, since nothing could be ordered otherwise."""
+
+ORDER_TIMEOUT_SECONDS: Final = 0.7
+"""Timeout of an order, its connection included; exceeds the longest promotion, 0.6 s,
+in case the platform answers only after it."""
+
+COORDINATOR_WAIT_SECONDS: Final = ORDER_PERMIT_SECONDS + ORDER_TIMEOUT_SECONDS
+"""Time in which a new coordinator orders nothing, unless its predecessor's process is
+known to have ended."""
+
+INCARNATION_TIMEOUT_SECONDS: Final = 0.25
+"""Timeout of the question whether a coordinator's process has been replaced."""
+
+
+class CoordinatorRecord(Record):
+    """Name the promotion coordinator.
+
+    :param holder: the coordinator; None if the item is malformed.
+    :param revision: revision of the item in the store; it is the fencing token.
+    """
+
+    __slots__ = ("holder", "revision")
+
+    def __init__(self, holder: HostIncarnation | None, revision: int) -> None:
+        self.holder = holder
+        self.revision = revision
+
+    @property
+    def token(self) -> int:
+        """Return the fencing token of orders under this record."""
+        return self.revision
+
+    @classmethod
+    def from_item(cls, item: Item) -> "CoordinatorRecord":
+        """Decode an item of the store."""
+        try:
+            holder = HostIncarnation.from_json(decode(item.value or b""))
+        except WireError:
+            return cls(None, item.revision)
+        return cls(holder, item.revision)
+
+
+class CoordinatorReading(Record):
+    """Carry the record that the store returned.
+
+    :param record: None if the store has none.
+    :param requested_at: `Clock.boottime` when the read was sent.
+    """
+
+    __slots__ = ("record", "requested_at")
+
+    def __init__(self, record: CoordinatorRecord | None, requested_at: float) -> None:
+        self.record = record
+        self.requested_at = requested_at
+
+    @property
+    def holder(self) -> HostIncarnation | None:
+        """Return the coordinator, or None if none is named."""
+        return None if self.record is None else self.record.holder
+
+
+class CoordinatorRole:
+    """Read and claim the role, and determine when this host may order under it.
+
+    :ivar known: the latest known record.
+    :ivar known_at: `Clock.boottime` when this host first saw it.
+    :ivar not_before: `Clock.boottime` before which this host orders nothing.
+    :ivar free_from: `Clock.boottime` from which the latest claim of this host permits
+        orders; None if that depends on when the claim takes effect.
+    :ivar ended_incarnations: incarnations of coordinators that are known to have ended.
+    :ivar changed: set, and replaced by a new event, when another record is known.
+    """
+
+    def __init__(
+        self,
+        me: HostIncarnation,
+        keyspace: KeyValueStore,
+        peers: PeerClient,
+        clock: Clock,
+        decisions: DecisionLog,
+    ) -> None:
+        self.me = me
+        self.keyspace = keyspace
+        self.peers = peers
+        self.clock = clock
+        self.decisions = decisions
+        self.known: CoordinatorRecord | None = None
+        self.known_at = float("-inf")
+        self.not_before = float("-inf")
+        self.free_from: float | None = None
+        self.ended_incarnations: set[str] = set()
+        self.changed = asyncio.Event()
+        self.claim_lock = asyncio.Lock()
+
+    def handle_item(self, item: Item) -> None:
+        """Process a changed item of the store; ignore other keys."""
+        if item.key == PROMOTION_COORDINATOR_KEY and item.value is not None:
+            self.observe(CoordinatorRecord.from_item(item))
+
+    async def read(self) -> CoordinatorReading | None:
+        """Read the record from the store; None if the store does not respond."""
+        requested_at = self.clock.boottime()
+        try:
+            item = await self.keyspace.get(
+                PROMOTION_COORDINATOR_KEY, STORE_TIMEOUT_SECONDS
+            )
+        except KeyValueStoreError as error:
+            self.decisions.record("promotion_role_unknown", error=str(error))
+            return None
+        if item is None:
+            return CoordinatorReading(None, requested_at)
+        record = CoordinatorRecord.from_item(item)
+        self.observe(record)
+        return CoordinatorReading(record, requested_at)
+
+    def observe(self, record: CoordinatorRecord) -> None:
+        """Keep a record if it is newer; start the wait if it is this host's claim.
+
+        The record of a claim whose answer was lost is first seen by a read or by an
+        update, and may have taken effect at any time before.
+        """
+        if self.known is not None and record.revision <= self.known.revision:
+            return
+        now = self.clock.boottime()
+        self.known, self.known_at = record, now
+        if record.holder == self.me:
+            free_from = self.free_from
+            if free_from is None:
+                free_from = now + COORDINATOR_WAIT_SECONDS
+            # An earlier wait, for an earlier predecessor, still applies.
+            self.not_before = max(self.not_before, free_from)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def until_replaced(self, holder: HostIncarnation) -> None:
+        """Wait until the latest known record does not name `holder`."""
+        while self.known is None or self.known.holder == holder:
+            await self.changed.wait()
+
+    async def until_free(self) -> None:
+        """Wait until no order of a predecessor can be in flight."""
+        while (wait := self.not_before - self.clock.boottime()) > 0.0:
+            await self.clock.sleep(wait)
+
+    def permits(self, reading: CoordinatorReading) -> bool:
+        """Return whether this host may order now under a record just read."""
+        now = self.clock.boottime()
+        return (
+            reading.holder == self.me
+            and now >= self.not_before
+            and now - reading.requested_at <= ORDER_PERMIT_SECONDS
+        )
+
+    def has_ended(self, holder: HostIncarnation) -> bool:
+        """Return whether the process of a coordinator is known to have ended.
+
+        That membership holds the host for dead does not show it: a live host may be
+        cut off, and its last order in flight.
+        """
+        if holder.ref.host == self.me.ref.host:
+            return holder.incarnation != self.me.incarnation
+        return holder.incarnation in self.ended_incarnations
+
+    async def check_ended(self, holder: HostIncarnation) -> bool:
+        """Ask the host of a coordinator whether another process runs there."""
+        try:
+            answer = await self.peers.call(
+                holder.ref, INCARNATION_PATH, {}, INCARNATION_TIMEOUT_SECONDS
+            )
+        except (PeerError, RefusalError):
+            return False
+        incarnation = answer.get("life")
+        if isinstance(incarnation, str) and incarnation != holder.incarnation:
+            self.ended_incarnations.add(holder.incarnation)
+        return self.has_ended(holder)
+
+    async def claim(self, before: CoordinatorRecord | None) -> bool:
+        """Claim the role from a predecessor; return whether this host holds it.
+
+        If the response is lost, the next read or update shows the outcome.
+        """
+        async with self.claim_lock:
+            revision = 0 if before is None else before.revision
+            self.free_from = self.order_time_after(before)
+            try:
+                revision = await self.keyspace.put(
+                    PROMOTION_COORDINATOR_KEY,
+                    encode(self.me.to_json()),
+                    revision,
+                    STORE_TIMEOUT_SECONDS,
+                )
+            except KeyValueStoreError as error:
+                self.decisions.record("promotion_role_not_acquired", error=str(error))
+                return False
+            self.observe(CoordinatorRecord(self.me, revision))
+        wait = max(self.not_before - self.clock.boottime(), 0.0)
+        self.decisions.record(
+            "promotion_role_acquired",
+            before=(
+                None
+                if before is None or before.holder is None
+                else before.holder.ref.host
+            ),
+            wait=round(wait, 2),
+        )
+        return True
+
+    def order_time_after(self, before: CoordinatorRecord | None) -> float | None:
+        """Return the time from which a claim permits orders; None if not known yet.
+
+        If the predecessor has ended, the coordinator before it may still have an order
+        in flight, until a wait after this host first saw the predecessor's record.
+        """
+        if before is None:
+            return float("-inf")
+        if before != self.known or before.holder is None:
+            return None
+        if not self.has_ended(before.holder):
+            return None
+        return self.known_at + COORDINATOR_WAIT_SECONDS
--- a/src/reedhook/process/primary_lease/promotion_coordinator.py
+++ b/src/reedhook/process/primary_lease/promotion_coordinator.py
@@ -1,7 +1,6 @@
-"""Promotion coordinator role, held by one host at a time.
+"""Orders of promotions by one host at a time, the promotion coordinator.
 
-Only the coordinator orders promotions from the platform. Its fencing token is the
-revision of the store item that names it.
+Its fencing token is the revision of the store item that names it.
 """
 
 import asyncio
@@ -13,31 +12,29 @@
 from ...decision_log import DecisionLog
 from ...peer import PeerClient, PeerError, PeerRoutes
 from ...request.refusal import RefusalError, RefusalReason, not_run
-from ...wire import Json, WireError, decode, encode, string_field
-from ..discovery.key_value_store import Item, KeyValueStore, KeyValueStoreError
+from ...wire import Json, string_field
 from ..fleet.membership_record import MembershipState
 from ..fleet.membership_table import MembershipTable
-from .lease_record import PROMOTION_COORDINATOR_KEY, HostIncarnation
+from .coordinator_role import (
+    ORDER_TIMEOUT_SECONDS,
+    CoordinatorReading,
+    CoordinatorRole,
+)
+from .holder_failure_detector import HolderFailureDetector
+from .lease_record import HostIncarnation
 
 PROMOTE_PATH: Final = "promote"
 
-RESPONSE_TIMEOUT_SECONDS: Final = 1.0
-"""Timeout of a call to the store or of the platform's promotion call."""
+PROMOTE_CALL_TIMEOUT_SECONDS: Final = 2.5
+"""Timeout of a call to the coordinator, which may have to wait before it orders;
+exceeds COORDINATOR_WAIT_SECONDS, two reads of the store and the order."""
 
-ORDER_TIMEOUT_SECONDS: Final = 2.5
-"""Timeout for the coordinator to read the store and order the promotion; exceeds two
-times RESPONSE_TIMEOUT_SECONDS."""
-
-MAX_READ_AGE_SECONDS: Final = 0.5
-"""Age of the store read beyond which this host must not order a promotion."""
+MAX_READS: Final = 3
+"""Reads of the store for one order: each is discarded if its answer took too long."""
 
 REPLACE_SILENT_HOLDER_SECONDS: Final = 1.5
 """Time without a response after which another host may replace a coordinator that
-is not known to be gone."""
-
-TAKEOVER_DELAY_SECONDS: Final = 1.5
-"""Time in which a new coordinator orders nothing, unless its predecessor is known to
-be gone: an order of the predecessor may still be in flight."""
+is not found lost."""
 
 
 class OrderOutcome(str, Enum):
@@ -59,37 +56,33 @@
 
         :param holder: the coordinator's host.
         :param token: fencing token, which increases with each coordinator.
-        :param timeout: seconds.
+        :param timeout: seconds, for the connection and the answer together. The order
+            must not be sent later, nor arrive later as far as that can be prevented.
         """
 
 
 class PromotionCoordinator:
-    """Order promotions as the coordinator, or through the host that holds the role.
-
-    :ivar not_before: `Clock.boottime` before which this host orders nothing.
-    :ivar ended_incarnations: incarnations of coordinators that are known to have ended.
-    """
+    """Order promotions as the coordinator, or through the host that holds the role."""
 
     def __init__(
         self,
-        me: HostIncarnation,
-        keyspace: KeyValueStore,
+        role: CoordinatorRole,
         promoter: Promoter,
         peers: PeerClient,
         table: MembershipTable,
+        failure_detector: HolderFailureDetector,
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
-        self.me = me
-        self.keyspace = keyspace
+        self.role = role
+        self.me = role.me
         self.promoter = promoter
         self.peers = peers
         self.table = table
+        self.failure_detector = failure_detector
         self.clock = clock
         self.decisions = decisions
         self.lock = asyncio.Lock()
-        self.not_before = float("-inf")
-        self.ended_incarnations: set[str] = set()
         self.silent: HostIncarnation | None = None
         self.silent_since = 0.0
 
@@ -114,28 +107,23 @@
     async def order(self, service: str, target: str) -> OrderOutcome:
         """Order the promotion of `target` to primary of `service`.
 
-        The role stays with a live coordinator: alternating coordinators would send
-        fencing tokens out of order.
+        The role stays with a live coordinator, since each change of the role costs a
+        wait before the next order.
         """
-        requested_at = self.clock.boottime()
-        try:
-            item = await self.keyspace.get(
-                PROMOTION_COORDINATOR_KEY, RESPONSE_TIMEOUT_SECONDS
-            )
-        except KeyValueStoreError as error:
-            self.decisions.record("promotion_role_unknown", error=str(error))
+        reading = await self.role.read()
+        if reading is None:
             return OrderOutcome.UNANSWERED
-        holder = None if item is None else read_holder(item)
-        if holder == self.me and item is not None:
-            async with self.lock:
-                return await self.order_by(item, requested_at, service, target)
-        if holder is not None and not self.gone(holder):
+        holder = reading.holder
+        if holder == self.me:
+            outcome = await self.order_here(service, target, reading)
+            return outcome or OrderOutcome.UNANSWERED
+        if holder is not None and not self.is_replaceable(holder):
             outcome = await self.order_at(holder, service, target)
             if outcome is not None:
                 return outcome
-            if not self.gone(holder) and not self.is_silent_too_long(holder):
+            if not self.is_replaceable(holder) and not self.is_silent_too_long(holder):
                 return OrderOutcome.UNANSWERED
-        if not await self.claim_role(item):
+        if not await self.role.claim(reading.record):
             return OrderOutcome.UNANSWERED
         return await self.order_here(service, target) or OrderOutcome.UNANSWERED
 
@@ -146,12 +134,12 @@
             self.silent, self.silent_since = holder, now
         return now - self.silent_since >= REPLACE_SILENT_HOLDER_SECONDS
 
-    def gone(self, holder: HostIncarnation) -> bool:
-        """Return whether an incarnation of a host is known to have ended."""
-        if (
-            holder.ref.host == self.me.ref.host
-            or holder.incarnation in self.ended_incarnations
-        ):
+    def is_replaceable(self, holder: HostIncarnation) -> bool:
+        """Return whether a coordinator has ended or appears to be lost.
+
+        A live coordinator may appear lost; the wait that follows a claim covers it.
+        """
+        if self.role.has_ended(holder) or self.failure_detector.is_lost(holder.ref):
             return True
         record = self.table.get(holder.ref.host)
         return record is not None and record.state >= MembershipState.DEAD
@@ -159,17 +147,33 @@
     async def order_at(
         self, holder: HostIncarnation, service: str, target: str
     ) -> OrderOutcome | None:
-        """Order through the coordinator; None if it is unreachable or refuses."""
+        """Order through the coordinator.
+
+        :returns: None if it is unreachable, refuses or is replaced meanwhile.
+        """
+        call = asyncio.ensure_future(self.call_coordinator(holder, service, target))
+        replaced = asyncio.ensure_future(self.role.until_replaced(holder))
+        try:
+            await asyncio.wait({call, replaced}, return_when=asyncio.FIRST_COMPLETED)
+            return call.result() if call.done() else None
+        finally:
+            call.cancel()
+            replaced.cancel()
+
+    async def call_coordinator(
+        self, holder: HostIncarnation, service: str, target: str
+    ) -> OrderOutcome | None:
+        """Have the coordinator order; None if it is unreachable or refuses."""
         body: Json = {"service": service, "target": target}
         try:
             answer = await self.peers.call(
-                holder.ref, PROMOTE_PATH, body, ORDER_TIMEOUT_SECONDS
+                holder.ref, PROMOTE_PATH, body, PROMOTE_CALL_TIMEOUT_SECONDS
             )
             return OrderOutcome(answer["outcome"])
         except RefusalError as refusal:
-            # The store names an earlier incarnation of the process at that host.
+            # It has lost the role, or the store names an earlier process there.
             if refusal.reason is RefusalReason.WRONG_HOME:
-                self.ended_incarnations.add(holder.incarnation)
+                await self.role.check_ended(holder)
             cause = refusal.detail
         except (PeerError, LookupError, ValueError) as error:
             cause = str(error)
@@ -178,39 +182,31 @@
         )
         return None
 
-    async def order_here(self, service: str, target: str) -> OrderOutcome | None:
-        """Order as the coordinator; None if this host is not the coordinator."""
-        async with self.lock:
-            requested_at = self.clock.boottime()
-            try:
-                item = await self.keyspace.get(
-                    PROMOTION_COORDINATOR_KEY, RESPONSE_TIMEOUT_SECONDS
-                )
-            except KeyValueStoreError as error:
-                self.decisions.record("promotion_role_unknown", error=str(error))
-                return OrderOutcome.UNANSWERED
-            if item is None or read_holder(item) != self.me:
-                return None
-            return await self.order_by(item, requested_at, service, target)
-
-    async def order_by(
-        self, item: Item, read_at: float, service: str, target: str
-    ) -> OrderOutcome:
-        """Order under an item that names this host, unless it was read too long ago.
+    async def order_here(
+        self, service: str, target: str, reading: CoordinatorReading | None = None
+    ) -> OrderOutcome | None:
+        """Order as the coordinator; None if this host is not the coordinator.
 
-        :param read_at: `Clock.boottime` when the read was sent.
+        :param reading: a recent reading of the role, if there is one.
         """
-        wait = self.not_before - self.clock.boottime()
-        if wait > 0.0 or self.clock.boottime() - read_at > MAX_READ_AGE_SECONDS:
-            await self.clock.sleep(max(wait, 0.0))
+        async with self.lock:
+            for _ in range(MAX_READS):
+                await self.role.until_free()
+                if reading is None or not self.role.permits(reading):
+                    reading = await self.role.read()
+                if reading is None:
+                    return OrderOutcome.UNANSWERED
+                if reading.record is None or reading.holder != self.me:
+                    return None
+                if self.role.permits(reading):
+                    return await self.send(service, target, reading.record.token)
             return OrderOutcome.UNANSWERED
-        return await self.send(service, target, item.revision)
 
     async def send(self, service: str, target: str, token: int) -> OrderOutcome:
         """Send an order to the platform with fencing token `token`."""
         holder = self.me.ref.host
         outcome = await self.promoter.promote(
-            service, target, holder, token, RESPONSE_TIMEOUT_SECONDS
+            service, target, holder, token, ORDER_TIMEOUT_SECONDS
         )
         self.decisions.record(
             "promotion_ordered",
@@ -220,34 +216,3 @@
             outcome=outcome.value,
         )
         return outcome
-
-    async def claim_role(self, item: Item | None) -> bool:
-        """Claim the role from the named host; return whether this host holds it.
-
-        If the response is lost, the next read of the item shows the outcome.
-        """
-        before = None if item is None else read_holder(item)
-        revision = 0 if item is None else item.revision
-        value = encode(self.me.to_json())
-        try:
-            await self.keyspace.put(
-                PROMOTION_COORDINATOR_KEY, value, revision, RESPONSE_TIMEOUT_SECONDS
-            )
-        except KeyValueStoreError as error:
-            self.decisions.record("promotion_role_not_acquired", error=str(error))
-            return False
-        if before is not None and not self.gone(before):
-            self.not_before = self.clock.boottime() + TAKEOVER_DELAY_SECONDS
-        self.decisions.record(
-            "promotion_role_acquired",
-            before=None if before is None else before.ref.host,
-        )
-        return True
-
-
-def read_holder(item: Item) -> HostIncarnation | None:
-    """Return the coordinator that an item names, or None if it is malformed."""
-    try:
-        return HostIncarnation.from_json(decode(item.value or b""))
-    except WireError:
-        return None
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -41,6 +41,8 @@
 from .network.answer_tracking_peers import AnswerTrackingPeers
 from .primary_lease.backup_holder import BackupHolder
 from .primary_lease.backup_holders import BackupHolders
+from .primary_lease.coordinator_role import CoordinatorRole
+from .primary_lease.coordinator_standby import CoordinatorStandby
 from .primary_lease.holder_failure_detector import HolderFailureDetector
 from .primary_lease.holder_ranking import LeaseHolderRanking
 from .primary_lease.indirect_prober import IndirectProber
@@ -198,15 +200,6 @@
         """Create what holds and hands over the primary leases of services."""
         table = self.membership.table
         self.lease_registry = PrimaryLeaseRegistry(self.announcements, self.decisions)
-        self.promotion_coordinator = PromotionCoordinator(
-            self.holder,
-            self.keyspace,
-            self.promoter,
-            self.peers,
-            table,
-            self.clock,
-            self.decisions,
-        )
         self.states = TargetStatusClient(self.announcements, self.driver)
         self.indirect_probers = IndirectProber(
             self.me, table, self.peers, self.announcements, self.states, self.random
@@ -214,6 +207,7 @@
         self.failure_detector = HolderFailureDetector(
             self.me, table, self.peers, self.clock, self.random, self.decisions
         )
+        self.make_promotion_coordinator()
         self.zone_isolation = ZoneIsolationDetector(
             self.me,
             table,
@@ -249,6 +243,29 @@
             self.decisions,
         )
 
+    def make_promotion_coordinator(self) -> None:
+        """Create what orders promotions, and replaces a lost coordinator."""
+        self.coordinator_role = CoordinatorRole(
+            self.holder, self.keyspace, self.peers, self.clock, self.decisions
+        )
+        self.announcements.on_host_item.append(self.coordinator_role.handle_item)
+        self.promotion_coordinator = PromotionCoordinator(
+            self.coordinator_role,
+            self.promoter,
+            self.peers,
+            self.membership.table,
+            self.failure_detector,
+            self.clock,
+            self.decisions,
+        )
+        self.coordinator_standby = CoordinatorStandby(
+            self.me,
+            self.coordinator_role,
+            self.directory,
+            self.failure_detector,
+            self.clock,
+        )
+
     def make_requests(self) -> None:
         """Create what serves callers."""
         self.rate_owner = RateOwner(
@@ -446,6 +463,7 @@
             self.heartbeats.run(),
             self.statement_server.run_cleanup(),
             self.primary_leases.run(),
+            self.coordinator_standby.run(),
             self.zone_isolation.run(),
             self.caller_sessions.close_while_unready(
                 self.zone_isolation.isolated_seconds
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -567,7 +567,7 @@
 ) -> None:
     holder = world.leader().me.host
     other = next(ref.host for ref in world.refs if ref.host != holder)
-    assert await world.hosts[other].promotion_coordinator.claim_role(None)
+    assert await world.hosts[other].coordinator_role.claim(None)
     await world.restart(other)
     await asyncio.sleep(4.0)
     caller = await world.caller(world.leader().me.host, "tickets")
