Keep ranked hosts by key until a host or a capacity changes

Cause: relays, standbys of the promotion coordinator and owners of rates are looked up several times a second on every host, each time with a sort of all hosts. Change: MembershipDirectory keeps the lists with the table's epoch and the version of the capacities, 1,024 at most.

--- a/src/reedhook/process/fleet/membership_directory.py
+++ b/src/reedhook/process/fleet/membership_directory.py
@@ -12,6 +12,10 @@
 MAX_RELAYS_PER_ZONE: Final = 2
 RELAY_KEY: Final = "relay"
 
+MAX_KEPT_ORDERS: Final = 1024
+"""Bounds the memory of kept orders: one of 740 hosts takes 6 KB, and the hosts that
+count workspaces are ranked for each workspace."""
+
 
 class RankingCache:
     """Cache the ranking of known hosts per key until the set of hosts changes."""
@@ -53,6 +57,9 @@
     after others, and hosts with a flapping penalty rank last.
 
     :param is_weak: returns whether a host has less capacity than others.
+    :param capacity_version: returns a number that changes with the capacities.
+    :ivar live_orders: live hosts by key, zone and side of it, since the last change.
+    :ivar live_basis: the table's epoch and the capacity version of `live_orders`.
     """
 
     def __init__(
@@ -60,10 +67,14 @@
         me: HostRef,
         table: MembershipTable,
         is_weak: Callable[[str], bool] = lambda host: False,
+        capacity_version: Callable[[], int] = lambda: 0,
     ) -> None:
         self.ref = me
         self.table = table
         self.is_weak = is_weak
+        self.capacity_version = capacity_version
+        self.live_orders: dict[tuple[str, str, bool], list[HostRef]] = {}
+        self.live_basis = (-1, -1)
         self.orders = RankingCache(table)
         self.callbacks: list[Callable[[], None]] = []
         table.listeners.append(self.notify)
@@ -83,10 +94,8 @@
             callback()
 
     def ranked(self, member: str, zone: str) -> list[HostRef]:
-        hosts = self.live_order(self.orders.ranking(member, zone, True))
-        if hosts:
-            return hosts
-        return self.live_order(self.orders.ranking(member, zone, False))
+        hosts = self.live_order(member, zone, True)
+        return hosts if hosts else self.live_order(member, zone, False)
 
     def home(self, member: str, zone: str) -> HostRef | None:
         """Return the home of a member without building the whole ranking."""
@@ -118,12 +127,25 @@
         records = [self.table.records[host] for host in order]
         return [record.ref for record in records if record.live]
 
-    def live_order(self, order: list[str]) -> list[HostRef]:
-        """Return the live hosts of `order`, demoted ones last."""
-        records = [self.table.records[host] for host in order]
-        live = [record for record in records if record.live]
-        live.sort(key=self.demotion_key)
-        return [record.ref for record in live]
+    def live_order(self, key: str, zone: str, inside: bool) -> list[HostRef]:
+        """Return the live hosts inside or outside `zone`, demoted ones last.
+
+        The list is kept until a host or a capacity changes, since relays and standbys
+        are looked up several times a second. Callers must not change it.
+        """
+        basis = (self.table.epoch, self.capacity_version())
+        if basis != self.live_basis or len(self.live_orders) >= MAX_KEPT_ORDERS:
+            self.live_orders.clear()
+            self.live_basis = basis
+        asked = (key, zone, inside)
+        known = self.live_orders.get(asked)
+        if known is None:
+            order = self.orders.ranking(key, zone, inside)
+            records = [self.table.records[host] for host in order]
+            live = [record for record in records if record.live]
+            live.sort(key=self.demotion_key)
+            known = self.live_orders[asked] = [record.ref for record in live]
+        return known
 
     def successor(self, member: str, zone: str) -> HostRef | None:
         """Return the host that becomes the home after this host leaves."""
@@ -145,9 +167,7 @@
 
     def relays(self, zone: str) -> list[HostRef]:
         """Return the hosts that query the platform on behalf of `zone`."""
-        return self.live_order(self.orders.ranking(RELAY_KEY, zone, True))[
-            :MAX_RELAYS_PER_ZONE
-        ]
+        return self.live_order(RELAY_KEY, zone, True)[:MAX_RELAYS_PER_ZONE]
 
     def is_relay(self) -> bool:
         """Return whether this host is a relay of its zone."""
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -140,7 +140,10 @@
         """Create membership and heartbeats."""
         self.membership = Membership(self.me, self.clock, self.random, timeline)
         self.directory = MembershipDirectory(
-            self.me, self.membership.table, self.capacities.is_weak
+            self.me,
+            self.membership.table,
+            self.capacities.is_weak,
+            lambda: self.capacities.version,
         )
         self.heartbeats = Heartbeats(
             self.membership,
