Load reports of targets: shared types and the setting

Routers know a target only by their own samples, and nothing tells other hosts that a target fails.

The home of a target measures it in TargetLoadMeter; outlier detection sets `condition` there. A report may end with the position that the target's reads see (term, index), so that routers learn when a lagging replica has caught up.

`contracts=health` in the platform's settings sets target_outlier_detection, which is off by default. Nothing is sent or used yet.

--- a/src/reedhook/connection/session_target_home.py
+++ b/src/reedhook/connection/session_target_home.py
@@ -42,6 +42,7 @@
     SessionTargetTransaction,
     SessionTargetTransactions,
 )
+from .target_load_meter import TargetLoadMeter
 
 FIRST_READ_TIMEOUT_SECONDS: Final = 0.35
 """Timeout after which a read is sent once more on a new connection; must exceed the
@@ -100,6 +101,7 @@
             entry.target, entry.slots, availability, clock
         )
         self.connections.on_free = self.admission_queue.dispatch
+        self.load_meter = TargetLoadMeter(entry, self.admission_queue, clock)
         self.transactions = SessionTargetTransactions(
             entry.target, self.connections, dialect, transaction_idle_seconds, decisions
         )
@@ -304,9 +306,9 @@
         query = TargetQuery(work.id, work.text, min_position)
         (reply,) = await pooled.connection.exchange([query], timeout)
         if reply.fault is StatementFault.NONE:
-            self.admission_queue.record_duration(
-                work.database, self.clock.monotonic() - started
-            )
+            duration = self.clock.monotonic() - started
+            self.admission_queue.record_duration(work.database, duration)
+            self.load_meter.record_duration(duration)
         # Inside a transaction the position may be that of its snapshot, which
         # does not cover later commits.
         position_is_current = (
@@ -323,6 +325,7 @@
         """
         self.last_reply_at = self.clock.monotonic()
         if reply.position is not None and asked is not None:
+            self.load_meter.position = reply.position
             self.on_position(reply.position, asked)
 
     async def begin(
--- a/src/reedhook/platform/settings.py
+++ b/src/reedhook/platform/settings.py
@@ -14,6 +14,9 @@
 COMMENT: Final = "#"
 MS_PER_SECOND: Final = 1000.0
 
+OUTLIER_DETECTION_CONTRACT: Final = "health"
+"""Word of the field ``contracts`` that turns on target outlier detection."""
+
 DEFAULT_CORES: Final = 1.0
 DEFAULT_LINK_MBPS: Final = 1000.0
 """Used if the file does not state the machine's limits."""
@@ -77,9 +80,17 @@
         link_mbps=optional(fields, "limits.link_mbps", DEFAULT_LINK_MBPS),
         revoke=revoke_seconds(fields),
         rates=rates(fields),
+        target_outlier_detection=OUTLIER_DETECTION_CONTRACT in contracts(fields),
     )
 
 
+def contracts(fields: dict[str, SettingsLine]) -> frozenset[str]:
+    """Return the words of the field ``contracts``; none if it is missing."""
+    line = fields.get("contracts")
+    words = [] if line is None else line.value.split(",")
+    return frozenset(word.strip() for word in words)
+
+
 def rates(fields: dict[str, SettingsLine]) -> RateTolerance:
     """Return the tolerance of the workspaces' rate limits."""
     return RateTolerance(
--- a/src/reedhook/process/session_host_settings.py
+++ b/src/reedhook/process/session_host_settings.py
@@ -21,6 +21,8 @@
     :param revoke: seconds within which a revoked key loses access at every host,
         even one that cannot reach the store; None for no bound.
     :param rates: tolerance of the rate limits of workspaces.
+    :param target_outlier_detection: whether hosts exchange load reports of targets,
+        avoid failing ones and run failed reads again elsewhere.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         "link_mbps",
         "revoke",
         "rates",
+        "target_outlier_detection",
     )
 
     def __init__(
@@ -54,7 +57,9 @@
         link_mbps: float,
         revoke: float | None = None,
         rates: RateTolerance = DEFAULT_TOLERANCE,
+        target_outlier_detection: bool = False,
     ) -> None:
+        self.target_outlier_detection = target_outlier_detection
         self.rates = rates
         self.revoke = revoke
         self.host = host
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -297,6 +297,13 @@
     assert settings.grace == 6.0
 
 
+def test_outlier_detection_is_off_unless_a_contract_asks_for_it() -> None:
+    assert not read(SETTINGS).target_outlier_detection
+    assert not read(SETTINGS + "contracts=\n").target_outlier_detection
+    assert not read(SETTINGS + "contracts=healthy,x\n").target_outlier_detection
+    assert read(SETTINGS + "contracts=x, health\n").target_outlier_detection
+
+
 @pytest.mark.parametrize(
     "old, new, message",
     [
