Reads follow load reports, and failed ones run again elsewhere

A router knew targets by its own samples only, and gave the caller the error of a target that fails everything while two others were free.

Homes put their report into results (`load`), answers to heartbeats carry up to 8 (`l`). TargetChoice compares two random candidates by expected completion; RetryingReplicaReader and RetryingRouter run reads again after FAILED, TIMEOUT or a lost answer, within RetryBudget, and hedge reads at suspected targets.

--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -17,8 +17,13 @@
 from ..request.authorization import Authorizer
 from ..request.position import Position
 from ..request.replica_reader import ReplicaReader
+from ..request.retry_budget import RetryBudget
+from ..request.retrying_replica_reader import RetryingReplicaReader
+from ..request.retrying_router import RetryingRouter
 from ..request.session_router import SessionRouter
 from ..request.statement_forwarder import StatementForwarder
+from ..request.statement_retries import StatementRetries
+from ..request.target_loads import TargetLoads
 from ..version.route_table import RouteTable, TargetAnnouncement
 from ..wire import Json
 from .caller_sessions import CallerSessions
@@ -38,6 +43,7 @@
 from .fleet.membership_directory import MembershipDirectory
 from .fleet.rendezvous import connection_quota, home_connection_limit
 from .histograms import HistogramMetrics
+from .load_reporter import LoadReporter
 from .network.answer_tracking_peers import AnswerTrackingPeers
 from .primary_lease.backup_holder import BackupHolder
 from .primary_lease.backup_holders import BackupHolders
@@ -286,7 +292,38 @@
             self.clock,
             self.decisions,
         )
-        self.replicas = ReplicaReader(
+        self.loads = TargetLoads(self.clock)
+        self.load_reporter = LoadReporter(
+            self.statement_server,
+            self.directory,
+            self.loads,
+            self.clock,
+            self.decisions,
+        )
+        if self.settings.target_outlier_detection:
+            self.make_retrying_router()
+        else:
+            self.make_router()
+        authorization = Authorizer(
+            self.announcements,
+            self.freshness,
+            self.settings.revoke,
+            self.decisions,
+            self.metrics,
+        )
+        self.caller_sessions = CallerSessions(
+            self.holder.incarnation,
+            self.router,
+            self.announcements,
+            authorization,
+            self.clock,
+            self.decisions,
+            self.metrics,
+        )
+
+    def make_router(self) -> None:
+        """Create what routes statements by this host's own samples."""
+        self.replicas: ReplicaReader = ReplicaReader(
             self.forwarder,
             self.statement_server,
             self.lease_registry,
@@ -296,7 +333,7 @@
             self.clock,
             self.decisions,
         )
-        self.router = SessionRouter(
+        self.router: SessionRouter = SessionRouter(
             self.forwarder,
             self.replicas,
             self.lease_registry,
@@ -305,21 +342,35 @@
             self.clock,
             self.decisions,
         )
-        authorization = Authorizer(
+
+    def make_retrying_router(self) -> None:
+        """Create what routes statements by load reports and repeats failed reads."""
+        retries = StatementRetries(
+            RetryBudget(self.clock), self.decisions, self.metrics
+        )
+        replicas = RetryingReplicaReader(
+            self.forwarder,
+            self.statement_server,
+            self.lease_registry,
+            self.directory,
+            self.peers,
             self.announcements,
-            self.freshness,
-            self.settings.revoke,
+            self.clock,
             self.decisions,
-            self.metrics,
+            self.loads,
+            retries,
+            self.random,
         )
-        self.caller_sessions = CallerSessions(
-            self.holder.incarnation,
-            self.router,
-            self.announcements,
-            authorization,
+        self.replicas = replicas
+        self.router = RetryingRouter(
+            self.forwarder,
+            replicas,
+            self.lease_registry,
+            self.directory,
+            self.peers,
             self.clock,
             self.decisions,
-            self.metrics,
+            retries,
         )
 
     def connect(self) -> None:
@@ -341,6 +392,27 @@
         self.announcements.on_table.append(self.publish_version)
         self.announcements.on_update.append(self.offer_announced_hosts)
         self.announcements.on_restart.append(self.replicas.forget_target)
+        if self.settings.target_outlier_detection:
+            self.connect_load_reports()
+
+    def connect_load_reports(self) -> None:
+        """Send and read load reports with results and heartbeats."""
+        self.statement_server.reports_load = True
+        self.forwarder.on_load = self.loads.record
+        state_age, read_age = self.state_age, self.freshness.read_age
+
+        def add_fields(answer: Json) -> None:
+            state_age(answer)
+            self.load_reporter.add_reports(answer)
+
+        def read_fields(
+            answer: Json, version: int, requested_at: float, host: str
+        ) -> None:
+            read_age(answer, version, requested_at, host)
+            self.load_reporter.read_reports(answer, requested_at, host)
+
+        self.membership.on_answer = add_fields
+        self.heartbeats.on_answer = read_fields
 
     def make_home(
         self,
--- a/src/reedhook/process/statement_server.py
+++ b/src/reedhook/process/statement_server.py
@@ -50,6 +50,7 @@
         restarted; they are closed once idle.
     :ivar outcomes: outcomes of writes and commits, by statement id, for hosts that
         lost the response.
+    :ivar reports_load: whether results carry the load of their targets.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.replica_homes: dict[str, SessionTargetHome] = {}
         self.replaced_homes: list[SessionTargetHome] = []
         self.outcomes: OrderedDict[str, WriteOutcome] = OrderedDict()
+        self.reports_load = False
 
     def register(self, routes: PeerRoutes) -> None:
         """Register the handlers of peer requests."""
@@ -80,7 +82,7 @@
     async def handle_work(self, body: Json) -> Json:
         """Run a statement for another host."""
         answer = await self.execute(SessionStatement.from_json(body))
-        return answer.to_json(self.clock.boottime())
+        return answer.to_json(self.clock.boottime(), self.clock.monotonic())
 
     async def handle_rollback(self, body: Json) -> Json:
         """Roll back a transaction for another host."""
@@ -158,10 +160,24 @@
     async def run_at_target(self, work: SessionStatement) -> SessionStatementResult:
         """Run a statement at the primary or at a replica."""
         if not work.target:
-            return await self.get_primary_user(work.service).execute(work)
+            client = self.get_primary_user(work.service)
+            answer = await client.execute(work)
+            self.add_load(answer, client.home)
+            return answer
         home = self.get_replica_home(work)
         reply = await home.run(work)
-        return SessionStatementResult(work.target, reply, None)
+        answer = SessionStatementResult(work.target, reply, None)
+        self.add_load(answer, home)
+        return answer
+
+    def add_load(
+        self, answer: SessionStatementResult, home: SessionTargetHome | None
+    ) -> None:
+        """Add the load of the target to a result of it."""
+        if not self.reports_load or home is None:
+            return
+        if home.entry.target == answer.target:
+            answer.load = home.load_meter.report()
 
     def get_replica_home(self, work: SessionStatement) -> SessionTargetHome:
         """Return the home of a replica, creating it on first use.
--- a/src/reedhook/request/hedge.py
+++ b/src/reedhook/request/hedge.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, Final
+from typing import Any, Final, Generic, TypeVar
 
 from .refusal import RefusalError
-from .statement_executor import HomeResponse
+
+T = TypeVar("T")
 
 QUANTILE: Final = 0.95
 INITIAL_ESTIMATE_SECONDS: Final = 0.05
@@ -33,7 +34,7 @@
         self.seconds = max(self.seconds, MIN_DELAY_SECONDS)
 
 
-class HedgedRead:
+class HedgedRead(Generic[T]):
     """Run a second attempt after `delay` seconds without a response.
 
     The first attempt runs in the caller's task, so that a read without a hedge
@@ -51,15 +52,15 @@
     def __init__(
         self,
         delay: float,
-        start_second: Callable[[], Coroutine[Any, Any, HomeResponse] | None],
+        start_second: Callable[[], Coroutine[Any, Any, T] | None],
     ) -> None:
         self.delay = delay
         self.start_second = start_second
         self.owner: asyncio.Task[Any] | None = None
-        self.second_attempt: asyncio.Task[HomeResponse] | None = None
+        self.second_attempt: asyncio.Task[T] | None = None
         self.interrupted = False
 
-    async def run(self, first: Awaitable[HomeResponse]) -> HomeResponse:
+    async def run(self, first: Awaitable[T]) -> T:
         """Return the first response.
 
         :raises RefusalError: the refusal of the last attempt, if both fail.
@@ -91,7 +92,7 @@
         self.second_attempt = asyncio.create_task(attempt)
         self.second_attempt.add_done_callback(self.finish)
 
-    def finish(self, attempt: asyncio.Task[HomeResponse]) -> None:
+    def finish(self, attempt: asyncio.Task[T]) -> None:
         """Cancel the first attempt once the second has succeeded."""
         if attempt.cancelled() or attempt.exception() is not None:
             return
@@ -103,7 +104,7 @@
         """Undo the cancellation; return whether no other one is pending."""
         return self.owner is not None and self.owner.uncancel() == 0
 
-    async def fallback(self) -> HomeResponse:
+    async def fallback(self) -> T:
         """Return the response of the second attempt after the first was refused.
 
         :raises RefusalError: the refusal of the second attempt.
--- a/src/reedhook/request/replica_reader.py
+++ b/src/reedhook/request/replica_reader.py
@@ -46,16 +46,27 @@
     :param overloaded_replica: the overloaded replica with the shortest wait; None if
         no replica refused for overload.
     :param wait_seconds: the wait at `overloaded_replica`.
+    :param failure: an error of a target after which another one may run the read.
+    :ivar tried: the replicas that were tried.
     """
 
-    __slots__ = ("located_result", "overloaded_replica", "wait_seconds")
+    __slots__ = (
+        "located_result",
+        "overloaded_replica",
+        "wait_seconds",
+        "failure",
+        "tried",
+    )
 
     def __init__(
         self,
         located_result: LocatedResult | None = None,
         overloaded_replica: TargetAnnouncement | None = None,
         wait_seconds: float = 0.0,
+        failure: LocatedResult | None = None,
     ) -> None:
+        self.failure = failure
+        self.tried: set[str] = set()
         self.located_result = located_result
         self.overloaded_replica = overloaded_replica
         self.wait_seconds = wait_seconds
@@ -99,19 +110,23 @@
             return ReplicaReadResult()
         statement.min_position = min_position
         statement.wait_limit_seconds = SLOT_WAIT_LIMIT_SECONDS
-        overloaded, wait = None, float("inf")
-        tried: set[str] = set()
-        while len(tried) < MAX_REPLICAS:
-            entry = self.best_replica(route.service, min_position, tried)
+        outcome = ReplicaReadResult(wait_seconds=float("inf"))
+        while len(outcome.tried) < MAX_REPLICAS:
+            entry = self.best_replica(route.service, min_position, outcome.tried)
             if entry is None:
                 break
-            tried.add(entry.target)
+            outcome.tried.add(entry.target)
             result = await self.run_at_replica(entry, statement, deadline)
             if result.located_result is not None:
                 return result
-            if result.overloaded_replica is not None and result.wait_seconds < wait:
-                overloaded, wait = result.overloaded_replica, result.wait_seconds
-        return ReplicaReadResult(None, overloaded, wait)
+            outcome.failure = result.failure or outcome.failure
+            if (
+                result.overloaded_replica is not None
+                and result.wait_seconds < outcome.wait_seconds
+            ):
+                outcome.overloaded_replica = result.overloaded_replica
+                outcome.wait_seconds = result.wait_seconds
+        return outcome
 
     async def required_position(
         self, route: Route, session_position: Position | None
@@ -164,16 +179,12 @@
         """Return the eligible replica with the lowest expected cost, or None."""
         now = self.clock.monotonic()
         observations = self.observations(service)
-        record = self.lease_registry.get(service)
-        primary = "" if record is None else record.primary
         best: TargetAnnouncement | None = None
         best_cost = float("inf")
-        for entry in self.announcements.targets.values():
-            if entry.service != service or entry.leaving or entry.target == primary:
-                continue
+        for entry in self.replicas(service, tried):
             target = observations.target(entry.target)
             covered = target.position is not None and target.position >= min_position
-            if entry.target in tried or (now < target.avoid_until and not covered):
+            if now < target.avoid_until and not covered:
                 continue
             cost = target.expected_seconds(now)
             cost += 0.0 if entry.zone == self.me.zone else CROSS_ZONE_COST_SECONDS
@@ -181,6 +192,19 @@
                 best, best_cost = entry, cost
         return best
 
+    def replicas(self, service: str, tried: set[str]) -> list[TargetAnnouncement]:
+        """Return the replicas of a service that take new work, except those tried."""
+        record = self.lease_registry.get(service)
+        primary = "" if record is None else record.primary
+        return [
+            entry
+            for entry in self.announcements.targets.values()
+            if entry.service == service
+            and not entry.leaving
+            and entry.target != primary
+            and entry.target not in tried
+        ]
+
     async def run_at_replica(
         self, entry: TargetAnnouncement, statement: SessionStatement, deadline: float
     ) -> ReplicaReadResult:
@@ -200,7 +224,7 @@
         target.inflight += 1
         location = StatementLocation(host, entry.target)
         try:
-            result = await self.forwarder.run_at(location, statement)
+            located = await self.run_at(entry, location, statement, deadline)
         except RefusalError as refusal:
             if refusal.verdict is not Verdict.NOT_RUN or statement.remaining <= 0.0:
                 raise
@@ -211,6 +235,8 @@
             if refusal.reason is RefusalReason.RATE_LIMITED:
                 # The rate limit covers all targets.
                 raise
+            if not self.allows_reroute(entry, statement, refusal):
+                raise
             self.forwarder.log_reroute(statement, entry.target, refusal.reason.value)
             if refusal.reason is RefusalReason.OVERLOADED:
                 target.record_overload(self.clock.monotonic())
@@ -219,8 +245,42 @@
             return ReplicaReadResult()
         finally:
             target.inflight -= 1
+        return self.read_outcome(entry, statement, located, started_at, deadline)
+
+    def allows_reroute(
+        self,
+        entry: TargetAnnouncement,
+        statement: SessionStatement,
+        refusal: RefusalError,
+    ) -> bool:
+        """Return whether a read that has not run at `entry` may run elsewhere."""
+        return True
+
+    async def run_at(
+        self,
+        entry: TargetAnnouncement,
+        location: StatementLocation,
+        statement: SessionStatement,
+        deadline: float,
+    ) -> LocatedResult:
+        """Run a read at the location of one replica.
+
+        :raises RefusalError: with a correct verdict.
+        """
+        return LocatedResult(await self.forwarder.run_at(location, statement), location)
+
+    def read_outcome(
+        self,
+        entry: TargetAnnouncement,
+        statement: SessionStatement,
+        located: LocatedResult,
+        started_at: float,
+        deadline: float,
+    ) -> ReplicaReadResult:
+        """Record what an answer tells of its target; return the outcome of the read."""
+        target = self.observations(statement.service).target(entry.target)
         now = self.clock.monotonic()
-        reply = result.reply
+        reply = located.result.reply
         if reply.fault is StatementFault.LAGGING:
             target.record_lag(reply.position, now)
             self.forwarder.log_reroute(
@@ -231,7 +291,7 @@
             self.forwarder.log_reroute(statement, entry.target, reply.fault.value)
             return ReplicaReadResult()
         target.record_answer(now - started_at, reply.position, now)
-        return ReplicaReadResult(LocatedResult(result, location))
+        return ReplicaReadResult(located)
 
     def forget_target(self, entry: TargetAnnouncement) -> None:
         """Drop the observations of a target that has restarted."""
--- a/src/reedhook/request/service_observations.py
+++ b/src/reedhook/request/service_observations.py
@@ -4,6 +4,7 @@
 from collections import deque
 from typing import Final
 
+from .hedge import LatencyPercentile
 from .position import Position
 from .session_statement import PositionProof
 
@@ -23,6 +24,18 @@
 """Half-life of a deviation from the default latency. A target that has recovered
 gets reads again."""
 
+FAILURE_SMOOTHING_FACTOR: Final = 0.2
+"""Weight of the newest answer in the share of failed ones."""
+
+MAX_FAILED_SHARE: Final = 0.9
+"""Limit of the share of failed answers, whose complement is a divisor of costs."""
+
+FAILURE_HALF_LIFE_SECONDS: Final = 2.0
+"""Half-life of the share of failed answers, as for the latency."""
+
+PROBATION_READ_INTERVAL: Final = 10
+"""One read in so many goes to a target in probation."""
+
 MIN_LAG_BACKOFF_SECONDS: Final = 0.1
 MAX_LAG_BACKOFF_SECONDS: Final = 1.6
 """The backoff of a lagging replica doubles up to this limit."""
@@ -41,6 +54,8 @@
     :ivar avoid_until: monotonic time until which other targets are preferred.
     :ivar lag_backoff_seconds: backoff after the next lagging read.
     :ivar position: the last position that its reads are known to see.
+    :ivar failed_share: share of its answers that were errors, at `failed_at`.
+    :ivar failed_at: monotonic time of the last change of `failed_share`.
     """
 
     __slots__ = (
@@ -50,9 +65,13 @@
         "avoid_until",
         "lag_backoff_seconds",
         "position",
+        "failed_share",
+        "failed_at",
     )
 
     def __init__(self) -> None:
+        self.failed_share = 0.0
+        self.failed_at = 0.0
         self.mean_seconds = DEFAULT_MEAN_SECONDS
         self.updated_at = 0.0
         self.inflight = 0
@@ -62,11 +81,27 @@
 
     def expected_seconds(self, now: float) -> float:
         """Return the expected latency of a new statement in seconds."""
+        return self.mean_at(now) * (1 + self.inflight)
+
+    def mean_at(self, now: float) -> float:
+        """Return the mean latency, decayed towards the default."""
         weight = math.exp2((self.updated_at - now) / HALF_LIFE_SECONDS)
-        mean = (
+        return (
             DEFAULT_MEAN_SECONDS + (self.mean_seconds - DEFAULT_MEAN_SECONDS) * weight
         )
-        return mean * (1 + self.inflight)
+
+    def failed_share_at(self, now: float) -> float:
+        """Return the share of failed answers, decayed towards 0."""
+        share = self.failed_share * math.exp2(
+            (self.failed_at - now) / FAILURE_HALF_LIFE_SECONDS
+        )
+        return min(share, MAX_FAILED_SHARE)
+
+    def record_failure(self, now: float) -> None:
+        """Record an answer that was an error of the target."""
+        share = self.failed_share_at(now)
+        self.failed_share = share + FAILURE_SMOOTHING_FACTOR * (1.0 - share)
+        self.failed_at = now
 
     def record_answer(
         self, seconds: float, position: Position | None, now: float
@@ -74,6 +109,10 @@
         """Record the latency and position of a result."""
         self.mean_seconds += SMOOTHING_FACTOR * (seconds - self.mean_seconds)
         self.updated_at = now
+        if self.failed_share:
+            share = self.failed_share_at(now)
+            self.failed_share = share * (1.0 - FAILURE_SMOOTHING_FACTOR)
+            self.failed_at = now
         self.lag_backoff_seconds = MIN_LAG_BACKOFF_SECONDS
         if position is not None:
             self.position = position
@@ -102,11 +141,15 @@
     """Keep proofs of a primary's position and observations of its targets.
 
     :ivar proofs: proofs in ascending order of `as_of`.
+    :ivar probation_choices: choices made while a target was in probation.
+    :ivar latency_percentile: 95th percentile of the latency of reads.
     """
 
-    __slots__ = ("proofs", "targets")
+    __slots__ = ("proofs", "targets", "probation_choices", "latency_percentile")
 
     def __init__(self) -> None:
+        self.probation_choices = 0
+        self.latency_percentile = LatencyPercentile()
         self.proofs: deque[PositionProof] = deque(maxlen=MAX_PROOFS)
         self.targets: dict[str, TargetObservations] = {}
 
@@ -117,6 +160,11 @@
             observations = self.targets[target] = TargetObservations()
         return observations
 
+    def is_probation_turn(self) -> bool:
+        """Return whether this read is the one for a target in probation."""
+        self.probation_choices += 1
+        return self.probation_choices % PROBATION_READ_INTERVAL == 0
+
     def add_proof(self, proof: PositionProof | None) -> None:
         """Keep a proof if it is `MIN_PROOF_INTERVAL_SECONDS` newer than the last."""
         if proof is None:
--- a/src/reedhook/request/session_router.py
+++ b/src/reedhook/request/session_router.py
@@ -88,6 +88,18 @@
         )
         if replica_result.located_result is not None:
             return replica_result.located_result
+        return await self.run_after_replicas(statement, replica_result, deadline)
+
+    async def run_after_replicas(
+        self,
+        statement: SessionStatement,
+        replica_result: ReplicaReadResult,
+        deadline: float,
+    ) -> LocatedResult:
+        """Run a read that no replica served at once.
+
+        :raises RefusalError: with a verdict that covers all attempts.
+        """
         if replica_result.overloaded_replica is not None:
             return await self.run_at_shortest_wait(statement, replica_result, deadline)
         statement.wait_limit_seconds = None
--- a/src/reedhook/request/session_statement.py
+++ b/src/reedhook/request/session_statement.py
@@ -8,6 +8,7 @@
 from ..record import Record
 from ..wire import Json, wraps_decode_errors
 from .position import Position
+from .target_load import TargetLoad
 
 DEFAULT_PRIORITY: Final = 1
 """Priority of a statement whose route specifies none."""
@@ -226,19 +227,29 @@
     :param target: the target that replied.
     :param proof: a proof of the primary's position, if the home holds the primary
         lease of the service.
+    :param load: the load of the target; None if it is not reported.
     """
 
-    __slots__ = ("target", "reply", "proof")
+    __slots__ = ("target", "reply", "proof", "load")
 
     def __init__(
-        self, target: str, reply: SessionTargetReply, proof: PositionProof | None
+        self,
+        target: str,
+        reply: SessionTargetReply,
+        proof: PositionProof | None,
+        load: TargetLoad | None = None,
     ) -> None:
         self.target = target
         self.reply = reply
         self.proof = proof
+        self.load = load
 
-    def to_json(self, now: float) -> Json:
-        """Return the result in the wire format between hosts."""
+    def to_json(self, now: float, monotonic_now: float = 0.0) -> Json:
+        """Return the result in the wire format between hosts.
+
+        :param now: by `Clock.boottime`.
+        :param monotonic_now: by `Clock.monotonic`; needed if there is a load report.
+        """
         reply = self.reply
         position = reply.position
         message: Json = {
@@ -254,12 +265,17 @@
             message["state"] = reply.state.value
         if self.proof is not None:
             message["proof"] = self.proof.to_json(now)
+        if self.load is not None:
+            message["load"] = self.load.to_json(monotonic_now)
         return message
 
     @classmethod
     @wraps_decode_errors
     def from_json(cls, message: Json, requested_at: float) -> "SessionStatementResult":
-        """Decode a result.
+        """Decode a result without its load report.
+
+        The report is read by `StatementForwarder`, since a malformed one must not cost
+        the result.
 
         :param requested_at: when the statement was sent, by `Clock.boottime`.
         """
--- a/src/reedhook/request/statement_forwarder.py
+++ b/src/reedhook/request/statement_forwarder.py
@@ -21,6 +21,7 @@
     SessionStatementKind,
     SessionStatementResult,
 )
+from .target_load import TargetLoad
 
 PEER_CALL_GRACE_SECONDS: Final = 0.05
 """Time after the deadline in which another host's result may still arrive."""
@@ -86,6 +87,7 @@
     :ivar lost_since: monotonic time of the first lost answer, by unresponsive host.
     :ivar last_attempt_at: monotonic time of the last retry, by unresponsive host.
     :ivar on_host_lost: called with a host that did not answer.
+    :ivar on_load: called with the load report of each result; None to ignore them.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         self.last_attempt_at: dict[str, float] = {}
         self.rate_limits = RemoteRateLimits(clock)
         self.on_host_lost: Callable[[HostRef], None] = lambda host: None
+        self.on_load: Callable[[TargetLoad], object] | None = None
 
     def acting_holder(
         self, record: PrimaryLeaseRecord, refused_by_backup: bool
@@ -128,7 +131,10 @@
         :raises RefusalError: with a correct verdict even if the connection fails.
         """
         if location.host.host == self.me.host:
-            return await self.local_handler.execute(statement)
+            result = await self.local_handler.execute(statement)
+            if result.load is not None and self.on_load is not None:
+                self.on_load(result.load)
+            return result
         self.check_host(location.host)
         self.rate_limits.check(location.host.host, statement)
         requested_at = self.clock.boottime()
@@ -146,6 +152,7 @@
         try:
             message = await self.call_host(location.host, statement, timeout)
             self.lost_since.pop(location.host.host, None)
+            self.read_load(location, message, sent_at)
             return SessionStatementResult.from_json(message, requested_at)
         except RefusalError as refusal:
             self.rate_limits.record_refusal(location.host.host, statement, refusal)
@@ -159,6 +166,23 @@
                 location, statement, str(error), error.sent, sent_at
             )
 
+    def read_load(
+        self, location: StatementLocation, message: Json, requested_at: float
+    ) -> None:
+        """Keep the load report of a result, if it has a valid one.
+
+        :param requested_at: when the statement was sent, by `Clock.monotonic`.
+        """
+        report = message.get("load")
+        if report is None or self.on_load is None:
+            return
+        try:
+            self.on_load(TargetLoad.from_json(report, requested_at))
+        except WireError as error:
+            self.decisions.record(
+                "load_report_invalid", source=location.host.host, error=str(error)
+            )
+
     async def call_host(
         self, host: HostRef, statement: SessionStatement, timeout: float
     ) -> Json:
