--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -1,4 +1,4 @@
-"""Choice by load reports: herds at one target, slow and ejected targets, old reports."""
+"""Choice by load reports: herds at one target, slow and ejected targets, old ones."""
 
 import math
 from collections import Counter
