Refused reads leave retry budget for failed ones

The budget is one per host. Reads that an overloaded service refused would spend it, and reads that failed at another service would not be repeated.

--- a/src/reedhook/request/retry_budget.py
+++ b/src/reedhook/request/retry_budget.py
@@ -13,6 +13,11 @@
 
 TOKENS_PER_RETRY: Final = 1.0
 
+REFUSAL_RESERVE: Final = MIN_TOKENS
+"""Tokens that refused statements leave. The budget is for all services of the host; an
+overloaded one would spend it all, and reads that failed elsewhere would not be
+repeated."""
+
 EXHAUSTED_SECONDS: Final = 10.0
 """Time without a token after which `MIN_TOKENS` are granted again. A host whose
 statements all fail could never find out otherwise that a retry would succeed."""
@@ -39,10 +44,15 @@
         if self.tokens >= TOKENS_PER_RETRY:
             self.exhausted_at = None
 
-    def try_spend(self) -> bool:
-        """Take the token of one retry; return whether there was one."""
+    def try_spend(self, reserve: float = 0.0) -> bool:
+        """Take the token of one retry; return whether there was one.
+
+        :param reserve: tokens that this retry must leave.
+        """
         if self.tokens < TOKENS_PER_RETRY and not self.refill_exhausted():
             return False
+        if self.tokens < TOKENS_PER_RETRY + reserve:
+            return False
         self.tokens -= TOKENS_PER_RETRY
         if self.tokens < TOKENS_PER_RETRY:
             self.exhausted_at = self.clock.monotonic()
--- a/src/reedhook/request/retrying_router.py
+++ b/src/reedhook/request/retrying_router.py
@@ -12,6 +12,7 @@
 from .position import Position
 from .refusal import RefusalError, RefusalReason
 from .replica_reader import ReplicaReadResult
+from .retry_budget import REFUSAL_RESERVE
 from .retrying_replica_reader import MIN_ATTEMPT_SECONDS, RetryingReplicaReader
 from .session_router import SessionRouter
 from .session_statement import SessionStatement
@@ -88,7 +89,12 @@
             if may_repeat_after_refusal(statement, refusal):
                 cause = refusal.reason.value
                 other = await self.run_elsewhere(
-                    statement, min_position, replica_result, deadline, cause
+                    statement,
+                    min_position,
+                    replica_result,
+                    deadline,
+                    cause,
+                    REFUSAL_RESERVE,
                 )
             other = other or replica_result.failure
             if other is None:
@@ -109,12 +115,14 @@
         replica_result: ReplicaReadResult,
         deadline: float,
         cause: str,
+        reserve: float = 0.0,
     ) -> LocatedResult | None:
         """Run a read at the replicas that are left after the primary did not serve it.
 
         :param min_position: the position that the read requires of any replica; None
             if only the primary may serve it.
         :param cause: why the primary did not serve it.
+        :param reserve: tokens of the retry budget that this must leave.
         :returns: None if no target served it.
         """
         if min_position is None:
@@ -124,7 +132,7 @@
             entry = self.reader.last_resort(statement.service, min_position, tried)
             if entry is None or deadline - self.clock.monotonic() < MIN_ATTEMPT_SECONDS:
                 return None
-            if not self.retries.allows(statement, PRIMARY, cause):
+            if not self.retries.allows(statement, PRIMARY, cause, reserve):
                 return None
             tried.add(entry.target)
             statement.min_position = min_position
--- a/src/reedhook/request/statement_retries.py
+++ b/src/reedhook/request/statement_retries.py
@@ -45,12 +45,19 @@
         """Earn the tokens of a successful statement."""
         self.budget.record_success()
 
-    def allows(self, statement: SessionStatement, target: str, cause: str) -> bool:
+    def allows(
+        self,
+        statement: SessionStatement,
+        target: str,
+        cause: str,
+        reserve: float = 0.0,
+    ) -> bool:
         """Spend the budget for one more attempt; return whether there was any.
 
         :param target: the target that did not serve the statement.
+        :param reserve: tokens that this attempt must leave.
         """
-        if not self.budget.try_spend():
+        if not self.budget.try_spend(reserve):
             self.metrics.increment("retries.budget_spent")
             return False
         self.metrics.increment(f"retries.{cause}")
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -37,6 +37,12 @@
 OVERLOADED = RefusalReason.OVERLOADED
 
 
+def earn(world: RetryWorld) -> None:
+    """Earn tokens above those that refused reads leave."""
+    for _ in range(200):
+        world.budget.record_success()
+
+
 @pytest.mark.parametrize("failing", ["t0", "t1"])
 @in_virtual_time
 async def test_target_that_fails_40_percent_costs_no_read(failing: str) -> None:
@@ -105,6 +111,7 @@
 @in_virtual_time
 async def test_ejected_target_serves_what_no_other_target_can() -> None:
     world = RetryWorld()
+    earn(world)
     world.report("t1", TargetCondition.EJECTED)
     world.behave("t2", refusing(OVERLOADED))
     world.behave("t0", refusing(OVERLOADED))
@@ -230,6 +237,21 @@
     assert len(world.attempts) <= 200 * 5 + 2 * MIN_TOKENS
 
 
+@in_virtual_time
+async def test_refused_reads_leave_budget_for_failed_ones() -> None:
+    """The budget is for all services; an overloaded one must not spend it."""
+    world = RetryWorld()
+    earn(world)
+    for target in ("t0", "t1", "t2"):
+        world.behave(target, refusing(OVERLOADED))
+    world.report("t1", TargetCondition.EJECTED)
+    for _ in range(100):
+        with pytest.raises(RefusalError):
+            await world.read()
+    assert world.budget.tokens >= MIN_TOKENS
+    assert world.metrics.counters["retries.budget_spent"] > 0
+
+
 @in_virtual_time
 async def test_read_without_time_left_is_not_repeated() -> None:
     world = RetryWorld()
