A rerouted read keeps its soft deadline

A call to another host limits a read to 0.4 s, and the limit replaced the statement's remaining time. Before the next attempt the router subtracted a negative elapsed time, so that the soft deadline of a read that a replica had refused as lagging moved 0.4 s into the future (0.645 s instead of 0.245 s in the new test, which failed first). The next home ranked it as not late and let it wait for 0.4 s longer.

The forwarder now restores the remaining time after the call. This concerns all deployments, also those without outlier detection.

--- a/src/reedhook/request/statement_forwarder.py
+++ b/src/reedhook/request/statement_forwarder.py
@@ -139,6 +139,7 @@
         self.rate_limits.check(location.host.host, statement)
         requested_at = self.clock.boottime()
         sent_at = self.clock.monotonic()
+        remaining = statement.remaining
         if statement.kind is SessionStatementKind.READ and not statement.transaction:
             # The home must give up first, or it would run a read nobody waits for.
             wait_limit = max(
@@ -165,6 +166,10 @@
             return await self.resolve_lost_answer(
                 location, statement, str(error), error.sent, sent_at
             )
+        finally:
+            # The limit is that of this call. The next attempt dates both deadlines
+            # from the remaining time.
+            statement.remaining = remaining
 
     def read_load(
         self, location: StatementLocation, message: Json, requested_at: float
--- a/tests/test_statement_forwarder.py
+++ b/tests/test_statement_forwarder.py
@@ -207,3 +207,37 @@
         await forwarder.run_at(StatementLocation(near, "t1"), make_read())
     assert asyncio.get_running_loop().time() > started_at
     assert forwarder.expects_failover(REMOTE_HOST) is False
+
+
+class LaggingPeers(SlowPeers):
+    """Answer statements after a moment with a replica's lag."""
+
+    async def call(self, peer: HostRef, path: str, body: Json, timeout: float) -> Json:
+        await asyncio.sleep(0.005)
+        return {
+            "target": "t1",
+            "rows": [],
+            "signature": "",
+            "position": [1, 1],
+            "fault": "lagging",
+        }
+
+
+@in_virtual_time
+async def test_read_keeps_its_soft_deadline_for_the_next_target() -> None:
+    """A replica that lags must not extend the time that the read may wait elsewhere.
+
+    The shorter time limit of a call to another host replaced the remaining time, and
+    the difference was added to the soft deadline before the next attempt.
+    """
+    clock = LoopClock()
+    forwarder = make_forwarder(AnswerTrackingPeers(LaggingPeers(), clock), [])
+    read = make_read()
+    deadline = clock.monotonic() + read.remaining
+    soft_deadline = clock.monotonic() + read.soft_deadline_seconds
+    await forwarder.run_at(StatementLocation(REMOTE_HOST, "t1"), read)
+    read.subtract_elapsed(read.remaining - (deadline - clock.monotonic()))
+    assert read.remaining == pytest.approx(deadline - clock.monotonic())
+    assert read.soft_deadline_seconds == pytest.approx(
+        soft_deadline - clock.monotonic()
+    )
