A call's time limit is kept out of the statement itself

The second attempt of a hedged read copies the statement while the first is in progress, when its remaining time was still the limit of the first call (0.4 s); the soft deadline of the copy moved into the future. The forwarder now limits a copy. The new test failed first with the remaining time 0.4 instead of 0.8 s.

--- a/src/reedhook/request/statement_forwarder.py
+++ b/src/reedhook/request/statement_forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from copy import copy
 from typing import Final
 
 from ..clock import Clock
@@ -139,13 +140,15 @@
         self.rate_limits.check(location.host.host, statement)
         requested_at = self.clock.boottime()
         sent_at = self.clock.monotonic()
-        remaining = statement.remaining
         if statement.kind is SessionStatementKind.READ and not statement.transaction:
             # The home must give up first, or it would run a read nobody waits for.
             wait_limit = max(
                 READ_WAIT_LIMIT_SECONDS,
                 statement.soft_deadline_seconds + QUEUE_GRACE_SECONDS,
             )
+            # The limit is that of this call. Other attempts, also concurrent ones,
+            # date both deadlines from the remaining time.
+            statement = copy(statement)
             statement.remaining = min(
                 statement.remaining, wait_limit - PEER_CALL_GRACE_SECONDS
             )
@@ -166,10 +169,6 @@
             return await self.resolve_lost_answer(
                 location, statement, str(error), error.sent, sent_at
             )
-        finally:
-            # The limit is that of this call. The next attempt dates both deadlines
-            # from the remaining time.
-            statement.remaining = remaining
 
     def read_load(
         self, location: StatementLocation, message: Json, requested_at: float
--- a/tests/test_statement_forwarder.py
+++ b/tests/test_statement_forwarder.py
@@ -223,6 +223,18 @@
         }
 
 
+@in_virtual_time
+async def test_read_in_progress_keeps_its_remaining_time_for_a_hedge() -> None:
+    """The second attempt copies the statement while the first is in progress."""
+    forwarder = make_forwarder(AnswerTrackingPeers(LaggingPeers(), LoopClock()), [])
+    read = make_read()
+    location = StatementLocation(REMOTE_HOST, "t1")
+    first = asyncio.ensure_future(forwarder.run_at(location, read))
+    await asyncio.sleep(0.002)
+    assert read.remaining == 0.8
+    await first
+
+
 @in_virtual_time
 async def test_read_keeps_its_soft_deadline_for_the_next_target() -> None:
     """A replica that lags must not extend the time that the read may wait elsewhere.
