Order revisions of the store by the epoch that assigned them

A store that is restored from an older copy assigns revision numbers again, so an integer does not tell which of two states is newer. StoreRevision(epoch, number) is totally ordered and replaces the integer in Item, Items, KeyValueStore, StoreMirror, Announcements, news messages and lease records; it is sent as an integer while the epoch is 0. StoreEpoch keeps the highest epoch known to a host. platform/store.py reads the header, and treats an answer of a lower epoch as no answer. A watch from a revision of another epoch counts as compacted history, and a condition with a revision of an earlier epoch is a conflict. Lease code is retyped only.

--- a/src/reedhook/connection/channel.py
+++ b/src/reedhook/connection/channel.py
@@ -30,15 +30,23 @@
 
 
 class ChannelResponse:
-    """Carry the status and the complete body of a response.
+    """Carry the status, the headers and the complete body of a response.
 
+    :param headers: header values by lower-case name.
     :param transfer_seconds: seconds from the first byte to the last.
     """
 
-    __slots__ = ("status", "body", "transfer_seconds")
+    __slots__ = ("status", "headers", "body", "transfer_seconds")
 
-    def __init__(self, status: int, body: bytes, transfer_seconds: float = 0.0) -> None:
+    def __init__(
+        self,
+        status: int,
+        headers: dict[bytes, bytes],
+        body: bytes,
+        transfer_seconds: float = 0.0,
+    ) -> None:
         self.status = status
+        self.headers = headers
         self.body = body
         self.transfer_seconds = transfer_seconds
 
@@ -48,6 +56,7 @@
 
     :ivar usable: whether another request may be sent.
     :ivar limit: maximum size of the next body in bytes; None for no limit.
+    :ivar headers: headers of the response so far, by lower-case name.
     :ivar begun: loop time at which the first byte of the response arrived.
     :ivar on_progress: called for each piece of a response.
     """
@@ -58,6 +67,7 @@
         self.usable = True
         self.limit: int | None = None
         self.waiting: asyncio.Future[ChannelResponse] | None = None
+        self.headers: dict[bytes, bytes] = {}
         self.parts: list[bytes] = []
         self.size = 0
         self.begun: float | None = None
@@ -92,6 +102,7 @@
     def expect(self, limit: int | None) -> "asyncio.Future[ChannelResponse]":
         """Return a future for the next response."""
         self.limit = limit
+        self.headers = {}
         self.parts = []
         self.size = 0
         self.begun = None
@@ -99,8 +110,13 @@
         return self.waiting
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Fail if the declared length exceeds the limit; called by the parser."""
-        if self.limit is None or name.lower() != CONTENT_LENGTH:
+        """Keep a header, and fail if the declared length exceeds the limit.
+
+        Called by the parser.
+        """
+        name = name.lower()
+        self.headers[name] = value
+        if self.limit is None or name != CONTENT_LENGTH:
             return
         if value.isdigit() and int(value) > self.limit:
             self.fail("the response exceeds the size limit")
@@ -120,7 +136,10 @@
             return
         self.usable = self.usable and self.parser.should_keep_alive()
         response = ChannelResponse(
-            self.parser.get_status_code(), b"".join(self.parts), self.transfer_seconds()
+            self.parser.get_status_code(),
+            self.headers,
+            b"".join(self.parts),
+            self.transfer_seconds(),
         )
         self.waiting.set_result(response)
 
--- a/src/reedhook/connection/session.py
+++ b/src/reedhook/connection/session.py
@@ -198,7 +198,7 @@
             ms=round(seconds * 1000.0, 1),
             configuration=self.announcements.table.version,
             lead=None if record is None else record.holder.ref.host,
-            lead_revision=None if record is None else record.revision,
+            lead_revision=None if record is None else record.revision.to_json(),
         )
 
     async def answer(self, id: str, command: SessionCommand) -> SessionReply:
--- a/src/reedhook/platform/assembly.py
+++ b/src/reedhook/platform/assembly.py
@@ -10,6 +10,7 @@
 from ..clock import Clock, SystemClock
 from ..decision_log import DecisionLog
 from ..peer import HostRef
+from ..process.discovery.store_epoch import StoreEpoch
 from ..process.events.timeline import Timeline
 from ..process.histograms import HistogramMetrics
 from ..process.network.peer_http import HttpPeers
@@ -55,11 +56,13 @@
         known: float,
     ) -> None:
         self.path = path
-        self.store = PlatformStore(settings.store, clock)
+        metrics = HistogramMetrics()
+        self.store = PlatformStore(
+            settings.store, clock, StoreEpoch(decisions, metrics)
+        )
         self.promoter = PlatformPromoter(settings.promotions)
         timeline = Timeline(settings.host, clock)
         me = HostRef(settings.host, settings.zone, settings.peer_listen)
-        metrics = HistogramMetrics()
         host = SessionHost(
             settings,
             clock,
--- a/src/reedhook/platform/store.py
+++ b/src/reedhook/platform/store.py
@@ -13,6 +13,7 @@
 )
 from ..connection.channel_pool import ChannelPool
 from ..process.discovery.key_value_store import (
+    EarlierEpochError,
     HistoryCompactedError,
     Item,
     Items,
@@ -22,6 +23,8 @@
     StoreRejectedError,
     StoreUnansweredError,
 )
+from ..process.discovery.store_epoch import StoreEpoch
+from ..process.discovery.store_revision import StoreRevision
 from ..record import Record
 from ..wire import Json, WireError, decode, encode
 
@@ -33,6 +36,9 @@
 KEEP: Final = "-/kv-keep/"
 LEASE_END: Final = "-/kv-lease-end/"
 
+EPOCH_HEADER: Final = b"store-era"
+"""Number of restores of the store; a response without it counts as 0."""
+
 OK: Final = 200
 ABSENT: Final = 404
 GONE: Final = 410
@@ -48,7 +54,8 @@
 class PlatformStore(KeyValueStore):
     """Call the store at `address` (``IP:port``)."""
 
-    def __init__(self, address: str, clock: Clock) -> None:
+    def __init__(self, address: str, clock: Clock, epoch: StoreEpoch) -> None:
+        super().__init__(epoch)
         self.clock = clock
         self.link = ChannelPool(address, JSON_HEADERS)
 
@@ -62,7 +69,7 @@
         answer = await self.request("GET", KEY, {"key": key}, None, timeout)
         if answer.status == ABSENT:
             return None
-        return read_item(require_ok(answer))
+        return read_item(require_ok(answer), answer.epoch)
 
     async def list(self, prefix: str, timeout: float) -> Items:
         items: list[Item] = []
@@ -73,6 +80,9 @@
             answer = await self.request("GET", RANGE, query, None, timeout)
             page = read_items(answer, "items")
             first_revision = page.revision if first_revision is None else first_revision
+            if page.revision.epoch != first_revision.epoch:
+                # The store was restored between two pages.
+                raise EarlierEpochError("the first page is of an earlier epoch")
             items += page.items
             transfer_seconds += page.transfer_seconds
             if not answer.message.get("truncated") or not page.items:
@@ -82,18 +92,24 @@
             query = {"prefix": prefix, "after": page.items[-1].key}
 
     async def changes(
-        self, prefix: str, after: int, hold: float, margin: float
+        self, prefix: str, after: StoreRevision, hold: float, margin: float
     ) -> Items:
         query = {
             "prefix": prefix,
-            "after": str(after),
+            "after": str(after.number),
             "wait_ms": str(int(hold * MS_PER_SECOND)),
         }
         timeout = hold + margin
         answer = await self.request("GET", WATCH, query, None, timeout)
         if answer.status == GONE:
             raise HistoryCompactedError(
-                f"the history after revision {after} was compacted"
+                f"the history after revision {after.number} was compacted"
+            )
+        if answer.epoch != after.epoch:
+            # The number may have been assigned again, so that the response lacks
+            # changes between the restored copy and this number.
+            raise HistoryCompactedError(
+                f"revision {after.number} is of epoch {after.epoch}"
             )
         return read_items(answer, "events")
 
@@ -101,21 +117,22 @@
         self,
         key: str,
         value: bytes,
-        expected: int | None,
+        expected: StoreRevision | None,
         timeout: float,
         lease: int = 0,
-    ) -> int:
+    ) -> StoreRevision:
+        self.check_condition(key, expected)
         conditions = []
         if expected is not None:
-            conditions = [{"key": key, "revision": expected}]
+            conditions = [{"key": key, "revision": expected.number}]
         write = {"key": key, "value": b64encode(value).decode(), "lease": lease}
         body: Json = {"expect": conditions, "writes": [write], "deletes": []}
         answer = await self.request("POST", CHANGE, {}, body, timeout)
         if answer.status == CONFLICT:
-            raise RevisionConflictError(f"{key} is not at revision {expected}")
+            raise RevisionConflictError(f"{key} is not at {expected}")
         if answer.status == ABSENT:
             raise StoreLeaseExpiredError(f"there is no lease {lease}")
-        return int(require_ok(answer)["revision"])
+        return StoreRevision(answer.epoch, int(require_ok(answer)["revision"]))
 
     async def grant_lease(self, seconds: float, timeout: float) -> int:
         body: Json = {"ttl_ms": int(seconds * MS_PER_SECOND)}
@@ -149,6 +166,7 @@
         """Send one request without retrying it.
 
         :raises StoreUnansweredError: if no complete response arrived.
+        :raises EarlierEpochError: if the response is of an earlier epoch.
         """
         raw = b"" if body is None else encode(body)
         if query:
@@ -166,23 +184,43 @@
             # The other pooled connections may be broken as well.
             self.link.drop_idle()
             raise StoreUnansweredError(f"no answer to {path}: {error}") from error
-        return StoreAnswer(answer.status, read_body(answer), answer.transfer_seconds)
+        epoch = read_epoch(answer)
+        self.receive_epoch(epoch)
+        return StoreAnswer(
+            answer.status, epoch, read_body(answer), answer.transfer_seconds
+        )
 
 
 class StoreAnswer(Record):
     """Hold the store's response to a request.
 
+    :param epoch: the epoch that the response states.
     :param transfer_seconds: seconds from the first byte to the last.
     """
 
-    __slots__ = ("status", "message", "transfer_seconds")
+    __slots__ = ("status", "epoch", "message", "transfer_seconds")
 
-    def __init__(self, status: int, message: Json, transfer_seconds: float) -> None:
+    def __init__(
+        self, status: int, epoch: int, message: Json, transfer_seconds: float
+    ) -> None:
         self.status = status
+        self.epoch = epoch
         self.message = message
         self.transfer_seconds = transfer_seconds
 
 
+def read_epoch(answer: ChannelResponse) -> int:
+    """Return the epoch that a response states.
+
+    :raises StoreUnansweredError: if it is not a number, so that nothing is known of
+        the state that the response describes.
+    """
+    stated = answer.headers.get(EPOCH_HEADER, b"0").strip()
+    if not stated.isdigit():
+        raise StoreUnansweredError(f"malformed epoch {stated[:20]!r}")
+    return int(stated)
+
+
 def read_body(answer: ChannelResponse) -> Json:
     """Return the message of a response, or the parse error in ``error``."""
     if not answer.body.strip():
@@ -210,21 +248,25 @@
     """
     message = require_ok(answer)
     try:
-        items = [read_item(item) for item in message[name]]
-        return Items(items, int(message["at"]), answer.transfer_seconds)
+        items = [read_item(item, answer.epoch) for item in message[name]]
+        revision = StoreRevision(answer.epoch, int(message["at"]))
+        return Items(items, revision, answer.transfer_seconds)
     except (LookupError, TypeError, ValueError) as error:
         raise StoreRejectedError(f"malformed response: {error!r}") from error
 
 
-def read_item(message: Any) -> Item:
+def read_item(message: Any, epoch: int) -> Item:
     """Parse an item; a deleted one has a `tombstone`.
 
+    :param epoch: epoch of the response.
+
     :raises StoreRejectedError: if the message is malformed.
     """
     try:
         value = None
         if "tombstone" not in message:
             value = b64decode(message["value"], validate=True)
-        return Item(str(message["key"]), value, int(message["revision"]))
+        revision = StoreRevision(epoch, int(message["revision"]))
+        return Item(str(message["key"]), value, revision)
     except (LookupError, TypeError, ValueError) as error:
         raise StoreRejectedError(f"malformed item: {error!r}") from error
--- a/src/reedhook/process/discovery/announcements.py
+++ b/src/reedhook/process/discovery/announcements.py
@@ -93,7 +93,9 @@
         now = self.clock.boottime()
         if not self.store_reached:
             self.reached_since = now
-            self.decisions.record("store_reached", revision=self.mirror.revision)
+            self.decisions.record(
+                "store_reached", revision=self.mirror.revision.to_json()
+            )
         self.store_reached = True
 
     def replace(self, found: Items) -> None:
@@ -162,7 +164,7 @@
             self.decisions.record(
                 "item_malformed",
                 key=item.key,
-                revision=item.revision,
+                revision=item.revision.to_json(),
                 kept=self.table.version if self.parser.is_table(item.key) else None,
                 error=str(error)[:MAX_ERROR_CHARACTERS],
             )
@@ -236,7 +238,7 @@
                 leaving=entry.leaving,
                 claims_lead=entry.claims_primary,
                 born=entry.started_at_ms,
-                revision=item.revision,
+                revision=item.revision.to_json(),
             )
             self.targets_changed()
 
--- a/src/reedhook/process/discovery/freshness_prover.py
+++ b/src/reedhook/process/discovery/freshness_prover.py
@@ -9,6 +9,7 @@
 from .announcements import Announcements
 from .configuration_freshness import ConfigurationFreshness
 from .key_value_store import KeyValueStore, KeyValueStoreError
+from .store_revision import StoreRevision
 
 CHECK_INTERVAL_SECONDS: Final = 0.1
 
@@ -70,7 +71,7 @@
         self.query_host = query_host
         self.clock = clock
         self.random = random
-        self.awaited: tuple[int, float] | None = None
+        self.awaited: tuple[StoreRevision, float] | None = None
 
     async def run(self) -> None:
         """Renew the proof whenever it gets too old, until cancelled."""
--- a/src/reedhook/process/discovery/key_value_store.py
+++ b/src/reedhook/process/discovery/key_value_store.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 
 from ...record import Record
+from .store_epoch import ANSWER_SOURCE, StoreEpoch
+from .store_revision import StoreRevision
 
 
 class KeyValueStoreError(Exception):
@@ -13,6 +15,10 @@
     """No response; a write may have taken effect or may still do so."""
 
 
+class EarlierEpochError(StoreUnansweredError):
+    """The response is of an earlier epoch, so that what it states may be lost."""
+
+
 class StoreRejectedError(KeyValueStoreError):
     """The store rejected the call; nothing was done."""
 
@@ -32,12 +38,12 @@
 class Item(Record):
     """Carry a key with its value; the value is None if the key was deleted.
 
-    :param revision: revision of its last change.
+    :param revision: revision of its last change, with the epoch of the response.
     """
 
     __slots__ = ("key", "value", "revision")
 
-    def __init__(self, key: str, value: bytes | None, revision: int) -> None:
+    def __init__(self, key: str, value: bytes | None, revision: StoreRevision) -> None:
         self.key = key
         self.value = value
         self.revision = revision
@@ -52,7 +58,10 @@
     __slots__ = ("items", "revision", "transfer_seconds")
 
     def __init__(
-        self, items: list[Item], revision: int, transfer_seconds: float = 0.0
+        self,
+        items: list[Item],
+        revision: StoreRevision,
+        transfer_seconds: float = 0.0,
     ) -> None:
         self.items = items
         self.revision = revision
@@ -63,9 +72,39 @@
     """Read and write keys; timeouts are in seconds.
 
     A response in progress does not time out while data keeps arriving. All methods
-    may raise `KeyValueStoreError`.
+    may raise `KeyValueStoreError`. A response of an epoch lower than the known one
+    counts as no response: what it states may have been lost with a restore.
+
+    :param epoch: learns the epoch of each response.
     """
 
+    def __init__(self, epoch: StoreEpoch) -> None:
+        self.epoch = epoch
+
+    def receive_epoch(self, epoch: int) -> None:
+        """Learn the epoch of a response.
+
+        :raises EarlierEpochError: if a higher one is known.
+        """
+        self.epoch.learn(epoch, ANSWER_SOURCE)
+        if epoch < self.epoch.current:
+            raise EarlierEpochError(
+                f"response of epoch {epoch}, not {self.epoch.current}"
+            )
+
+    def check_condition(self, key: str, expected: StoreRevision | None) -> None:
+        """Reject the condition of a write if a restore has made it meaningless.
+
+        :raises RevisionConflictError: if `expected` is of an earlier epoch; its number
+            may have been assigned again, to another state of the key.
+        """
+        if expected is None or not expected.number:
+            return
+        if expected.epoch < self.epoch.current:
+            raise RevisionConflictError(
+                f"{key}: revision of epoch {expected.epoch}, not {self.epoch.current}"
+            )
+
     @abstractmethod
     async def get(self, key: str, timeout: float) -> Item | None:
         """Return the current item, or None if there is none."""
@@ -76,13 +115,14 @@
 
     @abstractmethod
     async def changes(
-        self, prefix: str, after: int, hold: float, margin: float
+        self, prefix: str, after: StoreRevision, hold: float, margin: float
     ) -> Items:
         """Return the changes after revision `after`, waiting for one if necessary.
 
         :param hold: seconds for which the store waits for a change.
         :param margin: seconds after `hold` before a missing response is a failure.
-        :raises HistoryCompactedError: if the changes are no longer kept.
+        :raises HistoryCompactedError: if the changes are no longer kept, or `after` is
+            of another epoch than the response.
         """
 
     @abstractmethod
@@ -90,13 +130,17 @@
         self,
         key: str,
         value: bytes,
-        expected: int | None,
+        expected: StoreRevision | None,
         timeout: float,
         lease: int = 0,
-    ) -> int:
+    ) -> StoreRevision:
         """Write a key if its revision is `expected`; return the new revision.
 
-        :param expected: 0 if the key must not exist, None for an unconditional write.
+        The store compares the number alone, so a revision of an earlier epoch than
+        the known one is not sent.
+
+        :param expected: `NO_REVISION` if the key must not exist, None for an
+            unconditional write.
         :param lease: ID of the lease that the key is attached to, or 0.
         :raises RevisionConflictError: if the revision differs; nothing was done.
         """
--- a/src/reedhook/process/discovery/store_mirror.py
+++ b/src/reedhook/process/discovery/store_mirror.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from .key_value_store import HistoryCompactedError, Item, Items
+from .store_revision import NO_REVISION, StoreRevision
 
 KEPT_DELETIONS: Final = 4096
 """Must cover a few restarts of all hosts, each with one entry, between two requests
@@ -16,7 +17,8 @@
     Changes since a revision consist of the current state of each changed key, without
     superseded states.
 
-    :ivar revision: revision up to which everything is known; 0 if nothing is known.
+    :ivar revision: revision up to which everything is known; `NO_REVISION` if nothing
+        is known.
     :ivar newest: highest revision of any item or deletion.
     :ivar deletions_since: revision from which on all deletions are known.
     """
@@ -24,9 +26,9 @@
     def __init__(self) -> None:
         self.items: dict[str, Item] = {}
         self.deleted: OrderedDict[str, Item] = OrderedDict()
-        self.revision = 0
-        self.newest = 0
-        self.deletions_since = 0
+        self.revision = NO_REVISION
+        self.newest = NO_REVISION
+        self.deletions_since = NO_REVISION
 
     def missing(self, keys: set[str]) -> list[Item]:
         """Return deletions of all items except those with these keys."""
@@ -37,7 +39,7 @@
 
         States older than the known state of a key are ignored.
         """
-        if not self.revision:
+        if self.revision == NO_REVISION:
             self.deletions_since = found.revision
         changed = [item for item in found.items if self.apply_item(item)]
         self.revision = max(self.revision, found.revision)
@@ -61,23 +63,21 @@
             self.items[item.key] = item
         return True
 
-    def changed_after(self, after: int) -> bool:
+    def changed_after(self, after: StoreRevision) -> bool:
         """Return whether anything has changed after a revision."""
         return self.newest > after
 
-    def changes(self, after: int) -> list[Item]:
+    def changes(self, after: StoreRevision) -> list[Item]:
         """Return the changes after a revision.
 
         :raises HistoryCompactedError: if later deletions may be unknown.
         """
         if after < self.deletions_since:
-            raise HistoryCompactedError(
-                f"deletions after revision {after} are no longer kept"
-            )
+            raise HistoryCompactedError(f"deletions after {after} are no longer kept")
         return self.written(after) + [
             item for item in self.deleted.values() if item.revision > after
         ]
 
-    def written(self, after: int) -> list[Item]:
+    def written(self, after: StoreRevision) -> list[Item]:
         """Return the items written after a revision."""
         return [item for item in self.items.values() if item.revision > after]
--- a/src/reedhook/process/discovery/update_source.py
+++ b/src/reedhook/process/discovery/update_source.py
@@ -14,6 +14,7 @@
 from .announcements import Announcements
 from .configuration_freshness import ConfigurationFreshness
 from .key_value_store import HistoryCompactedError, Item, Items
+from .store_revision import StoreRevision
 from .store_watcher import UpdateSource
 
 UPDATES_PATH: Final = "news"
@@ -63,9 +64,8 @@
         configuration version, and `hold_ms`, the hold time.
         """
         received_at = self.clock.boottime()
-        after, version = non_negative_int_field(body, "after"), non_negative_int_field(
-            body, "version"
-        )
+        after = StoreRevision.from_json(body.get("after"))
+        version = non_negative_int_field(body, "version")
         hold = min(
             non_negative_int_field(body, "hold_ms") / MS_PER_SECOND, MAX_HOLD_SECONDS
         )
@@ -80,12 +80,12 @@
         self.freshness.add_age(answer, received_at)
         return answer
 
-    def has_updates(self, after: int, version: int) -> bool:
+    def has_updates(self, after: StoreRevision, version: int) -> bool:
         """Return whether there are updates for a requester with this state."""
         known = self.announcements
         return known.table.version > version or known.mirror.changed_after(after)
 
-    def message(self, after: int) -> Json:
+    def message(self, after: StoreRevision) -> Json:
         """Return the response with the updates after a revision.
 
         If deletions since then are not known, `keys` lists the remaining keys.
@@ -96,12 +96,12 @@
             items = known.mirror.changes(after)
         except HistoryCompactedError as error:
             known.decisions.record(
-                "updates_sent_in_full", after=after, cause=str(error)
+                "updates_sent_in_full", after=after.to_json(), cause=str(error)
             )
             items = known.mirror.written(after)
             keys = list(known.mirror.items)
         return {
-            "at": known.mirror.revision,
+            "at": known.mirror.revision.to_json(),
             "items": [encode_item(item) for item in items],
             "keys": keys,
             "version": known.table.version,
@@ -148,7 +148,7 @@
         if relay is None:
             return False
         body: Json = {
-            "after": self.announcements.mirror.revision,
+            "after": self.announcements.mirror.revision.to_json(),
             "version": self.announcements.table.version,
             "hold_ms": int(HOLD_SECONDS * MS_PER_SECOND),
         }
@@ -211,7 +211,7 @@
 def encode_item(item: Item) -> list[Any]:
     """Return the form of an item sent to other hosts."""
     value = None if item.value is None else b64encode(item.value).decode()
-    return [item.key, item.revision, value]
+    return [item.key, item.revision.to_json(), value]
 
 
 @wraps_decode_errors
@@ -223,5 +223,5 @@
     items = []
     for key, revision, value in message["items"]:
         raw = None if value is None else b64decode(value, validate=True)
-        items.append(Item(str(key), raw, int(revision)))
-    return Items(items, non_negative_int_field(message, "at"))
+        items.append(Item(str(key), raw, StoreRevision.from_json(revision)))
+    return Items(items, StoreRevision.from_json(message["at"]))
--- a/src/reedhook/process/primary_lease/backup_holder.py
+++ b/src/reedhook/process/primary_lease/backup_holder.py
@@ -78,7 +78,7 @@
             "backup_holder_active",
             service=self.service,
             holder=self.record.holder.ref.host,
-            revision=self.record.revision,
+            revision=self.record.revision.to_json(),
             left=round(self.validity.expires_at - self.clock.boottime(), 2),
         )
         self.use_primary(entry, status)
--- a/src/reedhook/process/primary_lease/backup_holders.py
+++ b/src/reedhook/process/primary_lease/backup_holders.py
@@ -5,6 +5,7 @@
 
 from ...background_tasks import BackgroundTasks
 from ...decision_log import DecisionLog
+from ..discovery.store_revision import NO_REVISION, StoreRevision
 from .backup_holder import BackupHolder
 from .lease_record import HostIncarnation, PrimaryLeaseRecord
 
@@ -30,7 +31,7 @@
         self.me = me
         self.make_backup_holder = make_backup_holder
         self.by_service: dict[str, BackupHolder] = {}
-        self.relinquished_up_to: dict[str, int] = {}
+        self.relinquished_up_to: dict[str, StoreRevision] = {}
         self.closed = False
         self.background = BackgroundTasks(decisions)
 
@@ -57,15 +58,16 @@
         backup = self.by_service.get(service)
         if backup is None:
             return
-        relinquished = backup.record.revision <= self.relinquished_up_to.get(service, 0)
+        up_to = self.relinquished_up_to.get(service, NO_REVISION)
+        relinquished = backup.record.revision <= up_to
         if lost and not relinquished:
             await backup.activate()
         else:
             await backup.deactivate()
 
-    async def relinquish(self, service: str, revision: int) -> None:
+    async def relinquish(self, service: str, revision: StoreRevision) -> None:
         """Stop using a primary under records up to `revision`."""
-        known = self.relinquished_up_to.get(service, 0)
+        known = self.relinquished_up_to.get(service, NO_REVISION)
         self.relinquished_up_to[service] = max(known, revision)
         backup = self.by_service.pop(service, None)
         if backup is not None:
--- a/src/reedhook/process/primary_lease/lease_manager.py
+++ b/src/reedhook/process/primary_lease/lease_manager.py
@@ -9,13 +9,14 @@
 from ...decision_log import DecisionLog
 from ...peer import PeerClient, PeerError, PeerRoutes
 from ...request.refusal import RefusalError, RefusalReason, not_run
-from ...wire import Json, string_field
+from ...wire import Json, WireError, string_field
 from ..discovery.announcements import Announcements
 from ..discovery.key_value_store import (
     KeyValueStore,
     KeyValueStoreError,
     StoreUnansweredError,
 )
+from ..discovery.store_revision import NO_REVISION, StoreRevision
 from ..fleet.membership_table import MembershipTable
 from .backup_holders import BackupHolders
 from .holder_failure_detector import HolderFailureDetector
@@ -121,10 +122,7 @@
         if isinstance(records, dict):
             self.registry.merge(records, "peer")
         service = string_field(body, "service")
-        revision = body.get("revision")
-        await self.backup_holders.relinquish(
-            service, revision if isinstance(revision, int) else 0
-        )
+        await self.backup_holders.relinquish(service, requested_revision(body))
         return {
             "life": self.me.incarnation,
             "holds": not await self.has_released(service),
@@ -322,7 +320,9 @@
             if record.holder != self.me:
                 record = record.claimed_by(self.me, no_former_holders)
         else:
-            record = PrimaryLeaseRecord(service, self.me, None, [], True, "", 0, "", 0)
+            record = PrimaryLeaseRecord(
+                service, self.me, None, [], True, "", 0, "", NO_REVISION
+            )
         requested_at = self.clock.boottime()
         revision = await self.keyspace.put(
             key, record.encoded(), record.revision, STORE_TIMEOUT_SECONDS
@@ -335,7 +335,7 @@
         self.decisions.record(
             "lease_acquired",
             service=record.service,
-            revision=record.revision,
+            revision=record.revision.to_json(),
             former=[one.ref.host for one in record.former],
         )
         holder = self.make_lease_holder(record, requested_at)
@@ -405,3 +405,11 @@
             if holder.home is not None:
                 await holder.home.close()
         self.held.clear()
+
+
+def requested_revision(body: Json) -> StoreRevision:
+    """Return the revision of a request, or `NO_REVISION` if it has none."""
+    try:
+        return StoreRevision.from_json(body.get("revision"))
+    except WireError:
+        return NO_REVISION
--- a/src/reedhook/process/primary_lease/lease_record.py
+++ b/src/reedhook/process/primary_lease/lease_record.py
@@ -8,6 +8,7 @@
 from ...wire import Json, decode, encode, wraps_decode_errors
 from ..discovery.announcements import SYSTEM_KEY_PREFIX
 from ..discovery.key_value_store import Item
+from ..discovery.store_revision import StoreRevision
 
 LEASE_KEY_PREFIX: Final = f"{SYSTEM_KEY_PREFIX}lead/"
 PROMOTION_COORDINATOR_KEY: Final = f"{SYSTEM_KEY_PREFIX}duty"
@@ -84,7 +85,7 @@
         primary: str,
         term: int,
         successor: str,
-        revision: int,
+        revision: StoreRevision,
         primary_started_at_ms: int = 0,
         successor_started_at_ms: int = 0,
     ) -> None:
@@ -185,7 +186,7 @@
         """Return a shallow copy."""
         return PrimaryLeaseRecord(*self.values())
 
-    def with_revision(self, revision: int) -> "PrimaryLeaseRecord":
+    def with_revision(self, revision: StoreRevision) -> "PrimaryLeaseRecord":
         """Return the record with its revision in the store."""
         updated = self.copy()
         updated.revision = revision
@@ -214,7 +215,7 @@
     @classmethod
     @wraps_decode_errors
     def from_json(
-        cls, service: str, message: Json, revision: int
+        cls, service: str, message: Json, revision: StoreRevision
     ) -> "PrimaryLeaseRecord":
         """Decode the stored form.
 
--- a/src/reedhook/process/primary_lease/lease_registry.py
+++ b/src/reedhook/process/primary_lease/lease_registry.py
@@ -6,6 +6,7 @@
 from ...wire import Json, WireError
 from ..discovery.announcements import Announcements
 from ..discovery.key_value_store import Item
+from ..discovery.store_revision import StoreRevision
 from .lease_record import LEASE_KEY_PREFIX, PrimaryLeaseRecord
 
 
@@ -44,7 +45,7 @@
             primary=record.primary,
             term=record.term,
             successor=record.successor,
-            revision=record.revision,
+            revision=record.revision.to_json(),
             source=source,
         )
         for callback in self.on_change:
@@ -58,7 +59,7 @@
     def to_json(self) -> Json:
         """Return all records in the form sent to other hosts."""
         return {
-            service: [record.revision, record.to_json()]
+            service: [record.revision.to_json(), record.to_json()]
             for service, record in self.records.items()
         }
 
@@ -70,6 +71,7 @@
         for service, pair in message.items():
             if not isinstance(pair, list) or len(pair) != 2:
                 raise WireError("lease entry is not a [revision, record] pair")
+            revision = StoreRevision.from_json(pair[0])
             self.update(
-                PrimaryLeaseRecord.from_json(service, pair[1], int(pair[0])), source
+                PrimaryLeaseRecord.from_json(service, pair[1], revision), source
             )
--- a/src/reedhook/process/primary_lease/other_holders.py
+++ b/src/reedhook/process/primary_lease/other_holders.py
@@ -87,7 +87,7 @@
         body = {
             "service": self.service,
             "records": self.claim.registry.to_json(),
-            "revision": record.revision,
+            "revision": record.revision.to_json(),
         }
         try:
             answer = await self.peers.call(
--- a/src/reedhook/process/primary_lease/promotion_coordinator.py
+++ b/src/reedhook/process/primary_lease/promotion_coordinator.py
@@ -15,6 +15,7 @@
 from ...request.refusal import RefusalError, RefusalReason, not_run
 from ...wire import Json, WireError, decode, encode, string_field
 from ..discovery.key_value_store import Item, KeyValueStore, KeyValueStoreError
+from ..discovery.store_revision import NO_REVISION
 from ..fleet.membership_record import MembershipState
 from ..fleet.membership_table import MembershipTable
 from .lease_record import PROMOTION_COORDINATOR_KEY, HostIncarnation
@@ -204,7 +205,7 @@
         if wait > 0.0 or self.clock.boottime() - read_at > MAX_READ_AGE_SECONDS:
             await self.clock.sleep(max(wait, 0.0))
             return OrderOutcome.UNANSWERED
-        return await self.send(service, target, item.revision)
+        return await self.send(service, target, item.revision.number)
 
     async def send(self, service: str, target: str, token: int) -> OrderOutcome:
         """Send an order to the platform with fencing token `token`."""
@@ -227,7 +228,7 @@
         If the response is lost, the next read of the item shows the outcome.
         """
         before = None if item is None else read_holder(item)
-        revision = 0 if item is None else item.revision
+        revision = NO_REVISION if item is None else item.revision
         value = encode(self.me.to_json())
         try:
             await self.keyspace.put(
--- a/src/reedhook/request/session_router.py
+++ b/src/reedhook/request/session_router.py
@@ -8,6 +8,7 @@
 from ..decision_log import DecisionLog
 from ..host_directory import HostDirectory
 from ..peer import PeerClient, PeerError
+from ..process.discovery.store_revision import NO_REVISION, StoreRevision
 from ..process.primary_lease.lease_manager import RECORDS_PATH
 from ..process.primary_lease.lease_registry import PrimaryLeaseRegistry
 from ..version.route_table import Route, RouteConsistency
@@ -150,7 +151,7 @@
         refused_by_backup = False
         while True:
             record = self.lease_registry.get(statement.service)
-            revision = 0 if record is None else record.revision
+            revision = NO_REVISION if record is None else record.revision
             statement.subtract_elapsed(
                 statement.remaining - (deadline - self.clock.monotonic())
             )
@@ -190,7 +191,7 @@
         self,
         statement: SessionStatement,
         refusal: RefusalError,
-        revision: int,
+        revision: StoreRevision,
         give_up_at: float,
     ) -> None:
         """Wait until another attempt may succeed.
--- a/tests/fakes_keyspace.py
+++ b/tests/fakes_keyspace.py
@@ -11,6 +11,8 @@
 
 import asyncio
 
+from reedhook.decision_log import DecisionLog
+from reedhook.metrics import MemoryMetrics
 from reedhook.process.discovery.key_value_store import (
     HistoryCompactedError,
     Item,
@@ -21,6 +23,10 @@
     StoreRejectedError,
     StoreUnansweredError,
 )
+from reedhook.process.discovery.store_epoch import StoreEpoch
+from reedhook.process.discovery.store_revision import NO_REVISION, StoreRevision
+
+from .fakes_clock import LoopClock
 
 
 class FakeStore:
@@ -46,14 +52,18 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.calls: list[str] = []
 
-    def client(self, host: str) -> "FakeKeyspace":
-        """Return the keyspace client of one host."""
-        return FakeKeyspace(self, host)
+    def client(self, host: str, epoch: StoreEpoch | None = None) -> "FakeKeyspace":
+        """Return the keyspace client of one host, which learns `epoch`."""
+        return FakeKeyspace(self, host, epoch or unlogged_epoch(host))
+
+    def at(self) -> StoreRevision:
+        """Return the revision of the whole store."""
+        return StoreRevision(0, self.revision)
 
-    def write(self, key: str, value: bytes | None, lease: int = 0) -> int:
+    def write(self, key: str, value: bytes | None, lease: int = 0) -> StoreRevision:
         """Change a key as the platform itself does; None deletes it."""
         self.revision += 1
-        item = Item(key, value, self.revision)
+        item = Item(key, value, self.at())
         if value is None:
             self.items.pop(key, None)
         else:
@@ -63,16 +73,18 @@
         self.history.append(item)
         self.changed.set()
         self.changed = asyncio.Event()
-        return self.revision
+        return self.at()
 
-    def put(self, key: str, value: bytes, expected: int | None, lease: int) -> int:
+    def put(
+        self, key: str, value: bytes, expected: StoreRevision | None, lease: int
+    ) -> StoreRevision:
         """Write conditionally.
 
         :raises RevisionConflictError: if the key is at another revision.
         """
         known = self.items.get(key)
-        revision = 0 if known is None else known.revision
-        if expected is not None and expected != revision:
+        revision = NO_REVISION if known is None else known.revision
+        if expected is not None and expected.number != revision.number:
             raise RevisionConflictError(f"{key} is at {revision}")
         if lease and lease not in self.leases:
             raise StoreLeaseExpiredError(str(lease))
@@ -93,7 +105,9 @@
             if key in self.items:
                 self.write(key, None)
 
-    def put_later(self, key: str, value: bytes, expected: int | None, s: float) -> None:
+    def put_later(
+        self, key: str, value: bytes, expected: StoreRevision | None, s: float
+    ) -> None:
         """Write after `s` seconds if the condition holds then."""
 
         async def put() -> None:
@@ -111,7 +125,8 @@
 class FakeKeyspace(KeyValueStore):
     """Access a `FakeStore` as one host does."""
 
-    def __init__(self, store: FakeStore, host: str) -> None:
+    def __init__(self, store: FakeStore, host: str, epoch: StoreEpoch) -> None:
+        super().__init__(epoch)
         self.store = store
         self.host = host
 
@@ -138,13 +153,13 @@
         items = [
             item for key, item in self.store.items.items() if key.startswith(prefix)
         ]
-        return Items(items, self.store.revision)
+        return Items(items, self.store.at())
 
     async def changes(
-        self, prefix: str, after: int, hold: float, margin: float
+        self, prefix: str, after: StoreRevision, hold: float, margin: float
     ) -> Items:
         await self.reach("changes", hold + margin)
-        if after < self.store.forgotten:
+        if after.number < self.store.forgotten:
             raise HistoryCompactedError("forgotten")
         deadline = asyncio.get_running_loop().time() + hold
         watches = self.store.watches
@@ -168,16 +183,17 @@
             )
             await asyncio.sleep(max(remaining_with_margin, 0.0))
             raise StoreUnansweredError("silent")
-        return Items(found, self.store.revision)
+        return Items(found, self.store.at())
 
     async def put(
         self,
         key: str,
         value: bytes,
-        expected: int | None,
+        expected: StoreRevision | None,
         timeout: float,
         lease: int = 0,
-    ) -> int:
+    ) -> StoreRevision:
+        self.check_condition(key, expected)
         await self.reach("put", timeout)
         later = self.store.late.get(self.host)
         if later is not None:
@@ -207,3 +223,8 @@
 
     async def close(self) -> None:
         return
+
+
+def unlogged_epoch(host: str) -> StoreEpoch:
+    """Return the epoch of a host whose log and metrics no test reads."""
+    return StoreEpoch(DecisionLog(host, LoopClock(), output_fd=None), MemoryMetrics())
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -16,6 +16,7 @@
 from reedhook.connection.session_target import StatementFault
 from reedhook.decision_log import DecisionLog
 from reedhook.peer import HostRef, PeerRoutes
+from reedhook.process.discovery.store_epoch import StoreEpoch
 from reedhook.process.discovery.store_value_parser import StoreValueParser
 from reedhook.process.events.timeline import Timeline
 from reedhook.process.histograms import HistogramMetrics
@@ -188,6 +189,8 @@
         clock = self.network.clock(ref.host)
         routes = PeerRoutes()
         cores = 0.5 if ref.host in self.weak else 2.0
+        decisions = DecisionLog(ref.host, clock, output_fd=None)
+        metrics = HistogramMetrics()
         settings = self.settings_of(
             ref.host, ref.zone, "", "", ref.address, "", "", "", 6.0, cores, 1000.0
         )
@@ -195,15 +198,15 @@
             settings,
             clock,
             random.Random(f"{self.seed} {self.lives}"),
-            self.store.client(ref.host),
+            self.store.client(ref.host, StoreEpoch(decisions, metrics)),
             PlainDocuments(),
             self.promoter,
             FakeDriver(ref.host, [self.group], self.slots),
             FakePhrases(),
             self.network.join(ref, routes),
             Timeline(ref.host, clock),
-            DecisionLog(ref.host, clock, output_fd=None),
-            HistogramMetrics(),
+            decisions,
+            metrics,
         )
         routes.handlers.update(host.routes.handlers)
         self.hosts[ref.host] = host
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -12,6 +12,7 @@
 from reedhook.process.discovery.announcements import Announcements
 from reedhook.process.discovery.configuration_freshness import ConfigurationFreshness
 from reedhook.process.discovery.key_value_store import Item, Items
+from reedhook.process.discovery.store_revision import StoreRevision
 from reedhook.process.discovery.store_watcher import (
     HOLD_MARGIN_SECONDS,
     StoreWatcher,
@@ -95,8 +96,9 @@
     def apply(self, key: str, value: bytes | None) -> None:
         """Apply one change of the store."""
         self.revision += 1
-        item = Item(key, value, self.revision)
-        self.announcements.apply_changes(Items([item], self.revision))
+        revision = StoreRevision(0, self.revision)
+        item = Item(key, value, revision)
+        self.announcements.apply_changes(Items([item], revision))
 
     def announce(self, one: TargetAnnouncement) -> None:
         """Apply the announcement of a target."""
--- a/tests/test_host_capacities.py
+++ b/tests/test_host_capacities.py
@@ -6,6 +6,7 @@
 from reedhook.process.discovery.announcements import HOSTS_KEY_PREFIX, Announcements
 from reedhook.process.discovery.host_capacities import HostCapacities, capacity
 from reedhook.process.discovery.key_value_store import Item
+from reedhook.process.discovery.store_revision import StoreRevision
 from reedhook.wire import encode
 
 from .fakes_clock import LoopClock, in_virtual_time
@@ -33,7 +34,11 @@
     values = {"h1": 0.5, "h2": 0.6, "h3": 1.1}
     for revision, (host, value) in enumerate(values.items(), 1):
         entry = encode({"capacity": value})
-        announcements.apply_host_item(Item(HOSTS_KEY_PREFIX + host, entry, revision))
-    announcements.apply_host_item(Item(HOSTS_KEY_PREFIX + "h4", b"{}", 9))
+        announcements.apply_host_item(
+            Item(HOSTS_KEY_PREFIX + host, entry, StoreRevision(0, revision))
+        )
+    announcements.apply_host_item(
+        Item(HOSTS_KEY_PREFIX + "h4", b"{}", StoreRevision(0, 9))
+    )
     weak = [host for host in ("h1", "h2", "h3", "h4") if capacities.is_weak(host)]
     assert weak == ["h1"]
--- a/tests/test_lease_claim.py
+++ b/tests/test_lease_claim.py
@@ -8,6 +8,7 @@
 from reedhook.decision_log import DecisionLog
 from reedhook.peer import HostRef
 from reedhook.process.discovery.announcements import Announcements
+from reedhook.process.discovery.store_revision import NO_REVISION
 from reedhook.process.primary_lease.lease_claim import HolderClaim
 from reedhook.process.primary_lease.lease_record import (
     HostIncarnation,
@@ -30,7 +31,7 @@
     clock = LoopClock()
     decisions = DecisionLog("h1", clock, output_fd=None)
     keyspace = store.client("h1")
-    record = PrimaryLeaseRecord("db", ME, None, [], True, "m1", 3, "", 0)
+    record = PrimaryLeaseRecord("db", ME, None, [], True, "m1", 3, "", NO_REVISION)
     revision = store.write(lease_key("db"), record.encoded())
     announcements = Announcements(PlainDocuments(), clock, decisions)
     registry = PrimaryLeaseRegistry(announcements, decisions)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,8 +14,11 @@
     StoreRejectedError,
     StoreUnansweredError,
 )
+from reedhook.process.discovery.store_revision import NO_REVISION, StoreRevision
 from reedhook_standins.keyvalue import KeyValueStandIn
 
+from .fakes_keyspace import unlogged_epoch
+
 TIMEOUT = 2.0
 
 
@@ -27,7 +30,7 @@
     async def run() -> None:
         stand_in = KeyValueStandIn()
         await stand_in.start()
-        store = PlatformStore(stand_in.address, SystemClock())
+        store = PlatformStore(stand_in.address, SystemClock(), unlogged_epoch("h1"))
         try:
             await test(stand_in, store)
         finally:
@@ -40,12 +43,12 @@
 def test_conditional_writes_and_reads() -> None:
     async def test(stand_in: KeyValueStandIn, store: PlatformStore) -> None:
         assert await store.get("a", TIMEOUT) is None
-        revision = await store.put("a", b"1", 0, TIMEOUT)
+        revision = await store.put("a", b"1", NO_REVISION, TIMEOUT)
         item = await store.get("a", TIMEOUT)
         assert item is not None
         assert (item.value, item.revision) == (b"1", revision)
         with pytest.raises(RevisionConflictError):
-            await store.put("a", b"2", 0, TIMEOUT)
+            await store.put("a", b"2", NO_REVISION, TIMEOUT)
         await store.put("a", b"3", None, TIMEOUT)
 
     with_store(test)
@@ -57,7 +60,7 @@
             stand_in.write(f"k{number}", b"v")
         found = await store.list("k", TIMEOUT)
         assert [item.key for item in found.items] == ["k0", "k1", "k2", "k3", "k4"]
-        assert found.revision == stand_in.revision
+        assert found.revision == StoreRevision(0, stand_in.revision)
 
     with_store(test)
 
@@ -66,7 +69,7 @@
     async def test(stand_in: KeyValueStandIn, store: PlatformStore) -> None:
         stand_in.write("a", b"1")
         waiting = asyncio.create_task(
-            store.changes("", stand_in.revision, TIMEOUT, TIMEOUT)
+            store.changes("", StoreRevision(0, stand_in.revision), TIMEOUT, TIMEOUT)
         )
         await asyncio.sleep(0)
         stand_in.write("a", None)
@@ -81,7 +84,7 @@
         stand_in.write("a", b"1")
         stand_in.forget()
         with pytest.raises(HistoryCompactedError):
-            await store.changes("", 0, TIMEOUT, TIMEOUT)
+            await store.changes("", NO_REVISION, TIMEOUT, TIMEOUT)
 
     with_store(test)
 
@@ -108,7 +111,7 @@
         with pytest.raises(StoreRejectedError):
             await store.put("a", b"1", None, TIMEOUT)
         with pytest.raises(StoreRejectedError):
-            await store.changes("", 0, TIMEOUT, TIMEOUT)
+            await store.changes("", NO_REVISION, TIMEOUT, TIMEOUT)
 
     with_store(test)
 
--- a/tests/test_session_world.py
+++ b/tests/test_session_world.py
@@ -13,6 +13,7 @@
 from reedhook.connection.session_state import SessionState
 from reedhook.connection.session_target import StatementFault
 from reedhook.peer import HostRef
+from reedhook.process.discovery.store_revision import StoreRevision
 from reedhook.process.primary_lease.lease_record import HostIncarnation
 from reedhook.request.refusal import RefusalReason, not_run
 from reedhook.request.session_command import SessionCommandKind
@@ -637,7 +638,8 @@
     other.failure_detector.lost_at[holder.host] = other.clock.monotonic()
     record = other.lease_registry.get("db")
     assert record is not None
-    newer_record = record.with_revision(record.revision + 1)
+    revision = StoreRevision(0, record.revision.number + 1)
+    newer_record = record.with_revision(revision)
     newer_record.holder = HostIncarnation(holder, "another life")
     other.lease_registry.update(newer_record, "peer")
     assert not other.failure_detector.is_lost(holder)
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -1,6 +1,6 @@
 """Local copy of the store, and updates from it since any revision."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import pytest
 from hypothesis import given, strategies as st
@@ -12,6 +12,7 @@
     Items,
 )
 from reedhook.process.discovery.store_mirror import StoreMirror
+from reedhook.process.discovery.store_revision import StoreRevision
 
 CHANGES = st.lists(st.tuples(st.sampled_from("abcd"), st.booleans()), max_size=30)
 
@@ -26,10 +27,10 @@
     changes: list[tuple[str, bool]], first: int, again: int
 ) -> None:
     relay, follower = StoreMirror(), StoreMirror()
-    for revision, (key, kept) in enumerate(changes, 2):
-        value = b"%d" % revision if kept else None
-        relay.apply(Items([Item(key, value, revision)], revision))
-        if revision in (first, again):
+    for number, (key, kept) in enumerate(changes, 2):
+        value = b"%d" % number if kept else None
+        relay.apply(changes_at(number, {key: value}))
+        if number in (first, again):
             follow(follower, relay)
     follow(follower, relay)
     assert items_of(follower) == items_of(relay)
@@ -44,13 +45,24 @@
         follower.apply(Items(follower.missing(set(relay.items)), relay.revision))
 
 
+def revision(number: int) -> StoreRevision:
+    """Return a revision of a store that was never restored."""
+    return StoreRevision(0, number)
+
+
+def changes_at(number: int, values: Mapping[str, bytes | None]) -> Items:
+    """Return changes of several keys at one revision."""
+    at = revision(number)
+    return Items([Item(key, value, at) for key, value in values.items()], at)
+
+
 def test_older_states_are_ignored() -> None:
     mirror = StoreMirror()
-    assert mirror.apply(Items([Item("a", b"2", 5)], 5))
-    assert not mirror.apply(Items([Item("a", b"1", 4)], 6))
-    assert not mirror.apply(Items([Item("a", None, 5)], 6))
-    assert mirror.apply(Items([Item("a", None, 7)], 7))
-    assert not mirror.apply(Items([Item("a", b"1", 6)], 7))
+    assert mirror.apply(changes_at(5, {"a": b"2"}))
+    assert not mirror.apply(Items([Item("a", b"1", revision(4))], revision(6)))
+    assert not mirror.apply(Items([Item("a", None, revision(5))], revision(6)))
+    assert mirror.apply(changes_at(7, {"a": None}))
+    assert not mirror.apply(Items([Item("a", b"1", revision(6))], revision(7)))
     assert items_of(mirror) == {}
 
 
@@ -59,20 +71,22 @@
 ) -> None:
     monkeypatch.setattr(module, "KEPT_DELETIONS", 2)
     mirror = StoreMirror()
-    mirror.apply(Items([Item(key, b"v", 2) for key in "abcd"], 2))
-    for revision, key in enumerate("abc", 3):
-        mirror.apply(Items([Item(key, None, revision)], revision))
-    assert [item.key for item in mirror.changes(3)] == ["b", "c"]
+    mirror.apply(changes_at(2, dict.fromkeys("abcd", b"v")))
+    for number, key in enumerate("abc", 3):
+        mirror.apply(changes_at(number, {key: None}))
+    assert [item.key for item in mirror.changes(revision(3))] == ["b", "c"]
     with pytest.raises(HistoryCompactedError):
-        mirror.changes(2)
+        mirror.changes(revision(2))
 
 
 @pytest.mark.parametrize("read", [StoreMirror.written, StoreMirror.changes])
 def test_no_changes_after_the_newest_revision(
-    read: Callable[[StoreMirror, int], list[Item]],
+    read: Callable[[StoreMirror, StoreRevision], list[Item]],
 ) -> None:
     mirror = StoreMirror()
-    mirror.apply(Items([Item("a", b"v", 2), Item("b", None, 3)], 3))
-    assert read(mirror, 3) == []
-    assert not mirror.changed_after(3)
-    assert mirror.changed_after(2)
+    mirror.apply(
+        Items([Item("a", b"v", revision(2)), Item("b", None, revision(3))], revision(3))
+    )
+    assert read(mirror, revision(3)) == []
+    assert not mirror.changed_after(revision(3))
+    assert mirror.changed_after(revision(2))
--- a/tests/thin_links.py
+++ b/tests/thin_links.py
@@ -22,6 +22,7 @@
     RouteTableFetcher,
     RouteTableServer,
 )
+from reedhook.process.discovery.store_revision import StoreRevision
 from reedhook.process.discovery.store_watcher import StoreWatcher
 from reedhook.process.discovery.update_source import PeerUpdateSource, UpdateServer
 from reedhook.process.fleet.rendezvous import ranked_hosts
@@ -29,7 +30,7 @@
 from reedhook.wire import Json, decode, encode, wraps_decode_errors
 
 from .fakes_clock import LoopClock
-from .fakes_keyspace import FakeKeyspace, FakeStore
+from .fakes_keyspace import FakeKeyspace, FakeStore, unlogged_epoch
 from .fakes_peers import FakeNetwork, FakePeers
 from .session_world import PlainDocuments, table
 
@@ -98,14 +99,14 @@
     """Access the store over the host's link; each answer is sent as a whole."""
 
     def __init__(self, store: FakeStore, host: str, link: ThinLink) -> None:
-        super().__init__(store, host)
+        super().__init__(store, host, unlogged_epoch(host))
         self.link = link
 
     async def list(self, prefix: str, timeout: float) -> Items:
         return await self.arrived(await super().list(prefix, timeout))
 
     async def changes(
-        self, prefix: str, after: int, hold: float, margin: float
+        self, prefix: str, after: StoreRevision, hold: float, margin: float
     ) -> Items:
         return await self.arrived(await super().changes(prefix, after, hold, margin))
 
