--- a/src/reedhook/process/primary_lease/coordinator_role.py
+++ b/src/reedhook/process/primary_lease/coordinator_role.py
@@ -17,6 +17,7 @@
 from ...request.refusal import RefusalError
 from ...wire import WireError, decode, encode
 from ..discovery.key_value_store import Item, KeyValueStore, KeyValueStoreError
+from ..discovery.store_revision import NO_REVISION, StoreRevision
 from .lease_claim import STORE_TIMEOUT_SECONDS
 from .lease_record import PROMOTION_COORDINATOR_KEY, HostIncarnation
 from .other_holders import INCARNATION_PATH
@@ -47,19 +48,19 @@
     """Name the promotion coordinator.
 
     :param holder: the coordinator; None if the item is malformed.
-    :param revision: revision of the item in the store; it is the fencing token.
+    :param revision: revision of the item in the store; its number is the fencing token.
     """
 
     __slots__ = ("holder", "revision")
 
-    def __init__(self, holder: HostIncarnation | None, revision: int) -> None:
+    def __init__(self, holder: HostIncarnation | None, revision: StoreRevision) -> None:
         self.holder = holder
         self.revision = revision
 
     @property
     def token(self) -> int:
         """Return the fencing token of orders under this record."""
-        return self.revision
+        return self.revision.number
 
     @classmethod
     def from_item(cls, item: Item) -> "CoordinatorRecord":
@@ -211,7 +212,7 @@
         If the response is lost, the next read or update shows the outcome.
         """
         async with self.claim_lock:
-            revision = 0 if before is None else before.revision
+            revision = NO_REVISION if before is None else before.revision
             self.free_from = self.order_time_after(before)
             try:
                 revision = await self.keyspace.put(
