Follow a restored store by its epoch, and let the stand-in restore copies

After a restore, revisions go back and are assigned again, so a host could keep lost items, skip changes, or trust a proof of what the store has lost. Relays read the store again in the new epoch; other hosts ask their relay for what changed, and for all items if a digest differs. Items whose state is the same keep their revision. Freshness proofs of an earlier epoch are discarded, and none counts for a configuration older than a version that another host has stated. The stand-in and the fake store save copies and return to one, with revisions and lease IDs assigned again.

--- a/src/reedhook/process/discovery/announcements.py
+++ b/src/reedhook/process/discovery/announcements.py
@@ -10,6 +10,7 @@
 from ...wire import WireError
 from .key_value_store import Item, Items
 from .store_mirror import StoreMirror
+from .store_revision import StoreRevision
 from .store_value_parser import StoreValueParser
 
 SYSTEM_KEY_PREFIX: Final = "reedhook/"
@@ -100,15 +101,31 @@
 
     def replace(self, found: Items) -> None:
         """Apply a full listing; other items count as deleted."""
+        if found.revision.epoch > self.mirror.revision.epoch:
+            self.apply_restored(found, complete=True)
+            self.complete_restored(found.revision)
+            return
         self.apply_changes(found)
         self.keep_only({item.key for item in found.items})
 
     def keep_only(self, keys: set[str]) -> None:
         """Delete all items except those with these keys."""
+        at = self.mirror.revision
+        self.process_updates(
+            self.mirror.apply(Items(self.mirror.missing(keys, at), at))
+        )
+
+    def apply_restored(self, found: Items, complete: bool) -> None:
+        """Apply items of a higher epoch; see `StoreMirror.apply_restored`."""
         self.process_updates(
-            self.mirror.apply(Items(self.mirror.missing(keys), self.mirror.revision))
+            self.mirror.apply_restored(self.without_tables(found), complete)
         )
 
+    def complete_restored(self, revision: StoreRevision) -> None:
+        """Record that the items are those of the restored store at a revision."""
+        self.mirror.revision = revision
+        self.notify_waiters()
+
     def apply_changes(self, found: Items) -> None:
         """Apply changes of the store."""
         self.process_updates(self.mirror.apply(self.without_tables(found)))
--- a/src/reedhook/process/discovery/freshness_prover.py
+++ b/src/reedhook/process/discovery/freshness_prover.py
@@ -79,7 +79,9 @@
         while True:
             await self.clock.sleep(CHECK_INTERVAL_SECONDS)
             self.apply_awaited_proof()
-            if not self.needed() or self.waits() or self.freshness.age() < limit:
+            if not self.needed() or self.waits():
+                continue
+            if self.freshness.unproved_seconds() < limit:
                 continue
             if not await self.query():
                 await self.clock.sleep(
@@ -111,7 +113,7 @@
         first = self.first_host()
         if first is not None and first != self.me:
             await self.query_host(first)
-            if self.freshness.age() < FALLBACK_AGE_SECONDS:
+            if self.freshness.unproved_seconds() < FALLBACK_AGE_SECONDS:
                 return True
         return await self.query_store()
 
@@ -136,6 +138,8 @@
         if self.awaited is None:
             return
         revision, requested_at = self.awaited
-        if self.announcements.mirror.revision >= revision:
+        if revision.epoch < self.keyspace.epoch.current:
+            self.awaited = None
+        elif self.announcements.mirror.revision >= revision:
             self.freshness.record_proof(requested_at)
             self.awaited = None
--- a/src/reedhook/process/discovery/store_epoch.py
+++ b/src/reedhook/process/discovery/store_epoch.py
@@ -5,6 +5,10 @@
 
 from ...decision_log import DecisionLog
 from ...metrics import Metrics
+from ...wire import Json, non_negative_int_field
+
+EPOCH_FIELD: Final = "e"
+"""Field of messages between hosts; left out while the epoch is 0."""
 
 ANSWER_SOURCE: Final = "store"
 """Source of an epoch that an answer of the store stated."""
@@ -35,3 +39,20 @@
         self.metrics.increment("store.epochs")
         for callback in self.on_change:
             callback(epoch)
+
+    def add_to(self, answer: Json) -> None:
+        """State the epoch in a response to another host, if it is above 0."""
+        if self.current:
+            answer[EPOCH_FIELD] = self.current
+
+    def learn_from(self, answer: Json, source: str) -> bool:
+        """Learn the epoch that the response of another host states.
+
+        :returns: whether the host knows the current epoch.
+        :raises WireError: if the epoch is malformed.
+        """
+        stated = 0
+        if EPOCH_FIELD in answer:
+            stated = non_negative_int_field(answer, EPOCH_FIELD)
+        self.learn(stated, source)
+        return stated == self.current
--- a/src/reedhook/process/discovery/store_mirror.py
+++ b/src/reedhook/process/discovery/store_mirror.py
@@ -3,6 +3,8 @@
 from collections import OrderedDict
 from typing import Final
 
+from xxhash import xxh3_64_intdigest
+
 from .key_value_store import HistoryCompactedError, Item, Items
 from .store_revision import NO_REVISION, StoreRevision
 
@@ -15,12 +17,16 @@
     """Keep the current items and recent deletions.
 
     Changes since a revision consist of the current state of each changed key, without
-    superseded states.
+    superseded states. Items keep the revision under which this host first learned of
+    their state: a restore changes only that of items whose state differs in the
+    restored store, so that followers are sent only these.
 
     :ivar revision: revision up to which everything is known; `NO_REVISION` if nothing
         is known.
     :ivar newest: highest revision of any item or deletion.
     :ivar deletions_since: revision from which on all deletions are known.
+    :ivar digest: digest over key, number and value of all items; equal at two hosts
+        that hold the same states, whenever each of them learned of these.
     """
 
     def __init__(self) -> None:
@@ -29,10 +35,11 @@
         self.revision = NO_REVISION
         self.newest = NO_REVISION
         self.deletions_since = NO_REVISION
+        self.digest = 0
 
-    def missing(self, keys: set[str]) -> list[Item]:
-        """Return deletions of all items except those with these keys."""
-        return [Item(key, None, self.revision) for key in self.items.keys() - keys]
+    def missing(self, keys: set[str], at: StoreRevision) -> list[Item]:
+        """Return deletions, at a revision, of all items without one of these keys."""
+        return [Item(key, None, at) for key in self.items.keys() - keys]
 
     def apply(self, found: Items) -> list[Item]:
         """Apply changes and return those that are new.
@@ -41,8 +48,29 @@
         """
         if self.revision == NO_REVISION:
             self.deletions_since = found.revision
-        changed = [item for item in found.items if self.apply_item(item)]
+        changed = self.apply_items(found.items)
         self.revision = max(self.revision, found.revision)
+        return changed
+
+    def apply_restored(self, found: Items, complete: bool) -> list[Item]:
+        """Apply items of a higher epoch, and return those that are new.
+
+        The caller sets `revision` once it knows that nothing of an earlier epoch is
+        left. Items learned in the epoch of `found` after its revision stay.
+
+        :param complete: whether `found` holds all items; others are then deleted.
+        """
+        if self.revision == NO_REVISION:
+            self.deletions_since = found.revision
+        states = {item.key: item for item in found.items}
+        if complete:
+            for item in self.missing(set(states), found.revision):
+                states[item.key] = item
+        return self.apply_items(list(states.values()))
+
+    def apply_items(self, items: list[Item]) -> list[Item]:
+        """Apply changes and return those that are new."""
+        changed = [item for item in items if self.apply_item(item)]
         while len(self.deleted) > KEPT_DELETIONS:
             _, oldest = self.deleted.popitem(last=False)
             self.deletions_since = max(self.deletions_since, oldest.revision)
@@ -51,9 +79,10 @@
     def apply_item(self, item: Item) -> bool:
         """Apply one change; return whether it is new."""
         known = self.items.get(item.key) or self.deleted.get(item.key)
-        if known is not None and known.revision >= item.revision:
+        if known is not None and not supersedes(item, known):
             return False
         self.newest = max(self.newest, item.revision)
+        self.digest ^= state_digest(known) ^ state_digest(item)
         if item.value is None:
             self.items.pop(item.key, None)
             self.deleted[item.key] = item
@@ -81,3 +110,21 @@
     def written(self, after: StoreRevision) -> list[Item]:
         """Return the items written after a revision."""
         return [item for item in self.items.values() if item.revision > after]
+
+
+def supersedes(item: Item, known: Item) -> bool:
+    """Return whether an item is a newer state than the known one of its key.
+
+    A state that a restored store still holds has its number and value of before.
+    """
+    if known.revision >= item.revision:
+        return False
+    return known.revision.number != item.revision.number or known.value != item.value
+
+
+def state_digest(item: Item | None) -> int:
+    """Return the digest of an item's state, 0 if there is none."""
+    if item is None or item.value is None:
+        return 0
+    head = f"{item.key}\0{item.revision.number}\0".encode()
+    return xxh3_64_intdigest(head + item.value)
--- a/src/reedhook/process/discovery/store_watcher.py
+++ b/src/reedhook/process/discovery/store_watcher.py
@@ -8,6 +8,7 @@
 from .announcements import Announcements
 from .configuration_freshness import ConfigurationFreshness
 from .key_value_store import (
+    EarlierEpochError,
     HistoryCompactedError,
     Items,
     KeyValueStore,
@@ -95,6 +96,11 @@
                     "history_compacted", cause=str(error)
                 )
                 self.synchronized = False
+            except EarlierEpochError as error:
+                # A late response, or the store was restored between two pages.
+                self.announcements.decisions.record(
+                    "store_answer_outdated", cause=str(error)
+                )
             except KeyValueStoreError as error:
                 self.announcements.mark_store_lost(error)
             jitter = self.random.uniform(0.5, 1.0)
@@ -110,6 +116,8 @@
             await self.read_all()
         elif await self.source.fetch_updates():
             return
+        elif self.announcements.mirror.revision.epoch < self.keyspace.epoch.current:
+            await self.read_all()
         else:
             await self.follow_store()
             await self.clock.sleep(BATCH_DELAY_SECONDS)
--- a/src/reedhook/process/discovery/update_source.py
+++ b/src/reedhook/process/discovery/update_source.py
@@ -14,7 +14,8 @@
 from .announcements import Announcements
 from .configuration_freshness import ConfigurationFreshness
 from .key_value_store import HistoryCompactedError, Item, Items
-from .store_revision import StoreRevision
+from .store_epoch import StoreEpoch
+from .store_revision import NO_REVISION, StoreRevision
 from .store_watcher import UpdateSource
 
 UPDATES_PATH: Final = "news"
@@ -37,6 +38,16 @@
 BATCH_DELAY_SECONDS: Final = 0.1
 """Pause between requests, so that concurrent changes share one response."""
 
+BEHIND_DELAY_SECONDS: Final = 0.5
+"""Pause after a response of an earlier epoch; the relay has yet to read the store."""
+
+RELAY_BEHIND_SECONDS: Final = 3.5
+"""Time after this host learned of an epoch in which relays may be behind: the hold of
+a relay's own request to the store, its margin and its pause, and a read of all items.
+Without it, all hosts of a zone would read the whole store."""
+
+DIGEST_FIELD: Final = "d"
+
 MS_PER_SECOND: Final = 1000.0
 
 
@@ -48,10 +59,12 @@
         announcements: Announcements,
         clock: Clock,
         freshness: ConfigurationFreshness,
+        epoch: StoreEpoch,
     ) -> None:
         self.announcements = announcements
         self.clock = clock
         self.freshness = freshness
+        self.epoch = epoch
 
     def register(self, routes: PeerRoutes) -> None:
         """Add the peer handler."""
@@ -82,8 +95,13 @@
 
     def has_updates(self, after: StoreRevision, version: int) -> bool:
         """Return whether there are updates for a requester with this state."""
-        known = self.announcements
-        return known.table.version > version or known.mirror.changed_after(after)
+        if self.announcements.table.version > version:
+            return True
+        mirror = self.announcements.mirror
+        if mirror.revision.epoch < self.epoch.current:
+            # The items are those of before a restore until this host reads again.
+            return False
+        return mirror.revision.epoch > after.epoch or mirror.changed_after(after)
 
     def message(self, after: StoreRevision) -> Json:
         """Return the response with the updates after a revision.
@@ -100,23 +118,33 @@
             )
             items = known.mirror.written(after)
             keys = list(known.mirror.items)
-        return {
+        answer: Json = {
             "at": known.mirror.revision.to_json(),
             "items": [encode_item(item) for item in items],
             "keys": keys,
             "version": known.table.version,
             "reached": known.usable_as_relay,
         }
+        if known.mirror.revision.epoch > after.epoch:
+            answer[DIGEST_FIELD] = known.mirror.digest
+        return answer
 
 
 class PeerUpdateSource(UpdateSource):
     """Fetch store updates from the relays of this host's zone.
 
+    After a restore, a relay sends what changed with it, as far as the relay knows: it
+    may have been behind this host. A digest tells whether this host then holds what
+    the relay holds; if not, all items are requested.
+
     :param relays: returns the hosts that follow the store for the zone; may include
         this one.
     :param on_version: receives a host with a newer configuration and its version.
     :ivar avoided: monotonic time until which a relay is not used, by host ID.
     :ivar last: the relay used last.
+    :ivar differs: whether the items here differ from those of the restored store.
+    :ivar behind: whether the last response was of an earlier epoch.
+    :ivar epoch_since: monotonic time at which this host learned of the epoch.
     """
 
     def __init__(
@@ -130,8 +158,10 @@
         random: Random,
         decisions: DecisionLog,
         freshness: ConfigurationFreshness,
+        epoch: StoreEpoch,
     ) -> None:
         self.freshness = freshness
+        self.epoch = epoch
         self.me = me
         self.relays = relays
         self.peers = peers
@@ -142,13 +172,21 @@
         self.decisions = decisions
         self.avoided: dict[str, float] = {}
         self.last: HostRef | None = None
+        self.differs = False
+        self.behind = False
+        self.epoch_since = float("-inf")
+        epoch.on_change.append(self.handle_epoch)
+
+    def handle_epoch(self, epoch: int) -> None:
+        """Give the relays time to read the restored store."""
+        self.epoch_since = self.clock.monotonic()
 
     async def fetch_updates(self) -> bool:
         relay = self.choose()
         if relay is None:
             return False
         body: Json = {
-            "after": self.announcements.mirror.revision.to_json(),
+            "after": self.known_revision().to_json(),
             "version": self.announcements.table.version,
             "hold_ms": int(HOLD_SECONDS * MS_PER_SECOND),
         }
@@ -157,6 +195,7 @@
             answer = await self.peers.call(
                 relay, UPDATES_PATH, body, HOLD_SECONDS + HOLD_MARGIN_SECONDS
             )
+            self.epoch.learn_from(answer, relay.host)
             reached = self.apply_response(relay, answer)
             version = non_negative_int_field(answer, "version")
             self.freshness.read_age(answer, version, requested_at, relay.host)
@@ -165,9 +204,24 @@
             return True
         if not reached:
             self.avoid(relay, "relay does not reach the store")
-        await self.clock.sleep(BATCH_DELAY_SECONDS)
+        await self.clock.sleep(self.pause_after(relay))
         return True
 
+    def known_revision(self) -> StoreRevision:
+        """Return the revision after which to request changes."""
+        revision = self.announcements.mirror.revision
+        if self.differs and revision.epoch < self.epoch.current:
+            return NO_REVISION
+        return revision
+
+    def pause_after(self, relay: HostRef) -> float:
+        """Return the pause before the next request; leave a relay that stays behind."""
+        if not self.behind:
+            return BATCH_DELAY_SECONDS
+        if self.clock.monotonic() - self.epoch_since >= RELAY_BEHIND_SECONDS:
+            self.avoid(relay, "relay has not read the restored store")
+        return BEHIND_DELAY_SECONDS
+
     def choose(self) -> HostRef | None:
         """Return the relay to use; None if this host follows the store.
 
@@ -195,10 +249,11 @@
 
         :raises WireError: if it is malformed.
         """
-        self.announcements.apply_changes(decode_items(answer))
-        keys = answer.get("keys")
-        if isinstance(keys, list):
-            self.announcements.keep_only(set(keys))
+        found = decode_items(answer)
+        self.epoch.learn(found.revision.epoch, relay.host)
+        self.behind = found.revision.epoch < self.epoch.current
+        if not self.behind:
+            self.apply_items(relay, found, answer)
         version = non_negative_int_field(answer, "version")
         if version > self.announcements.table.version:
             self.on_version(relay, version)
@@ -207,6 +262,32 @@
         self.announcements.mark_store_reached()
         return True
 
+    def apply_items(self, relay: HostRef, found: Items, answer: Json) -> None:
+        """Apply the items of a response of the current epoch."""
+        keys = answer.get("keys")
+        if found.revision.epoch > self.announcements.mirror.revision.epoch:
+            self.apply_restored(relay, found, answer)
+            return
+        self.announcements.apply_changes(found)
+        if isinstance(keys, list):
+            self.announcements.keep_only(set(keys))
+
+    def apply_restored(self, relay: HostRef, found: Items, answer: Json) -> None:
+        """Apply the first response of a new epoch, and check the result."""
+        known = self.announcements
+        complete = self.differs and isinstance(answer.get("keys"), list)
+        known.apply_restored(found, complete)
+        self.differs = not complete and answer.get(DIGEST_FIELD) != known.mirror.digest
+        if not self.differs:
+            known.complete_restored(found.revision)
+            return
+        self.decisions.record(
+            "updates_differ",
+            relay=relay.host,
+            at=found.revision.to_json(),
+            known=known.mirror.revision.to_json(),
+        )
+
 
 def encode_item(item: Item) -> list[Any]:
     """Return the form of an item sent to other hosts."""
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -117,7 +117,9 @@
         self.leaving = False
         self.background = BackgroundTasks(decisions)
         self.announcements = Announcements(documents, clock, decisions)
-        self.freshness = ConfigurationFreshness(self.announcements, clock)
+        self.freshness = ConfigurationFreshness(
+            self.announcements, clock, keyspace.epoch
+        )
         self.capacities = HostCapacities(self.announcements)
         self.make_membership(timeline)
         self.make_updates()
@@ -129,6 +131,7 @@
             clock,
             random,
             decisions,
+            lambda: len(self.membership.table.refs()),
         )
         self.make_leases()
         self.make_requests()
@@ -151,7 +154,7 @@
     def make_updates(self) -> None:
         """Create what watches the store and distributes its updates to other hosts."""
         self.updates_server = UpdateServer(
-            self.announcements, self.clock, self.freshness
+            self.announcements, self.clock, self.freshness, self.keyspace.epoch
         )
         self.table_server = RouteTableServer(self.announcements, self.clock)
         self.tables = RouteTableFetcher(
@@ -173,6 +176,7 @@
             self.random,
             self.decisions,
             self.freshness,
+            self.keyspace.epoch,
         )
         self.watch = StoreWatcher(
             self.keyspace,
@@ -334,7 +338,7 @@
         self.updates_server.register(self.routes)
         self.table_server.register(self.routes)
         self.forwarder.on_host_lost = self.suspect_host
-        self.membership.on_newer_configuration = self.tables.request_version
+        self.membership.on_newer_configuration = self.request_version
         self.membership.on_answer = self.state_age
         self.heartbeats.on_answer = self.freshness.read_age
         self.heartbeats.on_presumed_dead = self.rate_owner.reset
@@ -531,6 +535,11 @@
         """Add the age of the last freshness proof to a heartbeat response."""
         self.freshness.add_age(answer, self.clock.boottime())
 
+    def request_version(self, peer: HostRef, version: int) -> None:
+        """Fetch a newer configuration that another host has."""
+        self.freshness.learn_version(version)
+        self.tables.request_version(peer, version)
+
     def publish_version(self, table: RouteTable) -> None:
         """Publish the configuration version in force with the heartbeats."""
         self.membership.set_configuration_version(table.version)
--- a/src/reedhook_standins/keyvalue.py
+++ b/src/reedhook_standins/keyvalue.py
@@ -7,19 +7,44 @@
 import orjson
 from aiohttp import web
 
+NO_COPY = 409
 HISTORY_GONE = 410
 CONFLICT = 412
 
+EPOCH_HEADER = "Store-Era"
+
+
+class StoreCopy:
+    """Hold the state of a store at one moment."""
+
+    def __init__(self, store: "KeyValueStandIn", saved_at: float) -> None:
+        self.saved_at = saved_at
+        self.revision = store.revision
+        self.items = dict(store.items)
+        self.history = list(store.history)
+        self.first = store.first
+        self.leases = set(store.leases)
+        self.granted = store.granted
+
 
 class KeyValueStandIn:
-    """Serve the store's calls on a port of its own.
+    """Serve the store's calls on a port of its own, and calls that control it.
 
+    ``POST /control/save`` keeps a copy of the state, and ``POST /control/restore`` with
+    ``seconds_ago`` returns to the newest copy of at least that age.
+
+    :ivar epoch: number of restores, which a header of all answers states.
+    :ivar sends_epoch: whether the header is sent before the first restore too.
+    :ivar copies: saved states, the oldest first.
     :ivar status: HTTP status returned to every call instead of running it, if not 0.
     :ivar silent: whether calls get no answer.
     """
 
     def __init__(self) -> None:
         self.revision = 1
+        self.epoch = 0
+        self.sends_epoch = False
+        self.copies: list[StoreCopy] = []
         self.items: dict[str, dict[str, Any]] = {}
         self.history: list[dict[str, Any]] = []
         self.first = 0
@@ -33,7 +58,9 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        app = web.Application(middlewares=[self.fail])
+        app = web.Application(middlewares=[self.add_epoch, self.fail])
+        app.router.add_post("/control/save", self.handle_save)
+        app.router.add_post("/control/restore", self.handle_restore)
         app.router.add_get("/-/kv-key", self.key)
         app.router.add_get("/-/kv-range", self.range)
         app.router.add_get("/-/kv-watch", self.watch)
@@ -53,6 +80,14 @@
         if self.runner is not None:
             await self.runner.cleanup()
 
+    @web.middleware
+    async def add_epoch(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        """State the epoch in which a request was answered."""
+        response: web.StreamResponse = await handler(request)
+        if self.epoch or self.sends_epoch:
+            response.headers[EPOCH_HEADER] = str(self.epoch)
+        return response
+
     @web.middleware
     async def fail(self, request: web.Request, handler: Any) -> web.StreamResponse:
         """Apply the injected faults to a request."""
@@ -76,9 +111,50 @@
             item["lease"] = lease
             self.items[key] = item
         self.history.append(item)
+        self.wake()
+        return self.revision
+
+    def wake(self) -> None:
+        """Wake the pending watches."""
         self.changed.set()
         self.changed = asyncio.Event()
-        return self.revision
+
+    def save(self) -> None:
+        """Keep a copy of the present state."""
+        self.copies.append(StoreCopy(self, asyncio.get_running_loop().time()))
+
+    def restore(self, seconds_ago: float) -> bool:
+        """Return to the newest copy of at least `seconds_ago` ago.
+
+        What was written or granted since is lost; its revisions and lease IDs are
+        assigned again.
+
+        :returns: False if there is no such copy.
+        """
+        limit = asyncio.get_running_loop().time() - seconds_ago
+        copies = [copy for copy in self.copies if copy.saved_at <= limit]
+        if not copies:
+            return False
+        copy = copies[-1]
+        self.copies = copies
+        self.revision, self.first = copy.revision, copy.first
+        self.items, self.history = dict(copy.items), list(copy.history)
+        self.leases, self.granted = set(copy.leases), copy.granted
+        self.epoch += 1
+        self.wake()
+        return True
+
+    async def handle_save(self, request: web.Request) -> web.Response:
+        """Keep a copy."""
+        self.save()
+        return answer({"copies": len(self.copies)})
+
+    async def handle_restore(self, request: web.Request) -> web.Response:
+        """Return to a copy; 409 if none is that old."""
+        body = orjson.loads(await request.read())
+        if not self.restore(float(body["seconds_ago"])):
+            return web.Response(status=NO_COPY)
+        return answer({"epoch": self.epoch, "at": self.revision})
 
     def forget(self) -> None:
         """Drop the change history."""
@@ -115,13 +191,13 @@
     async def watch(self, request: web.Request) -> web.Response:
         """Return changes as soon as there are any."""
         after = int(request.query["after"])
-        if after < self.first:
-            return web.Response(status=HISTORY_GONE)
         prefix = request.query["prefix"]
         wait = int(request.query["wait_ms"]) / 1000.0
         loop = asyncio.get_running_loop()
         until = loop.time() + wait
         while True:
+            if not self.first <= after <= self.revision:
+                return web.Response(status=HISTORY_GONE)
             events = [
                 one
                 for one in self.history
--- a/tests/fakes_keyspace.py
+++ b/tests/fakes_keyspace.py
@@ -7,6 +7,9 @@
 store.losing.add("h3")       # writes of h3 take effect without an answer
 store.delay["h4"] = 0.24     # calls of h4 take that long
 store.late["h5"] = 3.0       # writes of h5 take effect later, unanswered
+store.held["h6"] = 2.0       # answers to h6 arrive that much later
+store.save()                 # keep a copy
+store.restore(2.0)           # return to the newest copy that is 2 s old or older
 """
 
 import asyncio
@@ -29,15 +32,32 @@
 from .fakes_clock import LoopClock
 
 
+class StoreCopy:
+    """Hold the state of a store at one moment."""
+
+    def __init__(self, store: "FakeStore", saved_at: float) -> None:
+        self.saved_at = saved_at
+        self.revision = store.revision
+        self.forgotten = store.forgotten
+        self.items = dict(store.items)
+        self.leases = {lease: set(keys) for lease, keys in store.leases.items()}
+        self.history = list(store.history)
+
+
 class FakeStore:
     """Store the keys; all hosts see changes at once.
 
+    :ivar epoch: number of restores, which every answer states.
+    :ivar copies: saved states, the oldest first.
     :ivar history: all changes; `forget` drops them.
     :ivar calls: answered and unanswered calls by method.
     """
 
     def __init__(self) -> None:
         self.revision = 1
+        self.epoch = 0
+        self.granted = 1000
+        self.copies: list[StoreCopy] = []
         self.items: dict[str, Item] = {}
         self.leases: dict[int, set[str]] = {}
         self.history: list[Item] = []
@@ -49,6 +69,7 @@
         self.losing: set[str] = set()
         self.delay: dict[str, float] = {}
         self.late: dict[str, float] = {}
+        self.held: dict[str, float] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.calls: list[str] = []
 
@@ -58,7 +79,23 @@
 
     def at(self) -> StoreRevision:
         """Return the revision of the whole store."""
-        return StoreRevision(0, self.revision)
+        return StoreRevision(self.epoch, self.revision)
+
+    def save(self) -> None:
+        """Keep a copy of the present state."""
+        self.copies.append(StoreCopy(self, asyncio.get_running_loop().time()))
+
+    def restore(self, seconds_ago: float) -> None:
+        """Return to the newest copy of at least `seconds_ago` ago."""
+        limit = asyncio.get_running_loop().time() - seconds_ago
+        copy = [one for one in self.copies if one.saved_at <= limit][-1]
+        self.revision, self.forgotten = copy.revision, copy.forgotten
+        self.items, self.history = dict(copy.items), list(copy.history)
+        self.leases = {lease: set(keys) for lease, keys in copy.leases.items()}
+        self.granted = max(self.leases, default=1000)
+        self.copies = [one for one in self.copies if one.saved_at <= copy.saved_at]
+        self.epoch += 1
+        self.wake()
 
     def write(self, key: str, value: bytes | None, lease: int = 0) -> StoreRevision:
         """Change a key as the platform itself does; None deletes it."""
@@ -68,12 +105,18 @@
             self.items.pop(key, None)
         else:
             self.items[key] = item
+            for keys in self.leases.values():
+                keys.discard(key)
             if lease:
                 self.leases[lease].add(key)
         self.history.append(item)
+        self.wake()
+        return self.at()
+
+    def wake(self) -> None:
+        """Wake the pending long polls for changes."""
         self.changed.set()
         self.changed = asyncio.Event()
-        return self.at()
 
     def put(
         self, key: str, value: bytes, expected: StoreRevision | None, lease: int
@@ -144,30 +187,44 @@
         if self.host in self.store.declining:
             raise StoreRejectedError("busy")
 
+    async def arrive(self, epoch: int) -> None:
+        """Deliver an answer that the store gave in an epoch."""
+        held = self.store.held.get(self.host, 0.0)
+        if held:
+            await asyncio.sleep(held)
+        self.receive_epoch(epoch)
+
     async def get(self, key: str, timeout: float) -> Item | None:
         await self.reach("get", timeout)
-        return self.store.items.get(key)
+        epoch, item = self.store.epoch, self.store.items.get(key)
+        await self.arrive(epoch)
+        return None if item is None else stamped(item, epoch)
 
     async def list(self, prefix: str, timeout: float) -> Items:
         await self.reach("list", timeout)
+        at = self.store.at()
         items = [
-            item for key, item in self.store.items.items() if key.startswith(prefix)
+            stamped(item, at.epoch)
+            for key, item in self.store.items.items()
+            if key.startswith(prefix)
         ]
-        return Items(items, self.store.at())
+        await self.arrive(at.epoch)
+        return Items(items, at)
 
     async def changes(
         self, prefix: str, after: StoreRevision, hold: float, margin: float
     ) -> Items:
         await self.reach("changes", hold + margin)
-        if after.number < self.store.forgotten:
-            raise HistoryCompactedError("forgotten")
         deadline = asyncio.get_running_loop().time() + hold
         watches = self.store.watches
         while True:
+            if not self.store.forgotten <= after.number <= self.store.revision:
+                await self.arrive(self.store.epoch)
+                raise HistoryCompactedError("forgotten")
             found = [
-                item
+                stamped(item, self.store.epoch)
                 for item in self.store.history
-                if item.revision > after and item.key.startswith(prefix)
+                if item.revision.number > after.number and item.key.startswith(prefix)
             ]
             remaining = deadline - asyncio.get_running_loop().time()
             if found or remaining <= 0.0:
@@ -183,7 +240,11 @@
             )
             await asyncio.sleep(max(remaining_with_margin, 0.0))
             raise StoreUnansweredError("silent")
-        return Items(found, self.store.at())
+        at = self.store.at()
+        await self.arrive(at.epoch)
+        if at.epoch != after.epoch:
+            raise HistoryCompactedError(f"{after} is of another epoch")
+        return Items(found, at)
 
     async def put(
         self,
@@ -200,7 +261,11 @@
             self.store.put_later(key, value, expected, later)
             await asyncio.sleep(timeout)
             raise StoreUnansweredError("late")
-        revision = self.store.put(key, value, expected, lease)
+        epoch = self.store.epoch
+        try:
+            revision = self.store.put(key, value, expected, lease)
+        finally:
+            await self.arrive(epoch)
         if self.host in self.store.losing:
             await asyncio.sleep(timeout)
             raise StoreUnansweredError("the answer is lost")
@@ -208,18 +273,23 @@
 
     async def grant_lease(self, seconds: float, timeout: float) -> int:
         await self.reach("grant", timeout)
-        lease = len(self.store.leases) + self.store.revision + 1000
+        self.store.granted += 1
+        lease, epoch = self.store.granted, self.store.epoch
         self.store.leases[lease] = set()
+        await self.arrive(epoch)
         return lease
 
     async def renew_lease(self, lease: int, timeout: float) -> None:
         await self.reach("keep", timeout)
-        if lease not in self.store.leases:
+        known = lease in self.store.leases
+        await self.arrive(self.store.epoch)
+        if not known:
             raise StoreLeaseExpiredError(str(lease))
 
     async def revoke_lease(self, lease: int, timeout: float) -> None:
         await self.reach("end", timeout)
         self.store.end_lease(lease)
+        await self.arrive(self.store.epoch)
 
     async def close(self) -> None:
         return
@@ -228,3 +298,8 @@
 def unlogged_epoch(host: str) -> StoreEpoch:
     """Return the epoch of a host whose log and metrics no test reads."""
     return StoreEpoch(DecisionLog(host, LoopClock(), output_fd=None), MemoryMetrics())
+
+
+def stamped(item: Item, epoch: int) -> Item:
+    """Return an item as an answer of an epoch carries it."""
+    return Item(item.key, item.value, StoreRevision(epoch, item.revision.number))
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -40,13 +40,14 @@
     announcements = Announcements(
         PlainDocuments(), clock, DecisionLog("h1", clock, output_fd=None)
     )
+    keyspace = FakeStore().client("h1")
     watcher = StoreWatcher(
-        FakeStore().client("h1"),
+        keyspace,
         announcements,
         StoreOnlySource(),
         clock,
         Random(seed),
-        ConfigurationFreshness(announcements, clock),
+        ConfigurationFreshness(announcements, clock, keyspace.epoch),
     )
     holds = [watcher.hold() for _ in range(REQUESTS)]
     # Even if a request gets no response, a configuration takes effect in time and
--- a/tests/test_configuration_freshness.py
+++ b/tests/test_configuration_freshness.py
@@ -46,9 +46,12 @@
         self.store = FakeStore()
         self.decisions = DecisionLog("h1", self.clock, output_fd=None)
         self.announcements = Announcements(PlainDocuments(), self.clock, self.decisions)
-        self.freshness = ConfigurationFreshness(self.announcements, self.clock)
+        self.keyspace = self.store.client("h1")
+        self.freshness = ConfigurationFreshness(
+            self.announcements, self.clock, self.keyspace.epoch
+        )
         self.watch = StoreWatcher(
-            self.store.client("h1"),
+            self.keyspace,
             self.announcements,
             StoreOnlySource(),
             self.clock,
@@ -73,7 +76,7 @@
             return False
 
         return FreshnessProver(
-            self.store.client("h1"),
+            self.keyspace,
             self.announcements,
             self.freshness,
             ME,
@@ -177,7 +180,9 @@
 async def test_held_response_states_age_at_the_request() -> None:
     host = HostState()
     host.put(2)
-    server = UpdateServer(host.announcements, host.clock, host.freshness)
+    server = UpdateServer(
+        host.announcements, host.clock, host.freshness, host.keyspace.epoch
+    )
     requested_at = host.clock.boottime()
     request = asyncio.create_task(
         server.handle_request({"after": 0, "version": 2, "hold_ms": 2000})
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -25,6 +25,7 @@
 from reedhook.version.workspace import Workspace, Workspaces
 
 from .fakes_clock import in_virtual_time, run_virtual
+from .fakes_keyspace import unlogged_epoch
 from .fakes_peers import FakeNetwork
 from .session_world import PlainDocuments
 
@@ -69,7 +70,9 @@
         clock = world.network.clock(ref.host)
         decisions = DecisionLog(ref.host, clock, output_fd=None)
         announcements = Announcements(PlainDocuments(), clock, decisions)
-        self.freshness = ConfigurationFreshness(announcements, clock)
+        self.freshness = ConfigurationFreshness(
+            announcements, clock, unlogged_epoch(ref.host)
+        )
         self.directory = FixedDirectory(ref, world.refs)
         self.cut_off = False
         self.reported_silent: list[str] = []
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -42,7 +42,9 @@
         follower.apply(Items(relay.changes(follower.revision), relay.revision))
     except HistoryCompactedError:
         follower.apply(Items(relay.written(follower.revision), relay.revision))
-        follower.apply(Items(follower.missing(set(relay.items)), relay.revision))
+        follower.apply(
+            Items(follower.missing(set(relay.items), relay.revision), relay.revision)
+        )
 
 
 def revision(number: int) -> StoreRevision:
--- a/tests/thin_links.py
+++ b/tests/thin_links.py
@@ -148,8 +148,11 @@
         self.in_force: dict[int, float] = {}
         self.announcements = Announcements(LongDocuments(), clock, decisions)
         self.announcements.on_table.append(self.put_in_force)
-        freshness = ConfigurationFreshness(self.announcements, clock)
-        UpdateServer(self.announcements, clock, freshness).register(self.routes)
+        down = world.network.link(world.network.down, ref.host)
+        keyspace = ThinKeyspace(world.store, ref.host, down)
+        epoch = keyspace.epoch
+        freshness = ConfigurationFreshness(self.announcements, clock, epoch)
+        UpdateServer(self.announcements, clock, freshness, epoch).register(self.routes)
         RouteTableServer(self.announcements, clock).register(self.routes)
         self.tables = RouteTableFetcher(
             ref,
@@ -170,9 +173,8 @@
             self.random,
             decisions,
             freshness,
+            epoch,
         )
-        down = world.network.link(world.network.down, ref.host)
-        keyspace = ThinKeyspace(world.store, ref.host, down)
         self.watch = StoreWatcher(
             keyspace, self.announcements, source, clock, self.random, freshness
         )
