--- a/src/reedhook/process/discovery/freshness_prover.py
+++ b/src/reedhook/process/discovery/freshness_prover.py
@@ -9,6 +9,7 @@
 from .announcements import Announcements
 from .configuration_freshness import ConfigurationFreshness
 from .key_value_store import KeyValueStore, KeyValueStoreError
+from .store_revision import StoreRevision
 
 CHECK_INTERVAL_SECONDS: Final = 0.1
 
@@ -70,7 +71,7 @@
         self.query_host = query_host
         self.clock = clock
         self.random = random
-        self.awaited: tuple[int, float] | None = None
+        self.awaited: tuple[StoreRevision, float] | None = None
 
     async def run(self) -> None:
         """Renew the proof whenever it gets too old, until cancelled."""
@@ -78,7 +79,9 @@
         while True:
             await self.clock.sleep(CHECK_INTERVAL_SECONDS)
             self.apply_awaited_proof()
-            if not self.needed() or self.waits() or self.freshness.age() < limit:
+            if not self.needed() or self.waits():
+                continue
+            if self.freshness.unproved_seconds() < limit:
                 continue
             if not await self.query():
                 await self.clock.sleep(
@@ -110,7 +113,7 @@
         first = self.first_host()
         if first is not None and first != self.me:
             await self.query_host(first)
-            if self.freshness.age() < FALLBACK_AGE_SECONDS:
+            if self.freshness.unproved_seconds() < FALLBACK_AGE_SECONDS:
                 return True
         return await self.query_store()
 
@@ -135,6 +138,8 @@
         if self.awaited is None:
             return
         revision, requested_at = self.awaited
-        if self.announcements.mirror.revision >= revision:
+        if revision.epoch < self.keyspace.epoch.current:
+            self.awaited = None
+        elif self.announcements.mirror.revision >= revision:
             self.freshness.record_proof(requested_at)
             self.awaited = None
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -12,6 +12,7 @@
 from reedhook.process.discovery.announcements import Announcements
 from reedhook.process.discovery.configuration_freshness import ConfigurationFreshness
 from reedhook.process.discovery.key_value_store import Item, Items
+from reedhook.process.discovery.store_revision import StoreRevision
 from reedhook.process.discovery.store_watcher import (
     HOLD_MARGIN_SECONDS,
     StoreWatcher,
@@ -39,13 +40,14 @@
     announcements = Announcements(
         PlainDocuments(), clock, DecisionLog("h1", clock, output_fd=None)
     )
+    keyspace = FakeStore().client("h1")
     watcher = StoreWatcher(
-        FakeStore().client("h1"),
+        keyspace,
         announcements,
         StoreOnlySource(),
         clock,
         Random(seed),
-        ConfigurationFreshness(announcements, clock),
+        ConfigurationFreshness(announcements, clock, keyspace.epoch),
     )
     holds = [watcher.hold() for _ in range(REQUESTS)]
     # Even if a request gets no response, a configuration takes effect in time and
@@ -95,8 +97,9 @@
     def apply(self, key: str, value: bytes | None) -> None:
         """Apply one change of the store."""
         self.revision += 1
-        item = Item(key, value, self.revision)
-        self.announcements.apply_changes(Items([item], self.revision))
+        revision = StoreRevision(0, self.revision)
+        item = Item(key, value, revision)
+        self.announcements.apply_changes(Items([item], revision))
 
     def announce(self, one: TargetAnnouncement) -> None:
         """Apply the announcement of a target."""
--- a/tests/test_promotion_coordinator.py
+++ b/tests/test_promotion_coordinator.py
@@ -16,6 +16,7 @@
 from reedhook.decision_log import DecisionLog
 from reedhook.peer import HostRef, PeerHandler, PeerRoutes
 from reedhook.process.discovery.key_value_store import Item
+from reedhook.process.discovery.store_revision import StoreRevision
 from reedhook.process.fleet.membership_record import HostRecord, MembershipState
 from reedhook.process.fleet.membership_table import MembershipTable
 from reedhook.process.primary_lease.coordinator_role import (
@@ -39,7 +40,7 @@
 from reedhook.wire import Json
 
 from .fakes_clock import in_virtual_time, run_virtual
-from .fakes_keyspace import FakeKeyspace, FakeStore
+from .fakes_keyspace import FakeKeyspace, FakeStore, unlogged_epoch
 from .fakes_peers import FakeNetwork
 
 TRANSIT: Final = 0.003
@@ -91,7 +92,7 @@
     """
 
     def __init__(self, store: FakeStore, host: str, network: FakeNetwork) -> None:
-        super().__init__(store, host)
+        super().__init__(store, host, unlogged_epoch(host))
         self.network = network
         self.answer_delay = 0.0
 
@@ -105,10 +106,10 @@
         self,
         key: str,
         value: bytes,
-        expected: int | None,
+        expected: StoreRevision | None,
         timeout: float,
         lease: int = 0,
-    ) -> int:
+    ) -> StoreRevision:
         revision = await super().put(key, value, expected, timeout, lease)
         await self.network.awake(self.host)
         return revision
