Verify a follower's items after a restore, and test what restores can break

Random sequences of writes, restores, late answers and changes of relays found two faults: items of a full answer kept the relay's older revision and were ignored by a follower that knew a lost state under a higher one; and a relay that read all items anew did not know of deletions in between, so that followers kept such items. Items of a restored store now count as of its epoch, and a relay adds its digest for followers whose state is older than its last complete one.

--- a/src/reedhook/process/discovery/announcements.py
+++ b/src/reedhook/process/discovery/announcements.py
@@ -103,10 +103,10 @@
         """Apply a full listing; other items count as deleted."""
         if found.revision.epoch > self.mirror.revision.epoch:
             self.apply_restored(found, complete=True)
-            self.complete_restored(found.revision)
-            return
-        self.apply_changes(found)
-        self.keep_only({item.key for item in found.items})
+        else:
+            self.apply_changes(found)
+            self.keep_only({item.key for item in found.items})
+        self.complete(found.revision)
 
     def keep_only(self, keys: set[str]) -> None:
         """Delete all items except those with these keys."""
@@ -121,10 +121,13 @@
             self.mirror.apply_restored(self.without_tables(found), complete)
         )
 
-    def complete_restored(self, revision: StoreRevision) -> None:
-        """Record that the items are those of the restored store at a revision."""
-        self.mirror.revision = revision
-        self.notify_waiters()
+    def complete(self, at: StoreRevision) -> None:
+        """Record that the items are exactly those of the store at a revision."""
+        restored = at.epoch > self.mirror.revision.epoch
+        self.mirror.complete(at)
+        if restored:
+            # Hosts that still are at the earlier epoch wait for this one.
+            self.notify_waiters()
 
     def apply_changes(self, found: Items) -> None:
         """Apply changes of the store."""
--- a/src/reedhook/process/discovery/store_mirror.py
+++ b/src/reedhook/process/discovery/store_mirror.py
@@ -25,6 +25,8 @@
         is known.
     :ivar newest: highest revision of any item or deletion.
     :ivar deletions_since: revision from which on all deletions are known.
+    :ivar complete_at: revision at which the items were last read or compared as a
+        whole. Deletions before it may be unknown here if they were never seen.
     :ivar digest: digest over key, number and value of all items; equal at two hosts
         that hold the same states, whenever each of them learned of these.
     """
@@ -35,6 +37,7 @@
         self.revision = NO_REVISION
         self.newest = NO_REVISION
         self.deletions_since = NO_REVISION
+        self.complete_at = NO_REVISION
         self.digest = 0
 
     def missing(self, keys: set[str], at: StoreRevision) -> list[Item]:
@@ -53,20 +56,29 @@
         return changed
 
     def apply_restored(self, found: Items, complete: bool) -> list[Item]:
-        """Apply items of a higher epoch, and return those that are new.
+        """Apply items that the restored store holds, and return those that are new.
 
-        The caller sets `revision` once it knows that nothing of an earlier epoch is
-        left. Items learned in the epoch of `found` after its revision stay.
+        Each counts as of the epoch of `found`, also if its sender learned of its state
+        earlier. The caller calls `complete` once it knows that nothing of an earlier
+        epoch is left. Items learned in this epoch after the revision of `found` stay.
 
         :param complete: whether `found` holds all items; others are then deleted.
         """
         if self.revision == NO_REVISION:
             self.deletions_since = found.revision
-        states = {item.key: item for item in found.items}
+        epoch = found.revision.epoch
+        items = [
+            Item(one.key, one.value, StoreRevision(epoch, one.revision.number))
+            for one in found.items
+        ]
         if complete:
-            for item in self.missing(set(states), found.revision):
-                states[item.key] = item
-        return self.apply_items(list(states.values()))
+            items += self.missing({one.key for one in items}, found.revision)
+        return self.apply_items(items)
+
+    def complete(self, at: StoreRevision) -> None:
+        """Record that the items are exactly those of the store at a revision."""
+        self.revision = max(self.revision, at)
+        self.complete_at = self.revision
 
     def apply_items(self, items: list[Item]) -> list[Item]:
         """Apply changes and return those that are new."""
--- a/src/reedhook/process/discovery/update_source.py
+++ b/src/reedhook/process/discovery/update_source.py
@@ -125,7 +125,7 @@
             "version": known.table.version,
             "reached": known.usable_as_relay,
         }
-        if known.mirror.revision.epoch > after.epoch:
+        if known.mirror.revision.epoch and after < known.mirror.complete_at:
             answer[DIGEST_FIELD] = known.mirror.digest
         return answer
 
@@ -142,7 +142,7 @@
     :param on_version: receives a host with a newer configuration and its version.
     :ivar avoided: monotonic time until which a relay is not used, by host ID.
     :ivar last: the relay used last.
-    :ivar differs: whether the items here differ from those of the restored store.
+    :ivar differs: whether the items here differ from those of the relay.
     :ivar behind: whether the last response was of an earlier epoch.
     :ivar epoch_since: monotonic time at which this host learned of the epoch.
     """
@@ -210,9 +210,7 @@
     def known_revision(self) -> StoreRevision:
         """Return the revision after which to request changes."""
         revision = self.announcements.mirror.revision
-        if self.differs and revision.epoch < self.epoch.current:
-            return NO_REVISION
-        return revision
+        return NO_REVISION if self.differs else revision
 
     def pause_after(self, relay: HostRef) -> float:
         """Return the pause before the next request; leave a relay that stays behind."""
@@ -264,27 +262,34 @@
 
     def apply_items(self, relay: HostRef, found: Items, answer: Json) -> None:
         """Apply the items of a response of the current epoch."""
+        known = self.announcements
         keys = answer.get("keys")
-        if found.revision.epoch > self.announcements.mirror.revision.epoch:
-            self.apply_restored(relay, found, answer)
-            return
-        self.announcements.apply_changes(found)
-        if isinstance(keys, list):
-            self.announcements.keep_only(set(keys))
+        full = self.differs and isinstance(keys, list)
+        if found.revision.epoch > known.mirror.revision.epoch:
+            known.apply_restored(found, full)
+        else:
+            known.apply_changes(found)
+            if isinstance(keys, list):
+                known.keep_only(set(keys))
+        if DIGEST_FIELD in answer:
+            self.compare(relay, found.revision, full, answer[DIGEST_FIELD])
+
+    def compare(
+        self, relay: HostRef, at: StoreRevision, full: bool, digest: object
+    ) -> None:
+        """Request all items next unless the items here are those of the relay.
 
-    def apply_restored(self, relay: HostRef, found: Items, answer: Json) -> None:
-        """Apply the first response of a new epoch, and check the result."""
+        :param full: whether the relay has sent all items.
+        """
         known = self.announcements
-        complete = self.differs and isinstance(answer.get("keys"), list)
-        known.apply_restored(found, complete)
-        self.differs = not complete and answer.get(DIGEST_FIELD) != known.mirror.digest
+        self.differs = not full and digest != known.mirror.digest
         if not self.differs:
-            known.complete_restored(found.revision)
+            known.complete(at)
             return
         self.decisions.record(
             "updates_differ",
             relay=relay.host,
-            at=found.revision.to_json(),
+            at=at.to_json(),
             known=known.mirror.revision.to_json(),
         )
 
