Limit names in target entries, and fuzz entries of other writers

An entry with a name of any length was accepted as a target, and its name or key was logged in full. Names of more than 255 characters are malformed now, and logged keys are cut. A property test applies random entries of other writers between two good ones: only well-formed entries name a target, the good ones stay in use, and each change is logged once, also if it is read again.

--- a/src/reedhook/platform/documents.py
+++ b/src/reedhook/platform/documents.py
@@ -46,6 +46,10 @@
 DEFAULT_PRIORITY: Final = 1
 
 WORKSPACES_FIELD: Final = "tenants"
+MAX_NAME_CHARACTERS: Final = 255
+"""Limit of names in target announcements. They become fields of protocol lines, of log
+lines and of labels; a longer one is another program's data."""
+
 API_KEYS_FIELD: Final = "api_keys"
 KEY_DIGESTS_FIELD: Final = "key_digests"
 """Replaces the keys in every copy of a configuration that the system keeps."""
@@ -207,8 +211,11 @@
 def check_name(field: str) -> str:
     """Return `field` if it is valid as a field of a protocol line.
 
-    :raises WireError: if it is empty or holds a space or an unprintable character.
+    :raises WireError: if it is empty, too long, or holds a space or an unprintable
+        character.
     """
+    if len(field) > MAX_NAME_CHARACTERS:
+        raise WireError(f"a name of {len(field)} characters is too long")
     if not is_valid_name(field):
         raise WireError("expected a name of printable ASCII characters without spaces")
     return field
--- a/src/reedhook/process/discovery/announcements.py
+++ b/src/reedhook/process/discovery/announcements.py
@@ -24,7 +24,7 @@
 the store themselves, which multiplies its load."""
 
 MAX_ERROR_CHARACTERS: Final = 200
-"""Limit of the logged error, since a malformed value may be up to 1 MB long."""
+"""Limit of the logged key and error, since a malformed item may be up to 1 MB long."""
 
 
 class Announcements:
@@ -183,7 +183,7 @@
             self.malformed.add(item.key)
             self.decisions.record(
                 "item_malformed",
-                key=item.key,
+                key=item.key[:MAX_ERROR_CHARACTERS],
                 revision=item.revision.to_json(),
                 kept=self.table.version if self.parser.is_table(item.key) else None,
                 error=str(error)[:MAX_ERROR_CHARACTERS],
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -7,12 +7,15 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, strategies as st
 
 from reedhook.decision_log import DecisionLog
+from reedhook.platform.documents import MAX_NAME_CHARACTERS, PlatformDocuments
 from reedhook.process.discovery.announcements import Announcements
 from reedhook.process.discovery.configuration_freshness import ConfigurationFreshness
 from reedhook.process.discovery.key_value_store import Item, Items
 from reedhook.process.discovery.store_revision import StoreRevision
+from reedhook.process.discovery.store_value_parser import StoreValueParser
 from reedhook.process.discovery.store_watcher import (
     HOLD_MARGIN_SECONDS,
     StoreWatcher,
@@ -76,18 +79,22 @@
     def __init__(self, clock: LoopClock) -> None:
         super().__init__("h1", clock, output_fd=None)
         self.events: list[str] = []
+        self.lines: list[bytes] = []
 
     def record(self, event: str, **inputs: Any) -> None:
         self.events.append(event)
+        self.lines.append(encode({"event": event, **inputs}))
 
 
 class Listener:
     """Feed store items to the announcements of a host."""
 
-    def __init__(self) -> None:
+    def __init__(self, parser: StoreValueParser | None = None) -> None:
         clock = LoopClock()
         self.events = RecordingDecisionLog(clock)
-        self.announcements = Announcements(PlainDocuments(), clock, self.events)
+        self.announcements = Announcements(
+            parser or PlainDocuments(), clock, self.events
+        )
         self.restarted: list[str] = []
         self.announcements.on_restart.append(
             lambda one: self.restarted.append(one.target)
@@ -101,6 +108,12 @@
         item = Item(key, value, revision)
         self.announcements.apply_changes(Items([item], revision))
 
+    def read_again(self, key: str, value: bytes) -> None:
+        """Apply the last change again, as a read of all items does."""
+        revision = StoreRevision(0, self.revision)
+        item = Item(key, value, revision)
+        self.announcements.apply_changes(Items([item], revision))
+
     def announce(self, one: TargetAnnouncement) -> None:
         """Apply the announcement of a target."""
         self.apply(f"t/{one.target}", encode({"entry": list(one.values())}))
@@ -140,6 +153,87 @@
     assert listener.announcements.table.version == 4
 
 
+GOOD_FIELDS = {
+    "service": "db",
+    "address": "10.0.0.1:1",
+    "zone": "z1",
+    "state": "ready",
+    "database_role": "replica",
+    "born": 100,
+    "slots": 4,
+    "sequence": 1,
+}
+HUGE = "x" * 200_000
+FIELD_VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**63), 2**64 - 1),
+    st.floats(allow_nan=False),
+    st.text(st.characters(exclude_categories=["Cs"]), max_size=8),
+    st.just(HUGE),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text("ab"), st.none(), max_size=2),
+)
+ENTRY_VALUES = st.one_of(
+    st.binary(max_size=60),
+    st.just(b'"' + b"x" * 1_000_000),
+    st.just(b"[" * 5000),
+    st.builds(
+        lambda fields, gone: encode(
+            {key: value for key, value in fields.items() if key not in gone}
+        ),
+        st.dictionaries(
+            st.sampled_from(list(GOOD_FIELDS)), FIELD_VALUES, max_size=3
+        ).map(lambda changed: {**GOOD_FIELDS, **changed}),
+        st.sets(st.sampled_from(list(GOOD_FIELDS)), max_size=2),
+    ),
+)
+KEYS = st.one_of(
+    st.sampled_from(["servers/a", "servers/", "servers/a b", f"servers/{HUGE}"]),
+    st.text(st.characters(exclude_categories=["Cs"]), max_size=8).map(
+        lambda name: f"servers/{name}"
+    ),
+)
+
+
+@given(st.lists(st.tuples(KEYS, ENTRY_VALUES), max_size=8))
+def test_entries_of_other_writers_leave_other_targets_in_use(
+    entries: list[tuple[str, bytes]],
+) -> None:
+    """Guards against an entry of another program that ends the watch of the store,
+    hides other targets, is used as a target, or floods the log."""
+    apply_entries(entries)
+
+
+@in_virtual_time
+async def apply_entries(entries: list[tuple[str, bytes]]) -> None:
+    """Apply entries, each read twice, between two good targets."""
+    listener = Listener(PlatformDocuments())
+    listener.apply("servers/good-1", encode(GOOD_FIELDS))
+    for key, value in entries:
+        listener.apply(key, value)
+        listener.read_again(key, value)
+    listener.apply("servers/good-2", encode(GOOD_FIELDS))
+    found = listener.announcements.targets
+    assert {"good-1", "good-2"} <= found.keys()
+    for target, one in found.items():
+        assert max(map(len, (target, one.service, one.zone))) <= MAX_NAME_CHARACTERS
+        assert one.slots >= 1 and one.sequence >= 0 and one.started_at_ms >= 0
+    assert listener.count_events("item_malformed") <= len(entries)
+    assert max(map(len, listener.events.lines)) < 2000
+
+
+@pytest.mark.parametrize("field", ["service", "zone", "address", "state"])
+@in_virtual_time
+async def test_huge_field_names_no_target(field: str) -> None:
+    """Guards against log lines and protocol lines of the size of a stored value."""
+    listener = Listener(PlatformDocuments())
+    listener.apply("servers/m1", encode({**GOOD_FIELDS, field: HUGE}))
+    assert not listener.announcements.targets
+    assert listener.count_events("item_malformed") == 1
+    assert max(map(len, listener.events.lines)) < 2000
+
+
 @in_virtual_time
 async def test_stale_target_entries_are_ignored() -> None:
     listener = Listener()
