Treat an epoch of more than 15 digits as malformed

A header of thousands of digits raised ValueError in the task that read the answer, and one above 64 bits cannot be sent to other hosts.

Measured: tests of the store client pass; the case of 5,000 digits failed before with ValueError.

--- a/src/reedhook/platform/store.py
+++ b/src/reedhook/platform/store.py
@@ -39,6 +39,9 @@
 EPOCH_HEADER: Final = b"store-era"
 """Number of restores of the store; a response without it counts as 0."""
 
+MAX_EPOCH_DIGITS: Final = 15
+"""Epochs are sent to other hosts as JSON integers, which hold 64 bits."""
+
 OK: Final = 200
 ABSENT: Final = 404
 GONE: Final = 410
@@ -216,7 +219,7 @@
         the state that the response describes.
     """
     stated = answer.headers.get(EPOCH_HEADER, b"0").strip()
-    if not stated.isdigit():
+    if not stated.isdigit() or len(stated) > MAX_EPOCH_DIGITS:
         raise StoreUnansweredError(f"malformed epoch {stated[:20]!r}")
     return int(stated)
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -250,7 +250,7 @@
     with_store(test)
 
 
-@pytest.mark.parametrize("stated", ["x", "-1", "", "1.5"])
+@pytest.mark.parametrize("stated", ["x", "-1", "", "1.5", "9" * 16, "9" * 5000])
 def test_malformed_epoch_is_no_answer(stated: str) -> None:
     """Guards against a write that counts as rejected though it took effect."""
 
