Keep the revision of old deletions after a restore, and ask relays first after an outage

A follower took a deletion of before the restore for one of the new epoch; its number may be above those of the restored store, so that a later write of the key was ignored until the numbers had passed it. Deletions keep their revision now.

Hosts that had left their relays while the store failed each read the whole store as it came back restored. A new epoch makes them ask the relays again.

Measured: test_deletion_before_a_restore_does_not_hide_a_write_after_it failed before. Tests of restores, mirrors, announcements, freshness, the store client and documentation pass.

--- a/src/reedhook/process/discovery/store_mirror.py
+++ b/src/reedhook/process/discovery/store_mirror.py
@@ -59,18 +59,16 @@
         """Apply items that the restored store holds, and return those that are new.
 
         Each counts as of the epoch of `found`, also if its sender learned of its state
-        earlier. The caller calls `complete` once it knows that nothing of an earlier
-        epoch is left. Items learned in this epoch after the revision of `found` stay.
+        earlier. A deletion does not: its number may be one that the restored store has
+        yet to assign. Items learned in this epoch after the revision of `found` stay.
+        The caller calls `complete` once it knows that nothing of an earlier epoch is
+        left.
 
         :param complete: whether `found` holds all items; others are then deleted.
         """
         if self.revision == NO_REVISION:
             self.deletions_since = found.revision
-        epoch = found.revision.epoch
-        items = [
-            Item(one.key, one.value, StoreRevision(epoch, one.revision.number))
-            for one in found.items
-        ]
+        items = [in_epoch(item, found.revision.epoch) for item in found.items]
         if complete:
             items += self.missing({one.key for one in items}, found.revision)
         return self.apply_items(items)
@@ -124,6 +122,13 @@
         return [item for item in self.items.values() if item.revision > after]
 
 
+def in_epoch(item: Item, epoch: int) -> Item:
+    """Return an item as learned in an epoch; a deletion is unchanged."""
+    if item.value is None:
+        return item
+    return Item(item.key, item.value, StoreRevision(epoch, item.revision.number))
+
+
 def supersedes(item: Item, known: Item) -> bool:
     """Return whether an item is a newer state than the known one of its key.
 
--- a/src/reedhook/process/discovery/store_watcher.py
+++ b/src/reedhook/process/discovery/store_watcher.py
@@ -95,7 +95,8 @@
                 self.announcements.decisions.record(
                     "history_compacted", cause=str(error)
                 )
-                self.synchronized = False
+                # After a restore, a relay sends what changed with it.
+                self.synchronized = self.is_outdated()
             except EarlierEpochError as error:
                 # A late response, or the store was restored between two pages.
                 self.announcements.decisions.record(
@@ -116,12 +117,16 @@
             await self.read_all()
         elif await self.source.fetch_updates():
             return
-        elif self.announcements.mirror.revision.epoch < self.keyspace.epoch.current:
+        elif self.is_outdated():
             await self.read_all()
         else:
             await self.follow_store()
             await self.clock.sleep(BATCH_DELAY_SECONDS)
 
+    def is_outdated(self) -> bool:
+        """Return whether the items here are those of an earlier epoch."""
+        return self.announcements.mirror.revision.epoch < self.keyspace.epoch.current
+
     async def read_all(self) -> None:
         """Read all items from the store."""
         requested_at = self.clock.boottime()
--- a/src/reedhook/process/discovery/update_source.py
+++ b/src/reedhook/process/discovery/update_source.py
@@ -178,7 +178,11 @@
         epoch.on_change.append(self.handle_epoch)
 
     def handle_epoch(self, epoch: int) -> None:
-        """Give the relays time to read the restored store."""
+        """Ask the relays again, and give them time to read the restored store.
+
+        Without the store, before it was restored, they were avoided.
+        """
+        self.avoided.clear()
         self.epoch_since = self.clock.monotonic()
 
     async def fetch_updates(self) -> bool:
--- a/tests/test_store_epochs.py
+++ b/tests/test_store_epochs.py
@@ -500,6 +500,42 @@
     world.stop()
 
 
+@in_virtual_time
+async def test_store_restored_after_an_outage_is_read_by_relays_only() -> None:
+    """Guards against all hosts that read the whole store as it comes back: while it
+    fails they leave their relays and watch the store themselves."""
+    names = [f"h{number}" for number in range(HOSTS_OF_ZONE)]
+    world = EpochWorld(names, relays=["h0", "h1"])
+    world.store.save()
+    await world.start()
+    world.store.declining |= set(names)
+    await asyncio.sleep(8.0)
+    lists_before = world.store.calls.count("list")
+    world.store.restore(0.0)
+    world.store.write("x", b"after")
+    world.store.declining.clear()
+    await asyncio.sleep(5.0)
+    assert world.store.calls.count("list") - lists_before == 2
+    assert all(one.values() == world.values() for one in world.hosts.values())
+    world.stop()
+
+
+@in_virtual_time
+async def test_nothing_else_is_sent_while_the_epoch_is_0() -> None:
+    """Guards against messages that hosts of earlier deployments do not know."""
+    world = EpochWorld(["h1", "h2"], relays=["h1"])
+    world.configure(1, ["key"])
+    world.store.write("x", b"1")
+    await world.start()
+    body = {"after": 0, "version": 0, "hold_ms": 0}
+    news = await world.hosts["h1"].routes.handlers[UPDATES_PATH](body)
+    assert sorted(news) == ["a", "at", "items", "keys", "reached", "version"]
+    assert news["at"] == world.store.revision
+    assert news["items"][0][:2] == ["x", world.store.revision]
+    assert sorted(await world.hosts["h1"].answer_beat({})) == ["a", "v"]
+    world.stop()
+
+
 ACTIONS = st.lists(
     st.one_of(
         st.tuples(st.just("write"), st.sampled_from("abcd"), st.integers(0, 2)),
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -68,6 +68,25 @@
     assert items_of(mirror) == {}
 
 
+def test_deletion_before_a_restore_does_not_hide_a_write_after_it() -> None:
+    """Guards against a deletion whose number is above those of the restored store and
+    that a follower takes for one of the new epoch."""
+    relay, follower = StoreMirror(), StoreMirror()
+    for mirror in (relay, follower):
+        mirror.apply(changes_at(45, {"a": b"lost"}))
+    relay.apply(changes_at(51, {"a": None}))
+    restored = Items([], StoreRevision(1, 40))
+    relay.apply_restored(restored, True)
+    relay.complete(restored.revision)
+    found = Items(relay.changes(follower.revision), relay.revision)
+    follower.apply_restored(found, False)
+    follower.complete(found.revision)
+    assert items_of(follower) == {}
+    written = StoreRevision(1, 45)
+    assert follower.apply(Items([Item("a", b"1", written)], written))
+    assert follower.items["a"].revision == written
+
+
 def test_changes_fail_if_deletions_are_no_longer_kept(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
