--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -16,6 +16,7 @@
 from reedhook.host_directory import HostDirectory
 from reedhook.metrics import MemoryMetrics
 from reedhook.peer import HostRef
+from reedhook.process.discovery.store_revision import StoreRevision
 from reedhook.process.primary_lease.lease_record import (
     HostIncarnation,
     PrimaryLeaseRecord,
@@ -110,7 +111,9 @@
     def __init__(self) -> None:
         holder = HostIncarnation(HostRef("holder", "z0", "10.0.2.1:1"), "1")
         self.records = {
-            "db": PrimaryLeaseRecord("db", holder, None, [], True, PRIMARY, 1, "", 1)
+            "db": PrimaryLeaseRecord(
+                "db", holder, None, [], True, PRIMARY, 1, "", StoreRevision(0, 1)
+            )
         }
 
 
