Add the setting overload_control

The field contracts of the platform's settings lists what the deployment asks for; the word pressure enables the control of overload, which is off by default.

--- a/src/reedhook/platform/settings.py
+++ b/src/reedhook/platform/settings.py
@@ -18,6 +18,12 @@
 DEFAULT_LINK_MBPS: Final = 1000.0
 """Used if the file does not state the machine's limits."""
 
+CONTRACTS: Final = "contracts"
+"""Field that lists the behaviours that the platform relies on, with commas."""
+
+PRESSURE: Final = "pressure"
+"""Word of that field for the control of overload."""
+
 
 class SettingsFileError(ValueError):
     """Report an invalid settings file, with the line if there is one."""
@@ -77,9 +83,16 @@
         link_mbps=optional(fields, "limits.link_mbps", DEFAULT_LINK_MBPS),
         revoke=revoke_seconds(fields),
         rates=rates(fields),
+        overload_control=PRESSURE in contracts(fields),
     )
 
 
+def contracts(fields: dict[str, SettingsLine]) -> set[str]:
+    """Return the words that the field `CONTRACTS` lists."""
+    line = fields.get(CONTRACTS)
+    return set() if line is None else {word.strip() for word in line.value.split(",")}
+
+
 def rates(fields: dict[str, SettingsLine]) -> RateTolerance:
     """Return the tolerance of the workspaces' rate limits."""
     return RateTolerance(
--- a/src/reedhook/process/session_host_settings.py
+++ b/src/reedhook/process/session_host_settings.py
@@ -21,6 +21,8 @@
     :param revoke: seconds within which a revoked key loses access at every host,
         even one that cannot reach the store; None for no bound.
     :param rates: tolerance of the rate limits of workspaces.
+    :param overload_control: whether homes apply the reserve of lower priorities, the
+        limits of long statements and of reads at the primary, and the retry schedule.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         "link_mbps",
         "revoke",
         "rates",
+        "overload_control",
     )
 
     def __init__(
@@ -54,7 +57,9 @@
         link_mbps: float,
         revoke: float | None = None,
         rates: RateTolerance = DEFAULT_TOLERANCE,
+        overload_control: bool = False,
     ) -> None:
+        self.overload_control = overload_control
         self.rates = rates
         self.revoke = revoke
         self.host = host
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -289,6 +289,20 @@
     assert read(SETTINGS + bounds.replace("true", "false")).revoke is None
 
 
+@pytest.mark.parametrize(
+    "line, enabled",
+    [
+        ("", False),
+        ("contracts=health\n", False),
+        ("contracts=health, pressure\n", True),
+        ("contracts=pressures\n", False),
+    ],
+)
+def test_overload_control_follows_the_contracts(line: str, enabled: bool) -> None:
+    """A deployment that does not list the word must be served as before."""
+    assert read(SETTINGS + line).overload_control is enabled
+
+
 def test_settings_are_parsed_and_unknown_fields_ignored() -> None:
     settings = read(SETTINGS)
     assert settings.host == "front-vittoria-1"
