Share the slots of a target among workspaces

One workspace at 7.5 times its usual load was limited by its rate only: at a target, statements were ordered by priority and duration whoever sent them.

WaitingStatements replaces the list of the admission queue: transactions, then priorities, then workspaces by start-time fair queueing on measured slot time, then shortest duration. Waits are estimated from prefix sums in skip lists and sums of backlogs by order of magnitude in place of a scan.

400 random sequences of one workspace give the same starts and refusals as the former queue, which the tests keep; five mutations of the new order each fail that test.

--- a/src/reedhook/connection/admission_queue.py
+++ b/src/reedhook/connection/admission_queue.py
@@ -3,7 +3,8 @@
 A target runs one statement per slot and queues the others in order of arrival. Under
 overload nearly all of them would miss their soft deadlines there. The home therefore
 queues them itself, keeps just enough in flight to fill the slots, orders the rest by
-priority and expected duration, and refuses early what cannot be answered in time.
+priority, fair share of the workspace and expected duration, and refuses early what
+cannot be answered in time.
 """
 
 import asyncio
@@ -12,8 +13,11 @@
 from typing import Final
 
 from ..clock import Clock
-from ..record import Record
 from ..request.refusal import RefusalError, RefusalReason, not_run
+from .admission import LONG_LANE, REPLICA_LANE, Admission, AdmissionRequest
+from .long_statements import SLOTS_FREE_OF_LONG_STATEMENTS
+from .overload_control import OverloadControl
+from .waiting_statements import WaitingStatements
 
 EXTRA_IN_FLIGHT_LIMIT: Final = 1
 """Statements in flight beyond the slots, so that a freed slot has work while the
@@ -45,95 +49,9 @@
 
 MS_PER_SECOND: Final = 1000.0
 
-
-class AdmissionRequest(Record):
-    """Describe a statement to be admitted.
-
-    :param route: the key of duration estimates; reads and writes share it.
-    :param priority: 0 is the highest.
-    :param soft_deadline: when the caller expects the reply, by `Clock.monotonic`.
-    :param deadline: when the caller gives up, by `Clock.monotonic`.
-    :param in_transaction: whether it belongs to an open transaction, which already
-        has a connection.
-    :param max_wait: longest wait in seconds before another target is preferred; None
-        if no other target may run it.
-    """
-
-    __slots__ = (
-        "route",
-        "priority",
-        "soft_deadline",
-        "deadline",
-        "in_transaction",
-        "max_wait",
-    )
-
-    def __init__(
-        self,
-        route: str,
-        priority: int,
-        soft_deadline: float,
-        deadline: float,
-        in_transaction: bool,
-        max_wait: float | None = None,
-    ) -> None:
-        self.route = route
-        self.priority = priority
-        self.soft_deadline = soft_deadline
-        self.deadline = deadline
-        self.in_transaction = in_transaction
-        self.max_wait = max_wait
-
-
-class Admission:
-    """Track one statement from its arrival in the queue to its release.
-
-    :ivar expected_seconds: expected duration at the target.
-    :ivar arrived_at: time of arrival, by `Clock.monotonic`.
-    :ivar granted: resolved on admission; fails with the refusal otherwise.
-    :ivar in_flight: whether it counts towards the limit of the target.
-    """
-
-    __slots__ = (
-        "request",
-        "expected_seconds",
-        "arrived_at",
-        "granted",
-        "timer",
-        "in_flight",
-    )
-
-    def __init__(
-        self, request: AdmissionRequest, expected_seconds: float, arrived: float
-    ) -> None:
-        self.request = request
-        self.expected_seconds = expected_seconds
-        self.arrived_at = arrived
-        self.granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.timer: asyncio.TimerHandle | None = None
-        self.in_flight = False
-
-    def is_late(self, now: float) -> bool:
-        """Return whether it would miss its soft deadline if it started now."""
-        return now + self.expected_seconds > self.request.soft_deadline
-
-    def rank(self, now: float) -> tuple[int, int, float, float]:
-        """Return the sort key among waiting statements; the lowest goes first.
-
-        Statements of open transactions go first, since they hold a connection, and
-        late ones go last. The others are ordered by priority, then by shortest
-        expected duration, which lets the most callers meet their soft deadlines.
-        """
-        if self.request.in_transaction:
-            return 0, 0, self.arrived_at, 0.0
-        if self.is_late(now):
-            return 2, 0, self.arrived_at, 0.0
-        return (
-            1,
-            self.request.priority,
-            self.expected_seconds,
-            self.request.soft_deadline,
-        )
+RECHECK_SECONDS: Final = 0.1
+"""Interval at which a statement that waits late, or for room at the primary, is
+checked again under overload control: its prospects change without an event."""
 
 
 class RouteLoad:
@@ -198,19 +116,28 @@
     """Admit statements to one target.
 
     :param slots: statements that the target runs concurrently.
+    :param control: the rules that apply where the settings enable them, or None.
+    :ivar waiting: the statements that wait, in order.
     :ivar in_flight: statements at the target, except those that count as hung.
     :ivar in_flight_in_transaction: those of them that belong to open transactions.
     :ivar mean_seconds_by_route: moving average of durations, by route.
     """
 
     def __init__(
-        self, target: str, slots: int, connections: ConnectionAvailability, clock: Clock
+        self,
+        target: str,
+        slots: int,
+        connections: ConnectionAvailability,
+        clock: Clock,
+        control: OverloadControl | None = None,
     ) -> None:
         self.target = target
         self.slots = slots
         self.connections = connections
         self.clock = clock
-        self.waiting: list[Admission] = []
+        self.control = control
+        self.waiting = WaitingStatements()
+        self.arrivals = 0
         self.in_flight = 0
         self.in_flight_in_transaction = 0
         self.mean_seconds_by_route: dict[str, float] = {}
@@ -227,12 +154,16 @@
             request,
             self.mean_seconds_by_route.get(request.route, DEFAULT_STATEMENT_SECONDS),
             now,
+            self.arrivals,
         )
-        if not self.waiting and self.can_start(admission):
+        self.arrivals += 1
+        if self.control is not None:
+            self.control.arrive(admission, now)
+        if not self.waiting and self.can_start(admission, now):
             self.start(admission, now)
             return admission
         self.check(admission, now)
-        self.waiting.append(admission)
+        self.waiting.add(admission, now)
         self.schedule_recheck(admission, now)
         self.dispatch()
         try:
@@ -246,6 +177,8 @@
         """Release the place of a statement that has ended."""
         if admission.timer is not None:
             admission.timer.cancel()
+        if self.control is not None:
+            self.control.complete(admission, self.clock.monotonic())
         self.end(admission)
 
     def record_duration(self, route: str, seconds: float) -> None:
@@ -263,29 +196,59 @@
         )
 
     def dispatch(self) -> None:
-        """Start waiting statements in order of rank while there is capacity."""
+        """Start waiting statements in order while there is capacity."""
         now = self.clock.monotonic()
         while self.waiting:
-            ready = [
-                admission for admission in self.waiting if self.can_start(admission)
-            ]
-            if not ready:
+            admission = self.next_admission(now)
+            if admission is None:
                 return
-            admission = min(ready, key=lambda one: one.rank(now))
             self.remove_waiting(admission)
             if admission.granted.done():
                 continue
             self.start(admission, now)
             admission.granted.set_result(None)
 
-    def can_start(self, admission: Admission) -> bool:
-        """Return whether a statement may start now.
+    def next_admission(self, now: float) -> Admission | None:
+        """Return the waiting statement that may start next, or None."""
+        if self.waiting.in_transaction and self.has_transaction_slot():
+            return self.waiting.in_transaction.first()
+        if not self.has_slot():
+            return None
+        self.waiting.update_late(now)
+        if self.control is None:
+            return self.waiting.first(0)
+        blocked = self.control.blocked_lanes(now)
+        admission = self.waiting.first(blocked)
+        if admission is None or admission.waits_late:
+            return admission
+        priority = admission.request.priority
+        lower = self.waiting.first_below(priority, blocked)
+        if lower is not None and self.control.reserve.goes_first(
+            priority, lower.request.priority, now
+        ):
+            return lower
+        return admission
 
-        Statements of open transactions have a limit of their own. Otherwise those that
-        wait for their connections could keep the transactions from ending.
-        """
+    def can_start(self, admission: Admission, now: float) -> bool:
+        """Return whether a statement may start now."""
         if admission.request.in_transaction:
-            return self.in_flight_in_transaction < self.slots + EXTRA_IN_FLIGHT_LIMIT
+            return self.has_transaction_slot()
+        if not self.has_slot():
+            return False
+        if self.control is None or not admission.lane:
+            return True
+        return not self.control.blocked_lanes(now) >> admission.lane & 1
+
+    def has_transaction_slot(self) -> bool:
+        """Return whether a statement of an open transaction may start.
+
+        These have a limit of their own. Otherwise those that wait for their connections
+        could keep the transactions from ending.
+        """
+        return self.in_flight_in_transaction < self.slots + EXTRA_IN_FLIGHT_LIMIT
+
+    def has_slot(self) -> bool:
+        """Return whether a statement outside transactions may start."""
         return (
             self.in_flight < self.slots + EXTRA_IN_FLIGHT_LIMIT
             and self.connections.is_available()
@@ -295,9 +258,20 @@
         """Count a statement as in flight and start its overdue timer."""
         admission.in_flight = True
         self.in_flight += 1
-        self.in_flight_in_transaction += admission.request.in_transaction
-        if not admission.is_late(now):
-            load = self.loads.setdefault(admission.request.route, RouteLoad())
+        request = admission.request
+        self.in_flight_in_transaction += request.in_transaction
+        admission.started_at = now
+        admission.started_late = admission.is_late(now)
+        self.waiting.share(admission, admission.started_late).start(
+            request.workspace,
+            request.weight,
+            admission.expected_seconds,
+            not request.in_transaction,
+        )
+        if self.control is not None:
+            self.control.start(admission, now)
+        if not admission.started_late:
+            load = self.loads.setdefault(request.route, RouteLoad())
             load.add(admission, self.slots, now)
         overdue_after = max(
             OVERDUE_FACTOR * admission.expected_seconds, MIN_OVERDUE_SECONDS
@@ -312,8 +286,19 @@
         admission.in_flight = False
         self.in_flight -= 1
         self.in_flight_in_transaction -= admission.request.in_transaction
+        self.charge(admission, self.clock.monotonic())
         self.dispatch()
 
+    def charge(self, admission: Admission, now: float) -> None:
+        """Charge the measured slot time of a statement in place of the expected one."""
+        seconds = now - admission.started_at
+        request = admission.request
+        self.waiting.share(admission, admission.started_late).correct(
+            request.workspace, request.weight, seconds - admission.expected_seconds
+        )
+        if self.control is not None:
+            self.control.end(admission, seconds, now)
+
     def free_slot_fraction(self, now: float, before: Admission | None = None) -> float:
         """Return the recently free share of the slots.
 
@@ -324,7 +309,25 @@
             for load in self.loads.values()
             if before is None or load.goes_before(before)
         )
-        return max(1.0 - taken, MIN_FREE_SLOT_FRACTION)
+        free = max(1.0 - taken, MIN_FREE_SLOT_FRACTION)
+        return free if before is None else max(free, self.fair_fraction(before, now))
+
+    def fair_fraction(self, admission: Admission, now: float) -> float:
+        """Return the share of the slots that the workspace of a statement is due.
+
+        It is 0 if no other workspace waits: then the order decides alone.
+        """
+        request = admission.request
+        level = self.waiting.level(request.priority)
+        others_weight = level.others_weight(request.workspace)
+        if not others_weight:
+            return 0.0
+        taken = sum(
+            load.decayed_slot_fraction(now)
+            for load in self.loads.values()
+            if load.priority < request.priority
+        )
+        return max(1.0 - taken, 0.0) * request.weight / (request.weight + others_weight)
 
     def refuse_waiting(self, refusal: RefusalError) -> None:
         """Refuse all waiting statements outside open transactions."""
@@ -356,7 +359,10 @@
         if now + wait + admission.expected_seconds <= request.soft_deadline:
             return
         late_wait = self.backlog(admission) / self.free_slot_fraction(now)
-        if now + max(wait, late_wait) > request.deadline:
+        must_start_by = request.deadline
+        if self.control is not None:
+            must_start_by -= admission.expected_seconds
+        if now + max(wait, late_wait) > must_start_by:
             raise self.refusal(admission, now, wait)
 
     def expected_wait(self, admission: Admission, now: float) -> float:
@@ -365,25 +371,42 @@
         Arrivals that will rank before it are expected at their recent rate. Without
         them, long statements would be queued, overtaken and refused only once late.
         """
-        rank = admission.rank(now)
-        before = [
-            one.expected_seconds
-            for one in self.waiting
-            if one is not admission and one.rank(now) <= rank
-        ]
-        seconds_before = sum(before) + self.in_flight * admission.expected_seconds / 2
-        wait = seconds_before / self.slots / self.free_slot_fraction(now, admission)
+        self.waiting.update_late(now)
+        count, seconds = self.waiting.before(admission, now)
+        seconds += self.in_flight * admission.expected_seconds / 2
+        wait = seconds / self.slots / self.free_slot_fraction(now, admission)
+        if self.control is not None:
+            wait = self.controlled_wait(self.control, admission, wait, now)
         if self.connections.is_available():
             return wait
-        return max(wait, (len(before) + 1) * self.connections.expected_wait())
+        return max(wait, (count + 1) * self.connections.expected_wait())
+
+    def controlled_wait(
+        self, control: OverloadControl, admission: Admission, wait: float, now: float
+    ) -> float:
+        """Return the expected wait under overload control, in seconds.
+
+        :param wait: the expected wait without it.
+        """
+        request = admission.request
+        if not admission.is_late(now) and control.reserve.kept(request.priority, now):
+            lower = self.waiting.lower_before(admission)
+            if lower is not None:
+                wait = min(wait, control.reserved_wait(lower))
+        if admission.lane & LONG_LANE and self.slots > SLOTS_FREE_OF_LONG_STATEMENTS:
+            wait *= self.slots / (self.slots - SLOTS_FREE_OF_LONG_STATEMENTS)
+        if not admission.lane & REPLICA_LANE:
+            return wait
+        reads = self.waiting.replica_seconds
+        if admission.waits:
+            reads -= admission.expected_seconds
+        return max(wait, control.room_wait(admission, reads, now))
 
     def backlog(self, admission: Admission) -> float:
-        """Return the seconds that the slots need for all statements and this one."""
-        waiting_seconds = sum(
-            one.expected_seconds for one in self.waiting if one is not admission
-        )
+        """Return the seconds that the slots need for this statement and all that the
+        fair order serves before the last one of its workspace."""
         return (
-            waiting_seconds
+            self.waiting.backlog(admission)
             + self.in_flight * admission.expected_seconds / 2
             + admission.expected_seconds
         ) / self.slots
@@ -391,14 +414,34 @@
     def refusal(self, admission: Admission, now: float, wait: float) -> RefusalError:
         """Return an overload refusal whose retry delay covers the backlog."""
         due_ms = (admission.request.soft_deadline - now) * MS_PER_SECOND
-        retry_ms = max(wait, self.backlog(admission)) * MS_PER_SECOND
         return not_run(
             RefusalReason.OVERLOADED,
             f"{len(self.waiting)} statements wait at {self.target}: "
             f"{wait * MS_PER_SECOND:.0f} ms for one due in {due_ms:.0f} ms",
-            max(RETRY_MS, int(retry_ms)),
+            self.retry_after_ms(admission, now, wait),
         )
 
+    def retry_after_ms(
+        self, admission: Admission, now: float, wait: float
+    ) -> int | None:
+        """Return the retry delay of a refusal; None if none can be named.
+
+        Statements with `max_wait` are refused to another target, not to the caller.
+        """
+        seconds = self.backlog(admission)
+        if math.isfinite(wait):
+            seconds = max(wait, seconds)
+        retry_ms = max(RETRY_MS, int(seconds * MS_PER_SECOND))
+        request = admission.request
+        if (
+            self.control is None
+            or request.in_transaction
+            or request.max_wait is not None
+        ):
+            return retry_ms
+        delay = self.control.refuse(admission, retry_ms / MS_PER_SECOND, now)
+        return None if delay is None else math.ceil(delay * MS_PER_SECOND)
+
     def schedule_recheck(self, admission: Admission, now: float) -> None:
         """Check a statement again when it becomes late, and at its deadline.
 
@@ -408,6 +451,10 @@
         recheck_at = admission.request.soft_deadline - admission.expected_seconds
         if recheck_at <= now:
             recheck_at = admission.request.deadline - admission.expected_seconds
+        if self.control is not None and (
+            admission.waits_late or admission.lane & REPLICA_LANE
+        ):
+            recheck_at = min(recheck_at, now + RECHECK_SECONDS)
         loop = asyncio.get_running_loop()
         admission.timer = loop.call_later(
             max(recheck_at - now, 0.0), self.recheck, admission
@@ -426,6 +473,8 @@
                 admission.granted.set_exception(refusal)
             return
         self.schedule_recheck(admission, now)
+        if self.control is not None:
+            self.dispatch()
 
     def remove_waiting(self, admission: Admission) -> None:
         """Remove a statement from the queue."""
@@ -435,7 +484,7 @@
 
     def handle_cancellation(self, admission: Admission) -> None:
         """Release the place of a statement whose caller was cancelled."""
-        if admission in self.waiting:
+        if admission.waits:
             self.remove_waiting(admission)
             return
         self.release(admission)
--- a/src/reedhook/connection/session_target_home.py
+++ b/src/reedhook/connection/session_target_home.py
@@ -13,7 +13,9 @@
     TransactionMode,
 )
 from ..version.route_table import TargetAnnouncement
-from .admission_queue import AdmissionQueue, AdmissionRequest, ConnectionAvailability
+from .admission import AdmissionRequest
+from .admission_queue import AdmissionQueue, ConnectionAvailability
+from .overload_control import OverloadControl
 from .pooled_connection import PooledConnection
 from .session_connection_pool import (
     MAX_CONNECTION_WAIT_SECONDS,
@@ -68,6 +70,8 @@
     :param transaction_idle_seconds: seconds for which a transaction may be idle.
     :param on_open: see `SessionConnectionPool`.
     :param max_open: see `SessionConnectionPool`.
+    :param weight_of: returns the weight of a workspace among the others.
+    :param overload_control: whether the rules of `OverloadControl` apply.
     """
 
     def __init__(
@@ -83,6 +87,8 @@
         transaction_idle_seconds: float,
         on_open: OnConnectionOpened = lambda position: None,
         max_open: int | None = None,
+        weight_of: Callable[[str], float] = lambda workspace: 1.0,
+        overload_control: bool = False,
     ) -> None:
         self.entry = entry
         self.dialect = dialect
@@ -97,8 +103,13 @@
             lambda: not self.connections.exhausted(), self.connections.expected_wait
         )
         self.admission_queue = AdmissionQueue(
-            entry.target, entry.slots, availability, clock
+            entry.target,
+            entry.slots,
+            availability,
+            clock,
+            OverloadControl(entry.slots) if overload_control else None,
         )
+        self.weight_of = weight_of
         self.connections.on_free = self.admission_queue.dispatch
         self.transactions = SessionTargetTransactions(
             entry.target, self.connections, dialect, transaction_idle_seconds, decisions
@@ -142,12 +153,14 @@
     def admission_request(self, work: SessionStatement, now: float) -> AdmissionRequest:
         """Return the admission request of a statement.
 
-        Outside transactions its deadline is early enough for the caller to retry.
+        Outside transactions its deadline is early enough for the caller to retry. Under
+        overload control a late statement may wait until its timeout instead, as long
+        as it is expected to end before it.
         """
         in_transaction = work.transaction in self.transactions
         max_seconds = (
             work.remaining
-            if in_transaction
+            if in_transaction or self.admission_queue.control is not None
             else max(work.soft_deadline_seconds, MAX_CONNECTION_WAIT_SECONDS)
         )
         return AdmissionRequest(
@@ -157,6 +170,11 @@
             now + min(work.remaining, max_seconds),
             in_transaction,
             work.wait_limit_seconds,
+            work.workspace,
+            self.weight_of(work.workspace),
+            work.replica_allowed and not work.target,
+            work.session,
+            None if work.first_attempt_age is None else now - work.first_attempt_age,
         )
 
     async def run_admitted(
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -9,6 +9,7 @@
 
 from ..background_tasks import BackgroundTasks
 from ..clock import Clock
+from ..connection.fair_share import MAX_PRIORITY, weight_of_priority
 from ..connection.session_connection_pool import OnConnectionOpened
 from ..connection.session_target import SessionTargetDriver, StatementDialect
 from ..connection.session_target_home import SessionTargetHome
@@ -364,8 +365,15 @@
             self.announcements.table.transaction_idle,
             opened,
             home_connection_limit(connections),
+            self.weight_of,
+            self.settings.overload_control,
         )
 
+    def weight_of(self, workspace: str) -> float:
+        """Return the weight of a workspace; an unknown one has the lowest."""
+        found = self.announcements.table.workspaces.by_name.get(workspace)
+        return weight_of_priority(MAX_PRIORITY if found is None else found.priority)
+
     def make_lease(
         self, record: PrimaryLeaseRecord, requested_at: float
     ) -> PrimaryLeaseHolder:
--- a/src/reedhook/request/session_router.py
+++ b/src/reedhook/request/session_router.py
@@ -83,6 +83,7 @@
         deadline = self.clock.monotonic() + statement.remaining
         if not replica_allowed or route.kind is RouteConsistency.PRIMARY:
             return await self.run_at_primary(statement, deadline)
+        statement.replica_allowed = not statement.transaction
         replica_result = await self.replica_reader.run_read(
             route, statement, session_position, deadline
         )
--- a/src/reedhook/request/session_statement.py
+++ b/src/reedhook/request/session_statement.py
@@ -15,6 +15,8 @@
 DEFAULT_SOFT_DEADLINE_SECONDS: Final = 0.25
 """Soft deadline of a statement that specifies none."""
 
+MS_PER_SECOND: Final = 1000.0
+
 
 class SessionStatementKind(str, Enum):
     """Enumerate the kinds of session statements."""
@@ -51,6 +53,10 @@
         may serve the statement; None for no limit but the deadline.
     :param resent: whether it was sent before; it must not run a second time.
     :param workspace: the workspace of the caller; empty on public routes.
+    :param replica_allowed: whether it is a read outside transactions that its route
+        permits at a replica.
+    :param first_attempt_age: seconds since the caller's first attempt; None if this is
+        the first one or the session does not know it.
     """
 
     __slots__ = (
@@ -71,6 +77,8 @@
         "priority",
         "wait_limit_seconds",
         "workspace",
+        "replica_allowed",
+        "first_attempt_age",
     )
 
     def __init__(
@@ -92,8 +100,12 @@
         priority: int = DEFAULT_PRIORITY,
         wait_limit_seconds: float | None = None,
         workspace: str = "",
+        replica_allowed: bool = False,
+        first_attempt_age: float | None = None,
     ) -> None:
         self.workspace = workspace
+        self.replica_allowed = replica_allowed
+        self.first_attempt_age = first_attempt_age
         self.service = service
         self.target = target
         self.session = session
@@ -121,9 +133,11 @@
         return not self.transaction or self.begin is not TransactionMode.NONE
 
     def subtract_elapsed(self, seconds: float) -> None:
-        """Subtract elapsed time from the deadline and the soft deadline."""
+        """Subtract elapsed time from the deadlines, and add it to the age."""
         self.remaining -= seconds
         self.soft_deadline_seconds -= seconds
+        if self.first_attempt_age is not None:
+            self.first_attempt_age += seconds
 
     def may_be_in_doubt(self) -> bool:
         """Return whether its effect is unknown if the result is lost.
@@ -163,6 +177,10 @@
             message["patience"] = self.wait_limit_seconds
         if self.workspace:
             message["workspace"] = self.workspace
+        if self.replica_allowed:
+            message["replica_allowed"] = True
+        if self.first_attempt_age is not None:
+            message["first"] = round(self.first_attempt_age * MS_PER_SECOND)
         return message
 
     @classmethod
@@ -170,6 +188,7 @@
     def from_json(cls, message: Json) -> "SessionStatement":
         """Decode a statement sent by another host."""
         after = message.get("after")
+        first = message.get("first")
         return cls(
             service=message["service"],
             target=message["target"],
@@ -188,6 +207,8 @@
             priority=int(message.get("priority", DEFAULT_PRIORITY)),
             wait_limit_seconds=message.get("patience"),
             workspace=str(message.get("workspace", "")),
+            replica_allowed=bool(message.get("replica_allowed", False)),
+            first_attempt_age=None if first is None else float(first) / MS_PER_SECOND,
         )
 
 
--- a/tests/load.py
+++ b/tests/load.py
@@ -11,10 +11,9 @@
 from random import Random
 from typing import Final
 
+from reedhook.connection.admission import Admission, AdmissionRequest
 from reedhook.connection.admission_queue import (
-    Admission,
     AdmissionQueue,
-    AdmissionRequest,
     ConnectionAvailability,
 )
 from reedhook.request.refusal import RefusalError
--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -8,10 +8,10 @@
 
 import pytest
 
+from reedhook.connection.admission import AdmissionRequest
 from reedhook.connection.admission_queue import (
     EXTRA_IN_FLIGHT_LIMIT,
     AdmissionQueue,
-    AdmissionRequest,
     ConnectionAvailability,
 )
 from reedhook.request.refusal import RefusalError, RefusalReason
