Drop queued statements whose caller has disconnected

A statement that waited at its home went on waiting after its session's connection had closed, locally and at other hosts: the session's task never looked, the call to the other host was not cancelled, and the handler there went on when its connection broke.

The connection that a statement came from sets a CallerPresence in the context of its task. The admission queue drops waiting statements, and the forwarder cancels its call. A statement that has started goes on, since ending it would cost a connection. A write that was dropped keeps its verdict, not run, for a host that resends it.

--- a/src/reedhook/connection/admission_queue.py
+++ b/src/reedhook/connection/admission_queue.py
@@ -10,9 +10,11 @@
 import asyncio
 import math
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from ..clock import Clock
+from ..request.caller_presence import caller_gone_refusal, current_presence
 from ..request.refusal import RefusalError, RefusalReason, not_run
 from .admission import LONG_LANE, REPLICA_LANE, Admission, AdmissionRequest
 from .long_statements import SLOTS_FREE_OF_LONG_STATEMENTS
@@ -147,7 +149,7 @@
         """Wait until a statement may start; the caller must `release` the result.
 
         :raises RefusalError: not run, as soon as the statement is known to miss its
-            deadline.
+            deadline, or once its caller has disconnected.
         """
         now = self.clock.monotonic()
         admission = Admission(
@@ -159,6 +161,9 @@
         self.arrivals += 1
         if self.control is not None:
             self.control.arrive(admission, now)
+        presence = current_presence()
+        if presence.gone:
+            raise caller_gone_refusal()
         if not self.waiting and self.can_start(admission, now):
             self.start(admission, now)
             return admission
@@ -166,11 +171,15 @@
         self.waiting.add(admission, now)
         self.schedule_recheck(admission, now)
         self.dispatch()
+        leave = partial(self.drop_waiting, admission)
+        presence.listeners.add(leave)
         try:
             await admission.granted
         except asyncio.CancelledError:
             self.handle_cancellation(admission)
             raise
+        finally:
+            presence.listeners.discard(leave)
         return admission
 
     def release(self, admission: Admission) -> None:
@@ -482,6 +491,14 @@
             admission.timer.cancel()
         self.waiting.remove(admission)
 
+    def drop_waiting(self, admission: Admission) -> None:
+        """Refuse a statement whose caller has disconnected, unless it has started."""
+        if not admission.waits:
+            return
+        self.remove_waiting(admission)
+        if not admission.granted.done():
+            admission.granted.set_exception(caller_gone_refusal())
+
     def handle_cancellation(self, admission: Admission) -> None:
         """Release the place of a statement whose caller was cancelled."""
         if admission.waits:
--- a/src/reedhook/connection/fair_share.py
+++ b/src/reedhook/connection/fair_share.py
@@ -100,6 +100,7 @@
         "heaps",
         "pushed",
         "virtual_time",
+        "highest_tag",
         "sums",
         "waiting_flows",
         "count",
@@ -113,6 +114,7 @@
         self.heaps: list[list[tuple[float, int, Flow[T]]]] = [[] for _ in range(LANES)]
         self.pushed = 0
         self.virtual_time = 0.0
+        self.highest_tag = 0.0
         self.sums = BacklogSums()
         self.waiting_flows = 0
         self.count = 0
@@ -177,6 +179,8 @@
 
         :param in_turn: whether the entry was the first in order, or no other waited.
         """
+        if in_turn and not self.count:
+            self.virtual_time = self.highest_tag
         flow = self.flow(workspace, weight)
         flow.tag = max(flow.tag, self.virtual_time)
         if in_turn:
@@ -266,6 +270,7 @@
     def charge(self, flow: Flow[T], seconds: float) -> None:
         """Add used slot time to the tag of a workspace."""
         flow.tag += seconds / flow.weight
+        self.highest_tag = max(self.highest_tag, flow.tag)
         for number, lane in enumerate(flow.lanes or ()):
             if lane:
                 self.push(number, flow)
--- a/src/reedhook/platform/caller_listener.py
+++ b/src/reedhook/platform/caller_listener.py
@@ -9,6 +9,7 @@
 from ..connection.session_state import SessionState
 from ..connection.session_target import StatementFault
 from ..process.caller_sessions import CallerConnection, CallerSessions
+from ..request.caller_presence import PRESENCE, CallerPresence
 from ..request.refusal import RefusalError, RefusalReason
 from ..request.verdict import Verdict
 from . import text
@@ -53,6 +54,7 @@
         self.serving = False
         self.ended = False
         self.idle_since = 0.0
+        self.presence = CallerPresence()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start serving; called by the event loop."""
@@ -85,11 +87,13 @@
         self.ended = True
         self.callers.connections.discard(self)
         self.input_event.set()
+        self.presence.leave()
         if self.session is not None and not self.serving:
             self.session.close()
 
     async def serve(self) -> None:
         """Open the session and answer its statements in order."""
+        PRESENCE.set(self.presence)
         try:
             async with asyncio.timeout(self.callers.announcements.table.start_timeout):
                 line = await self.next_line()
--- a/src/reedhook/process/network/plain_server.py
+++ b/src/reedhook/process/network/plain_server.py
@@ -16,6 +16,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from ...record import Record
+from ...request.caller_presence import PRESENCE, CallerPresence
 from ...request.refusal import RefusalError, RefusalReason, not_run
 from ...wire import encode
 from .sockets import BACKLOG, address_of, bound_socket, end_listening
@@ -204,6 +205,7 @@
         self.serving = False
         self.ended = False
         self.refused = False
+        self.presence = CallerPresence()
         self.timer: asyncio.TimerHandle | None = None
         self.clear()
 
@@ -241,15 +243,21 @@
             )
 
     def eof_received(self) -> bool:
-        """Keep the connection open to answer queued requests; called by the loop."""
+        """Keep the connection open to answer queued requests; called by the loop.
+
+        A host that has died is seen no other way. Hosts end no connection of a call
+        in progress otherwise.
+        """
         self.ended = True
         self.arrived.set()
+        self.presence.leave()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection; called by the event loop."""
         self.ended = True
         self.arrived.set()
+        self.presence.leave()
         self.server.connections.discard(self)
         if self.timer is not None:
             self.timer.cancel()
@@ -328,6 +336,7 @@
 
     async def serve(self) -> None:
         """Answer queued requests until the connection ends."""
+        PRESENCE.set(self.presence)
         while True:
             request = await self.next_request()
             if request is None:
--- a/src/reedhook/process/statement_server.py
+++ b/src/reedhook/process/statement_server.py
@@ -107,7 +107,7 @@
         if work.kind is SessionStatementKind.READ:
             return await self.run(work)
         known_outcome = self.outcomes.get(work.id)
-        if known_outcome is not None:
+        if known_outcome is not None and (work.resent or not known_outcome.dropped):
             return await known_outcome.wait_for_answer()
         if work.resent:
             raise may_have_run(
@@ -119,7 +119,11 @@
             answer = await self.run(work)
         except RefusalError as refusal:
             outcome.fail(refusal)
-            if refusal.verdict is Verdict.NOT_RUN:
+            if refusal.reason is RefusalReason.CALLER_GONE:
+                # The calling host may have lost the connection only. It learns the
+                # verdict when it resends the statement.
+                outcome.dropped = True
+            elif refusal.verdict is Verdict.NOT_RUN:
                 # A resent statement has to run, not to get this refusal.
                 del self.outcomes[work.id]
             raise
@@ -279,12 +283,15 @@
     """Hold the outcome of a write for all hosts that request it.
 
     :ivar started_at: monotonic time at which the write began.
+    :ivar dropped: whether it left the queue since its caller had disconnected; a new
+        attempt with the same id may run.
     """
 
-    __slots__ = ("started_at", "result")
+    __slots__ = ("started_at", "result", "dropped")
 
     def __init__(self, started_at: float) -> None:
         self.started_at = started_at
+        self.dropped = False
         self.result: asyncio.Future[SessionStatementResult | RefusalError] = (
             asyncio.get_running_loop().create_future()
         )
--- a/src/reedhook/request/refusal.py
+++ b/src/reedhook/request/refusal.py
@@ -43,6 +43,7 @@
     NO_CONFIGURATION = "no_configuration"
     CONFLICT = "conflict"
     STORE_UNAVAILABLE = "store_unavailable"
+    CALLER_GONE = "caller_gone"
     INTERNAL = "internal"
 
 
--- a/src/reedhook/request/replica_reader.py
+++ b/src/reedhook/request/replica_reader.py
@@ -109,7 +109,9 @@
             result = await self.run_at_replica(entry, statement, deadline)
             if result.located_result is not None:
                 return result
-            if result.overloaded_replica is not None and result.wait_seconds < wait:
+            if result.overloaded_replica is None:
+                continue
+            if overloaded is None or result.wait_seconds < wait:
                 overloaded, wait = result.overloaded_replica, result.wait_seconds
         return ReplicaReadResult(None, overloaded, wait)
 
@@ -208,8 +210,11 @@
                 # The first statement of the transaction was sent and must not run on
                 # a second connection. The caller must retry the whole transaction.
                 raise
-            if refusal.reason is RefusalReason.RATE_LIMITED:
-                # The rate limit covers all targets.
+            if refusal.reason in (
+                RefusalReason.RATE_LIMITED,
+                RefusalReason.CALLER_GONE,
+            ):
+                # They hold for all targets.
                 raise
             self.forwarder.log_reroute(statement, entry.target, refusal.reason.value)
             if refusal.reason is RefusalReason.OVERLOADED:
@@ -246,5 +251,7 @@
 
 
 def retry_after_seconds(refusal: RefusalError) -> float:
-    """Return the retry delay of a refusal in seconds; 0 if it has none."""
-    return (refusal.retry_after_ms or 0) / MS_PER_SECOND
+    """Return the retry delay of a refusal in seconds; infinite if it names none."""
+    if refusal.retry_after_ms is None:
+        return float("inf")
+    return refusal.retry_after_ms / MS_PER_SECOND
--- a/src/reedhook/request/session_router.py
+++ b/src/reedhook/request/session_router.py
@@ -116,9 +116,10 @@
             if refusal.reason in (
                 RefusalReason.TRANSACTION_LOST,
                 RefusalReason.RATE_LIMITED,
+                RefusalReason.CALLER_GONE,
             ):
                 # The first statement of a lost transaction was sent and must not run
-                # on a second connection. A rate limit covers all targets.
+                # on a second connection. The others hold for all targets.
                 raise
             primary_is_sooner = refusal.reason is RefusalReason.OVERLOADED
             primary_is_sooner = (
--- a/src/reedhook/request/statement_forwarder.py
+++ b/src/reedhook/request/statement_forwarder.py
@@ -13,6 +13,7 @@
 from ..process.statement_server import END, WORK, StatementServer
 from ..record import Record
 from ..wire import Json, WireError
+from .caller_presence import caller_gone_refusal, current_presence
 from .position import Position
 from .refusal import RefusalError, RefusalReason, may_have_run, not_run
 from .remote_rate_limits import RemoteRateLimits
@@ -164,16 +165,44 @@
     ) -> Json:
         """Send a statement to a host; cancel the call if the host fails a probe.
 
-        A statement that may be in doubt without its result is not cancelled.
+        A statement that may be in doubt without its result is not cancelled for that.
+        Any call is cancelled if the caller disconnects, so that a statement that still
+        waits at the other host leaves its queue.
 
         :raises PeerError: if the host does not answer.
-        :raises RefusalError: if the host refuses.
+        :raises RefusalError: if the host refuses, or the caller has disconnected.
         """
-        call = self.peers.call(host, WORK, statement.to_json(), timeout)
+        presence = current_presence()
+        if presence.gone:
+            raise caller_gone_refusal()
+        answer = asyncio.ensure_future(
+            self.peers.call(host, WORK, statement.to_json(), timeout)
+        )
+        presence.listeners.add(answer.cancel)
+        try:
+            return await self.wait_for_answer(host, statement, answer)
+        except asyncio.CancelledError:
+            if not presence.gone or not answer.cancelled():
+                raise
+            if statement.may_be_in_doubt():
+                raise may_have_run(
+                    RefusalReason.CALLER_GONE, "the caller has disconnected"
+                ) from None
+            raise caller_gone_refusal() from None
+        finally:
+            presence.listeners.discard(answer.cancel)
+            answer.cancel()
+
+    async def wait_for_answer(
+        self,
+        host: HostRef,
+        statement: SessionStatement,
+        answer: "asyncio.Future[Json]",
+    ) -> Json:
+        """Return the answer of a call; raise as `call_host`."""
         if statement.may_be_in_doubt():
-            return await call
+            return await answer
         sent_at = self.clock.monotonic()
-        answer = asyncio.ensure_future(call)
         try:
             await asyncio.wait({answer}, timeout=LIVENESS_PROBE_DELAY_SECONDS)
             if not answer.done() and not await self.is_alive(host, sent_at, answer):
--- a/tests/workspace_load.py
+++ b/tests/workspace_load.py
@@ -1,6 +1,7 @@
 """An open-loop load of many workspaces on one simulated target."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Any, Final
@@ -12,7 +13,7 @@
 from reedhook.request.refusal import RefusalError
 
 from .fakes_clock import LoopClock
-from .load import SLOTS, Target, now
+from .load import LONGEST, SLOTS, SPREAD, now
 
 ALWAYS_FREE: Final = ConnectionAvailability(lambda: True, lambda: 0.0)
 
@@ -84,7 +85,13 @@
 
 
 class WorkspaceLoad:
-    """Send the statements of streams to a queue and keep their outcomes."""
+    """Send the statements of streams to a queue and keep their outcomes.
+
+    Arrivals and work are drawn for each stream alone, so that they are the same for
+    any order of the queue and any other streams.
+
+    :ivar slower: factor of the work of all statements.
+    """
 
     def __init__(
         self,
@@ -94,7 +101,8 @@
         request_type: Callable[..., Any] = AdmissionRequest,
     ) -> None:
         self.seed = seed
-        self.target = Target(Random(f"{seed} target"))
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.slower = 1.0
         self.queue = queue or AdmissionQueue(
             "t",
             SLOTS,
@@ -124,7 +132,9 @@
             await asyncio.sleep(random.expovariate(rate))
             if now() >= until:
                 return
-            self.calls.append(asyncio.ensure_future(self.call(stream)))
+            log_mean = math.log(stream.work) - SPREAD * SPREAD / 2
+            work = min(random.lognormvariate(log_mean, SPREAD), LONGEST * stream.work)
+            self.calls.append(asyncio.ensure_future(self.call(stream, work)))
 
     def request(self, stream: Stream) -> Any:
         """Return the request of a statement that arrives now."""
@@ -139,8 +149,8 @@
             values += [None, stream.workspace, stream.weight, stream.replica_allowed]
         return self.request_type(*values)
 
-    async def call(self, stream: Stream) -> None:
-        """Run one statement."""
+    async def call(self, stream: Stream, work: float) -> None:
+        """Run one statement that needs a slot for `work` seconds."""
         outcome = Outcome(stream, now())
         self.outcomes.append(outcome)
         try:
@@ -151,7 +161,8 @@
         outcome.wait = now() - outcome.started_at
         sent = now()
         try:
-            await self.target.run(stream.work)
+            async with self.slots:
+                await asyncio.sleep(work * self.slower)
             self.queue.record_duration(stream.route, now() - sent)
         finally:
             self.queue.release(admission)
