Measure slot time by slots, keep the order of a route under overload control

Statements in flight beyond the slots wait at the target, so their time counted as slot time; it is divided by the statements in flight. Each small change of a route's mean let later statements overtake earlier ones, which were refused after a long wait, and made the route's own load count as overtaking: under overload control the order follows a mean that changes by a quarter at least, and only reads before a read count for its room.

--- a/src/reedhook/connection/admission.py
+++ b/src/reedhook/connection/admission.py
@@ -76,6 +76,7 @@
     """Track one statement from its arrival in the queue to its release.
 
     :ivar expected_seconds: expected duration at the target.
+    :ivar order_seconds: the duration by which it is ordered.
     :ivar arrived_at: time of arrival, by `Clock.monotonic`.
     :ivar number: order of arrival at the queue.
     :ivar lane: bits that say which limits apply to it.
@@ -91,6 +92,7 @@
     __slots__ = (
         "request",
         "expected_seconds",
+        "order_seconds",
         "arrived_at",
         "number",
         "lane",
@@ -113,6 +115,7 @@
     ) -> None:
         self.request = request
         self.expected_seconds = expected_seconds
+        self.order_seconds = expected_seconds
         self.arrived_at = arrived
         self.number = number
         self.lane = 0
@@ -142,7 +145,7 @@
         elif self.promised and request.first_attempt is not None:
             key = (0.0, request.first_attempt, 0.0, self.number)
         else:
-            key = (1.0, self.expected_seconds, request.soft_deadline, self.number)
+            key = (1.0, self.order_seconds, request.soft_deadline, self.number)
         return Place(
             request.workspace, request.weight, self.lane, key, self.expected_seconds
         )
--- a/src/reedhook/connection/admission_queue.py
+++ b/src/reedhook/connection/admission_queue.py
@@ -62,15 +62,15 @@
     Only statements that started before their soft deadlines are counted.
 
     :ivar priority: priority of the newest statement.
-    :ivar expected_seconds: expected duration of the newest statement, in seconds.
+    :ivar order_seconds: duration by which the newest statement is ordered.
     :ivar slot_fraction: the share at `updated_at`, from which it decays.
     """
 
-    __slots__ = ("priority", "expected_seconds", "slot_fraction", "updated_at")
+    __slots__ = ("priority", "order_seconds", "slot_fraction", "updated_at")
 
     def __init__(self) -> None:
         self.priority = 0
-        self.expected_seconds = 0.0
+        self.order_seconds = 0.0
         self.slot_fraction = 0.0
         self.updated_at = 0.0
 
@@ -82,7 +82,7 @@
         )
         self.updated_at = now
         self.priority = admission.request.priority
-        self.expected_seconds = admission.expected_seconds
+        self.order_seconds = admission.order_seconds
 
     def decayed_slot_fraction(self, now: float) -> float:
         """Return the share of the slots, decayed to `now`."""
@@ -92,9 +92,9 @@
 
     def goes_before(self, admission: Admission) -> bool:
         """Return whether the route's statements rank before one that is not late."""
-        return (self.priority, self.expected_seconds) < (
+        return (self.priority, self.order_seconds) < (
             admission.request.priority,
-            admission.expected_seconds,
+            admission.order_seconds,
         )
 
 
@@ -293,14 +293,18 @@
         if not admission.in_flight:
             return
         admission.in_flight = False
+        self.charge(admission, self.clock.monotonic())
         self.in_flight -= 1
         self.in_flight_in_transaction -= admission.request.in_transaction
-        self.charge(admission, self.clock.monotonic())
         self.dispatch()
 
     def charge(self, admission: Admission, now: float) -> None:
-        """Charge the measured slot time of a statement in place of the expected one."""
-        seconds = now - admission.started_at
+        """Charge the measured slot time of a statement in place of the expected one.
+
+        Statements in flight beyond the slots wait at the target, in turn.
+        """
+        slots_per_statement = min(self.slots / self.in_flight, 1.0)
+        seconds = (now - admission.started_at) * slots_per_statement
         request = admission.request
         self.waiting.share(admission, admission.started_late).correct(
             request.workspace, request.weight, seconds - admission.expected_seconds
@@ -406,9 +410,7 @@
             wait *= self.slots / (self.slots - SLOTS_FREE_OF_LONG_STATEMENTS)
         if not admission.lane & REPLICA_LANE:
             return wait
-        reads = self.waiting.replica_seconds
-        if admission.waits:
-            reads -= admission.expected_seconds
+        reads = self.waiting.reads_before(admission, now)
         return max(wait, control.room_wait(admission, reads, now))
 
     def backlog(self, admission: Admission) -> float:
--- a/src/reedhook/connection/fair_share.py
+++ b/src/reedhook/connection/fair_share.py
@@ -24,6 +24,8 @@
 LANES: Final = 4
 """Lanes of a workspace. A caller may block a lane, such as that of long statements."""
 
+ALL_LANES: Final = (1 << LANES) - 1
+
 MIN_FLOWS: Final = 64
 """Workspaces below which tags that have become irrelevant are not dropped."""
 
@@ -74,11 +76,14 @@
         self.count = 0
         self.seconds = 0.0
 
-    def sum_up_to(self, key: SortKey) -> tuple[int, float]:
-        """Return the number of entries with a key up to `key`, and their seconds."""
+    def sum_up_to(self, key: SortKey, lanes: int = ALL_LANES) -> tuple[int, float]:
+        """Return the number of entries with a key up to `key`, and their seconds.
+
+        :param lanes: bit mask of the lanes that count.
+        """
         count, seconds = 0, 0.0
-        for lane in self.lanes or ():
-            if lane:
+        for number, lane in enumerate(self.lanes or ()):
+            if lane and lanes >> number & 1:
                 lane_count, lane_seconds = lane.sum_up_to(key)
                 count += lane_count
                 seconds += lane_seconds
@@ -194,16 +199,21 @@
             return
         self.charge(flow or self.flow(workspace, weight), seconds)
 
-    def before(self, place: Place, waits: bool) -> tuple[int, float]:
+    def before(
+        self, place: Place, waits: bool, lanes: int = ALL_LANES
+    ) -> tuple[int, float]:
         """Return how many entries are expected to be served before one at `place`,
         and their seconds.
 
         Other workspaces count only with the share that they get meanwhile.
 
         :param waits: whether the entry itself waits here; it is not counted.
+        :param lanes: bit mask of the lanes that count.
         """
         flow = self.flows.get(place.workspace)
-        count, seconds = (0, 0.0) if flow is None else flow.sum_up_to(place.bound())
+        count, seconds = 0, 0.0
+        if flow is not None:
+            count, seconds = flow.sum_up_to(place.bound(), lanes)
         if waits:
             count, seconds = count - 1, seconds - place.seconds
         others = self.others_within(flow, (seconds + place.seconds) / place.weight)
--- a/src/reedhook/connection/overload_control.py
+++ b/src/reedhook/connection/overload_control.py
@@ -8,22 +8,40 @@
 from .lower_priority_reserve import LOWER_PRIORITY_MIN_SHARE, LowerPriorityReserve
 from .primary_room import PrimaryRoom
 from .retry_schedule import RetrySchedule
+from .waiting_statements import REPLICA_LANES
 
 LONG_LANES: Final = sum(1 << lane for lane in range(LANES) if lane & LONG_LANE)
-REPLICA_LANES: Final = sum(1 << lane for lane in range(LANES) if lane & REPLICA_LANE)
-"""Bit masks of the lanes that a limit blocks."""
+"""Bit mask of the lanes of long statements."""
+
+ORDER_TOLERANCE: Final = 0.25
+"""Relative change of a route's mean duration up to which its statements keep their
+order. With each small change, later ones overtook earlier ones of the same route, and
+these were refused after a long wait."""
+
+ROOM_WAIT_MARGIN: Final = 3.0
+"""Factor of the expected wait for room at the primary as a read arrives. The room
+varies, and a read that waits in vain costs more than one that is refused at once."""
 
 
 class OverloadControl:
     """Combine the reserve, the limits and the retry schedule of one target.
 
     :param slots: slots of the target.
+    :ivar order_by_route: durations by which statements are ordered, by route.
     """
 
-    __slots__ = ("slots", "reserve", "long_statements", "primary_room", "retries")
+    __slots__ = (
+        "slots",
+        "order_by_route",
+        "reserve",
+        "long_statements",
+        "primary_room",
+        "retries",
+    )
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
+        self.order_by_route: dict[str, float] = {}
         self.reserve = LowerPriorityReserve(slots)
         self.long_statements = LongStatements(slots)
         self.primary_room = PrimaryRoom(slots)
@@ -33,6 +51,7 @@
         """Determine which limits apply to a statement, and whether it returns."""
         request, seconds = admission.request, admission.expected_seconds
         self.long_statements.record_arrival(request.priority, seconds, now)
+        admission.order_seconds = self.order_seconds(request.route, seconds)
         if request.in_transaction:
             return
         if self.long_statements.is_long(request.priority, seconds, now):
@@ -45,6 +64,13 @@
             if request.first_attempt is None:
                 request.first_attempt = promise.first_attempt
 
+    def order_seconds(self, route: str, seconds: float) -> float:
+        """Return the duration by which statements of a route are ordered."""
+        ordered = self.order_by_route.get(route, 0.0)
+        if abs(seconds - ordered) > ORDER_TOLERANCE * ordered:
+            ordered = self.order_by_route[route] = seconds
+        return ordered
+
     def blocked_lanes(self, now: float) -> int:
         """Return the bit mask of the lanes that may not start a statement now."""
         blocked = 0
@@ -110,13 +136,14 @@
     ) -> float:
         """Return the expected wait of a read for room at the primary, in seconds.
 
-        :param waiting_seconds: durations of the other such reads that wait.
+        :param waiting_seconds: durations of such reads that go before it.
         """
         room = self.primary_room.room(now)
         if room <= 0.0:
             return float("inf")
         in_flight = self.primary_room.reads_in_flight * admission.expected_seconds / 2
-        return (waiting_seconds + in_flight) / room
+        wait = (waiting_seconds + in_flight) / room
+        return wait if admission.waits else wait * ROOM_WAIT_MARGIN
 
     def reserved_wait(self, lower_seconds: float) -> float:
         """Return the expected wait of a statement of a lower priority with the share
--- a/src/reedhook/connection/waiting_statements.py
+++ b/src/reedhook/connection/waiting_statements.py
@@ -7,12 +7,15 @@
 from typing import Final
 
 from .admission import REPLICA_LANE, Admission
-from .fair_share import FairShare
+from .fair_share import LANES, FairShare
 from .summed_skip_list import SummedSkipList
 
 SEED: Final = 1
 """Seed of the random levels of skip lists, which decide nothing but their speed."""
 
+REPLICA_LANES: Final = sum(1 << lane for lane in range(LANES) if lane & REPLICA_LANE)
+"""Bit mask of the lanes of reads that a replica could take."""
+
 MIN_HEAP: Final = 64
 """Heap entries below which those of statements that have left are not dropped."""
 
@@ -23,8 +26,6 @@
     Late statements come last.
 
     :ivar priorities: the priorities that have been used, highest first.
-    :ivar seconds: sum of the expected durations.
-    :ivar replica_seconds: the part of it of reads that a replica could take.
     """
 
     __slots__ = (
@@ -35,7 +36,6 @@
         "late",
         "becoming_late",
         "count",
-        "replica_seconds",
     )
 
     def __init__(self) -> None:
@@ -46,7 +46,6 @@
         self.late: FairShare[Admission] = FairShare(self.random)
         self.becoming_late: list[tuple[float, int, Admission]] = []
         self.count = 0
-        self.replica_seconds = 0.0
 
     def __len__(self) -> int:
         return self.count
@@ -86,8 +85,6 @@
             return
         admission.waits_late = admission.is_late(now)
         self.place(admission)
-        if admission.lane & REPLICA_LANE:
-            self.replica_seconds += admission.expected_seconds
         if not admission.waits_late:
             self.watch(admission)
 
@@ -101,8 +98,6 @@
             return
         share = self.share(admission, admission.waits_late)
         share.remove(admission.place(admission.waits_late))
-        if admission.lane & REPLICA_LANE:
-            self.replica_seconds -= admission.expected_seconds
 
     def place(self, admission: Admission) -> None:
         """Add a statement outside transactions to its share."""
@@ -183,6 +178,13 @@
         level = self.level(priority)
         return seconds + level.before(admission.place(False), admission.waits)[1]
 
+    def reads_before(self, admission: Admission, now: float) -> float:
+        """Return the seconds of reads that a replica could take and that are expected
+        to go before one of them, of its own priority."""
+        late = admission.is_late(now)
+        share = self.share(admission, late)
+        return share.before(admission.place(late), admission.waits, REPLICA_LANES)[1]
+
     def backlog(self, admission: Admission) -> float:
         """Return the seconds of the statements that are served until all of the
         workspace have been, without the given one."""
