--- a/src/reedhook/connection/admission.py
+++ b/src/reedhook/connection/admission.py
@@ -83,7 +83,8 @@
     :ivar promised: whether it returned at the time that a refusal had named.
     :ivar granted: resolved on admission; fails with the refusal otherwise.
     :ivar in_flight: whether it counts towards the limit of the target.
-    :ivar started_at: time of admission, by `Clock.monotonic`.
+    :ivar started_at: when it got a slot at the target, by `Clock.monotonic`; the time
+        of its admission until that is known.
     :ivar waits: whether it is in the queue.
     :ivar waits_late: whether it waits among the late statements.
     :ivar started_late: whether it was late when it was admitted.
--- a/src/reedhook/connection/admission_queue.py
+++ b/src/reedhook/connection/admission_queue.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import math
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 from typing import Final
@@ -51,6 +52,11 @@
 
 MS_PER_SECOND: Final = 1000.0
 
+WAIT_MARGIN: Final = 1.4
+"""Factor of the expected wait of a statement that arrives under overload control.
+Without it, statements of a steadily overloaded route were admitted up to the mean wait
+that is in time, and every second one was late."""
+
 RECHECK_SECONDS: Final = 0.1
 """Interval at which a statement that waits late, or for room at the primary, is
 checked again under overload control: its prospects change without an event."""
@@ -120,6 +126,7 @@
     :param slots: statements that the target runs concurrently.
     :param control: the rules that apply where the settings enable them, or None.
     :ivar waiting: the statements that wait, in order.
+    :ivar beyond_slots: statements in flight that wait for a slot at the target.
     :ivar in_flight: statements at the target, except those that count as hung.
     :ivar in_flight_in_transaction: those of them that belong to open transactions.
     :ivar mean_seconds_by_route: moving average of durations, by route.
@@ -140,6 +147,7 @@
         self.control = control
         self.waiting = WaitingStatements()
         self.arrivals = 0
+        self.beyond_slots: deque[Admission] = deque()
         self.in_flight = 0
         self.in_flight_in_transaction = 0
         self.mean_seconds_by_route: dict[str, float] = {}
@@ -270,6 +278,8 @@
         request = admission.request
         self.in_flight_in_transaction += request.in_transaction
         admission.started_at = now
+        if self.in_flight > self.slots:
+            self.beyond_slots.append(admission)
         admission.started_late = admission.is_late(now)
         self.waiting.share(admission, admission.started_late).start(
             request.workspace,
@@ -301,10 +311,14 @@
     def charge(self, admission: Admission, now: float) -> None:
         """Charge the measured slot time of a statement in place of the expected one.
 
-        Statements in flight beyond the slots wait at the target, in turn.
+        Statements in flight beyond the slots wait at the target, in turn, until one
+        ends.
         """
-        slots_per_statement = min(self.slots / self.in_flight, 1.0)
-        seconds = (now - admission.started_at) * slots_per_statement
+        if admission in self.beyond_slots:
+            self.beyond_slots.remove(admission)
+        elif self.beyond_slots:
+            self.beyond_slots.popleft().started_at = now
+        seconds = now - admission.started_at
         request = admission.request
         self.waiting.share(admission, admission.started_late).correct(
             request.workspace, request.weight, seconds - admission.expected_seconds
@@ -369,7 +383,8 @@
         wait = self.expected_wait(admission, now)
         if request.max_wait is not None and wait > request.max_wait:
             raise self.refusal(admission, now, wait)
-        if now + wait + admission.expected_seconds <= request.soft_deadline:
+        margin = 1.0 if self.control is None or admission.waits else WAIT_MARGIN
+        if now + margin * wait + admission.expected_seconds <= request.soft_deadline:
             return
         late_wait = self.backlog(admission) / self.free_slot_fraction(now)
         must_start_by = request.deadline
@@ -401,11 +416,6 @@
 
         :param wait: the expected wait without it.
         """
-        request = admission.request
-        if not admission.is_late(now) and control.reserve.kept(request.priority, now):
-            lower = self.waiting.lower_before(admission)
-            if lower is not None:
-                wait = min(wait, control.reserved_wait(lower))
         if admission.lane & LONG_LANE and self.slots > SLOTS_FREE_OF_LONG_STATEMENTS:
             wait *= self.slots / (self.slots - SLOTS_FREE_OF_LONG_STATEMENTS)
         if not admission.lane & REPLICA_LANE:
--- a/src/reedhook/connection/fair_share.py
+++ b/src/reedhook/connection/fair_share.py
@@ -252,7 +252,7 @@
         if others_seconds <= 0.0:
             return 0, 0.0
         share = min(seconds / others_seconds, 1.0)
-        return int((self.count - own_count) * share), seconds
+        return round((self.count - own_count) * share), seconds
 
     def flow(self, workspace: str, weight: float) -> Flow[T]:
         """Return the flow of a workspace, created on first use."""
--- a/src/reedhook/connection/overload_control.py
+++ b/src/reedhook/connection/overload_control.py
@@ -5,7 +5,7 @@
 from .admission import LONG_LANE, REPLICA_LANE, Admission
 from .fair_share import LANES
 from .long_statements import LongStatements
-from .lower_priority_reserve import LOWER_PRIORITY_MIN_SHARE, LowerPriorityReserve
+from .lower_priority_reserve import LowerPriorityReserve
 from .primary_room import PrimaryRoom
 from .retry_schedule import RetrySchedule
 from .waiting_statements import REPLICA_LANES
@@ -144,11 +144,3 @@
         in_flight = self.primary_room.reads_in_flight * admission.expected_seconds / 2
         wait = (waiting_seconds + in_flight) / room
         return wait if admission.waits else wait * ROOM_WAIT_MARGIN
-
-    def reserved_wait(self, lower_seconds: float) -> float:
-        """Return the expected wait of a statement of a lower priority with the share
-        that these keep, in seconds.
-
-        :param lower_seconds: durations of the lower priorities' statements before it.
-        """
-        return lower_seconds / (self.slots * LOWER_PRIORITY_MIN_SHARE)
--- a/src/reedhook/connection/retry_schedule.py
+++ b/src/reedhook/connection/retry_schedule.py
@@ -119,6 +119,7 @@
     ) -> float | None:
         """Return the time at which a refused caller is to return.
 
+        :param session: one without a name cannot be recognised when it returns.
         :param first_attempt: when the caller first sent the statement.
         :param earliest: the time at which capacity is expected.
         :param deadline: when the caller gives up.
@@ -126,6 +127,8 @@
         """
         self.forget_expired(now)
         self.forget(session)
+        if not session:
+            return earliest if earliest <= deadline else None
         if len(self.promises) >= MAX_PROMISES:
             return None
         share_key = (priority, workspace)
--- a/src/reedhook/connection/session.py
+++ b/src/reedhook/connection/session.py
@@ -104,6 +104,26 @@
         self.timer: asyncio.TimerHandle | None = None
 
 
+class OverloadedStatement(Record):
+    """Describe the statement that was refused for overload last.
+
+    :param first_attempt: when the caller first sent it, by `Clock.monotonic`.
+    """
+
+    __slots__ = ("kind", "text", "first_attempt")
+
+    def __init__(
+        self, kind: SessionCommandKind, text: str, first_attempt: float
+    ) -> None:
+        self.kind = kind
+        self.text = text
+        self.first_attempt = first_attempt
+
+    def is_repeated_by(self, command: SessionCommand) -> bool:
+        """Return whether a command is the same statement once more."""
+        return self.kind is command.kind and self.text == command.text
+
+
 class Session:
     """Run the statements of one caller in order.
 
@@ -111,6 +131,7 @@
     :param database: the database that the caller named.
     :param key_digest: digest of the caller's key; empty without a key.
     :ivar workspace: workspace of the last statement; empty for none.
+    :ivar overloaded: the last statement, if it was refused for overload.
     """
 
     def __init__(
@@ -144,6 +165,7 @@
         self.begun = 0
         self.busy = False
         self.committing = False
+        self.overloaded: OverloadedStatement | None = None
         self.background = BackgroundTasks(decisions, session=name)
 
     async def run(self, id: str, command: SessionCommand) -> SessionReply:
@@ -157,10 +179,30 @@
             reply = self.reply_from_refusal(refusal)
         finally:
             self.busy = False
+        self.note_overload(command, reply, started)
         self.start_idle_timer()
         self.record_statement(id, command, reply, self.clock.monotonic() - started)
         return reply
 
+    def note_overload(
+        self, command: SessionCommand, reply: SessionReply, started: float
+    ) -> None:
+        """Remember a statement that was refused for overload until the next one."""
+        before, self.overloaded = self.overloaded, None
+        refusal = reply.refusal
+        if refusal is None or refusal.reason is not RefusalReason.OVERLOADED:
+            return
+        repeated = before is not None and before.is_repeated_by(command)
+        first_attempt = before.first_attempt if before and repeated else started
+        self.overloaded = OverloadedStatement(command.kind, command.text, first_attempt)
+
+    def first_attempt_age(self, command: SessionCommand) -> float | None:
+        """Return the seconds since the first attempt of a statement that returns."""
+        before = self.overloaded
+        if before is None or not before.is_repeated_by(command):
+            return None
+        return self.clock.monotonic() - before.first_attempt
+
     def record_statement(
         self, id: str, command: SessionCommand, reply: SessionReply, seconds: float
     ) -> None:
@@ -432,6 +474,7 @@
             database=route.database,
             priority=route.priority,
             workspace=self.workspace,
+            first_attempt_age=self.first_attempt_age(command),
         )
 
     def record_commit(self, reply: SessionTargetReply) -> None:
--- a/src/reedhook/connection/waiting_statements.py
+++ b/src/reedhook/connection/waiting_statements.py
@@ -161,23 +161,6 @@
         own_count, own_seconds = share.before(admission.place(late), admission.waits)
         return count + own_count, seconds + own_seconds
 
-    def lower_before(self, admission: Admission) -> float | None:
-        """Return the seconds of statements of lower priorities, with its own, that are
-        expected to go before a statement; None if its priority is the highest."""
-        priority = admission.request.priority
-        highest = next(
-            (one for one in self.priorities if self.levels[one].count), priority
-        )
-        if highest >= priority:
-            return None
-        seconds = sum(
-            self.levels[one].seconds
-            for one in self.priorities
-            if highest < one < priority
-        )
-        level = self.level(priority)
-        return seconds + level.before(admission.place(False), admission.waits)[1]
-
     def reads_before(self, admission: Admission, now: float) -> float:
         """Return the seconds of reads that a replica could take and that are expected
         to go before one of them, of its own priority."""
--- a/tests/workspace_load.py
+++ b/tests/workspace_load.py
@@ -151,10 +151,10 @@
 
     async def call(self, stream: Stream, work: float) -> None:
         """Run one statement that needs a slot for `work` seconds."""
-        outcome = Outcome(stream, now())
+        outcome, queue = Outcome(stream, now()), self.queue
         self.outcomes.append(outcome)
         try:
-            admission = await self.queue.admit(self.request(stream))
+            admission = await queue.admit(self.request(stream))
         except RefusalError:
             outcome.wait = outcome.refused_after = now() - outcome.started_at
             return
@@ -163,9 +163,9 @@
         try:
             async with self.slots:
                 await asyncio.sleep(work * self.slower)
-            self.queue.record_duration(stream.route, now() - sent)
+            queue.record_duration(stream.route, now() - sent)
         finally:
-            self.queue.release(admission)
+            queue.release(admission)
         outcome.seconds = now() - outcome.started_at
 
     def of(self, chosen: Callable[[Stream], bool]) -> list[Outcome]:
