--- a/src/reedhook/connection/admission_queue.py
+++ b/src/reedhook/connection/admission_queue.py
@@ -176,10 +176,14 @@
         presence = current_presence()
         if presence.gone:
             raise caller_gone_refusal()
-        if not self.waiting and self.can_start(admission, now):
+        starts = not self.waiting and self.can_start(admission, now)
+        if not starts:
+            self.check(admission, now)
+        if self.control is not None:
+            self.control.accept(admission)
+        if starts:
             self.start(admission, now)
             return admission
-        self.check(admission, now)
         self.waiting.add(admission, now)
         self.schedule_recheck(admission, now)
         self.dispatch()
--- a/src/reedhook/connection/overload_control.py
+++ b/src/reedhook/connection/overload_control.py
@@ -60,10 +60,9 @@
             admission.lane |= LONG_LANE
         if request.replica_allowed:
             admission.lane |= REPLICA_LANE
-        promise = self.retries.redeem(request.session, request.priority, now)
+        promise = self.retries.kept(request.session, request.priority, now)
         if promise is not None:
             admission.promised = True
-            self.metrics.increment("admission.returned")
             if request.first_attempt is None:
                 request.first_attempt = promise.first_attempt
 
@@ -74,6 +73,15 @@
             ordered = self.order_by_route[route] = seconds
         return ordered
 
+    def accept(self, admission: Admission) -> None:
+        """Fulfil the promise of a statement that starts or waits.
+
+        While it waits, it counts in the backlog.
+        """
+        if admission.promised:
+            self.retries.forget(admission.request.session)
+            self.metrics.increment("admission.returned")
+
     def blocked_lanes(self, now: float) -> int:
         """Return the bit mask of the lanes that may not start a statement now."""
         blocked = 0
--- a/src/reedhook/connection/retry_schedule.py
+++ b/src/reedhook/connection/retry_schedule.py
@@ -163,12 +163,11 @@
         expiry = promise.at + RETURN_TOLERANCE_SECONDS
         heappush(self.expiries, (expiry, promise.number, promise.session))
 
-    def redeem(self, session: Hashable, priority: int, now: float) -> Promise | None:
-        """Return the promise of a session that returns in time, and forget it."""
+    def kept(self, session: Hashable, priority: int, now: float) -> Promise | None:
+        """Return the promise of a session that returns in time, or None."""
         promise = self.promises.get(session)
         if promise is None or promise.priority != priority:
             return None
-        self.forget(session)
         if promise.at <= now <= promise.at + RETURN_TOLERANCE_SECONDS:
             return promise
         return None
