--- a/src/reedhook/connection/session.py
+++ b/src/reedhook/connection/session.py
@@ -110,18 +110,15 @@
     :param first_attempt: when the caller first sent it, by `Clock.monotonic`.
     """
 
-    __slots__ = ("kind", "text", "first_attempt")
+    __slots__ = ("command", "first_attempt")
 
-    def __init__(
-        self, kind: SessionCommandKind, text: str, first_attempt: float
-    ) -> None:
-        self.kind = kind
-        self.text = text
+    def __init__(self, command: SessionCommand, first_attempt: float) -> None:
+        self.command = command
         self.first_attempt = first_attempt
 
     def is_repeated_by(self, command: SessionCommand) -> bool:
         """Return whether a command is the same statement once more."""
-        return self.kind is command.kind and self.text == command.text
+        return self.command == command
 
 
 class Session:
@@ -194,7 +191,7 @@
             return
         repeated = before is not None and before.is_repeated_by(command)
         first_attempt = before.first_attempt if before and repeated else started
-        self.overloaded = OverloadedStatement(command.kind, command.text, first_attempt)
+        self.overloaded = OverloadedStatement(command, first_attempt)
 
     def first_attempt_age(self, command: SessionCommand) -> float | None:
         """Return the seconds since the first attempt of a statement that returns."""
