Cancel calls of callers that have gone without a further task

The call runs in the caller's task again, which is cancelled as asyncio.timeout does; tests/test_failover_gap.py passes.

--- a/src/reedhook/request/statement_forwarder.py
+++ b/src/reedhook/request/statement_forwarder.py
@@ -175,14 +175,14 @@
         presence = current_presence()
         if presence.gone:
             raise caller_gone_refusal()
-        answer = asyncio.ensure_future(
-            self.peers.call(host, WORK, statement.to_json(), timeout)
-        )
-        presence.listeners.add(answer.cancel)
+        task = asyncio.current_task()
+        assert task is not None
+        presence.listeners.add(task.cancel)
         try:
-            return await self.wait_for_answer(host, statement, answer)
+            return await self.wait_for_answer(host, statement, timeout)
         except asyncio.CancelledError:
-            if not presence.gone or not answer.cancelled():
+            # As in `asyncio.timeout`: others may have cancelled the task as well.
+            if not presence.gone or task.uncancel() > 0:
                 raise
             if statement.may_be_in_doubt():
                 raise may_have_run(
@@ -190,19 +190,17 @@
                 ) from None
             raise caller_gone_refusal() from None
         finally:
-            presence.listeners.discard(answer.cancel)
-            answer.cancel()
+            presence.listeners.discard(task.cancel)
 
     async def wait_for_answer(
-        self,
-        host: HostRef,
-        statement: SessionStatement,
-        answer: "asyncio.Future[Json]",
+        self, host: HostRef, statement: SessionStatement, timeout: float
     ) -> Json:
-        """Return the answer of a call; raise as `call_host`."""
+        """Send a statement and return the answer; raise as `call_host`."""
+        call = self.peers.call(host, WORK, statement.to_json(), timeout)
         if statement.may_be_in_doubt():
-            return await answer
+            return await call
         sent_at = self.clock.monotonic()
+        answer = asyncio.ensure_future(call)
         try:
             await asyncio.wait({answer}, timeout=LIVENESS_PROBE_DELAY_SECONDS)
             if not answer.done() and not await self.is_alive(host, sent_at, answer):
