--- a/src/reedhook/platform/settings.py
+++ b/src/reedhook/platform/settings.py
@@ -17,6 +17,9 @@
 OUTLIER_DETECTION_CONTRACT: Final = "health"
 """Word of the field ``contracts`` that turns on target outlier detection."""
 
+OVERLOAD_CONTROL_CONTRACT: Final = "pressure"
+"""Word of the field ``contracts`` that turns on overload control."""
+
 DEFAULT_CORES: Final = 1.0
 DEFAULT_LINK_MBPS: Final = 1000.0
 """Used if the file does not state the machine's limits."""
@@ -81,6 +84,7 @@
         revoke=revoke_seconds(fields),
         rates=rates(fields),
         target_outlier_detection=OUTLIER_DETECTION_CONTRACT in contracts(fields),
+        overload_control=OVERLOAD_CONTROL_CONTRACT in contracts(fields),
     )
 
 
--- a/src/reedhook/process/session_host_settings.py
+++ b/src/reedhook/process/session_host_settings.py
@@ -23,6 +23,8 @@
     :param rates: tolerance of the rate limits of workspaces.
     :param target_outlier_detection: whether hosts exchange load reports of targets,
         avoid failing ones and run failed reads again elsewhere.
+    :param overload_control: whether homes apply the reserve of lower priorities, the
+        limits of long statements and of reads at the primary, and the retry schedule.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "revoke",
         "rates",
         "target_outlier_detection",
+        "overload_control",
     )
 
     def __init__(
@@ -58,8 +61,10 @@
         revoke: float | None = None,
         rates: RateTolerance = DEFAULT_TOLERANCE,
         target_outlier_detection: bool = False,
+        overload_control: bool = False,
     ) -> None:
         self.target_outlier_detection = target_outlier_detection
+        self.overload_control = overload_control
         self.rates = rates
         self.revoke = revoke
         self.host = host
--- a/src/reedhook/request/replica_reader.py
+++ b/src/reedhook/request/replica_reader.py
@@ -120,9 +120,11 @@
             if result.located_result is not None:
                 return result
             outcome.failure = result.failure or outcome.failure
+            if result.overloaded_replica is None:
+                continue
             if (
-                result.overloaded_replica is not None
-                and result.wait_seconds < outcome.wait_seconds
+                outcome.overloaded_replica is None
+                or result.wait_seconds < outcome.wait_seconds
             ):
                 outcome.overloaded_replica = result.overloaded_replica
                 outcome.wait_seconds = result.wait_seconds
@@ -232,8 +234,11 @@
                 # The first statement of the transaction was sent and must not run on
                 # a second connection. The caller must retry the whole transaction.
                 raise
-            if refusal.reason is RefusalReason.RATE_LIMITED:
-                # The rate limit covers all targets.
+            if refusal.reason in (
+                RefusalReason.RATE_LIMITED,
+                RefusalReason.CALLER_GONE,
+            ):
+                # They hold for all targets.
                 raise
             if not self.allows_reroute(entry, statement, refusal):
                 raise
@@ -306,5 +311,7 @@
 
 
 def retry_after_seconds(refusal: RefusalError) -> float:
-    """Return the retry delay of a refusal in seconds; 0 if it has none."""
-    return (refusal.retry_after_ms or 0) / MS_PER_SECOND
+    """Return the retry delay of a refusal in seconds; infinite if it names none."""
+    if refusal.retry_after_ms is None:
+        return float("inf")
+    return refusal.retry_after_ms / MS_PER_SECOND
--- a/src/reedhook/request/session_router.py
+++ b/src/reedhook/request/session_router.py
@@ -84,6 +84,7 @@
         deadline = self.clock.monotonic() + statement.remaining
         if not replica_allowed or route.kind is RouteConsistency.PRIMARY:
             return await self.run_at_primary(statement, deadline)
+        statement.replica_allowed = not statement.transaction
         replica_result = await self.replica_reader.run_read(
             route, statement, session_position, deadline
         )
@@ -128,9 +129,10 @@
             if refusal.reason in (
                 RefusalReason.TRANSACTION_LOST,
                 RefusalReason.RATE_LIMITED,
+                RefusalReason.CALLER_GONE,
             ):
                 # The first statement of a lost transaction was sent and must not run
-                # on a second connection. A rate limit covers all targets.
+                # on a second connection. The others hold for all targets.
                 raise
             primary_is_sooner = refusal.reason is RefusalReason.OVERLOADED
             primary_is_sooner = (
--- a/src/reedhook/request/statement_forwarder.py
+++ b/src/reedhook/request/statement_forwarder.py
@@ -14,6 +14,7 @@
 from ..process.statement_server import END, WORK, StatementServer
 from ..record import Record
 from ..wire import Json, WireError
+from .caller_presence import caller_gone_refusal, current_presence
 from .position import Position
 from .refusal import RefusalError, RefusalReason, may_have_run, not_run
 from .remote_rate_limits import RemoteRateLimits
@@ -192,11 +193,37 @@
     ) -> Json:
         """Send a statement to a host; cancel the call if the host fails a probe.
 
-        A statement that may be in doubt without its result is not cancelled.
+        A statement that may be in doubt without its result is not cancelled for that.
+        Any call is cancelled if the caller disconnects, so that a statement that still
+        waits at the other host leaves its queue.
 
         :raises PeerError: if the host does not answer.
-        :raises RefusalError: if the host refuses.
+        :raises RefusalError: if the host refuses, or the caller has disconnected.
         """
+        presence = current_presence()
+        if presence.gone:
+            raise caller_gone_refusal()
+        task = asyncio.current_task()
+        assert task is not None
+        presence.listeners.add(task.cancel)
+        try:
+            return await self.wait_for_answer(host, statement, timeout)
+        except asyncio.CancelledError:
+            # As in `asyncio.timeout`: others may have cancelled the task as well.
+            if not presence.gone or task.uncancel() > 0:
+                raise
+            if statement.may_be_in_doubt():
+                raise may_have_run(
+                    RefusalReason.CALLER_GONE, "the caller has disconnected"
+                ) from None
+            raise caller_gone_refusal() from None
+        finally:
+            presence.listeners.discard(task.cancel)
+
+    async def wait_for_answer(
+        self, host: HostRef, statement: SessionStatement, timeout: float
+    ) -> Json:
+        """Send a statement and return the answer; raise as `call_host`."""
         call = self.peers.call(host, WORK, statement.to_json(), timeout)
         if statement.may_be_in_doubt():
             return await call
