Log what permitted an order of a promotion

Cause: promotion_ordered states a token only, so that a log does not tell two coordinators from a store that was restored and assigns revisions again. Change: it states the revision of the role, with its epoch, and the age of the read. Result: tests/test_promotion_coordinator.py passes; the new test needs both fields.

--- a/src/reedhook/process/primary_lease/promotion_coordinator.py
+++ b/src/reedhook/process/primary_lease/promotion_coordinator.py
@@ -18,6 +18,7 @@
 from .coordinator_role import (
     ORDER_TIMEOUT_SECONDS,
     CoordinatorReading,
+    CoordinatorRecord,
     CoordinatorRole,
 )
 from .holder_failure_detector import HolderFailureDetector
@@ -199,20 +200,34 @@
                 if reading.record is None or reading.holder != self.me:
                     return None
                 if self.role.permits(reading):
-                    return await self.send(service, target, reading.record.token)
+                    return await self.send(
+                        service, target, reading.record, reading.requested_at
+                    )
             return OrderOutcome.UNANSWERED
 
-    async def send(self, service: str, target: str, token: int) -> OrderOutcome:
-        """Send an order to the platform with fencing token `token`."""
+    async def send(
+        self,
+        service: str,
+        target: str,
+        record: CoordinatorRecord,
+        requested_at: float,
+    ) -> OrderOutcome:
+        """Send an order to the platform with the fencing token of `record`.
+
+        :param requested_at: `Clock.boottime` when the read that permits it was sent.
+        """
         holder = self.me.ref.host
+        read_age = self.clock.boottime() - requested_at
         outcome = await self.promoter.promote(
-            service, target, holder, token, ORDER_TIMEOUT_SECONDS
+            service, target, holder, record.token, ORDER_TIMEOUT_SECONDS
         )
         self.decisions.record(
             "promotion_ordered",
             service=service,
             target=target,
-            token=token,
+            token=record.token,
+            revision=record.revision.to_json(),
+            read_age=round(read_age, 3),
             outcome=outcome.value,
         )
         return outcome
--- a/tests/test_promotion_coordinator.py
+++ b/tests/test_promotion_coordinator.py
@@ -39,7 +39,8 @@
 )
 from reedhook.wire import Json
 
-from .fakes_clock import in_virtual_time, run_virtual
+from .epoch_world import EventLog
+from .fakes_clock import LoopClock, in_virtual_time, run_virtual
 from .fakes_keyspace import FakeKeyspace, FakeStore, unlogged_epoch
 from .fakes_peers import FakeNetwork
 
@@ -193,6 +194,22 @@
         self.tasks.setdefault(index, []).append(task)
 
 
+@in_virtual_time
+async def test_log_of_an_order_states_what_permitted_it() -> None:
+    """A token alone does not tell a second coordinator from a restored store."""
+    fleet = Fleet()
+    coordinator = fleet.coordinators[0]
+    log = coordinator.decisions = EventLog("h0", LoopClock())
+    await claim(coordinator)
+    fleet.keyspaces[0].answer_delay = 0.2
+    assert await coordinator.order("db", "m1") is OrderOutcome.DONE
+    ((_, inputs),) = [one for one in log.events if one[0] == "promotion_ordered"]
+    known = coordinator.role.known
+    assert known is not None
+    assert inputs["revision"] == known.revision.to_json()
+    assert 0.2 <= inputs["read_age"] <= ORDER_PERMIT_SECONDS
+
+
 @pytest.mark.parametrize("read_age", [0.0, 0.2, 0.29])
 @pytest.mark.parametrize("transit", [0.1, 0.6, 0.69])
 @in_virtual_time
