Keep leases and promotions safe over a restored store

Cause: what the store had acknowledged was taken to be permanent. The fencing token was the revision of the coordinator's item, which a restored store assigns again. A lease record of the copy counted like one just written: it extended leases, ended the wait for former holders that it did not name, and permitted promotions. Class: decisions by state of an earlier epoch of the store.

Change: lease and coordinator records state the epoch in which they were written, and permit something only if it is that of the answer. The epoch is part of the token. A holder whose lease is valid at the restore writes its record again; any other host asks what others remember, waits until the leases of the former epoch have expired, and uses a primary only as its targets prove it. The coordinator claims its role again. Nothing stored or sent changes while the epoch is 0.

Why it works: nothing that was decided in an earlier epoch permits a use, a promotion or an order in the present one, and leases of the earlier epoch end before others begin.

--- a/src/reedhook/process/primary_lease/backup_holders.py
+++ b/src/reedhook/process/primary_lease/backup_holders.py
@@ -18,7 +18,7 @@
     """Act as backup holder where a record names this host, until told to stop.
 
     :ivar by_service: backup holders of this host, by service.
-    :ivar relinquished_up_to: by service, the record revision up to which this host
+    :ivar relinquished_up_to: by service, the order of records up to which this host
         has promised a holder not to act as backup.
     """
 
@@ -59,7 +59,7 @@
         if backup is None:
             return
         up_to = self.relinquished_up_to.get(service, NO_REVISION)
-        relinquished = backup.record.revision <= up_to
+        relinquished = backup.record.order <= up_to
         if lost and not relinquished:
             await backup.activate()
         else:
--- a/src/reedhook/process/primary_lease/coordinator_role.py
+++ b/src/reedhook/process/primary_lease/coordinator_role.py
@@ -5,6 +5,9 @@
 successor. A coordinator orders within ORDER_PERMIT_SECONDS of having sent the read that
 names it, and an order ends within ORDER_TIMEOUT_SECONDS; a successor orders nothing for
 the sum of both, counted from when its claim is known to have taken effect.
+
+A restore of the store may lose claims and assigns revisions again, so the epoch is part
+of the token, and a record written in an earlier epoch permits no order.
 """
 
 import asyncio
@@ -15,9 +18,10 @@
 from ...peer import PeerClient, PeerError
 from ...record import Record
 from ...request.refusal import RefusalError
-from ...wire import WireError, decode, encode
+from ...wire import WireError, decode, encode, non_negative_int_field
 from ..discovery.key_value_store import Item, KeyValueStore, KeyValueStoreError
 from ..discovery.store_revision import NO_REVISION, StoreRevision
+from .epoch_age import EpochAge
 from .lease_claim import STORE_TIMEOUT_SECONDS
 from .lease_record import PROMOTION_COORDINATOR_KEY, HostIncarnation
 from .other_holders import INCARNATION_PATH
@@ -40,6 +44,9 @@
 """Time in which a new coordinator orders nothing, unless its predecessor's process is
 known to have ended."""
 
+TOKEN_EPOCH_SHIFT: Final = 40
+"""Bits of the token below the epoch; revision numbers stay below 2 ** 40."""
+
 INCARNATION_TIMEOUT_SECONDS: Final = 0.25
 """Timeout of the question whether a coordinator's process has been replaced."""
 
@@ -48,47 +55,81 @@
     """Name the promotion coordinator.
 
     :param holder: the coordinator; None if the item is malformed.
-    :param revision: revision of the item in the store; its number is the fencing token.
+    :param revision: revision of the item, with the epoch of the answer.
+    :param epoch: epoch of the store in which the record was written.
     """
 
-    __slots__ = ("holder", "revision")
+    __slots__ = ("holder", "revision", "epoch")
 
-    def __init__(self, holder: HostIncarnation | None, revision: StoreRevision) -> None:
+    def __init__(
+        self, holder: HostIncarnation | None, revision: StoreRevision, epoch: int
+    ) -> None:
         self.holder = holder
         self.revision = revision
+        self.epoch = epoch
+
+    @property
+    def confirmed(self) -> bool:
+        """Return whether the record was written in the epoch in which it was read."""
+        return self.epoch == self.revision.epoch
 
     @property
     def token(self) -> int:
         """Return the fencing token of orders under this record."""
-        return self.revision.number
+        return self.epoch << TOKEN_EPOCH_SHIFT | self.revision.number
+
+    def supersedes(self, known: "CoordinatorRecord") -> bool:
+        """Return whether this record replaces the known one.
+
+        An unconfirmed one comes from a restored copy and replaces no confirmed one.
+        """
+        if self.confirmed is not known.confirmed:
+            return self.confirmed and self.epoch >= known.epoch
+        return self.token > known.token
+
+    def encoded(self) -> bytes:
+        """Return the value of the item."""
+        message = {} if self.holder is None else self.holder.to_json()
+        if self.epoch:
+            message["epoch"] = self.epoch
+        return encode(message)
 
     @classmethod
     def from_item(cls, item: Item) -> "CoordinatorRecord":
         """Decode an item of the store."""
         try:
-            holder = HostIncarnation.from_json(decode(item.value or b""))
+            message = decode(item.value or b"")
+            epoch = 0
+            if "epoch" in message:
+                epoch = non_negative_int_field(message, "epoch")
+            return cls(HostIncarnation.from_json(message), item.revision, epoch)
         except WireError:
-            return cls(None, item.revision)
-        return cls(holder, item.revision)
+            return cls(None, item.revision, item.revision.epoch)
 
 
 class CoordinatorReading(Record):
     """Carry the record that the store returned.
 
     :param record: None if the store has none.
+    :param epoch: epoch of the answer.
     :param requested_at: `Clock.boottime` when the read was sent.
     """
 
-    __slots__ = ("record", "requested_at")
+    __slots__ = ("record", "epoch", "requested_at")
 
-    def __init__(self, record: CoordinatorRecord | None, requested_at: float) -> None:
+    def __init__(
+        self, record: CoordinatorRecord | None, epoch: int, requested_at: float
+    ) -> None:
         self.record = record
+        self.epoch = epoch
         self.requested_at = requested_at
 
     @property
     def holder(self) -> HostIncarnation | None:
-        """Return the coordinator, or None if none is named."""
-        return None if self.record is None else self.record.holder
+        """Return the coordinator; None if none is named in a confirmed record."""
+        if self.record is None or not self.record.confirmed:
+            return None
+        return self.record.holder
 
 
 class CoordinatorRole:
@@ -99,6 +140,8 @@
     :ivar not_before: `Clock.boottime` before which this host orders nothing.
     :ivar free_from: `Clock.boottime` from which the latest claim of this host permits
         orders; None if that depends on when the claim takes effect.
+    :ivar named_at: `Clock.boottime` when the latest read was sent, or claim made, that
+        showed this host as the coordinator.
     :ivar ended_incarnations: incarnations of coordinators that are known to have ended.
     :ivar changed: set, and replaced by a new event, when another record is known.
     """
@@ -108,18 +151,21 @@
         me: HostIncarnation,
         keyspace: KeyValueStore,
         peers: PeerClient,
+        epoch_age: EpochAge,
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
         self.me = me
         self.keyspace = keyspace
         self.peers = peers
+        self.epoch_age = epoch_age
         self.clock = clock
         self.decisions = decisions
         self.known: CoordinatorRecord | None = None
         self.known_at = float("-inf")
         self.not_before = float("-inf")
         self.free_from: float | None = None
+        self.named_at = float("-inf")
         self.ended_incarnations: set[str] = set()
         self.changed = asyncio.Event()
         self.claim_lock = asyncio.Lock()
@@ -140,10 +186,13 @@
             self.decisions.record("promotion_role_unknown", error=str(error))
             return None
         if item is None:
-            return CoordinatorReading(None, requested_at)
+            return CoordinatorReading(None, self.keyspace.epoch.current, requested_at)
         record = CoordinatorRecord.from_item(item)
         self.observe(record)
-        return CoordinatorReading(record, requested_at)
+        reading = CoordinatorReading(record, item.revision.epoch, requested_at)
+        if reading.holder == self.me:
+            self.named_at = max(self.named_at, requested_at)
+        return reading
 
     def observe(self, record: CoordinatorRecord) -> None:
         """Keep a record if it is newer; start the wait if it is this host's claim.
@@ -151,11 +200,11 @@
         The record of a claim whose answer was lost is first seen by a read or by an
         update, and may have taken effect at any time before.
         """
-        if self.known is not None and record.revision <= self.known.revision:
+        if self.known is not None and not record.supersedes(self.known):
             return
         now = self.clock.boottime()
         self.known, self.known_at = record, now
-        if record.holder == self.me:
+        if record.holder == self.me and record.confirmed:
             free_from = self.free_from
             if free_from is None:
                 free_from = now + COORDINATOR_WAIT_SECONDS
@@ -179,6 +228,7 @@
         now = self.clock.boottime()
         return (
             reading.holder == self.me
+            and reading.epoch == self.keyspace.epoch.current
             and now >= self.not_before
             and now - reading.requested_at <= ORDER_PERMIT_SECONDS
         )
@@ -206,25 +256,33 @@
             self.ended_incarnations.add(holder.incarnation)
         return self.has_ended(holder)
 
-    async def claim(self, before: CoordinatorRecord | None) -> bool:
+    async def claim(self, reading: CoordinatorReading) -> bool:
         """Claim the role from a predecessor; return whether this host holds it.
 
         If the response is lost, the next read or update shows the outcome.
         """
+        before = reading.record
         async with self.claim_lock:
-            revision = NO_REVISION if before is None else before.revision
-            self.free_from = self.order_time_after(before)
+            expected = NO_REVISION if before is None else before.revision
+            self.free_from = self.order_time_after(reading)
+            record = CoordinatorRecord(self.me, expected, reading.epoch)
+            requested_at = self.clock.boottime()
             try:
                 revision = await self.keyspace.put(
                     PROMOTION_COORDINATOR_KEY,
-                    encode(self.me.to_json()),
-                    revision,
+                    record.encoded(),
+                    expected,
                     STORE_TIMEOUT_SECONDS,
                 )
             except KeyValueStoreError as error:
                 self.decisions.record("promotion_role_not_acquired", error=str(error))
                 return False
-            self.observe(CoordinatorRecord(self.me, revision))
+            record = CoordinatorRecord(self.me, revision, reading.epoch)
+            self.observe(record)
+            if not record.confirmed:
+                # The store was restored before it took the write.
+                return False
+            self.named_at = max(self.named_at, requested_at)
         wait = max(self.not_before - self.clock.boottime(), 0.0)
         self.decisions.record(
             "promotion_role_acquired",
@@ -237,16 +295,29 @@
         )
         return True
 
-    def order_time_after(self, before: CoordinatorRecord | None) -> float | None:
+    def order_time_after(self, reading: CoordinatorReading) -> float | None:
         """Return the time from which a claim permits orders; None if not known yet.
 
         If the predecessor has ended, the coordinator before it may still have an order
         in flight, until a wait after this host first saw the predecessor's record.
         """
-        if before is None:
-            return float("-inf")
+        before = reading.record
+        if before is None or not before.confirmed:
+            never_claimed = before is None and reading.epoch == 0
+            held = never_claimed or self.held_at_restore()
+            return float("-inf") if held else None
         if before != self.known or before.holder is None:
             return None
         if not self.has_ended(before.holder):
             return None
         return self.known_at + COORDINATOR_WAIT_SECONDS
+
+    def held_at_restore(self) -> bool:
+        """Return whether no other host can have ordered since this one held the role.
+
+        The restore may have lost another host's claim. That host then waited before it
+        ordered, so it ordered nothing if this host was named less than a wait before.
+        """
+        if self.known is None or self.known.holder != self.me:
+            return False
+        return self.named_at + COORDINATOR_WAIT_SECONDS >= self.epoch_age.learned_at
--- a/src/reedhook/process/primary_lease/coordinator_standby.py
+++ b/src/reedhook/process/primary_lease/coordinator_standby.py
@@ -1,7 +1,8 @@
 """Early replacement of a lost promotion coordinator, before a promotion needs it.
 
 The wait of a new coordinator then runs while the loss of a primary is being detected,
-so that an order rarely waits.
+so that an order rarely waits. After a restore of the store, the coordinator claims its
+role again in the same way.
 """
 
 from typing import Final
@@ -50,6 +51,9 @@
         if known is None or known.holder is None:
             return
         holder = known.holder
+        if holder == self.role.me:
+            await self.claim_again()
+            return
         if self.me not in self.standbys(holder.ref):
             return
         self.failure_detector.probe_if_due(holder.ref)
@@ -61,8 +65,22 @@
             return
         self.tried_at = now
         reading = await self.role.read()
-        if reading is not None and reading.holder == holder:
-            await self.role.claim(reading.record)
+        if reading is None or reading.record is None:
+            return
+        if reading.holder in (holder, None):
+            await self.role.claim(reading)
+
+    async def claim_again(self) -> None:
+        """Claim the role in a new epoch of the store, if this host held it before."""
+        known, now = self.role.known, self.clock.monotonic()
+        if known is None or known.epoch >= self.role.keyspace.epoch.current:
+            return
+        if now - self.tried_at < CLAIM_RETRY_SECONDS:
+            return
+        self.tried_at = now
+        reading = await self.role.read()
+        if reading is not None and reading.holder is None:
+            await self.role.claim(reading)
 
     def standbys(self, holder: HostRef) -> list[HostRef]:
         """Return the hosts that replace a lost coordinator.
--- a/src/reedhook/process/primary_lease/lease_claim.py
+++ b/src/reedhook/process/primary_lease/lease_claim.py
@@ -11,6 +11,7 @@
     KeyValueStoreError,
     RevisionConflictError,
 )
+from ..discovery.store_revision import StoreRevision
 from .lease_record import HostIncarnation, PrimaryLeaseRecord, lease_key
 from .lease_registry import PrimaryLeaseRegistry
 from .lease_validity import LeaseValidity
@@ -48,6 +49,11 @@
         self.validity.extend(requested_at)
         self.saved = True
 
+    @property
+    def current(self) -> bool:
+        """Return whether the record was written in the present epoch of the store."""
+        return self.record.epoch >= self.keyspace.epoch.current
+
     @abstractmethod
     def is_named(self, record: PrimaryLeaseRecord) -> bool:
         """Return whether a record names this host in its role."""
@@ -55,6 +61,8 @@
     async def refresh(self) -> bool:
         """Read the record and extend the lease from the time of the request.
 
+        An unconfirmed or missing record extends nothing.
+
         :returns: whether the store responded.
         """
         requested_at = self.clock.boottime()
@@ -69,7 +77,7 @@
             )
             return False
         if item is None:
-            # The store never deletes the record, so this is only logged.
+            # The store never deletes the record, but a restore may lose it.
             self.decisions.record("lease_record_missing", service=self.service)
             return True
         self.handle_item(item, requested_at)
@@ -78,9 +86,9 @@
     def handle_item(self, item: Item, requested_at: float) -> None:
         """Process an item read from the store."""
         record = PrimaryLeaseRecord.from_item(item)
-        if self.is_named(record):
+        if record.confirmed and self.is_named(record):
             self.validity.extend(requested_at)
-            if record.revision > self.record.revision:
+            if record.order > self.record.order:
                 self.record = record
         self.registry.update(record, "look")
 
@@ -103,8 +111,17 @@
                 "lease_not_written", service=self.service, error=str(error)
             )
             return await self.resolve(value)
+        record = record.with_revision(revision)
+        if not record.confirmed:
+            # The store was restored before it took the write.
+            self.decisions.record(
+                "lease_write_unconfirmed",
+                service=self.service,
+                revision=revision.to_json(),
+            )
+            return False
         self.validity.extend(requested_at)
-        self.set_stored(record.with_revision(revision))
+        self.set_stored(record)
         return True
 
     async def resolve(self, value: bytes) -> bool:
@@ -121,7 +138,7 @@
         if item is None:
             return False
         stored = PrimaryLeaseRecord.from_item(item)
-        if not self.is_named(stored):
+        if not stored.confirmed or not self.is_named(stored):
             self.registry.update(stored, "look")
             return False
         if item.value == value:
@@ -151,6 +168,38 @@
     def is_named(self, record: PrimaryLeaseRecord) -> bool:
         return record.holder == self.me
 
+    async def write_again(self) -> bool:
+        """Write the record in the present epoch; return whether it is stored.
+
+        Only for a lease that was valid when this host learned of the epoch: no other
+        host can then have ordered a promotion before the restore. If another host has
+        claimed the lease since, its record is confirmed and stays.
+        """
+        try:
+            item = await self.keyspace.get(
+                lease_key(self.service), STORE_TIMEOUT_SECONDS
+            )
+        except KeyValueStoreError as error:
+            self.decisions.record(
+                "lease_not_written", service=self.service, error=str(error)
+            )
+            return False
+        if item is not None:
+            stored = PrimaryLeaseRecord.from_item(item)
+            if stored.confirmed and not self.is_named(stored):
+                self.registry.update(stored, "look")
+                return False
+        epoch = self.keyspace.epoch.current
+        revision = StoreRevision(epoch, 0) if item is None else item.revision
+        if not await self.write(self.record.in_epoch(revision)):
+            return False
+        self.decisions.record(
+            "lease_written_again",
+            service=self.service,
+            revision=self.record.revision.to_json(),
+        )
+        return True
+
 
 class BackupHolderClaim(LeaseClaim):
     """Claim the use of the primary as the backup holder."""
--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -22,12 +22,19 @@
 from ...request.refusal import RefusalError
 from ...version.route_table import TargetAnnouncement
 from ..discovery.announcements import Announcements
+from .epoch_age import EpochAge
 from .holder_ranking import LeaseHolderRanking
 from .indirect_prober import IndirectProber, TargetObservation
-from .lease_claim import LeaseClaim
+from .lease_claim import HolderClaim
 from .lease_validity import RENEWAL_INTERVAL_SECONDS
 from .other_holders import OtherHolders
 from .primary_client import PROBE_TIMEOUT_SECONDS, HomeFactory, PrimaryClient
+from .primary_proof import (
+    CLAIM_WAIT_SECONDS,
+    SETTLING_SECONDS,
+    Report,
+    proven_primary,
+)
 from .primary_replacement import PrimaryReplacement
 from .target_status import STATUS_TIMEOUT_SECONDS, TargetStatusClient
 
@@ -57,6 +64,9 @@
 PLACEMENT_INTERVAL_SECONDS: Final = 2.0
 """Interval of checks of the holder and backup holder; each may write the record."""
 
+WRITE_AGAIN_RETRY_SECONDS: Final = 0.5
+"""Interval of attempts to write the record in a new epoch of the store."""
+
 
 class PrimaryProbeResult(Record):
     """Carry the diagnosis of a primary that does not respond.
@@ -93,11 +103,13 @@
     """Use the primary of one service, monitor it and replace it on failure.
 
     :param claim: names this host as the holder.
+    :ivar primary_unproven: whether the recorded primary may be outdated; see
+        `proven_primary`.
     """
 
     def __init__(
         self,
-        claim: LeaseClaim,
+        claim: HolderClaim,
         others: OtherHolders,
         promotion: PrimaryReplacement,
         ranking: LeaseHolderRanking,
@@ -107,10 +119,17 @@
         driver: SessionTargetDriver,
         phrases: StatementDialect,
         make_home: HomeFactory,
+        epoch_age: EpochAge,
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
         super().__init__(claim, states, make_home, clock, decisions)
+        self.holder_claim = claim
+        self.epoch_age = epoch_age
+        self.primary_unproven = (
+            claim.record.epoch > 0 and not claim.record.former_complete
+        )
+        self.written_again_at = float("-inf")
         self.others = others
         self.promotion = promotion
         self.ranking = ranking
@@ -135,15 +154,37 @@
     async def monitor_primary(self) -> None:
         """Check the primary periodically until cancelled."""
         while True:
+            if not self.draining:
+                await self.follow_epoch()
             if not self.draining and self.validity.valid:
                 await self.check_once()
             await self.clock.sleep(CHECK_INTERVAL_SECONDS)
 
+    def handle_epoch(self) -> None:
+        """Prepare for a restored store; the lease was valid at the restore."""
+        self.others.handle_epoch()
+        self.written_again_at = float("-inf")
+
+    async def follow_epoch(self) -> None:
+        """Write the record in the present epoch of the store, if it was not yet.
+
+        Called between checks of the primary, so that no other write is in progress.
+        """
+        now = self.clock.monotonic()
+        if self.claim.current or now - self.written_again_at < (
+            WRITE_AGAIN_RETRY_SECONDS
+        ):
+            return
+        self.written_again_at = now
+        await self.holder_claim.write_again()
+
     async def check_once(self) -> None:
         """Run one check of the primary, the lease record and its holders."""
         if not self.claim.saved:
             await self.claim.write(self.record)
-        if self.record.successor:
+        if self.primary_unproven:
+            await self.prove_primary()
+        elif self.record.successor:
             await self.finish()
         elif self.home is None:
             await self.find_primary()
@@ -300,6 +341,45 @@
                 return not self.draining
         return False
 
+    async def prove_primary(self) -> None:
+        """Use the primary that the targets prove; handle its loss after the wait.
+
+        A recorded successor that was promoted is that primary; one that was not will
+        not be promoted any more, since orders of an earlier epoch have ended.
+        """
+        if self.epoch_age.seconds() < SETTLING_SECONDS:
+            return
+        waited = self.others.former_expired()
+        entries = self.states.known(self.service, CLAIM_WAIT_SECONDS)
+        found = await self.states.all(entries)
+        complete = bool(found) and len(found) == len(entries)
+        proven = proven_primary(found, complete, waited)
+        if proven is not None and await self.use_if_primary(*proven):
+            self.primary_unproven = False
+            return
+        self.decisions.record(
+            "primary_unproven",
+            service=self.service,
+            reported=len(found),
+            targets=len(entries),
+            waited=waited,
+        )
+        leading = [report for report in found if report[1].is_primary]
+        if found and waited and not leading:
+            self.primary_unproven = False
+        if waited:
+            await self.demote_superseded(leading)
+
+    async def demote_superseded(self, leading: list[Report]) -> None:
+        """Turn targets that lead in a lower term than another one into replicas.
+
+        While two targets claim to lead and a third one does not respond, none is used.
+        """
+        newest = max((status.term for _, status in leading), default=0)
+        for entry, status in leading:
+            if status.term < newest:
+                await self.demote(entry, newest)
+
     async def find_primary(self) -> None:
         """Find the primary and use it, or handle its loss.
 
@@ -377,7 +457,11 @@
         """Record a target as the primary if necessary, and use it."""
         record = self.record
         recorded = (record.primary, record.term, record.primary_started_at_ms)
-        if recorded != (entry.target, status.term, entry.started_at_ms):
+        if record.successor or recorded != (
+            entry.target,
+            status.term,
+            entry.started_at_ms,
+        ):
             await self.claim.write(record.with_primary(entry, status.term))
         self.use_primary(entry, status)
 
@@ -422,15 +506,18 @@
         self.demoted_at = now
         for entry in self.states.announced(self.service):
             if entry.claims_primary and entry.target != self.record.primary:
-                await self.demote(entry)
+                await self.demote(entry, self.record.term)
 
-    async def demote(self, entry: TargetAnnouncement) -> None:
-        """Turn a former primary into a replica."""
+    async def demote(self, entry: TargetAnnouncement, term: int) -> None:
+        """Turn a former primary into a replica.
+
+        :param term: term of the present primary.
+        """
         try:
             connection = await self.driver.connect(entry, STATUS_TIMEOUT_SECONDS)
         except SessionTargetUnreachableError:
             return
-        query = TargetQuery("", self.phrases.demote(self.record.term))
+        query = TargetQuery("", self.phrases.demote(term))
         try:
             (reply,) = await connection.exchange([query], STATUS_TIMEOUT_SECONDS)
             self.decisions.record(
--- a/src/reedhook/process/primary_lease/lease_manager.py
+++ b/src/reedhook/process/primary_lease/lease_manager.py
@@ -25,6 +25,7 @@
 from .lease_claim import STORE_TIMEOUT_SECONDS
 from .lease_holder import PrimaryLeaseHolder
 from .lease_record import HostIncarnation, PrimaryLeaseRecord, lease_key
+from .lease_recovery import RECORDS_PATH, LeaseRecovery
 from .lease_registry import PrimaryLeaseRegistry
 from .other_holders import INCARNATION_PATH, LEASE_STATUS_PATH
 from .primary_client import PrimaryClient
@@ -33,7 +34,6 @@
     [PrimaryLeaseRecord, float], PrimaryLeaseHolder
 ]
 
-RECORDS_PATH: Final = "records"
 CLAIM_LOST_PATH: Final = "take_lost"
 
 MAX_CLAIM_REQUESTS: Final = 4
@@ -47,6 +47,9 @@
 
 CLAIM_RETRY_SECONDS: Final = 0.3
 
+LEARN_INTERVAL_SECONDS: Final = 1.0
+"""Interval at which a host that knows an unconfirmed record asks for a newer one."""
+
 RELEASE_WAIT_SECONDS: Final = 0.25
 """Half of STOP_CONFIRMATION_TIMEOUT_SECONDS, the successor's timeout for the
 response."""
@@ -97,10 +100,13 @@
         self.holder_incarnations: dict[str, str] = {}
         self.claiming: set[str] = set()
         self.tried_at: dict[str, float] = {}
+        self.learned_at: dict[str, float] = {}
+        self.recovery = LeaseRecovery(me, registry, indirect_prober, peers, decisions)
         self.background = BackgroundTasks(decisions)
         self.leaving = False
         self.wake = asyncio.Event()
         registry.on_change.append(self.handle_record)
+        keyspace.epoch.on_change.append(self.handle_epoch)
         announcements.on_targets.append(self.wake.set)
         # Claim the lease of a lost holder without waiting for the next check.
         failure_detector.on_lost = self.wake.set
@@ -158,8 +164,13 @@
         }
 
     async def answer_records(self, body: Json) -> Json:
-        """Report the known lease records."""
-        return {"records": self.registry.to_json()}
+        """Report the known lease records, or that of one service."""
+        service = body.get("service")
+        return {
+            "records": self.registry.to_json(
+                service if isinstance(service, str) else ""
+            )
+        }
 
     async def run(self) -> None:
         """Claim vacant leases until cancelled."""
@@ -168,12 +179,44 @@
             if self.leaving:
                 continue
             for service in list(self.announcements.table.services):
+                self.learn_if_due(service)
                 self.monitor_holder(service)
                 if self.should_claim(service):
                     await self.claim(service, requested=False)
                 lost = service not in self.held and self.is_claimable(service)
                 await self.backup_holders.set_holder_lost(service, lost)
 
+    def handle_epoch(self, epoch: int) -> None:
+        """Prepare the held leases for a restored store; release expired ones.
+
+        If a lease has expired, another host may have claimed it and have ordered a
+        promotion in a record that is lost, so that this host has to claim it anew.
+        """
+        for service, holder in self.held.items():
+            if holder.validity.valid:
+                holder.handle_epoch()
+            elif not holder.draining:
+                self.decisions.record(
+                    "lease_expired_at_restore", service=service, epoch=epoch
+                )
+                self.spawn_release(holder)
+        self.wake.set()
+
+    def learn_if_due(self, service: str) -> None:
+        """Ask other hosts for a record if the store has lost the newest one.
+
+        Otherwise hosts that started after a restore would probe the holder that the
+        restored copy names.
+        """
+        record = self.registry.get(service)
+        if record is None or record.confirmed or service in self.held:
+            return
+        now = self.clock.monotonic()
+        if now - self.learned_at.get(service, float("-inf")) < LEARN_INTERVAL_SECONDS:
+            return
+        self.learned_at[service] = now
+        self.background.spawn(self.recovery.learn(service))
+
     def primary_client(self, service: str) -> PrimaryClient | None:
         """Return the client that uses the primary of a service here, or None."""
         holder = self.held.get(service)
@@ -229,7 +272,9 @@
         if record is None:
             return True
         if record.holder.ref.host == self.me.ref.host:
-            return record.holder.incarnation != self.me.incarnation
+            # If this process is named and holds no lease, its claim took effect
+            # late, a restore revived it, or it had expired at the restore.
+            return service not in self.held
         return self.failure_detector.is_lost(record.holder.ref)
 
     def is_announced(self, service: str) -> bool:
@@ -312,24 +357,51 @@
         """
         key = lease_key(service)
         item = await self.keyspace.get(key, STORE_TIMEOUT_SECONDS)
-        if item is not None:
-            record = PrimaryLeaseRecord.from_item(item)
-            self.registry.update(record, "look")
+        stored = None if item is None else PrimaryLeaseRecord.from_item(item)
+        if stored is not None:
+            self.registry.update(stored, "look")
+        if self.may_be_outdated(stored):
+            await self.recovery.learn(service)
+        if stored is not None or self.may_be_outdated(stored):
             if not requested and not self.is_claimable(service):
                 return False
-            if record.holder != self.me:
-                record = record.claimed_by(self.me, no_former_holders)
-        else:
-            record = PrimaryLeaseRecord(
-                service, self.me, None, [], True, "", 0, "", NO_REVISION
-            )
+        record = self.record_to_claim(service, stored, no_former_holders)
         requested_at = self.clock.boottime()
         revision = await self.keyspace.put(
             key, record.encoded(), record.revision, STORE_TIMEOUT_SECONDS
         )
-        self.start_holding(record.with_revision(revision), requested_at)
+        record = record.with_revision(revision)
+        if not record.confirmed:
+            self.decisions.record(
+                "lease_write_unconfirmed", service=service, revision=revision.to_json()
+            )
+            return False
+        self.start_holding(record, requested_at)
         return True
 
+    def may_be_outdated(self, stored: PrimaryLeaseRecord | None) -> bool:
+        """Return whether a restore may have lost a newer record than the stored one."""
+        if stored is None:
+            return self.keyspace.epoch.current > 0
+        return not stored.confirmed
+
+    def record_to_claim(
+        self, service: str, stored: PrimaryLeaseRecord | None, no_former_holders: bool
+    ) -> PrimaryLeaseRecord:
+        """Return the record that names this host as the holder."""
+        if self.may_be_outdated(stored):
+            revision = StoreRevision(self.keyspace.epoch.current, 0)
+            if stored is not None:
+                revision = stored.revision
+            return self.recovery.claimed_record(service, stored, revision)
+        if stored is None:
+            return PrimaryLeaseRecord(
+                service, self.me, None, [], True, "", 0, "", NO_REVISION
+            )
+        if stored.holder == self.me:
+            return stored
+        return stored.claimed_by(self.me, no_former_holders)
+
     def start_holding(self, record: PrimaryLeaseRecord, requested_at: float) -> None:
         """Start to use the primary under a claimed lease."""
         self.decisions.record(
@@ -357,7 +429,7 @@
         holder = self.held.get(record.service)
         if holder is None or record.holder == self.me or holder.draining:
             return
-        if record.revision > holder.record.revision:
+        if record.order > holder.record.order:
             self.spawn_release(holder)
 
     def spawn_release(self, holder: PrimaryLeaseHolder) -> None:
--- a/src/reedhook/process/primary_lease/lease_record.py
+++ b/src/reedhook/process/primary_lease/lease_record.py
@@ -58,7 +58,8 @@
     :param successor: the target chosen for promotion, or empty. The promotion may
         take effect at any time after this record is written.
     :param successor_started_at_ms: start time of the successor's process.
-    :param revision: revision of the item in the store.
+    :param revision: revision of the item in the store, with the epoch of the answer.
+    :param epoch: epoch of the store in which the record was written.
     """
 
     __slots__ = (
@@ -73,6 +74,7 @@
         "revision",
         "primary_started_at_ms",
         "successor_started_at_ms",
+        "epoch",
     )
 
     def __init__(
@@ -88,6 +90,7 @@
         revision: StoreRevision,
         primary_started_at_ms: int = 0,
         successor_started_at_ms: int = 0,
+        epoch: int = 0,
     ) -> None:
         self.service = service
         self.holder = holder
@@ -100,6 +103,22 @@
         self.revision = revision
         self.primary_started_at_ms = primary_started_at_ms
         self.successor_started_at_ms = successor_started_at_ms
+        self.epoch = epoch
+
+    @property
+    def order(self) -> StoreRevision:
+        """Return the sort key of records: epoch written, then number."""
+        return StoreRevision(self.epoch, self.revision.number)
+
+    @property
+    def confirmed(self) -> bool:
+        """Return whether the record was written in the epoch in which it was read.
+
+        An unconfirmed record comes from a copy that the store was restored from, or
+        from a write that took effect after the restore. Later records may be lost, so
+        that it permits nothing.
+        """
+        return self.epoch == self.revision.epoch
 
     def claimed_by(
         self, holder: HostIncarnation, no_former_holders: bool = False
@@ -122,6 +141,20 @@
         claimed.set_former([one for one in former if not is_superseded(one, holder)])
         return claimed
 
+    def in_epoch(self, revision: StoreRevision) -> "PrimaryLeaseRecord":
+        """Return the record to be written in another epoch of the store.
+
+        Claims between the last known record and the restore may be lost, so former
+        holders are not completely known.
+
+        :param revision: revision of the item that it replaces.
+        """
+        updated = self.copy()
+        updated.epoch = revision.epoch
+        updated.revision = revision
+        updated.former_complete = False
+        return updated
+
     def with_backup_holder(
         self, backup_holder: HostIncarnation | None
     ) -> "PrimaryLeaseRecord":
@@ -194,7 +227,7 @@
 
     def to_json(self) -> Json:
         """Return the stored form."""
-        return {
+        message: Json = {
             "holder": self.holder.to_json(),
             "deputy": (
                 None if self.backup_holder is None else self.backup_holder.to_json()
@@ -207,6 +240,9 @@
             "born": self.primary_started_at_ms,
             "successor_born": self.successor_started_at_ms,
         }
+        if self.epoch:
+            message["epoch"] = self.epoch
+        return message
 
     def encoded(self) -> bytes:
         """Return the encoded value for the store."""
@@ -234,6 +270,7 @@
             revision,
             message.get("born", 0),
             message.get("successor_born", 0),
+            int(message.get("epoch", 0)),
         )
 
     @classmethod
--- a/src/reedhook/process/primary_lease/lease_registry.py
+++ b/src/reedhook/process/primary_lease/lease_registry.py
@@ -34,7 +34,7 @@
     def update(self, record: PrimaryLeaseRecord, source: str) -> bool:
         """Keep a record if it is newer than the known one; return whether it is."""
         known = self.records.get(record.service)
-        if known is not None and known.revision >= record.revision:
+        if known is not None and not supersedes(record, known):
             return False
         self.records[record.service] = record
         self.decisions.record(
@@ -56,11 +56,12 @@
         """Return the latest known record of a service, or None."""
         return self.records.get(service)
 
-    def to_json(self) -> Json:
-        """Return all records in the form sent to other hosts."""
+    def to_json(self, service: str = "") -> Json:
+        """Return all records, or that of one service, as sent to other hosts."""
         return {
-            service: [record.revision.to_json(), record.to_json()]
-            for service, record in self.records.items()
+            name: [record.revision.to_json(), record.to_json()]
+            for name, record in self.records.items()
+            if service in ("", name)
         }
 
     def merge(self, message: Json, source: str) -> None:
@@ -75,3 +76,15 @@
             self.update(
                 PrimaryLeaseRecord.from_json(service, pair[1], revision), source
             )
+
+
+def supersedes(record: PrimaryLeaseRecord, known: PrimaryLeaseRecord) -> bool:
+    """Return whether a record replaces the known one.
+
+    An unconfirmed record does not replace a confirmed one, which was read before the
+    restore and may be newer than the restored copy; a confirmed one of the same epoch
+    replaces an unconfirmed one.
+    """
+    if record.confirmed is not known.confirmed:
+        return record.confirmed and record.epoch >= known.epoch
+    return record.order > known.order
--- a/src/reedhook/process/primary_lease/other_holders.py
+++ b/src/reedhook/process/primary_lease/other_holders.py
@@ -53,17 +53,9 @@
 
         The backup holder may become active at any time, so it is always asked.
         """
-        record = self.claim.record
-        unconfirmed = [
-            one
-            for one in record.former
-            if one.incarnation not in self.stopped_incarnations
-        ]
-        if self.former_expired():
-            unconfirmed = []
-        elif not record.former_complete:
-            return False
-        backup = record.backup_holder
+        complete = self.names_all_former()
+        unconfirmed = self.unconfirmed_former()
+        backup = self.claim.record.backup_holder
         if backup is not None:
             unconfirmed.append(backup)
         confirmations = await asyncio.gather(
@@ -71,8 +63,23 @@
         )
         if backup is not None and not confirmations[-1]:
             # It may be active until its lease expires, so it becomes a former holder.
+            # Where others are waited for anyway, both waits run at the same time.
             await self.set_backup_holder(None)
-        return all(confirmations)
+        return complete and all(confirmations)
+
+    def names_all_former(self) -> bool:
+        """Return whether the record names all hosts that may still use the primary."""
+        return self.former_expired() or self.claim.record.former_complete
+
+    def unconfirmed_former(self) -> list[HostIncarnation]:
+        """Return the named former holders that may still use the primary."""
+        if self.former_expired():
+            return []
+        return [
+            one
+            for one in self.claim.record.former
+            if one.incarnation not in self.stopped_incarnations
+        ]
 
     def former_expired(self) -> bool:
         """Return whether the leases of all former holders have expired."""
@@ -81,19 +88,24 @@
             >= LEASE_VALIDITY_SECONDS + EXPIRY_MARGIN_SECONDS
         )
 
+    def handle_epoch(self) -> None:
+        """Count unknown former holders from now: all their claims precede a restore."""
+        self.former_at = self.clock.boottime()
+
     async def confirm_stopped(self, former: HostIncarnation) -> bool:
         """Return whether a former holder confirms that it stopped or has restarted."""
         record = self.claim.record
         body = {
             "service": self.service,
             "records": self.claim.registry.to_json(),
-            "revision": record.revision.to_json(),
+            "revision": record.order.to_json(),
         }
         try:
             answer = await self.peers.call(
                 former.ref, LEASE_STATUS_PATH, body, STOP_CONFIRMATION_TIMEOUT_SECONDS
             )
-        except PeerError as error:
+        except (PeerError, RefusalError) as error:
+            # A refusal, such as for a fault of the handler, confirms nothing.
             self.decisions.record(
                 "former_holder_silent",
                 service=self.service,
@@ -150,5 +162,7 @@
     async def forget_former(self) -> None:
         """Remove former holders from the record once their leases have expired."""
         record = self.claim.record
+        if not self.claim.current:
+            return
         if (record.former or not record.former_complete) and self.former_expired():
             await self.claim.write(record.without_former())
--- a/src/reedhook/process/primary_lease/primary_replacement.py
+++ b/src/reedhook/process/primary_lease/primary_replacement.py
@@ -71,7 +71,8 @@
         :param planned: whether the primary still serves.
         :param highest_position: highest known position of the primary.
         """
-        if not await self.others.stop_all():
+        epoch = self.claim.record.epoch
+        if not self.claim.current or not await self.others.stop_all():
             return False
         successor = await self.choose_successor(old, planned, highest_position)
         if successor is None:
@@ -79,6 +80,9 @@
                 "primary_change_cancelled", service=self.service, cause=cause
             )
             return False
+        if self.claim.record.epoch != epoch:
+            # The record was written again meanwhile, so that the others may act anew.
+            return False
         self.decisions.record(
             "primary_change",
             service=self.service,
@@ -146,6 +150,9 @@
         :param should_continue: whether to keep waiting.
         :returns: None if it is not primary yet; the caller retries.
         """
+        if not self.claim.current:
+            # Another host may claim the lease in the present epoch of the store.
+            return None
         target = self.claim.record.successor
         entry = self.states.last_entry(target)
         if entry is not None and not entry.is_incarnation(
@@ -157,7 +164,9 @@
             )
             await self.choose_again()
             return None
-        outcome = await self.coordinator.order(self.service, target)
+        outcome = await self.coordinator.order(
+            self.service, target, self.claim.record.epoch
+        )
         if outcome is OrderOutcome.NOT_RUNNING:
             await self.choose_again()
             return None
--- a/src/reedhook/process/primary_lease/promotion_coordinator.py
+++ b/src/reedhook/process/primary_lease/promotion_coordinator.py
@@ -12,7 +12,7 @@
 from ...decision_log import DecisionLog
 from ...peer import PeerClient, PeerError, PeerRoutes
 from ...request.refusal import RefusalError, RefusalReason, not_run
-from ...wire import Json, string_field
+from ...wire import Json, non_negative_int_field, string_field
 from ..fleet.membership_record import MembershipState
 from ..fleet.membership_table import MembershipTable
 from .coordinator_role import (
@@ -96,8 +96,9 @@
 
         :raises RefusalError: if this host is not the coordinator.
         """
+        epoch = non_negative_int_field(body, "epoch") if "epoch" in body else 0
         outcome = await self.order_here(
-            string_field(body, "service"), string_field(body, "target")
+            string_field(body, "service"), string_field(body, "target"), epoch
         )
         if outcome is None:
             raise not_run(
@@ -105,28 +106,41 @@
             )
         return {"outcome": outcome.value}
 
-    async def order(self, service: str, target: str) -> OrderOutcome:
+    async def order(self, service: str, target: str, epoch: int = 0) -> OrderOutcome:
         """Order the promotion of `target` to primary of `service`.
 
         The role stays with a live coordinator, since each change of the role costs a
         wait before the next order.
+
+        :param epoch: epoch of the store in which the lease record was written.
         """
         reading = await self.role.read()
         if reading is None:
             return OrderOutcome.UNANSWERED
-        holder = reading.holder
-        if holder == self.me:
-            outcome = await self.order_here(service, target, reading)
+        holder = self.coordinator(reading)
+        if reading.holder == self.me:
+            outcome = await self.order_here(service, target, epoch, reading)
             return outcome or OrderOutcome.UNANSWERED
         if holder is not None and not self.is_replaceable(holder):
-            outcome = await self.order_at(holder, service, target)
+            outcome = await self.order_at(holder, service, target, epoch)
             if outcome is not None:
                 return outcome
             if not self.is_replaceable(holder) and not self.is_silent_too_long(holder):
                 return OrderOutcome.UNANSWERED
-        if not await self.role.claim(reading.record):
+        if not await self.role.claim(reading):
             return OrderOutcome.UNANSWERED
-        return await self.order_here(service, target) or OrderOutcome.UNANSWERED
+        return await self.order_here(service, target, epoch) or OrderOutcome.UNANSWERED
+
+    def coordinator(self, reading: CoordinatorReading) -> HostIncarnation | None:
+        """Return the other host that orders promotions, or None.
+
+        Where a restore has lost or outdated the record, that is the last known one,
+        which claims the role again.
+        """
+        known = reading.holder
+        if known is None and reading.epoch and self.role.known is not None:
+            known = self.role.known.holder
+        return None if known == self.me else known
 
     def is_silent_too_long(self, holder: HostIncarnation) -> bool:
         """Return whether a coordinator has been silent long enough to replace it."""
@@ -146,13 +160,15 @@
         return record is not None and record.state >= MembershipState.DEAD
 
     async def order_at(
-        self, holder: HostIncarnation, service: str, target: str
+        self, holder: HostIncarnation, service: str, target: str, epoch: int
     ) -> OrderOutcome | None:
         """Order through the coordinator.
 
         :returns: None if it is unreachable, refuses or is replaced meanwhile.
         """
-        call = asyncio.ensure_future(self.call_coordinator(holder, service, target))
+        call = asyncio.ensure_future(
+            self.call_coordinator(holder, service, target, epoch)
+        )
         replaced = asyncio.ensure_future(self.role.until_replaced(holder))
         try:
             await asyncio.wait({call, replaced}, return_when=asyncio.FIRST_COMPLETED)
@@ -162,10 +178,12 @@
             replaced.cancel()
 
     async def call_coordinator(
-        self, holder: HostIncarnation, service: str, target: str
+        self, holder: HostIncarnation, service: str, target: str, epoch: int
     ) -> OrderOutcome | None:
         """Have the coordinator order; None if it is unreachable or refuses."""
         body: Json = {"service": service, "target": target}
+        if epoch:
+            body["epoch"] = epoch
         try:
             answer = await self.peers.call(
                 holder.ref, PROMOTE_PATH, body, PROMOTE_CALL_TIMEOUT_SECONDS
@@ -184,10 +202,15 @@
         return None
 
     async def order_here(
-        self, service: str, target: str, reading: CoordinatorReading | None = None
+        self,
+        service: str,
+        target: str,
+        epoch: int,
+        reading: CoordinatorReading | None = None,
     ) -> OrderOutcome | None:
         """Order as the coordinator; None if this host is not the coordinator.
 
+        :param epoch: epoch of the lease record; the order is refused in another one.
         :param reading: a recent reading of the role, if there is one.
         """
         async with self.lock:
@@ -198,13 +221,31 @@
                 if reading is None:
                     return OrderOutcome.UNANSWERED
                 if reading.record is None or reading.holder != self.me:
-                    return None
+                    return self.without_role(reading)
+                if reading.epoch != epoch:
+                    self.decisions.record(
+                        "promotion_order_refused",
+                        service=service,
+                        epoch=epoch,
+                        current=reading.epoch,
+                    )
+                    return OrderOutcome.UNANSWERED
                 if self.role.permits(reading):
                     return await self.send(
                         service, target, reading.record, reading.requested_at
                     )
             return OrderOutcome.UNANSWERED
 
+    def without_role(self, reading: CoordinatorReading) -> OrderOutcome | None:
+        """Return the outcome if this host is not named, or not in this epoch.
+
+        While it claims its role again in a new epoch, the requester is to ask again.
+        """
+        known = self.role.known
+        if reading.holder is None and known is not None and known.holder == self.me:
+            return OrderOutcome.UNANSWERED
+        return None
+
     async def send(
         self,
         service: str,
--- a/src/reedhook/process/primary_lease/target_status.py
+++ b/src/reedhook/process/primary_lease/target_status.py
@@ -35,6 +35,20 @@
         found = self.announcements.targets.values()
         return [one for one in found if one.service == service]
 
+    def known(self, service: str, max_missing: float) -> list[TargetAnnouncement]:
+        """Return the targets announced now or up to `max_missing` seconds ago.
+
+        A restore of the store loses announcements until the targets write them again.
+        """
+        announcements = self.announcements
+        since = announcements.clock.boottime() - max_missing
+        missing = [
+            entry
+            for target, entry in announcements.missing.items()
+            if entry.service == service and announcements.missing_since[target] >= since
+        ]
+        return self.announced(service) + missing
+
     async def all(
         self, entries: list[TargetAnnouncement]
     ) -> list[tuple[TargetAnnouncement, SessionTargetStatus]]:
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import Final
+from typing import Final, TypeVar
 
 import logbook
 
@@ -51,6 +51,7 @@
 from .primary_lease.backup_holders import BackupHolders
 from .primary_lease.coordinator_role import CoordinatorRole
 from .primary_lease.coordinator_standby import CoordinatorStandby
+from .primary_lease.epoch_age import EpochAge
 from .primary_lease.holder_failure_detector import HolderFailureDetector
 from .primary_lease.holder_ranking import LeaseHolderRanking
 from .primary_lease.indirect_prober import IndirectProber
@@ -90,6 +91,8 @@
 POLL_INTERVAL_SECONDS: Final = 0.05
 log = logbook.Logger("host")
 
+LeaseClaimT = TypeVar("LeaseClaimT", bound=LeaseClaim)
+
 
 class SessionHost:
     """Assemble, start and stop the components of one session host."""
@@ -214,6 +217,7 @@
     def make_leases(self) -> None:
         """Create what holds and hands over the primary leases of services."""
         table = self.membership.table
+        self.epoch_age = EpochAge(self.keyspace.epoch, self.clock)
         self.lease_registry = PrimaryLeaseRegistry(self.announcements, self.decisions)
         self.states = TargetStatusClient(self.announcements, self.driver)
         self.indirect_probers = IndirectProber(
@@ -262,7 +266,12 @@
     def make_promotion_coordinator(self) -> None:
         """Create what orders promotions, and replaces a lost coordinator."""
         self.coordinator_role = CoordinatorRole(
-            self.holder, self.keyspace, self.peers, self.clock, self.decisions
+            self.holder,
+            self.keyspace,
+            self.peers,
+            self.epoch_age,
+            self.clock,
+            self.decisions,
         )
         self.announcements.on_host_item.append(self.coordinator_role.handle_item)
         self.promotion_coordinator = PromotionCoordinator(
@@ -509,6 +518,7 @@
             self.driver,
             self.dialect,
             self.make_home,
+            self.epoch_age,
             self.clock,
             self.decisions,
         )
@@ -527,8 +537,8 @@
         )
 
     def make_claim(
-        self, kind: type[LeaseClaim], record: PrimaryLeaseRecord, requested_at: float
-    ) -> LeaseClaim:
+        self, kind: type[LeaseClaimT], record: PrimaryLeaseRecord, requested_at: float
+    ) -> LeaseClaimT:
         """Create this host's claim to a role in a lease record."""
         return kind(
             record,
--- a/src/reedhook/request/session_router.py
+++ b/src/reedhook/request/session_router.py
@@ -9,7 +9,7 @@
 from ..host_directory import HostDirectory
 from ..peer import PeerClient, PeerError
 from ..process.discovery.store_revision import NO_REVISION, StoreRevision
-from ..process.primary_lease.lease_manager import RECORDS_PATH
+from ..process.primary_lease.lease_recovery import RECORDS_PATH
 from ..process.primary_lease.lease_registry import PrimaryLeaseRegistry
 from ..version.route_table import Route, RouteConsistency
 from ..wire import WireError
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -254,6 +254,13 @@
         record = decode(self.store.items["reedhook/lead/db"].value or b"")
         return self.hosts[record["deputy"]["ref"][0]]
 
+    async def appoint_coordinator(self, host: str) -> None:
+        """Have a host claim the role of the promotion coordinator."""
+        role = self.hosts[host].coordinator_role
+        reading = await role.read()
+        assert reading is not None
+        assert await role.claim(reading)
+
     async def caller(self, host: str, database: str, key: str = "") -> "Caller":
         """Open a session.
 
