Restore the copy that a test has chosen

Cause: RestoredWorld passes the age of the copy, and a rounding error made the stand-in choose the copy before it, so that cases of the copy "first" repeated "missing". Change: a margin, and an assertion that the chosen copy was restored.

--- a/tests/restored_world.py
+++ b/tests/restored_world.py
@@ -24,6 +24,9 @@
 LEASE_KEY: Final = "reedhook/lead/db"
 WRITE_INTERVAL_SECONDS: Final = 0.1
 READ_INTERVAL_SECONDS: Final = 0.4
+ROUNDING_SECONDS: Final = 1e-6
+"""Margin without which a rounding error of the age selects the copy before."""
+
 ANNOUNCE_AFTER_SECONDS: Final = 0.5
 """Time after a restore at which the targets write their entries again."""
 
@@ -90,7 +93,8 @@
     def restore(self) -> None:
         """Return to the chosen copy; targets write their entries soon after."""
         self.restored_at = self.now()
-        self.store.restore(self.now() - self.copied_at)
+        self.store.restore(self.now() - self.copied_at - ROUNDING_SECONDS)
+        assert self.store.copies[-1].saved_at == self.copied_at
         self.tasks.append(asyncio.create_task(self.announce_again()))
 
     async def announce_again(self) -> None:
