Promote a successor whose order may be in flight after a restore

Commits would have been acknowledged at a superseded primary. Cause: a claimer of a record in which former holders are not all known proved the primary by what targets report and erased the recorded successor. Its order, given in the present epoch, could still take effect, and a successor taken over from an earlier epoch could lead without being reachable. And while the promoted target was lost and the former one led, no target was proven and none was demoted. Change: a successor that a holder has chosen or kept in the present epoch is promoted as ever. One that is inherited from an earlier epoch is marked so in the record; it has to report, or is promoted again after the wait. Targets that lead in a lower term than any target reports are demoted.

--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -26,6 +26,7 @@
 from .holder_ranking import LeaseHolderRanking
 from .indirect_prober import IndirectProber, TargetObservation
 from .lease_claim import HolderClaim
+from .lease_record import PrimaryLeaseRecord
 from .lease_validity import RENEWAL_INTERVAL_SECONDS
 from .other_holders import OtherHolders
 from .primary_client import PROBE_TIMEOUT_SECONDS, HomeFactory, PrimaryClient
@@ -126,9 +127,7 @@
         super().__init__(claim, states, make_home, clock, decisions)
         self.holder_claim = claim
         self.epoch_age = epoch_age
-        self.primary_unproven = (
-            claim.record.epoch > 0 and not claim.record.former_complete
-        )
+        self.primary_unproven = needs_proof(claim.record)
         self.written_again_at = float("-inf")
         self.others = others
         self.promotion = promotion
@@ -344,8 +343,9 @@
     async def prove_primary(self) -> None:
         """Use the primary that the targets prove; handle its loss after the wait.
 
-        A recorded successor that was promoted is that primary; one that was not will
-        not be promoted any more, since orders of an earlier epoch have ended.
+        An inherited successor that reports and does not lead will not be promoted any
+        more, since orders of an earlier epoch have ended. One that does not report may
+        lead, so that it is promoted again after the wait.
         """
         if self.epoch_age.seconds() < SETTLING_SECONDS:
             return
@@ -354,6 +354,11 @@
         found = await self.states.all(entries)
         complete = bool(found) and len(found) == len(entries)
         proven = proven_primary(found, complete, waited)
+        if self.may_lead_unseen(found):
+            if waited:
+                await self.claim.write(self.record.with_adopted_successor())
+                self.primary_unproven = self.record.successor_inherited
+            return
         if proven is not None and await self.use_if_primary(*proven):
             self.primary_unproven = False
             return
@@ -368,16 +373,31 @@
         if found and waited and not leading:
             self.primary_unproven = False
         if waited:
-            await self.demote_superseded(leading)
+            await self.demote_superseded(found)
 
-    async def demote_superseded(self, leading: list[Report]) -> None:
-        """Turn targets that lead in a lower term than another one into replicas.
+    def may_lead_unseen(self, found: list[Report]) -> bool:
+        """Return whether an inherited successor may lead and does not report.
 
-        While two targets claim to lead and a third one does not respond, none is used.
+        A target that leads in a later term than the recorded one was promoted after it.
         """
-        newest = max((status.term for _, status in leading), default=0)
-        for entry, status in leading:
-            if status.term < newest:
+        record = self.record
+        if not record.successor:
+            return False
+        return not any(
+            entry.target == record.successor
+            or (status.is_primary and status.term > record.term)
+            for entry, status in found
+        )
+
+    async def demote_superseded(self, found: list[Report]) -> None:
+        """Turn targets that lead in a lower term than any reported into replicas.
+
+        The target that leads in the highest term may not respond; until a superseded
+        one is demoted, no target is used and none is promoted.
+        """
+        newest = max((status.term for _, status in found), default=0)
+        for entry, status in found:
+            if status.is_primary and status.term < newest:
                 await self.demote(entry, newest)
 
     async def find_primary(self) -> None:
@@ -550,3 +570,14 @@
             )
             return
         await self.others.update_backup_holder(home)
+
+
+def needs_proof(record: PrimaryLeaseRecord) -> bool:
+    """Return whether the primary of a claimed record may be outdated.
+
+    A successor that was recorded in the present epoch is promoted as ever: its order
+    may be in flight, so that what targets report proves nothing.
+    """
+    if record.epoch == 0 or record.former_complete:
+        return False
+    return not record.successor or record.successor_inherited
--- a/src/reedhook/process/primary_lease/lease_record.py
+++ b/src/reedhook/process/primary_lease/lease_record.py
@@ -60,6 +60,8 @@
     :param successor_started_at_ms: start time of the successor's process.
     :param revision: revision of the item in the store, with the epoch of the answer.
     :param epoch: epoch of the store in which the record was written.
+    :param successor_inherited: whether the successor comes from a record of an earlier
+        epoch, so that it may be outdated.
     """
 
     __slots__ = (
@@ -75,6 +77,7 @@
         "primary_started_at_ms",
         "successor_started_at_ms",
         "epoch",
+        "successor_inherited",
     )
 
     def __init__(
@@ -91,6 +94,7 @@
         primary_started_at_ms: int = 0,
         successor_started_at_ms: int = 0,
         epoch: int = 0,
+        successor_inherited: bool = False,
     ) -> None:
         self.service = service
         self.holder = holder
@@ -104,6 +108,7 @@
         self.primary_started_at_ms = primary_started_at_ms
         self.successor_started_at_ms = successor_started_at_ms
         self.epoch = epoch
+        self.successor_inherited = successor_inherited
 
     @property
     def order(self) -> StoreRevision:
@@ -186,6 +191,19 @@
             term,
         )
         updated.successor, updated.successor_started_at_ms = "", 0
+        updated.successor_inherited = False
+        return updated
+
+    def with_inherited_successor(self) -> "PrimaryLeaseRecord":
+        """Return the record with its successor, if any, marked as inherited."""
+        updated = self.copy()
+        updated.successor_inherited = bool(self.successor)
+        return updated
+
+    def with_adopted_successor(self) -> "PrimaryLeaseRecord":
+        """Return the record with its successor as the holder's own decision."""
+        updated = self.copy()
+        updated.successor_inherited = False
         return updated
 
     def with_successor(self, successor: TargetAnnouncement) -> "PrimaryLeaseRecord":
@@ -193,6 +211,7 @@
         updated = self.copy()
         updated.successor = successor.target
         updated.successor_started_at_ms = successor.started_at_ms
+        updated.successor_inherited = False
         return updated
 
     def with_primary_of(self, other: "PrimaryLeaseRecord") -> "PrimaryLeaseRecord":
@@ -205,6 +224,7 @@
         )
         updated.successor = other.successor
         updated.successor_started_at_ms = other.successor_started_at_ms
+        updated.successor_inherited = other.successor_inherited
         return updated
 
     def set_former(self, former: list[HostIncarnation]) -> None:
@@ -242,6 +262,8 @@
         }
         if self.epoch:
             message["epoch"] = self.epoch
+        if self.successor_inherited:
+            message["successor_inherited"] = True
         return message
 
     def encoded(self) -> bytes:
@@ -271,6 +293,7 @@
             message.get("born", 0),
             message.get("successor_born", 0),
             int(message.get("epoch", 0)),
+            message.get("successor_inherited") is True,
         )
 
     @classmethod
--- a/src/reedhook/process/primary_lease/lease_recovery.py
+++ b/src/reedhook/process/primary_lease/lease_recovery.py
@@ -78,4 +78,4 @@
             )
         if known.holder != self.me:
             known = known.claimed_by(self.me)
-        return known.in_epoch(revision)
+        return known.in_epoch(revision).with_inherited_successor()
