Bind the statement that no former holder is left to an epoch

Cause: a request to claim a lease that was sent before a restore still stated that no former holder is left, though the restore may have lost the claim of one. Change: the request states the epoch of the record; the statement counts for a record of that epoch only. Nothing changes while the epoch is 0.

--- a/src/reedhook/process/primary_lease/indirect_prober.py
+++ b/src/reedhook/process/primary_lease/indirect_prober.py
@@ -118,13 +118,20 @@
         return False
 
     async def transfer_lease(
-        self, service: str, host: HostRef, no_former_holders: bool = False
+        self,
+        service: str,
+        host: HostRef,
+        no_former_holders: bool = False,
+        epoch: int = 0,
     ) -> bool:
         """Transfer the lease of a service to a host; return whether it accepts.
 
         :param no_former_holders: whether no earlier holder can still use the primary.
+        :param epoch: epoch of the record for which that is so.
         """
         body: Json = {"service": service, "alone": no_former_holders}
+        if epoch:
+            body["epoch"] = epoch
         try:
             answer = await self.peers.call(
                 host, CLAIM_PATH, body, CLAIM_TIMEOUT_SECONDS
--- a/src/reedhook/process/primary_lease/lease_manager.py
+++ b/src/reedhook/process/primary_lease/lease_manager.py
@@ -9,7 +9,7 @@
 from ...decision_log import DecisionLog
 from ...peer import PeerClient, PeerError, PeerRoutes
 from ...request.refusal import RefusalError, RefusalReason, not_run
-from ...wire import Json, WireError, string_field
+from ...wire import Json, WireError, non_negative_int_field, string_field
 from ..discovery.announcements import Announcements
 from ..discovery.key_value_store import (
     KeyValueStore,
@@ -156,11 +156,13 @@
             # Fail fast, so that the holder asks another host or retries the store.
             return {"taken": False}
         service = string_field(body, "service")
-        no_former_holders = body.get("alone") is True
-        return {
-            "taken": await self.claim(
-                service, requested=True, no_former_holders=no_former_holders
+        alone_epoch = None
+        if body.get("alone") is True:
+            alone_epoch = (
+                non_negative_int_field(body, "epoch") if "epoch" in body else 0
             )
+        return {
+            "taken": await self.claim(service, requested=True, alone_epoch=alone_epoch)
         }
 
     async def answer_records(self, body: Json) -> Json:
@@ -282,14 +284,14 @@
         return bool(self.ranking.primary_zone(service))
 
     async def claim(
-        self, service: str, requested: bool, no_former_holders: bool = False
+        self, service: str, requested: bool, alone_epoch: int | None = None
     ) -> bool:
         """Claim the lease of a service; return whether this host holds it.
 
         :param requested: whether the holder requests it, so that the lease need not
             be vacant.
-        :param no_former_holders: whether the holder states that no earlier holder
-            can still use the primary.
+        :param alone_epoch: epoch in which the holder states that no earlier holder
+            can still use the primary; None if it does not state it.
         """
         if service in self.held:
             return True
@@ -298,7 +300,7 @@
         self.claiming.add(service)
         self.tried_at[service] = self.clock.monotonic()
         try:
-            return await self.claim_at_store(service, requested, no_former_holders)
+            return await self.claim_at_store(service, requested, alone_epoch)
         except StoreUnansweredError as error:
             self.decisions.record(
                 "lease_not_acquired", service=service, error=str(error)
@@ -349,7 +351,7 @@
         return {"taken": await self.claim(service, requested=False)}
 
     async def claim_at_store(
-        self, service: str, requested: bool, no_former_holders: bool
+        self, service: str, requested: bool, alone_epoch: int | None
     ) -> bool:
         """Write this host as the holder into the stored record.
 
@@ -365,7 +367,7 @@
         if stored is not None or self.may_be_outdated(stored):
             if not requested and not self.is_claimable(service):
                 return False
-        record = self.record_to_claim(service, stored, no_former_holders)
+        record = self.record_to_claim(service, stored, alone_epoch)
         requested_at = self.clock.boottime()
         revision = await self.keyspace.put(
             key, record.encoded(), record.revision, STORE_TIMEOUT_SECONDS
@@ -386,9 +388,13 @@
         return not stored.confirmed
 
     def record_to_claim(
-        self, service: str, stored: PrimaryLeaseRecord | None, no_former_holders: bool
+        self, service: str, stored: PrimaryLeaseRecord | None, alone_epoch: int | None
     ) -> PrimaryLeaseRecord:
-        """Return the record that names this host as the holder."""
+        """Return the record that names this host as the holder.
+
+        A restore may have lost the claim of a host that the statement did not know, so
+        that it holds for the epoch in which it was made.
+        """
         if self.may_be_outdated(stored):
             revision = StoreRevision(self.keyspace.epoch.current, 0)
             if stored is not None:
@@ -400,7 +406,7 @@
             )
         if stored.holder == self.me:
             return stored
-        return stored.claimed_by(self.me, no_former_holders)
+        return stored.claimed_by(self.me, alone_epoch == stored.epoch)
 
     def start_holding(self, record: PrimaryLeaseRecord, requested_at: float) -> None:
         """Start to use the primary under a claimed lease."""
@@ -457,8 +463,9 @@
                 continue
             holder = self.held.get(service)
             no_former_holders = holder is not None and holder.others.former_expired()
+            epoch = 0 if holder is None else holder.record.epoch
             if await self.indirect_prober.transfer_lease(
-                service, host, no_former_holders
+                service, host, no_former_holders, epoch
             ):
                 self.decisions.record(
                     "lease_transferred", service=service, to=host.host
