Count the permit of a read in the wait of a coordinator after a restore

Cause: a coordinator that a read had named up to 1 s before the restore ordered without a wait. A host whose claim the restore has lost orders 1 s after its claim, permitted by a read that may be 0.3 s older and of the former epoch: a lower token after a higher one. Change: the wait is skipped only if the read was sent at most 0.7 s before this host learned of the epoch, and only for a record of an earlier epoch.

--- a/src/reedhook/process/primary_lease/coordinator_role.py
+++ b/src/reedhook/process/primary_lease/coordinator_role.py
@@ -316,8 +316,14 @@
         """Return whether no other host can have ordered since this one held the role.
 
         The restore may have lost another host's claim. That host then waited before it
-        ordered, so it ordered nothing if this host was named less than a wait before.
+        ordered, and the read that permitted the order was sent at most
+        ORDER_PERMIT_SECONDS before the end of its wait.
         """
-        if self.known is None or self.known.holder != self.me:
+        known = self.known
+        if known is None or known.holder != self.me:
             return False
-        return self.named_at + COORDINATOR_WAIT_SECONDS >= self.epoch_age.learned_at
+        if known.epoch >= self.keyspace.epoch.current:
+            # Its record was replaced later than the restore.
+            return False
+        first_read = self.named_at + COORDINATOR_WAIT_SECONDS - ORDER_PERMIT_SECONDS
+        return first_read >= self.epoch_age.learned_at
--- a/tests/test_lease_recovery.py
+++ b/tests/test_lease_recovery.py
@@ -271,6 +271,30 @@
     assert wait == pytest.approx(COORDINATOR_WAIT_SECONDS, 0.05)
 
 
+@in_virtual_time
+async def test_lower_token_after_a_claim_that_the_restore_has_lost() -> None:
+    """Guards against an order that skips the wait while a lost claimer may order."""
+    store = FakeStore()
+    me, other = Coordinator(store, ME), Coordinator(store, OTHER)
+    await me.claim()
+    store.save()
+    await asyncio.sleep(5.0)
+    assert await me.permitted()  # the latest read that names it
+    await asyncio.sleep(0.01)
+    await other.claim()
+    await asyncio.sleep(0.85)
+    reading = await other.role.read()
+    assert reading is not None and reading.holder == OTHER
+    await asyncio.sleep(0.03)
+    store.restore(0.0)
+    await asyncio.sleep(0.01)
+    await me.claim()
+    ordered_first = await me.permitted()
+    await other.role.until_free()
+    assert other.role.permits(reading)
+    assert not ordered_first
+
+
 @in_virtual_time
 async def test_read_of_before_the_restore_permits_no_order_after_it() -> None:
     store = FakeStore()
