Write records again that a late write of an earlier epoch has replaced

Cause: a put of the former epoch may meet its condition by accident after a restore. The holder of the replaced record could neither renew nor write it, and kept the service without a primary; a replaced coordinator left all orders unanswered. Change: a holder that reads an unconfirmed record newer than its own writes its record again; a coordinator that is asked for an order claims its role again, with the wait.

--- a/src/reedhook/process/primary_lease/lease_claim.py
+++ b/src/reedhook/process/primary_lease/lease_claim.py
@@ -26,6 +26,7 @@
     :param record: the record as stored.
     :param requested_at: `Clock.boottime` when the call that read or wrote it was sent.
     :ivar saved: whether `record` is written to the store.
+    :ivar replaced: whether a late write of an earlier epoch has replaced the record.
     """
 
     def __init__(
@@ -48,11 +49,12 @@
         self.validity = LeaseValidity(clock)
         self.validity.extend(requested_at)
         self.saved = True
+        self.replaced = False
 
     @property
     def current(self) -> bool:
-        """Return whether the record was written in the present epoch of the store."""
-        return self.record.epoch >= self.keyspace.epoch.current
+        """Return whether the store holds the record, written in its present epoch."""
+        return self.record.epoch >= self.keyspace.epoch.current and not self.replaced
 
     @abstractmethod
     def is_named(self, record: PrimaryLeaseRecord) -> bool:
@@ -78,6 +80,7 @@
             return False
         if item is None:
             # The store never deletes the record, but a restore may lose it.
+            self.replaced = self.keyspace.epoch.current > 0
             self.decisions.record("lease_record_missing", service=self.service)
             return True
         self.handle_item(item, requested_at)
@@ -86,6 +89,8 @@
     def handle_item(self, item: Item, requested_at: float) -> None:
         """Process an item read from the store."""
         record = PrimaryLeaseRecord.from_item(item)
+        if not record.confirmed and record.revision > self.record.revision:
+            self.replaced = True
         if record.confirmed and self.is_named(record):
             self.validity.extend(requested_at)
             if record.order > self.record.order:
@@ -159,6 +164,7 @@
         """Use a record that is stored."""
         self.record = record
         self.saved = True
+        self.replaced = False
         self.registry.update(record, "own")
 
 
--- a/src/reedhook/process/primary_lease/promotion_coordinator.py
+++ b/src/reedhook/process/primary_lease/promotion_coordinator.py
@@ -221,7 +221,7 @@
                 if reading is None:
                     return OrderOutcome.UNANSWERED
                 if reading.record is None or reading.holder != self.me:
-                    return self.without_role(reading)
+                    return await self.without_role(reading)
                 if reading.epoch != epoch:
                     self.decisions.record(
                         "promotion_order_refused",
@@ -236,13 +236,15 @@
                     )
             return OrderOutcome.UNANSWERED
 
-    def without_role(self, reading: CoordinatorReading) -> OrderOutcome | None:
+    async def without_role(self, reading: CoordinatorReading) -> OrderOutcome | None:
         """Return the outcome if this host is not named, or not in this epoch.
 
-        While it claims its role again in a new epoch, the requester is to ask again.
+        If it held the role, it claims it again, and the requester is to ask again. A
+        late write of an earlier epoch may have replaced its record at any time.
         """
         known = self.role.known
         if reading.holder is None and known is not None and known.holder == self.me:
+            await self.role.claim(reading)
             return OrderOutcome.UNANSWERED
         return None
 
