Restore the store from older copies in the soak

Cause: the soak of real processes never restored the store, so that leases and promotions over a restore were tested in virtual time only.

Change: the store keeps a copy each half second and the first one, which holds no record of a host. StoreRestored makes it silent or busy for 0.2 to 1.5 s, returns it to a copy in the next epoch, resets the hosts' connections, and has the configuration and the targets' entries written again; one to three times, alone or with a kill, a pause or a lost primary. PrimaryLost is a kind of its own, too. No check or bound of the judge is changed. The cases of tests/test_soak.py draw from FAULTS as before. Seeds run by hand draw from WITH_RESTORES, hence other faults than before; --no-restores keeps their former draw.

--- a/src/reedhook_standins/soak/faults.py
+++ b/src/reedhook_standins/soak/faults.py
@@ -3,8 +3,9 @@
 import asyncio
 import signal
 from abc import ABC, abstractmethod
+from collections.abc import Coroutine
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 from .hosts import SoakHostProcess
 from .proxy import ProxyLink
@@ -187,6 +188,71 @@
         return f"target {target} started again"
 
 
+class PrimaryLost(SoakFault):
+    """Stop the primary for a while."""
+
+    async def strike(self, field: FaultContext) -> str:
+        member = field.around.group.primary
+        member.down = True
+        await asyncio.sleep(field.random.uniform(1.0, 8.0))
+        member.heal()
+        return f"primary {member.entry.target} dark"
+
+
+COMPANIONS: Final[list[type[SoakFault] | None]] = [
+    None,
+    Killed,
+    Paused,
+    PrimaryLost,
+    PrimaryLost,
+]
+"""Faults during which the store is restored."""
+
+
+class StoreRestored(SoakFault):
+    """Restore the store from older copies, alone or during another fault."""
+
+    async def strike(self, field: FaultContext) -> str:
+        companion = field.random.choice(COMPANIONS)
+        restores = field.random.choice([1, 1, 1, 2, 3])
+        if companion is None:
+            return await self.restore_in_series(field, restores)
+        # The companion begins before, during or after the first restore.
+        delays = [field.random.uniform(0.0, 2.0) for _ in range(2)]
+        descriptions = await asyncio.gather(
+            delayed(delays[0], self.restore_in_series(field, restores)),
+            delayed(delays[1], companion().strike(field)),
+        )
+        return " with ".join(descriptions)
+
+    async def restore_in_series(self, field: FaultContext, count: int) -> str:
+        """Restore the store a number of times; return the ages of the copies."""
+        ages = []
+        for _ in range(count):
+            ages.append(await self.restore(field))
+            await asyncio.sleep(field.random.uniform(0.0, 3.0))
+        return f"store restored from {', '.join(f'{age:.1f} s' for age in ages)} ago"
+
+    async def restore(self, field: FaultContext) -> float:
+        """Restore the store once; return the age of the copy in seconds."""
+        store = field.around.store
+        if field.random.random() < 0.5:
+            store.silent = True
+        else:
+            store.status = 503
+        await asyncio.sleep(field.random.uniform(0.2, 1.5))
+        oldest = field.random.random() < 0.2
+        age = field.around.restore_store(
+            float("inf") if oldest else field.random.uniform(1.0, 6.0)
+        )
+        for host in field.hosts:
+            host.store.reset()
+        store.silent, store.status = False, 0
+        await asyncio.sleep(field.random.uniform(0.2, 1.0))
+        field.around.write_again()
+        return age
+
+
 FAULTS: Final[list[type[SoakFault]]] = [
     Killed,
     Restarted,
@@ -200,7 +266,21 @@
 ]
 
 WITH_LIVES: Final[list[type[SoakFault]]] = [*FAULTS, StartedAgain]
-"""Faults of new seeds; seeds kept as test cases draw from `FAULTS`."""
+"""Faults with restarted targets; the oldest seeds of the tests draw from `FAULTS`."""
+
+WITH_RESTORES: Final[list[type[SoakFault]]] = [
+    *WITH_LIVES,
+    StoreRestored,
+    StoreRestored,
+    PrimaryLost,
+]
+"""Faults of new seeds, with restores of the store."""
+
+
+async def delayed(seconds: float, work: Coroutine[Any, Any, str]) -> str:
+    """Run `work` after a delay."""
+    await asyncio.sleep(seconds)
+    return await work
 
 
 def names(hosts: list[SoakHostProcess]) -> str:
--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -2,6 +2,7 @@
 
 Usage:
   soak [--seeds N] [--first SEED] [--hosts N] [--seconds S] [--folder DIR]
+       [--no-restores]
   soak --help
 
 Options:
@@ -10,6 +11,8 @@
   --hosts N      Hosts in three availability zones [default: 6].
   --seconds S    Time of faults, of each seed [default: 20].
   --folder DIR   Where settings and logs are kept [default: build/soak].
+  --no-restores  Draw from the faults without restores of the store, which gives
+                 a seed other faults.
 
 Exit codes: 0 if all promises were kept, 1 otherwise.
 """
@@ -24,7 +27,7 @@
 
 from ..promises import GuaranteeChecker
 from .caller import ROUTES, SessionEnded, WireCaller
-from .faults import FAULTS, WITH_LIVES, FaultContext, SoakFault
+from .faults import FAULTS, WITH_LIVES, WITH_RESTORES, FaultContext, SoakFault
 from .hosts import SoakHostProcess
 from .surroundings import SoakEnvironment
 
@@ -214,7 +217,7 @@
             int(arguments["--hosts"]),
             float(arguments["--seconds"]),
             folder,
-            WITH_LIVES,
+            WITH_LIVES if arguments["--no-restores"] else WITH_RESTORES,
         )
         violations = asyncio.run(soak.run())
         failed += bool(violations)
@@ -229,7 +232,8 @@
     print(
         f"seed {soak.seed}: {soak.callers} sessions, {soak.done} statements done, "
         f"{len(soak.promises.acknowledged)} commits, {len(group.promotions)} "
-        f"promotions, {len(soak.struck)} faults, {len(violations)} broken",
+        f"promotions, {len(soak.struck)} faults, "
+        f"{soak.around.store.epoch} restores, {len(violations)} broken",
         flush=True,
     )
     for violation in violations[:5]:
--- a/src/reedhook_standins/soak/surroundings.py
+++ b/src/reedhook_standins/soak/surroundings.py
@@ -21,6 +21,12 @@
 SILENT_FOR: Final = 3.0
 """Seconds after which a stopped target is no longer announced."""
 
+COPY_EVERY: Final = 0.5
+"""Seconds between two copies of the store."""
+
+MOST_COPIES: Final = 16
+"""Copies kept after the first one; must reach back beyond the oldest restore."""
+
 KINDS: Final = {kind: word for word, kind in documents.ROUTE_KINDS.items()}
 
 
@@ -45,9 +51,10 @@
         self.down_since: dict[str, float] = {}
         self.leaving: set[str] = set()
         self.version = 0
+        self.configuration = b""
         self.promotions = ""
         self.runner: web.AppRunner | None = None
-        self.reporting: asyncio.Task[None] | None = None
+        self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Start all systems."""
@@ -60,7 +67,9 @@
             await proxy.start()
         await self.start_promotions()
         self.configure()
-        self.reporting = asyncio.get_running_loop().create_task(self.report())
+        # The first copy holds the first announcements and no record of a host.
+        self.tasks.append(asyncio.create_task(self.report()))
+        self.tasks.append(asyncio.create_task(self.keep_copies()))
 
     async def start_promotions(self) -> None:
         """Listen for promotion requests."""
@@ -104,7 +113,8 @@
             "services": [{"name": SERVICE, "connection_limit": 16}],
             "limits": {"transaction_idle_ms": 3000},
         }
-        self.store.write("op/config", orjson.dumps(message))
+        self.configuration = orjson.dumps(message)
+        self.store.write("op/config", self.configuration)
 
     async def report(self) -> None:
         """Announce the targets as they change, until cancelled."""
@@ -143,6 +153,29 @@
         self.announced[target] = None
         self.store.write(f"servers/{target}", b'{"state": 7}')
 
+    async def keep_copies(self) -> None:
+        """Copy the store at intervals, until cancelled."""
+        while True:
+            self.store.save()
+            del self.store.copies[1:-MOST_COPIES]
+            await asyncio.sleep(COPY_EVERY)
+
+    def restore_store(self, seconds_ago: float) -> float:
+        """Return the store to its newest copy of at least that age, or its first one.
+
+        :returns: the age of the copy in seconds.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self.store.restore(seconds_ago):
+            self.store.restore(now - self.store.copies[0].saved_at)
+        return now - self.store.copies[-1].saved_at
+
+    def write_again(self) -> None:
+        """Write the configuration and all announcements again."""
+        self.store.write("op/config", self.configuration)
+        # Differs from every announcement, and from one that was withdrawn.
+        self.announced = dict.fromkeys(self.group.members, b"")
+
     def reset_links(self, host: str) -> None:
         """Break the connections of a host to all targets."""
         for target, proxy in self.proxies.items():
@@ -160,8 +193,8 @@
 
     async def stop(self) -> None:
         """Stop all systems."""
-        if self.reporting is not None:
-            self.reporting.cancel()
+        for task in self.tasks:
+            task.cancel()
         for proxy in self.proxies.values():
             await proxy.stop()
         for server in self.servers.values():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from reedhook_standins.soak.faults import WITH_RESTORES
 from reedhook_standins.soak.soak import Soak
 
 HOSTS = 6
@@ -20,6 +21,11 @@
 ]
 """Seeds with seconds of faults; failed seeds stay as regression cases."""
 
+RESTORED_SEED = 68
+"""A seed whose first fault is a restore soon after the loss of the primary."""
+
+RESTORED_SECONDS = 25.0
+
 
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
 def test_guarantees_hold_under_process_faults(
@@ -30,3 +36,13 @@
     assert not violations
     assert soak.promises.acknowledged
     assert soak.struck
+
+
+# Guards against a database that no host serves again, falling fencing tokens and
+# commits at a superseded primary after the store was restored from an older copy.
+def test_guarantees_hold_over_restores(tmp_path: Path) -> None:
+    soak = Soak(RESTORED_SEED, HOSTS, RESTORED_SECONDS, tmp_path, WITH_RESTORES)
+    violations = asyncio.run(soak.run())
+    assert not violations
+    assert soak.promises.acknowledged
+    assert soak.around.store.epoch > 0
