--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -257,7 +257,7 @@
             word = self.prepared[name].split(" ")[0]
         if word in ("READ", "WRITE", "COMMIT"):
             async with member.slots:
-                await asyncio.sleep(WORK_S)
+                await asyncio.sleep(self.group.work_s)
         if member.dark:
             return b""
         if word == "RESET":
@@ -333,6 +333,8 @@
         self.superseded = {}
         self.reads = {}
         self.rolled_back = set()
+        self.passed_on = {}
+        self.work_s = WORK_S
 
     def spawn(self, work):
         task = asyncio.ensure_future(work)
@@ -340,6 +342,7 @@
         task.add_done_callback(self.tasks.discard)
 
     def ran(self, id, text, session):
+        self.passed_on[id] = self.record.now()
         self.record.line(f"{session.member.name}: runs {id} {text}")
 
     def was_read(self, id, session):
@@ -536,6 +539,7 @@
         self.world, self.host, self.database = world, host, database
         self.writer = None
         self.state = "I"
+        self.last_id = ""
 
     async def open(self):
         try:
@@ -558,7 +562,7 @@
         return data[:-2].decode("latin-1")
 
     async def ask(self, text):
-        id = secrets.token_hex(8)
+        id = self.last_id = secrets.token_hex(8)
         record = self.world.record
         sent = record.now()
         record.line(f"{self.name}@{self.host.name}: sends {id} {text}")
