Review case 3: a new holder sends work to a primary that drains

Cause: a host that takes a primary lease over uses the primary of the record before it looks whether it is leaving.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -334,6 +334,7 @@
         self.reads = {}
         self.rolled_back = set()
         self.passed_on = {}
+        self.arrivals = {}
         self.work_s = WORK_S
 
     def spawn(self, work):
@@ -342,7 +343,10 @@
         task.add_done_callback(self.tasks.discard)
 
     def ran(self, id, text, session):
-        self.passed_on[id] = self.record.now()
+        now = self.passed_on[id] = self.record.now()
+        if not session.open:
+            arrived = self.arrivals.setdefault(session.member.name, [])
+            arrived.append((now, id, text))
         self.record.line(f"{session.member.name}: runs {id} {text}")
 
     def was_read(self, id, session):
@@ -416,6 +420,26 @@
             self.announce(member)
             self.spawn(self.replicate(self.leader, member))
 
+    async def add_replacement(self, old):
+        """Start a new member in the zone of one that is to leave, with its log."""
+        name = f"i-{len(self.members)}{secrets.token_hex(3)}"
+        member = Member(name, old.zone, self)
+        member.log, member.term = list(self.leader.log), self.leader.term
+        self.members[name] = member
+        await member.listen()
+        self.announce(member)
+        await asyncio.sleep(2 * LAG_S)
+        await self.replicate(self.leader, member)
+
+    def drain(self, member):
+        """Report a member as draining; return when the store accepted that.
+
+        It goes on serving for longer than any case lasts.
+        """
+        member.state = "draining"
+        self.announce(member)
+        return self.record.now()
+
     def announce(self, member):
         member.started += 1
         self.store.write(
