Log what a lease record permits: unknown writes, former holders, releases

Cause: nothing was logged where a write of a lease record got no answer and the record read back was still the old one, nor which former holders had been asked before a promotion. The hypotheses of the incident can't be told apart without that. Change: lease_read_back states what the store holds after such a write; lease_not_written, lease_acquired, lease_released and primary_change state revision, successor and former holders; former_holder_answered states each answer. No decision changes.

--- a/src/reedhook/process/primary_lease/lease_claim.py
+++ b/src/reedhook/process/primary_lease/lease_claim.py
@@ -113,7 +113,11 @@
             return await self.resolve(value)
         except KeyValueStoreError as error:
             self.decisions.record(
-                "lease_not_written", service=self.service, error=str(error)
+                "lease_not_written",
+                service=self.service,
+                revision=record.revision.to_json(),
+                successor=record.successor,
+                error=str(error),
             )
             return await self.resolve(value)
         record = record.with_revision(revision)
@@ -143,6 +147,14 @@
         if item is None:
             return False
         stored = PrimaryLeaseRecord.from_item(item)
+        self.decisions.record(
+            "lease_read_back",
+            service=self.service,
+            holder=stored.holder.ref.host,
+            successor=stored.successor,
+            revision=stored.revision.to_json(),
+            written=item.value == value,
+        )
         if not stored.confirmed or not self.is_named(stored):
             self.registry.update(stored, "look")
             return False
--- a/src/reedhook/process/primary_lease/lease_manager.py
+++ b/src/reedhook/process/primary_lease/lease_manager.py
@@ -415,6 +415,7 @@
             service=record.service,
             revision=record.revision.to_json(),
             former=[one.ref.host for one in record.former],
+            successor=record.successor,
         )
         holder = self.make_lease_holder(record, requested_at)
         self.held[record.service] = holder
--- a/src/reedhook/process/primary_lease/other_holders.py
+++ b/src/reedhook/process/primary_lease/other_holders.py
@@ -123,6 +123,13 @@
         stopped = (
             answer.get("life") != former.incarnation or answer.get("holds") is False
         )
+        self.decisions.record(
+            "former_holder_answered",
+            service=self.service,
+            host=former.ref.host,
+            revision=record.order.to_json(),
+            stopped=stopped,
+        )
         if stopped and former != self.claim.record.backup_holder:
             self.stopped_incarnations.add(former.incarnation)
         return stopped
--- a/src/reedhook/process/primary_lease/primary_client.py
+++ b/src/reedhook/process/primary_lease/primary_client.py
@@ -300,7 +300,12 @@
 
     def log_released(self) -> None:
         """Record that the lease is released."""
-        self.decisions.record("lease_released", service=self.service)
+        self.decisions.record(
+            "lease_released",
+            service=self.service,
+            revision=self.record.revision.to_json(),
+            successor=self.record.successor,
+        )
 
     def stop(self) -> None:
         """Cancel the background tasks."""
--- a/src/reedhook/process/primary_lease/primary_replacement.py
+++ b/src/reedhook/process/primary_lease/primary_replacement.py
@@ -89,6 +89,8 @@
             cause=cause,
             primary=old.target,
             successor=successor.target,
+            former=[one.ref.host for one in self.claim.record.former],
+            former_expired=self.others.former_expired(),
         )
         return await self.claim.write(self.claim.record.with_successor(successor))
 
