Settle a write of a lease record before acting on its outcome

Cause: a write of the lease record that got no answer counted as not done if a read still showed the record before it. The holder then went on using the primary, while the store could still take the successor; whoever claimed the lease promoted it at once. Change: such a write stays pending. It is repeated under the same condition, and nothing else is written, no target is used and none is promoted while the stored record may name a successor, until an answer or a read of a later record settles it. The holder closes its home before it sends the record of a successor, not after. A pending successor that meets a restore of the store has to be proven, like an inherited one.

--- a/src/reedhook/process/primary_lease/lease_claim.py
+++ b/src/reedhook/process/primary_lease/lease_claim.py
@@ -1,6 +1,7 @@
 """A host's claim on the lease record of a service."""
 
 from abc import ABC, abstractmethod
+from enum import Enum
 from typing import Final
 
 from ...clock import Clock
@@ -10,6 +11,7 @@
     KeyValueStore,
     KeyValueStoreError,
     RevisionConflictError,
+    StoreUnansweredError,
 )
 from ..discovery.store_revision import StoreRevision
 from .lease_record import HostIncarnation, PrimaryLeaseRecord, lease_key
@@ -19,6 +21,23 @@
 STORE_TIMEOUT_SECONDS: Final = 0.5
 """Timeout of one call to the store."""
 
+MAX_WRITE_ATTEMPTS: Final = 3
+"""Attempts of one write until the next check."""
+
+
+class WriteOutcome(Enum):
+    """Name the outcome of a write of the lease record."""
+
+    STORED = "stored"
+    NOT_STORED = "not stored"
+    """It is not stored and will not be."""
+
+    REPLACEABLE = "replaceable"
+    """The store still holds the record that it replaces; it may take effect later."""
+
+    UNKNOWN = "unknown"
+    """The store does not respond; it may be stored, or take effect later."""
+
 
 class LeaseClaim(ABC):
     """Keep the lease record that names this host, and how long it is valid.
@@ -26,6 +45,9 @@
     :param record: the record as stored.
     :param requested_at: `Clock.boottime` when the call that read or wrote it was sent.
     :ivar saved: whether `record` is written to the store.
+    :ivar pending: the record of a write whose outcome is unknown, or None. Either
+        record may be stored, so that this host does only what both of them permit.
+    :ivar unanswered: whether an attempt of the pending write got no response.
     :ivar replaced: whether a late write of an earlier epoch has replaced the record.
     """
 
@@ -50,6 +72,15 @@
         self.validity.extend(requested_at)
         self.saved = True
         self.replaced = False
+        self.pending: PrimaryLeaseRecord | None = None
+        self.unanswered = False
+
+    @property
+    def successor_pending(self) -> bool:
+        """Return whether it is unknown which successor the stored record names."""
+        if self.pending is None:
+            return False
+        return bool(self.record.successor or self.pending.successor)
 
     @property
     def current(self) -> bool:
@@ -100,8 +131,41 @@
     async def write(self, record: PrimaryLeaseRecord) -> bool:
         """Write a record to the store; return whether it is stored.
 
-        If the response is lost, the record is read back. No two records of this
-        host are equal, so an equal value proves that the write succeeded.
+        If a write before this one is still pending, only its outcome is determined:
+        the record was made without knowing which record is stored.
+        """
+        if self.pending is not None:
+            await self.settle()
+            return False
+        self.pending, self.unanswered = record, False
+        return await self.write_pending() is WriteOutcome.STORED
+
+    async def settle(self) -> bool:
+        """Determine the outcome of the pending write; return whether it is known."""
+        if self.pending is not None:
+            await self.write_pending()
+        return self.pending is None
+
+    async def write_pending(self) -> WriteOutcome:
+        """Write the pending record, repeatedly while the store holds the one before.
+
+        All attempts have the same condition, so that at most one takes effect.
+        """
+        outcome = WriteOutcome.UNKNOWN
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            if self.pending is None:
+                break
+            outcome = await self.attempt_write(self.pending)
+            if outcome is not WriteOutcome.REPLACEABLE:
+                break
+        if outcome in (WriteOutcome.STORED, WriteOutcome.NOT_STORED):
+            self.pending = None
+        return outcome
+
+    async def attempt_write(self, record: PrimaryLeaseRecord) -> WriteOutcome:
+        """Write a record once.
+
+        A rejected attempt leaves open whether an earlier, unanswered one is stored.
         """
         key, value = lease_key(self.service), record.encoded()
         requested_at = self.clock.boottime()
@@ -110,7 +174,7 @@
                 key, value, record.revision, STORE_TIMEOUT_SECONDS
             )
         except RevisionConflictError:
-            return await self.resolve(value)
+            return await self.read_back(record)
         except KeyValueStoreError as error:
             self.decisions.record(
                 "lease_not_written",
@@ -119,22 +183,26 @@
                 successor=record.successor,
                 error=str(error),
             )
-            return await self.resolve(value)
-        record = record.with_revision(revision)
-        if not record.confirmed:
+            if isinstance(error, StoreUnansweredError):
+                self.unanswered = True
+            if not self.unanswered:
+                return WriteOutcome.NOT_STORED
+            return await self.read_back(record)
+        stored = record.with_revision(revision)
+        if not stored.confirmed:
             # The store was restored before it took the write.
             self.decisions.record(
                 "lease_write_unconfirmed",
                 service=self.service,
                 revision=revision.to_json(),
             )
-            return False
+            return WriteOutcome.NOT_STORED
         self.validity.extend(requested_at)
-        self.set_stored(record)
-        return True
+        self.set_stored(stored)
+        return WriteOutcome.STORED
 
-    async def resolve(self, value: bytes) -> bool:
-        """Read the record back to determine whether a write took effect."""
+    async def read_back(self, record: PrimaryLeaseRecord) -> WriteOutcome:
+        """Read the stored record to determine the outcome of a write."""
         try:
             item = await self.keyspace.get(
                 lease_key(self.service), STORE_TIMEOUT_SECONDS
@@ -143,29 +211,54 @@
             self.decisions.record(
                 "lease_write_unknown", service=self.service, error=str(error)
             )
-            return False
-        if item is None:
-            return False
-        stored = PrimaryLeaseRecord.from_item(item)
-        self.decisions.record(
-            "lease_read_back",
-            service=self.service,
-            holder=stored.holder.ref.host,
-            successor=stored.successor,
-            revision=stored.revision.to_json(),
-            written=item.value == value,
-        )
+            return WriteOutcome.UNKNOWN
+        stored = None if item is None else PrimaryLeaseRecord.from_item(item)
+        if stored is not None:
+            self.decisions.record(
+                "lease_read_back",
+                service=self.service,
+                holder=stored.holder.ref.host,
+                successor=stored.successor,
+                revision=stored.revision.to_json(),
+                written=stored.encoded() == record.encoded(),
+            )
+        if self.keyspace.epoch.current > record.epoch:
+            # `handle_epoch` has processed the pending write.
+            return WriteOutcome.NOT_STORED
+        if stored is None:
+            return WriteOutcome.REPLACEABLE
+        if stored.encoded() == record.encoded():
+            # No two records of this host are equal.
+            self.set_stored(stored)
+            return WriteOutcome.STORED
+        if stored.revision.number == record.revision.number:
+            return WriteOutcome.REPLACEABLE
+        self.handle_replaced(stored)
+        return WriteOutcome.NOT_STORED
+
+    def handle_epoch(self) -> bool:
+        """Keep the pending record when the store has been restored.
+
+        Another host may have read it before the restore, and may have acted by it or by
+        the one that it replaces.
+
+        :returns: whether it is therefore unknown which target is the primary.
+        """
+        record, unproven = self.pending, self.successor_pending
+        if record is not None:
+            self.record = record.with_inherited_successor()
+            self.pending = None
+        return unproven
+
+    def handle_replaced(self, stored: PrimaryLeaseRecord) -> None:
+        """Process the record that has replaced the one known here."""
         if not stored.confirmed or not self.is_named(stored):
             self.registry.update(stored, "look")
-            return False
-        if item.value == value:
-            self.set_stored(stored)
-            return True
-        # An earlier write of this host took effect late. Keep the holders it names,
-        # since they may have read it. Keep the primary known here: it is newer,
-        # because no promotion is ordered after an unacknowledged write.
+            return
+        # A write of this host before the last one took effect late. Keep the holders
+        # it names, since they may have read it. Keep the primary known here: it is
+        # newer, because no promotion is ordered after an unacknowledged write.
         self.record = stored.with_primary_of(self.record)
-        return False
 
     def set_unsaved(self, record: PrimaryLeaseRecord) -> None:
         """Use a record that is still to be written to the store."""
@@ -173,9 +266,12 @@
         self.saved = False
 
     def set_stored(self, record: PrimaryLeaseRecord) -> None:
-        """Use a record that is stored."""
-        self.record = record
-        self.saved = True
+        """Use a record that is stored; keep a newer primary that is still to be."""
+        if not self.saved and not record.has_primary_of(self.record):
+            self.record = record.with_primary_of(self.record)
+        else:
+            self.record = record
+            self.saved = True
         self.replaced = False
         self.registry.update(record, "own")
 
--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -161,6 +161,8 @@
 
     def handle_epoch(self) -> None:
         """Prepare for a restored store; the lease was valid at the restore."""
+        if self.claim.handle_epoch():
+            self.primary_unproven = True
         self.others.handle_epoch()
         self.written_again_at = float("-inf")
 
@@ -179,6 +181,8 @@
 
     async def check_once(self) -> None:
         """Run one check of the primary, the lease record and its holders."""
+        if self.claim.successor_pending and not await self.claim.settle():
+            return
         if not self.claim.saved:
             await self.claim.write(self.record)
         if self.primary_unproven:
@@ -460,6 +464,8 @@
         """Use a target if it is the primary of the current term.
 
         A restarted process of the recorded primary is not used.
+
+        :returns: whether it is used.
         """
         record = self.record
         if not status.is_primary or status.term < record.term:
@@ -468,22 +474,26 @@
             record.primary_started_at_ms
         ):
             return False
-        await self.record_and_use(entry, status)
-        return True
+        return await self.record_and_use(entry, status)
 
     async def record_and_use(
         self, entry: TargetAnnouncement, status: SessionTargetStatus
-    ) -> None:
-        """Record a target as the primary if necessary, and use it."""
-        record = self.record
-        recorded = (record.primary, record.term, record.primary_started_at_ms)
-        if record.successor or recorded != (
-            entry.target,
-            status.term,
-            entry.started_at_ms,
-        ):
-            await self.claim.write(record.with_primary(entry, status.term))
+    ) -> bool:
+        """Record a target as the primary if necessary, and use it.
+
+        While the stored record may name a successor, no target is used: whoever claims
+        the lease may promote that one at once.
+
+        :returns: whether it is used.
+        """
+        record = self.record.with_primary(entry, status.term)
+        if record != self.record and not await self.claim.write(record):
+            if self.record.successor or self.claim.successor_pending:
+                return False
+            # `check_once` writes it.
+            self.claim.set_unsaved(self.record.with_primary(entry, status.term))
         self.use_primary(entry, status)
+        return True
 
     # Change of primary
 
@@ -497,20 +507,24 @@
         if planned and self.home is not None:
             await self.until_quiet(self.home, DRAIN_TIMEOUT_SECONDS)
         if await self.promotion.decide_successor(
-            cause, old, planned, self.highest_position
+            cause, old, planned, self.highest_position, self.close_home
         ):
             await self.finish()
 
-    def expects_primary(self) -> bool:
-        return bool(self.record.successor) or super().expects_primary()
-
-    async def finish(self) -> None:
-        """Order the recorded promotion, and use the new primary."""
+    async def close_home(self) -> None:
+        """Stop using the primary; statements in progress get no reply."""
         self.ready.clear()
         home, self.home = self.home, None
         if home is not None:
             # Reads in progress are retried; the outcome of writes remains unknown.
             await home.close()
+
+    def expects_primary(self) -> bool:
+        return bool(self.record.successor) or super().expects_primary()
+
+    async def finish(self) -> None:
+        """Order the recorded promotion, and use the new primary."""
+        await self.close_home()
         promoted = await self.promotion.execute(lambda: not self.draining)
         if promoted is None:
             return
@@ -561,6 +575,8 @@
         if now - self.placement_checked_at < PLACEMENT_INTERVAL_SECONDS:
             return
         self.placement_checked_at = now
+        if not await self.claim.settle():
+            return
         better = self.ranking.better_holder(self.service, home.entry)
         if better is not None and await self.indirect_prober.transfer_lease(
             self.service, better, self.others.former_expired()
--- a/src/reedhook/process/primary_lease/lease_record.py
+++ b/src/reedhook/process/primary_lease/lease_record.py
@@ -227,6 +227,10 @@
         updated.successor_inherited = other.successor_inherited
         return updated
 
+    def has_primary_of(self, other: "PrimaryLeaseRecord") -> bool:
+        """Return whether primary, term and successor are those of another record."""
+        return self.with_primary_of(other) == self
+
     def set_former(self, former: list[HostIncarnation]) -> None:
         """Set the former holders, without duplicates; keep only the latest ones."""
         unique = list(dict.fromkeys(former))
--- a/src/reedhook/process/primary_lease/primary_replacement.py
+++ b/src/reedhook/process/primary_lease/primary_replacement.py
@@ -1,6 +1,6 @@
 """Replacement of a primary: choose a successor, record it, then promote it."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from ...clock import Clock
@@ -62,6 +62,7 @@
         old: TargetAnnouncement,
         planned: bool,
         highest_position: Position | None,
+        stop_use: Callable[[], Awaitable[None]],
     ) -> bool:
         """Choose a successor and record it; return whether it is stored.
 
@@ -70,9 +71,14 @@
         :param cause: recorded with the decision.
         :param planned: whether the primary still serves.
         :param highest_position: highest known position of the primary.
+        :param stop_use: stops this host's use of the primary. Called before the record
+            is written: another host that claims the lease promotes the successor at
+            once, even while this host does not know whether its write took effect.
         """
         epoch = self.claim.record.epoch
-        if not self.claim.current or not await self.others.stop_all():
+        if not self.claim.current or not await self.claim.settle():
+            return False
+        if not await self.others.stop_all():
             return False
         successor = await self.choose_successor(old, planned, highest_position)
         if successor is None:
@@ -80,6 +86,7 @@
                 "primary_change_cancelled", service=self.service, cause=cause
             )
             return False
+        await stop_use()
         if self.claim.record.epoch != epoch:
             # The record was written again meanwhile, so that the others may act anew.
             return False
