--- a/src/reedhook/process/primary_lease/lease_claim.py
+++ b/src/reedhook/process/primary_lease/lease_claim.py
@@ -32,8 +32,8 @@
     NOT_STORED = "not stored"
     """It is not stored and will not be."""
 
-    REPLACEABLE = "replaceable"
-    """The store still holds the record that it replaces; it may take effect later."""
+    UNDECIDED = "undecided"
+    """The store still holds the record before; the write may take effect later."""
 
     UNKNOWN = "unknown"
     """The store does not respond; it may be stored, or take effect later."""
@@ -156,7 +156,7 @@
             if self.pending is None:
                 break
             outcome = await self.attempt_write(self.pending)
-            if outcome is not WriteOutcome.REPLACEABLE:
+            if outcome is not WriteOutcome.UNDECIDED:
                 break
         if outcome in (WriteOutcome.STORED, WriteOutcome.NOT_STORED):
             self.pending = None
@@ -223,16 +223,16 @@
                 written=stored.encoded() == record.encoded(),
             )
         if self.keyspace.epoch.current > record.epoch:
-            # `handle_epoch` has processed the pending write.
+            # The write has no effect in the present epoch; see `handle_epoch`.
             return WriteOutcome.NOT_STORED
         if stored is None:
-            return WriteOutcome.REPLACEABLE
+            return WriteOutcome.UNDECIDED
         if stored.encoded() == record.encoded():
-            # No two records of this host are equal.
+            # Written by this host: the record names it and what it has decided.
             self.set_stored(stored)
             return WriteOutcome.STORED
         if stored.revision.number == record.revision.number:
-            return WriteOutcome.REPLACEABLE
+            return WriteOutcome.UNDECIDED
         self.handle_replaced(stored)
         return WriteOutcome.NOT_STORED
 
@@ -252,13 +252,10 @@
 
     def handle_replaced(self, stored: PrimaryLeaseRecord) -> None:
         """Process the record that has replaced the one known here."""
-        if not stored.confirmed or not self.is_named(stored):
-            self.registry.update(stored, "look")
-            return
-        # A write of this host before the last one took effect late. Keep the holders
-        # it names, since they may have read it. Keep the primary known here: it is
-        # newer, because no promotion is ordered after an unacknowledged write.
-        self.record = stored.with_primary_of(self.record)
+        self.registry.update(stored, "look")
+        if stored.confirmed and self.is_named(stored):
+            # Keep the holders that it names, since they may have read it.
+            self.record = stored if self.saved else stored.with_primary_of(self.record)
 
     def set_unsaved(self, record: PrimaryLeaseRecord) -> None:
         """Use a record that is still to be written to the store."""
--- a/tests/test_lease_claim.py
+++ b/tests/test_lease_claim.py
@@ -99,6 +99,80 @@
     assert claim.record == stored(store)
 
 
+@in_virtual_time
+async def test_late_write_is_repeated() -> None:
+    """Guards against a write that counts as not done and takes effect later."""
+    store = FakeStore()
+    claim = claim_at(store)
+    store.late["h1"] = 2.0
+    asyncio.get_running_loop().call_later(0.2, store.late.clear)
+    assert await claim.write(claim.record.with_successor(entry_of("m2")))
+    written = stored(store)
+    await asyncio.sleep(3.0)
+    assert claim.pending is None
+    assert stored(store) == written == claim.record
+
+
+@in_virtual_time
+async def test_nothing_else_is_written_before_a_pending_write_is_settled() -> None:
+    store = FakeStore()
+    claim = claim_at(store)
+    store.late["h1"] = 20.0
+    assert not await claim.write(claim.record.with_successor(entry_of("m2")))
+    assert claim.successor_pending
+    assert not await claim.write(claim.record.with_successor(entry_of("m3")))
+    store.late.clear()
+    assert await claim.settle()
+    assert stored(store).successor == claim.record.successor == "m2"
+
+
+@in_virtual_time
+async def test_write_that_a_claim_has_replaced_is_settled() -> None:
+    store = FakeStore()
+    claim = claim_at(store)
+    store.late["h1"] = 2.0
+    assert not await claim.write(claim.record.with_successor(entry_of("m2")))
+    store.write(lease_key("db"), claim.record.claimed_by(BACKUP).encoded())
+    assert await claim.settle()
+    await asyncio.sleep(3.0)
+    assert not claim.record.successor
+    assert stored(store).holder == BACKUP
+
+
+@in_virtual_time
+async def test_rejected_write_is_not_pending() -> None:
+    """The store states that nothing was done, so that the primary stays in use."""
+    store = FakeStore()
+    claim = claim_at(store)
+    store.declining.add("h1")
+    assert not await claim.write(claim.record.with_successor(entry_of("m2")))
+    assert not claim.successor_pending
+
+
+@in_virtual_time
+async def test_rejected_repetition_leaves_the_write_pending() -> None:
+    store = FakeStore()
+    claim = claim_at(store)
+    store.late["h1"] = 5.0
+    assert not await claim.write(claim.record.with_successor(entry_of("m2")))
+    store.declining.add("h1")
+    assert not await claim.settle()
+    assert claim.successor_pending
+
+
+@in_virtual_time
+async def test_pending_successor_has_to_be_proven_after_a_restore() -> None:
+    """Another host may have read the record, or the one that it replaces."""
+    store = FakeStore()
+    claim = claim_at(store)
+    store.late["h1"] = 20.0
+    assert not await claim.write(claim.record.with_successor(entry_of("m2")))
+    assert claim.handle_epoch()
+    assert claim.pending is None
+    assert claim.record.successor == "m2"
+    assert claim.record.successor_inherited
+
+
 @in_virtual_time
 async def test_revoked_lease_is_not_renewed_by_a_pending_read() -> None:
     store = FakeStore()
