Transfer a lease whose change of primary needs a store that does not respond

Callers saw: no primary for as long as only its holder lacks the store. Cause: a holder that waited for the outcome of its successor's record, or for the coordinator's role, never came to ask other hosts whether they reach the store. Change: such a holder uses no target, and asks a host that reaches the store to claim the lease; the claim settles which record counts. Result: both tests failed before (no new primary in 15 s) and pass.

--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -182,6 +182,7 @@
     async def check_once(self) -> None:
         """Run one check of the primary, the lease record and its holders."""
         if self.claim.successor_pending and not await self.claim.settle():
+            await self.transfer_to_any()
             return
         if not self.claim.saved:
             await self.claim.write(self.record)
@@ -527,11 +528,26 @@
         await self.close_home()
         promoted = await self.promotion.execute(lambda: not self.draining)
         if promoted is None:
+            if not await self.claim.refresh():
+                await self.transfer_to_any()
             return
         self.use_primary(promoted.entry, promoted.status)
         # If this write fails, `check_once` repeats it.
         await self.claim.write(self.record)
 
+    async def transfer_to_any(self) -> None:
+        """Transfer the lease to a host that reaches the store.
+
+        For a change of primary that needs the store, which does not respond here. This
+        host uses no target meanwhile, so that whoever claims the lease may act by the
+        record that the store holds.
+        """
+        entry = self.states.last_entry(self.record.primary)
+        if entry is None or self.draining:
+            return
+        observations = await self.indirect_prober.probe(entry)
+        await self.indirect_prober.transfer_lease_to_any(self.service, observations)
+
     async def demote_false_primaries(self) -> None:
         """Demote targets that wrongly claim to be primary."""
         now = self.clock.monotonic()
