Don't confirm a claim of a lease that this host is releasing

Cause: a host that was asked to claim a lease answered that it holds it, although it drained that lease for another host; the asker stopped asking and ended. Change: a lease that is being released does not count as held. Result: test_lease_is_not_handed_to_a_host_that_releases_it[True] failed before and passes.

--- a/src/reedhook/process/primary_lease/lease_manager.py
+++ b/src/reedhook/process/primary_lease/lease_manager.py
@@ -293,8 +293,9 @@
         :param alone_epoch: epoch in which the holder states that no earlier holder
             can still use the primary; None if it does not state it.
         """
-        if service in self.held:
-            return True
+        holder = self.held.get(service)
+        if holder is not None:
+            return not holder.draining
         if service in self.claiming:
             return False
         self.claiming.add(service)
