Hand over a lease that is acquired while this host shuts down

Cause: a claim that was in progress at SIGTERM completed after transfer_all had gone through the leases held; the host kept it until it was killed. Change: a lease that is acquired while the host leaves is transferred at once. Result: test_claim_that_ends_after_its_host_began_to_drain[0.24] failed before and passes.

--- a/src/reedhook/process/primary_lease/lease_manager.py
+++ b/src/reedhook/process/primary_lease/lease_manager.py
@@ -380,6 +380,9 @@
             )
             return False
         self.start_holding(record, requested_at)
+        if self.leaving:
+            # `transfer_all` did not see this lease.
+            self.background.spawn(self.transfer(service))
         return True
 
     def may_be_outdated(self, stored: PrimaryLeaseRecord | None) -> bool:
--- a/tests/test_claims_while_draining.py
+++ b/tests/test_claims_while_draining.py
@@ -33,3 +33,24 @@
     left = world.leader().me.host != second.me.host
     await world.end()
     assert left
+
+
+@pytest.mark.parametrize("store_seconds", [0.004, 0.24])
+def test_claim_that_ends_after_its_host_began_to_drain(store_seconds: float) -> None:
+    """Guards against a lease that a host acquires while it hands all leases over."""
+    run_virtual(drain_while_claiming(store_seconds))
+
+
+async def drain_while_claiming(store_seconds: float) -> None:
+    world = LateWriteWorld()
+    await world.start()
+    first = world.leader()
+    ranking = first.primary_leases.ranking.ranked("db")
+    second = next(world.hosts[ref.host] for ref in ranking if ref != first.me)
+    world.store.delay[second.me.host] = store_seconds
+    world.spawn(first.drain())
+    await asyncio.sleep(0.1)
+    await second.drain()
+    left = not second.primary_leases.held
+    await world.end()
+    assert left
