Don't take a failed answer of the store for a write that was not done

Cause: each answer but 200 counted as nothing was done, though only 4xx and 503 say so; a malformed 200 raised KeyError or ValueError, which would have ended the task that monitors a primary. Change: other server errors, and a success that can't be read, count as no answer.

--- a/src/reedhook/platform/store.py
+++ b/src/reedhook/platform/store.py
@@ -46,6 +46,9 @@
 ABSENT: Final = 404
 GONE: Final = 410
 CONFLICT: Final = 412
+SERVER_ERROR: Final = 500
+UNAVAILABLE: Final = 503
+"""The only server error that states that nothing was done."""
 
 MS_PER_SECOND: Final = 1000
 
@@ -135,12 +138,12 @@
             raise RevisionConflictError(f"{key} is not at {expected}")
         if answer.status == ABSENT:
             raise StoreLeaseExpiredError(f"there is no lease {lease}")
-        return StoreRevision(answer.epoch, int(require_ok(answer)["revision"]))
+        return StoreRevision(answer.epoch, read_number(answer, "revision"))
 
     async def grant_lease(self, seconds: float, timeout: float) -> int:
         body: Json = {"ttl_ms": int(seconds * MS_PER_SECOND)}
         answer = await self.request("POST", LEASE, {}, body, timeout)
-        return int(require_ok(answer)["lease"])
+        return read_number(answer, "lease")
 
     async def renew_lease(self, lease: int, timeout: float) -> None:
         answer = await self.request("POST", f"{KEEP}{lease}", {}, None, timeout)
@@ -237,11 +240,28 @@
 def require_ok(answer: StoreAnswer) -> Json:
     """Return the message of a successful response.
 
-    :raises StoreRejectedError: if the status is not 200.
+    :raises StoreRejectedError: if the status says that nothing was done.
+    :raises StoreUnansweredError: for any other status than 200.
     """
-    if answer.status != OK:
-        raise StoreRejectedError(f"the store responded with status {answer.status}")
-    return answer.message
+    if answer.status == OK:
+        return answer.message
+    cause = f"the store responded with status {answer.status}"
+    if answer.status < SERVER_ERROR or answer.status == UNAVAILABLE:
+        raise StoreRejectedError(cause)
+    raise StoreUnansweredError(cause)
+
+
+def read_number(answer: StoreAnswer, name: str) -> int:
+    """Return a number of the response to a call that changes the store.
+
+    :raises StoreRejectedError: if nothing was done.
+    :raises StoreUnansweredError: if the response is malformed.
+    """
+    message = require_ok(answer)
+    try:
+        return int(message[name])
+    except (LookupError, TypeError, ValueError) as error:
+        raise StoreUnansweredError(f"malformed response: {error!r}") from error
 
 
 def read_items(answer: StoreAnswer, name: str) -> Items:
