Ask a host again that was the backup holder since it confirmed its stop

What callers saw: nothing yet; found by reading. A host that confirmed as a former holder, became backup holder later and was then replaced as such was neither asked nor waited for before a promotion. Acting as backup holder, it would acknowledge commits at the old primary.

Cause: OtherHolders.stopped_incarnations was kept for the life of a holder. A later lease record that names the host ends what it has promised (it gives up the records up to a revision only), but not what the holder remembered.

Change: a confirmation ends when the claim's record names that incarnation as backup holder. It is looked up right before the backup holder is replaced, and not when it is named: a write that names it may take effect after the confirmation.

--- a/src/reedhook/process/primary_lease/other_holders.py
+++ b/src/reedhook/process/primary_lease/other_holders.py
@@ -26,7 +26,7 @@
 
     :ivar former_at: `Clock.boottime` when the latest host became a former holder.
     :ivar stopped_incarnations: incarnations of former holders that have confirmed that
-        they stopped.
+        they stopped, and were not backup holders since.
     """
 
     def __init__(
@@ -88,6 +88,15 @@
             >= LEASE_VALIDITY_SECONDS + EXPIRY_MARGIN_SECONDS
         )
 
+    def note_record(self) -> None:
+        """Process the record of the claim, which may have been written late.
+
+        Called before a backup holder is replaced, so that each one is noticed.
+        """
+        backup = self.claim.record.backup_holder
+        if backup is not None:
+            self.stopped_incarnations.discard(backup.incarnation)
+
     def handle_epoch(self) -> None:
         """Count unknown former holders from now: all their claims precede a restore."""
         self.former_at = self.clock.boottime()
@@ -160,6 +169,7 @@
 
     async def set_backup_holder(self, backup_holder: HostIncarnation | None) -> None:
         """Record the backup holder; the previous one becomes a former holder."""
+        self.note_record()
         record = self.claim.record
         if backup_holder == record.backup_holder:
             return
