Wait for a backup holder that a late write has replaced

What callers saw: nothing yet; found by reading. A backup holder that was replaced by a write without an answer counted as expired at once, so that a target was promoted while it could still act as backup holder at the old primary.

Cause: OtherHolders.former_at was renewed only where the write of the record was acknowledged. A record that is stored late reaches the claim by a read.

Change: the time counts anew whenever the claim's record names a former holder that was not noticed before. One that is backup holder again does not count as noticed until it is replaced again. A record that names no further former holder, such as the first one with a backup holder, renews nothing.

Measured: two tests of tests/test_other_holders.py failed before (former_expired was true at once, and stop_all did not ask), and pass now.

--- a/src/reedhook/process/primary_lease/other_holders.py
+++ b/src/reedhook/process/primary_lease/other_holders.py
@@ -24,7 +24,8 @@
 class OtherHolders:
     """Choose the backup holder, and stop former holders and the backup holder.
 
-    :ivar former_at: `Clock.boottime` when the latest host became a former holder.
+    :ivar former_at: `Clock.boottime` when the latest former holder was first noticed.
+    :ivar former: former holders noticed in the record, without its backup holder.
     :ivar stopped_incarnations: incarnations of former holders that have confirmed that
         they stopped, and were not backup holders since.
     """
@@ -46,7 +47,9 @@
         self.clock = clock
         self.decisions = decisions
         self.former_at = clock.boottime()
+        self.former: set[HostIncarnation] = set()
         self.stopped_incarnations: set[str] = set()
+        self.note_record()
 
     async def stop_all(self) -> bool:
         """Have all others stop; return whether none can use the primary.
@@ -83,6 +86,7 @@
 
     def former_expired(self) -> bool:
         """Return whether the leases of all former holders have expired."""
+        self.note_record()
         return (
             self.clock.boottime() - self.former_at
             >= LEASE_VALIDITY_SECONDS + EXPIRY_MARGIN_SECONDS
@@ -91,11 +95,17 @@
     def note_record(self) -> None:
         """Process the record of the claim, which may have been written late.
 
-        Called before a backup holder is replaced, so that each one is noticed.
+        Called before a backup holder is replaced, so that each one is noticed. The
+        lease of a former holder counts until the record that replaced it took effect,
+        which is no later than when this host first knows of that record.
         """
         backup = self.claim.record.backup_holder
         if backup is not None:
             self.stopped_incarnations.discard(backup.incarnation)
+        former = {one for one in self.claim.record.former if one != backup}
+        if not former <= self.former:
+            self.former_at = self.clock.boottime()
+        self.former = former
 
     def handle_epoch(self) -> None:
         """Count unknown former holders from now: all their claims precede a restore."""
@@ -173,8 +183,8 @@
         record = self.claim.record
         if backup_holder == record.backup_holder:
             return
-        if await self.claim.write(record.with_backup_holder(backup_holder)):
-            self.former_at = self.clock.boottime()
+        await self.claim.write(record.with_backup_holder(backup_holder))
+        self.note_record()
 
     async def forget_former(self) -> None:
         """Remove former holders from the record once their leases have expired."""
--- a/tests/test_other_holders.py
+++ b/tests/test_other_holders.py
@@ -14,6 +14,10 @@
 )
 from reedhook.process.primary_lease.holder_ranking import LeaseHolderRanking
 from reedhook.process.primary_lease.lease_record import HostIncarnation
+from reedhook.process.primary_lease.lease_validity import (
+    EXPIRY_MARGIN_SECONDS,
+    LEASE_VALIDITY_SECONDS,
+)
 from reedhook.process.primary_lease.other_holders import OtherHolders
 from reedhook.wire import Json
 
@@ -22,6 +26,8 @@
 from .test_lease_claim import BACKUP, claim_at
 
 SECOND = HostIncarnation(HostRef("h3", "z3", "10.0.0.3:1"), "c")
+WAIT_SECONDS = LEASE_VALIDITY_SECONDS + EXPIRY_MARGIN_SECONDS
+ROUNDING_SECONDS = 1e-6
 
 
 class StoppedPeers(PeerClient):
@@ -92,3 +98,45 @@
     assert others.claim.record.backup_holder == BACKUP
     await others.set_backup_holder(SECOND)
     assert BACKUP in others.unconfirmed_former()
+
+
+@in_virtual_time
+async def test_backup_holder_replaced_by_a_late_write_is_waited_for() -> None:
+    """Guards against a former backup holder that counts as expired at once."""
+    store = FakeStore()
+    others, peers = others_at(store)
+    await others.set_backup_holder(BACKUP)
+    await asyncio.sleep(WAIT_SECONDS)
+    assert others.former_expired()
+    store.late["h1"] = 2.0
+    await others.set_backup_holder(SECOND)
+    store.late.clear()
+    await asyncio.sleep(2.0)
+    await others.claim.refresh()
+    assert others.claim.record.former == [BACKUP]
+    peers.silent.add("h2")
+    assert not await others.stop_all()
+    await asyncio.sleep(WAIT_SECONDS - ROUNDING_SECONDS)
+    assert not others.former_expired()
+    await asyncio.sleep(2 * ROUNDING_SECONDS)
+    assert others.former_expired()
+    assert await others.stop_all()
+
+
+@in_virtual_time
+async def test_former_holder_that_is_backup_holder_again_is_waited_for() -> None:
+    """Guards against a wait that counts from when the host was replaced first."""
+    store = FakeStore()
+    others, peers = others_at(store)
+    await others.set_backup_holder(BACKUP)
+    await others.set_backup_holder(SECOND)
+    await others.set_backup_holder(BACKUP)
+    await asyncio.sleep(WAIT_SECONDS)
+    store.late["h1"] = 2.0
+    await others.set_backup_holder(SECOND)
+    store.late.clear()
+    await asyncio.sleep(2.0)
+    await others.claim.refresh()
+    assert others.claim.record.former == [BACKUP, SECOND]
+    assert others.claim.record.backup_holder == SECOND
+    assert not others.former_expired()
