Check in a test that the backup holder of a late write is replaced

Since a write may stay pending, set_backup_holder may only settle the one before. The test now settles it first and checks the record; it passes as before.

--- a/tests/test_other_holders.py
+++ b/tests/test_other_holders.py
@@ -95,8 +95,10 @@
     assert await others.confirm_stopped(BACKUP)
     await asyncio.sleep(2.0)
     await others.claim.refresh()
+    assert await others.claim.settle()
     assert others.claim.record.backup_holder == BACKUP
     await others.set_backup_holder(SECOND)
+    assert others.claim.record.backup_holder == SECOND
     assert BACKUP in others.unconfirmed_former()
 
 
