Bind the statement of a sole holder to the record that it knew

What callers saw: nothing yet; found by reading. A holder that hands its lease over states that no former holder is left. If its backup holder was replaced before the claim, the claim dropped the replaced one from the record, so that the next holder promoted without asking or waiting for it.

Cause: the statement was bound to an epoch of the store only. The write that replaces the backup holder may take effect late, or be sent by the monitor of the holder while the handover waits. A transfer to a better placed host stated nothing about the epoch, which counted as epoch 0.

Change: the request to claim names the order (epoch and revision number) of the record, and the statement counts for exactly this one. A request without an order states nothing; that of an earlier version only costs the next holder a wait. The test of a statement from before a restore sends the order that its holder knew then.

--- a/src/reedhook/process/primary_lease/indirect_prober.py
+++ b/src/reedhook/process/primary_lease/indirect_prober.py
@@ -11,6 +11,7 @@
 from ...version.route_table import TargetAnnouncement
 from ...wire import Json, string_field
 from ..discovery.announcements import Announcements
+from ..discovery.store_revision import StoreRevision
 from ..fleet.membership_table import MembershipTable
 from .target_status import TargetStatusClient
 
@@ -121,17 +122,16 @@
         self,
         service: str,
         host: HostRef,
-        no_former_holders: bool = False,
-        epoch: int = 0,
+        sole_holder_at: StoreRevision | None = None,
     ) -> bool:
         """Transfer the lease of a service to a host; return whether it accepts.
 
-        :param no_former_holders: whether no earlier holder can still use the primary.
-        :param epoch: epoch of the record for which that is so.
+        :param sole_holder_at: order of the record of which no former holder is left; see
+            `OtherHolders.sole_holder_at`.
         """
-        body: Json = {"service": service, "alone": no_former_holders}
-        if epoch:
-            body["epoch"] = epoch
+        body: Json = {"service": service}
+        if sole_holder_at is not None:
+            body["alone"] = sole_holder_at.to_json()
         try:
             answer = await self.peers.call(
                 host, CLAIM_PATH, body, CLAIM_TIMEOUT_SECONDS
--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -579,7 +579,7 @@
             return
         better = self.ranking.better_holder(self.service, home.entry)
         if better is not None and await self.indirect_prober.transfer_lease(
-            self.service, better, self.others.former_expired()
+            self.service, better, self.others.sole_holder_at()
         ):
             self.decisions.record(
                 "lease_transferred", service=self.service, to=better.host
--- a/src/reedhook/process/primary_lease/lease_manager.py
+++ b/src/reedhook/process/primary_lease/lease_manager.py
@@ -9,7 +9,7 @@
 from ...decision_log import DecisionLog
 from ...peer import PeerClient, PeerError, PeerRoutes
 from ...request.refusal import RefusalError, RefusalReason, not_run
-from ...wire import Json, WireError, non_negative_int_field, string_field
+from ...wire import Json, WireError, string_field
 from ..discovery.announcements import Announcements
 from ..discovery.key_value_store import (
     KeyValueStore,
@@ -128,7 +128,7 @@
         if isinstance(records, dict):
             self.registry.merge(records, "peer")
         service = string_field(body, "service")
-        await self.backup_holders.relinquish(service, requested_revision(body))
+        await self.backup_holders.relinquish(service, revision_field(body, "revision"))
         return {
             "life": self.me.incarnation,
             "holds": not await self.has_released(service),
@@ -156,13 +156,11 @@
             # Fail fast, so that the holder asks another host or retries the store.
             return {"taken": False}
         service = string_field(body, "service")
-        alone_epoch = None
-        if body.get("alone") is True:
-            alone_epoch = (
-                non_negative_int_field(body, "epoch") if "epoch" in body else 0
-            )
+        sole_holder_at = revision_field(body, "alone")
         return {
-            "taken": await self.claim(service, requested=True, alone_epoch=alone_epoch)
+            "taken": await self.claim(
+                service, requested=True, sole_holder_at=sole_holder_at
+            )
         }
 
     async def answer_records(self, body: Json) -> Json:
@@ -284,14 +282,17 @@
         return bool(self.ranking.primary_zone(service))
 
     async def claim(
-        self, service: str, requested: bool, alone_epoch: int | None = None
+        self,
+        service: str,
+        requested: bool,
+        sole_holder_at: StoreRevision = NO_REVISION,
     ) -> bool:
         """Claim the lease of a service; return whether this host holds it.
 
         :param requested: whether the holder requests it, so that the lease need not
             be vacant.
-        :param alone_epoch: epoch in which the holder states that no earlier holder
-            can still use the primary; None if it does not state it.
+        :param sole_holder_at: order of the record for which the holder states that no
+            earlier holder can still use the primary; `NO_REVISION` if it does not.
         """
         if service in self.held:
             return True
@@ -300,7 +301,7 @@
         self.claiming.add(service)
         self.tried_at[service] = self.clock.monotonic()
         try:
-            return await self.claim_at_store(service, requested, alone_epoch)
+            return await self.claim_at_store(service, requested, sole_holder_at)
         except StoreUnansweredError as error:
             self.decisions.record(
                 "lease_not_acquired", service=service, error=str(error)
@@ -351,7 +352,7 @@
         return {"taken": await self.claim(service, requested=False)}
 
     async def claim_at_store(
-        self, service: str, requested: bool, alone_epoch: int | None
+        self, service: str, requested: bool, sole_holder_at: StoreRevision
     ) -> bool:
         """Write this host as the holder into the stored record.
 
@@ -367,7 +368,7 @@
         if stored is not None or self.may_be_outdated(stored):
             if not requested and not self.is_claimable(service):
                 return False
-        record = self.record_to_claim(service, stored, alone_epoch)
+        record = self.record_to_claim(service, stored, sole_holder_at)
         requested_at = self.clock.boottime()
         revision = await self.keyspace.put(
             key, record.encoded(), record.revision, STORE_TIMEOUT_SECONDS
@@ -388,12 +389,16 @@
         return not stored.confirmed
 
     def record_to_claim(
-        self, service: str, stored: PrimaryLeaseRecord | None, alone_epoch: int | None
+        self,
+        service: str,
+        stored: PrimaryLeaseRecord | None,
+        sole_holder_at: StoreRevision,
     ) -> PrimaryLeaseRecord:
         """Return the record that names this host as the holder.
 
-        A restore may have lost the claim of a host that the statement did not know, so
-        that it holds for the epoch in which it was made.
+        The statement of the holder holds only for the record for which it was made: a
+        write may have replaced the backup holder since, and a restore may have lost the
+        claim of another host.
         """
         if self.may_be_outdated(stored):
             revision = StoreRevision(self.keyspace.epoch.current, 0)
@@ -406,7 +411,7 @@
             )
         if stored.holder == self.me:
             return stored
-        return stored.claimed_by(self.me, alone_epoch == stored.epoch)
+        return stored.claimed_by(self.me, sole_holder_at == stored.order)
 
     def start_holding(self, record: PrimaryLeaseRecord, requested_at: float) -> None:
         """Start to use the primary under a claimed lease."""
@@ -463,11 +468,8 @@
             if host.host == self.me.ref.host:
                 continue
             holder = self.held.get(service)
-            no_former_holders = holder is not None and holder.others.former_expired()
-            epoch = 0 if holder is None else holder.record.epoch
-            if await self.indirect_prober.transfer_lease(
-                service, host, no_former_holders, epoch
-            ):
+            sole_holder_at = None if holder is None else holder.others.sole_holder_at()
+            if await self.indirect_prober.transfer_lease(service, host, sole_holder_at):
                 self.decisions.record(
                     "lease_transferred", service=service, to=host.host
                 )
@@ -487,9 +489,9 @@
         self.held.clear()
 
 
-def requested_revision(body: Json) -> StoreRevision:
-    """Return the revision of a request, or `NO_REVISION` if it has none."""
+def revision_field(body: Json, name: str) -> StoreRevision:
+    """Return a revision in a request, or `NO_REVISION` if it has none."""
     try:
-        return StoreRevision.from_json(body.get("revision"))
+        return StoreRevision.from_json(body.get(name))
     except WireError:
         return NO_REVISION
--- a/src/reedhook/process/primary_lease/other_holders.py
+++ b/src/reedhook/process/primary_lease/other_holders.py
@@ -8,6 +8,7 @@
 from ...decision_log import DecisionLog
 from ...peer import HostRef, PeerClient, PeerError
 from ...request.refusal import RefusalError
+from ..discovery.store_revision import StoreRevision
 from .holder_failure_detector import HolderFailureDetector
 from .holder_ranking import LeaseHolderRanking
 from .lease_claim import LeaseClaim
@@ -92,6 +93,13 @@
             >= LEASE_VALIDITY_SECONDS + EXPIRY_MARGIN_SECONDS
         )
 
+    def sole_holder_at(self) -> StoreRevision | None:
+        """Return the order of the record if no former holder of it can use the primary.
+
+        Any later record may name another one. None if some may still use it.
+        """
+        return self.claim.record.order if self.former_expired() else None
+
     def note_record(self) -> None:
         """Process the record of the claim, which may have been written late.
 
--- a/tests/late_write_world.py
+++ b/tests/late_write_world.py
@@ -26,6 +26,11 @@
     return bool(record["successor"])
 
 
+def names_other_backup_holder(host: str) -> Callable[[Json], bool]:
+    """Return a condition: a lease record names another backup holder than `host`."""
+    return lambda record: bool(record["deputy"]) and record["deputy"]["ref"][0] != host
+
+
 class LateWriteWorld(SessionWorld):
     """Run hosts whose next write of a chosen lease record takes effect late.
 
--- a/tests/test_lease_epoch_requests.py
+++ b/tests/test_lease_epoch_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from reedhook.process.primary_lease.lease_record import PrimaryLeaseRecord
 from reedhook.wire import decode
 
 from .fakes_clock import run_virtual
@@ -20,6 +21,12 @@
     holder = world.leader().me
     world.copy("recent")
     backup = world.backup_holder().me
+    item = world.store.items[LEASE_KEY]
+    # Sent by the holder before the restore; `other` was paused since, say.
+    body = {
+        "service": "db",
+        "alone": PrimaryLeaseRecord.from_item(item).order.to_json(),
+    }
     isolate(world, holder)
     world.store.declining.add(backup.host)
     await asyncio.sleep(2.5)
@@ -34,8 +41,6 @@
     await asyncio.sleep(0.5)
     assert world.leader().me == holder
     other = next(r for r in world.refs if r not in (holder, claimer, backup))
-    # Sent by the holder before the restore; `other` was paused since, say.
-    body = {"service": "db", "alone": True}
     await world.hosts[other.host].primary_leases.handle_claim(body)
     record = decode(world.store.items[LEASE_KEY].value or b"")
     former = world.group.primary
