--- a/src/reedhook/process/primary_lease/other_holders.py
+++ b/src/reedhook/process/primary_lease/other_holders.py
@@ -8,6 +8,7 @@
 from ...decision_log import DecisionLog
 from ...peer import HostRef, PeerClient, PeerError
 from ...request.refusal import RefusalError
+from ..discovery.store_revision import StoreRevision
 from .holder_failure_detector import HolderFailureDetector
 from .holder_ranking import LeaseHolderRanking
 from .lease_claim import LeaseClaim
@@ -24,9 +25,10 @@
 class OtherHolders:
     """Choose the backup holder, and stop former holders and the backup holder.
 
-    :ivar former_at: `Clock.boottime` when the latest host became a former holder.
+    :ivar former_at: `Clock.boottime` when the latest former holder was first noticed.
+    :ivar former: former holders noticed in the record, without its backup holder.
     :ivar stopped_incarnations: incarnations of former holders that have confirmed that
-        they stopped.
+        they stopped, and were not backup holders since.
     """
 
     def __init__(
@@ -46,7 +48,9 @@
         self.clock = clock
         self.decisions = decisions
         self.former_at = clock.boottime()
+        self.former: set[HostIncarnation] = set()
         self.stopped_incarnations: set[str] = set()
+        self.note_record()
 
     async def stop_all(self) -> bool:
         """Have all others stop; return whether none can use the primary.
@@ -83,11 +87,34 @@
 
     def former_expired(self) -> bool:
         """Return whether the leases of all former holders have expired."""
+        self.note_record()
         return (
             self.clock.boottime() - self.former_at
             >= LEASE_VALIDITY_SECONDS + EXPIRY_MARGIN_SECONDS
         )
 
+    def sole_holder_at(self) -> StoreRevision | None:
+        """Return the order of the record if no former holder of it can use the primary.
+
+        Any later record may name another one. None if some may still use it.
+        """
+        return self.claim.record.order if self.former_expired() else None
+
+    def note_record(self) -> None:
+        """Process the record of the claim, which may have been written late.
+
+        Called before a backup holder is replaced, so that each one is noticed. The
+        lease of a former holder counts until the record that replaced it took effect,
+        which is no later than when this host first knows of that record.
+        """
+        backup = self.claim.record.backup_holder
+        if backup is not None:
+            self.stopped_incarnations.discard(backup.incarnation)
+        former = {one for one in self.claim.record.former if one != backup}
+        if not former <= self.former:
+            self.former_at = self.clock.boottime()
+        self.former = former
+
     def handle_epoch(self) -> None:
         """Count unknown former holders from now: all their claims precede a restore."""
         self.former_at = self.clock.boottime()
@@ -160,11 +187,12 @@
 
     async def set_backup_holder(self, backup_holder: HostIncarnation | None) -> None:
         """Record the backup holder; the previous one becomes a former holder."""
+        self.note_record()
         record = self.claim.record
         if backup_holder == record.backup_holder:
             return
-        if await self.claim.write(record.with_backup_holder(backup_holder)):
-            self.former_at = self.clock.boottime()
+        await self.claim.write(record.with_backup_holder(backup_holder))
+        self.note_record()
 
     async def forget_former(self) -> None:
         """Remove former holders from the record once their leases have expired."""
