Don't take a stall of this host's event loop for a dead target

Such a refusal has one source: the failure detector of the target marked it unreachable. Cause: the detector ended its three probes by timers. A probe takes 8 iterations of the loop (6 to connect, 2 to ask for the state); if each iteration is late by 50 ms or more, the timers end the check after 6, so that it fails whatever the target does. The state poll, which starts the check, ends by such a timer as well. Then all statements of the host at that target are dropped or refused until a probe succeeds. Change: the check waits in parts of 10 ms, of which a stall uses up one only: 30 iterations of a stalled loop, and 150 ms as before on a loop that is on time. The probes' own timeouts no longer end them before the check does.

--- a/src/reedhook/connection/target_failure_detector.py
+++ b/src/reedhook/connection/target_failure_detector.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from ..clock import Clock
+from .stalled_loop import wait_for_first
 from .target import MemberState, TargetError, TargetFullError
 from .target_connection_pool import PoolExhaustedError, TargetConnectionPool
 
@@ -18,8 +19,9 @@
 PROBE_INTERVAL_SECONDS: Final = 0.05
 """Delay before the next probe starts, and after the last one."""
 
-PROBE_WINDOW_SECONDS: Final = MAX_PROBES * PROBE_INTERVAL_SECONDS
-"""Time within which one of the probes must be answered."""
+PROBE_TIMEOUT_SECONDS: Final = 60.0
+"""Timeout of a probe. The end of the check cancels it long before, and without
+counting the time in which the loop of this host was stalled, which a timeout would."""
 
 PROBE_RESULT_VALIDITY_SECONDS: Final = 0.1
 """Time after a successful probe in which no new one is needed."""
@@ -113,11 +115,7 @@
         try:
             for _ in range(MAX_PROBES):
                 pending.add(loop.create_task(self.probe_once()))
-                done, pending = await asyncio.wait(
-                    pending,
-                    timeout=PROBE_INTERVAL_SECONDS,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
+                done, pending = await wait_for_first(pending, PROBE_INTERVAL_SECONDS)
                 if any(probe.result() for probe in done):
                     return True
             return False
@@ -133,7 +131,7 @@
         """
         sent_at = self.clock.monotonic()
         try:
-            connection = await self.pool.open_control(PROBE_WINDOW_SECONDS)
+            connection = await self.pool.open_control(PROBE_TIMEOUT_SECONDS)
         except PoolExhaustedError:
             return self.unreachable_since is None
         except TargetFullError:
@@ -141,7 +139,7 @@
         except TargetError:
             return False
         try:
-            state = await connection.state(PROBE_WINDOW_SECONDS)
+            state = await connection.state(PROBE_TIMEOUT_SECONDS)
         except BaseException as error:
             self.pool.discard(connection)
             if isinstance(error, TargetError):
--- a/tests/fakes_clock.py
+++ b/tests/fakes_clock.py
@@ -23,15 +23,18 @@
     """Advance virtual time instead of waiting.
 
     :ivar now: virtual time in seconds.
+    :ivar stall: seconds by which each iteration of the loop is late.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
+        self.stall = 0.0
 
     def select(
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
+        self.now += self.stall
         if timeout is not None:
             ready = super().select(0)
             if not ready:
@@ -70,6 +73,13 @@
     return run_test
 
 
+def stall_loop(seconds: float) -> None:
+    """Make each iteration of the running virtual loop late; 0 ends the stall."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualLoop)
+    loop.selector.stall = seconds
+
+
 class LoopClock(Clock):
     """Read the time of the running loop; each host has its own clock.
 
--- a/tests/fakes_target.py
+++ b/tests/fakes_target.py
@@ -35,6 +35,7 @@
 
     Delays are in seconds of loop time, so that virtual time works.
 
+    :ivar connect_turns: iterations of the loop that opening a connection takes.
     :ivar service: time that a statement takes; `service_of` overrides it by SQL.
     :ivar slots: concurrent statements; the others wait inside the target.
     :ivar dead: nothing answers, connecting hangs, open connections are silent.
@@ -65,6 +66,7 @@
         self.slots = slots
         self.service = service
         self.connect_delay = connect_delay
+        self.connect_turns = 0
         self.service_of: Callable[[str], float] | None = None
         self.dead = False
         self.refusing = False
@@ -107,6 +109,8 @@
         if self.refusing:
             raise TargetUnreachableError("connection refused")
         await asyncio.sleep(min(self.connect_delay, timeout))
+        for _ in range(self.connect_turns):
+            await asyncio.sleep(0)
         if self.dead:
             await asyncio.sleep(max(timeout - self.connect_delay, 0.0))
             raise TargetUnreachableError("no answer")
