Close busy sessions of a stopping host with an answer

Callers saw: a host that got SIGTERM served busy sessions for 4.8 s more and then ended in the middle of their statements.

Cause: sessions were closed by a poll that had to find them idle for 30 ms. A busy session, one with pipelined statements or a transaction with a statement in progress never looked idle; nothing refused a statement before the process ended, and the listener was open until then.

Change: DrainSchedule gives each session a time to close, between the end of rotation (2.2 s) and half of grace_s. From then on it closes with the next answer that leaves it idle. Statements are accepted only if their timeout ends before the process does, later ones and START are refused as not run, with a retry delay; nothing runs after a refused statement of a pipeline. Open transactions keep half of grace_s; a busy one is aborted after its answer, and its next statement is told ABORTED instead of MALFORMED. The listener closes before the last sessions.

--- a/src/reedhook/connection/session.py
+++ b/src/reedhook/connection/session.py
@@ -8,6 +8,7 @@
 from ..decision_log import DecisionLog
 from ..metrics import Metrics
 from ..process.discovery.announcements import Announcements
+from ..process.drain_schedule import DrainSchedule
 from ..record import Record
 from ..request.authorization import Authorizer
 from ..request.position import Position
@@ -129,6 +130,7 @@
     :param key_digest: digest of the caller's key; empty without a key.
     :ivar workspace: workspace of the last statement; empty for none.
     :ivar overloaded: the last statement, if it was refused for overload.
+    :ivar abort_cause: why this host aborted the transaction, until the caller is told.
     """
 
     def __init__(
@@ -139,6 +141,7 @@
         router: SessionRouter,
         announcements: Announcements,
         authorization: Authorizer,
+        drain_schedule: DrainSchedule,
         clock: Clock,
         decisions: DecisionLog,
         metrics: Metrics,
@@ -148,6 +151,7 @@
         self.key_digest = key_digest
         self.workspace = ""
         self.authorization = authorization
+        self.drain_schedule = drain_schedule
         self.router = router
         self.announcements = announcements
         self.clock = clock
@@ -163,6 +167,7 @@
         self.busy = False
         self.committing = False
         self.overloaded: OverloadedStatement | None = None
+        self.abort_cause = ""
         self.background = BackgroundTasks(decisions, session=name)
 
     async def run(self, id: str, command: SessionCommand) -> SessionReply:
@@ -181,6 +186,15 @@
         self.record_statement(id, command, reply, self.clock.monotonic() - started)
         return reply
 
+    def refuse(
+        self, id: str, command: SessionCommand, refusal: RefusalError
+    ) -> SessionReply:
+        """Return the reply to a statement that is refused before it runs."""
+        self.committing = command.kind is SessionCommandKind.COMMIT
+        reply = self.reply_from_refusal(refusal)
+        self.record_statement(id, command, reply, 0.0)
+        return reply
+
     def note_overload(
         self, command: SessionCommand, reply: SessionReply, started: float
     ) -> None:
@@ -258,10 +272,18 @@
 
     async def answer_failed(self, kind: SessionCommandKind) -> SessionReply:
         """Answer a statement in a failed transaction, which can only be ended."""
+        cause, self.abort_cause = self.abort_cause, ""
         if kind is SessionCommandKind.ROLLBACK:
             return self.roll_back()
         if kind is SessionCommandKind.COMMIT:
             self.end_transaction()
+        if cause:
+            raise not_run(
+                RefusalReason.TRANSACTION_LOST,
+                f"the transaction was rolled back: {cause}",
+                RETRY_MS,
+            )
+        if kind is SessionCommandKind.COMMIT:
             raise not_run(RefusalReason.TRANSACTION_LOST, "the transaction has failed")
         raise bad_request_refusal(
             "the transaction has failed; only commit or rollback is accepted"
@@ -289,6 +311,7 @@
         """Begin a transaction locally; see `SessionTransaction`."""
         if self.state is not SessionState.IDLE:
             raise bad_request_refusal("a transaction is open already")
+        self.drain_schedule.check_transaction()
         self.renew_route()
         self.begun += 1
         self.transaction = SessionTransaction(
@@ -324,7 +347,9 @@
         if transaction is None:
             if kind is SessionStatementKind.COMMIT:
                 raise bad_request_refusal("no transaction is open")
-            self.authorize(self.renew_route())
+            route = self.renew_route()
+            self.authorize(route)
+            self.drain_schedule.check_statement(route.statement_timeout_seconds)
             return await self.run_single(id, command, kind)
         assert self.route is not None
         self.authorize(self.route)
@@ -466,7 +491,7 @@
             kind=kind,
             id=id,
             text=command.text,
-            remaining=route.statement_timeout_seconds,
+            remaining=self.drain_schedule.limit(route.statement_timeout_seconds),
             soft_deadline_seconds=route.latency_objective_seconds,
             database=route.database,
             priority=route.priority,
@@ -539,6 +564,7 @@
         )
         self.end_transaction()
         self.state = SessionState.FAILED
+        self.abort_cause = cause
 
     def close(self) -> None:
         """End the session after the caller has disconnected."""
--- a/src/reedhook/platform/caller_listener.py
+++ b/src/reedhook/platform/caller_listener.py
@@ -8,7 +8,8 @@
 from ..connection.session import Session, SessionReply
 from ..connection.session_state import SessionState
 from ..connection.session_target import StatementFault
-from ..process.caller_sessions import CallerConnection, CallerSessions
+from ..process.caller_sessions import HOST_ENDS, CallerConnection, CallerSessions
+from ..process.drain_schedule import stopping_refusal
 from ..request.caller_presence import PRESENCE, CallerPresence
 from ..request.refusal import RefusalError, RefusalReason
 from ..request.verdict import Verdict
@@ -25,6 +26,10 @@
 """Idle time before a draining host closes a session, so that a statement already
 in transit arrives first."""
 
+OPENING_GRACE_SECONDS: Final = 0.2
+"""The same before the first line and the first statement of a session, which its
+caller sends at once."""
+
 IN_DOUBT_CODE: Final = "INDOUBT"
 NOT_RUN_CODE: Final = "BUSY"
 REASON_CODES: Final = {
@@ -41,7 +46,13 @@
 
 
 class CallerProtocol(asyncio.Protocol, CallerConnection):
-    """Serve one caller and run its statements one at a time."""
+    """Serve one caller and run its statements one at a time.
+
+    :ivar pipelined: received statements that still run before a session closes that
+        is due; None while it is not due.
+    :ivar refusing: whether this session refuses all further statements. None may run
+        after a refused one, which it may depend on.
+    """
 
     def __init__(self, callers: CallerSessions) -> None:
         self.callers = callers
@@ -53,14 +64,17 @@
         self.session: Session | None = None
         self.serving = False
         self.ended = False
-        self.idle_since = 0.0
+        self.pipelined: int | None = None
+        self.refusing = False
+        self.quiet_at = 0.0
         self.presence = CallerPresence()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start serving; called by the event loop."""
         self.transport = cast(asyncio.Transport, transport)
         self.callers.connections.add(self)
-        self.idle_since = self.callers.clock.monotonic()
+        self.mark_idle(OPENING_GRACE_SECONDS)
+        self.close_at = self.callers.drain_schedule.closing_time()
         self.task = asyncio.get_running_loop().create_task(self.serve())
 
     def data_received(self, data: bytes) -> None:
@@ -138,7 +152,7 @@
         self.write(
             encode_line("READY", text.STATE_LETTERS[SessionState.IDLE], text.NONE)
         )
-        self.mark_idle()
+        self.mark_idle(OPENING_GRACE_SECONDS)
         return True
 
     async def answer_all(self) -> None:
@@ -153,27 +167,60 @@
             if word != "QUERY" or not id or not statement:
                 self.write(encode_line("ERROR", "MALFORMED", "QUERY is expected"))
                 return
-            self.serving = True
-            reply = await self.session.run(id, text.read_command(statement))
-            self.serving = False
+            reply = await self.answer(self.session, id, statement)
             self.write(encode_reply(reply))
-            if reply.ends:
+            if reply.ends or self.closes_now(self.session):
                 return
-            self.mark_idle()
+            self.mark_idle(IDLE_GRACE_SECONDS)
+
+    async def answer(self, session: Session, id: str, statement: str) -> SessionReply:
+        """Run a statement, or refuse it if the session is about to close."""
+        command = text.read_command(statement)
+        if self.refusing or self.pipelined == 0 and session.state is SessionState.IDLE:
+            self.refusing = True
+            return session.refuse(id, command, stopping_refusal())
+        if self.pipelined:
+            self.pipelined -= 1
+        self.serving = True
+        reply = await session.run(id, command)
+        self.serving = False
+        refusal = reply.refusal
+        if refusal is not None and refusal.reason is RefusalReason.DRAINING:
+            self.refusing = True
+        if self.callers.drain_schedule.are_transactions_over():
+            session.abort(HOST_ENDS)
+        return reply
 
-    def mark_idle(self) -> None:
-        """Record the time since which no statement is in progress."""
-        self.idle_since = self.callers.clock.monotonic()
+    def closes_now(self, session: Session) -> bool:
+        """Return whether a session that is due closes with the answer just sent.
+
+        Statements that were received before it was due run first.
+        """
+        if not self.refusing and self.callers.clock.monotonic() < self.close_at:
+            return False
+        if self.pipelined is None:
+            self.pipelined = len(self.lines)
+        return not self.lines and session.state is SessionState.IDLE
+
+    def mark_idle(self, grace: float) -> None:
+        """Record that no statement is in progress.
+
+        :param grace: seconds until a statement in transit has arrived.
+        """
+        self.quiet_at = self.callers.clock.monotonic() + grace
 
     def write(self, data: bytes) -> None:
         """Send bytes, unless the connection is closing."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
-    def is_idle(self) -> bool:
+    def is_quiet(self) -> bool:
         if self.serving or self.lines:
             return False
-        if self.callers.clock.monotonic() - self.idle_since < IDLE_GRACE_SECONDS:
+        return self.callers.clock.monotonic() >= self.quiet_at
+
+    def is_idle(self) -> bool:
+        if not self.is_quiet():
             return False
         return self.session is None or self.session.state is SessionState.IDLE
 
--- a/src/reedhook/process/caller_sessions.py
+++ b/src/reedhook/process/caller_sessions.py
@@ -1,6 +1,7 @@
 """Client sessions that are open at this host, and their graceful close."""
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 from typing import Final
@@ -13,26 +14,36 @@
 from ..request.refusal import RefusalReason, not_run
 from ..request.session_router import SessionRouter
 from .discovery.announcements import Announcements
+from .drain_schedule import ROTATION_DELAY_SECONDS, DrainSchedule
 
 CONFIGURATION_TIMEOUT_SECONDS: Final = 1.5
 """Limit of a new session's wait for the first configuration; callers time out
 after 2 s."""
 
-ROTATION_DELAY_SECONDS: Final = 2.2
-"""Time until the load balancer stops sending connections to an unready host: it
-removes a host after two failed readiness checks, one a second."""
-
 POLL_INTERVAL_SECONDS: Final = 0.05
 CLOSE_INTERVAL_SECONDS: Final = 1.0
 """Interval at which an unready host selects open sessions to close; a caller that
 reconnects to it nevertheless is served until the next round."""
 
+HOST_ENDS: Final = "the host ends"
+"""Why a transaction that exceeds its time in a shutdown is aborted."""
+
 RETRY_MS: Final = 500
 """Retry delay for callers of a host without a configuration."""
 
 
 class CallerConnection(ABC):
-    """Represent the connection of one caller."""
+    """Represent the connection of one caller.
+
+    :ivar close_at: monotonic time from which the connection closes as soon as no
+        response is pending and no transaction is open.
+    """
+
+    close_at: float = math.inf
+
+    @abstractmethod
+    def is_quiet(self) -> bool:
+        """Return whether no response is pending."""
 
     @abstractmethod
     def is_idle(self) -> bool:
@@ -52,10 +63,7 @@
 
 
 class CallerSessions:
-    """Open sessions and track the connections of callers.
-
-    :ivar leaving: whether this host drains: sessions are closed when idle.
-    """
+    """Open sessions and track the connections of callers."""
 
     def __init__(
         self,
@@ -63,6 +71,7 @@
         steering: SessionRouter,
         announcements: Announcements,
         authorization: Authorizer,
+        drain_schedule: DrainSchedule,
         clock: Clock,
         decisions: DecisionLog,
         metrics: Metrics,
@@ -71,12 +80,12 @@
         self.authorization = authorization
         self.steering = steering
         self.announcements = announcements
+        self.drain_schedule = drain_schedule
         self.clock = clock
         self.decisions = decisions
         self.metrics = metrics
         self.connections: set[CallerConnection] = set()
         self.opened = 0
-        self.leaving = False
         announcements.on_table.append(lambda table: self.close_revoked())
 
     async def open_session(self, database: str, key: str = "") -> Session:
@@ -84,7 +93,8 @@
 
         :param key: the caller's access key; empty for none.
         :raises RefusalError: if the database is unknown, if there is no
-            configuration yet, or if the key grants no access to the database.
+            configuration yet, if the key grants no access to the database, or if
+            this host would refuse its statements since it shuts down.
         """
         if not self.announcements.configured.is_set():
             await self.wait_for_configuration()
@@ -97,6 +107,7 @@
             )
             raise unknown_database_refusal(database)
         digest = self.authorization.authorize_session(route, key)
+        self.drain_schedule.check_statement(route.statement_timeout_seconds)
         self.opened += 1
         self.metrics.increment("sessions")
         return Session(
@@ -106,6 +117,7 @@
             self.steering,
             self.announcements,
             self.authorization,
+            self.drain_schedule,
             self.clock,
             self.decisions,
             self.metrics,
@@ -126,24 +138,54 @@
                 RETRY_MS,
             ) from None
 
-    async def drain(self, transactions: float) -> None:
-        """Close all sessions as they become idle.
+    async def drain(self, grace: float) -> None:
+        """Close all sessions one by one, each when no transaction is open.
 
-        :param transactions: seconds after which open transactions are aborted.
+        A busy session closes with an answer, so that no statement is in transit.
+        Returns when no session is left, or when open transactions were aborted.
+
+        :param grace: seconds from now until the process is killed.
         """
-        self.leaving = True
-        started_at = self.clock.monotonic()
-        while self.clock.monotonic() - started_at < transactions:
-            self.close_idle(self.connections)
-            out_of_rotation = (
-                self.clock.monotonic() - started_at >= ROTATION_DELAY_SECONDS
-            )
-            if out_of_rotation and not self.connections:
+        schedule = self.drain_schedule
+        schedule.start(grace)
+        for connection in self.connections:
+            connection.close_at = schedule.closing_time()
+        while not schedule.are_transactions_over():
+            self.close_due()
+            if schedule.is_out_of_rotation() and not self.connections:
+                return
+            await self.clock.sleep(POLL_INTERVAL_SECONDS)
+        self.abort_transactions()
+        self.close_due()
+
+    async def finish(self) -> None:
+        """Refuse statements, and close all sessions after the last answers."""
+        self.drain_schedule.stop()
+        self.abort_transactions()
+        while self.connections:
+            for connection in list(self.connections):
+                if connection.is_quiet():
+                    connection.close()
+            if self.clock.monotonic() >= self.drain_schedule.exit_at:
                 return
             await self.clock.sleep(POLL_INTERVAL_SECONDS)
+
+    def abort_transactions(self) -> None:
+        """Abort open transactions; those with a statement in progress end after it."""
         for connection in list(self.connections):
-            connection.abort_transaction("the host ends")
-        self.close_idle(self.connections)
+            connection.abort_transaction(HOST_ENDS)
+
+    def accepts_none(self) -> bool:
+        """Return whether the statements of all routes are refused."""
+        routes = self.announcements.table.routes.values()
+        return self.drain_schedule.accepts_none(
+            route.statement_timeout_seconds for route in routes
+        )
+
+    def close_due(self) -> None:
+        """Close the idle sessions that are scheduled to close."""
+        now = self.clock.monotonic()
+        self.close_idle([one for one in self.connections if now >= one.close_at])
 
     async def close_while_unready(self, unready_seconds: Callable[[], float]) -> None:
         """Close idle sessions while this host is out of rotation, until cancelled.
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -39,6 +39,7 @@
 from .discovery.store_value_parser import StoreValueParser
 from .discovery.store_watcher import StoreWatcher
 from .discovery.update_source import PeerUpdateSource, UpdateServer
+from .drain_schedule import DrainSchedule
 from .events.timeline import Timeline
 from .fleet.heartbeat import Heartbeats
 from .fleet.membership import Membership
@@ -73,15 +74,9 @@
 INCARNATION_BITS: Final = 48
 """Random bits that distinguish the incarnations of a process."""
 
-TRANSACTION_DRAIN_FRACTION: Final = 0.5
-"""Fraction of the grace period after which open transactions are aborted."""
-
 HANDOVER_TIMEOUT_SECONDS: Final = 1.5
 """Time limit for handing over the primary leases at shutdown."""
 
-KILL_MARGIN_SECONDS: Final = 1.2
-"""Time before the process is killed at which it exits by itself."""
-
 DEFAULT_CONNECTIONS: Final = 16
 """Connections to a target whose service is not configured."""
 
@@ -128,6 +123,7 @@
         )
         self.routes = PeerRoutes()
         self.leaving = False
+        self.drain_schedule = DrainSchedule(clock, random)
         self.background = BackgroundTasks(decisions)
         self.announcements = Announcements(documents, clock, decisions)
         self.freshness = ConfigurationFreshness(
@@ -352,6 +348,7 @@
             self.router,
             self.announcements,
             authorization,
+            self.drain_schedule,
             self.clock,
             self.decisions,
             self.metrics,
@@ -583,21 +580,23 @@
         return self.announcements.configured.is_set()
 
     async def drain(self) -> None:
-        """Hand over primary leases and end all sessions within the grace period."""
+        """Hand over primary leases and end sessions one by one.
+
+        Returns when all work has ended, or when it is time for `finish`.
+        """
         self.decisions.record("stop", sessions=len(self.caller_sessions.connections))
         self.leaving = True
-        # The platform kills the process at the end of `grace`.
-        deadline = self.clock.monotonic() + self.settings.grace - KILL_MARGIN_SECONDS
         await asyncio.gather(
-            self.hand_over_leases(),
-            self.caller_sessions.drain(
-                self.settings.grace * TRANSACTION_DRAIN_FRACTION
-            ),
+            self.hand_over_leases(), self.caller_sessions.drain(self.settings.grace)
         )
         self.membership.leave()
-        while self.has_work_in_progress() and self.clock.monotonic() < deadline:
-            self.caller_sessions.close_idle(self.caller_sessions.connections)
+        while self.has_work_in_progress() and not self.caller_sessions.accepts_none():
+            self.caller_sessions.close_due()
             await self.clock.sleep(POLL_INTERVAL_SECONDS)
+
+    async def finish(self) -> None:
+        """Refuse all statements, and end when those in progress are answered."""
+        await self.caller_sessions.finish()
         await self.registration.withdraw()
         self.decisions.record("stopped", cut=len(self.caller_sessions.connections))
 
--- a/src/reedhook/process/session_process.py
+++ b/src/reedhook/process/session_process.py
@@ -82,6 +82,7 @@
         """Shut down gracefully; let statements in progress finish."""
         await self.host.drain()
         self.caller_listener.stop()
+        await self.host.finish()
         if self.watch_task is not None:
             self.watch_task.cancel()
         await self.host.close()
--- a/tests/test_zone_isolation.py
+++ b/tests/test_zone_isolation.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from reedhook.process.caller_sessions import ROTATION_DELAY_SECONDS, CallerConnection
+from reedhook.process.caller_sessions import CallerConnection
+from reedhook.process.drain_schedule import ROTATION_DELAY_SECONDS
 from reedhook.request.verdict import Verdict
 
 from .fakes_clock import run_virtual
@@ -30,6 +31,9 @@
         self.busy = busy
         self.closed = False
 
+    def is_quiet(self) -> bool:
+        return not self.busy
+
     def is_idle(self) -> bool:
         return not self.busy
 
