Answer statements of other hosts before a stopping host ends

Callers saw: a host that had not learned that this one stops sent it statements until its process ended, and the last ones were cut there. The sending host then found this host unresponsive; a transaction was lost.

Cause: the shutdown polled for a moment without statements at its replica homes. With steady reads there was none until the time limit, and nothing refused new ones.

The outcome of a write that is asked for again is still answered.

--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -596,7 +596,10 @@
 
     async def finish(self) -> None:
         """Refuse all statements, and end when those in progress are answered."""
-        await self.caller_sessions.finish()
+        await asyncio.gather(
+            self.caller_sessions.finish(),
+            self.statement_server.finish(self.drain_schedule.exit_at),
+        )
         await self.registration.withdraw()
         self.decisions.record("stopped", cut=len(self.caller_sessions.connections))
 
--- a/src/reedhook/process/statement_server.py
+++ b/src/reedhook/process/statement_server.py
@@ -33,6 +33,7 @@
 statement deadline."""
 
 CLEANUP_INTERVAL_SECONDS: Final = 2.0
+FINISH_POLL_SECONDS: Final = 0.02
 POSSIBLY_SENT_REASONS: Final = frozenset(
     {RefusalReason.TARGET_LOST, RefusalReason.TRANSACTION_LOST}
 )
@@ -51,6 +52,8 @@
     :ivar outcomes: outcomes of writes and commits, by statement id, for hosts that
         lost the response.
     :ivar reports_load: whether results carry the load of their targets.
+    :ivar forwarded: statements of other hosts that are in progress.
+    :ivar stopped: whether statements of other hosts are refused.
     """
 
     def __init__(
@@ -72,6 +75,8 @@
         self.replaced_homes: list[SessionTargetHome] = []
         self.outcomes: OrderedDict[str, WriteOutcome] = OrderedDict()
         self.reports_load = False
+        self.forwarded = 0
+        self.stopped = False
 
     def register(self, routes: PeerRoutes) -> None:
         """Register the handlers of peer requests."""
@@ -80,8 +85,18 @@
         routes.add(PROOF, self.handle_proof)
 
     async def handle_work(self, body: Json) -> Json:
-        """Run a statement for another host."""
-        answer = await self.execute(SessionStatement.from_json(body))
+        """Run a statement for another host.
+
+        :raises RefusalError: with the final verdict.
+        """
+        work = SessionStatement.from_json(body)
+        if self.stopped and not work.resent and work.id not in self.outcomes:
+            raise stopped_refusal(work)
+        self.forwarded += 1
+        try:
+            answer = await self.execute(work)
+        finally:
+            self.forwarded -= 1
         return answer.to_json(self.clock.boottime(), self.clock.monotonic())
 
     async def handle_rollback(self, body: Json) -> Json:
@@ -286,6 +301,15 @@
             for home in [*self.replica_homes.values(), *self.replaced_homes]
         )
 
+    async def finish(self, deadline: float) -> None:
+        """Refuse statements of other hosts, and wait for those in progress.
+
+        :param deadline: monotonic time after which they are not waited for.
+        """
+        self.stopped = True
+        while self.forwarded and self.clock.monotonic() < deadline:
+            await self.clock.sleep(FINISH_POLL_SECONDS)
+
     async def close(self) -> None:
         """Close all homes of replicas."""
         self.rate_limiter.close()
@@ -335,3 +359,11 @@
 
 def always() -> None:
     """Permit the use of a replica; each statement states which answers it accepts."""
+
+
+def stopped_refusal(work: SessionStatement) -> RefusalError:
+    """Return the refusal of a statement that another host can run."""
+    detail = "this host is shutting down"
+    if work.starts_operation:
+        return not_run(RefusalReason.WRONG_HOME, detail, RETRY_MS)
+    return not_run(RefusalReason.TRANSACTION_LOST, detail, RETRY_MS)
--- a/tests/test_session_drain.py
+++ b/tests/test_session_drain.py
@@ -13,13 +13,19 @@
 
 from reedhook.process.drain_schedule import DrainSchedule
 from reedhook.process.session_host import SessionHost
-from reedhook.request.refusal import RefusalError
+from reedhook.request.refusal import RefusalError, RefusalReason
+from reedhook.request.session_statement import (
+    SessionStatement,
+    SessionStatementKind,
+    TransactionMode,
+)
 from reedhook.request.verdict import Verdict
+from reedhook_standins.promises import Sent
 
 from .drain_callers import ConnectionEnded, LineCaller, Request, StoppingProcess
 from .fakes_clock import LoopClock, run_virtual
 from .fakes_members import Slots
-from .session_world import SessionWorld
+from .session_world import SERVICE, SessionWorld
 from .support import using
 
 GRACE = 6.0
@@ -317,6 +323,85 @@
     await scene.stop()
 
 
+# Regression: statements of other hosts were cut when the process ended, as long as
+# these had not learned that it stops.
+@using(a_scene, run_virtual)
+async def test_no_forwarded_statement_is_cut(scene: Scene) -> None:
+    target = next(iter(set(scene.world.group.members) - {primary_of(scene)}))
+    pending: set[str] = set()
+    refusals: list[RefusalError] = []
+
+    async def forward(name: str) -> None:
+        for number in itertools.count():
+            id = f"{name}-{number}"
+            pending.add(id)
+            read = a_read(scene, target, id).to_json()
+            try:
+                await scene.host.statement_server.handle_work(read)
+            except RefusalError as refusal:
+                refusals.append(refusal)
+                return
+            finally:
+                pending.discard(id)
+
+    tasks = [asyncio.create_task(forward(f"peer{number}")) for number in range(2)]
+    await asyncio.sleep(0.5)
+    close = scene.host.close
+
+    async def close_when_answered() -> None:
+        assert not pending, "the process ends while statements are in progress"
+        await close()
+
+    scene.host.close = close_when_answered  # type: ignore[method-assign]
+    await scene.stop()
+    await asyncio.gather(*tasks)
+    assert {refusal.verdict for refusal in refusals} == {Verdict.NOT_RUN}
+    assert all(refusal.retry_after_ms for refusal in refusals)
+
+
+# Regression: as above, for statements of transactions, which cannot move.
+@using(a_scene, run_virtual)
+async def test_forwarded_transaction_step_is_refused_as_lost(scene: Scene) -> None:
+    target = next(iter(set(scene.world.group.members) - {primary_of(scene)}))
+    server = scene.host.statement_server
+    first = a_read(scene, target, "1", "t")
+    first.begin = TransactionMode.READ
+    await server.handle_work(first.to_json())
+    await server.finish(asyncio.get_running_loop().time() + 1.0)
+    try:
+        await server.handle_work(a_read(scene, target, "2", "t").to_json())
+    except RefusalError as refusal:
+        assert refusal.verdict is Verdict.NOT_RUN
+        assert refusal.reason is RefusalReason.TRANSACTION_LOST
+    else:
+        raise AssertionError("a stopped host runs statements")
+
+
+def primary_of(scene: Scene) -> str:
+    """Return the target that is primary."""
+    return scene.world.group.primary.entry.target
+
+
+def a_read(
+    scene: Scene, target: str, id: str, transaction: str = ""
+) -> SessionStatement:
+    """Return a read that another host sends to a replica."""
+    scene.world.promises.sent[id] = Sent("READ a", transaction, {}, {})
+    return SessionStatement(
+        service=SERVICE,
+        target=target,
+        session="peer.1",
+        settings={},
+        transaction=transaction,
+        begin=TransactionMode.NONE,
+        min_position=None,
+        kind=SessionStatementKind.READ,
+        id=id,
+        text="READ a",
+        remaining=0.8,
+    )
+
+
 def a_schedule(grace: float) -> DrainSchedule:
     """Return a schedule that has just started."""
     schedule = DrainSchedule(LoopClock(), Random(1))
