--- a/src/reedhook/process/primary_lease/indirect_prober.py
+++ b/src/reedhook/process/primary_lease/indirect_prober.py
@@ -126,7 +126,7 @@
     ) -> bool:
         """Transfer the lease of a service to a host; return whether it accepts.
 
-        :param sole_holder_at: order of the record of which no former holder is left; see
+        :param sole_holder_at: order of the record that has no former holders left; see
             `OtherHolders.sole_holder_at`.
         """
         body: Json = {"service": service}
