--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -505,6 +505,8 @@
         :param planned: whether the old primary still serves and is drained first.
         """
         self.ready.clear()
+        if not await self.claim.settle():
+            return
         if planned and self.home is not None:
             await self.until_quiet(self.home, DRAIN_TIMEOUT_SECONDS)
         if await self.promotion.decide_successor(
--- a/src/reedhook/process/primary_lease/primary_replacement.py
+++ b/src/reedhook/process/primary_lease/primary_replacement.py
@@ -76,9 +76,7 @@
             once, even while this host does not know whether its write took effect.
         """
         epoch = self.claim.record.epoch
-        if not self.claim.current or not await self.claim.settle():
-            return False
-        if not await self.others.stop_all():
+        if not self.claim.current or not await self.others.stop_all():
             return False
         successor = await self.choose_successor(old, planned, highest_position)
         if successor is None:
