Send no new work to a primary that leaves

A new holder used the primary of the record as soon as it reported its role, and looked at its announcement only with the next check, 0.1 s later. All that waited for a primary was sent to it meanwhile.

The same happened wherever use of a primary starts or resumes: - a recorded successor that left before it was promoted; - a primary that did not announce itself for over 3 s, at the next holder; - a leaving primary whose announcement ended while it still responded: it was resumed until it counted as gone; - a backup holder that became active, or was, when the primary left.

The latest announcement is now read where statements are admitted (use_primary, mark_usable), so that a target that leaves or is gone gets none. The change of primary is planned at once. Statements of open transactions go on as before. A backup holder stops, since only a holder may replace the primary.

--- a/src/reedhook/process/discovery/announcements.py
+++ b/src/reedhook/process/discovery/announcements.py
@@ -23,6 +23,10 @@
 """Time without the store before other hosts stop using this one as a relay and query
 the store themselves, which multiplies its load."""
 
+GONE_AFTER_SECONDS: Final = 3.0
+"""Time without an announcement, while the store responds, before a target counts as
+gone. Entries that lapsed during a store outage are back within 2 s."""
+
 MAX_ERROR_CHARACTERS: Final = 200
 """Limit of the logged key and error, since a malformed item may be up to 1 MB long."""
 
@@ -150,6 +154,21 @@
         """Return the latest announcement of a target, or None if it never had one."""
         return self.targets.get(target) or self.missing.get(target)
 
+    def is_leaving(self, target: str) -> bool:
+        """Return whether a target's latest announcement says that it leaves.
+
+        The announcement may end while the target still responds.
+        """
+        entry = self.last_entry(target)
+        return entry is not None and entry.leaving
+
+    def is_gone(self, target: str) -> bool:
+        """Return whether a target has stopped announcing itself for good."""
+        now = self.clock.boottime()
+        if not self.store_reached or now - self.reached_since < GONE_AFTER_SECONDS:
+            return False
+        return now - self.missing_since.get(target, now) >= GONE_AFTER_SECONDS
+
     def process_updates(self, news: list[Item]) -> None:
         """Process new items and wake waiting tasks."""
         if not news:
--- a/src/reedhook/process/primary_lease/backup_holder.py
+++ b/src/reedhook/process/primary_lease/backup_holder.py
@@ -58,7 +58,7 @@
             await self.claim.refresh()
 
     async def activate(self) -> None:
-        """Use the primary if its status matches the record."""
+        """Use the primary if its status matches the record and it does not leave."""
         if self.active or self.draining or not self.validity.valid:
             return
         self.active = True
@@ -71,7 +71,8 @@
         matches_record = status.term == self.record.term and entry.is_incarnation(
             self.record.primary_started_at_ms
         )
-        if not matches_record or self.draining:
+        leaves = not self.states.accepts_new_work(entry.target)
+        if not matches_record or leaves or self.draining:
             self.active = False
             return
         self.decisions.record(
@@ -84,7 +85,7 @@
         self.use_primary(entry, status)
 
     async def deactivate(self) -> None:
-        """Stop using the primary after its holder is back."""
+        """Stop using the primary: its holder is back, or it leaves."""
         if not self.active:
             return
         self.decisions.record("backup_holder_inactive", service=self.service)
--- a/src/reedhook/process/primary_lease/backup_holders.py
+++ b/src/reedhook/process/primary_lease/backup_holders.py
@@ -54,13 +54,16 @@
             backup.start()
 
     async def set_holder_lost(self, service: str, lost: bool) -> None:
-        """Activate the backup holder while the holder is lost."""
+        """Activate the backup holder while the holder is lost.
+
+        It stops if the primary leaves, since only a holder may replace the primary.
+        """
         backup = self.by_service.get(service)
         if backup is None:
             return
         up_to = self.relinquished_up_to.get(service, NO_REVISION)
         relinquished = backup.record.order <= up_to
-        if lost and not relinquished:
+        if lost and not relinquished and backup.accepts_new_work():
             await backup.activate()
         else:
             await backup.deactivate()
--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -48,10 +48,6 @@
 INDIRECT_PROBE_DELAY_SECONDS: Final = 0.1
 """Time without a probe reply before other hosts probe the primary in parallel."""
 
-GONE_AFTER_SECONDS: Final = 3.0
-"""Time without an announcement, while the store responds, before a target counts as
-gone. Entries that lapsed during a store outage are back within 2 s."""
-
 DRAIN_TIMEOUT_SECONDS: Final = 1.5
 """Time for open transactions to end before a planned change of primary."""
 
@@ -200,10 +196,10 @@
         """Check the primary in use, and replace it if necessary."""
         target = home.entry.target
         entry = self.announcements.targets.get(target)
-        if entry is not None and entry.leaving:
+        if self.announcements.is_leaving(target):
             await self.change("leaving", home.entry, planned=True)
             return
-        if entry is None and self.is_gone(target):
+        if entry is None and self.announcements.is_gone(target):
             await self.change("gone", home.entry, planned=True)
             return
         if entry is not None and not entry.is_incarnation(home.entry.started_at_ms):
@@ -257,24 +253,13 @@
         return not (status.is_primary and holds)
 
     def mark_usable(self) -> None:
-        """Admit statements to the primary again."""
-        if not self.ready.is_set():
+        """Admit statements to the primary again, unless it leaves."""
+        if not self.ready.is_set() and self.accepts_new_work():
             self.decisions.record(
                 "primary_usable", service=self.service, primary=self.record.primary
             )
             self.ready.set()
 
-    def is_gone(self, target: str) -> bool:
-        """Return whether a target has stopped announcing itself for good."""
-        now = self.clock.boottime()
-        announced = self.announcements
-        if (
-            not announced.store_reached
-            or now - announced.reached_since < GONE_AFTER_SECONDS
-        ):
-            return False
-        return now - announced.missing_since.get(target, now) >= GONE_AFTER_SECONDS
-
     async def is_responding(self, home: SessionTargetHome) -> bool:
         """Return whether the primary replies; False if all connections are in use."""
         if home.connections.exhausted():
@@ -459,7 +444,8 @@
     ) -> bool:
         """Use a target if it is the primary of the current term.
 
-        A restarted process of the recorded primary is not used.
+        A restarted process of the recorded primary is not used. One that leaves is
+        replaced at once, rather than with the next check.
         """
         record = self.record
         if not status.is_primary or status.term < record.term:
@@ -469,6 +455,8 @@
         ):
             return False
         await self.record_and_use(entry, status)
+        if self.home is not None and not self.ready.is_set():
+            await self.check_primary(self.home)
         return True
 
     async def record_and_use(
--- a/src/reedhook/process/primary_lease/primary_client.py
+++ b/src/reedhook/process/primary_lease/primary_client.py
@@ -255,7 +255,10 @@
     def use_primary(
         self, entry: TargetAnnouncement, status: SessionTargetStatus
     ) -> None:
-        """Create the home of a primary and admit statements to it."""
+        """Create the home of a primary and admit statements to it, unless it leaves.
+
+        Its status does not show whether it leaves.
+        """
         self.home = self.make_home(
             entry,
             self.check_permitted,
@@ -271,8 +274,20 @@
             service=self.service,
             primary=entry.target,
             term=self.record.term,
+            leaving=not self.accepts_new_work(),
         )
-        self.ready.set()
+        self.admit_statements()
+
+    def accepts_new_work(self) -> bool:
+        """Return whether the primary in use, if any, neither leaves nor is gone."""
+        return self.home is None or self.states.accepts_new_work(self.home.entry.target)
+
+    def admit_statements(self) -> None:
+        """Admit statements to the primary if it accepts new work."""
+        if self.accepts_new_work():
+            self.ready.set()
+        else:
+            self.ready.clear()
 
     async def until_quiet(self, home: SessionTargetHome, timeout: float) -> None:
         """Wait up to `timeout` seconds for open transactions, then end the rest."""
--- a/src/reedhook/process/primary_lease/target_status.py
+++ b/src/reedhook/process/primary_lease/target_status.py
@@ -30,6 +30,11 @@
         """Return the latest announcement of a target, or None if it never had one."""
         return self.announcements.last_entry(target)
 
+    def accepts_new_work(self, target: str) -> bool:
+        """Return whether a target neither leaves nor is gone."""
+        announcements = self.announcements
+        return not (announcements.is_leaving(target) or announcements.is_gone(target))
+
     def announced(self, service: str) -> list[TargetAnnouncement]:
         """Return the currently announced targets of a service."""
         found = self.announcements.targets.values()
