Give the sessions of the caller-gone tests a drain schedule

Callers saw: nothing; the test's stand-in of CallerSessions lacked the attribute that a connection reads when it is made, so that test_statement_of_a_session_that_has_closed_leaves_the_queue failed after. Its checks are unchanged; it passes now.

--- a/tests/test_caller_gone.py
+++ b/tests/test_caller_gone.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections import OrderedDict
+from random import Random
 from typing import Any
 
 import pytest
@@ -22,6 +23,7 @@
 from reedhook.peer import HostRef, PeerRoutes
 from reedhook.platform.caller_listener import CallerListener
 from reedhook.process.caller_sessions import CallerSessions
+from reedhook.process.drain_schedule import DrainSchedule
 from reedhook.process.events.timeline import Timeline
 from reedhook.process.network.answer_tracking_peers import AnswerTrackingPeers
 from reedhook.process.network.peer_http import HttpPeers
@@ -125,6 +127,7 @@
         self.queue = queue
         self.connections = set()
         self.clock = SystemClock()
+        self.drain_schedule = DrainSchedule(self.clock, Random(1))
         self.announcements: Any = type(
             "Announcements", (), {"table": EMPTY_ROUTE_TABLE}
         )
