--- a/src/reedhook/process/fleet/membership_record.py
+++ b/src/reedhook/process/fleet/membership_record.py
@@ -89,13 +89,19 @@
         """
         if not isinstance(value, list) or len(value) != FIELDS:
             raise WireError("host record must be a list of six fields")
-        texts, numbers = value[:3], value[3:]
-        if not all(isinstance(text, str) for text in texts):
+        # Written out: heartbeats carry many records, and hosts parse each one.
+        host, zone, address, incarnation, state, penalty = value
+        if not (type(host) is type(zone) is type(address) is str):
             raise WireError("first three fields of a host record must be strings")
-        if not all(type(number) is int and number >= 0 for number in numbers):
+        if not (
+            type(incarnation) is type(state) is type(penalty) is int
+            and incarnation >= 0
+            and state >= 0
+            and penalty >= 0
+        ):
             raise WireError("last three fields of a host record must be integers >= 0")
         try:
-            state = MembershipState(numbers[1])
+            known_state = MembershipState(state)
         except ValueError as error:
             raise WireError(str(error)) from None
-        return cls(HostRef(*texts), numbers[0], state, numbers[2])
+        return cls(HostRef(host, zone, address), incarnation, known_state, penalty)
--- a/src/reedhook/process/fleet/membership_table.py
+++ b/src/reedhook/process/fleet/membership_table.py
@@ -45,6 +45,7 @@
         self.not_live_hosts: set[str] = set()
         self.zones: dict[str, dict[str, None]] = {}
         self.buckets: list[int] = [0] * BUCKETS
+        self.whole_digest = 0
         self.epoch = 0
         self.known_epoch = 0
         self.changed_at = 0.0
@@ -70,8 +71,7 @@
         if before is None or before.ref != record.ref:
             self.unlink(before)
             self.link(record)
-        index = bucket_of(host)
-        self.buckets[index] ^= record.digest() ^ (before.digest() if before else 0)
+        self.update_digest(host, record.digest() ^ (before.digest() if before else 0))
         self.records[host] = record
         self.since[host] = now
         if record.state is MembershipState.LIVE:
@@ -99,7 +99,7 @@
         record = self.records.pop(host, None)
         if record is None:
             return
-        self.buckets[bucket_of(host)] ^= record.digest()
+        self.update_digest(host, record.digest())
         self.not_live_hosts.discard(host)
         del self.since[host]
         self.unlink(record)
@@ -132,10 +132,12 @@
 
     def digest(self) -> int:
         """Return the digest of the whole table."""
-        whole = 0
-        for bucket in self.buckets:
-            whole ^= bucket
-        return whole
+        return self.whole_digest
+
+    def update_digest(self, host: str, difference: int) -> None:
+        """Apply a change of the digest of `host` to its bucket and the whole table."""
+        self.buckets[bucket_of(host)] ^= difference
+        self.whole_digest ^= difference
 
     def get(self, host: str) -> HostRecord | None:
         """Return the record of `host`, or None."""
--- a/src/reedhook/process/primary_lease/holder_ranking.py
+++ b/src/reedhook/process/primary_lease/holder_ranking.py
@@ -85,9 +85,15 @@
         These are the first two in rank that are in different zones, so that at least
         one is not partitioned together with the holder, and the backup holder.
         """
-        ranked = [ref for ref in self.ranked(service) if ref.host != holder.host]
-        chosen = ranked[:1]
-        chosen += [ref for ref in ranked if ref.zone != ranked[0].zone][:1]
+        chosen: list[HostRef] = []
+        for ref in self.ranked(service):
+            if ref.host == holder.host:
+                continue
+            if not chosen:
+                chosen.append(ref)
+            elif ref.zone != chosen[0].zone:
+                chosen.append(ref)
+                break
         record = self.registry.get(service)
         if record is not None and record.backup_holder is not None:
             chosen.append(record.backup_holder.ref)
