Use one timer for the link and the distance of a message in tests

The stack in the log is the timer heap of the virtual loop: about 40% of the time goes to timers and the loop, most of them for messages. Change: a message in ThinNetwork waits once for the end of its last window on the sender's link and for the distance, at the same time of arrival. Losses, cuts and the order on the receiver's link are as before.

--- a/tests/fakes_peers.py
+++ b/tests/fakes_peers.py
@@ -99,7 +99,15 @@
     async def carry(self, sender: str, receiver: str, body: bytes) -> None:
         """Deliver one message, or wait forever if it is lost."""
         self.sent_bytes[sender] += len(body)
-        await asyncio.sleep(self.delays.get((sender, receiver), self.delay))
+        await self.travel(sender, receiver, 0.0)
+
+    async def travel(self, sender: str, receiver: str, queued: float) -> None:
+        """Wait for the arrival of a message, or forever if it is lost.
+
+        :param queued: seconds that the message waits at the sender.
+        """
+        delay = self.delays.get((sender, receiver), self.delay)
+        await asyncio.sleep(queued + delay)
         lost = self.loss > 0.0 and self.random.random() < self.loss
         if lost or (sender, receiver) in self.cuts:
             await asyncio.Event().wait()
--- a/tests/thin_links.py
+++ b/tests/thin_links.py
@@ -65,11 +65,20 @@
 
     async def carry(self, size: int) -> None:
         """Transmit `size` bytes."""
-        while size > 0:
-            now = asyncio.get_running_loop().time()
-            self.free_at = max(self.free_at, now) + min(size, WINDOW) / self.rate
-            await asyncio.sleep(self.free_at - now)
+        await asyncio.sleep(await self.carry_to_last_window(size))
+
+    async def carry_to_last_window(self, size: int) -> float:
+        """Transmit all windows but the last; return the seconds that it takes."""
+        while size > WINDOW:
+            await asyncio.sleep(self.enqueue(WINDOW))
             size -= WINDOW
+        return self.enqueue(size)
+
+    def enqueue(self, size: int) -> float:
+        """Queue one window; return the seconds until it has passed."""
+        now = asyncio.get_running_loop().time()
+        self.free_at = max(self.free_at, now) + size / self.rate
+        return self.free_at - now
 
 
 class ThinNetwork(FakeNetwork):
@@ -89,10 +98,13 @@
         return links.setdefault(host, ThinLink(self.rate))
 
     async def carry(self, sender: str, receiver: str, body: bytes) -> None:
+        self.sent_bytes[sender] += len(body)
         size = len(body) + HEAD
-        await self.link(self.up, sender).carry(size)
-        await super().carry(sender, receiver, body)
-        await self.link(self.down, receiver).carry(size)
+        up, down = self.link(self.up, sender), self.link(self.down, receiver)
+        # One timer for the link and the distance: timers dominate large worlds.
+        queued = await up.carry_to_last_window(size)
+        await self.travel(sender, receiver, queued)
+        await down.carry(size)
 
 
 class ThinKeyspace(FakeKeyspace):
