Count the connection of an ended transaction once

Callers saw nothing; a home could open more connections to its target than its limit. A transaction that is ended while a statement of it runs closes its connection, and the statement, which then fails, closed and counted it a second time (noted by the review).

A transaction that is no longer open is not dropped again.

test_connection_of_an_ended_transaction_is_counted_once failed before (-1 connections open) and passes now.

--- a/src/reedhook/connection/session_target_transactions.py
+++ b/src/reedhook/connection/session_target_transactions.py
@@ -127,7 +127,12 @@
             self.start_rollback(transaction)
 
     def drop(self, transaction: SessionTargetTransaction) -> None:
-        """Close the connection of a transaction, which rolls back the transaction."""
+        """Close the connection of a transaction, which rolls back the transaction.
+
+        Its statement in progress then fails and drops it once more, without effect.
+        """
+        if self.by_name.get(transaction.name) is not transaction:
+            return
         self.forget(transaction)
         self.connections.discard(transaction.pooled_connection)
 
--- a/tests/test_session_target_home.py
+++ b/tests/test_session_target_home.py
@@ -213,3 +213,19 @@
         fixture.group.primary.down = False
         reply = await fixture.run("s1", SessionStatementKind.READ)
         assert reply.fault is StatementFault.NONE
+
+
+@in_virtual_time
+async def test_connection_of_an_ended_transaction_is_counted_once() -> None:
+    """Guards against more open connections than the home may have."""
+    async with single_connection_home() as fixture:
+        await fixture.run("s1", SessionStatementKind.WRITE, "t1", first=True)
+        step = asyncio.ensure_future(
+            fixture.run("s1", SessionStatementKind.WRITE, "t1")
+        )
+        await asyncio.sleep(0.001)
+        fixture.home.transactions.end("t1")
+        with pytest.raises(RefusalError) as caught:
+            await step
+        assert caught.value.reason is RefusalReason.TRANSACTION_LOST
+        assert fixture.home.connections.open_count == 0
