Close a connection that opens while its home is closed

Callers saw nothing by themselves; the statement of a caller ran at a target after its home was closed, on a connection that was being opened then. The holder of a primary lease closes the home before it records a successor, and relies on nothing being sent to the old primary afterwards. Nobody looked at the closed pool once the connection was open. The same held for a connection that was granted to a waiter just before the close, when it is neither idle nor lent.

Such a connection is closed, and the statement is refused as not run.

--- a/src/reedhook/connection/session_connection_pool.py
+++ b/src/reedhook/connection/session_connection_pool.py
@@ -21,6 +21,7 @@
     StatementFault,
     TargetQuery,
 )
+from .session_target_refusals import home_closed_refusal
 
 OnConnectionOpened: TypeAlias = Callable[[Position | None], None]
 
@@ -106,7 +107,8 @@
 
         :param timeout: seconds.
         :param workspace: None for internal statements, which may use any connection.
-        :raises RefusalError: not run, if no connection becomes free in time.
+        :raises RefusalError: not run, if no connection becomes free in time or the
+            pool is closed.
         :raises SessionTargetUnreachableError: if no connection can be opened; see
             `SessionTargetDriver`.
         """
@@ -135,6 +137,10 @@
                         await self.clock.sleep(FULL_TARGET_RETRY_SECONDS)
                         continue
             pooled = await self.wait(wait_until - now, workspace)
+            if pooled is not None and self.closed:
+                # It was neither idle nor lent as the pool was closed.
+                self.discard(pooled)
+                raise home_closed_refusal()
             if pooled is not None:
                 return self.lend(pooled)
 
@@ -228,6 +234,7 @@
     async def open(self, timeout: float, workspace: str | None) -> PooledConnection:
         """Open a connection.
 
+        :raises RefusalError: not run, if the pool is closed meanwhile.
         :raises SessionTargetUnreachableError: if that fails.
         """
         self.open_count += 1
@@ -235,8 +242,10 @@
             bound_workspace = workspace or ""
             connection = await self.driver.connect(self.entry, timeout, bound_workspace)
             try:
+                if self.closed:
+                    raise home_closed_refusal()
                 self.on_open(connection.initial_position)
-            except SessionTargetDataLossError:
+            except (RefusalError, SessionTargetDataLossError):
                 connection.close()
                 raise
         except BaseException:
@@ -328,7 +337,7 @@
             self.discard(pooled)
 
     def close(self) -> None:
-        """Close idle connections now and lent ones on their return."""
+        """Close idle connections now, and others once they are open or returned."""
         self.closed = True
         self.drop_idle()
         while self.grant_to_waiter(None):
