State that a statement is not run if its home closed before it was sent

Callers got an unknown outcome (INDOUBT) for a write or commit that was never sent: the home was closed between the settings of the session and the statement, which was then counted as sent on the closed connection.

The statement is refused as not run, inside a transaction as one whose transaction is lost.

test_statement_is_not_run_if_its_home_closes_before_it_is_sent: 2 of 2 cases failed before (may have run) and pass now.

--- a/src/reedhook/connection/session_target_home.py
+++ b/src/reedhook/connection/session_target_home.py
@@ -317,6 +317,7 @@
         :raises RefusalError: not run, if this host may no longer use the target.
         :raises SessionTargetNoReplyError: if no reply arrives in time.
         """
+        self.check_open(work)
         self.check_permission()
         sent_at = self.clock.boottime()
         started = self.clock.monotonic()
@@ -335,6 +336,18 @@
         self.record_reply(reply, sent_at if position_is_current else None)
         return reply
 
+    def check_open(self, work: SessionStatement) -> None:
+        """Check that the home was not closed while a statement was prepared.
+
+        :raises RefusalError: not run; sent on a closed connection, its outcome would
+            be unknown.
+        """
+        if not self.connections.closed:
+            return
+        if work.transaction:
+            raise transaction_lost_refusal()
+        raise home_closed_refusal()
+
     def record_reply(self, reply: SessionTargetReply, asked: float | None) -> None:
         """Record the time of a reply and report its position.
 
--- a/tests/test_closed_home.py
+++ b/tests/test_closed_home.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from typing import Any
 
 import pytest
 
@@ -28,6 +29,7 @@
 TEXTS = {
     SessionStatementKind.READ: "READ a",
     SessionStatementKind.WRITE: "WRITE a b",
+    SessionStatementKind.COMMIT: "COMMIT",
 }
 
 
@@ -55,6 +57,7 @@
         kind: SessionStatementKind,
         transaction: str = "",
         begins: bool = False,
+        settings: dict[str, str] | None = None,
     ) -> "asyncio.Task[SessionTargetReply]":
         """Start a statement of a session."""
         begin = TransactionMode.WRITE if begins else TransactionMode.NONE
@@ -62,7 +65,7 @@
             "db",
             "",
             "s1",
-            {},
+            settings or {},
             transaction,
             begin,
             None,
@@ -124,3 +127,29 @@
     await world.home.close()
     pool.discard(lent[1])
     await world.check_refused(waiting)
+
+
+@pytest.mark.parametrize(
+    "kind", [SessionStatementKind.WRITE, SessionStatementKind.COMMIT]
+)
+@in_virtual_time
+async def test_statement_is_not_run_if_its_home_closes_before_it_is_sent(
+    kind: SessionStatementKind, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an unknown outcome where only session settings were sent."""
+    world = ClosedHomeWorld()
+    transaction = "t1" if kind is SessionStatementKind.COMMIT else ""
+    if transaction:
+        await world.run(SessionStatementKind.WRITE, transaction, begins=True)
+    pool, close = world.home.connections, world.home.close
+    apply_session_state = pool.apply_session_state
+
+    async def apply_and_close(*args: Any) -> SessionTargetReply | None:
+        reply = await apply_session_state(*args)
+        await close()
+        return reply
+
+    monkeypatch.setattr(pool, "apply_session_state", apply_and_close)
+    await world.check_refused(
+        world.run(kind, transaction, settings={"value a": "SET a b"})
+    )
