Use a successor only after its promotion has taken effect

What callers saw: in a play in virtual time, a commit acknowledged at a superseded primary and reads that lack commits of the term before. Cause: PrimaryReplacement.execute took a target that leads for promoted. A former primary that was back for less than a second, not demoted yet, still led in its earlier term. Change: the status has to show a later term than the record's, unless the target is the recorded primary.

--- a/src/reedhook/process/primary_lease/primary_replacement.py
+++ b/src/reedhook/process/primary_lease/primary_replacement.py
@@ -186,13 +186,25 @@
         deadline = self.clock.monotonic() + LEADING_TIMEOUT_SECONDS
         while self.clock.monotonic() < deadline and should_continue():
             status = await self.states.status(entry)
-            if status is not None and status.is_primary:
+            if status is not None and self.is_promoted(target, status):
                 return self.record_promoted(entry, status)
             if outcome is OrderOutcome.UNANSWERED:
                 return None
             await self.clock.sleep(LEADING_POLL_SECONDS)
         return None
 
+    def is_promoted(self, target: str, status: SessionTargetStatus) -> bool:
+        """Return whether a status shows that the ordered promotion took effect.
+
+        A former primary that is chosen may still lead in the term in which it was
+        superseded, and its promotion begins a later one. The recorded primary stays in
+        its term if it is promoted again.
+        """
+        record = self.claim.record
+        if not status.is_primary or status.term < record.term:
+            return False
+        return status.term > record.term or target == record.primary
+
     async def choose_again(self) -> None:
         """Record another successor if the recorded one does not run."""
         record = self.claim.record
--- a/tests/test_late_lease_writes_properties.py
+++ b/tests/test_late_lease_writes_properties.py
@@ -295,3 +295,23 @@
 ) -> None:
     """Each kind of record is written late once at least, if it is written."""
     run_virtual(play([(0.0, "late", record_kind, 1, LATE_SECONDS), *events]))
+
+
+def test_successor_that_still_leads_in_an_earlier_term() -> None:
+    """Guards against use of a successor before its promotion has taken effect."""
+    events: list[Event] = [
+        (0.7, "drain backup holder", 0, 1, 6.0),
+        (0.3, "kill backup holder", 0, 1, 0.8),
+        (1.2, "kill holder", 5, 3, 4.0),
+        (3.5, "outage", 1, 1, 2.5),
+        (0.1, "cut zone", 3, 3, 1.2),
+        (2.0, "late", 0, 3, 4.0),
+        (0.3, "outage", 0, 0, 0.5),
+        (3.5, "kill backup holder", 5, 2, 0.5),
+        (0.0, "cut zone", 4, 1, 1.2),
+        (0.3, "lost", 4, 2, 2.5),
+        (0.3, "outage", 5, 3, 6.0),
+        (2.0, "leaving", 3, 2, 1.8),
+        (0.7, "outage", 5, 0, 0.8),
+    ]
+    run_virtual(play(events))
