Let the store stand-in run calls late and without an answer

Callers of the store may get no answer to a call that has run or runs up to 6 s later if its condition still holds. The stand-in could only be silent or refuse. It now chooses such calls by a seeded draw, all of them or those that write keys with a prefix. tests/test_unanswered_calls.py: 5 passed.

--- a/src/reedhook_standins/keyvalue.py
+++ b/src/reedhook_standins/keyvalue.py
@@ -7,6 +7,8 @@
 import orjson
 from aiohttp import web
 
+from .unanswered import UnansweredCalls
+
 NO_COPY = 409
 HISTORY_GONE = 410
 CONFLICT = 412
@@ -38,6 +40,7 @@
     :ivar copies: saved states, the oldest first.
     :ivar status: HTTP status returned to every call instead of running it, if not 0.
     :ivar silent: whether calls get no answer.
+    :ivar unanswered: chooses calls that take effect without an answer, if any.
     """
 
     def __init__(self) -> None:
@@ -52,6 +55,8 @@
         self.granted = 100
         self.status = 0
         self.silent = False
+        self.unanswered: UnansweredCalls | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
         self.changed = asyncio.Event()
         self.runner: web.AppRunner | None = None
         self.address = ""
@@ -77,6 +82,8 @@
 
     async def stop(self) -> None:
         """Stop listening."""
+        for task in self.tasks:
+            task.cancel()
         if self.runner is not None:
             await self.runner.cleanup()
 
@@ -95,9 +102,26 @@
             await asyncio.sleep(30.0)
         if self.status:
             return web.Response(status=self.status)
+        calls = self.unanswered
+        delay = None if calls is None else await calls.choose(request)
+        if calls is not None and delay is not None:
+            task = asyncio.create_task(self.run_later(calls, delay, request, handler))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(30.0)
+            return web.Response(status=504)
         response: web.StreamResponse = await handler(request)
         return response
 
+    async def run_later(
+        self, calls: UnansweredCalls, delay: float, request: web.Request, handler: Any
+    ) -> None:
+        """Run a call after a delay, if its condition still holds then."""
+        await asyncio.sleep(delay)
+        response = await handler(request)
+        if delay and response.status == 200:
+            calls.late_applied.set()
+
     def write(self, key: str, value: bytes | None, lease: int = 0) -> int:
         """Change a key; None deletes it."""
         self.revision += 1
--- /dev/null
+++ b/src/reedhook_standins/unanswered.py
@@ -0,0 +1,55 @@
+"""Calls to a store that take effect without an answer, at once or seconds later."""
+
+import asyncio
+from random import Random
+from typing import Final
+
+import orjson
+from aiohttp import web
+
+EARLIEST: Final = 0.5
+LATEST: Final = 6.0
+"""Seconds by which a late call is delayed."""
+
+
+class UnansweredCalls:
+    """Choose the changing calls that get no answer, and when each one runs.
+
+    :param share: probability that a call gets no answer.
+    :param limit: how many calls are chosen at most.
+    :param late: probability that a chosen call runs late and not at once.
+    :param prefix: only calls that write a key with this prefix; empty for all calls.
+    :ivar chosen: number of calls chosen so far.
+    :ivar late_applied: set once a late call has changed the store.
+    """
+
+    def __init__(
+        self, random: Random, share: float, limit: int, late: float, prefix: str = ""
+    ) -> None:
+        self.random = random
+        self.share = share
+        self.limit = limit
+        self.late = late
+        self.prefix = prefix
+        self.chosen = 0
+        self.late_applied = asyncio.Event()
+
+    async def choose(self, request: web.Request) -> float | None:
+        """Return after how many seconds a call runs, or None to answer it."""
+        if request.method == "GET" or self.chosen >= self.limit:
+            return None
+        if not await self.matches(request) or self.random.random() >= self.share:
+            return None
+        self.chosen += 1
+        if self.random.random() >= self.late:
+            return 0.0
+        return self.random.uniform(EARLIEST, LATEST)
+
+    async def matches(self, request: web.Request) -> bool:
+        """Return whether a call writes a key with the prefix."""
+        # Reads the body before the caller disconnects; it is kept with the request.
+        body = await request.read()
+        if not self.prefix:
+            return True
+        writes = orjson.loads(body).get("writes", []) if body else []
+        return any(row["key"].startswith(self.prefix) for row in writes)
