Soak: record a successor late, past the end of a short outage

LateSuccessor delays the very write that names a successor and ends the holder within the next second. The stand-in chooses calls by what they write.

--- a/src/reedhook_standins/soak/faults.py
+++ b/src/reedhook_standins/soak/faults.py
@@ -8,6 +8,8 @@
 from random import Random
 from typing import Any, Final
 
+import orjson
+
 from reedhook.process.primary_lease.lease_record import LEASE_KEY_PREFIX
 
 from ..unanswered import LATEST, UnansweredCalls
@@ -314,19 +316,16 @@
         random = field.random
         calls = UnansweredCalls(
             Random(random.random()),
-            share=random.choice([0.3, 1.0, 1.0]),
-            limit=random.choice([1, 1, 3, 30]),
-            late=random.choice([1.0, 1.0, 0.7, 0.0]),
-            prefix=random.choice([LEASE_KEY_PREFIX, LEASE_KEY_PREFIX, ""]),
+            share=random.choice([0.3, 1.0]),
+            limit=random.choice([1, 3, 30]),
+            late=random.choice([1.0, 0.7, 0.0]),
+            wanted=random.choice([writes_anything, writes_lease]),
         )
         steps = [self.lose_answers(field, calls, random.uniform(1.0, 4.0))]
-        if random.random() < 0.8:
-            seconds = random.uniform(0.5, 2.0)
-            steps.append(delayed(random.uniform(0.0, 0.3), self.outage(field, seconds)))
-        if random.random() < 0.3:
-            steps.append(self.slow_links(field, random.uniform(0.05, 0.3)))
-        if random.random() < 0.8:
-            steps.append(self.end_holder(field, calls))
+        if random.random() < 0.7:
+            steps.append(self.outage(field, random.uniform(0.5, 2.0)))
+        if random.random() < 0.7:
+            steps.append(delayed(random.uniform(0.5, LATEST), self.end_holder(field)))
         return " with ".join(await asyncio.gather(*steps))
 
     async def lose_answers(
@@ -338,7 +337,8 @@
         await asyncio.sleep(seconds)
         if store.unanswered is calls:
             store.unanswered = None
-        return f"{calls.chosen} answers lost (late {calls.late}, {calls.prefix or '*'})"
+        which = calls.wanted.__name__
+        return f"{calls.chosen} answers lost (late {calls.late}, {which})"
 
     async def outage(self, field: FaultContext, seconds: float) -> str:
         """Stop the primary for a moment."""
@@ -348,6 +348,41 @@
         member.down = False
         return f"primary {member.entry.target} dark for {seconds:.1f} s"
 
+    async def end_holder(self, field: FaultContext) -> str:
+        """Terminate, kill or pause the holder, or terminate it and then others."""
+        holder = field.lease_holder()
+        fault = field.random.choice(HOLDER_FAULTS)
+        if fault is not TerminationSeries:
+            return "holder " + await fault().strike(field.only(holder))
+        others = [host for host in field.hosts if host is not holder]
+        some = field.random.sample(others, field.random.randint(1, len(others)))
+        return await TerminationSeries().terminate(field, [holder, *some])
+
+
+class LateSuccessor(LateWrites):
+    """Delay the record of a successor past a short outage, then end the holder.
+
+    The other hosts reach the old primary slowly, so that it leads for a while beside
+    the successor.
+    """
+
+    async def strike(self, field: FaultContext) -> str:
+        random = field.random
+        limit = random.choice([1, 3, 20])
+        calls = UnansweredCalls(
+            Random(random.random()), 1.0, limit, 1.0, writes_successor
+        )
+        after, delay = random.uniform(0.0, 1.0), random.choice([0.0, 0.1, 0.3])
+        outage = self.outage(field, random.uniform(0.9, 1.7))
+        losing = asyncio.create_task(self.lose_answers(field, calls, 3.0))
+        description = await outage
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LATEST):
+                await calls.late_applied.wait()
+        await asyncio.sleep(after)
+        work = [losing, self.slow_links(field, delay), self.end_holder(field)]
+        return " with ".join([description, *await asyncio.gather(*work)])
+
     async def slow_links(self, field: FaultContext, delay: float) -> str:
         """Delay what all hosts but the holder exchange with the primary."""
         holder, target = field.lease_holder(), field.around.group.primary.entry.target
@@ -358,29 +393,11 @@
         ]
         for link in links:
             link.delay = delay
-        await asyncio.sleep(LATEST)
+        await asyncio.sleep(3.0)
         for link in links:
             link.delay = 0.0
         return f"links to {target} slowed by {delay:.2f} s"
 
-    async def end_holder(self, field: FaultContext, calls: UnansweredCalls) -> str:
-        """Terminate, kill or pause the holder, mostly soon after a late change."""
-        wait = field.random.uniform(0.5, LATEST)
-        fault = field.random.choice(HOLDER_FAULTS)
-        delay = field.random.uniform(0.0, 1.5)
-        if field.random.random() < 0.7:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(LATEST + 2.0):
-                    await calls.late_applied.wait()
-            wait = delay
-        await asyncio.sleep(wait)
-        holder = field.lease_holder()
-        if fault is not TerminationSeries:
-            return "holder " + await fault().strike(field.only(holder))
-        others = [host for host in field.hosts if host is not holder]
-        some = field.random.sample(others, field.random.randint(1, len(others)))
-        return await TerminationSeries().terminate(field, [holder, *some])
-
 
 HOLDER_FAULTS: Final[list[type[SoakFault]]] = [
     Restarted,
@@ -419,8 +436,9 @@
     TerminationSeries,
     LateWrites,
     LateWrites,
-    LateWrites,
-    LateWrites,
+    LateSuccessor,
+    LateSuccessor,
+    LateSuccessor,
 ]
 """Faults of new seeds, with changes of the store that get no answer."""
 
@@ -436,6 +454,23 @@
 """Faults that a run may draw from, by name."""
 
 
+def writes_anything(writes: dict[str, bytes]) -> bool:
+    """Return True for each call that changes the store."""
+    return True
+
+
+def writes_lease(writes: dict[str, bytes]) -> bool:
+    """Return whether a call writes the record of a primary lease."""
+    return any(key.startswith(LEASE_KEY_PREFIX) for key in writes)
+
+
+def writes_successor(writes: dict[str, bytes]) -> bool:
+    """Return whether a call records the successor of a primary."""
+    return writes_lease(writes) and any(
+        orjson.loads(value)["successor"] for value in writes.values()
+    )
+
+
 async def delayed(seconds: float, work: Coroutine[Any, Any, str]) -> str:
     """Run `work` after a delay."""
     await asyncio.sleep(seconds)
--- a/src/reedhook_standins/unanswered.py
+++ b/src/reedhook_standins/unanswered.py
@@ -1,6 +1,8 @@
 """Calls to a store that take effect without an answer, at once or seconds later."""
 
 import asyncio
+import base64
+from collections.abc import Callable
 from random import Random
 from typing import Final
 
@@ -18,19 +20,24 @@
     :param share: probability that a call gets no answer.
     :param limit: how many calls are chosen at most.
     :param late: probability that a chosen call runs late and not at once.
-    :param prefix: only calls that write a key with this prefix; empty for all calls.
+    :param wanted: says whether to choose a call that writes these keys and values.
     :ivar chosen: number of calls chosen so far.
     :ivar late_applied: set once a late call has changed the store.
     """
 
     def __init__(
-        self, random: Random, share: float, limit: int, late: float, prefix: str = ""
+        self,
+        random: Random,
+        share: float,
+        limit: int,
+        late: float,
+        wanted: Callable[[dict[str, bytes]], bool] = lambda writes: True,
     ) -> None:
         self.random = random
         self.share = share
         self.limit = limit
         self.late = late
-        self.prefix = prefix
+        self.wanted = wanted
         self.chosen = 0
         self.late_applied = asyncio.Event()
 
@@ -38,18 +45,13 @@
         """Return after how many seconds a call runs, or None to answer it."""
         if request.method == "GET" or self.chosen >= self.limit:
             return None
-        if not await self.matches(request) or self.random.random() >= self.share:
+        # Reads the body before the caller disconnects; it is kept with the request.
+        body = await request.read()
+        writes = orjson.loads(body).get("writes", []) if body else []
+        values = {row["key"]: base64.b64decode(row["value"]) for row in writes}
+        if not self.wanted(values) or self.random.random() >= self.share:
             return None
         self.chosen += 1
         if self.random.random() >= self.late:
             return 0.0
         return self.random.uniform(EARLIEST, LATEST)
-
-    async def matches(self, request: web.Request) -> bool:
-        """Return whether a call writes a key with the prefix."""
-        # Reads the body before the caller disconnects; it is kept with the request.
-        body = await request.read()
-        if not self.prefix:
-            return True
-        writes = orjson.loads(body).get("writes", []) if body else []
-        return any(row["key"].startswith(self.prefix) for row in writes)
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -50,8 +50,10 @@
     asyncio.run(run())
 
 
-def calls(late: float, limit: int = 1, prefix: str = "") -> UnansweredCalls:
-    return UnansweredCalls(Random(1), 1.0, limit, late, prefix)
+def calls(late: float, limit: int = 1, key: str = "") -> UnansweredCalls:
+    return UnansweredCalls(
+        Random(1), 1.0, limit, late, lambda writes: not key or key in writes
+    )
 
 
 def test_unanswered_call_takes_effect_at_once() -> None:
@@ -97,9 +99,9 @@
     play(scenario)
 
 
-def test_only_calls_with_the_prefix_are_chosen() -> None:
+def test_only_wanted_calls_are_chosen() -> None:
     async def scenario(store: KeyValueStandIn, write: Write) -> None:
-        store.unanswered = calls(late=0.0, limit=9, prefix="lead/")
+        store.unanswered = calls(late=0.0, limit=9, key="lead/a")
         assert await write("other", 0) == 200
         assert await write("lead/a", 0) is None
         assert store.unanswered.chosen == 1
