--- a/src/reedhook_standins/soak/faults.py
+++ b/src/reedhook_standins/soak/faults.py
@@ -1,6 +1,7 @@
 """Random faults of the soak test, injected from outside the host processes."""
 
 import asyncio
+import base64
 import signal
 from abc import ABC, abstractmethod
 from collections.abc import Coroutine
@@ -15,7 +16,7 @@
 from ..unanswered import LATEST, UnansweredCalls
 from .hosts import SoakHostProcess
 from .proxy import ProxyLink
-from .surroundings import SoakEnvironment
+from .surroundings import SERVICE, SoakEnvironment
 
 LONGEST_PAUSE: Final = 14.0
 """Seconds; longer than any grant to use a primary lasts."""
@@ -38,8 +39,11 @@
 
     def lease_holder(self) -> SoakHostProcess:
         """Return the host that the store names as holder of the primary lease."""
-        name = self.around.lease_holder()
-        return next((host for host in self.hosts if host.name == name), self.hosts[0])
+        item = self.around.store.items.get(LEASE_KEY_PREFIX + SERVICE)
+        if item is None:
+            return self.hosts[0]
+        record = orjson.loads(base64.b64decode(item["value"]))
+        return next(one for one in self.hosts if one.name == record["holder"]["ref"][0])
 
     def only(self, host: SoakHostProcess) -> "FaultContext":
         """Return a context whose faults act on one host."""
@@ -99,20 +103,10 @@
         """Terminate hosts in this order, each before the one before it has ended."""
         gaps = [field.random.uniform(0.1, 2.0) for _ in hosts]
         delays = [sum(gaps[:index]) for index in range(len(hosts))]
-        await asyncio.gather(
-            *(
-                delayed(delay, self.renew(host))
-                for delay, host in zip(delays, hosts, strict=True)
-            )
-        )
+        restarts = [Restarted().strike(field.only(host)) for host in hosts]
+        await asyncio.gather(*map(delayed, delays, restarts))
         return f"terminated in series {names(hosts)}"
 
-    async def renew(self, host: SoakHostProcess) -> str:
-        """Terminate a host and restart it; return its name."""
-        await host.end()
-        await host.start()
-        return host.name
-
 
 class Paused(SoakFault):
     """Pause a process for a while."""
@@ -319,7 +313,7 @@
             share=random.choice([0.3, 1.0]),
             limit=random.choice([1, 3, 30]),
             late=random.choice([1.0, 0.7, 0.0]),
-            wanted=random.choice([writes_anything, writes_lease]),
+            wanted=random.choice([writes_lease, lambda writes: True]),
         )
         steps = [self.lose_answers(field, calls, random.uniform(1.0, 4.0))]
         if random.random() < 0.7:
@@ -337,8 +331,7 @@
         await asyncio.sleep(seconds)
         if store.unanswered is calls:
             store.unanswered = None
-        which = calls.wanted.__name__
-        return f"{calls.chosen} answers lost (late {calls.late}, {which})"
+        return f"{calls.chosen} answers lost, late with {calls.late}"
 
     async def outage(self, field: FaultContext, seconds: float) -> str:
         """Stop the primary for a moment."""
@@ -434,11 +427,8 @@
 WITH_LATE_WRITES: Final[list[type[SoakFault]]] = [
     *WITH_RESTORES,
     TerminationSeries,
-    LateWrites,
-    LateWrites,
-    LateSuccessor,
-    LateSuccessor,
-    LateSuccessor,
+    *[LateWrites] * 3,
+    *[LateSuccessor] * 6,
 ]
 """Faults of new seeds, with changes of the store that get no answer."""
 
@@ -454,11 +444,6 @@
 """Faults that a run may draw from, by name."""
 
 
-def writes_anything(writes: dict[str, bytes]) -> bool:
-    """Return True for each call that changes the store."""
-    return True
-
-
 def writes_lease(writes: dict[str, bytes]) -> bool:
     """Return whether a call writes the record of a primary lease."""
     return any(key.startswith(LEASE_KEY_PREFIX) for key in writes)
--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -37,7 +37,7 @@
 """Seconds in which all databases must be served, before and after the faults."""
 
 CALLERS_A_HOST: Final = 2
-LASTING_CALLERS_A_HOST: Final = 2
+LASTING_A_HOST: Final = 2
 """Callers that use each session until it breaks, with long transactions."""
 
 LONGEST_THINK: Final = 0.03
@@ -121,10 +121,12 @@
         for host in self.hosts:
             await host.start()
         await self.until_served("before any fault")
-        calls = [self.call(host) for host in self.hosts for _ in range(CALLERS_A_HOST)]
+        calls = []
         for host in self.hosts:
-            for index in range(LASTING_CALLERS_A_HOST):
-                calls.append(self.keep_calling(host, index))
+            random = Random(f"{self.seed} {host.name}")
+            calls += [self.call(host, random, False) for _ in range(CALLERS_A_HOST)]
+            lasting = Random(f"{self.seed} {host.name} lasting")
+            calls += [self.call(host, lasting, True) for _ in range(LASTING_A_HOST)]
         call_tasks = [asyncio.ensure_future(call) for call in calls]
         await self.disturb()
         self.heal()
@@ -185,19 +187,23 @@
                 proxy.link.heal()
             host.resume()
 
-    async def call(self, host: SoakHostProcess) -> None:
+    async def call(self, host: SoakHostProcess, random: Random, lasting: bool) -> None:
         """Open sessions at a host and use them, one after another."""
-        random = Random(f"{self.seed} {host.name}")
         while self.calling:
-            await self.use(host, random)
+            await self.use(host, random, lasting)
             await asyncio.sleep(random.uniform(0.01, 0.2))
 
-    async def use(self, host: SoakHostProcess, random: Random) -> None:
-        """Open one session and run a few operations."""
+    async def use(self, host: SoakHostProcess, random: Random, lasting: bool) -> None:
+        """Open one session and run a few operations, or use it until it ends."""
         caller = self.new_caller(host, random)
+        if lasting:
+            caller.pauses = LONG_PAUSES
         try:
             await caller.open(host.front.address)
             await caller.operate()
+            while lasting and self.calling:
+                await asyncio.sleep(random.uniform(0.0, LONGEST_THINK))
+                await caller.operate()
         except SessionEnded:
             # Sessions break under faults; acknowledged statements are still checked.
             pass
@@ -205,23 +211,6 @@
             caller.close()
             self.done += caller.done
 
-    async def keep_calling(self, host: SoakHostProcess, index: int) -> None:
-        """Use each session at a host until it ends, with long transactions."""
-        random = Random(f"{self.seed} {host.name} {index}")
-        while self.calling:
-            caller = self.new_caller(host, random)
-            caller.pauses = LONG_PAUSES
-            try:
-                await caller.open(host.front.address)
-                while self.calling:
-                    await caller.operate()
-                    await asyncio.sleep(random.uniform(0.0, LONGEST_THINK))
-            except SessionEnded:
-                await asyncio.sleep(random.uniform(0.01, 0.2))
-            finally:
-                caller.close()
-                self.done += caller.done
-
     def new_caller(self, host: SoakHostProcess, random: Random) -> WireCaller:
         """Return a caller of a random database."""
         self.callers += 1
--- a/src/reedhook_standins/soak/surroundings.py
+++ b/src/reedhook_standins/soak/surroundings.py
@@ -1,14 +1,12 @@
 """The systems around the hosts of the soak test: store, group, promotion endpoint."""
 
 import asyncio
-import base64
 from typing import Final
 
 import orjson
 from aiohttp import web
 
 from reedhook.platform import documents
-from reedhook.process.primary_lease.lease_record import LEASE_KEY_PREFIX
 
 from ..database import DatabaseGroup, DatabaseMember
 from ..keyvalue import KeyValueStandIn
@@ -155,14 +153,6 @@
                 self.announced[target] = value
                 self.store.write(f"servers/{target}", value)
 
-    def lease_holder(self) -> str:
-        """Return the host named as holder of the primary lease, or nothing."""
-        item = self.store.items.get(LEASE_KEY_PREFIX + SERVICE)
-        if item is None:
-            return ""
-        record = orjson.loads(base64.b64decode(item["value"]))
-        return str(record["holder"]["ref"][0])
-
     def scribble(self, target: str) -> None:
         """Overwrite a target's store entry with invalid data for a moment."""
         self.announced[target] = None
