--- a/src/reedhook_standins/soak/faults.py
+++ b/src/reedhook_standins/soak/faults.py
@@ -22,6 +22,10 @@
 """Seconds; longer than any grant to use a primary lasts."""
 
 
+LONGEST_OUTAGE: Final = 2.0
+"""Seconds of the outage of a primary during which its successor is recorded late."""
+
+
 class FaultContext:
     """Hold the hosts and systems that faults act on."""
 
@@ -366,15 +370,17 @@
             Random(random.random()), 1.0, limit, 1.0, writes_successor
         )
         after, delay = random.uniform(0.0, 1.0), random.choice([0.0, 0.1, 0.3])
-        outage = self.outage(field, random.uniform(0.9, 1.7))
+        longer = random.uniform(0.0, 0.5)
         losing = asyncio.create_task(self.lose_answers(field, calls, 3.0))
-        description = await outage
-        with suppress(TimeoutError):
-            async with asyncio.timeout(LATEST):
-                await calls.late_applied.wait()
+        member = field.around.group.primary
+        member.down = True
+        await happens(calls.any_chosen, LONGEST_OUTAGE - longer)
+        await asyncio.sleep(longer)
+        member.down = False
+        await happens(calls.late_applied, LATEST)
         await asyncio.sleep(after)
         work = [losing, self.slow_links(field, delay), self.end_holder(field)]
-        return " with ".join([description, *await asyncio.gather(*work)])
+        return f"late successor: {', '.join(await asyncio.gather(*work))}"
 
     async def slow_links(self, field: FaultContext, delay: float) -> str:
         """Delay what all hosts but the holder exchange with the primary."""
@@ -432,6 +438,9 @@
 ]
 """Faults of new seeds, with changes of the store that get no answer."""
 
+LATE_SUCCESSORS: Final[list[type[SoakFault]]] = [LateSuccessor]
+"""Late records of successors only, best one at a time."""
+
 PLANNED: Final[list[type[SoakFault]]] = [Restarted, TerminationSeries, Reloaded]
 """Planned work only, during which each request must be answered."""
 
@@ -439,6 +448,7 @@
     "lives": WITH_LIVES,
     "restores": WITH_RESTORES,
     "late": WITH_LATE_WRITES,
+    "successors": LATE_SUCCESSORS,
     "planned": PLANNED,
 }
 """Faults that a run may draw from, by name."""
@@ -456,6 +466,13 @@
     )
 
 
+async def happens(event: asyncio.Event, seconds: float) -> None:
+    """Wait for an event, or for the given time."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
+
+
 async def delayed(seconds: float, work: Coroutine[Any, Any, str]) -> str:
     """Run `work` after a delay."""
     await asyncio.sleep(seconds)
--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -2,7 +2,7 @@
 
 Usage:
   soak [--seeds N] [--first SEED] [--hosts N] [--seconds S] [--folder DIR]
-       [--faults DRAW] [--cuts]
+       [--faults DRAW] [--at-once N] [--cuts]
   soak --help
 
 Options:
@@ -11,8 +11,9 @@
   --hosts N      Hosts in three availability zones [default: 6].
   --seconds S    Time of faults, of each seed [default: 20].
   --folder DIR   Where settings and logs are kept [default: build/soak].
-  --faults DRAW  Faults to draw from: lives, restores, late or planned; each draw
-                 gives a seed other faults [default: late].
+  --faults DRAW  Faults to draw from: lives, restores, late, successors or planned;
+                 each draw gives a seed other faults [default: late].
+  --at-once N    Most faults at a time [default: 3].
   --cuts         Count a request that a planned end cuts as a violation.
 
 Exit codes: 0 if all promises were kept, 1 otherwise.
@@ -72,6 +73,7 @@
         self.faults = faults
         self.check_cuts = check_cuts
         self.cuts = 0
+        self.at_once = MOST_AT_ONCE
         self.unplanned = 0
         self.calm_since = float("-inf")
         self.seed = seed
@@ -140,7 +142,7 @@
         deadline = asyncio.get_running_loop().time() + self.seconds
         running: set[asyncio.Task[str]] = set()
         while asyncio.get_running_loop().time() < deadline:
-            if len(running) < MOST_AT_ONCE:
+            if len(running) < self.at_once:
                 fault = self.random.choice(self.faults)()
                 running.add(asyncio.ensure_future(self.inject(fault, field)))
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
@@ -282,6 +284,7 @@
             DRAWS[arguments["--faults"]],
             arguments["--cuts"],
         )
+        soak.at_once = int(arguments["--at-once"])
         violations = asyncio.run(soak.run())
         failed += bool(violations)
         report(soak, violations)
--- a/src/reedhook_standins/unanswered.py
+++ b/src/reedhook_standins/unanswered.py
@@ -22,6 +22,7 @@
     :param late: probability that a chosen call runs late and not at once.
     :param wanted: says whether to choose a call that writes these keys and values.
     :ivar chosen: number of calls chosen so far.
+    :ivar any_chosen: set once a call was chosen.
     :ivar late_applied: set once a late call has changed the store.
     """
 
@@ -39,6 +40,7 @@
         self.late = late
         self.wanted = wanted
         self.chosen = 0
+        self.any_chosen = asyncio.Event()
         self.late_applied = asyncio.Event()
 
     async def choose(self, request: web.Request) -> float | None:
@@ -52,6 +54,7 @@
         if not self.wanted(values) or self.random.random() >= self.share:
             return None
         self.chosen += 1
+        self.any_chosen.set()
         if self.random.random() >= self.late:
             return 0.0
         return self.random.uniform(EARLIEST, LATEST)
