--- a/src/reedhook_standins/soak/caller.py
+++ b/src/reedhook_standins/soak/caller.py
@@ -68,6 +68,7 @@
 
     :ivar done: statements that succeeded.
     :ivar pauses: shortest and longest pause in a transaction, in seconds.
+    :ivar least_choice: excludes the first ones of the operations in `operate`.
     :ivar on_cut: called with the ID of a statement and when it was sent, if its
         connection ends without an answer.
     """
@@ -82,6 +83,7 @@
         self.sent = 0
         self.done = 0
         self.pauses = SHORT_PAUSES
+        self.least_choice = 0.0
         self.on_cut: Callable[[str, float], None] = lambda id, sent_at: None
         self.writer: asyncio.StreamWriter | None = None
         self.state = "I"
@@ -215,7 +217,7 @@
         if self.random.random() < 0.4 and not self.prepared:
             await self.prepare("s", self.random.random() < 0.5)
         for _ in range(self.random.randint(1, 4)):
-            choice = self.random.random()
+            choice = self.random.uniform(self.least_choice, 1.0)
             if choice < 0.4:
                 await self.ask("READ a")
             elif choice < 0.6:
--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -45,6 +45,9 @@
 """Seconds between two operations of a lasting caller; a host that ends closes a
 session only after this much idle time."""
 
+MOSTLY_TRANSACTIONS: Final = 0.5
+"""Least choice of a lasting caller; single reads would slow down the check."""
+
 CONTACT: Final = 4.0
 """Seconds before a request without an unplanned fault, for a cut to count."""
 
@@ -200,6 +203,7 @@
         caller = self.new_caller(host, random)
         if lasting:
             caller.pauses = LONG_PAUSES
+            caller.least_choice = MOSTLY_TRANSACTIONS
         try:
             await caller.open(host.front.address)
             await caller.operate()
