Reset a connection that uvloop has already closed without an error

Callers saw no answer, or INDOUBT, to a statement whose connection to the target ended before its host closed it. uvloop's closed socket raises ValueError, which is no OSError, so that the session's task or the handler of the peer call failed instead of reporting the lost reply.

Change: the closed socket counts as ended. tests/test_transport_reset.py failed before with uvloop (ValueError: negative file descriptor) and passes.

--- a/src/reedhook/connection/transport_reset.py
+++ b/src/reedhook/connection/transport_reset.py
@@ -23,7 +23,8 @@
             connected_socket.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE
             )
-        except OSError:
-            # The connection has already ended; no data is pending.
+        except (OSError, ValueError):
+            # The connection has already ended; no data is pending. uvloop raises
+            # ValueError for its closed socket.
             pass
     transport.abort()
