--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -297,12 +297,13 @@
 def report(soak: Soak, violations: list[str]) -> None:
     """Print the result of a seed."""
     group = soak.around.group
+    errors = sum(host.log_file.read_bytes().count(b"Traceback") for host in soak.hosts)
     print(
         f"seed {soak.seed}: {soak.callers} sessions, {soak.done} statements done, "
         f"{len(soak.promises.acknowledged)} commits, {len(group.promotions)} "
         f"promotions, {len(soak.struck)} faults, "
         f"{soak.around.store.epoch} restores, {soak.cuts} cut by planned ends, "
-        f"{len(violations)} broken",
+        f"{errors} tracebacks, {len(violations)} broken",
         flush=True,
     )
     for violation in violations[:5]:
