--- a/src/reedhook_standins/soak/hosts.py
+++ b/src/reedhook_standins/soak/hosts.py
@@ -12,9 +12,10 @@
 
 from .proxy import Proxy, ProxyLink
 
-NETWORK: Final = "127.0.0."
+NETWORK: Final = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}."
 FIRST_NUMBER: Final = 10
-"""Each host has its own loopback address, so that no proxy takes one of its ports."""
+"""Each host has its own loopback address, so that no proxy and no other soak that runs
+at the same time takes one of its ports."""
 
 GRACE: Final = 6.0
 """Seconds from SIGTERM until a host is killed."""
