--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -505,6 +505,8 @@
         :param planned: whether the old primary still serves and is drained first.
         """
         self.ready.clear()
+        if not await self.claim.settle():
+            return
         if planned and self.home is not None:
             await self.until_quiet(self.home, DRAIN_TIMEOUT_SECONDS)
         if await self.promotion.decide_successor(
@@ -595,7 +597,7 @@
             return
         better = self.ranking.better_holder(self.service, home.entry)
         if better is not None and await self.indirect_prober.transfer_lease(
-            self.service, better, self.others.former_expired()
+            self.service, better, self.others.sole_holder_at()
         ):
             self.decisions.record(
                 "lease_transferred", service=self.service, to=better.host
