--- a/src/reedhook_standins/soak/caller.py
+++ b/src/reedhook_standins/soak/caller.py
@@ -1,6 +1,7 @@
 """Callers of the soak test, which check every answer."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 from typing import Final
 
@@ -15,6 +16,10 @@
 PATIENCE: Final = 3.0
 """Seconds for an answer; must exceed a host's own statement limit of 0.8."""
 
+SHORT_PAUSES: Final = (0.0, 0.05)
+LONG_PAUSES: Final = (0.1, 0.8)
+"""Pauses in transactions, in seconds; long ones span the end of a host."""
+
 LONGEST_LINE: Final = 1 << 22
 """Bytes of one line of an answer: a read returns the whole log of its target."""
 
@@ -62,6 +67,10 @@
     """Run one session, and check each answer.
 
     :ivar done: statements that succeeded.
+    :ivar pauses: shortest and longest pause in a transaction, in seconds.
+    :ivar least_choice: excludes the first ones of the operations in `operate`.
+    :ivar on_cut: called with the ID of a statement and when it was sent, if its
+        connection ends without an answer.
     """
 
     def __init__(
@@ -73,6 +82,9 @@
         self.random = random
         self.sent = 0
         self.done = 0
+        self.pauses = SHORT_PAUSES
+        self.least_choice = 0.0
+        self.on_cut: Callable[[str, float], None] = lambda id, sent_at: None
         self.writer: asyncio.StreamWriter | None = None
         self.state = "I"
         self.transaction = ""
@@ -130,7 +142,10 @@
         try:
             async with asyncio.timeout(PATIENCE):
                 answer = await self.read_answer()
-        except (OSError, TimeoutError) as error:
+        except TimeoutError as error:
+            raise SessionEnded(repr(error)) from error
+        except (OSError, SessionEnded) as error:
+            self.on_cut(id, sent_at)
             raise SessionEnded(repr(error)) from error
         self.state = answer.state
         self.judge(id, text, answer, sent_at)
@@ -199,10 +214,10 @@
         """
         if self.random.random() < 0.4:
             await self.set("v", str(self.random.random()))
-        if self.random.random() < 0.4:
+        if self.random.random() < 0.4 and not self.prepared:
             await self.prepare("s", self.random.random() < 0.5)
         for _ in range(self.random.randint(1, 4)):
-            choice = self.random.random()
+            choice = self.random.uniform(self.least_choice, 1.0)
             if choice < 0.4:
                 await self.ask("READ a")
             elif choice < 0.6:
@@ -249,5 +264,5 @@
             reads = reads_only or self.random.random() < 0.5
             if (await self.ask("READ a" if reads else "WRITE a b")).error:
                 return False
-            await asyncio.sleep(self.random.uniform(0.0, 0.05))
+            await asyncio.sleep(self.random.uniform(*self.pauses))
         return True
--- a/src/reedhook_standins/soak/faults.py
+++ b/src/reedhook_standins/soak/faults.py
@@ -1,19 +1,29 @@
 """Random faults of the soak test, injected from outside the host processes."""
 
 import asyncio
+import base64
 import signal
 from abc import ABC, abstractmethod
 from collections.abc import Coroutine
+from contextlib import suppress
 from random import Random
 from typing import Any, Final
 
+import orjson
+
+from reedhook.process.primary_lease.lease_record import LEASE_KEY_PREFIX
+
+from ..unanswered import LATEST, UnansweredCalls
 from .hosts import SoakHostProcess
 from .proxy import ProxyLink
-from .surroundings import SoakEnvironment
+from .surroundings import SERVICE, SoakEnvironment
 
 LONGEST_PAUSE: Final = 14.0
 """Seconds; longer than any grant to use a primary lasts."""
 
+LONGEST_OUTAGE: Final = 2.0
+"""Seconds of the outage of a primary during which its successor is recorded late."""
+
 
 class FaultContext:
     """Hold the hosts and systems that faults act on."""
@@ -30,9 +40,26 @@
         count = 1 if self.random.random() < 0.7 else self.random.randint(1, 3)
         return self.random.sample(self.hosts, min(count, len(self.hosts)))
 
+    def lease_holder(self) -> SoakHostProcess:
+        """Return the host that the store names as holder of the primary lease."""
+        item = self.around.store.items.get(LEASE_KEY_PREFIX + SERVICE)
+        if item is None:
+            return self.hosts[0]
+        record = orjson.loads(base64.b64decode(item["value"]))
+        return next(one for one in self.hosts if one.name == record["holder"]["ref"][0])
+
+    def only(self, host: SoakHostProcess) -> "FaultContext":
+        """Return a context whose faults act on one host."""
+        return FaultContext([host], self.around, self.random)
+
 
 class SoakFault(ABC):
-    """Inject one kind of fault, and end it."""
+    """Inject one kind of fault, and end it.
+
+    :cvar planned: whether it is planned work, during which no request may be cut.
+    """
+
+    planned = False
 
     @abstractmethod
     async def strike(self, field: FaultContext) -> str:
@@ -55,6 +82,8 @@
 class Restarted(SoakFault):
     """Terminate a process gracefully and restart it, or several in turn."""
 
+    planned = True
+
     async def strike(self, field: FaultContext) -> str:
         hosts = field.some_hosts()
         for host in hosts:
@@ -64,6 +93,23 @@
         return f"restarted {names(hosts)}"
 
 
+class TerminationSeries(SoakFault):
+    """Terminate the holder of the primary lease and others shortly after it."""
+
+    planned = True
+
+    async def strike(self, field: FaultContext) -> str:
+        holder = field.lease_holder()
+        others = [host for host in field.hosts if host is not holder]
+        count = field.random.randint(1, len(others))
+        hosts = [holder, *field.random.sample(others, count)]
+        gaps = [field.random.uniform(0.1, 2.0) for _ in hosts]
+        delays = [sum(gaps[:index]) for index in range(len(hosts))]
+        restarts = [Restarted().strike(field.only(host)) for host in hosts]
+        await asyncio.gather(*map(delayed, delays, restarts))
+        return f"terminated in series {names(hosts)}"
+
+
 class Paused(SoakFault):
     """Pause a process for a while."""
 
@@ -81,6 +127,8 @@
 class Reloaded(SoakFault):
     """Reload a process's settings; the configuration changes, too."""
 
+    planned = True
+
     async def strike(self, field: FaultContext) -> str:
         hosts = field.some_hosts()
         for host in hosts:
@@ -189,16 +237,27 @@
 
 
 class PrimaryLost(SoakFault):
-    """Stop the primary for a while."""
+    """Stop the primary for a while.
+
+    :cvar seconds: limits of the outage.
+    """
+
+    seconds = (1.0, 8.0)
 
     async def strike(self, field: FaultContext) -> str:
         member = field.around.group.primary
         member.down = True
-        await asyncio.sleep(field.random.uniform(1.0, 8.0))
+        await asyncio.sleep(field.random.uniform(*self.seconds))
         member.heal()
         return f"primary {member.entry.target} dark"
 
 
+class ShortOutage(PrimaryLost):
+    """Stop the primary for a moment."""
+
+    seconds = (0.5, 2.0)
+
+
 COMPANIONS: Final[list[type[SoakFault] | None]] = [
     None,
     Killed,
@@ -253,6 +312,95 @@
         return age
 
 
+class LateWrites(SoakFault):
+    """Leave changes of the store unanswered; they take effect at once or seconds later.
+
+    Most often the primary is away for a moment meanwhile, and the host that holds its
+    lease is terminated, killed or paused within the next seconds.
+    """
+
+    async def strike(self, field: FaultContext) -> str:
+        random = field.random
+        calls = UnansweredCalls(
+            Random(random.random()),
+            share=random.choice([0.3, 1.0]),
+            limit=random.choice([1, 3, 30]),
+            late=random.choice([1.0, 0.7, 0.0]),
+            wanted=random.choice([writes_lease, lambda writes: True]),
+        )
+        steps = [self.lose_answers(field, calls, random.uniform(1.0, 4.0))]
+        if random.random() < 0.7:
+            steps.append(ShortOutage().strike(field))
+        if random.random() < 0.7:
+            steps.append(delayed(random.uniform(0.5, LATEST), self.end_holder(field)))
+        return " with ".join(await asyncio.gather(*steps))
+
+    async def lose_answers(
+        self, field: FaultContext, calls: UnansweredCalls, seconds: float
+    ) -> str:
+        """Leave calls unanswered for a while."""
+        store = field.around.store
+        store.unanswered = calls
+        await asyncio.sleep(seconds)
+        if store.unanswered is calls:
+            store.unanswered = None
+        return f"{calls.chosen} answers lost, late with {calls.late}"
+
+    async def end_holder(self, field: FaultContext) -> str:
+        """Terminate, kill or pause the holder, or terminate it and then others."""
+        fault = field.random.choice(HOLDER_FAULTS)
+        if fault is not TerminationSeries:
+            field = field.only(field.lease_holder())
+        return "holder " + await fault().strike(field)
+
+
+class LateSuccessor(LateWrites):
+    """Delay the record of a successor past a short outage, then end the holder.
+
+    The other hosts reach the old primary slowly, so that it leads for a while beside
+    the successor.
+    """
+
+    async def strike(self, field: FaultContext) -> str:
+        random = field.random
+        limit = random.choice([1, 3, 20])
+        calls = UnansweredCalls(
+            Random(random.random()), 1.0, limit, 1.0, writes_successor
+        )
+        after, delay = random.uniform(0.0, 1.0), random.choice([0.0, 0.1, 0.3])
+        longer = random.uniform(0.0, 0.5)
+        losing = asyncio.create_task(self.lose_answers(field, calls, 3.0))
+        member = field.around.group.primary
+        member.down = True
+        await happens(calls.any_chosen, LONGEST_OUTAGE - longer)
+        await asyncio.sleep(longer)
+        member.down = False
+        await happens(calls.late_applied, LATEST)
+        await asyncio.sleep(after)
+        work = [losing, self.slow_links(field, delay), self.end_holder(field)]
+        return f"late successor: {', '.join(await asyncio.gather(*work))}"
+
+    async def slow_links(self, field: FaultContext, delay: float) -> str:
+        """Delay what all hosts but the holder exchange with the primary."""
+        holder, target = field.lease_holder(), field.around.group.primary.entry.target
+        others = [host.name for host in field.hosts if host is not holder]
+        for name in others:
+            field.around.links[name, target].delay = delay
+        await asyncio.sleep(3.0)
+        for name in others:
+            field.around.links[name, target].delay = 0.0
+        return f"links to {target} slowed by {delay:.2f} s"
+
+
+HOLDER_FAULTS: Final[list[type[SoakFault]]] = [
+    Restarted,
+    Restarted,
+    Killed,
+    Paused,
+    TerminationSeries,
+]
+"""Faults of the host that holds the primary lease around a late change."""
+
 FAULTS: Final[list[type[SoakFault]]] = [
     Killed,
     Restarted,
@@ -274,7 +422,43 @@
     StoreRestored,
     PrimaryLost,
 ]
-"""Faults of new seeds, with restores of the store."""
+"""Faults with restores of the store."""
+
+WITH_LATE_WRITES: Final[list[type[SoakFault]]] = [
+    *WITH_RESTORES,
+    TerminationSeries,
+    *[LateWrites] * 3,
+    *[LateSuccessor] * 6,
+]
+"""Faults of new seeds, with changes of the store that get no answer."""
+
+DRAWS: Final[dict[str, list[type[SoakFault]]]] = {
+    "lives": WITH_LIVES,
+    "restores": WITH_RESTORES,
+    "late": WITH_LATE_WRITES,
+    "successors": [LateSuccessor],
+    "planned": [Restarted, TerminationSeries, Reloaded],
+}
+"""Faults that a run may draw from, by name."""
+
+
+def writes_lease(writes: dict[str, bytes]) -> bool:
+    """Return whether a call writes the record of a primary lease."""
+    return any(key.startswith(LEASE_KEY_PREFIX) for key in writes)
+
+
+def writes_successor(writes: dict[str, bytes]) -> bool:
+    """Return whether a call records the successor of a primary."""
+    return writes_lease(writes) and any(
+        orjson.loads(value)["successor"] for value in writes.values()
+    )
+
+
+async def happens(event: asyncio.Event, seconds: float) -> None:
+    """Wait for an event, or for the given time."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
 
 
 async def delayed(seconds: float, work: Coroutine[Any, Any, str]) -> str:
--- a/src/reedhook_standins/soak/hosts.py
+++ b/src/reedhook_standins/soak/hosts.py
@@ -12,9 +12,10 @@
 
 from .proxy import Proxy, ProxyLink
 
-NETWORK: Final = "127.0.0."
+NETWORK: Final = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}."
 FIRST_NUMBER: Final = 10
-"""Each host has its own loopback address, so that no proxy takes one of its ports."""
+"""Each host has its own loopback address, so that no proxy and no other soak that runs
+at the same time takes one of its ports."""
 
 GRACE: Final = 6.0
 """Seconds from SIGTERM until a host is killed."""
@@ -36,6 +37,7 @@
     :param promotions: ``IP:port`` of the promotion endpoint.
     :ivar process: the last process that was started.
     :ivar told: the process that was last told to end; its exit is expected.
+    :ivar terminated_at: when a process was last told to end gracefully, by the loop.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.starting = asyncio.Lock()
         self.told: asyncio.subprocess.Process | None = None
+        self.terminated_at = float("-inf")
 
     @property
     def proxies(self) -> list[Proxy]:
@@ -141,6 +144,7 @@
         process = await self.ending()
         if process is None:
             return
+        self.terminated_at = asyncio.get_running_loop().time()
         self.send(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE):
--- a/src/reedhook_standins/soak/surroundings.py
+++ b/src/reedhook_standins/soak/surroundings.py
@@ -27,6 +27,10 @@
 MOST_COPIES: Final = 16
 """Copies kept after the first one; must reach back beyond the oldest restore."""
 
+CONNECTIONS: Final = 16
+CONNECTIONS_A_HOST: Final = 2
+"""Connections of a target, and more of them for the long transactions at each host."""
+
 KINDS: Final = {kind: word for word, kind in documents.ROUTE_KINDS.items()}
 
 
@@ -39,7 +43,8 @@
     def __init__(self, zones: list[str], hosts: list[str]) -> None:
         self.hosts = hosts
         self.store = KeyValueStandIn()
-        self.group = DatabaseGroup(SERVICE, zones)
+        self.connections = CONNECTIONS + CONNECTIONS_A_HOST * len(hosts)
+        self.group = DatabaseGroup(SERVICE, zones, self.connections)
         self.servers: dict[str, WireDatabase] = {}
         self.proxies: dict[str, MemberProxy] = {}
         self.links = {
@@ -110,7 +115,7 @@
         message = {
             "version": self.version,
             "routes": routes,
-            "services": [{"name": SERVICE, "connection_limit": 16}],
+            "services": [{"name": SERVICE, "connection_limit": self.connections}],
             "limits": {"transaction_idle_ms": 3000},
         }
         self.configuration = orjson.dumps(message)
@@ -187,6 +192,7 @@
             link.heal()
         self.store.silent = False
         self.store.status = 0
+        self.store.unanswered = None
         self.leaving.clear()
         for member in self.group.members.values():
             member.heal()
