--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -65,10 +65,16 @@
     assert soak.struck
 
 
-# Requests that a planned end cuts are counted here but not refused: `check_cuts` is off
-# until hosts answer each request that they have read before they end.
+# Guards against requests that a host has read and cuts as it ends after SIGTERM.
 def test_guarantees_hold_over_planned_work(tmp_path: Path) -> None:
-    soak = Soak(PLANNED_SEED, HOSTS, PLANNED_SECONDS, tmp_path, DRAWS["planned"])
+    soak = Soak(
+        PLANNED_SEED,
+        HOSTS,
+        PLANNED_SECONDS,
+        tmp_path,
+        DRAWS["planned"],
+        check_cuts=True,
+    )
     violations = asyncio.run(soak.run())
     assert not violations
     assert soak.promises.acknowledged
