Run the tests in parallel, and those of processes in a group of their own

Tests in virtual time and on small fakes now use a worker for each core, and the four modules that start processes a worker for four cores. No test and no bound changes; the known failures are marked and printed as before.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,11 @@
 
 SEEDS ?= 50
 
+CORES := $(shell nproc)
+WORKERS ?= $(CORES)
+# A test of processes keeps several cores busy.
+PROCESS_WORKERS ?= $(shell expr \( $(CORES) + 3 \) / 4)
+
 .PHONY: demo test lint bench format soak
 
 $(VENV)/ready: requirements.lock pyproject.toml
@@ -16,7 +21,8 @@
 	$(PYTHON) -m reedhook_standins.demo --deployment $(DEPLOYMENT)
 
 test: $(VENV)/ready
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest --numprocesses $(WORKERS) -m "not processes"
+	$(PYTHON) -m pytest --numprocesses $(PROCESS_WORKERS) -m processes
 
 lint: $(VENV)/ready
 	$(VENV)/bin/black --quiet --check src tests bench
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,17 @@
 separated by ``|``."""
 
 
+PROCESS_MODULES = frozenset(
+    {
+        "test_daemon_imports",
+        "test_daemon_reload",
+        "test_peer_connector",
+        "test_soak",
+    }
+)
+"""Modules that start processes, which `make test` runs with fewer workers."""
+
+
 def known_red() -> dict[str, str]:
     """Return the lines of the file by test."""
     if not KNOWN_RED.exists():
@@ -30,9 +41,11 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Mark known failures as non-strict expected failures."""
+    """Mark tests of processes, and known failures as non-strict expected failures."""
     known = known_red()
     for item in items:
+        if item.path.stem in PROCESS_MODULES:
+            item.add_marker(pytest.mark.processes)
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(reason=known[item.nodeid], strict=False))
 
