Keep a connection open while a request on it is still unread

Cause: a host closes a session when it has been idle for 30 ms, or 0.2 s after it was opened, by its own clock. uvloop runs due timers before it polls the sockets, so that after a stall (a long callback, a used up processor quota) the timer finds the session idle although its statement has arrived. The socket is then closed with unread bytes, which resets the connection. A session that is due could also close with an answer while the next statement was unread, and the reset could take the answer along.

Evidence: a script with a callback that stalls a uvloop for 0.2 s sees the bytes unread when the timer fires, and read one iteration later; on the loop of asyncio they are read first.

Before a session closes, its socket is polled; one with unread or partly read bytes is not idle. The HTTP server between hosts does the same for connections that it closes as idle, which carry forwarded statements.

--- a/src/reedhook/platform/caller_listener.py
+++ b/src/reedhook/platform/caller_listener.py
@@ -8,6 +8,7 @@
 from ..connection.session import Session, SessionReply
 from ..connection.session_state import SessionState
 from ..connection.session_target import StatementFault
+from ..connection.unread_input import has_unread_input
 from ..process.caller_sessions import HOST_ENDS, CallerConnection, CallerSessions
 from ..process.drain_schedule import stopping_refusal
 from ..request.caller_presence import PRESENCE, CallerPresence
@@ -200,7 +201,9 @@
             return False
         if self.pipelined is None:
             self.pipelined = len(self.lines)
-        return not self.lines and session.state is SessionState.IDLE
+        if self.lines or has_unread_input(self.transport):
+            return False
+        return session.state is SessionState.IDLE
 
     def mark_idle(self, grace: float) -> None:
         """Record that no statement is in progress.
@@ -215,9 +218,11 @@
             self.transport.write(data)
 
     def is_quiet(self) -> bool:
-        if self.serving or self.lines:
+        if self.serving or self.lines or self.reader.rest:
+            return False
+        if self.callers.clock.monotonic() < self.quiet_at:
             return False
-        return self.callers.clock.monotonic() >= self.quiet_at
+        return not has_unread_input(self.transport)
 
     def is_idle(self) -> bool:
         if not self.is_quiet():
--- a/src/reedhook/process/network/plain_server.py
+++ b/src/reedhook/process/network/plain_server.py
@@ -15,6 +15,7 @@
 import logbook
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from ...connection.unread_input import has_unread_input
 from ...record import Record
 from ...request.caller_presence import PRESENCE, CallerPresence
 from ...request.refusal import RefusalError, RefusalReason, not_run
@@ -396,9 +397,13 @@
         self.timer = loop.call_later(seconds, self.close_idle)
 
     def close_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if not self.serving and not self.waiting and self.transport is not None:
-            self.transport.close()
+        """Close the connection unless a request is in progress or has arrived."""
+        if self.serving or self.waiting or self.transport is None:
+            return
+        if has_unread_input(self.transport):
+            self.restart_timeout(self.server.keepalive)
+            return
+        self.transport.close()
 
     def abort(self) -> None:
         """Close the connection immediately and abort its request."""
