Replace a primary that had left before its holder started

Cause: a holder replaces the recorded primary through its last announcement. A process that started after that announcement had ended never knew one, so that it found no primary and replaced none. For the same reason a vacant lease of such a service was not claimed by anyone.

A target that was never announced to this host counts as gone like others, after 3 s with the store; the recorded primary is then replaced by name, without its address, and its service counts as announced.

tests/test_leaving_primary.py::test_primary_that_left_before_its_holder_started_is_replaced failed before (no write in 20 s).

--- a/src/reedhook/process/discovery/announcements.py
+++ b/src/reedhook/process/discovery/announcements.py
@@ -163,11 +163,17 @@
         return entry is not None and entry.leaving
 
     def is_gone(self, target: str) -> bool:
-        """Return whether a target has stopped announcing itself for good."""
+        """Return whether a target has stopped announcing itself for good.
+
+        A target that this host has never known may have left before it started.
+        """
         now = self.clock.boottime()
         if not self.store_reached or now - self.reached_since < GONE_AFTER_SECONDS:
             return False
-        return now - self.missing_since.get(target, now) >= GONE_AFTER_SECONDS
+        if target in self.targets:
+            return False
+        missing_since = self.missing_since.get(target, self.reached_since)
+        return now - missing_since >= GONE_AFTER_SECONDS
 
     def process_updates(self, news: list[Item]) -> None:
         """Process new items and wake waiting tasks."""
--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -202,16 +202,16 @@
         target = home.entry.target
         entry = self.announcements.targets.get(target)
         if self.announcements.is_leaving(target):
-            await self.change("leaving", home.entry, planned=True)
+            await self.change("leaving", target, planned=True)
             return
         if entry is None and self.announcements.is_gone(target):
-            await self.change("gone", home.entry, planned=True)
+            await self.change("gone", target, planned=True)
             return
         if entry is not None and not entry.is_incarnation(home.entry.started_at_ms):
-            await self.change("reborn", home.entry, planned=False)
+            await self.change("reborn", target, planned=False)
             return
         if self.leadership_questioned and await self.has_lost_leadership(home.entry):
-            await self.change("leads no more", home.entry, planned=False)
+            await self.change("leads no more", target, planned=False)
             return
         if self.clock.monotonic() - home.last_reply_at < PROBE_AFTER_SECONDS:
             self.mark_usable()
@@ -310,7 +310,7 @@
             probe_result
         ):
             return
-        await self.change("unreachable", probe_result.entry, planned=False)
+        await self.change("unreachable", probe_result.entry.target, planned=False)
 
     async def wait_for_store(self, probe_result: PrimaryProbeResult) -> bool:
         """Transfer the lease to a host that reaches the store, or wait for the store.
@@ -435,15 +435,22 @@
             if await self.use_if_primary(entry, status):
                 return
         if probe_result is None:
+            await self.replace_unknown()
             return
         self.mark_doubtful()
         if any(entry.target == probe_result.entry.target for entry, _ in found):
             # It replies but is not primary. No other target was promoted, so its
             # process has restarted without data.
-            await self.change("leads no more", probe_result.entry, planned=False)
+            await self.change("leads no more", probe_result.entry.target, planned=False)
             return
         await self.handle_probe_result(probe_result)
 
+    async def replace_unknown(self) -> None:
+        """Replace a recorded primary that had left before this host started."""
+        target = self.record.primary
+        if target and self.announcements.is_gone(target):
+            await self.change("gone", target, planned=False)
+
     async def use_if_primary(
         self, entry: TargetAnnouncement, status: SessionTargetStatus
     ) -> bool:
@@ -488,10 +495,11 @@
 
     # Change of primary
 
-    async def change(self, cause: str, old: TargetAnnouncement, planned: bool) -> None:
+    async def change(self, cause: str, old: str, planned: bool) -> None:
         """Replace the primary.
 
         :param cause: recorded with the decision.
+        :param old: the target that is replaced.
         :param planned: whether the old primary still serves and is drained first.
         """
         self.ready.clear()
--- a/src/reedhook/process/primary_lease/lease_manager.py
+++ b/src/reedhook/process/primary_lease/lease_manager.py
@@ -278,7 +278,13 @@
         return self.failure_detector.is_lost(record.holder.ref)
 
     def is_announced(self, service: str) -> bool:
-        """Return whether the service has a current or former primary."""
+        """Return whether the service has a current or former primary.
+
+        The recorded one may have left before this host started.
+        """
+        record = self.registry.get(service)
+        if record is not None and record.primary:
+            return True
         return bool(self.ranking.primary_zone(service))
 
     async def claim(
--- a/src/reedhook/process/primary_lease/primary_replacement.py
+++ b/src/reedhook/process/primary_lease/primary_replacement.py
@@ -59,7 +59,7 @@
     async def decide_successor(
         self,
         cause: str,
-        old: TargetAnnouncement,
+        old: str,
         planned: bool,
         highest_position: Position | None,
         stop_use: Callable[[], Awaitable[None]],
@@ -69,6 +69,7 @@
         A planned change waits for a replica to catch up, so that no commit is lost.
 
         :param cause: recorded with the decision.
+        :param old: the target that is replaced.
         :param planned: whether the primary still serves.
         :param highest_position: highest known position of the primary.
         :param stop_use: stops this host's use of the primary. Called before the record
@@ -92,7 +93,7 @@
             "primary_change",
             service=self.service,
             cause=cause,
-            primary=old.target,
+            primary=old,
             successor=successor.target,
             former=[one.ref.host for one in self.claim.record.former],
             former_expired=self.others.former_expired(),
@@ -100,7 +101,7 @@
         return await self.claim.write(self.claim.record.with_successor(successor))
 
     async def choose_successor(
-        self, old: TargetAnnouncement, planned: bool, highest_position: Position | None
+        self, old: str, planned: bool, highest_position: Position | None
     ) -> TargetAnnouncement | None:
         """Return the responding target with the highest position, or None.
 
@@ -118,7 +119,7 @@
             others = [
                 one
                 for one in self.states.announced(self.service)
-                if one.target != old.target and not one.leaving
+                if one.target != old and not one.leaving
             ]
             found = await self.states.all(others)
             complete = len(found) == len(others)
@@ -130,10 +131,11 @@
             await self.clock.sleep(CATCH_UP_POLL_SECONDS)
 
     async def required_position(
-        self, old: TargetAnnouncement, highest_position: Position | None
+        self, old: str, highest_position: Position | None
     ) -> Position:
         """Return the position that a successor must reach, as far as known."""
-        status = await self.states.status(old)
+        entry = self.states.last_entry(old)
+        status = None if entry is None else await self.states.status(entry)
         if status is not None:
             return status.received
         return ORIGIN if highest_position is None else highest_position
--- a/tests/test_leaving_primary.py
+++ b/tests/test_leaving_primary.py
@@ -144,6 +144,20 @@
     assert len(world.primary.runs) == runs
 
 
+def test_primary_that_left_before_its_holder_started_is_replaced() -> None:
+    """Guards against a service without a primary for as long as its holder lives."""
+    in_leaving_world(restart_hosts_after_the_primary)
+
+
+async def restart_hosts_after_the_primary(world: LeavingWorld) -> None:
+    world.primary.down = True
+    world.lapse(world.primary)
+    for name in list(world.hosts):
+        await world.restart(name)
+    await world.first_write(20.0)
+    assert world.group.primary is not world.primary
+
+
 def test_promoted_successor_that_leaves_takes_no_statements() -> None:
     """Guards against use of a successor that left before its promotion was ordered."""
     in_leaving_world(promote_leaving_successor)
