Read the announcement of the primary again before a new holder uses it

Callers could write to a primary that had restarted under its id and lost its data, and their earlier writes were gone: the next holder of the lease used it until it learned of the restart.

Cause: hosts follow the store through a relay of their zone. If the holder of the lease is that relay and is lost just as the primary restarts, the host that claims the lease knows the announcement of the process before, which matches the record, and the new process claims to lead in the same term.

A new holder reads the announcement from the store, which it has just reached, while it asks the target for its status, so that a claim takes no longer. A target whose latest announcement is of another process is not used.

--- a/src/reedhook/platform/documents.py
+++ b/src/reedhook/platform/documents.py
@@ -238,6 +238,9 @@
     def target_of(self, key: str) -> str:
         return key[len(TARGET_PREFIX) :]
 
+    def target_key(self, target: str) -> str:
+        return TARGET_PREFIX + target
+
     def without_keys(self, value: bytes) -> bytes:
         return replace_keys_by_digests(value)
 
--- a/src/reedhook/process/discovery/store_value_parser.py
+++ b/src/reedhook/process/discovery/store_value_parser.py
@@ -20,6 +20,10 @@
     def target_of(self, key: str) -> str:
         """Return the ID of the target that announces itself under the key."""
 
+    @abstractmethod
+    def target_key(self, target: str) -> str:
+        """Return the key under which a target announces itself."""
+
     @abstractmethod
     def without_keys(self, value: bytes) -> bytes:
         """Return a configuration with digests in place of callers' keys.
--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -22,6 +22,7 @@
 from ...request.refusal import RefusalError
 from ...version.route_table import TargetAnnouncement
 from ..discovery.announcements import Announcements
+from ..discovery.key_value_store import KeyValueStoreError
 from .epoch_age import EpochAge
 from .holder_ranking import LeaseHolderRanking
 from .indirect_prober import IndirectProber, TargetObservation
@@ -61,6 +62,9 @@
 PLACEMENT_INTERVAL_SECONDS: Final = 2.0
 """Interval of checks of the holder and backup holder; each may write the record."""
 
+ENTRY_TIMEOUT_SECONDS: Final = 0.25
+"""Timeout to read an announcement, while statements wait for the primary."""
+
 WRITE_AGAIN_RETRY_SECONDS: Final = 0.5
 """Interval of attempts to write the record in a new epoch of the store."""
 
@@ -100,6 +104,8 @@
     """Use the primary of one service, monitor it and replace it on failure.
 
     :param claim: names this host as the holder.
+    :ivar entry_refreshed: whether the announcement of the recorded primary was read
+        from the store since the lease was acquired.
     :ivar primary_unproven: whether the recorded primary may be outdated; see
         `proven_primary`.
     """
@@ -134,6 +140,7 @@
         self.phrases = phrases
         self.demoted_at = float("-inf")
         self.placement_checked_at = float("-inf")
+        self.entry_refreshed = False
 
     def start(self) -> None:
         """Start to renew the lease and to monitor the primary."""
@@ -401,13 +408,35 @@
         survey = asyncio.ensure_future(self.survey(known))
         try:
             if known is not None:
-                status = await self.states.status(known)
+                status, _ = await asyncio.gather(
+                    self.states.status(known), self.refresh_entry(known.target)
+                )
                 if status is not None and await self.use_if_primary(known, status):
                     return
             await self.choose(*await survey)
         finally:
             survey.cancel()
 
+    async def refresh_entry(self, target: str) -> None:
+        """Read the announcement of the recorded primary from the store, once.
+
+        The host that relayed announcements to this one may be the lost holder, so that
+        a restart of the primary is not known here yet.
+        """
+        if self.entry_refreshed:
+            return
+        self.entry_refreshed = True
+        key = self.announcements.parser.target_key(target)
+        try:
+            item = await self.claim.keyspace.get(key, ENTRY_TIMEOUT_SECONDS)
+        except KeyValueStoreError as error:
+            self.decisions.record(
+                "entry_not_refreshed", target=target, error=str(error)
+            )
+            return
+        if item is not None:
+            self.announcements.try_process_item(item)
+
     async def survey(
         self, known: TargetAnnouncement | None
     ) -> tuple[
@@ -456,14 +485,18 @@
     ) -> bool:
         """Use a target if it is the primary of the current term.
 
-        A restarted process of the recorded primary is not used. One that leaves is
-        replaced at once, rather than with the next check.
+        A restarted process of a target is not used by its former announcement, nor as
+        the recorded primary. One that leaves is replaced at once, rather than with the
+        next check.
 
         :returns: whether it is used, or was replaced.
         """
         record = self.record
         if not status.is_primary or status.term < record.term:
             return False
+        latest = self.states.last_entry(entry.target) or entry
+        if not latest.is_incarnation(entry.started_at_ms):
+            return False
         if entry.target == record.primary and not entry.is_incarnation(
             record.primary_started_at_ms
         ):
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -72,6 +72,9 @@
     def target_of(self, key: str) -> str:
         return key[len(TARGET_PREFIX) :]
 
+    def target_key(self, target: str) -> str:
+        return TARGET_PREFIX + target
+
     def without_keys(self, value: bytes) -> bytes:
         message = decode(value)
         for workspace in message.get("workspaces", []):
--- a/tests/test_target_restarts.py
+++ b/tests/test_target_restarts.py
@@ -5,6 +5,7 @@
 import pytest
 
 from reedhook.connection.session_target import StatementFault
+from reedhook.process.discovery.key_value_store import Items
 from reedhook.request.position import Position
 from reedhook.wire import encode
 from reedhook_standins.database import DatabaseMember
@@ -99,6 +100,33 @@
     assert world.group.primary is not before
 
 
+@using(a_world, run_virtual)
+async def test_restarted_primary_is_not_used_by_an_outdated_announcement(
+    world: SessionWorld,
+) -> None:
+    """Guards against a claimer whose announcements came from the lost holder."""
+    await traffic(world, 2.0, 3)
+    await asyncio.sleep(0.5)
+    before = world.group.primary
+    for host in world.hosts.values():
+        host.announcements.apply_changes = ignore  # type: ignore[method-assign]
+    await restart(world, before)
+    before.leads = True
+    runs = len(before.runs)
+    await world.kill(world.leader().me.host)
+    await asyncio.sleep(2.0)
+    for host in world.hosts.values():
+        del host.announcements.apply_changes
+    caller = await world.caller(next(iter(world.hosts)), "tickets")
+    await first_success(caller, 20.0)
+    assert world.group.primary is not before
+    assert len(before.runs) == runs
+
+
+def ignore(found: Items) -> None:
+    """Apply no changes of the store."""
+
+
 @using(a_world, run_virtual)
 async def test_primary_restarted_during_a_store_outage_is_replaced(
     world: SessionWorld,
