Check with real processes a holder that ends while its record is late

The postmortem of late lease writes had proof in virtual time and by a draw of the soak that does not show the fault each time on the old code.

Here every write of the lease record is lost, the repeats too, until the first of them takes effect 3 s later; the holder gets SIGTERM, SIGKILL or a pause of random length before or after that.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -25,6 +25,7 @@
     {
         "test_daemon_imports",
         "test_daemon_reload",
+        "test_late_record_processes",
         "test_peer_connector",
         "test_soak",
     }
