Do not wait for hosts that have stopped before a change of primary

Callers got no primary for 10 s and more in planned work: a host that was removed after SIGTERM cannot confirm any more that it stopped, so that the holder of the lease waited 12.5 s before it replaced a primary that leaves, and the wait began anew with each holder in a rolling restart.

Cause: former holders were asked only when a change was due, by which time the process of a removed host had ended; nothing was kept of what had been confirmed or waited when the lease passed on.

- A holder asks its former holders twice a second whether they have stopped, and removes those that have from the record.
- A stopping host tells each holder whose record names it, once it has released the primary (peer path 'stopped'), and refuses to become backup holder.
- Each former holder is waited for on its own, and a request to claim the lease states how long it still is, for the record of that order only.

--- a/src/reedhook/process/primary_lease/backup_holders.py
+++ b/src/reedhook/process/primary_lease/backup_holders.py
@@ -1,5 +1,7 @@
 """Services for which this host is the backup holder."""
 
+import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
@@ -18,6 +20,7 @@
     """Act as backup holder where a record names this host, until told to stop.
 
     :ivar by_service: backup holders of this host, by service.
+    :ivar stopping: number of backup holders that are being stopped, by service.
     :ivar relinquished_up_to: by service, the order of records up to which this host
         has promised a holder not to act as backup.
     """
@@ -32,6 +35,7 @@
         self.make_backup_holder = make_backup_holder
         self.by_service: dict[str, BackupHolder] = {}
         self.relinquished_up_to: dict[str, StoreRevision] = {}
+        self.stopping: Counter[str] = Counter()
         self.closed = False
         self.background = BackgroundTasks(decisions)
 
@@ -40,13 +44,17 @@
         backup = self.by_service.get(service)
         return backup if backup is not None and backup.active else None
 
+    def may_use_primary(self, service: str) -> bool:
+        """Return whether this host is the backup holder, or is still being stopped."""
+        return service in self.by_service or self.stopping[service] > 0
+
     def handle_record(self, record: PrimaryLeaseRecord) -> None:
         """Start or stop to be the backup holder of a service."""
         backup = self.by_service.get(record.service)
         named = record.backup_holder == self.me
         if backup is not None and not named:
             del self.by_service[record.service]
-            self.background.spawn(self.stop_backup_holder(backup))
+            self.stop_backup_holder(backup)
         if backup is None and named and not self.closed:
             # The lease starts expired: only a read by this host may extend it.
             backup = self.make_backup_holder(record, NEVER)
@@ -74,16 +82,25 @@
         self.relinquished_up_to[service] = max(known, revision)
         backup = self.by_service.pop(service, None)
         if backup is not None:
-            await self.stop_backup_holder(backup)
+            await asyncio.shield(self.stop_backup_holder(backup))
 
-    async def stop_backup_holder(self, backup_holder: BackupHolder) -> None:
-        """Stop a backup holder at once and release its primary."""
+    def stop_backup_holder(self, backup_holder: BackupHolder) -> asyncio.Task[None]:
+        """Stop a backup holder at once; return the task that releases its primary."""
         backup_holder.draining = True
         backup_holder.stop()
-        await backup_holder.release(0.0)
+        self.stopping[backup_holder.service] += 1
+        return self.background.spawn(self.release(backup_holder))
+
+    async def release(self, backup_holder: BackupHolder) -> None:
+        """Release the primary of a backup holder that is being stopped."""
+        try:
+            await backup_holder.release(0.0)
+        finally:
+            self.stopping[backup_holder.service] -= 1
 
     async def close(self) -> None:
         """Stop all backup holders and accept no new ones."""
         self.closed = True
-        for service in list(self.by_service):
-            await self.stop_backup_holder(self.by_service.pop(service))
+        backups = list(self.by_service.values())
+        self.by_service.clear()
+        await asyncio.gather(*map(self.stop_backup_holder, backups))
--- a/src/reedhook/process/primary_lease/holder_ranking.py
+++ b/src/reedhook/process/primary_lease/holder_ranking.py
@@ -99,21 +99,20 @@
             chosen.append(record.backup_holder.ref)
         return chosen
 
-    def choose_backup(
-        self, service: str, primary: TargetAnnouncement
-    ) -> HostRef | None:
-        """Return the best backup holder for this host, or None.
+    def rank_backups(self, service: str, primary: TargetAnnouncement) -> list[HostRef]:
+        """Return the hosts that may be backup holder for this one, best first.
 
         A host in a third zone is preferred: it is partitioned neither with the holder
         nor with the primary.
         """
-        others = [ref for ref in self.ranked(service) if ref.host != self.me.host]
+        others = [
+            ref
+            for ref in self.ranked(service)
+            if ref.host != self.me.host and not self.failure_detector.is_lost(ref)
+        ]
         zones = (self.me.zone, primary.zone)
         others.sort(key=lambda ref: (ref.zone in zones, ref.zone == primary.zone))
-        for ref in others:
-            if not self.failure_detector.is_lost(ref):
-                return ref
-        return None
+        return others
 
     def better_holder(
         self, service: str, primary: TargetAnnouncement
--- a/src/reedhook/process/primary_lease/indirect_prober.py
+++ b/src/reedhook/process/primary_lease/indirect_prober.py
@@ -11,8 +11,8 @@
 from ...version.route_table import TargetAnnouncement
 from ...wire import Json, string_field
 from ..discovery.announcements import Announcements
-from ..discovery.store_revision import StoreRevision
 from ..fleet.membership_table import MembershipTable
+from .former_wait import FormerHolderWait
 from .target_status import TargetStatusClient
 
 PROBE_TARGET_PATH: Final = "sight"
@@ -122,16 +122,15 @@
         self,
         service: str,
         host: HostRef,
-        sole_holder_at: StoreRevision | None = None,
+        wait: FormerHolderWait | None = None,
     ) -> bool:
         """Transfer the lease of a service to a host; return whether it accepts.
 
-        :param sole_holder_at: order of the record that has no former holders left; see
-            `OtherHolders.sole_holder_at`.
+        :param wait: what this host, as the holder, knows of former holders.
         """
         body: Json = {"service": service}
-        if sole_holder_at is not None:
-            body["alone"] = sole_holder_at.to_json()
+        if wait is not None:
+            body |= wait.to_json()
         try:
             answer = await self.peers.call(
                 host, CLAIM_PATH, body, CLAIM_TIMEOUT_SECONDS
--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -65,6 +65,9 @@
 ENTRY_TIMEOUT_SECONDS: Final = 0.25
 """Timeout to read an announcement, while statements wait for the primary."""
 
+FORGET_INTERVAL_SECONDS: Final = 1.0
+"""Interval of writes that remove former holders from the record."""
+
 WRITE_AGAIN_RETRY_SECONDS: Final = 0.5
 """Interval of attempts to write the record in a new epoch of the store."""
 
@@ -140,12 +143,14 @@
         self.phrases = phrases
         self.demoted_at = float("-inf")
         self.placement_checked_at = float("-inf")
+        self.forgotten_at = float("-inf")
         self.entry_refreshed = False
 
     def start(self) -> None:
         """Start to renew the lease and to monitor the primary."""
         self.background.spawn(self.renew())
         self.background.spawn(self.monitor_primary())
+        self.background.spawn(self.others.keep_confirming())
 
     async def renew(self) -> None:
         """Renew the lease periodically until cancelled."""
@@ -169,6 +174,14 @@
         self.others.handle_epoch()
         self.written_again_at = float("-inf")
 
+    def handle_ended(self, incarnation: str) -> None:
+        """Process the statement of a host that it has stopped for good.
+
+        It is replaced as the backup holder, and removed as a former one, at once.
+        """
+        self.others.handle_ended(incarnation)
+        self.placement_checked_at = self.forgotten_at = float("-inf")
+
     async def follow_epoch(self) -> None:
         """Write the record in the present epoch of the store, if it was not yet.
 
@@ -200,7 +213,7 @@
         await self.demote_false_primaries()
         if self.home is not None and self.ready.is_set():
             await self.check_placement(self.home)
-            await self.others.forget_former()
+        await self.forget_former()
 
     # The primary in use
 
@@ -613,6 +626,16 @@
         finally:
             connection.close()
 
+    async def forget_former(self) -> None:
+        """Remove former holders from the record, unless a change is in progress."""
+        now = self.clock.monotonic()
+        if self.record.successor or not self.announcements.store_reached:
+            return
+        if now - self.forgotten_at < FORGET_INTERVAL_SECONDS:
+            return
+        self.forgotten_at = now
+        await self.others.forget_former()
+
     # Placement of the lease
 
     async def check_placement(self, home: SessionTargetHome) -> None:
@@ -628,7 +651,7 @@
             return
         better = self.ranking.better_holder(self.service, home.entry)
         if better is not None and await self.indirect_prober.transfer_lease(
-            self.service, better, self.others.sole_holder_at()
+            self.service, better, self.others.former_wait()
         ):
             self.decisions.record(
                 "lease_transferred", service=self.service, to=better.host
--- a/src/reedhook/process/primary_lease/lease_manager.py
+++ b/src/reedhook/process/primary_lease/lease_manager.py
@@ -19,6 +19,7 @@
 from ..discovery.store_revision import NO_REVISION, StoreRevision
 from ..fleet.membership_table import MembershipTable
 from .backup_holders import BackupHolders
+from .former_wait import UNKNOWN_WAIT, FormerHolderWait
 from .holder_failure_detector import HolderFailureDetector
 from .holder_ranking import LeaseHolderRanking
 from .indirect_prober import CLAIM_PATH, CLAIM_TIMEOUT_SECONDS, IndirectProber
@@ -29,6 +30,7 @@
 from .lease_registry import PrimaryLeaseRegistry
 from .other_holders import INCARNATION_PATH, LEASE_STATUS_PATH
 from .primary_client import PrimaryClient
+from .stop_announcer import STOPPED_PATH, StopAnnouncer
 
 LeaseHolderFactory: TypeAlias = Callable[
     [PrimaryLeaseRecord, float], PrimaryLeaseHolder
@@ -102,6 +104,9 @@
         self.tried_at: dict[str, float] = {}
         self.learned_at: dict[str, float] = {}
         self.recovery = LeaseRecovery(me, registry, indirect_prober, peers, decisions)
+        self.stop_announcer = StopAnnouncer(
+            me, registry, self.may_use_primary, peers, clock, decisions
+        )
         self.background = BackgroundTasks(decisions)
         self.leaving = False
         self.wake = asyncio.Event()
@@ -118,6 +123,7 @@
         routes.add(CLAIM_LOST_PATH, self.handle_claim_lost)
         routes.add(RECORDS_PATH, self.answer_records)
         routes.add(INCARNATION_PATH, self.handle_incarnation)
+        routes.add(STOPPED_PATH, self.handle_stopped)
 
     async def handle_lease_status(self, body: Json) -> Json:
         """Report whether this host may still use the primary of a service.
@@ -142,26 +148,37 @@
         return service not in self.held
 
     async def handle_incarnation(self, body: Json) -> Json:
-        """Report the incarnation of this host."""
+        """Report the incarnation of this host.
+
+        :raises RefusalError: if this host is shutting down, since it is asked in order
+            to become backup holder.
+        """
+        if self.leaving:
+            raise leaving_refusal()
         return {"life": self.me.incarnation}
 
+    async def handle_stopped(self, body: Json) -> Json:
+        """Process the statement of a stopping host; see `StopAnnouncer`."""
+        service, incarnation = string_field(body, "service"), string_field(body, "life")
+        holder = self.held.get(service)
+        if holder is None or holder.draining:
+            return {"noted": False}
+        holder.handle_ended(incarnation)
+        return {"noted": True}
+
     async def handle_claim(self, body: Json) -> Json:
         """Claim a lease at the request of its holder.
 
         :raises RefusalError: if this host is shutting down.
         """
         if self.leaving:
-            raise not_run(RefusalReason.DRAINING, "this host is shutting down")
+            raise leaving_refusal()
         if not self.announcements.store_reached:
             # Fail fast, so that the holder asks another host or retries the store.
             return {"taken": False}
         service = string_field(body, "service")
-        sole_holder_at = revision_field(body, "alone")
-        return {
-            "taken": await self.claim(
-                service, requested=True, sole_holder_at=sole_holder_at
-            )
-        }
+        wait = FormerHolderWait.from_json(body)
+        return {"taken": await self.claim(service, requested=True, wait=wait)}
 
     async def answer_records(self, body: Json) -> Json:
         """Report the known lease records, or that of one service."""
@@ -222,6 +239,12 @@
         holder = self.held.get(service)
         return self.backup_holders.active_holder(service) if holder is None else holder
 
+    def may_use_primary(self, service: str) -> bool:
+        """Return whether this host may use the primary of a service, or soon could."""
+        if service in self.held or service in self.claiming:
+            return True
+        return self.backup_holders.may_use_primary(service)
+
     async def wait_for_change(self) -> None:
         """Wait for a change of a lease or a target, or for the next check."""
         try:
@@ -291,15 +314,15 @@
         self,
         service: str,
         requested: bool,
-        sole_holder_at: StoreRevision = NO_REVISION,
+        wait: FormerHolderWait = UNKNOWN_WAIT,
     ) -> bool:
         """Claim the lease of a service; return whether this host holds it.
 
         :param requested: whether the holder requests it, so that the lease need not
             be vacant.
-        :param sole_holder_at: order of the record for which the holder states that no
-            earlier holder can still use the primary; `NO_REVISION` if it does not.
+        :param wait: what the holder states of former holders.
         """
+        told_at = self.clock.boottime()
         holder = self.held.get(service)
         if holder is not None:
             return not holder.draining
@@ -308,7 +331,7 @@
         self.claiming.add(service)
         self.tried_at[service] = self.clock.monotonic()
         try:
-            return await self.claim_at_store(service, requested, sole_holder_at)
+            return await self.claim_at_store(service, requested, wait, told_at)
         except StoreUnansweredError as error:
             self.decisions.record(
                 "lease_not_acquired", service=service, error=str(error)
@@ -359,10 +382,11 @@
         return {"taken": await self.claim(service, requested=False)}
 
     async def claim_at_store(
-        self, service: str, requested: bool, sole_holder_at: StoreRevision
+        self, service: str, requested: bool, wait: FormerHolderWait, told_at: float
     ) -> bool:
         """Write this host as the holder into the stored record.
 
+        :param told_at: `Clock.boottime` from which `wait` counts.
         :raises KeyValueStoreError: if the store does not respond.
         """
         key = lease_key(service)
@@ -375,7 +399,7 @@
         if stored is not None or self.may_be_outdated(stored):
             if not requested and not self.is_claimable(service):
                 return False
-        record = self.record_to_claim(service, stored, sole_holder_at)
+        record = self.record_to_claim(service, stored, wait)
         requested_at = self.clock.boottime()
         revision = await self.keyspace.put(
             key, record.encoded(), record.revision, STORE_TIMEOUT_SECONDS
@@ -386,7 +410,9 @@
                 "lease_write_unconfirmed", service=service, revision=revision.to_json()
             )
             return False
-        self.start_holding(record, requested_at)
+        holder = self.start_holding(record, requested_at)
+        if stored is not None and stored.order == wait.order:
+            holder.others.adopt_wait(stored, told_at + wait.seconds)
         if self.leaving:
             # `transfer_all` did not see this lease.
             self.background.spawn(self.transfer(service))
@@ -402,7 +428,7 @@
         self,
         service: str,
         stored: PrimaryLeaseRecord | None,
-        sole_holder_at: StoreRevision,
+        wait: FormerHolderWait,
     ) -> PrimaryLeaseRecord:
         """Return the record that names this host as the holder.
 
@@ -421,9 +447,12 @@
             )
         if stored.holder == self.me:
             return stored
-        return stored.claimed_by(self.me, sole_holder_at == stored.order)
+        no_former_holders = wait.order == stored.order and wait.seconds == 0.0
+        return stored.claimed_by(self.me, no_former_holders)
 
-    def start_holding(self, record: PrimaryLeaseRecord, requested_at: float) -> None:
+    def start_holding(
+        self, record: PrimaryLeaseRecord, requested_at: float
+    ) -> PrimaryLeaseHolder:
         """Start to use the primary under a claimed lease."""
         self.decisions.record(
             "lease_acquired",
@@ -436,6 +465,7 @@
         self.held[record.service] = holder
         self.registry.update(record, "own")
         holder.start()
+        return holder
 
     def handle_record(self, record: PrimaryLeaseRecord) -> None:
         """Process a new lease record.
@@ -478,8 +508,8 @@
             if host.host == self.me.ref.host:
                 continue
             holder = self.held.get(service)
-            sole_holder_at = None if holder is None else holder.others.sole_holder_at()
-            if await self.indirect_prober.transfer_lease(service, host, sole_holder_at):
+            wait = None if holder is None else holder.others.former_wait()
+            if await self.indirect_prober.transfer_lease(service, host, wait):
                 self.decisions.record(
                     "lease_transferred", service=service, to=host.host
                 )
@@ -499,6 +529,11 @@
         self.held.clear()
 
 
+def leaving_refusal() -> RefusalError:
+    """Return the refusal of a role that a stopping host does not take over."""
+    return not_run(RefusalReason.DRAINING, "this host is shutting down")
+
+
 def revision_field(body: Json, name: str) -> StoreRevision:
     """Return a revision in a request, or `NO_REVISION` if it has none."""
     try:
--- a/src/reedhook/process/primary_lease/lease_record.py
+++ b/src/reedhook/process/primary_lease/lease_record.py
@@ -173,6 +173,12 @@
                 updated.set_former([*self.former, self.backup_holder])
         return updated
 
+    def with_former(self, former: list[HostIncarnation]) -> "PrimaryLeaseRecord":
+        """Return the record with some of its former holders only."""
+        updated = self.copy()
+        updated.former = former
+        return updated
+
     def without_former(self) -> "PrimaryLeaseRecord":
         """Return the record without former holders."""
         updated = self.copy()
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -612,6 +612,7 @@
             self.decisions.record(
                 "leases_not_transferred", left=list(self.primary_leases.held)
             )
+        self.background.spawn(self.primary_leases.stop_announcer.run())
 
     def has_work_in_progress(self) -> bool:
         """Return whether requests, statements or held primary leases remain."""
--- a/tests/test_leaving_primary.py
+++ b/tests/test_leaving_primary.py
@@ -12,6 +12,7 @@
 import pytest
 
 from reedhook.connection.session_target import StatementFault
+from reedhook.process.primary_lease.former_wait import MAX_WAIT_SECONDS
 from reedhook.process.session_host import SessionHost
 from reedhook.request.session_command import SessionCommandKind
 from reedhook.version.route_table import TargetAnnouncement
@@ -231,3 +232,52 @@
     assert reply.refusal is None and reply.fault is StatementFault.NONE
     assert await world.first_write(15.0) < REPLACEMENT_SECONDS
     assert world.group.primary is not world.primary
+
+
+def test_removed_host_is_not_waited_for() -> None:
+    """Guards against a leaving primary that is not replaced for 12.5 s."""
+    in_leaving_world(leave_after_a_removal)
+
+
+async def leave_after_a_removal(world: LeavingWorld) -> None:
+    removed = world.backup_holder()
+    await world.remove_host(removed)
+    gone = removed.me.host
+    assert await world.until(lambda: names_other_backup(world, gone), 4.0)
+    world.leave(world.primary)
+    assert await world.first_write(15.0) < REPLACEMENT_SECONDS
+    assert await world.until(lambda: world.group.primary is not world.primary, 1.0)
+
+
+def test_removed_holder_is_not_waited_for() -> None:
+    """Guards against the same wait after the host that held the lease is removed."""
+    in_leaving_world(leave_after_the_removal_of_the_holder)
+
+
+async def leave_after_the_removal_of_the_holder(world: LeavingWorld) -> None:
+    await world.remove_host(world.leader())
+    await asyncio.sleep(2.0)
+    assert not world.record()["former"]
+    world.leave(world.primary)
+    assert await world.until(lambda: world.group.primary is not world.primary, 3.0)
+
+
+@pytest.mark.parametrize("seconds", [0.5, 4.0])
+def test_wait_for_a_killed_host_passes_on_with_the_lease(seconds: float) -> None:
+    """Guards against a wait that begins anew with each holder of a rolling restart."""
+    in_leaving_world(partial(transfer_during_wait, seconds=seconds))
+
+
+async def transfer_during_wait(world: LeavingWorld, seconds: float) -> None:
+    killed = world.backup_holder().me.host
+    await world.kill(killed)
+    assert await world.until(lambda: names_other_backup(world, killed), 8.0)
+    replaced_at = asyncio.get_running_loop().time()
+    for _ in range(2):
+        await asyncio.sleep(seconds / 2)
+        holder = world.leader()
+        await world.remove_host(holder)
+    world.leave(world.primary)
+    assert await world.until(lambda: world.group.primary is not world.primary, 15.0)
+    waited = asyncio.get_running_loop().time() - replaced_at
+    assert MAX_WAIT_SECONDS <= waited < MAX_WAIT_SECONDS + REPLACEMENT_SECONDS
