Prove the age of replicas by a primary that leaves and is not replaced yet

Callers of bounded reads were refused with 'the service has no primary now' while a primary that leaves was waiting for its successor, although replicas held all its commits.

Cause: such a primary takes no statements, and with them its holder gave up to ask for its position, by which the age of replicas is proved.

It still leads, and its holder alone may replace it, which gives up its home before a successor is recorded. So a position that it reports under a valid lease proves as much as before.

--- a/src/reedhook/process/primary_lease/primary_client.py
+++ b/src/reedhook/process/primary_lease/primary_client.py
@@ -230,9 +230,15 @@
         await asyncio.shield(self.probe_task)
 
     async def probe(self) -> None:
-        """Query the position of the primary if it may be used."""
+        """Query the position of the primary if it may be used.
+
+        One that leaves takes no statements, but proves the age of its replicas until
+        its successor is recorded.
+        """
         home = self.home
-        if home is None or not self.ready.is_set() or not self.validity.valid:
+        if home is None or not self.validity.valid:
+            return
+        if not self.ready.is_set() and self.accepts_new_work():
             return
         try:
             if home.connections.exhausted():
--- a/tests/test_leaving_primary.py
+++ b/tests/test_leaving_primary.py
@@ -281,3 +281,27 @@
     assert await world.until(lambda: world.group.primary is not world.primary, 15.0)
     waited = asyncio.get_running_loop().time() - replaced_at
     assert MAX_WAIT_SECONDS <= waited < MAX_WAIT_SECONDS + REPLACEMENT_SECONDS
+
+
+def test_reads_are_served_while_a_killed_host_is_waited_for() -> None:
+    """Guards against reads refused for want of a proof of their age."""
+    in_leaving_world(read_during_wait)
+
+
+async def read_during_wait(world: LeavingWorld) -> None:
+    host = await leave_while_a_host_is_waited_for(world)
+    reader = await world.caller(host, "views")
+    for _ in range(10):
+        assert (await reader.read()).refusal is None
+        await asyncio.sleep(0.5)
+    assert world.group.primary is world.primary
+
+
+async def leave_while_a_host_is_waited_for(world: LeavingWorld) -> str:
+    """Have the primary leave while it cannot be replaced; return a host."""
+    killed = world.backup_holder().me.host
+    await world.kill(killed)
+    assert await world.until(lambda: names_other_backup(world, killed), 8.0)
+    world.leave(world.primary)
+    await asyncio.sleep(2.0)
+    return next(name for name in world.others if name in world.hosts)
