Refuse a statement at once if no primary can be ready in time

Callers of a service whose primary leaves, and cannot be replaced before a former holder's lease has expired, waited 0.45 s for each statement and were then told to return after 150 ms, again and again.

The holder knows how long it still has to wait for former holders. While that is longer than a statement may wait, it refuses it at once, as not run, with that time as the retry delay, limited to 1 s since a former holder may confirm earlier; the host of the session passes that on without further attempts.

tests/test_leaving_primary.py::test_writes_are_refused_at_once_while_a_killed_host_is_waited_for failed on (0.44 s for a statement).

--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -30,7 +30,12 @@
 from .lease_record import PrimaryLeaseRecord
 from .lease_validity import RENEWAL_INTERVAL_SECONDS
 from .other_holders import OtherHolders
-from .primary_client import PROBE_TIMEOUT_SECONDS, HomeFactory, PrimaryClient
+from .primary_client import (
+    PRIMARY_WAIT_LIMIT_SECONDS,
+    PROBE_TIMEOUT_SECONDS,
+    HomeFactory,
+    PrimaryClient,
+)
 from .primary_proof import (
     CLAIM_WAIT_SECONDS,
     SETTLING_SECONDS,
@@ -62,6 +67,10 @@
 PLACEMENT_INTERVAL_SECONDS: Final = 2.0
 """Interval of checks of the holder and backup holder; each may write the record."""
 
+MAX_BLOCKED_RETRY_MS: Final = 1000
+"""Limit of the retry delay while a change of primary waits for former holders, which
+may still confirm that they have stopped."""
+
 ENTRY_TIMEOUT_SECONDS: Final = 0.25
 """Timeout to read an announcement, while statements wait for the primary."""
 
@@ -567,8 +576,22 @@
             await home.close()
 
     def expects_primary(self) -> bool:
+        if self.seconds_blocked() > PRIMARY_WAIT_LIMIT_SECONDS:
+            return False
         return bool(self.record.successor) or super().expects_primary()
 
+    def retry_ms(self) -> int:
+        blocked = self.seconds_blocked()
+        if blocked <= PRIMARY_WAIT_LIMIT_SECONDS:
+            return super().retry_ms()
+        return min(round(blocked * 1000.0), MAX_BLOCKED_RETRY_MS)
+
+    def seconds_blocked(self) -> float:
+        """Return how long a change of primary has to wait for former holders."""
+        if self.ready.is_set() or self.record.successor or not self.others.awaited:
+            return 0.0
+        return self.others.former_wait().seconds
+
     async def finish(self) -> None:
         """Order the recorded promotion, and use the new primary."""
         await self.close_home()
--- a/src/reedhook/process/primary_lease/other_holders.py
+++ b/src/reedhook/process/primary_lease/other_holders.py
@@ -38,6 +38,7 @@
     :ivar stopped_incarnations: incarnations of former holders that have confirmed that
         they stopped, and were not backup holders since.
     :ivar ended_incarnations: incarnations that have stated that they stopped for good.
+    :ivar awaited: whether the last attempt to stop them all was not confirmed.
     :ivar backup: the backup holder that was noticed last.
     :ivar backup_changes: number of changes of the backup holder that were noticed.
     """
@@ -62,6 +63,7 @@
         self.expire_at: dict[HostIncarnation, float] = {}
         self.stopped_incarnations: set[str] = set()
         self.ended_incarnations: set[str] = set()
+        self.awaited = False
         self.backup: HostIncarnation | None = None
         self.backup_changes = 0
         self.note_record()
@@ -85,7 +87,8 @@
             # It may be active until its lease expires, so it becomes a former holder.
             # Where others are waited for anyway, both waits run at the same time.
             await self.set_backup_holder(None)
-        return complete and all(confirmations)
+        self.awaited = not (complete and all(confirmations))
+        return not self.awaited
 
     def names_all_former(self) -> bool:
         """Return whether the record names all hosts that may still use the primary."""
--- a/src/reedhook/process/primary_lease/primary_client.py
+++ b/src/reedhook/process/primary_lease/primary_client.py
@@ -152,7 +152,7 @@
             raise not_run(
                 RefusalReason.NO_PRIMARY,
                 f"the service {self.service} has no primary now",
-                RETRY_MS,
+                self.retry_ms(),
             )
         return self.home
 
@@ -160,6 +160,10 @@
         """Return whether a usable primary is expected soon."""
         return self.clock.monotonic() - self.doubted_at < MAX_DOUBT_SECONDS
 
+    def retry_ms(self) -> int:
+        """Return when a caller that found no primary is to try again."""
+        return RETRY_MS
+
     def check_permitted(self) -> None:
         """Check that the lease is valid now.
 
--- a/src/reedhook/request/session_router.py
+++ b/src/reedhook/request/session_router.py
@@ -217,6 +217,12 @@
             or refusal.reason not in PRIMARY_MOVED_REASONS
         ):
             raise refusal
+        if (
+            refusal.reason is RefusalReason.NO_PRIMARY
+            and retry_after_seconds(refusal) > MAX_PRIMARY_WAIT_SECONDS
+        ):
+            # The holder expects no primary while this statement may wait for one.
+            raise refusal
         record = self.lease_registry.get(statement.service)
         unchanged = record is not None and record.revision == revision
         if self.clock.monotonic() >= give_up_at:
--- a/tests/test_leaving_primary.py
+++ b/tests/test_leaving_primary.py
@@ -13,8 +13,11 @@
 
 from reedhook.connection.session_target import StatementFault
 from reedhook.process.primary_lease.former_wait import MAX_WAIT_SECONDS
+from reedhook.process.primary_lease.primary_client import PRIMARY_WAIT_LIMIT_SECONDS
 from reedhook.process.session_host import SessionHost
+from reedhook.request.refusal import RefusalReason
 from reedhook.request.session_command import SessionCommandKind
+from reedhook.request.verdict import Verdict
 from reedhook.version.route_table import TargetAnnouncement
 from reedhook_standins.database import DatabaseMember
 
@@ -28,6 +31,9 @@
 MISSING_SECONDS: Final = 3.5
 """Time without an announcement after which a target counts as gone."""
 
+IMMEDIATE_SECONDS: Final = 0.05
+"""Time of a statement that passes between hosts and waits for nothing."""
+
 REPLACEMENT_SECONDS: Final = 3.0
 """Longest time until writes succeed again after a planned change of primary."""
 
@@ -305,3 +311,25 @@
     world.leave(world.primary)
     await asyncio.sleep(2.0)
     return next(name for name in world.others if name in world.hosts)
+
+
+def test_writes_are_refused_at_once_while_a_killed_host_is_waited_for() -> None:
+    """Guards against writes that are held although no primary can be ready in time."""
+    in_leaving_world(write_during_wait)
+
+
+async def write_during_wait(world: LeavingWorld) -> None:
+    host = await leave_while_a_host_is_waited_for(world)
+    writer = await world.caller(host, "tickets")
+    loop = asyncio.get_running_loop()
+    for _ in range(10):
+        started_at = loop.time()
+        refusal = (await writer.write()).refusal
+        assert loop.time() - started_at < IMMEDIATE_SECONDS
+        assert refusal is not None and refusal.retry_after_ms is not None
+        assert refusal.reason is RefusalReason.NO_PRIMARY
+        assert refusal.verdict is Verdict.NOT_RUN
+        assert refusal.retry_after_ms / 1000.0 >= PRIMARY_WAIT_LIMIT_SECONDS
+        await asyncio.sleep(0.5)
+    await world.first_write(15.0)
+    assert world.group.primary is not world.primary
