Close the home of a backup holder before its stop is confirmed

When the holder is back, the backup holder gave up its home at once and then waited up to 1 s for open transactions to end there. If the holder asked it to stop meanwhile, there was no home to close, and the stop was confirmed while a commit in flight could still be acknowledged at a primary that the holder may replace by then.

The home is kept until it is closed, so that a release closes it first. Open transactions can also end in that second, in place of being refused.

--- a/src/reedhook/process/primary_lease/backup_holder.py
+++ b/src/reedhook/process/primary_lease/backup_holder.py
@@ -90,10 +90,12 @@
             return
         self.decisions.record("backup_holder_inactive", service=self.service)
         self.ready.clear()
-        home, self.home = self.home, None
+        home = self.home
         if home is not None:
+            # A release meanwhile closes it before the stop is confirmed.
             await self.until_quiet(home, DRAIN_TIMEOUT_SECONDS)
             await home.close()
+        self.home = None
         self.active = False
 
     def log_released(self) -> None:
