Send a former holder the record of its service only

The handler needs the record of the service asked about. The new case of tests/test_other_holders.py failed before.

--- a/src/reedhook/process/primary_lease/other_holders.py
+++ b/src/reedhook/process/primary_lease/other_holders.py
@@ -202,7 +202,7 @@
         record, backup_changes = self.claim.record, self.backup_changes
         body = {
             "service": self.service,
-            "records": self.claim.registry.to_json(),
+            "records": self.claim.registry.to_json(self.service),
             "revision": record.order.to_json(),
         }
         try:
--- a/tests/test_other_holders.py
+++ b/tests/test_other_holders.py
@@ -23,6 +23,7 @@
 from reedhook.process.primary_lease.lease_record import (
     MAX_FORMER_HOLDERS,
     HostIncarnation,
+    PrimaryLeaseRecord,
 )
 from reedhook.process.primary_lease.lease_validity import (
     EXPIRY_MARGIN_SECONDS,
@@ -44,16 +45,19 @@
     """Confirm that a host stopped, unless it is silent.
 
     :ivar asked: IDs of the hosts asked.
+    :ivar bodies: what they were asked.
     :ivar delay: seconds until a host answers.
     """
 
     def __init__(self) -> None:
         self.asked: list[str] = []
+        self.bodies: list[Json] = []
         self.silent: set[str] = set()
         self.delay = 0.0
 
     async def call(self, peer: HostRef, path: str, body: Json, timeout: float) -> Json:
         self.asked.append(peer.host)
+        self.bodies.append(body)
         await asyncio.sleep(self.delay)
         if peer.host in self.silent:
             raise PeerError("silent", sent=True)
@@ -180,6 +184,18 @@
     assert others.unconfirmed_others() == [BACKUP]
 
 
+@in_virtual_time
+async def test_former_holder_is_sent_the_record_of_its_service_only() -> None:
+    """Guards against questions that grow with the number of services."""
+    others, peers = others_at(FakeStore())
+    record = others.claim.record
+    other = PrimaryLeaseRecord.from_json("other", record.to_json(), record.revision)
+    for known in (record, other):
+        others.claim.registry.update(known, "test")
+    await others.confirm_stopped(BACKUP)
+    assert list(peers.bodies[0]["records"]) == [record.service]
+
+
 @in_virtual_time
 async def test_wait_includes_former_holders_that_the_record_names_no_more() -> None:
     """Guards against a wait for the named ones only, once the latest have confirmed."""
