--- a/src/reedhook_standins/soak/proxy.py
+++ b/src/reedhook_standins/soak/proxy.py
@@ -1,6 +1,7 @@
 """Loopback proxies that delay, drop and break connections."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, cast
 
 from reedhook.address import split_address
@@ -40,6 +41,7 @@
 
     :param target: ``IP:port``.
     :param link: used by all connections; see `link_of`.
+    :ivar on_forward: called with bytes that were sent on to the address.
     """
 
     def __init__(self, target: str, link: ProxyLink) -> None:
@@ -47,6 +49,7 @@
         self.target = target
         self.link = link
         self.open: dict[asyncio.StreamWriter, ProxyLink] = {}
+        self.on_forward: Callable[[bytes], None] = lambda data: None
 
     def link_of(self, first: bytes) -> ProxyLink:
         """Return the link of a connection that begins with these bytes."""
@@ -102,6 +105,8 @@
                 await asyncio.sleep(link.delay)
             if link.up if up else link.down:
                 writer.write(data)
+                if up:
+                    self.on_forward(data)
                 await writer.drain()
             data = await reader.read(CHUNK)
         writer.close()
--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -76,6 +76,7 @@
         self.faults = faults
         self.check_cuts = check_cuts
         self.cuts = 0
+        self.forwarded: dict[str, float] = {}
         self.at_once = MOST_AT_ONCE
         self.unplanned = 0
         self.calm_since = float("-inf")
@@ -121,6 +122,7 @@
                 self.around.store.address,
                 self.around.promotions,
             )
+            host.front.on_forward = self.note_forwarded
             await host.prepare()
             self.hosts.append(host)
         for host in self.hosts:
@@ -236,11 +238,25 @@
             return
         self.cuts += 1
         if self.check_cuts:
+            forwarded_at = self.forwarded.get(id)
+            forwarded = (
+                "was not forwarded to it"
+                if forwarded_at is None
+                else f"was forwarded to it {forwarded_at - sent_at:.3f} s after that"
+            )
             self.promises.broken(
                 f"{id} was cut {now - sent_at:.3f} s after it was sent and "
-                f"{now - host.terminated_at:.3f} s after {host.name} was told to end"
+                f"{now - host.terminated_at:.3f} s after {host.name} was told to end; "
+                f"it {forwarded}"
             )
 
+    def note_forwarded(self, data: bytes) -> None:
+        """Note when the proxy of a host sent a statement on to it."""
+        words = data.split(b" ", 2)
+        if words[0] == b"QUERY" and len(words) > 1:
+            now = asyncio.get_running_loop().time()
+            self.forwarded.setdefault(words[1].decode(), now)
+
     async def until_served(self, when: str) -> None:
         """Wait until each host serves each database; report one that does not."""
         deadline = asyncio.get_running_loop().time() + SETTLE
