review: case 7, the old primary is used after another one was promoted

Cause: a recorded primary that is ordered again counts as promoted at once, also if a promotion that nobody saw has superseded it.

--- a/review/standins-2/members.py
+++ b/review/standins-2/members.py
@@ -32,6 +32,7 @@
         self.port = 0
         self.work_s = group.work_s
         self.answering = True
+        self.dark = False
 
     # Life
 
@@ -59,6 +60,11 @@
         await self.start()
         self.group.note("back", member=self.name, role=self.role)
 
+    async def until_bright(self):
+        """Wait while nothing passes to or from the member."""
+        while self.dark:
+            await asyncio.sleep(0.01)
+
     # State
 
     def position(self):
@@ -94,6 +100,7 @@
         session = Connection(self)
         try:
             line = await read_line(reader)
+            await self.until_bright()
             fields = line.split(" ")
             if fields[0] != "START" or fields[1] != self.group.service:
                 writer.write(b"ERROR MISROUTED no\r\n")
@@ -107,6 +114,7 @@
             writer.write(f"READY I {self.position()}\r\n".encode("latin-1"))
             while True:
                 line = await read_line(reader)
+                await self.until_bright()
                 if line == "TERMINATE":
                     return
                 word, _, rest = line.partition(" ")
@@ -114,6 +122,7 @@
                 if word != "QUERY":
                     return
                 reply = await session.run(id, text)
+                await self.until_bright()
                 if not self.up or not self.answering:
                     return
                 writer.write(reply.encode("latin-1"))
@@ -347,7 +356,9 @@
             source = self.primary
             if replica is source or replica.role != "replica":
                 continue
-            if replica.deaf or not replica.up or not source.up:
+            if replica.deaf or replica.dark or source.dark:
+                continue
+            if not replica.up or not source.up:
                 continue
             if replica.log != source.log[: len(replica.log)]:
                 # It was ahead: rolled back to what the primary holds.
@@ -393,9 +404,14 @@
 
     async def step_down(self, old):
         """The old primary steps down a second after it can reach the new one."""
-        await asyncio.sleep(1.0)
-        if old is not self.primary and old.up:
-            self.demote(old)
+        reached_s = 0.0
+        while old is not self.primary and old.up and old.role == "primary":
+            await asyncio.sleep(0.05)
+            new = self.primary
+            reached = new.up and not new.dark and not old.dark
+            reached_s = reached_s + 0.05 if reached else 0.0
+            if reached_s >= 1.0:
+                self.demote(old)
 
     def demote(self, member):
         if member.role == "primary" and member is not self.primary:
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -86,7 +86,7 @@
             now = asyncio.get_running_loop().time()
             for member in self.group.members.values():
                 key = f"servers/{member.name}"
-                if not member.up:
+                if not member.up or member.dark:
                     since = silent_since.setdefault(member.name, now)
                     if now - since >= 3 * HEARTBEAT_S and key in self.store.items:
                         self.store.write(key, None)
