--- a/review/standins-2/hosts.py
+++ b/review/standins-2/hosts.py
@@ -162,7 +162,7 @@
     async def ask(self, text, quiet=False):
         id = f"{next(self.numbers):016x}"
         answer = Answer()
-        answer.id = id
+        answer.id = self.last_id = id
         answer.sent_at = self.record.now()
         if not quiet:
             self.record("sent", caller=self.name, id=id, text=text[:80])
