--- a/review/5/play.py
+++ b/review/5/play.py
@@ -41,6 +41,18 @@
         await asyncio.sleep(0.2)
 
 
+async def readiness(host):
+    """Return the first line of the answer to the platform's readiness probe."""
+    try:
+        reader, writer = await asyncio.open_connection(host.ip, host.ready)
+        writer.write(b"GET /-/readiness HTTP/1.1\r\nHost: host\r\n\r\n")
+        line = await asyncio.wait_for(reader.readline(), 1.0)
+        writer.close()
+    except (OSError, TimeoutError) as error:
+        return repr(error)
+    return line.decode("latin-1").strip()
+
+
 def share(answers, begin, end):
     """Return how many requests were sent in a time, and the share that was served."""
     served = [one[2] for one in answers if begin <= one[0] < end]
@@ -69,6 +81,9 @@
                 world.record("back", host=host.name)
     back_at = world.record.now()
     await asyncio.sleep(RECOVERY_S + MEASURED_S)
+    for host in world.hosts:
+        if host.process.returncode is None:
+            world.record("readiness", host=host.name, answer=await readiness(host))
     calling.clear()
     await asyncio.gather(*tasks)
     before = share(answers, begin, fault_at)
