--- a/review/4/play.py
+++ b/review/4/play.py
@@ -58,7 +58,10 @@
     await asyncio.sleep(DEAF_S - 1.5)
     if trouble:
         deaf.deaf = False
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(1.0)
+    if trouble:
+        await primary.come_back()
+    await asyncio.sleep(1.0)
     calling.clear()
     await asyncio.gather(*tasks)
     broken = 0
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -12,6 +12,7 @@
 
 DARK_S = 2.0
 KILL_AFTER_ORDER_S = 0.1
+RESTART_S = 1.0
 CRASH_AFTER_LEAD_S = 0.3
 
 
@@ -37,6 +38,12 @@
             caller.close()
 
 
+async def start_again(host):
+    """Start a killed process again after a short delay, as the platform does."""
+    await asyncio.sleep(RESTART_S)
+    await host.start()
+
+
 async def play(world, trouble):
     group = world.group
     old_commits = {}
@@ -67,14 +74,16 @@
         await asyncio.sleep(KILL_AFTER_ORDER_S)
         world.record("killed", host=holder.name)
         await holder.kill()
+        restart = asyncio.ensure_future(start_again(holder))
         while group.primary is first:
             await asyncio.sleep(0.005)
         await asyncio.sleep(CRASH_AFTER_LEAD_S)
         group.primary.crash()
         await asyncio.sleep(max(dark_at + DARK_S - world.record.now(), 0.0))
         first.dark = False
+        await restart
         world.record("bright", member=first.name, role=first.role, position=first.position())
-    await asyncio.sleep(6.0)
+    await asyncio.sleep(5.0)
     calling.clear()
     await asyncio.gather(*tasks)
     broken = [id for id in old_commits if id in acknowledged]
--- a/review/standins-2/members.py
+++ b/review/standins-2/members.py
@@ -333,6 +333,7 @@
     def ran(self, id, member, connection):
         if id != "-":
             self.runs.append((id, member.name))
+            self.note("run", id=id, member=member.name)
 
     async def commit(self, member, ids):
         """Commit at the primary; with `sync`, once one replica has received it."""
