Claim the lease of a lost holder that no other host can confirm

Cause: HolderFailureDetector declares a holder lost only if another host does not reach it either. Where no other host answers there is no verdict, and neither the standby nor the backup holder acts without one.

Change: a holder that neither answers nor is reported on for 1 s is unreachable. The backup holder then acts at once, since its use of the primary is harmless beside the holder's. What protects a promotion, the wait for former holders, stays.

--- a/src/reedhook/process/primary_lease/holder_failure_detector.py
+++ b/src/reedhook/process/primary_lease/holder_failure_detector.py
@@ -26,16 +26,23 @@
 """Must exceed the longest probe, direct and indirect, plus PROBE_INTERVAL_SECONDS, so
 that the result is renewed before it expires."""
 
+UNCONFIRMED_SECONDS: Final = 1.0
+"""Time without a response of a host or of an indirect prober, so that one round of
+probes through hosts that are lost as well does not suffice."""
+
 MAX_INDIRECT_PROBERS: Final = 3
 
 
 class HolderFailureDetector:
     """Probe holders, directly and through other hosts, and determine which are lost.
 
-    No host is declared lost if none of the indirect probers responds: this host is
-    then more likely to be partitioned itself.
+    No host is declared lost if none of the indirect probers responds: this host may be
+    partitioned itself. Such a host is unreachable, and its loss unconfirmed.
 
     :ivar lost_at: monotonic time when each host was last found lost.
+    :ivar unreachable_since: monotonic time from which neither the host nor an indirect
+        prober has responded.
+    :ivar unreachable_at: monotonic time when that was last found.
     :ivar on_lost: callback after a host is found lost.
     """
 
@@ -55,6 +62,8 @@
         self.random = random
         self.decisions = decisions
         self.lost_at: dict[str, float] = {}
+        self.unreachable_since: dict[str, float] = {}
+        self.unreachable_at: dict[str, float] = {}
         self.probed_at: dict[str, float] = {}
         self.probe_tasks: dict[str, asyncio.Task[None]] = {}
         self.on_lost: Callable[[], None] = lambda: None
@@ -94,29 +103,61 @@
         The retry uses a new connection.
         """
         if await self.is_reachable(host):
-            self.lost_at.pop(host.host, None)
+            self.clear_lost(host)
             return
         retry_succeeded, *answers = await asyncio.gather(
             self.is_reachable(host),
             *(self.probe_indirectly(one, host) for one in self.choose_probers(host)),
         )
         if retry_succeeded:
-            self.lost_at.pop(host.host, None)
+            self.clear_lost(host)
+            return
+        if True in answers:
+            self.clear_unreachable(host)
             return
-        if True in answers or False not in answers:
+        now = self.clock.monotonic()
+        if False not in answers:
+            self.record_unreachable(host, now, len(answers))
             return
-        self.lost_at[host.host] = self.clock.monotonic()
+        self.clear_unreachable(host)
+        self.lost_at[host.host] = now
         self.decisions.record("holder_lost", lost=host.host, witnesses=len(answers))
         self.on_lost()
 
     def is_lost(self, host: HostRef) -> bool:
         """Return whether a host was found lost recently."""
-        now = self.clock.monotonic()
-        return now - self.lost_at.get(host.host, float("-inf")) < LOST_VALIDITY_SECONDS
+        return self.is_recent(self.lost_at, host)
+
+    def record_unreachable(self, host: HostRef, now: float, probers: int) -> None:
+        """Record that neither a host nor any of the indirect probers responds."""
+        if not self.is_recent(self.unreachable_at, host):
+            self.unreachable_since[host.host] = now
+            self.decisions.record(
+                "holder_unreachable", unreachable=host.host, probers=probers
+            )
+        self.unreachable_at[host.host] = now
+
+    def is_unreachable(self, host: HostRef) -> bool:
+        """Return whether a host has not responded, and no other host to ask has."""
+        if not self.is_recent(self.unreachable_at, host):
+            return False
+        since = self.unreachable_since[host.host]
+        return self.clock.monotonic() - since >= UNCONFIRMED_SECONDS
+
+    def is_recent(self, results: dict[str, float], host: HostRef) -> bool:
+        """Return whether a host has a result that is still valid."""
+        found_at = results.get(host.host, float("-inf"))
+        return self.clock.monotonic() - found_at < LOST_VALIDITY_SECONDS
 
     def clear_lost(self, host: HostRef) -> None:
-        """Discard the result for a host that has restarted."""
+        """Discard the results for a host that responds or has restarted."""
         self.lost_at.pop(host.host, None)
+        self.clear_unreachable(host)
+
+    def clear_unreachable(self, host: HostRef) -> None:
+        """Discard the result for a host of which another one has reported."""
+        self.unreachable_since.pop(host.host, None)
+        self.unreachable_at.pop(host.host, None)
 
     async def is_reachable(
         self, host: HostRef, timeout: float = PROBE_TIMEOUT_SECONDS
--- a/src/reedhook/process/primary_lease/lease_holder.py
+++ b/src/reedhook/process/primary_lease/lease_holder.py
@@ -26,6 +26,7 @@
 from .epoch_age import EpochAge
 from .holder_ranking import LeaseHolderRanking
 from .indirect_prober import IndirectProber, TargetObservation
+from .lease_challenge import LeaseChallenges
 from .lease_claim import HolderClaim
 from .lease_record import PrimaryLeaseRecord
 from .lease_validity import RENEWAL_INTERVAL_SECONDS
@@ -135,11 +136,13 @@
         phrases: StatementDialect,
         make_home: HomeFactory,
         epoch_age: EpochAge,
+        challenges: LeaseChallenges,
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
         super().__init__(claim, states, make_home, clock, decisions)
         self.holder_claim = claim
+        self.challenges = challenges
         self.epoch_age = epoch_age
         self.primary_unproven = needs_proof(claim.record)
         self.written_again_at = float("-inf")
@@ -209,7 +212,7 @@
         if self.claim.successor_pending and not await self.claim.settle():
             await self.transfer_to_any()
             return
-        if not self.claim.saved:
+        if not self.claim.saved or await self.must_answer_challenge():
             await self.claim.write(self.record)
         if self.primary_unproven:
             await self.prove_primary()
@@ -224,6 +227,17 @@
             await self.check_placement(self.home)
         await self.forget_former()
 
+    async def must_answer_challenge(self) -> bool:
+        """Return whether to show by a write of the record that this host is alive.
+
+        A host that reaches no target leaves the lease to the one that challenges it.
+        """
+        if not self.claim.current or not self.challenges.is_challenged(self.record):
+            return False
+        if self.ready.is_set():
+            return True
+        return bool(await self.states.all(self.states.announced(self.service)))
+
     # The primary in use
 
     async def check_primary(self, home: SessionTargetHome) -> None:
--- a/src/reedhook/process/primary_lease/lease_manager.py
+++ b/src/reedhook/process/primary_lease/lease_manager.py
@@ -23,6 +23,7 @@
 from .holder_failure_detector import HolderFailureDetector
 from .holder_ranking import LeaseHolderRanking
 from .indirect_prober import CLAIM_PATH, CLAIM_TIMEOUT_SECONDS, IndirectProber
+from .lease_challenge import LeaseChallenges
 from .lease_claim import STORE_TIMEOUT_SECONDS
 from .lease_holder import PrimaryLeaseHolder
 from .lease_record import HostIncarnation, PrimaryLeaseRecord, lease_key
@@ -79,6 +80,7 @@
         backup_holders: BackupHolders,
         indirect_prober: IndirectProber,
         failure_detector: HolderFailureDetector,
+        challenges: LeaseChallenges,
         peers: PeerClient,
         make_lease_holder: LeaseHolderFactory,
         clock: Clock,
@@ -93,6 +95,7 @@
         self.backup_holders = backup_holders
         self.indirect_prober = indirect_prober
         self.failure_detector = failure_detector
+        self.challenges = challenges
         self.peers = peers
         self.make_lease_holder = make_lease_holder
         self.clock = clock
@@ -198,9 +201,10 @@
             for service in list(self.announcements.table.services):
                 self.learn_if_due(service)
                 self.monitor_holder(service)
+                await self.challenge_if_due(service)
                 if self.should_claim(service):
                     await self.claim(service, requested=False)
-                lost = service not in self.held and self.is_claimable(service)
+                lost = service not in self.held and self.is_holder_silent(service)
                 await self.backup_holders.set_holder_lost(service, lost)
 
     def handle_epoch(self, epoch: int) -> None:
@@ -266,6 +270,29 @@
         if self.me.ref in self.ranking.standbys(service, record.holder.ref):
             self.failure_detector.probe_if_due(record.holder.ref)
 
+    async def challenge_if_due(self, service: str) -> None:
+        """Challenge a holder that is unreachable and that no other host reports on."""
+        record = self.registry.get(service)
+        if record is None or service in self.held:
+            return
+        if not self.failure_detector.is_unreachable(record.holder.ref):
+            return
+        if not self.announcements.store_reached or self.is_claimable(service):
+            return
+        if self.me.ref in self.ranking.standbys(service, record.holder.ref):
+            await self.challenges.challenge(record)
+
+    def is_holder_silent(self, service: str) -> bool:
+        """Return whether the holder of a lease is lost, or unreachable from here.
+
+        A backup holder may act while the holder does, so that no other host has to
+        confirm the loss.
+        """
+        record = self.registry.get(service)
+        if record is None or self.is_claimable(service):
+            return True
+        return self.failure_detector.is_unreachable(record.holder.ref)
+
     def should_claim(self, service: str) -> bool:
         """Return whether this host should claim the lease of a service now."""
         now = self.clock.monotonic()
@@ -289,7 +316,8 @@
         """Return whether the lease of a service has no live holder.
 
         A holder is lost only if probes from here failed: membership reports may come
-        from hosts that are partitioned themselves.
+        from hosts that are partitioned themselves. Where no other host can confirm the
+        loss, the holder must have left a challenge in the store unanswered.
         """
         record = self.registry.get(service)
         if record is None:
@@ -298,7 +326,11 @@
             # If this process is named and holds no lease, its claim took effect
             # late, a restore revived it, or it had expired at the restore.
             return service not in self.held
-        return self.failure_detector.is_lost(record.holder.ref)
+        if self.failure_detector.is_lost(record.holder.ref):
+            return True
+        return self.failure_detector.is_unreachable(
+            record.holder.ref
+        ) and self.challenges.is_unanswered(record)
 
     def is_announced(self, service: str) -> bool:
         """Return whether the service has a current or former primary.
--- a/src/reedhook/process/session_host.py
+++ b/src/reedhook/process/session_host.py
@@ -56,6 +56,7 @@
 from .primary_lease.holder_failure_detector import HolderFailureDetector
 from .primary_lease.holder_ranking import LeaseHolderRanking
 from .primary_lease.indirect_prober import IndirectProber
+from .primary_lease.lease_challenge import LeaseChallenges
 from .primary_lease.lease_claim import BackupHolderClaim, HolderClaim, LeaseClaim
 from .primary_lease.lease_holder import PrimaryLeaseHolder
 from .primary_lease.lease_manager import PrimaryLeaseManager
@@ -222,6 +223,9 @@
         self.failure_detector = HolderFailureDetector(
             self.me, table, self.peers, self.clock, self.random, self.decisions
         )
+        self.challenges = LeaseChallenges(
+            self.holder, self.keyspace, self.announcements, self.clock, self.decisions
+        )
         self.make_promotion_coordinator()
         self.zone_isolation = ZoneIsolationDetector(
             self.me,
@@ -253,6 +257,7 @@
             BackupHolders(self.holder, self.make_backup_holder, self.decisions),
             self.indirect_probers,
             self.failure_detector,
+            self.challenges,
             self.peers,
             self.make_lease,
             self.clock,
@@ -516,6 +521,7 @@
             self.dialect,
             self.make_home,
             self.epoch_age,
+            self.challenges,
             self.clock,
             self.decisions,
         )
