Use a target that is ordered again only once its promotion has taken effect

A successor that went dark after its order was waited for as long as it stayed dark.

Cause: the recorded primary counted as the platform's present one, whose order changes nothing, so that it was used at once. The record named it only because nobody had seen the successor lead, and that a promotion had been ordered was overwritten with the next choice.

Change: the record keeps that another target was ordered (other_ordered). A successor is replaced, here and after a 409, only after all former holders have stopped, since one of them may use it.

--- a/src/reedhook/process/primary_lease/lease_record.py
+++ b/src/reedhook/process/primary_lease/lease_record.py
@@ -62,6 +62,9 @@
     :param epoch: epoch of the store in which the record was written.
     :param successor_inherited: whether the successor comes from a record of an earlier
         epoch, so that it may be outdated.
+    :param other_ordered: whether another target was to be promoted before the
+        successor. Its promotion may have taken effect unseen, so that the recorded
+        primary may be superseded.
     """
 
     __slots__ = (
@@ -78,6 +81,7 @@
         "successor_started_at_ms",
         "epoch",
         "successor_inherited",
+        "other_ordered",
     )
 
     def __init__(
@@ -95,6 +99,7 @@
         successor_started_at_ms: int = 0,
         epoch: int = 0,
         successor_inherited: bool = False,
+        other_ordered: bool = False,
     ) -> None:
         self.service = service
         self.holder = holder
@@ -109,6 +114,15 @@
         self.successor_started_at_ms = successor_started_at_ms
         self.epoch = epoch
         self.successor_inherited = successor_inherited
+        self.other_ordered = other_ordered
+
+    @property
+    def successor_contested(self) -> bool:
+        """Return whether a promotion of another target may have taken effect.
+
+        The recorded primary is chosen as its own successor only after another target.
+        """
+        return self.other_ordered or self.successor == self.primary
 
     @property
     def order(self) -> StoreRevision:
@@ -197,7 +211,7 @@
             term,
         )
         updated.successor, updated.successor_started_at_ms = "", 0
-        updated.successor_inherited = False
+        updated.successor_inherited = updated.other_ordered = False
         return updated
 
     def with_inherited_successor(self) -> "PrimaryLeaseRecord":
@@ -207,14 +221,19 @@
         return updated
 
     def with_adopted_successor(self) -> "PrimaryLeaseRecord":
-        """Return the record with its successor as the holder's own decision."""
+        """Return the record with its successor as the holder's own decision.
+
+        Records that a restore has lost may have named other successors.
+        """
         updated = self.copy()
         updated.successor_inherited = False
+        updated.other_ordered = True
         return updated
 
     def with_successor(self, successor: TargetAnnouncement) -> "PrimaryLeaseRecord":
         """Return the record with the target to be promoted."""
         updated = self.copy()
+        updated.other_ordered = self.other_ordered or bool(self.successor)
         updated.successor = successor.target
         updated.successor_started_at_ms = successor.started_at_ms
         updated.successor_inherited = False
@@ -231,6 +250,7 @@
         updated.successor = other.successor
         updated.successor_started_at_ms = other.successor_started_at_ms
         updated.successor_inherited = other.successor_inherited
+        updated.other_ordered = other.other_ordered
         return updated
 
     def has_primary_of(self, other: "PrimaryLeaseRecord") -> bool:
@@ -274,6 +294,8 @@
             message["epoch"] = self.epoch
         if self.successor_inherited:
             message["successor_inherited"] = True
+        if self.other_ordered:
+            message["other_ordered"] = True
         return message
 
     def encoded(self) -> bytes:
@@ -304,6 +326,7 @@
             message.get("successor_born", 0),
             int(message.get("epoch", 0)),
             message.get("successor_inherited") is True,
+            message.get("other_ordered") is True,
         )
 
     @classmethod
--- a/src/reedhook/process/primary_lease/primary_replacement.py
+++ b/src/reedhook/process/primary_lease/primary_replacement.py
@@ -11,6 +11,7 @@
 from ...version.route_table import TargetAnnouncement
 from .lease_claim import LeaseClaim
 from .other_holders import OtherHolders
+from .promotion_attempt import PromotionAttempt, attempt_for
 from .promotion_coordinator import OrderOutcome, PromotionCoordinator
 from .target_status import TargetStatusClient
 
@@ -55,6 +56,7 @@
         self.coordinator = coordinator
         self.clock = clock
         self.decisions = decisions
+        self.attempt: PromotionAttempt | None = None
 
     async def decide_successor(
         self,
@@ -173,47 +175,69 @@
             )
             await self.choose_again()
             return None
+        attempt = await self.current_attempt(entry)
+        if attempt.is_overdue(self.clock.monotonic()) and await self.choose_again():
+            return None
         outcome = await self.coordinator.order(
             self.service, target, self.claim.record.epoch
         )
         if outcome is OrderOutcome.NOT_RUNNING:
             await self.choose_again()
             return None
+        if outcome is OrderOutcome.DONE:
+            attempt.note_ordered(self.clock.monotonic())
         if entry is None:
             # The promotion may have taken effect, so no other target is chosen.
             self.decisions.record("successor_unknown", target=target)
             return None
         deadline = self.clock.monotonic() + LEADING_TIMEOUT_SECONDS
         while self.clock.monotonic() < deadline and should_continue():
+            requested_at = self.clock.monotonic()
             status = await self.states.status(entry)
-            if status is not None and self.is_promoted(target, status):
+            if status is not None and attempt.leads(status, requested_at):
                 return self.record_promoted(entry, status)
             if outcome is OrderOutcome.UNANSWERED:
                 return None
             await self.clock.sleep(LEADING_POLL_SECONDS)
         return None
 
-    def is_promoted(self, target: str, status: SessionTargetStatus) -> bool:
-        """Return whether a status shows that the ordered promotion took effect.
+    async def current_attempt(
+        self, entry: TargetAnnouncement | None
+    ) -> PromotionAttempt:
+        """Return the attempt to promote the recorded successor.
 
-        A former primary that is chosen may still lead in the term in which it was
-        superseded, and its promotion begins a later one. The recorded primary stays in
-        its term if it is promoted again.
+        :param entry: announcement of the successor; None if it never had one.
         """
-        record = self.claim.record
-        if not status.is_primary or status.term < record.term:
-            return False
-        return status.term > record.term or target == record.primary
+        if self.attempt is None or not self.attempt.concerns(self.claim.record):
+            self.attempt = attempt_for(self.claim.record)
+            if self.attempt.contested and entry is not None:
+                status = await self.states.status(entry)
+                if status is not None:
+                    self.attempt.note_before(status)
+        return self.attempt
 
-    async def choose_again(self) -> None:
-        """Record another successor if the recorded one does not run."""
+    async def choose_again(self) -> bool:
+        """Record another successor if the recorded one does not run or lead.
+
+        A former holder may have seen the recorded one lead, and use it.
+
+        :returns: whether it is stored.
+        """
+        if not await self.others.stop_all():
+            return False
         record = self.claim.record
         found = await self.states.all(self.states.announced(self.service))
         usable = [pair for pair in found if pair[0].target != record.successor]
         if not usable:
-            return
+            return False
         entry, _ = max(usable, key=self.fitness)
-        await self.claim.write(record.with_successor(entry))
+        self.decisions.record(
+            "successor_replaced",
+            service=self.service,
+            successor=record.successor,
+            chosen=entry.target,
+        )
+        return await self.claim.write(record.with_successor(entry))
 
     def record_promoted(
         self, entry: TargetAnnouncement, status: SessionTargetStatus
