Promote no target while another one may hold acknowledged commits it lacks

Cause: nothing read sync_replicas. The choice left out targets that leave, and took the best of those that answered once within 0.4 s; the choice after a rejected order did the same. It was also made before the holder closed its connections to the lost primary.

Change: TargetSurvey counts the targets that may hold an acknowledged commit no report has: silent ones, and those that lost their log. If they are enough, they are waited for until they respond or are gone, and the log names them. A target that leaves is promoted if it alone holds the commits. The soak, its stand-ins and the fakes learn sync_replicas.

--- a/src/reedhook/platform/documents.py
+++ b/src/reedhook/platform/documents.py
@@ -102,7 +102,8 @@
 def read_service_limits(message: Any) -> ServiceLimits:
     """Parse the limits of the targets of a service."""
     connections = message.get("connection_limit", DEFAULT_CONNECTIONS)
-    return ServiceLimits(message["name"], int(connections))
+    sync_replicas = int(message.get("sync_replicas") or 0)
+    return ServiceLimits(message["name"], int(connections), sync_replicas)
 
 
 def read_workspaces(message: Any) -> list[Workspace]:
--- a/src/reedhook/process/discovery/announcements.py
+++ b/src/reedhook/process/discovery/announcements.py
@@ -39,6 +39,7 @@
     :ivar targets: current target announcements by target ID.
     :ivar missing: last announcements of targets that are gone, by target ID.
     :ivar missing_since: `Clock.boottime` when each of these was found gone.
+    :ivar restarted: targets that have started again without their data.
     :ivar malformed: keys with malformed values; each is logged once.
     :ivar host_items: latest items written by hosts, by key.
     :ivar mirror: all items except configurations, for other hosts.
@@ -60,6 +61,7 @@
         self.targets: dict[str, TargetAnnouncement] = {}
         self.missing: dict[str, TargetAnnouncement] = {}
         self.missing_since: dict[str, float] = {}
+        self.restarted: set[str] = set()
         self.malformed: set[str] = set()
         self.host_items: dict[str, Item] = {}
         self.store_reached = False
@@ -175,6 +177,11 @@
         missing_since = self.missing_since.get(target, self.reached_since)
         return now - missing_since >= GONE_AFTER_SECONDS
 
+    def sync_replicas(self, service: str) -> int:
+        """Return how many replicas have received a commit that is acknowledged."""
+        limits = self.table.services.get(service)
+        return 0 if limits is None else limits.sync_replicas
+
     def process_updates(self, news: list[Item]) -> None:
         """Process new items and wake waiting tasks."""
         if not news:
@@ -297,6 +304,7 @@
             born=entry.started_at_ms,
             before=before.started_at_ms,
         )
+        self.restarted.add(entry.target)
         for callback in self.on_restart:
             callback(entry)
 
--- a/src/reedhook/process/primary_lease/primary_replacement.py
+++ b/src/reedhook/process/primary_lease/primary_replacement.py
@@ -13,6 +13,7 @@
 from .other_holders import OtherHolders
 from .promotion_attempt import PromotionAttempt, attempt_for
 from .promotion_coordinator import OrderOutcome, PromotionCoordinator
+from .successor_choice import TargetReport, TargetSurvey
 from .target_status import TargetStatusClient
 
 CATCH_UP_TIMEOUT_SECONDS: Final = 2.0
@@ -23,6 +24,9 @@
 
 CATCH_UP_POLL_SECONDS: Final = 0.05
 
+SLOW_STATUS_TIMEOUT_SECONDS: Final = 2.5
+"""Timeout of a status without which no successor can be chosen."""
+
 LEADING_POLL_SECONDS: Final = 0.02
 """Short, since all writes of the service wait for the promotion."""
 
@@ -81,13 +85,20 @@
         epoch = self.claim.record.epoch
         if not self.claim.current or not await self.others.stop_all():
             return False
+        sync_replicas = self.states.announcements.sync_replicas(self.service)
+        if sync_replicas and not planned:
+            # A commit that is acknowledged after the choice may be at another target.
+            await stop_use()
         successor = await self.choose_successor(old, planned, highest_position)
+        if successor is not None:
+            await stop_use()
+            if sync_replicas and planned:
+                successor = await self.choose_successor(old, planned, highest_position)
         if successor is None:
             self.decisions.record(
                 "primary_change_cancelled", service=self.service, cause=cause
             )
             return False
-        await stop_use()
         if self.claim.record.epoch != epoch:
             # The record was written again meanwhile, so that the others may act anew.
             return False
@@ -107,9 +118,9 @@
     ) -> TargetAnnouncement | None:
         """Return the responding target with the highest position, or None.
 
-        Targets without commits have restarted. If only such targets respond, none is
-        chosen unless all targets respond, since the others may hold acknowledged
-        commits.
+        Without `sync_replicas`, a planned change does not wait longer than
+        CATCH_UP_TIMEOUT_SECONDS, and no change waits for a target that leaves or does
+        not respond.
         """
         deadline = self.clock.monotonic() + (
             CATCH_UP_TIMEOUT_SECONDS if planned else 0.0
@@ -117,21 +128,87 @@
         goal = (
             await self.required_position(old, highest_position) if planned else ORIGIN
         )
+        patient = False
         while True:
-            others = [
-                one
-                for one in self.states.announced(self.service)
-                if one.target != old and not one.leaving
-            ]
-            found = await self.states.all(others)
-            complete = len(found) == len(others)
-            if not found or not (complete or any(map(has_commits, found))):
+            survey = await self.survey(old, highest_position, patient=patient)
+            chosen = survey.best(self.fitness, planned)
+            if chosen is None:
                 return None
-            entry, status = max(found, key=self.fitness)
-            if status.received >= goal or self.clock.monotonic() >= deadline:
+            entry, status = chosen
+            # What a target that still responds holds need not be lost.
+            binding = planned and survey.former_position is not None
+            awaited = [] if binding else survey.awaited()
+            reached = status.received >= goal
+            if reached and (goal.index > 0 or not awaited):
                 return entry
+            expired = self.clock.monotonic() >= deadline
+            if expired and not awaited and not binding:
+                return entry
+            if expired and (patient or binding):
+                self.log_awaited(awaited, entry, status)
+                return None
+            patient = bool(awaited)
             await self.clock.sleep(CATCH_UP_POLL_SECONDS)
 
+    async def survey(
+        self,
+        excluded: str,
+        highest_position: Position | None,
+        leaving: bool = False,
+        patient: bool = False,
+    ) -> TargetSurvey:
+        """Query the targets that may be promoted, and with `sync_replicas` all others.
+
+        :param excluded: the target that is to be replaced.
+        :param leaving: whether targets that leave are queried in any case.
+        :param patient: whether to wait for slow responses.
+        """
+        announcements = self.states.announcements
+        sync_replicas = announcements.sync_replicas(self.service)
+        if not sync_replicas:
+            entries = [
+                one
+                for one in self.states.announced(self.service)
+                if one.target != excluded and (leaving or not one.leaving)
+            ]
+            found = await self.states.all(entries)
+            return TargetSurvey(found, without(entries, found))
+        entries = self.states.running(self.service)
+        found = await self.states.all(entries)
+        silent = without(entries, found)
+        if patient and silent:
+            found += await self.states.all(silent, SLOW_STATUS_TIMEOUT_SECONDS)
+            silent = without(entries, found)
+        positions = {entry.target: status.received for entry, status in found}
+        return TargetSurvey(
+            [report for report in found if report[0].target != excluded],
+            [one for one in silent if one.target != excluded],
+            next((one for one in silent if one.target == excluded), None),
+            positions.get(excluded),
+            sync_replicas,
+            self.claim.record.term,
+            highest_position,
+            frozenset(announcements.restarted),
+        )
+
+    def log_awaited(
+        self,
+        awaited: list[TargetAnnouncement],
+        entry: TargetAnnouncement,
+        status: SessionTargetStatus,
+    ) -> None:
+        """Record for which targets a promotion waits, and what the others hold.
+
+        Without any, it waits for a replica to receive what the former primary holds.
+        """
+        self.decisions.record(
+            "successor_awaits",
+            service=self.service,
+            awaited=[one.target for one in awaited],
+            best=entry.target,
+            received=status.received.to_json(),
+        )
+
     async def required_position(
         self, old: str, highest_position: Position | None
     ) -> Position:
@@ -142,15 +219,13 @@
             return status.received
         return ORIGIN if highest_position is None else highest_position
 
-    def fitness(
-        self, pair: tuple[TargetAnnouncement, SessionTargetStatus]
-    ) -> tuple[Position, bool]:
+    def fitness(self, report: TargetReport) -> tuple[Position, bool]:
         """Return the sort key of a candidate; the highest one is preferred.
 
         Among equal positions, a target outside the holder's availability zone is
         preferred: the loss of one zone then takes the primary or its holder, not both.
         """
-        entry, status = pair
+        entry, status = report
         return status.received, entry.zone != self.claim.me.ref.zone
 
     async def execute(
@@ -226,11 +301,18 @@
         if not await self.others.stop_all():
             return False
         record = self.claim.record
-        found = await self.states.all(self.states.announced(self.service))
-        usable = [pair for pair in found if pair[0].target != record.successor]
-        if not usable:
+        survey = await self.survey(record.successor, None, leaving=True)
+        if survey.awaited():
+            survey = await self.survey(
+                record.successor, None, leaving=True, patient=True
+            )
+        chosen = survey.best(self.fitness)
+        if chosen is None:
+            return False
+        entry, status = chosen
+        if awaited := survey.awaited():
+            self.log_awaited(awaited, entry, status)
             return False
-        entry, _ = max(usable, key=self.fitness)
         self.decisions.record(
             "successor_replaced",
             service=self.service,
@@ -254,6 +336,9 @@
         return LeadingTarget(entry, status)
 
 
-def has_commits(pair: tuple[TargetAnnouncement, SessionTargetStatus]) -> bool:
-    """Return whether the log of a target holds any commit."""
-    return pair[1].received.index > 0
+def without(
+    entries: list[TargetAnnouncement], found: list[TargetReport]
+) -> list[TargetAnnouncement]:
+    """Return the targets that have not responded."""
+    responded = {entry.target for entry, _ in found}
+    return [one for one in entries if one.target not in responded]
--- a/src/reedhook/process/primary_lease/target_status.py
+++ b/src/reedhook/process/primary_lease/target_status.py
@@ -54,24 +54,40 @@
         ]
         return self.announced(service) + missing
 
+    def running(self, service: str) -> list[TargetAnnouncement]:
+        """Return the targets of a service that are not gone.
+
+        An announcement that is missing may come back; see `Announcements.is_gone`.
+        """
+        missing = [
+            entry
+            for target, entry in self.announcements.missing.items()
+            if entry.service == service and not self.announcements.is_gone(target)
+        ]
+        return self.announced(service) + missing
+
     async def all(
-        self, entries: list[TargetAnnouncement]
+        self, entries: list[TargetAnnouncement], timeout: float = STATUS_TIMEOUT_SECONDS
     ) -> list[tuple[TargetAnnouncement, SessionTargetStatus]]:
-        """Return the targets that respond, with their status."""
-        answers = await asyncio.gather(*(self.status(entry) for entry in entries))
+        """Return the targets that respond within `timeout` seconds and their status."""
+        answers = await asyncio.gather(
+            *(self.status(entry, timeout) for entry in entries)
+        )
         return [
             (entry, answer)
             for entry, answer in zip(entries, answers, strict=True)
             if answer is not None
         ]
 
-    async def status(self, entry: TargetAnnouncement) -> SessionTargetStatus | None:
-        """Return the status of one target, or None if it does not respond."""
+    async def status(
+        self, entry: TargetAnnouncement, timeout: float = STATUS_TIMEOUT_SECONDS
+    ) -> SessionTargetStatus | None:
+        """Return the status of one target, or None if it does not respond in time."""
         try:
-            async with asyncio.timeout(STATUS_TIMEOUT_SECONDS):
-                connection = await self.driver.connect(entry, STATUS_TIMEOUT_SECONDS)
+            async with asyncio.timeout(timeout):
+                connection = await self.driver.connect(entry, timeout)
                 try:
-                    return await connection.status(STATUS_TIMEOUT_SECONDS)
+                    return await connection.status(timeout)
                 finally:
                     connection.close()
         except (TimeoutError, SessionTargetUnreachableError, SessionTargetNoReplyError):
--- a/src/reedhook/version/route_table.py
+++ b/src/reedhook/version/route_table.py
@@ -66,13 +66,15 @@
     """Describe the limits of the targets of a service.
 
     :param connections: maximum number of connections to one target from all hosts.
+    :param sync_replicas: replicas that have received a commit that is acknowledged.
     """
 
-    __slots__ = ("service", "connections")
+    __slots__ = ("service", "connections", "sync_replicas")
 
-    def __init__(self, service: str, connections: int) -> None:
+    def __init__(self, service: str, connections: int, sync_replicas: int = 0) -> None:
         self.service = service
         self.connections = connections
+        self.sync_replicas = sync_replicas
 
 
 class RouteTable(Record):
--- a/src/reedhook_standins/database.py
+++ b/src/reedhook_standins/database.py
@@ -21,6 +21,8 @@
 
 LAG = 0.008
 PROMOTION = 0.3
+RECEIPT_POLL = 0.002
+STEP_DOWN = 1.0
 FIRST_BORN = 1_700_000_000_000
 
 
@@ -31,6 +33,7 @@
     :ivar received: the log including entries received but not applied yet.
     :ivar deaf: whether it receives no replicated entries.
     :ivar down: whether it answers nothing.
+    :ivar delay: seconds by which its answers are late.
     :ivar busy: how many of the next statements it refuses because its queue is full.
     :ivar failing: share of its statements that end with an error. Writes take effect
         nevertheless, since a caller must not rely on the contrary.
@@ -47,6 +50,7 @@
         self.leads = False
         self.deaf = False
         self.down = False
+        self.delay = 0.0
         self.lag = LAG
         self.connections: set[Any] = set()
         self.runs: list[str] = []
@@ -72,6 +76,7 @@
         """Clear all faults."""
         self.down = self.deaf = False
         self.lag, self.losing, self.busy, self.failing = LAG, 0.0, 0, 0.0
+        self.delay = 0.0
 
     @property
     def position(self) -> Position:
@@ -82,6 +87,8 @@
 class DatabaseGroup:
     """Model the members of one service, and record what happened to their commits.
 
+    :ivar sync_replicas: members besides the primary that have received a commit before
+        it is acknowledged.
     :ivar lost: commits that a promotion rolled back, or will roll back.
     :ivar forgotten: logs of primaries that restarted empty.
     :ivar superseded: commits at a former primary after a promotion.
@@ -107,6 +114,7 @@
             )
             self.members[entry.target] = DatabaseMember(entry, self, limit)
         self.primary.leads = True
+        self.sync_replicas = 0
         self.cuts: set[tuple[str, str]] = set()
         self.lost: set[Position] = set()
         self.superseded: set[Position] = set()
@@ -148,6 +156,12 @@
                 other.log = list(source.log)
                 other.term = source.term
 
+    async def until_received(self, member: DatabaseMember, entry: Position) -> None:
+        """Wait until a commit of a primary may be acknowledged."""
+        others = [one for one in self.members.values() if one is not member]
+        while sum(entry in one.log for one in others) < self.sync_replicas:
+            await asyncio.sleep(RECEIPT_POLL)
+
     def spawn(self, work: object) -> None:
         """Run a coroutine as a background task."""
         task = asyncio.ensure_future(work)  # type: ignore[call-overload]
@@ -171,6 +185,18 @@
         for other in self.members.values():
             if other is not member and other is not former:
                 self.spawn(self.replicate(member, other))
+        if self.sync_replicas:
+            self.spawn(self.step_down(former, member))
+
+    async def step_down(self, former: DatabaseMember, member: DatabaseMember) -> None:
+        """Make a former primary follow the next one, which may need its receipts."""
+        names = (former.entry.target, member.entry.target)
+        while former.down or member.down or names in self.cuts:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(STEP_DOWN)
+        if former.leads and former is not self.primary:
+            former.leads = False
+            await self.replicate(self.primary, former)
 
     def cut(self, host: str, target: str) -> None:
         """Drop the messages between a host and a member."""
@@ -186,6 +212,7 @@
 
     :ivar open: the kind of the open transaction; empty for none.
     :ivar written: ids of the statements that wrote in it.
+    :ivar committed: position of the last commit, until it is acknowledged.
     """
 
     def __init__(self, member: DatabaseMember) -> None:
@@ -195,6 +222,7 @@
         self.id = ""
         self.open = ""
         self.written: list[str] = []
+        self.committed: Position | None = None
         self.failed = False
         self.closed = False
         self.on_close: Callable[[], None] = lambda: None
@@ -228,6 +256,12 @@
             return self.reply(StatementFault.FAILED)
         return reply
 
+    async def until_acknowledged(self) -> None:
+        """Wait until the replicas have received what the last statement committed."""
+        entry, self.committed = self.committed, None
+        if entry is not None:
+            await self.member.group.until_received(self.member, entry)
+
     def reply(
         self, fault: StatementFault = StatementFault.NONE, *rows: str
     ) -> SessionTargetReply:
@@ -334,7 +368,7 @@
         :param ids: ids of the statements that wrote.
         """
         group = self.member.group
-        entry = group.commit(self.member)
+        entry = self.committed = group.commit(self.member)
         group.on_commit(ids)
         if self.member is not group.primary:
             group.lost.add(entry)
--- a/src/reedhook_standins/promises.py
+++ b/src/reedhook_standins/promises.py
@@ -137,6 +137,20 @@
                     f"without {commit.position}, acknowledged at {commit.at:.3f}"
                 )
 
+    def check_synchronous(self) -> None:
+        """Report acknowledged commits that a promotion rolled back in spite of receipt.
+
+        What a superseded primary commits is reported with its acknowledgement.
+        """
+        if not self.group.sync_replicas:
+            return
+        for commit in self.acknowledged:
+            if self.was_rolled_back(commit.position):
+                self.broken(
+                    f"{commit.position}, acknowledged at {commit.at:.3f}, was rolled "
+                    "back by a promotion"
+                )
+
     def was_rolled_back(self, position: Position) -> bool:
         """Return whether a promotion rolled a commit back.
 
--- a/src/reedhook_standins/soak/faults.py
+++ b/src/reedhook_standins/soak/faults.py
@@ -258,6 +258,45 @@
     seconds = (0.5, 2.0)
 
 
+class PrimaryAndReplicas(SoakFault):
+    """Lose or drain the primary while one replica alone received the last commits.
+
+    That one drains, responds late or is down for a moment. No outage lasts so long that
+    a target is to be taken as gone.
+    """
+
+    async def strike(self, field: FaultContext) -> str:
+        async with field.around.changing_members:
+            return await self.strike_alone(field)
+
+    async def strike_alone(self, field: FaultContext) -> str:
+        """Strike while no other fault of this kind does."""
+        random, around = field.random, field.around
+        primary = around.group.primary
+        replicas = [one for one in around.group.members.values() if one is not primary]
+        holding, behind = random.sample(replicas, 2)
+        state = random.choice(["leaving", "late", "absent", "leaving and late", "well"])
+        end = random.choice(["dark", "dark", "leaving"])
+        behind.deaf = random.random() < 0.8
+        if "leaving" in state:
+            around.leaving.add(holding.entry.target)
+        await asyncio.sleep(random.uniform(0.2, 2.0))
+        if "late" in state:
+            holding.delay = random.uniform(0.5, 1.5)
+        holding.down = state == "absent"
+        primary.down = end == "dark"
+        if end == "leaving":
+            around.leaving.add(primary.entry.target)
+        await asyncio.sleep(random.uniform(0.2, 2.5))
+        holding.down, holding.delay = False, 0.0
+        await asyncio.sleep(random.uniform(0.0, 3.0))
+        for member in around.group.members.values():
+            member.heal()
+        around.leaving.clear()
+        await asyncio.sleep(random.uniform(1.0, 4.0))
+        return f"{primary.entry.target} {end}, {holding.entry.target} {state}"
+
+
 COMPANIONS: Final[list[type[SoakFault] | None]] = [
     None,
     Killed,
@@ -438,6 +477,7 @@
     "late": WITH_LATE_WRITES,
     "successors": [LateSuccessor],
     "planned": [Restarted, TerminationSeries, Reloaded],
+    "replicas": [PrimaryAndReplicas] * 3 + [Killed, Restarted, Paused],
 }
 """Faults that a run may draw from, by name."""
 
--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -2,7 +2,7 @@
 
 Usage:
   soak [--seeds N] [--first SEED] [--hosts N] [--seconds S] [--folder DIR]
-       [--faults DRAW] [--at-once N] [--cuts]
+       [--faults DRAW] [--at-once N] [--cuts] [--sync N]
   soak --help
 
 Options:
@@ -11,10 +11,13 @@
   --hosts N      Hosts in three availability zones [default: 6].
   --seconds S    Time of faults, of each seed [default: 20].
   --folder DIR   Where settings and logs are kept [default: build/soak].
-  --faults DRAW  Faults to draw from: lives, restores, late, successors or planned;
-                 each draw gives a seed other faults [default: late].
+  --faults DRAW  Faults to draw from: lives, restores, late, successors, planned or
+                 replicas; each draw gives a seed other faults [default: late].
   --at-once N    Most faults at a time [default: 3].
   --cuts         Count a request that a planned end cuts as a violation.
+  --sync N       Replicas that receive a commit before it is acknowledged; only with
+                 the faults "replicas" no acknowledged commit may be lost then
+                 [default: 0].
 
 Exit codes: 0 if all promises were kept, 1 otherwise.
 """
@@ -72,6 +75,7 @@
         folder: Path,
         faults: list[type[SoakFault]] = FAULTS,
         check_cuts: bool = False,
+        sync_replicas: int = 0,
     ) -> None:
         self.faults = faults
         self.check_cuts = check_cuts
@@ -85,7 +89,7 @@
         self.folder = folder
         self.random = Random(seed)
         names = [f"h{index}" for index in range(hosts)]
-        self.around = SoakEnvironment(list(ZONES), names)
+        self.around = SoakEnvironment(list(ZONES), names, sync_replicas)
         self.names = names
         self.hosts: list[SoakHostProcess] = []
         self.done = 0
@@ -109,6 +113,7 @@
                     await proxy.stop()
             await self.around.stop()
         self.check_tokens()
+        self.promises.check_synchronous()
         return self.promises.violations
 
     async def play(self) -> None:
@@ -301,6 +306,7 @@
             folder,
             DRAWS[arguments["--faults"]],
             arguments["--cuts"],
+            int(arguments["--sync"]),
         )
         soak.at_once = int(arguments["--at-once"])
         violations = asyncio.run(soak.run())
--- a/src/reedhook_standins/soak/surroundings.py
+++ b/src/reedhook_standins/soak/surroundings.py
@@ -37,14 +37,20 @@
 class SoakEnvironment:
     """Run the platform and the targets in the current process.
 
+    :param sync_replicas: replicas that receive a commit before it is acknowledged.
     :ivar links: between hosts and targets, by host and target.
+    :ivar changing_members: held by a fault that acts on several targets.
     """
 
-    def __init__(self, zones: list[str], hosts: list[str]) -> None:
+    def __init__(
+        self, zones: list[str], hosts: list[str], sync_replicas: int = 0
+    ) -> None:
         self.hosts = hosts
         self.store = KeyValueStandIn()
         self.connections = CONNECTIONS + CONNECTIONS_A_HOST * len(hosts)
         self.group = DatabaseGroup(SERVICE, zones, self.connections)
+        self.group.sync_replicas = sync_replicas
+        self.changing_members = asyncio.Lock()
         self.servers: dict[str, WireDatabase] = {}
         self.proxies: dict[str, MemberProxy] = {}
         self.links = {
@@ -115,7 +121,13 @@
         message = {
             "version": self.version,
             "routes": routes,
-            "services": [{"name": SERVICE, "connection_limit": self.connections}],
+            "services": [
+                {
+                    "name": SERVICE,
+                    "connection_limit": self.connections,
+                    "sync_replicas": self.group.sync_replicas,
+                }
+            ],
             "limits": {"transaction_idle_ms": 3000},
         }
         self.configuration = orjson.dumps(message)
--- a/src/reedhook_standins/wiredatabase.py
+++ b/src/reedhook_standins/wiredatabase.py
@@ -50,6 +50,8 @@
                 for line in lines.feed(data):
                     while self.member.down:
                         await asyncio.sleep(POLL)
+                    if self.member.delay:
+                        await asyncio.sleep(self.member.delay)
                     if started:
                         writer.write(await self.query(session, line))
                     else:
@@ -91,6 +93,7 @@
         if session.closed:
             return b""
         reply = session.run(TargetQuery("" if id == "-" else id, text, after))
+        await session.until_acknowledged()
         return self.worded(reply)
 
     def status(self) -> bytes:
--- a/tests/fakes_members.py
+++ b/tests/fakes_members.py
@@ -112,6 +112,7 @@
             if query.id:
                 self.member.group.ran_as[query.id] = self.workspace
             replies.append(self.session.run(query))
+            await self.session.until_acknowledged()
         group = self.member.group
         if self.member.losing and group.random.random() < self.member.losing:
             await asyncio.Event().wait()
@@ -122,7 +123,7 @@
 
     async def trip(self) -> None:
         """Wait for the one-way delay, or forever if the link is cut."""
-        await asyncio.sleep(TRIP)
+        await asyncio.sleep(TRIP + self.member.delay / 2)
         if self.closed or self.member.group.unreachable(self.host, self.member):
             await asyncio.Event().wait()
 
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -87,7 +87,12 @@
     @wraps_decode_errors
     def read_table(self, value: bytes) -> RouteTable:
         message = decode(value)
-        return table(message["version"], message["routes"], message.get("workspaces"))
+        return table(
+            message["version"],
+            message["routes"],
+            message.get("workspaces"),
+            message.get("sync_replicas", 0),
+        )
 
     @wraps_decode_errors
     def read_target(self, key: str, value: bytes) -> TargetAnnouncement:
@@ -95,7 +100,10 @@
 
 
 def table(
-    version: int, databases: list[str], workspaces: list[Json] | None = None
+    version: int,
+    databases: list[str],
+    workspaces: list[Json] | None = None,
+    sync_replicas: int = 0,
 ) -> RouteTable:
     """Return a configuration with the named databases.
 
@@ -110,7 +118,7 @@
     return RouteTable(
         version,
         routes,
-        {SERVICE: ServiceLimits(SERVICE, 16)},
+        {SERVICE: ServiceLimits(SERVICE, 16, sync_replicas)},
         3.0,
         3.0,
         Workspaces(read_workspace(workspace) for workspace in workspaces or []),
@@ -179,6 +187,8 @@
         message: Json = {"version": version, "routes": databases}
         if workspaces is not None:
             message["workspaces"] = workspaces
+        if self.group.sync_replicas:
+            message["sync_replicas"] = self.group.sync_replicas
         self.store.write(TABLE_KEY, encode(message))
 
     def announce(self, entry: TargetAnnouncement) -> None:
@@ -295,6 +305,7 @@
 
     def check(self) -> None:
         """Fail with the violated guarantees."""
+        self.promises.check_synchronous()
         broken = [
             *self.network.failures,
             *self.group.violations,
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -97,7 +97,10 @@
             "service": "huvo11a",
         },
     ],
-    "services": [{"name": "huvo11a", "connection_limit": 16}],
+    "services": [
+        {"name": "huvo11a", "connection_limit": 16},
+        {"name": "huvo11b", "sync_replicas": 1},
+    ],
     "limits": {"transaction_idle_ms": 3000, "header_timeout_ms": 2000},
 }
 
@@ -203,6 +206,8 @@
     assert route.kind is RouteConsistency.BOUNDED
     assert (route.statement_timeout_seconds, route.max_age) == (1.2, 1.5)
     assert table.services["huvo11a"].connections == 16
+    sync_replicas = [table.services[name].sync_replicas for name in table.services]
+    assert sync_replicas == [0, 1]
     assert (table.transaction_idle, table.start_timeout) == (3.0, 2.0)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,10 @@
 PLANNED_SEED = 1
 PLANNED_SECONDS = 15.0
 
+SYNC_SEED = 1
+SYNC_SECONDS = 25.0
+SYNC_REPLICAS = 1
+
 
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
 def test_guarantees_hold_under_process_faults(
@@ -79,3 +83,16 @@
     assert not violations
     assert soak.promises.acknowledged
     assert soak.struck
+
+
+# Guards against a successor that lacks acknowledged commits, which may be at a replica
+# that drains, responds late or is down for a moment.
+def test_guarantees_hold_with_synchronous_replicas(tmp_path: Path) -> None:
+    faults = DRAWS["replicas"]
+    soak = Soak(
+        SYNC_SEED, HOSTS, SYNC_SECONDS, tmp_path, faults, sync_replicas=SYNC_REPLICAS
+    )
+    violations = asyncio.run(soak.run())
+    assert not violations
+    assert soak.promises.acknowledged
+    assert soak.around.group.promotions
