Run no statement while its caller does not read earlier answers

Cause: CallerProtocol and PlainServer wrote to their transports without flow control, and bounded what waits to be run by its number only.

Change: both write through an OutputGate, which the transport closes above its high-water mark; the next statement or request is taken up once the peer has read. Reading pauses above 32 lines or 64 KiB of them. A caller that reads nothing for 30 s is closed.

--- a/src/reedhook/platform/caller_listener.py
+++ b/src/reedhook/platform/caller_listener.py
@@ -5,6 +5,7 @@
 from typing import Final, cast
 
 from ..address import split_address
+from ..connection.output_gate import GatedProtocol
 from ..connection.session import Session, SessionReply
 from ..connection.session_state import SessionState
 from ..connection.session_target import StatementFault
@@ -20,6 +21,12 @@
 MAX_QUEUED_STATEMENTS: Final = 32
 """Pipelined lines of a session beyond which reading from its connection pauses."""
 
+MAX_QUEUED_CHARACTERS: Final = 1 << 16
+"""The same for their characters, which are one byte each on the connection."""
+
+UNREAD_TIMEOUT_SECONDS: Final = 30.0
+"""Time after which a connection is closed whose caller reads no answers."""
+
 BACKLOG: Final = 512
 """Connections that may wait to be accepted, such as after a restart."""
 
@@ -46,9 +53,13 @@
 }
 
 
-class CallerProtocol(asyncio.Protocol, CallerConnection):
+class CallerProtocol(GatedProtocol, CallerConnection):
     """Serve one caller and run its statements one at a time.
 
+    No statement runs while the caller does not read the answers to earlier ones, and
+    none is read from the connection while enough wait.
+
+    :ivar queued_characters: total length of `lines`.
     :ivar pipelined: received statements that still run before a session closes that
         is due; None while it is not due.
     :ivar refusing: whether this session refuses all further statements. None may run
@@ -56,9 +67,11 @@
     """
 
     def __init__(self, callers: CallerSessions) -> None:
+        super().__init__()
         self.callers = callers
         self.reader = LineReader()
         self.lines: deque[str] = deque()
+        self.queued_characters = 0
         self.input_event = asyncio.Event()
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
@@ -83,14 +96,23 @@
         if self.ended:
             return
         try:
-            self.lines.extend(self.reader.feed(data))
+            for line in self.reader.feed(data):
+                self.lines.append(line)
+                self.queued_characters += len(line)
         except LineError as error:
             self.lines.append("")
             self.callers.decisions.record("malformed_line", error=str(error))
         self.input_event.set()
-        if len(self.lines) > MAX_QUEUED_STATEMENTS and self.transport is not None:
+        if self.has_enough_input() and self.transport is not None:
             self.transport.pause_reading()
 
+    def has_enough_input(self) -> bool:
+        """Return whether no more statements are to be read for now."""
+        return (
+            len(self.lines) > MAX_QUEUED_STATEMENTS
+            or self.queued_characters > MAX_QUEUED_CHARACTERS
+        )
+
     def eof_received(self) -> bool:
         """End the session after the caller has ended; called by the event loop."""
         self.ended = True
@@ -99,6 +121,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection; called by the event loop."""
+        super().connection_lost(exc)
         self.ended = True
         self.callers.connections.discard(self)
         self.input_event.set()
@@ -128,9 +151,12 @@
                 return None
             self.input_event.clear()
             await self.input_event.wait()
-        if len(self.lines) == MAX_QUEUED_STATEMENTS and self.transport is not None:
+        paused = self.has_enough_input()
+        line = self.lines.popleft()
+        self.queued_characters -= len(line)
+        if paused and not self.has_enough_input() and self.transport is not None:
             self.transport.resume_reading()
-        return self.lines.popleft()
+        return line
 
     async def start(self, line: str) -> bool:
         """Open the session that the first line requests; return whether it is open.
@@ -172,8 +198,17 @@
             self.write(encode_reply(reply))
             if reply.ends or self.closes_now(self.session):
                 return
+            if not await self.output.passable(UNREAD_TIMEOUT_SECONDS):
+                self.abort_unread()
+                return
             self.mark_idle(IDLE_GRACE_SECONDS)
 
+    def abort_unread(self) -> None:
+        """Abort the connection of a caller that does not read."""
+        self.callers.decisions.record("answers_unread", queued=len(self.lines))
+        if self.transport is not None:
+            self.transport.abort()
+
     async def answer(self, session: Session, id: str, statement: str) -> SessionReply:
         """Run a statement, or refuse it if the session is about to close."""
         command = text.read_command(statement)
--- a/src/reedhook/process/network/plain_server.py
+++ b/src/reedhook/process/network/plain_server.py
@@ -15,6 +15,7 @@
 import logbook
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from ...connection.output_gate import GatedProtocol
 from ...connection.unread_input import has_unread_input
 from ...record import Record
 from ...request.caller_presence import PRESENCE, CallerPresence
@@ -190,13 +191,16 @@
             return
 
 
-class PlainConnection(asyncio.Protocol):
+class PlainConnection(GatedProtocol):
     """Serve the requests of one connection in order.
 
+    No request is handled while the client does not read earlier responses.
+
     :ivar waiting: queued requests, and refusals of malformed ones.
     """
 
     def __init__(self, server: PlainServer) -> None:
+        super().__init__()
         self.server = server
         self.parser = HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
@@ -256,6 +260,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection; called by the event loop."""
+        super().connection_lost(exc)
         self.ended = True
         self.arrived.set()
         self.presence.leave()
@@ -350,9 +355,21 @@
             self.write(response.encoded(closes))
             if closes:
                 break
+            if not await self.output.passable(self.server.keepalive):
+                self.abort_unread()
+                return
             self.restart_timeout(self.server.keepalive)
         await self.finish()
 
+    def abort_unread(self) -> None:
+        """Abort the connection of a client that does not read."""
+        log.warning(
+            "A client of the {} server reads no responses; closing the connection.",
+            self.server.name,
+        )
+        if self.transport is not None:
+            self.transport.abort()
+
     async def next_request(self) -> PlainRequest | RefusalError | None:
         """Return the next request, or None after the end of the client's data."""
         while not self.waiting:
