--- a/src/reedhook/process/primary_lease/lease_challenge.py
+++ b/src/reedhook/process/primary_lease/lease_challenge.py
@@ -32,6 +32,7 @@
     """Carry a challenge of this host.
 
     :param order: order of the challenged record.
+    :param sent_at: `Clock.monotonic` before it was sent.
     :param stored_at: `Clock.monotonic` after the store took it; None before.
     """
 
--- a/tests/test_remaining_hosts.py
+++ b/tests/test_remaining_hosts.py
@@ -195,3 +195,20 @@
     shares = await world.served([holder])
     assert min(shares.values()) >= SERVED_SHARE, shares
     await world.end()
+
+
+@in_virtual_time
+async def test_challenge_stands_while_the_store_is_silent() -> None:
+    """Guards against another wait for a holder that has not answered a challenge."""
+    world = RemainingWorld(2)
+    await world.start()
+    await asyncio.sleep(4.0)
+    holder, other = world.by_role()
+    await world.kill(holder)
+    await asyncio.sleep(3.0)
+    world.store.silent.add(other)
+    await asyncio.sleep(RECOVERY_SECONDS / 2)
+    world.store.silent.clear()
+    await asyncio.sleep(2.0)
+    assert world.leader().me.host == other
+    await world.end()
