--- a/src/reedhook_standins/database.py
+++ b/src/reedhook_standins/database.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
-import json
 import random
 from collections.abc import Callable
 from typing import Any
 
+import orjson
+
 from reedhook.connection.session_state import SessionState
 from reedhook.connection.session_target import (
     SessionTargetReply,
@@ -310,12 +311,12 @@
     def do_read(self, rest: str) -> SessionTargetReply:
         """Return the visible log and the session's state."""
         visible = {
-            "log": [position.to_json() for position in self.member.log],
+            "log": [(one.term, one.index) for one in self.member.log],
             "values": self.values,
             "prepared": self.prepared,
             "open": self.open,
         }
-        return self.reply(StatementFault.NONE, json.dumps(visible))
+        return self.reply(StatementFault.NONE, orjson.dumps(visible).decode())
 
     def do_write(self, rest: str) -> SessionTargetReply:
         """Write, in the open transaction or as a commit of its own."""
--- a/src/reedhook_standins/promises.py
+++ b/src/reedhook_standins/promises.py
@@ -1,8 +1,9 @@
 """Check the answers given to callers against what the targets of a group did."""
 
-import json
 from collections.abc import Callable
 
+import orjson
+
 from reedhook.record import Record
 from reedhook.request.position import Position
 from reedhook.version.route_table import RouteConsistency
@@ -14,12 +15,14 @@
     """Represent an acknowledged commit.
 
     :param at: when the caller got the answer, by the clock of the check.
+    :ivar key: term and index of the position, as in the answer to a read.
     """
 
-    __slots__ = ("position", "at", "session")
+    __slots__ = ("position", "at", "session", "key")
 
     def __init__(self, position: Position, at: float, session: str) -> None:
         self.position = position
+        self.key = (position.term, position.index)
         self.at = at
         self.session = session
 
@@ -119,8 +122,9 @@
 
     def read(self, viewer: Viewer, row: str, asked: float) -> None:
         """Check that a read saw every commit it must see."""
-        visible = json.loads(row)
-        log = {Position.from_json(commit) for commit in visible["log"]}
+        visible = orjson.loads(row)
+        # Each read is compared with all commits, so that pairs of numbers are used.
+        log = set(map(tuple, visible["log"]))
         if (
             visible["values"] != viewer.settings
             or visible["prepared"] != viewer.prepared
@@ -129,7 +133,7 @@
                 f"{viewer.name} ran with {visible['values']} {visible['prepared']}"
             )
         for commit in self.acknowledged:
-            if commit.position in log or self.was_rolled_back(commit.position):
+            if commit.key in log or self.was_rolled_back(commit.position):
                 continue
             if commit.at <= viewer.must_see(commit, asked):
                 self.broken(
