--- a/src/reedhook_standins/soak/faults.py
+++ b/src/reedhook_standins/soak/faults.py
@@ -4,7 +4,7 @@
 import base64
 import signal
 from abc import ABC, abstractmethod
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from random import Random
 from typing import Any, Final
@@ -21,19 +21,30 @@
 LONGEST_PAUSE: Final = 14.0
 """Seconds; longer than any grant to use a primary lasts."""
 
+RECOVERY: Final = 12.0
+"""Seconds after which the only host that is left serves again."""
+
 LONGEST_OUTAGE: Final = 2.0
 """Seconds of the outage of a primary during which its successor is recorded late."""
 
 
 class FaultContext:
-    """Hold the hosts and systems that faults act on."""
+    """Hold the hosts and systems that faults act on.
+
+    :param require_service: reports a violation unless a host serves all databases.
+    """
 
     def __init__(
-        self, hosts: list[SoakHostProcess], around: SoakEnvironment, random: Random
+        self,
+        hosts: list[SoakHostProcess],
+        around: SoakEnvironment,
+        random: Random,
+        require_service: Callable[[SoakHostProcess], Coroutine[Any, Any, None]],
     ) -> None:
         self.hosts = hosts
         self.around = around
         self.random = random
+        self.require_service = require_service
 
     def some_hosts(self) -> list[SoakHostProcess]:
         """Return a random selection of hosts, mostly one."""
@@ -50,7 +61,7 @@
 
     def only(self, host: SoakHostProcess) -> "FaultContext":
         """Return a context whose faults act on one host."""
-        return FaultContext([host], self.around, self.random)
+        return FaultContext([host], self.around, self.random, self.require_service)
 
 
 class SoakFault(ABC):
@@ -79,6 +90,39 @@
         return f"killed {names(hosts)}"
 
 
+class LastHost(SoakFault):
+    """Kill or pause all hosts but one, which has to serve without them.
+
+    It may be started again as well, so that it knows nothing of the others.
+    """
+
+    async def strike(self, field: FaultContext) -> str:
+        random = field.random
+        holder, survivor = field.lease_holder(), random.choice(field.hosts)
+        others = [host for host in field.hosts if host is not survivor]
+        paused = [host for host in others if random.random() < 0.4]
+        for host in others:
+            if host in paused:
+                host.pause()
+            else:
+                await host.kill()
+        restarted = random.random() < 0.5
+        if restarted:
+            await survivor.kill()
+            await survivor.start()
+        await asyncio.sleep(RECOVERY)
+        await field.require_service(survivor)
+        for host in others:
+            host.resume()
+            await host.start()
+        await asyncio.sleep(random.uniform(0.0, 4.0))
+        how = "restarted" if restarted else "left"
+        return (
+            f"{survivor.name} {how} alone, {holder.name} held the lease, "
+            f"paused {names(paused)}"
+        )
+
+
 class Restarted(SoakFault):
     """Terminate a process gracefully and restart it, or several in turn."""
 
@@ -477,6 +521,7 @@
     "late": WITH_LATE_WRITES,
     "successors": [LateSuccessor],
     "planned": [Restarted, TerminationSeries, Reloaded],
+    "last host": [LastHost],
     "replicas": [PrimaryAndReplicas] * 3 + [Killed, Restarted, Paused],
 }
 """Faults that a run may draw from, by name."""
--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -11,8 +11,9 @@
   --hosts N      Hosts in three availability zones [default: 6].
   --seconds S    Time of faults, of each seed [default: 20].
   --folder DIR   Where settings and logs are kept [default: build/soak].
-  --faults DRAW  Faults to draw from: lives, restores, late, successors, planned or
-                 replicas; each draw gives a seed other faults [default: late].
+  --faults DRAW  Faults to draw from: lives, restores, late, successors, planned,
+                 replicas or "last host" (with --at-once 1); each draw gives a seed
+                 other faults [default: late].
   --at-once N    Most faults at a time [default: 3].
   --cuts         Count a request that a planned end cuts as a violation.
   --sync N       Replicas that receive a commit before it is acknowledged; only with
@@ -60,6 +61,7 @@
 MOST_AT_ONCE: Final = 3
 """Maximum of concurrent faults."""
 
+SERVICE_TRIES: Final = 10
 POLL: Final = 0.1
 FIRST_SEEDS: Final = 1_000_000
 
@@ -148,7 +150,7 @@
 
     async def disturb(self) -> None:
         """Inject faults for a while, sequentially and overlapping."""
-        field = FaultContext(self.hosts, self.around, self.random)
+        field = FaultContext(self.hosts, self.around, self.random, self.require_service)
         deadline = asyncio.get_running_loop().time() + self.seconds
         running: set[asyncio.Task[str]] = set()
         while asyncio.get_running_loop().time() < deadline:
@@ -161,6 +163,10 @@
         for description in await asyncio.gather(*running):
             self.struck.append(description)
 
+    def fault_context(self) -> FaultContext:
+        """Return what the faults act on."""
+        return FaultContext(self.hosts, self.around, self.random, self.require_service)
+
     async def inject(self, fault: SoakFault, field: FaultContext) -> str:
         """Inject a fault; return its description."""
         if fault.planned:
@@ -276,6 +282,19 @@
         if left:
             self.promises.broken(f"{when}: not served within {SETTLE} s: {left}")
 
+    async def require_service(self, host: SoakHostProcess) -> None:
+        """Report the databases that a host does not serve.
+
+        Each is tried a few times, since targets may refuse a statement as overloaded.
+        """
+        left = set(ROUTES)
+        for _ in range(SERVICE_TRIES):
+            left -= {one for one in left if await self.served(host, one)}
+            if not left:
+                return
+            await asyncio.sleep(POLL)
+        self.promises.broken(f"{host.name}, the last host, does not serve {left}")
+
     async def served(self, host: SoakHostProcess, database: str) -> bool:
         """Return whether a write and a read succeed at a host."""
         self.callers += 1
--- a/tests/test_late_record_processes.py
+++ b/tests/test_late_record_processes.py
@@ -108,8 +108,7 @@
     fault: LostRecords
 
     async def disturb(self) -> None:
-        field = FaultContext(self.hosts, self.around, self.random)
-        self.struck.append(await self.inject(self.fault, field))
+        self.struck.append(await self.inject(self.fault, self.fault_context()))
 
 
 @pytest.mark.parametrize("after", [False, True], ids=["before", "after"])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,6 +36,9 @@
 SYNC_SECONDS = 25.0
 SYNC_REPLICAS = 1
 
+LAST_HOST_SEED = 1
+LAST_HOST_SECONDS = 20.0
+
 
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
 def test_guarantees_hold_under_process_faults(
@@ -96,3 +99,14 @@
     assert not violations
     assert soak.promises.acknowledged
     assert soak.around.group.promotions
+
+
+# Guards against a last host that serves nothing, since no other one confirms the loss
+# of the lease holder, and against paused holders that go on to use the primary.
+def test_last_host_serves(tmp_path: Path) -> None:
+    soak = Soak(LAST_HOST_SEED, 3, LAST_HOST_SECONDS, tmp_path, DRAWS["last host"])
+    soak.at_once = 1
+    violations = asyncio.run(soak.run())
+    assert not violations
+    assert soak.promises.acknowledged
+    assert soak.struck
