--- a/src/reedhook_standins/soak/faults.py
+++ b/src/reedhook_standins/soak/faults.py
@@ -521,7 +521,7 @@
     "late": WITH_LATE_WRITES,
     "successors": [LateSuccessor],
     "planned": [Restarted, TerminationSeries, Reloaded],
-    "last host": [LastHost],
+    "last-host": [LastHost],
     "replicas": [PrimaryAndReplicas] * 3 + [Killed, Restarted, Paused],
 }
 """Faults that a run may draw from, by name."""
--- a/src/reedhook_standins/soak/soak.py
+++ b/src/reedhook_standins/soak/soak.py
@@ -12,7 +12,7 @@
   --seconds S    Time of faults, of each seed [default: 20].
   --folder DIR   Where settings and logs are kept [default: build/soak].
   --faults DRAW  Faults to draw from: lives, restores, late, successors, planned,
-                 replicas or "last host" (with --at-once 1); each draw gives a seed
+                 replicas or last-host (with --at-once 1); each draw gives a seed
                  other faults [default: late].
   --at-once N    Most faults at a time [default: 3].
   --cuts         Count a request that a planned end cuts as a violation.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -104,7 +104,7 @@
 # Guards against a last host that serves nothing, since no other one confirms the loss
 # of the lease holder, and against paused holders that go on to use the primary.
 def test_last_host_serves(tmp_path: Path) -> None:
-    soak = Soak(LAST_HOST_SEED, 3, LAST_HOST_SECONDS, tmp_path, DRAWS["last host"])
+    soak = Soak(LAST_HOST_SEED, 3, LAST_HOST_SECONDS, tmp_path, DRAWS["last-host"])
     soak.at_once = 1
     violations = asyncio.run(soak.run())
     assert not violations
